--- /dev/null
+++ b/cucumber.js
@@ -0,0 +1,19 @@
+const common = {
+  import: ['packages/*/src/**/*.steps.ts', 'packages/*/features/**/*.steps.ts'],
+  format: ['progress', 'message:reports/cucumber.ndjson'],
+  publishQuiet: true,
+  strict: true
+}
+
+export default {
+  ...common,
+  paths: ['packages/*/src/**/*.feature', 'packages/*/features/**/*.feature'],
+  tags: 'not @matrix'
+}
+
+export const faults = {
+  ...common,
+  paths: ['packages/*/features/**/*.feature'],
+  tags: '@matrix',
+  format: ['progress', 'message:reports/faults.ndjson']
+}
--- /dev/null
+++ b/packages/pimentoplank/src/shared/clock/index.ts
@@ -0,0 +1,1 @@
+export { createSystemClock, type Clock } from './clock'
--- /dev/null
+++ b/packages/pimentoplank/src/shared/config/index.ts
@@ -0,0 +1,2 @@
+export * from './entries'
+export { createSnapshot, createStaticConfig, type ConfigSnapshot, type ConfigView } from './snapshot'
--- /dev/null
+++ b/packages/pimentoplank/src/shared/hashing/index.ts
@@ -0,0 +1,2 @@
+export { hash32, hash64, hashHex } from './hash'
+export { rankByRendezvous } from './rendezvous'
--- /dev/null
+++ b/packages/pimentoplank/src/shared/logging/index.ts
@@ -0,0 +1,32 @@
+/** Structured logs: one JSON line each, with the fields of the request or chunk that they concern. */
+import bunyan from 'bunyan'
+
+export type Log = bunyan
+
+export interface LogOptions {
+  /** Program name. */
+  name: string
+  /** Instance id. */
+  instance?: string
+  level?: LogLevel
+  stream?: NodeJS.WritableStream
+}
+
+export const LOG_LEVELS = ['trace', 'debug', 'info', 'warn', 'error', 'fatal'] as const
+export type LogLevel = typeof LOG_LEVELS[number]
+
+/** Creates the log of a process; derive others with `log.child({ requestId, account, job, chunk })`. */
+export function createLog (options: LogOptions): Log {
+  return bunyan.createLogger({
+    name: options.name,
+    instance: options.instance ?? '',
+    level: options.level ?? 'info',
+    stream: options.stream ?? process.stdout,
+    serializers: { err: bunyan.stdSerializers.err }
+  })
+}
+
+/** A log that writes nothing, for tests. */
+export function createSilentLog (): Log {
+  return bunyan.createLogger({ name: 'silent', streams: [] })
+}
--- /dev/null
+++ b/packages/pimentoplank/src/shared/membership/index.ts
@@ -0,0 +1,2 @@
+export type { Instance, LeavingSign, MembershipView, Target } from './types'
+export { createStaticMembership } from './staticMembership'
--- /dev/null
+++ b/packages/pimentoplank/src/shared/objects/index.ts
@@ -0,0 +1,1 @@
+export { OBJECT_KINDS, type ObjectKind } from './kinds'
--- /dev/null
+++ b/packages/pimentoplank/src/shared/rpc/peerServer.ts
@@ -0,0 +1,80 @@
+/** Serves connect-es services to peer processes over HTTP/2. */
+import { timingSafeEqual, createHash } from 'node:crypto'
+import * as http2 from 'node:http2'
+import type { AddressInfo } from 'node:net'
+import { Code, ConnectError, type ConnectRouter, type Interceptor } from '@connectrpc/connect'
+import { connectNodeAdapter } from '@connectrpc/connect-node'
+import { errAsync, okAsync, ResultAsync } from 'neverthrow'
+import { PEER_KEY_HEADER, type PeerSecurity } from './peerSecurity'
+
+export interface PeerServerOptions {
+  host: string
+  /** 0 takes a free port. */
+  port: number
+  security: PeerSecurity
+  /** Registers the services of this process. */
+  routes: (router: ConnectRouter) => void
+}
+
+export interface PeerServer {
+  /** IP number and port that the server listens on. */
+  address: string
+  /** Ends open sessions and stops listening. */
+  close: () => Promise<void>
+}
+
+/** Starts the server; fails when its address is in use. */
+export function createPeerServer (options: PeerServerOptions): ResultAsync<PeerServer, Error> {
+  const handler = connectNodeAdapter({
+    routes: options.routes,
+    interceptors: [createKeyCheck(options.security.sharedKey)]
+  })
+  const server = createHttp2Server(options.security, handler)
+  const sessions = new Set<http2.Http2Session>()
+  server.on('session', (session: http2.Http2Session) => {
+    sessions.add(session)
+    session.on('error', () => undefined)
+    session.on('close', () => sessions.delete(session))
+  })
+  server.on('sessionError', () => undefined)
+
+  const listening = new Promise<Error | undefined>((resolve) => {
+    server.once('error', (cause: Error) => resolve(cause))
+    server.listen(options.port, options.host, () => resolve(undefined))
+  })
+  return ResultAsync.fromSafePromise(listening).andThen((failure) => {
+    if (failure !== undefined) return errAsync(failure)
+    const { port } = server.address() as AddressInfo
+    return okAsync({
+      address: `${options.host}:${port}`,
+      close: async () => await closeServer(server, sessions)
+    })
+  })
+}
+
+type Http2Server = http2.Http2Server | http2.Http2SecureServer
+
+function createHttp2Server (security: PeerSecurity, handler: ReturnType<typeof connectNodeAdapter>): Http2Server {
+  if (security.tls === undefined) return http2.createServer(handler)
+  const { cert, key, ca } = security.tls
+  return http2.createSecureServer({ cert, key, ca, requestCert: true, rejectUnauthorized: true }, handler)
+}
+
+async function closeServer (server: Http2Server, sessions: Set<http2.Http2Session>): Promise<void> {
+  const closed = new Promise<void>((resolve) => server.close(() => resolve()))
+  for (const session of sessions) session.destroy()
+  await closed
+}
+
+function createKeyCheck (sharedKey: string): Interceptor {
+  const expected = digest(sharedKey)
+  return (next) => async (req) => {
+    const given = req.header.get(PEER_KEY_HEADER) ?? ''
+    if (!timingSafeEqual(digest(given), expected)) throw new ConnectError('unknown peer key', Code.Unauthenticated)
+    return await next(req)
+  }
+}
+
+function digest (text: string): Buffer {
+  return createHash('sha256').update(text).digest()
+}
--- /dev/null
+++ b/packages/pimentoplank/src/shared/settings/index.ts
@@ -0,0 +1,12 @@
+export { loadSettings, parseSettings, SettingsError, type SettingsIssue } from './loadSettings'
+export {
+  commonSettings,
+  address,
+  instanceSettings,
+  listenSettings,
+  logSettings,
+  metricsSettings,
+  peerSettings,
+  platformSettings,
+  type CommonSettings
+} from './commonSettings'
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Builds the programs and runs every scenario; KNOWN-RED.txt names the failures that may pass.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bash scripts/setup.sh
+node scripts/build.mjs
+mkdir -p reports
+status=0
+NODE_OPTIONS='--import tsx' npx cucumber-js "$@" || status=$?
+node scripts/summary.mjs reports/cucumber.ndjson "$status"
