--- /dev/null
+++ b/packages/standins/src/engine/main.ts
@@ -0,0 +1,4 @@
+import { command } from 'cmd-ts'
+import { runProgram, VERSION } from 'pimentoplank/shared'
+
+await runProgram(command({ name: 'standin-engine', version: VERSION, args: {}, handler: async () => undefined }))
