--- /dev/null
+++ b/packages/standins/src/engine/index.ts
@@ -0,0 +1,7 @@
+export { createEngineStandin, type EngineStandin, type EngineState } from './engineStandin'
+export type { EngineStandinOptions } from './options'
+export type { EngineFaults } from './faults'
+export type { EngineOrder, LoadedModel, ReceivedOrder } from './models'
+export type { EngineRun } from './runLog'
+export { PREFIX_BLOCK_CHARS } from './prefixCache'
+export { expectedAnswer, promptOf } from './text'
--- /dev/null
+++ b/packages/standins/src/engine/runLog.ts
@@ -0,0 +1,43 @@
+/** What the engine stand-in ran, by request id and content. */
+
+const MAX_RUNS = 200_000
+const CONTENT_CHARS = 256
+
+export type RunOutcome = 'running' | 'done' | 'cancelled' | 'crashed'
+
+export interface EngineRun {
+  requestId: string
+  /** First characters of the prompt. */
+  content: string
+  /** Wall clock time, in milliseconds since the epoch. */
+  startedAt: number
+  /** Index of the first token of this run; above 0 for a resumed one. */
+  from: number
+  /** Tokens of the answer so far, those before `from` included. */
+  tokens: number
+  outcome: RunOutcome
+}
+
+export interface RunLog {
+  begin: (run: Pick<EngineRun, 'requestId' | 'content' | 'startedAt' | 'from'>) => EngineRun
+  all: () => EngineRun[]
+}
+
+/** Creates an empty log, which keeps the latest runs. */
+export function createRunLog (): RunLog {
+  const runs: EngineRun[] = []
+  return {
+    begin: (start) => {
+      const run: EngineRun = {
+        ...start,
+        content: start.content.slice(0, CONTENT_CHARS),
+        tokens: start.from,
+        outcome: 'running'
+      }
+      runs.push(run)
+      if (runs.length > 2 * MAX_RUNS) runs.splice(0, MAX_RUNS)
+      return run
+    },
+    all: () => runs.map((run) => ({ ...run }))
+  }
+}
--- /dev/null
+++ b/packages/standins/src/engine/streamWriter.ts
@@ -0,0 +1,104 @@
+/** Writes a stream to a connection as server-sent events, or as one JSON body at its end. */
+import type { ServerResponse } from 'node:http'
+import type { Stream, StreamEnd, StreamReader } from './stream'
+import { countTokens } from './text'
+
+const HTTP_OK = 200
+const MS_PER_SECOND = 1000
+
+export interface WriterOptions {
+  res: ServerResponse
+  /** True while nothing may be sent on this connection. */
+  isSilent: () => boolean
+  /** Tokens after which the connection breaks; 0 for none. */
+  cutAfterTokens: () => number
+}
+
+/** Reads a stream into a connection. */
+export interface StreamWriter extends StreamReader {
+  /** Sends the headers. */
+  open: (stream: Stream) => void
+}
+
+/** Creates a writer of server-sent events. */
+export function createEventWriter ({ res, isSilent, cutAfterTokens }: WriterOptions): StreamWriter {
+  let stream: Stream
+  let created = 0
+  let sent = 0
+
+  function send (text: string): void {
+    if (!isSilent() && !res.destroyed) res.write(text)
+  }
+
+  return {
+    open: (opened) => {
+      stream = opened
+      created = Math.floor(Date.now() / MS_PER_SECOND)
+      if (isSilent()) return
+      res.writeHead(HTTP_OK, {
+        'content-type': 'text/event-stream',
+        'cache-control': 'no-cache',
+        'x-stream-id': stream.id
+      })
+      res.flushHeaders()
+    },
+    token: (_, text) => {
+      send(formatEvent(stream, created, text, null))
+      sent += 1
+      if (cutAfterTokens() > 0 && sent >= cutAfterTokens()) res.destroy()
+    },
+    end: (reason) => {
+      if (isSilent()) return
+      if (reason !== 'done') {
+        res.destroy()
+        return
+      }
+      send(formatEvent(stream, created, '', 'length') + 'data: [DONE]\n\n')
+      res.end()
+    }
+  }
+}
+
+/** Creates a writer of one JSON body. */
+export function createBodyWriter ({ res, isSilent }: WriterOptions): StreamWriter {
+  let stream: Stream
+  const texts: string[] = []
+  return {
+    open: (opened) => { stream = opened },
+    token: (_, text) => { texts.push(text) },
+    end: (reason: StreamEnd) => {
+      if (isSilent()) return
+      if (reason !== 'done') {
+        res.destroy()
+        return
+      }
+      const choice = stream.req.kind === 'chat'
+        ? { index: 0, message: { role: 'assistant', content: texts.join('') }, finish_reason: 'length' }
+        : { index: 0, text: texts.join(''), finish_reason: 'length' }
+      const created = Math.floor(Date.now() / MS_PER_SECOND)
+      const object = stream.req.kind === 'chat' ? 'chat.completion' : 'text_completion'
+      const body = { ...header(stream, created), object, choices: [choice], usage: usageOf(stream) }
+      res.writeHead(HTTP_OK, { 'content-type': 'application/json', 'x-stream-id': stream.id })
+      res.end(JSON.stringify(body))
+    }
+  }
+}
+
+function formatEvent (stream: Stream, created: number, text: string, finish: string | null): string {
+  const body = stream.req.kind === 'chat' ? { delta: { content: text } } : { text }
+  const event = {
+    ...header(stream, created),
+    choices: [{ index: 0, ...body, finish_reason: finish }],
+    ...(finish === null ? {} : { usage: usageOf(stream) })
+  }
+  return `data: ${JSON.stringify(event)}\n\n`
+}
+
+function header (stream: Stream, created: number): { id: string, object: string, created: number, model: string } {
+  const object = stream.req.kind === 'chat' ? 'chat.completion.chunk' : 'text_completion'
+  return { id: stream.id, object, created, model: stream.req.model }
+}
+
+function usageOf (stream: Stream): { prompt_tokens: number, completion_tokens: number } {
+  return { prompt_tokens: countTokens(stream.req.prompt.length), completion_tokens: stream.tokens }
+}
--- a/packages/standins/src/platform/main.ts
+++ b/packages/standins/src/platform/main.ts
@@ -1,4 +1,21 @@
-import { command } from 'cmd-ts'
+import { command, number, option, optional, string } from 'cmd-ts'
 import { runProgram, VERSION } from 'pimentoplank/shared'
+import { runStandin } from '../shared'
+import { createPlatformStandin } from './platformStandin'
 
-await runProgram(command({ name: 'standin-platform', version: VERSION, args: {}, handler: async () => undefined }))
+await runProgram(command({
+  name: 'standin-platform',
+  version: VERSION,
+  description: 'Stand-in for the platform: object API, instance list and weight store.',
+  args: {
+    host: option({ type: string, long: 'host', defaultValue: () => '127.0.0.1', description: 'IP number.' }),
+    port: option({ type: number, long: 'port', defaultValue: () => 0, description: 'TCP port; 0 takes a free one.' }),
+    token: option({ type: optional(string), long: 'token', description: 'Bearer token that calls must carry.' }),
+    writesPerSecond: option({ type: optional(number), long: 'writes-per-second', description: 'Limit of writes.' }),
+    readsPerSecond: option({ type: optional(number), long: 'reads-per-second', description: 'Limit of reads.' }),
+    listLagMs: option({ type: optional(number), long: 'list-lag-ms', description: 'Lag of the instance list.' }),
+    weightsMbPerSecond: option({ type: optional(number), long: 'weights-mb-per-second', description: 'Rate of weights.' }),
+    weightsConcurrent: option({ type: optional(number), long: 'weights-concurrent', description: 'Transfers at once.' })
+  },
+  handler: async (options) => await runStandin('standin-platform', createPlatformStandin(options).start)
+}))
--- /dev/null
+++ b/packages/standins/src/platform/platformStandin.ts
@@ -0,0 +1,108 @@
+/** The platform stand-in: state, fault switches and server in one. */
+import { createSystemClock, type Clock, type InstanceRecord, type StoredObject } from 'pimentoplank/shared'
+import { createRestartableServer, type ListenOptions, type StandinServer } from '../shared'
+import { createPlatformApp } from './app'
+import { createPlatformFaults, type PlatformFaults } from './faults'
+import { createLaggingList, type LaggingList } from './laggingList'
+import { createObjectStore, type ObjectReads, type ObjectStore, type ObjectStoreOptions } from './objectStore'
+import { createRateLimiter, type RateLimiter } from './rateLimiter'
+import { createStatsRecorder, type PlatformStats, type StatsRecorder } from './stats'
+import { createWeightStore, type WeightStore, type WeightStoreOptions } from './weightStore'
+
+export interface PlatformStandinOptions extends ListenOptions, ObjectStoreOptions, WeightStoreOptions {
+  clock?: Clock
+  /** Bearer token that calls must carry; none by default. */
+  token?: string
+  /** Writes a second; unlimited by default. */
+  writesPerSecond?: number
+  /** Reads a second, watches included; unlimited by default. */
+  readsPerSecond?: number
+  /** Delay of the instance list, in milliseconds. */
+  listLagMs?: number
+}
+
+export interface PlatformStandin {
+  start: () => Promise<StandinServer>
+  close: () => Promise<void>
+  setFaults: (faults: PlatformFaults) => void
+  putInstance: (record: InstanceRecord) => void
+  removeInstance: (id: string) => void
+  stats: () => PlatformStats
+  resetStats: () => void
+  /** Every object of a kind, not counted and never failing. */
+  objects: (kind: string) => StoredObject[]
+  /** Writes an object without any check, such as one that an older version left. */
+  putObject: (kind: string, name: string, value: unknown) => void
+  /** Forgets all events, so that watches must list again. */
+  compact: () => void
+}
+
+/** What the routes of the stand-in work on. */
+export interface PlatformState {
+  clock: Clock
+  token: string | undefined
+  store: ObjectStore
+  instances: LaggingList
+  weights: WeightStore
+  stats: StatsRecorder
+  writes: RateLimiter
+  reads: RateLimiter
+  faults: Required<PlatformFaults>
+  /** The store, or the copy that stale reads come from. */
+  source: () => ObjectReads
+  listInstances: () => InstanceRecord[]
+  setFaults: (faults: PlatformFaults) => void
+}
+
+/** Creates a stand-in that does not listen yet. */
+export function createPlatformStandin (options: PlatformStandinOptions = {}): PlatformStandin {
+  const state = createPlatformState(options)
+  const server = createRestartableServer(createPlatformApp(state), options)
+  return {
+    start: server.start,
+    close: server.close,
+    setFaults: state.setFaults,
+    putInstance: state.instances.put,
+    removeInstance: state.instances.remove,
+    stats: state.stats.read,
+    resetStats: state.stats.reset,
+    objects: state.store.all,
+    putObject: (kind, name, value) => {
+      state.store.put(kind, name, { value, writeId: 'control' }, JSON.stringify(value).length)
+    },
+    compact: state.store.compact
+  }
+}
+
+function createPlatformState (options: PlatformStandinOptions): PlatformState {
+  const clock = options.clock ?? createSystemClock()
+  const store = createObjectStore(options)
+  const instances = createLaggingList(clock)
+  const faults = createPlatformFaults(options.listLagMs ?? 0)
+  let staleStore: ObjectReads | undefined
+  let staleInstances: InstanceRecord[] | undefined
+
+  function setFaults (changes: PlatformFaults): void {
+    Object.assign(faults, changes)
+    if (changes.staleReads !== undefined) staleStore = changes.staleReads ? store.copy() : undefined
+    if (changes.staleInstances !== undefined) {
+      staleInstances = changes.staleInstances ? instances.read(faults.listLagMs) : undefined
+    }
+    store.wakeAll()
+  }
+
+  return {
+    clock,
+    token: options.token,
+    store,
+    instances,
+    weights: createWeightStore(clock, options),
+    stats: createStatsRecorder(),
+    writes: createRateLimiter(clock, options.writesPerSecond),
+    reads: createRateLimiter(clock, options.readsPerSecond),
+    faults,
+    source: () => staleStore ?? store,
+    listInstances: () => staleInstances ?? instances.read(faults.listLagMs),
+    setFaults
+  }
+}
--- /dev/null
+++ b/packages/standins/src/service/index.ts
@@ -0,0 +1,4 @@
+export {
+  createServiceStandin,
+  type ServiceFaults, type ServiceRun, type ServiceStandin, type ServiceStandinOptions
+} from './serviceStandin'
--- /dev/null
+++ b/packages/standins/src/shared/standinServer.ts
@@ -0,0 +1,83 @@
+/** An HTTP server for a stand-in that can be stopped and started again at the same address. */
+import type { Socket } from 'node:net'
+import type { HttpBindings } from '@hono/node-server'
+import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response'
+import type { Context, Hono } from 'hono'
+import { serveHttp, type HttpServer } from 'pimentoplank/shared'
+
+export interface StandinEnv {
+  Bindings: HttpBindings
+}
+
+export interface ListenOptions {
+  /** IP number to listen on; 127.0.0.1 by default. */
+  host?: string
+  /** TCP port; 0, the default, takes a free one. */
+  port?: number
+}
+
+/** Where a running stand-in can be reached, and how to end it. */
+export interface StandinServer {
+  /** IP number and port. */
+  address: string
+  url: string
+  /** Stops listening and ends open connections. */
+  close: () => Promise<void>
+}
+
+export interface RestartableServer {
+  start: () => Promise<StandinServer>
+  close: () => Promise<void>
+  /** Address of the last start; throws before the first. */
+  address: () => string
+  /** Sockets that are open now. */
+  sockets: () => ReadonlySet<Socket>
+}
+
+/** Creates a server that keeps its port from the first start on. */
+export function createRestartableServer (app: Hono<StandinEnv>, options: ListenOptions): RestartableServer {
+  const host = options.host ?? '127.0.0.1'
+  const sockets = new Set<Socket>()
+  let port = options.port ?? 0
+  let server: HttpServer | undefined
+  let lastAddress: string | undefined
+
+  async function start (): Promise<StandinServer> {
+    const started = await serveHttp({ fetch: app.fetch as Hono['fetch'] }, { host, port })
+    if (started.isErr()) throw started.error
+    server = started.value
+    lastAddress = server.address
+    port = Number(lastAddress.slice(lastAddress.lastIndexOf(':') + 1))
+    server.server.on('connection', (socket: Socket) => {
+      sockets.add(socket)
+      socket.once('close', () => sockets.delete(socket))
+    })
+    return { address: lastAddress, url: `http://${lastAddress}`, close }
+  }
+
+  async function close (): Promise<void> {
+    const open = server
+    server = undefined
+    if (open === undefined) return
+    for (const socket of sockets) socket.destroy()
+    await open.close()
+  }
+
+  function address (): string {
+    if (lastAddress === undefined) throw new Error('the stand-in was not started')
+    return lastAddress
+  }
+
+  return { start, close, address, sockets: () => sockets }
+}
+
+/** Breaks the connection of a request without an answer. */
+export function dropConnection (c: Context<StandinEnv>): Response {
+  c.env.incoming.socket.destroy()
+  return RESPONSE_ALREADY_SENT
+}
+
+/** Leaves a request without an answer for good; its connection stays open. */
+export async function neverAnswer (): Promise<never> {
+  return await new Promise<never>(() => undefined)
+}
