--- /dev/null
+++ b/packages/standins/src/caller/jobClient.ts
@@ -0,0 +1,60 @@
+/** Submits batch jobs and reads them back, as a caller does. */
+import { createInterface } from 'node:readline'
+import { Readable } from 'node:stream'
+import type { Caller } from './caller'
+
+/** State of a job, as `GET /v1/batches/<id>` answers it. */
+export interface JobStatus {
+  id: string
+  state: string
+  counts: { total: number, done: number, failed: number, unknown: number, pending: number }
+}
+
+/** One line of a job's results. */
+export interface JobResult {
+  id: string
+  status: string
+}
+
+export interface JobClient {
+  /** Sends a job; items are streamed. Resolves with the status code and the body of the answer. */
+  submit: (key: string, items: Iterable<object>) => Promise<{ statusCode: number, body: unknown }>
+  status: (id: string) => Promise<JobStatus>
+  results: (id: string) => Promise<JobResult[]>
+  cancel: (id: string) => Promise<number>
+}
+
+/** Creates a client of the batch interface. */
+export function createJobClient (caller: Caller): JobClient {
+  return {
+    submit: async (key, items) => {
+      const res = await caller.send('/v1/batches', {
+        method: 'POST',
+        headers: { 'content-type': 'application/x-ndjson', 'idempotency-key': key },
+        body: Readable.from(toLines(items))
+      })
+      return { statusCode: res.statusCode, body: await res.body.json() }
+    },
+    status: async (id) => {
+      const res = await caller.send(`/v1/batches/${id}`, { method: 'GET' })
+      return await res.body.json() as JobStatus
+    },
+    results: async (id) => {
+      const res = await caller.send(`/v1/batches/${id}/results`, { method: 'GET' })
+      const results: JobResult[] = []
+      for await (const line of createInterface({ input: res.body })) {
+        if (line !== '') results.push(JSON.parse(line) as JobResult)
+      }
+      return results
+    },
+    cancel: async (id) => {
+      const res = await caller.send(`/v1/batches/${id}/cancel`, { method: 'POST' })
+      await res.body.dump()
+      return res.statusCode
+    }
+  }
+}
+
+function * toLines (items: Iterable<object>): Generator<string> {
+  for (const item of items) yield `${JSON.stringify(item)}\n`
+}
