--- /dev/null
+++ b/packages/standins/src/demo/runDemo.ts
@@ -0,0 +1,131 @@
+/** The steps of the demo: apply, one live answer, live alone, live beside a batch job, results. */
+import { execFile } from 'node:child_process'
+import { readFile } from 'node:fs/promises'
+import path from 'node:path'
+import { promisify } from 'node:util'
+import { createCaller, createJobClient, type Caller, type JobResult, type JobStatus, type LiveAnswer } from '../caller'
+import type { Deployment } from '../deployment'
+import { createLiveTail, type LiveTail } from './liveTail'
+
+const run = promisify(execFile)
+
+const FIRST_ANSWER_LIMIT_MS = 20_000
+const JOB_LIMIT_MS = 60_000
+const POLL_MS = 100
+const LIVE_ALONE_MS = 2500
+const LIVE_INTERVAL_MS = 25
+const LIVE_TOKENS = 12
+const HTTP_OK = 200
+const HTTP_CREATED = 201
+
+export interface DemoFiles {
+  /** Where logs and settings of the run go. */
+  folder: string
+  releaseNote: string
+  keys: string
+  batch: string
+}
+
+export interface DemoOutcome {
+  firstAnswer: LiveAnswer
+  liveAlone: LiveTail
+  liveBeside: LiveTail
+  /** Ids of the items that were submitted. */
+  submitted: string[]
+  results: JobResult[]
+  job: JobStatus
+  jobMs: number
+}
+
+interface DemoKeys {
+  operator: string
+  [account: string]: string
+}
+
+interface BatchLine {
+  id: string
+  body: { model: string }
+}
+
+/** Runs the steps on a deployment that listens; throws when a step can't be done. */
+export async function runDemo (deployment: Deployment, files: DemoFiles): Promise<DemoOutcome> {
+  const keys = JSON.parse(await readFile(files.keys, 'utf8')) as DemoKeys
+  const [liveKey, batchKey] = Object.entries(keys).filter(([name]) => name !== 'operator').map(([, key]) => key)
+  const items = await readItems(files.batch)
+  const model = items[0]!.body.model
+  const seeds = deployment.entryAddresses()
+  const live = createCaller({ seeds, key: liveKey! })
+  const batch = createCaller({ seeds, key: batchKey! })
+  try {
+    await applyNote(deployment, files)
+    const firstAnswer = await firstLiveAnswer(live, model)
+    console.log(`First live answer: ${firstAnswer.tokens} tokens, first after ${firstAnswer.firstTokenMs?.toFixed(0)} ms: ${firstAnswer.text.trim()}`)
+    const liveAlone = await runLive(live, model, delay(LIVE_ALONE_MS))
+    const startedAt = Date.now()
+    const submitted = await submitJob(batch, items)
+    const jobDone = waitForJob(batch, submitted)
+    const liveBeside = await runLive(live, model, jobDone)
+    const job = await jobDone
+    const results = await createJobClient(batch).results(submitted)
+    const ids = items.map((item) => item.id)
+    return { firstAnswer, liveAlone, liveBeside, submitted: ids, results, job, jobMs: Date.now() - startedAt }
+  } finally {
+    await Promise.all([live.close(), batch.close()])
+  }
+}
+
+async function readItems (file: string): Promise<BatchLine[]> {
+  const lines = (await readFile(file, 'utf8')).split('\n').filter(Boolean)
+  return lines.map((line) => JSON.parse(line) as BatchLine)
+}
+
+async function applyNote (deployment: Deployment, files: DemoFiles): Promise<void> {
+  const cli = path.resolve('packages/pimentoplank/dist/pimentoplank.js')
+  const { stdout } = await run(process.execPath, [cli, 'apply', files.releaseNote, '--config', deployment.cliSettings])
+  console.log(stdout.trim())
+}
+
+async function firstLiveAnswer (caller: Caller, model: string): Promise<LiveAnswer> {
+  const limit = Date.now() + FIRST_ANSWER_LIMIT_MS
+  for (;;) {
+    const answer = await caller.chat({ model, prompt: 'Which routes are open tomorrow?', maxTokens: LIVE_TOKENS })
+    if (answer.whole) return answer
+    if (Date.now() > limit) throw new Error(`no live answer: ${answer.reason ?? answer.failure ?? 'cut'}`)
+    await delay(POLL_MS)
+  }
+}
+
+async function submitJob (caller: Caller, items: BatchLine[]): Promise<string> {
+  const { statusCode, body } = await createJobClient(caller).submit('demo-job', items)
+  if (statusCode !== HTTP_CREATED && statusCode !== HTTP_OK) throw new Error(`the job was refused: ${JSON.stringify(body)}`)
+  return (body as { id: string }).id
+}
+
+async function waitForJob (caller: Caller, id: string): Promise<JobStatus> {
+  const limit = Date.now() + JOB_LIMIT_MS
+  for (;;) {
+    const status = await createJobClient(caller).status(id)
+    if (status.state === 'done') return status
+    if (Date.now() > limit) throw new Error(`the job did not end: ${JSON.stringify(status)}`)
+    await delay(POLL_MS)
+  }
+}
+
+/** Sends live requests at a steady pace until the given work ends. */
+async function runLive (caller: Caller, model: string, until: Promise<unknown>): Promise<LiveTail> {
+  const tail = createLiveTail()
+  const end = new AbortController()
+  const ended = until.catch(() => undefined).finally(() => end.abort())
+  const running: Array<Promise<void>> = []
+  for (let index = 0; !end.signal.aborted; index++) {
+    const prompt = `Question ${index}: is route ${index % 40} open?`
+    running.push(caller.chat({ model, prompt, maxTokens: LIVE_TOKENS }).then(tail.note))
+    await Promise.race([delay(LIVE_INTERVAL_MS), ended])
+  }
+  await Promise.all(running)
+  return tail
+}
+
+async function delay (ms: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, ms))
+}
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -9,7 +9,8 @@
   { package: 'standins', name: 'standin-platform', entry: 'src/platform/main.ts' },
   { package: 'standins', name: 'standin-engine', entry: 'src/engine/main.ts' },
   { package: 'standins', name: 'standin-service', entry: 'src/service/main.ts' },
-  { package: 'standins', name: 'pimentoplank-load', entry: 'src/load/main.ts' }
+  { package: 'standins', name: 'pimentoplank-load', entry: 'src/load/main.ts' },
+  { package: 'standins', name: 'demo', entry: 'src/demo/main.ts' }
 ]
 
 const BANNER = [
