Add leases with lapse seen on the observer's clock

Cause: runners and the controller need one holder that acts, without comparing clocks of two processes. A holder counts its lease from when a renewal was sent and relies on 0.9 of its length; an observer needs two reads of one revision, a full length apart, so a paused observer proves nothing by waking late. A renewal whose answer was lost is adopted by holder and epoch.

--- /dev/null
+++ b/packages/pimentoplank/features/support/manualClock.ts
@@ -0,0 +1,57 @@
+/** A clock that moves only when a test says so. */
+import { setImmediate as nextTurn } from 'node:timers/promises'
+import type { Clock } from '../../src/shared'
+
+export interface ManualClock extends Clock {
+  /** Moves the time on and wakes whoever waited until then. */
+  advance: (ms: number) => Promise<void>
+}
+
+/** Turns of the event loop that work woken by the clock gets to settle. */
+const SETTLE_TURNS = 20
+
+interface Sleeper {
+  dueAt: number
+  wake: () => void
+}
+
+/** Creates a clock that stands at 0. */
+export function createManualClock (): ManualClock {
+  let time = 0
+  const sleepers = new Set<Sleeper>()
+
+  async function sleep (ms: number, signal?: AbortSignal): Promise<void> {
+    if (signal?.aborted === true) return
+    await new Promise<void>((resolve) => {
+      const sleeper: Sleeper = {
+        dueAt: time + ms,
+        wake: () => {
+          sleepers.delete(sleeper)
+          signal?.removeEventListener('abort', sleeper.wake)
+          resolve()
+        }
+      }
+      sleepers.add(sleeper)
+      signal?.addEventListener('abort', sleeper.wake)
+    })
+  }
+
+  async function advance (ms: number): Promise<void> {
+    const until = time + ms
+    for (;;) {
+      const [next] = [...sleepers].filter((sleeper) => sleeper.dueAt <= until).sort((a, b) => a.dueAt - b.dueAt)
+      if (next === undefined) break
+      time = Math.max(time, next.dueAt)
+      next.wake()
+      await settle()
+    }
+    time = until
+    await settle()
+  }
+
+  return { now: () => time, wallTime: () => time, sleep, advance }
+}
+
+async function settle (): Promise<void> {
+  for (let turn = 0; turn < SETTLE_TURNS; turn++) await nextTurn()
+}
--- /dev/null
+++ b/packages/pimentoplank/features/support/memoryPlatform.ts
@@ -0,0 +1,106 @@
+/** The platform's object API in memory, behind the client interface, with fault switches for single calls. */
+import { errAsync, okAsync, ResultAsync } from 'neverthrow'
+import {
+  PlatformConflict, PlatformUnavailable,
+  type ObjectFeed, type PlatformClient, type PlatformError, type StoredObject, type WatchEvent
+} from '../../src/shared'
+
+export type CallFault = 'down' | 'loseAnswer'
+
+export interface MemoryCall {
+  operation: 'get' | 'list' | 'put' | 'remove'
+  kind: string
+  name: string
+  client: string
+}
+
+export interface MemoryPlatform {
+  /** A client whose calls the switches can tell from those of others. */
+  client: (id: string) => PlatformClient
+  feed: () => ObjectFeed
+  objects: (kind: string) => StoredObject[]
+  calls: MemoryCall[]
+  /** Asked before each call. */
+  faultOf: (call: MemoryCall) => CallFault | undefined
+}
+
+/** Creates an empty store. */
+export function createMemoryPlatform (): MemoryPlatform {
+  const store = new Map<string, StoredObject>()
+  const listeners = new Map<string, Set<(event: WatchEvent) => void>>()
+  let revision = 0
+  let writes = 0
+
+  function list (kind: string, prefix = ''): StoredObject[] {
+    return [...store.values()]
+      .filter((object) => object.kind === kind && object.name.startsWith(prefix))
+      .sort((a, b) => a.name < b.name ? -1 : 1)
+  }
+
+  function emit (kind: string, event: WatchEvent): void {
+    for (const listener of listeners.get(kind) ?? []) listener(event)
+  }
+
+  function write (kind: string, name: string, value: unknown, ifRevision: number): PlatformConflict | StoredObject {
+    const key = `${kind}/${name}`
+    const current = store.get(key) ?? null
+    if ((current?.revision ?? 0) !== ifRevision) return new PlatformConflict(current, false)
+    const object = { kind, name, revision: ++revision, writeId: `write-${++writes}`, value: structuredClone(value) }
+    store.set(key, object)
+    emit(kind, { type: 'put', name, revision, object })
+    return object
+  }
+
+  function client (id: string): PlatformClient {
+    function call<Value> (
+      operation: MemoryCall['operation'],
+      kind: string,
+      name: string,
+      act: () => PlatformError | Value
+    ): ResultAsync<Value, PlatformError> {
+      const made: MemoryCall = { operation, kind, name, client: id }
+      platform.calls.push(made)
+      const fault = platform.faultOf(made)
+      if (fault === 'down') return errAsync(new PlatformUnavailable('down'))
+      const value = act()
+      if (fault === 'loseAnswer') return errAsync(new PlatformUnavailable('answer lost', { maybeApplied: true }))
+      return value instanceof Error ? errAsync(value as PlatformError) : okAsync(value)
+    }
+
+    return {
+      get: (kind, name) => call('get', kind, name, () => structuredClone(store.get(`${kind}/${name}`) ?? null)),
+      list: (kind, options = {}) => call('list', kind, options.prefix ?? '', () => {
+        const rest = list(kind, options.prefix).filter((object) => object.name > (options.after ?? ''))
+        const items = structuredClone(rest.slice(0, options.limit))
+        return { revision, items, next: items.length < rest.length ? items.at(-1)?.name : undefined }
+      }),
+      listAll: (kind, options = {}) => call('list', kind, options.prefix ?? '', () =>
+        ({ revision, items: structuredClone(list(kind, options.prefix)) })),
+      put: (kind, name, value, { ifRevision }) => call('put', kind, name, () => write(kind, name, value, ifRevision)),
+      remove: (kind, name) => call('remove', kind, name, () => {
+        if (store.delete(`${kind}/${name}`)) emit(kind, { type: 'remove', name, revision: ++revision })
+      }),
+      watch: () => okAsync({ revision, events: [] }),
+      listInstances: () => okAsync([]),
+      close: async () => undefined
+    }
+  }
+
+  function feed (): ObjectFeed {
+    return {
+      objects: (kind) => new Map(list(kind).map((object) => [object.name, object])),
+      revision: () => revision,
+      subscribe: (kind, listener) => {
+        const set = listeners.get(kind) ?? new Set()
+        listeners.set(kind, set.add(listener))
+        return () => { set.delete(listener) }
+      },
+      offer: () => undefined,
+      ready: async () => undefined,
+      close: async () => undefined
+    }
+  }
+
+  const platform: MemoryPlatform = { client, feed, objects: (kind) => list(kind), calls: [], faultOf: () => undefined }
+  return platform
+}
--- /dev/null
+++ b/packages/pimentoplank/src/shared/lease/tryAcquireLease.ts
@@ -0,0 +1,124 @@
+/** Takes, renews and gives up a lease by conditional updates of one platform object. */
+import { err, ok, ResultAsync, type Result } from 'neverthrow'
+import { z } from 'zod'
+import type { Clock } from '../clock'
+import { OBJECT_KINDS } from '../objects/kinds'
+import { PlatformConflict, type PlatformClient, type PlatformError, type StoredObject } from '../platform'
+import type { Lease, LeaseObserver, LeaseOptions } from './types'
+
+/** Share of its length that a holder relies on; the rest covers clocks that run at different rates. */
+const HOLD_SHARE = 0.9
+/** A failed renewal is tried again after this share of the renewal interval. */
+const RETRY_SHARE = 0.25
+
+/** Value of a lease object. */
+export const leaseRecord = z.object({
+  /** Holder's process id; empty when the lease was given up. */
+  holder: z.string(),
+  epoch: z.int().min(1),
+  lengthMs: z.int().min(1)
+})
+export type LeaseRecord = z.infer<typeof leaseRecord>
+
+export interface LeaseDeps {
+  platform: PlatformClient
+  clock: Clock
+  /** Keeps what was seen of the lease between tries; use one observer for all tries of a process. */
+  observer: LeaseObserver
+}
+
+/**
+ * Takes a lease that is free, was given up, or has lapsed for this observer.
+ * Call it again every renewal interval while another holder has it: each call reads the lease once.
+ *
+ * @param deps - platform, clock and observer of this process
+ * @param options - name, holder, length in milliseconds
+ * @returns the lease, renewed in the background until it is lost or released; null when another holder has it
+ */
+export function tryAcquireLease (deps: LeaseDeps, options: LeaseOptions): ResultAsync<Lease | null, PlatformError> {
+  return new ResultAsync(acquire(deps, options))
+}
+
+async function acquire (deps: LeaseDeps, options: LeaseOptions): Promise<Result<Lease | null, PlatformError>> {
+  const { platform, clock, observer } = deps
+  const read = await platform.get(OBJECT_KINDS.lease, options.name)
+  if (read.isErr()) return err(read.error)
+  observer.observe(options.name, read.value?.revision ?? null)
+  const current = parseLease(read.value)
+  if (current !== undefined && !isFree(current, options, observer)) return ok(null)
+
+  const sentAt = clock.now()
+  const record = { holder: options.holder, epoch: (current?.epoch ?? 0) + 1, lengthMs: options.lengthMs }
+  const ifRevision = read.value?.revision ?? 0
+  const written = await platform.put(OBJECT_KINDS.lease, options.name, record, { ifRevision })
+  if (written.isOk()) return ok(holdLease(deps, options, record, { revision: written.value.revision, sentAt }))
+  return written.error instanceof PlatformConflict ? ok(null) : err(written.error)
+}
+
+/** Reads a lease object; undefined when it is absent or unreadable. */
+export function parseLease (object: StoredObject | null): LeaseRecord | undefined {
+  return leaseRecord.safeParse(object?.value).data
+}
+
+function isFree (current: LeaseRecord, options: LeaseOptions, observer: LeaseObserver): boolean {
+  if (current.holder === '' || current.holder === options.holder) return true
+  return observer.hasLapsed(options.name, Math.max(current.lengthMs, options.lengthMs))
+}
+
+/** The newest renewal that took effect. */
+interface Renewal {
+  revision: number
+  /** When it was sent; observers cannot have seen it earlier. */
+  sentAt: number
+}
+
+function holdLease (deps: LeaseDeps, options: LeaseOptions, record: LeaseRecord, first: Renewal): Lease {
+  const { platform, clock } = deps
+  const ended = new AbortController()
+  let renewal = first
+  const renewing = renewUntilEnded()
+
+  /** Renews once; false when the platform did not answer. */
+  async function renew (): Promise<boolean> {
+    const sentAt = clock.now()
+    const written = await platform.put(OBJECT_KINDS.lease, options.name, record, { ifRevision: renewal.revision })
+    if (written.isOk()) {
+      renewal = { revision: written.value.revision, sentAt }
+      return true
+    }
+    if (written.error instanceof PlatformConflict) takeConflict(written.error)
+    return false
+  }
+
+  function takeConflict ({ current }: PlatformConflict): void {
+    const found = parseLease(current)
+    // An earlier renewal took effect although its answer was lost: go on from it, and renew again.
+    const isOwn = found !== undefined && found.holder === record.holder && found.epoch === record.epoch
+    if (isOwn) renewal = { ...renewal, revision: current!.revision }
+    else ended.abort()
+  }
+
+  async function renewUntilEnded (): Promise<void> {
+    let pauseMs = options.renewEveryMs
+    while (!ended.signal.aborted) {
+      await clock.sleep(pauseMs, ended.signal)
+      if (ended.signal.aborted) return
+      const renewed = await renew()
+      pauseMs = renewed ? options.renewEveryMs : options.renewEveryMs * RETRY_SHARE
+    }
+  }
+
+  async function release (): Promise<void> {
+    if (ended.signal.aborted) return
+    ended.abort()
+    await renewing
+    await platform.put(OBJECT_KINDS.lease, options.name, { ...record, holder: '' }, { ifRevision: renewal.revision })
+  }
+
+  return {
+    epoch: () => record.epoch,
+    isHeld: () => !ended.signal.aborted && clock.now() - renewal.sentAt < options.lengthMs * HOLD_SHARE,
+    lost: ended.signal,
+    release
+  }
+}
