--- a/packages/pimentoplank/src/shared/platform/client.ts
+++ b/packages/pimentoplank/src/shared/platform/client.ts
@@ -29,6 +29,8 @@
   /** Base URL. */
   url: string
   token?: string
+  /** Instance id, sent as user agent so that the platform can tell whose calls it counts. */
+  instance?: string
   /** Limit for one call, in milliseconds. */
   timeoutMs?: number
   metrics?: Metrics
@@ -118,6 +120,7 @@
         dispatcher: agent,
         signal,
         headers: {
+          'user-agent': `pimentoplank/${options.instance ?? 'unnamed'}`,
           ...(call.body === undefined ? {} : { 'content-type': 'application/json' }),
           ...(options.token === undefined ? {} : { authorization: `Bearer ${options.token}` })
         },
--- /dev/null
+++ b/packages/standins/src/link/index.ts
@@ -0,0 +1,1 @@
+export { createLink, type Link, type LinkMode } from './link'
