--- a/packages/standins/src/engine/engineStandin.ts
+++ b/packages/standins/src/engine/engineStandin.ts
@@ -70,6 +70,7 @@
     runs,
     crashes: (prompt) => typeof faults.crashOn === 'string' && prompt.includes(faults.crashOn),
     onCrash: resolved.onCrash ?? crash,
+    holdAfterTokens: () => faults.holdAfterTokens ?? null,
     onLoad: (running, waiting) => reporter.note({ slots, running, waiting, cachedPrefixes: cache.size() })
   })
   const models = createModels({ ...resolved, usesModel: scheduler.usesModel })
--- a/packages/standins/src/engine/faults.ts
+++ b/packages/standins/src/engine/faults.ts
@@ -10,6 +10,8 @@
   freezeMs: z.number().min(0),
   /** Breaks each stream's connection after this many tokens; 0 takes the switch back. */
   cutAfterTokens: z.int().min(0),
+  /** Streams make no token after this many of their own; null lets them go on. */
+  holdAfterTokens: z.int().min(0).nullable(),
   /** New requests get 429. */
   busy: z.boolean(),
   /** New requests get 503 `leaving`. */
--- a/packages/standins/src/engine/scheduler.ts
+++ b/packages/standins/src/engine/scheduler.ts
@@ -28,6 +28,8 @@
   /** True for a prompt that ends the engine as it begins to run. */
   crashes: (prompt: string) => boolean
   onCrash: () => unknown
+  /** Tokens of its own after which a stream is held; null for none. */
+  holdAfterTokens: () => number | null
   /** Called after each change of the running and waiting counts. */
   onLoad: (running: number, waiting: number) => void
 }
@@ -128,7 +130,7 @@
   function step (): void {
     const now = clock.now()
     for (const stream of [...running]) {
-      if (stream.readyAt > now || stream.state !== 'running') continue
+      if (stream.readyAt > now || stream.state !== 'running' || isHeld(stream)) continue
       if (options.crashes(stream.req.prompt)) {
         options.onCrash()
         return
@@ -138,6 +140,11 @@
     fillSlots()
   }
 
+  function isHeld (stream: Stream): boolean {
+    const limit = options.holdAfterTokens()
+    return limit !== null && stream.tokens - stream.req.from >= limit
+  }
+
   function makeToken (stream: Stream): void {
     if (stream.tokens < stream.req.maxTokens) {
       const index = stream.tokens
--- a/packages/standins/src/platform/app.ts
+++ b/packages/standins/src/platform/app.ts
@@ -4,6 +4,7 @@
 import { z } from 'zod'
 import { dropConnection, type StandinEnv } from '../shared'
 import { platformFaults } from './faults'
+import { gateSpec, type GatedCall } from './gates'
 import type { WriteOutcome } from './objectStore'
 import type { PlatformState } from './platformStandin'
 import type { Operation } from './stats'
@@ -56,6 +57,16 @@
     state.setFaults(faults.data)
     return c.json(state.faults)
   })
+  app.post('/_control/gates', async (c) => {
+    const spec = gateSpec.safeParse(await readJson(c))
+    if (!spec.success) return c.json({ error: z.prettifyError(spec.error) }, 400)
+    return c.json({ id: state.gates.add(spec.data) })
+  })
+  app.get('/_control/gates/:id', async (c) => c.json({ calls: await state.gates.held(c.req.param('id')) }))
+  app.delete('/_control/gates/:id', (c) => {
+    state.gates.release(c.req.param('id'), c.req.query('action') === 'drop' ? 'drop' : 'go')
+    return c.json({})
+  })
   app.post('/_control/compact', (c) => {
     state.store.compact()
     return c.json({})
@@ -85,7 +96,14 @@
     }
     if (state.faults.slowMs > 0) await state.clock.sleep(state.faults.slowMs)
     if (state.faults.down) return c.json({ error: 'down' }, 503)
+    const call = gatedCall(c, kind, operation)
+    if (await state.gates.pass(call, 'before') === 'drop') return dropConnection(c)
     await next()
+    if (await state.gates.pass(call, 'after') === 'drop') {
+      c.res = undefined
+      c.res = dropConnection(c)
+      return
+    }
     if (isWrite && c.res.status === 200 && state.faults.loseAnswers > 0) {
       state.faults.loseAnswers -= 1
       c.res = undefined
@@ -94,6 +112,12 @@
   }
 }
 
+function gatedCall (c: StandinContext, kind: string, operation: Operation): GatedCall {
+  const name = decodeURIComponent(c.req.path.split('/')[4] ?? '')
+  const instance = (c.req.header('user-agent') ?? '').replace(/^pimentoplank\//, '')
+  return { kind, operation, name, instance }
+}
+
 function classify (method: string, group: string, name: string, path: string): { kind: string, operation: Operation } {
   if (group === 'instances') return { kind: LIST_KIND, operation: 'list' }
   if (group === 'weights') return { kind: WEIGHTS_KIND, operation: 'transfer' }
--- a/packages/standins/src/platform/platformStandin.ts
+++ b/packages/standins/src/platform/platformStandin.ts
@@ -3,6 +3,7 @@
 import { createRestartableServer, type ListenOptions, type StandinServer } from '../shared'
 import { createPlatformApp } from './app'
 import { createPlatformFaults, type PlatformFaults } from './faults'
+import { createGates, type Gates } from './gates'
 import { createLaggingList, type LaggingList } from './laggingList'
 import { createObjectStore, type ObjectReads, type ObjectStore, type ObjectStoreOptions } from './objectStore'
 import { createRateLimiter, type RateLimiter } from './rateLimiter'
@@ -25,6 +26,8 @@
   start: () => Promise<StandinServer>
   close: () => Promise<void>
   setFaults: (faults: PlatformFaults) => void
+  /** Steps at which calls are held. */
+  gates: Gates
   putInstance: (record: InstanceRecord) => void
   removeInstance: (id: string) => void
   stats: () => PlatformStats
@@ -44,6 +47,7 @@
   store: ObjectStore
   instances: LaggingList
   weights: WeightStore
+  gates: Gates
   stats: StatsRecorder
   writes: RateLimiter
   reads: RateLimiter
@@ -62,6 +66,7 @@
     start: server.start,
     close: server.close,
     setFaults: state.setFaults,
+    gates: state.gates,
     putInstance: state.instances.put,
     removeInstance: state.instances.remove,
     stats: state.stats.read,
@@ -97,6 +102,7 @@
     store,
     instances,
     weights: createWeightStore(clock, options),
+    gates: createGates(),
     stats: createStatsRecorder(),
     writes: createRateLimiter(clock, options.writesPerSecond),
     reads: createRateLimiter(clock, options.readsPerSecond),
--- a/packages/standins/src/service/serviceStandin.ts
+++ b/packages/standins/src/service/serviceStandin.ts
@@ -9,6 +9,7 @@
 } from '../shared'
 
 const MAX_SLOW_MS = 60_000
+const HOLD_CHECK_MS = 5
 
 export interface ServiceStandinOptions extends ListenOptions {
   clock?: Clock
@@ -26,6 +27,8 @@
   dieAfterRun: z.int().min(0),
   /** Each call waits this long before it runs, in milliseconds. */
   delayMs: z.number().min(0),
+  /** Calls are held before or after they ran, until the switch is taken back. */
+  hold: z.enum(['before', 'after']).nullable(),
   /** Calls get no answer, and their connections stay open. */
   silent: z.boolean(),
   /** Answer every call with this status, without running it; 0 takes the switch back. */
@@ -136,7 +139,9 @@
     if (faults.leaving === true) return c.json({ error: { code: 'leaving' } }, 503)
     if (faults.status !== undefined && faults.status > 0) return c.json({ error: {} }, faults.status as 500)
     if (faults.delayMs !== undefined && faults.delayMs > 0) await state.clock.sleep(faults.delayMs)
+    await waitWhileHeld(state, 'before')
     await next()
+    await waitWhileHeld(state, 'after')
     if ((faults.dieAfterRun ?? 0) > 0) {
       faults.dieAfterRun! -= 1
       state.runs.at(-1)!.outcome = 'dropped'
@@ -146,6 +151,10 @@
   }
 }
 
+async function waitWhileHeld (state: ServiceState, when: 'before' | 'after'): Promise<void> {
+  while (state.faults.hold === when) await state.clock.sleep(HOLD_CHECK_MS)
+}
+
 async function run (state: ServiceState, c: Context<StandinEnv>): Promise<void> {
   const body = await c.req.text()
   const key = c.req.header('idempotency-key') ?? c.req.header('x-request-id') ?? uuid()
