Add slots: homes that grant them, limits, ejection, and the client that asks

Cause: engines know no priorities and admit requests as they arrive, so the queue, the limit of each target and the precedence of live work are ours. Each target has a home among the entry instances; one stream for each holder and home carries tickets, grants, refusals, revocations and load hints, gathered into frames.

Ruled out: asking two homes at once for every request doubles the messages and lets the other target win against prefix affinity half of the time, so the second home is asked when the first one queues or refuses; both ways stay selectable until they are measured.

--- /dev/null
+++ b/packages/pimentoplank/src/entry/slots/index.ts
@@ -0,0 +1,1 @@
+export { createSlotHome, type SlotHome, type SlotHomeOptions, type SlotHomeStats } from './slotHome'
--- /dev/null
+++ b/packages/pimentoplank/src/entry/slots/limits.ts
@@ -0,0 +1,95 @@
+/** The limit of a target: how many requests may run on it at once, learned from measured times. */
+import { build, type Histogram } from 'hdr-histogram-js'
+import type { LimitWay, SlotHomeSettings } from '../../shared'
+
+const PERCENTILE = 95
+const US_PER_MS = 1000
+const AIMD_DECREASE = 0.8
+const AIMD_INCREASE = 1
+const GRADIENT_MIN = 0.5
+const GRADIENT_MAX = 1.2
+const GRADIENT_SMOOTHING = 0.5
+
+export interface LimitGoals {
+  slotsPerTarget: number
+  firstTokenGoalMs: number
+  tokenGapGoalMs: number
+}
+
+/** What one window of reports says. */
+export interface LimitSample {
+  limit: number
+  /** Measured time as a share of its goal, the worse of first token and token gap. */
+  pressure: number
+  /** True when the limit was what held work back. */
+  busy: boolean
+}
+
+/** The next limit, before it is bounded, by way of adapting. */
+export const LIMIT_STEPS: Record<LimitWay, (sample: LimitSample) => number> = {
+  fixed: ({ limit }) => limit,
+  aimd: ({ limit, pressure, busy }) => {
+    if (pressure > 1) return limit * AIMD_DECREASE
+    return busy ? limit + AIMD_INCREASE : limit
+  },
+  gradient: ({ limit, pressure, busy }) => {
+    const gradient = Math.min(GRADIENT_MAX, Math.max(GRADIENT_MIN, 1 / pressure))
+    if (gradient > 1 && !busy) return limit
+    return limit * (1 - GRADIENT_SMOOTHING) + limit * gradient * GRADIENT_SMOOTHING
+  }
+}
+
+export interface TargetLimit {
+  /** Requests that may run at once, a whole number of at least 1. */
+  current: () => number
+  /** Takes in the times of one request. */
+  report: (times: { firstTokenMs: number, tokenGapMs: number }) => void
+  /** Notes how many run, to tell whether the limit is what holds work back. */
+  noteInUse: (inUse: number) => void
+}
+
+/** Creates the limit of one target; it starts at `slotsPerTarget`. */
+export function createTargetLimit (
+  settings: Pick<SlotHomeSettings, 'limit' | 'limitWindow' | 'maxLimitFactor'>,
+  goals: () => LimitGoals
+): TargetLimit {
+  const firstTokens = createHistogram()
+  const tokenGaps = createHistogram()
+  let limit = goals().slotsPerTarget
+  let reports = 0
+  let peakInUse = 0
+
+  function step (): void {
+    const { slotsPerTarget, firstTokenGoalMs, tokenGapGoalMs } = goals()
+    const pressure = Math.max(
+      percentileMs(firstTokens) / firstTokenGoalMs,
+      percentileMs(tokenGaps) / tokenGapGoalMs
+    )
+    const next = LIMIT_STEPS[settings.limit]({ limit, pressure, busy: peakInUse >= Math.floor(limit) - 1 })
+    limit = Math.min(slotsPerTarget * settings.maxLimitFactor, Math.max(1, next))
+    firstTokens.reset()
+    tokenGaps.reset()
+    reports = 0
+    peakInUse = 0
+  }
+
+  return {
+    current: () => Math.max(1, Math.floor(limit)),
+    report: ({ firstTokenMs, tokenGapMs }) => {
+      if (firstTokenMs === 0 && tokenGapMs === 0) return
+      if (firstTokenMs > 0) firstTokens.recordValue(Math.round(firstTokenMs * US_PER_MS))
+      if (tokenGapMs > 0) tokenGaps.recordValue(Math.round(tokenGapMs * US_PER_MS))
+      reports += 1
+      if (reports >= settings.limitWindow) step()
+    },
+    noteInUse: (inUse) => { peakInUse = Math.max(peakInUse, inUse) }
+  }
+}
+
+function createHistogram (): Histogram {
+  return build({ bitBucketSize: 32, numberOfSignificantValueDigits: 2, autoResize: true, useWebAssembly: false })
+}
+
+function percentileMs (histogram: Histogram): number {
+  return histogram.totalCount === 0 ? 0 : histogram.getValueAtPercentile(PERCENTILE) / US_PER_MS
+}
--- a/packages/pimentoplank/src/shared/slots/index.ts
+++ b/packages/pimentoplank/src/shared/slots/index.ts
@@ -1,1 +1,5 @@
 export * from './types'
+export * from './settings'
+export { createSlotClient, type SlotClientOptions } from './slotClient'
+export { createHomeOrder, type HomeOrder } from './homeOrder'
+export { createFrameOutbox, type FrameOutbox } from './frameOutbox'
--- /dev/null
+++ b/packages/pimentoplank/src/shared/slots/routing.ts
@@ -0,0 +1,93 @@
+/** Ways to choose the targets that a request asks for a slot, in the order of asking. */
+import { rankByRendezvous } from '../hashing'
+import type { Target } from '../membership'
+import type { LoadTable } from './loadTable'
+import type { RoutingWay, SlotClientSettings } from './settings'
+import type { SlotRequest } from './types'
+
+/** Targets of the own failure domain above this load share send work to the region. */
+const SPILL_SHARE = 1
+
+export interface RoutingContext {
+  req: SlotRequest
+  /** Targets that may be asked. */
+  targets: readonly Target[]
+  loads: LoadTable
+  settings: SlotClientSettings
+  /** A number from 0 up to 1. */
+  random: () => number
+}
+
+export interface RoutingPlan {
+  /** Targets in the order of asking. */
+  targets: Target[]
+  /** Targets asked at once; further ones follow when these queue or refuse. */
+  atOnce: number
+  /** Tickets that may wait at the same time. */
+  maxOpen: number
+}
+
+/** Plans by way of routing. */
+export const ROUTING: Record<RoutingWay, (context: RoutingContext) => RoutingPlan> = {
+  random: (context) => ({ targets: shuffle(context.targets, context.random), atOnce: 1, maxOpen: 1 }),
+  twoChoices: (context) => ({ targets: byTwoChoices(context), atOnce: 1, maxOpen: 1 }),
+  localShares: (context) => ({ targets: byTwoChoices(context), atOnce: 1, maxOpen: 1 }),
+  homes: (context) => ({ targets: byAffinity(context), atOnce: 1, maxOpen: 2 }),
+  homesAtOnce: (context) => ({ targets: byAffinity(context), atOnce: 2, maxOpen: 2 })
+}
+
+/** Moves the preferred target to the front. */
+export function preferTarget (targets: readonly Target[], preferred: string | undefined): Target[] {
+  const first = targets.filter((target) => target.id === preferred)
+  const others = targets.filter((target) => target.id !== preferred)
+  return [...first, ...others]
+}
+
+/**
+ * The nearest targets that are not all overloaded: of the own failure domain, else of the region, else all.
+ *
+ * @param place - where this process stands
+ */
+export function nearestTargets (
+  targets: readonly Target[],
+  place: { failureDomain: string, region: string },
+  loads: LoadTable
+): readonly Target[] {
+  const hasRoom = (target: Target): boolean => loads.share(target.id) < SPILL_SHARE
+  const inDomain = targets.filter((target) => target.failureDomain === place.failureDomain)
+  if (inDomain.some(hasRoom)) return inDomain
+  const inRegion = targets.filter((target) => target.region === place.region)
+  if (inRegion.some(hasRoom)) return inRegion
+  return targets
+}
+
+/** The order of two choices: the better of each random pair first. */
+function byTwoChoices ({ targets, loads, random }: RoutingContext): Target[] {
+  const shuffled = shuffle(targets, random)
+  const [first, second] = shuffled
+  if (first === undefined || second === undefined) return shuffled
+  if (loads.share(second.id) < loads.share(first.id)) return [second, first, ...shuffled.slice(2)]
+  return shuffled
+}
+
+/** The target that most likely has the prompt's start cached first, and the better of two others after it. */
+function byAffinity (context: RoutingContext): Target[] {
+  const { req, targets, loads, settings } = context
+  if (req.prefixHash === 0n) return byTwoChoices(context)
+  const ranked = rankByRendezvous(`${req.model ?? ''}/${req.prefixHash}`, targets, (target) => target.id)
+  const affine = ranked[0]
+  if (affine === undefined || loads.share(affine.id) >= settings.overloadedShare) return byTwoChoices(context)
+  const others = targets.filter((target) => target !== affine)
+  return [affine, ...byTwoChoices({ ...context, targets: others })]
+}
+
+function shuffle (targets: readonly Target[], random: () => number): Target[] {
+  const shuffled = [...targets]
+  for (let last = shuffled.length - 1; last > 0; last -= 1) {
+    const index = Math.floor(random() * (last + 1))
+    const moved = shuffled[index]!
+    shuffled[index] = shuffled[last]!
+    shuffled[last] = moved
+  }
+  return shuffled
+}
--- a/packages/pimentoplank/src/shared/slots/types.ts
+++ b/packages/pimentoplank/src/shared/slots/types.ts
@@ -2,6 +2,7 @@
 import type { ResultAsync } from 'neverthrow'
 import type { RefusalError } from '../errors'
 import type { Target } from '../membership'
+import type { HolderFrame, HomeFrame } from '../rpc'
 
 export type WorkClass = 'live' | 'batch'
 
@@ -47,3 +48,11 @@
   acquire: (req: SlotRequest, options?: { signal?: AbortSignal }) => ResultAsync<SlotGrant, RefusalError>
   close: () => Promise<void>
 }
+
+/** Serves the stream of a holder; a home offers it over the network, and to its own process directly. */
+export type OpenSlotStream = (frames: AsyncIterable<HolderFrame>, signal: AbortSignal) => AsyncIterable<HomeFrame>
+
+/** A home in the same process. */
+export interface LocalSlotHome {
+  open: OpenSlotStream
+}
