--- /dev/null
+++ b/packages/pimentoplank/src/shared/objects/batchObjects.steps.ts
@@ -0,0 +1,35 @@
+import assert from 'node:assert/strict'
+import { Then, When } from '@cucumber/cucumber'
+import * as fc from 'fast-check'
+import { chunkName, createBitmap, jobName, parseChunkName, uploadEndName, uploadHeadName } from '.'
+
+interface NamesWorld {
+  chunkNames: string[]
+  sorted: string[]
+}
+
+const JOB = jobName('dunes', 'rosters')
+
+When('{int} chunk names of an upload are sorted with its first object', function (this: NamesWorld, count: number) {
+  this.chunkNames = Array.from({ length: count }, (_, index) => chunkName(JOB, 'upload', index))
+  const all = [...this.chunkNames, uploadHeadName(JOB, 'upload'), uploadEndName(JOB, 'upload')]
+  this.sorted = all.reverse().sort()
+})
+
+Then('they stand in chunk order between the first object and the end name', function (this: NamesWorld) {
+  const expected = [uploadHeadName(JOB, 'upload'), ...this.chunkNames, uploadEndName(JOB, 'upload')]
+  assert.deepEqual(this.sorted, expected)
+})
+
+Then('each chunk name gives back its job, upload and place', function (this: NamesWorld) {
+  const parts = this.chunkNames.map(parseChunkName)
+  assert.deepEqual(parts, this.chunkNames.map((_, index) => ({ job: JOB, uploadId: 'upload', index })))
+})
+
+Then('{int} random sets of items survive a bitmap', function (runs: number) {
+  fc.assert(fc.property(fc.uniqueArray(fc.nat(299)), (items) => {
+    const bitmap = createBitmap(300)
+    for (const item of items) bitmap.add(item)
+    assert.deepEqual(createBitmap(300, bitmap.encode()).values(), items.sort((a, b) => a - b))
+  }), { numRuns: runs, verbose: true })
+})
