Add the callers' interface to batch jobs

Cause: accepted items must survive the instance that took them in, and a client that resends must find its job. Chunks are stored as the upload streams in, under an upload id of its own; creating the job object acknowledges them. A job object that may exist keeps its chunks, whatever the caller was told. Ruled out: one upload id per key, since two uploads at once then mix their chunks (seen to fail).

--- /dev/null
+++ b/packages/pimentoplank/src/entry/batches/batchRoutes.ts
@@ -0,0 +1,118 @@
+/** The callers' interface to batch jobs. */
+import { Hono, type Context } from 'hono'
+import type { ContentfulStatusCode } from 'hono/utils/http-status'
+import { err, ok, type Result } from 'neverthrow'
+import {
+  createSystemClock, jobNamePrefix, jobRecord, OBJECT_KINDS, problemOf, RefusalError,
+  type Clock, type ConfigView, type JobRecord, type Metrics, type ObjectFeed, type PlatformClient, type StoredObject
+} from '../../shared'
+import type { EntryEnv } from '../context'
+import { cancelJob } from './cancelJob'
+import { countResults, viewJob } from './jobView'
+import { batchLimits, type BatchLimits } from './limits'
+import { platformRefusal } from './platformRefusal'
+import { streamResults } from './streamResults'
+import { submitJob } from './submitJob'
+
+const KEY_HEADER = 'Idempotency-Key'
+const MAX_KEY_LENGTH = 200
+const DEFAULT_LIST_LIMIT = 50
+const MAX_LIST_LIMIT = 200
+
+export interface BatchRoutesDeps {
+  platform: PlatformClient
+  config: ConfigView
+  metrics: Metrics
+  clock?: Clock
+  /** Told of the job objects that this instance wrote. */
+  feed?: ObjectFeed
+  limits?: Partial<BatchLimits>
+}
+
+type BatchContext = Context<EntryEnv>
+
+/** Creates the routes under `/v1/batches`; account, request id and log are set before they are reached. */
+export function createBatchRoutes (deps: BatchRoutesDeps): Hono<EntryEnv> {
+  const { platform, config, metrics, feed } = deps
+  const clock = deps.clock ?? createSystemClock()
+  const limits = batchLimits.parse(deps.limits ?? {})
+  const app = new Hono<EntryEnv>()
+
+  function refuse (c: BatchContext, error: RefusalError): Response {
+    metrics.refused(error.reason)
+    const { body, headers } = problemOf(error, c.get('requestId'))
+    c.get('log').info({ reason: error.reason, field: error.field }, 'batch call refused')
+    return c.body(JSON.stringify(body), body.status as ContentfulStatusCode, headers)
+  }
+
+  async function findJob (c: BatchContext): Promise<Result<{ object: StoredObject, job: JobRecord }, RefusalError>> {
+    const id = c.req.param('id') ?? ''
+    const account = c.get('account')
+    const notFound = new RefusalError('notFound', { detail: 'no such job' })
+    if (account.role !== 'operator' && !id.startsWith(jobNamePrefix(account.name))) return err(notFound)
+    const found = await platform.get(OBJECT_KINDS.job, id)
+    if (found.isErr()) return err(platformRefusal(found.error))
+    if (found.value === null) return err(notFound)
+    const job = jobRecord.parse(found.value.value)
+    const isAllowed = account.role === 'operator' || job.account === account.name
+    return isAllowed ? ok({ object: found.value, job }) : err(notFound)
+  }
+
+  app.post('/', async (c) => {
+    const key = c.req.header(KEY_HEADER) ?? ''
+    if (key === '' || key.length > MAX_KEY_LENGTH) {
+      const detail = `a key of 1 to ${MAX_KEY_LENGTH} characters is needed`
+      return refuse(c, new RefusalError('badRequest', { detail, field: KEY_HEADER }))
+    }
+    const body = c.req.raw.body ?? new ReadableStream<Uint8Array>({ start: (controller) => controller.close() })
+    const defaultModel = c.req.query('model')
+    const submission = { account: c.get('account').name, key, defaultModel, body }
+    const submitted = await submitJob({ platform, config, clock, limits }, submission)
+    if (submitted.isErr()) return refuse(c, submitted.error)
+    const { object, job, created } = submitted.value
+    feed?.offer(object)
+    if (created) metrics.count('batch.jobs.accepted')
+    c.get('log').info({ job: object.name, items: job.items, created }, 'batch job accepted')
+    return c.json(viewJob(object.name, job), created ? 201 : 200, { location: `/v1/batches/${object.name}` })
+  })
+
+  app.get('/', async (c) => {
+    const account = c.get('account')
+    const prefix = account.role === 'operator' ? undefined : jobNamePrefix(account.name)
+    const limit = Math.min(Number(c.req.query('limit')) || DEFAULT_LIST_LIMIT, MAX_LIST_LIMIT)
+    const page = await platform.list(OBJECT_KINDS.job, { prefix, limit, after: c.req.query('after') })
+    if (page.isErr()) return refuse(c, platformRefusal(page.error))
+    const batches = page.value.items.map(({ name, value }) => viewJob(name, jobRecord.parse(value)))
+    return c.json({ batches, next: page.value.next })
+  })
+
+  app.get('/:id', async (c) => {
+    const found = await findJob(c)
+    if (found.isErr()) return refuse(c, found.error)
+    const { object, job } = found.value
+    const counts = await countResults(platform, object.name, job)
+    if (counts.isErr()) return refuse(c, platformRefusal(counts.error))
+    return c.json(viewJob(object.name, job, counts.value))
+  })
+
+  app.get('/:id/results', async (c) => {
+    const found = await findJob(c)
+    if (found.isErr()) return refuse(c, found.error)
+    const results = await streamResults(platform, found.value.object.name, found.value.job)
+    if (results.isErr()) return refuse(c, platformRefusal(results.error))
+    return c.body(results.value, 200, { 'content-type': 'application/x-ndjson' })
+  })
+
+  app.post('/:id/cancel', async (c) => {
+    const found = await findJob(c)
+    if (found.isErr()) return refuse(c, found.error)
+    const cancelled = await cancelJob(platform, found.value.object)
+    if (cancelled.isErr()) return refuse(c, cancelled.error)
+    const { job, written } = cancelled.value
+    if (written !== undefined) feed?.offer(written)
+    c.get('log').info({ job: found.value.object.name, state: job.state }, 'batch job cancelled')
+    return c.json(viewJob(found.value.object.name, job), written === undefined ? 200 : 202)
+  })
+
+  return app
+}
--- /dev/null
+++ b/packages/pimentoplank/src/entry/batches/jobView.ts
@@ -0,0 +1,84 @@
+/** A job as its caller sees it. */
+import { err, ok, type Result } from 'neverthrow'
+import {
+  checkpointRecord, isFinalState, OBJECT_KINDS, uploadPrefix,
+  type BatchCounts, type CheckpointRecord, type JobRecord, type PlatformClient, type PlatformError
+} from '../../shared'
+
+/** Checkpoints read with one call. */
+const PAGE_LIMIT = 100
+
+export interface JobView {
+  id: string
+  key: string
+  account: string
+  state: JobRecord['state']
+  models: string[]
+  items: number
+  /** Absent in lists while the job runs. */
+  counts?: BatchCounts & { pending: number, cancelled: number }
+  createdAt: string
+  endedAt?: string
+}
+
+export interface NamedCheckpoint {
+  name: string
+  checkpoint: CheckpointRecord
+}
+
+/** Builds the view of a job. */
+export function viewJob (id: string, job: JobRecord, counts: BatchCounts | undefined = job.counts): JobView {
+  const { key, account, state, models, items } = job
+  const view: JobView = { id, key, account, state, models, items, createdAt: toIso(job.createdAt) }
+  if (job.endedAt !== undefined) view.endedAt = toIso(job.endedAt)
+  if (counts === undefined) return view
+  const left = items - counts.done - counts.failed - counts.unknown
+  const isFinal = isFinalState(state)
+  return { ...view, counts: { ...counts, pending: isFinal ? 0 : left, cancelled: isFinal ? left : 0 } }
+}
+
+/** Adds up the committed results of a job that still runs. */
+export async function countResults (
+  platform: PlatformClient,
+  id: string,
+  job: JobRecord
+): Promise<Result<BatchCounts, PlatformError>> {
+  if (job.counts !== undefined) return ok(job.counts)
+  const counts: BatchCounts = { done: 0, failed: 0, unknown: 0 }
+  let after: string | undefined
+  do {
+    const page = await readCheckpoints(platform, id, job, after)
+    if (page.isErr()) return err(page.error)
+    for (const { checkpoint } of page.value.items) {
+      counts.done += checkpoint.counts.done
+      counts.failed += checkpoint.counts.failed
+      counts.unknown += checkpoint.counts.unknown
+    }
+    after = page.value.next
+  } while (after !== undefined)
+  return ok(counts)
+}
+
+export interface CheckpointPage {
+  items: NamedCheckpoint[]
+  next?: string
+}
+
+/** Reads one page of a job's checkpoints, in chunk order. */
+export async function readCheckpoints (
+  platform: PlatformClient,
+  id: string,
+  job: JobRecord,
+  after?: string
+): Promise<Result<CheckpointPage, PlatformError>> {
+  const prefix = uploadPrefix(id, job.uploadId)
+  const page = await platform.list(OBJECT_KINDS.checkpoint, { prefix, limit: PAGE_LIMIT, after })
+  return page.map(({ items, next }) => ({
+    items: items.map(({ name, value }) => ({ name, checkpoint: checkpointRecord.parse(value) })),
+    next
+  }))
+}
+
+function toIso (ms: number): string {
+  return new Date(ms).toISOString()
+}
--- /dev/null
+++ b/packages/pimentoplank/src/entry/batches/parseItem.ts
@@ -0,0 +1,42 @@
+/** Checks one line of an upload. */
+import { err, ok, type Result } from 'neverthrow'
+import { batchItem, describeCause, RefusalError, type ChunkItem } from '../../shared'
+import type { Line } from './readLines'
+
+export interface ParseItemOptions {
+  defaultModel?: string
+  /** Tells whether a model is in service; absent where that no longer matters. */
+  hasModel?: (name: string) => boolean
+}
+
+/** Parses a line; the refusal names the line and the field. */
+export function parseItem (line: Line, options: ParseItemOptions): Result<ChunkItem & { model: string }, RefusalError> {
+  let data: unknown
+  try {
+    data = JSON.parse(line.text)
+  } catch (cause) {
+    return err(lineError(line, '', `not valid JSON: ${describeCause(cause)}`))
+  }
+  const parsed = batchItem.safeParse(data)
+  if (!parsed.success) {
+    const [issue] = parsed.error.issues
+    return err(lineError(line, issue!.path.join('.'), issue!.message))
+  }
+  const { id, body, endpoint, noRepeat } = parsed.data
+  const model = body.model ?? options.defaultModel
+  if (model === undefined) return err(lineError(line, 'body.model', 'neither the line nor the job names a model'))
+  if (options.hasModel?.(model) === false) return err(unknownModel(model, line))
+  return ok({ id, body: { ...body, model }, endpoint, noRepeat, model })
+}
+
+/** The refusal of a line. */
+export function lineError (line: Line, field: string, message: string): RefusalError {
+  const place = field === '' ? `line ${line.number}` : `line ${line.number}: ${field}`
+  return new RefusalError('badRequest', { detail: `${place}: ${message}`, field: place })
+}
+
+/** The refusal of a model that is not in service. */
+export function unknownModel (model: string, line?: Line): RefusalError {
+  const place = line === undefined ? 'model' : `line ${line.number}: body.model`
+  return new RefusalError('unknownModel', { detail: `${place}: no model ${model} is in service`, field: place })
+}
--- /dev/null
+++ b/packages/pimentoplank/src/entry/batches/submitJob.ts
@@ -0,0 +1,91 @@
+/** Accepts a job: its chunks are stored first, and creating its object acknowledges it. */
+import { err, ok, type Result } from 'neverthrow'
+import { v7 as uuid } from 'uuid'
+import {
+  jobName, jobRecord, OBJECT_KINDS, PlatformConflict, PlatformUnavailable, RefusalError,
+  type Clock, type ConfigView, type JobRecord, type PlatformClient, type StoredObject
+} from '../../shared'
+import type { BatchLimits } from './limits'
+import { unknownModel } from './parseItem'
+import { platformRefusal } from './platformRefusal'
+import { createChunkStore, storeUpload, type UploadSummary } from './storeUpload'
+
+export interface SubmitDeps {
+  platform: PlatformClient
+  config: ConfigView
+  clock: Clock
+  limits: BatchLimits
+}
+
+export interface Submission {
+  account: string
+  /** The caller's key for the job. */
+  key: string
+  defaultModel?: string
+  body: AsyncIterable<Uint8Array>
+}
+
+export interface SubmitOutcome {
+  object: StoredObject
+  job: JobRecord
+  /** False when the same job was there already. */
+  created: boolean
+}
+
+/** Takes a submission in, or finds the job that an earlier one with the same key and content made. */
+export async function submitJob (
+  deps: SubmitDeps,
+  submission: Submission
+): Promise<Result<SubmitOutcome, RefusalError>> {
+  const existing = await deps.platform.get(OBJECT_KINDS.job, jobName(submission.account, submission.key))
+  if (existing.isErr()) return err(platformRefusal(existing.error))
+  if (existing.value === null) return await createJob(deps, submission)
+  return await compareJob(deps, submission, existing.value)
+}
+
+async function compareJob (
+  { limits, clock }: SubmitDeps,
+  { body, defaultModel }: Submission,
+  existing: StoredObject
+): Promise<Result<SubmitOutcome, RefusalError>> {
+  const read = await storeUpload({ body, limits, clock, defaultModel })
+  return read.andThen((summary) => sameJob(existing, summary))
+}
+
+function sameJob (existing: StoredObject, { contentHash }: UploadSummary): Result<SubmitOutcome, RefusalError> {
+  const job = jobRecord.parse(existing.value)
+  if (job.contentHash === contentHash) return ok({ object: existing, job, created: false })
+  return err(new RefusalError('batchConflict', { field: 'Idempotency-Key' }))
+}
+
+async function createJob (deps: SubmitDeps, submission: Submission): Promise<Result<SubmitOutcome, RefusalError>> {
+  const { platform, config, clock, limits } = deps
+  const { account, key, defaultModel, body } = submission
+  const { models } = config.current()
+  if (defaultModel !== undefined && !models.has(defaultModel)) return err(unknownModel(defaultModel))
+
+  const name = jobName(account, key)
+  const uploadId = uuid().replaceAll('-', '')
+  const store = createChunkStore(platform, { job: name, uploadId, startedAt: clock.wallTime() })
+  const hasModel = (model: string): boolean => models.has(model)
+  const uploaded = await storeUpload({ body, limits, clock, defaultModel, hasModel, store })
+  if (uploaded.isErr()) {
+    await store.discard()
+    return err(uploaded.error)
+  }
+
+  const job: JobRecord = { account, key, uploadId, ...uploaded.value, state: 'running', createdAt: clock.wallTime() }
+  const created = await platform.put(OBJECT_KINDS.job, name, job, { ifRevision: 0 })
+  if (created.isOk()) return ok({ object: created.value, job, created: true })
+  const { error } = created
+  // A job that may exist keeps its chunks; the collector removes them if it doesn't.
+  if (error instanceof PlatformUnavailable && error.maybeApplied) return err(platformRefusal(error))
+  if (error instanceof PlatformConflict && error.current !== null) {
+    const found = jobRecord.parse(error.current.value)
+    if (found.uploadId === uploadId) return ok({ object: error.current, job: found, created: true })
+    await store.discard()
+    return sameJob(error.current, uploaded.value)
+  }
+  await store.discard()
+  return err(platformRefusal(error))
+}
--- a/packages/pimentoplank/src/shared/objects/batchObjects.ts
+++ b/packages/pimentoplank/src/shared/objects/batchObjects.ts
@@ -13,7 +13,8 @@
 }).superRefine((item, ctx) => {
   const expected = item.endpoint === '/v1/completions' ? 'prompt' : 'messages'
   const found = item.body[expected]
-  const isFilled = expected === 'messages' ? Array.isArray(found) && found.length > 0 : typeof found === 'string'
+  const hasForm = expected === 'messages' ? Array.isArray(found) : typeof found === 'string'
+  const isFilled = hasForm && (found as unknown[] | string).length > 0
   if (!isFilled) ctx.addIssue({ code: 'custom', path: ['body', expected], message: `${expected} is missing or empty` })
 })
 export type BatchItem = z.infer<typeof batchItem>
