Add the object feed, followers of members, configuration and placement

Every instance needs the configuration, quarantine and placement within seconds, but each waiting watch counts at the platform. Two instances of each failure domain hold the watches; the others long-poll two of them, and watch for themselves when no peer has fresh word of the platform.

Ruled out: a watch for every instance (390 of them times four kinds), gossip (no order, no bound on delay), and a fixed tree (a lost inner node cuts off its branch until someone agrees on a new tree).

The feed refuses a lower revision from whomever it comes. Seen to fail with the revision check off, with older full reads taken in, and with names below the cursor taken as new (the last only after the property run kept a single removal, so that forgetting one is common).

--- /dev/null
+++ b/packages/pimentoplank/src/shared/config/configFollower.ts
@@ -0,0 +1,71 @@
+/** The configuration in force on this instance, as far as the feed has brought the log. */
+import type { ObjectFeed } from '../feed'
+import type { Log } from '../logging'
+import type { Metrics } from '../metrics'
+import { OBJECT_KINDS } from '../objects'
+import { advance } from './readLog'
+import { createSnapshot, type ConfigSnapshot, type ConfigView } from './snapshot'
+
+export interface ConfigFollowerOptions {
+  /** A feed that follows release notes and snapshots. */
+  feed: ObjectFeed
+  metrics: Metrics
+  log: Log
+}
+
+export interface ConfigFollower extends ConfigView {
+  /** Resolves when the log was read once. */
+  ready: () => Promise<void>
+  close: () => void
+}
+
+/** Kinds that the feed of a configuration follower must include. */
+export const CONFIG_KINDS: readonly string[] = [OBJECT_KINDS.releaseNote, OBJECT_KINDS.configSnapshot]
+
+/** Creates a follower. Its sequence number only grows. */
+export function createConfigFollower (options: ConfigFollowerOptions): ConfigFollower {
+  const { feed, metrics, log } = options
+  const listeners = new Set<(snapshot: ConfigSnapshot) => void>()
+  let current = createSnapshot(0, [])
+  let isRead = false
+  let isQueued = false
+
+  function refresh (): void {
+    isQueued = false
+    if (!isRead) return
+    const objects = {
+      notes: feed.objects(OBJECT_KINDS.releaseNote),
+      snapshots: feed.objects(OBJECT_KINDS.configSnapshot)
+    }
+    const next = advance(current, objects, { metrics, log })
+    if (next.sequence <= current.sequence) return
+    current = next
+    metrics.gauge('config.sequence', next.sequence)
+    log.info({ sequence: next.sequence }, 'configuration in force')
+    for (const listener of listeners) listener(next)
+  }
+
+  /** Takes a whole batch of events in at once. */
+  function queueRefresh (): void {
+    if (isQueued) return
+    isQueued = true
+    queueMicrotask(refresh)
+  }
+
+  const stops = CONFIG_KINDS.map((kind) => feed.subscribe(kind, queueRefresh))
+  const ready = feed.ready().then(() => {
+    isRead = true
+    metrics.gauge('config.sequence', current.sequence)
+    refresh()
+  })
+
+  return {
+    current: () => current,
+    onChange: (listener) => {
+      listeners.add(listener)
+      return () => { listeners.delete(listener) }
+    },
+    ready: async () => await ready,
+    close: () => stops.forEach((stop) => stop())
+  }
+}
--- /dev/null
+++ b/packages/pimentoplank/src/shared/feed/feedRoutes.ts
@@ -0,0 +1,85 @@
+/** Answers the polls of peers from the state of this instance. */
+import { create } from '@bufbuild/protobuf'
+import type { ConnectRouter, HandlerContext } from '@connectrpc/connect'
+import type { Clock } from '../clock'
+import {
+  FeedService, PollResponseSchema, TellResponseSchema,
+  type KindUpdate, type PollRequest, type PollResponse, type TellRequest, type TellResponse
+} from '../rpc'
+import { encodeChanges } from './codec'
+import type { FeedState } from './feedState'
+import type { Freshness } from './freshness'
+import { NOTHING_KNOWN } from './kindState'
+import type { Notifier } from './notifier'
+import type { MemberExchange } from './types'
+
+/** Longest that a peer may hold a poll open, in milliseconds. */
+const MAX_WAIT_MS = 30_000
+
+export interface FeedRoutesOptions {
+  state: FeedState
+  members: MemberExchange
+  /** Fires after each change of objects or members. */
+  changed: Notifier
+  freshness: Freshness
+  clock: Clock
+  closed: AbortSignal
+}
+
+/** Creates the registration of the feed's service. */
+export function createFeedRoutes (options: FeedRoutesOptions): (router: ConnectRouter) => void {
+  const { state, members, changed, freshness, clock, closed } = options
+
+  function readUpdates (req: PollRequest): KindUpdate[] {
+    const cursors = new Map(req.cursors.map((cursor) => [cursor.kind, Number(cursor.revision)]))
+    const updates: KindUpdate[] = []
+    for (const kind of state.kinds) {
+      const after = cursors.get(kind) ?? NOTHING_KNOWN
+      const kindState = state.kind(kind)
+      if (kindState.cursor() <= after) continue
+      const changes = kindState.changesSince(after)
+      if (changes.full || changes.events.length > 0) updates.push(encodeChanges(kind, changes))
+    }
+    return updates
+  }
+
+  /** Cursors without changes are sent along, so that the peer's own does not fall behind. */
+  function readCursors (updates: readonly KindUpdate[]): KindUpdate[] {
+    const sent = new Set(updates.map((update) => update.kind))
+    return state.kinds
+      .filter((kind) => !sent.has(kind) && state.kind(kind).cursor() !== NOTHING_KNOWN)
+      .map((kind) => encodeChanges(kind, { revision: state.kind(kind).cursor(), full: false, events: [] }))
+  }
+
+  async function poll (req: PollRequest, context: HandlerContext): Promise<PollResponse> {
+    const until = clock.now() + Math.min(req.waitMs, MAX_WAIT_MS)
+    const over = AbortSignal.any([context.signal, closed])
+    for (;;) {
+      const updates = readUpdates(req)
+      const { state: memberState, isNews } = members.answer(req.members)
+      const isOver = clock.now() >= until || over.aborted
+      if (updates.length > 0 || isNews || isOver) {
+        return create(PollResponseSchema, {
+          updates: [...updates, ...readCursors(updates)],
+          platformAgeMs: freshness.ageMs(),
+          members: memberState
+        })
+      }
+      await waitForChange(until - clock.now(), over)
+    }
+  }
+
+  async function waitForChange (waitMs: number, over: AbortSignal): Promise<void> {
+    const done = new AbortController()
+    const signal = AbortSignal.any([over, done.signal])
+    await Promise.race([changed.next(signal), clock.sleep(waitMs, signal)])
+    done.abort()
+  }
+
+  async function tell (req: TellRequest): Promise<TellResponse> {
+    members.mergeSigns(req.signs)
+    return create(TellResponseSchema)
+  }
+
+  return (router) => { router.service(FeedService, { poll, tell }) }
+}
--- /dev/null
+++ b/packages/pimentoplank/src/shared/feed/platformWatch.ts
@@ -0,0 +1,75 @@
+/** Follows one kind at the platform itself: a full read first, then one watch after the other. */
+import type { Clock } from '../clock'
+import type { Log } from '../logging'
+import type { Metrics } from '../metrics'
+import type { PlatformClient } from '../platform'
+import type { Random } from '../random'
+import type { FeedState } from './feedState'
+import type { Freshness } from './freshness'
+import { NOTHING_KNOWN } from './kindState'
+
+export interface PlatformWatchOptions {
+  platform: PlatformClient
+  state: FeedState
+  freshness: Freshness
+  clock: Clock
+  random: Random
+  metrics: Metrics
+  log: Log
+  /** How long the platform may hold a watch, in milliseconds. */
+  watchWaitMs: number
+  /** Longest pause after an error, in milliseconds. */
+  maxPauseMs: number
+}
+
+const FIRST_PAUSE_MS = 100
+
+/** Reads all objects of a kind once. Returns false when the platform did not answer, or with older state. */
+export async function readKind (kind: string, options: PlatformWatchOptions): Promise<boolean> {
+  const page = await options.platform.listAll(kind)
+  if (page.isErr()) return false
+  const { revision, items } = page.value
+  const events = items.map((object) => ({ type: 'put' as const, name: object.name, revision: object.revision, object }))
+  if (!options.state.merge(kind, { revision, full: true, events })) {
+    options.metrics.count('feed.staleReads')
+    return false
+  }
+  options.freshness.notePlatform()
+  return true
+}
+
+/** Follows a kind until the signal aborts. */
+export async function watchKind (kind: string, options: PlatformWatchOptions, signal: AbortSignal): Promise<void> {
+  const { clock, random, metrics, log, maxPauseMs } = options
+  let failures = 0
+  while (!signal.aborted) {
+    const isKnown = options.state.kind(kind).cursor() !== NOTHING_KNOWN
+    const done = isKnown ? await watchOnce(kind, options, signal) : await readKind(kind, options)
+    if (done) {
+      failures = 0
+      continue
+    }
+    if (signal.aborted) return
+    failures += 1
+    metrics.count('feed.watchErrors')
+    if (failures === 1) log.warn({ kind }, 'watch failed')
+    const pauseMs = Math.min(maxPauseMs, FIRST_PAUSE_MS * 2 ** failures)
+    await clock.sleep(pauseMs * (0.5 + random() / 2), signal)
+  }
+}
+
+async function watchOnce (kind: string, options: PlatformWatchOptions, signal: AbortSignal): Promise<boolean> {
+  const { platform, state, freshness, metrics, watchWaitMs } = options
+  const since = state.kind(kind).cursor()
+  const batch = await platform.watch(kind, { since, waitMs: watchWaitMs, signal })
+  if (batch.isErr()) return false
+  if (batch.value.compacted === true) return await readKind(kind, options)
+  const { revision, events } = batch.value
+  if (revision < since) {
+    metrics.count('feed.staleReads')
+    return false
+  }
+  state.merge(kind, { revision, full: false, events })
+  freshness.notePlatform()
+  return true
+}
--- /dev/null
+++ b/packages/pimentoplank/src/shared/fleet/index.ts
@@ -0,0 +1,3 @@
+export {
+  createModelPlacement, parsePlacement, placementName, placementRecord, type ModelPlacement, type PlacementRecord
+} from './placement'
--- /dev/null
+++ b/packages/pimentoplank/src/shared/followers/index.ts
@@ -0,0 +1,1 @@
+export { createFollowers, type Followers, type FollowersOptions } from './followers'
--- a/packages/pimentoplank/src/shared/membership/index.ts
+++ b/packages/pimentoplank/src/shared/membership/index.ts
@@ -1,2 +1,6 @@
 export type { Instance, LeavingSign, MembershipView, Target } from './types'
 export { createStaticMembership } from './staticMembership'
+export {
+  createMembershipFollower, MEMBERSHIP_TIMINGS,
+  type MembershipFollower, type MembershipFollowerOptions, type MembershipTimings
+} from './membershipFollower'
--- a/packages/pimentoplank/src/shared/rpc/index.ts
+++ b/packages/pimentoplank/src/shared/rpc/index.ts
@@ -1,4 +1,5 @@
 export { createPeerServer, type PeerServer, type PeerServerOptions } from './peerServer'
 export { createPeerTransports, type PeerTransports, type PeerTransportsOptions } from './peerTransports'
 export { loadPeerSecurity, type PeerSecurity } from './peerSecurity'
+export * from './gen/pimentoplank/v1/feed_pb'
 export * from './gen/pimentoplank/v1/status_pb'
--- /dev/null
+++ b/packages/pimentoplank/src/shared/status/index.ts
@@ -0,0 +1,1 @@
+export { createStatusRoutes, type StatusRoutesOptions } from './statusRoutes'
