Add the load tool: seeded open loop, batch jobs, faults by schedule

Requests are drawn ahead of time from one seed: phases of bursts and idle gaps, Zipf accounts, shared prefixes. Latency counts from the intended send time; each whole answer is compared with the text that its prompt must get; each id of a job is looked up in its results. The engine stand-in gets a switch for prompts that fail each time.

--- a/packages/standins/src/engine/app.ts
+++ b/packages/standins/src/engine/app.ts
@@ -73,6 +73,7 @@
   const modelKey = engine.models.resolve(body.data.model)
   if (modelKey === undefined) return refuse(c, 404, 'model_not_loaded')
   if (engine.faults.busy === true) return refuse(c, 429, 'busy')
+  if (typeof engine.faults.failOn === 'string' && prompt.includes(engine.faults.failOn)) return refuse(c, 500, 'failed')
   const writer = createWriter(engine, c, body.data.stream ? createEventWriter : createBodyWriter)
   const stream = engine.scheduler.submit(streamRequest(engine, c, { body: body.data, prompt, kind, modelKey }), writer)
   writer.open(stream)
@@ -149,7 +150,7 @@
   return c.json({ accepted: true }, 202)
 }
 
-function refuse (c: EngineContext, status: 400 | 404 | 429 | 503, code: string, message?: string): Response {
+function refuse (c: EngineContext, status: 400 | 404 | 429 | 500 | 503, code: string, message?: string): Response {
   return c.json({ error: { code, message } }, status)
 }
 
--- a/packages/standins/src/engine/engine.feature
+++ b/packages/standins/src/engine/engine.feature
@@ -78,6 +78,7 @@
       | live    | other   | 404    | model_not_loaded |
       | busy    | desk-lm | 429    | busy             |
       | leaving | desk-lm | 503    | leaving          |
+      | failing | desk-lm | 500    | failed           |
 
   Scenario Outline: Orders with an old fencing number
     Given an engine stand-in that checks fencing: "<checks>"
--- a/packages/standins/src/engine/engine.steps.ts
+++ b/packages/standins/src/engine/engine.steps.ts
@@ -66,7 +66,7 @@
 })
 
 Given('the engine stand-in is {string}', function (this: EngineWorld, state: string) {
-  this.engine.setFaults({ busy: state === 'busy', leaving: state === 'leaving' })
+  this.engine.setFaults({ busy: state === 'busy', leaving: state === 'leaving', failOn: state === 'failing' ? 'a' : null })
 })
 
 async function openStream (world: EngineWorld, prompt: string, maxTokens: number, resume?: object): Promise<void> {
--- a/packages/standins/src/engine/faults.ts
+++ b/packages/standins/src/engine/faults.ts
@@ -4,6 +4,8 @@
 export const engineFaults = z.strictObject({
   /** A prompt that contains this marker ends the engine as it begins to run; null takes the switch back. */
   crashOn: z.string().min(1).nullable(),
+  /** A prompt that contains this marker gets 500 and does not run; null takes the switch back. */
+  failOn: z.string().min(1).nullable(),
   /** Connections that are open now go silent for good; with `all`, new ones too while it is set. */
   silentStreams: z.union([z.boolean(), z.literal('all')]),
   /** The engine does nothing at all for this long, in milliseconds. */
--- a/packages/standins/src/engine/main.ts
+++ b/packages/standins/src/engine/main.ts
@@ -22,11 +22,13 @@
     prefillTokenMs: option({ type: optional(number), long: 'prefill-token-ms', description: 'Prefill of one token.' }),
     cacheBlocks: option({ type: optional(number), long: 'cache-blocks', description: 'Prefixes that fit the cache.' }),
     loadLagMs: option({ type: optional(number), long: 'load-lag-ms', description: 'Age of the load report.' }),
+    failOn: option({ type: optional(string), long: 'fail-on', description: 'Marker of prompts that get 500.' }),
     checksFencing: flag({ long: 'checks-fencing', description: 'Refuse orders with an old fencing number.' }),
     preloaded: multioption({ type: array(string), long: 'preloaded', description: 'Model that is ready at once.' })
   },
-  handler: async (options) => {
+  handler: async ({ failOn, ...options }) => {
     const engine = createEngineStandin({ ...options, onCrash: () => process.exit(EXIT_FAILED) })
+    engine.setFaults({ failOn })
     await runStandin('standin-engine', engine.start)
   }
 }))
--- a/packages/standins/src/engine/text.ts
+++ b/packages/standins/src/engine/text.ts
@@ -2,6 +2,8 @@
 import { hash32, hashHex } from 'pimentoplank/shared'
 import { z } from 'zod'
 
+/** A prompt that contains this gets 500 from an engine whose switch `failOn` is set to it. */
+export const FAIL_MARKER = '[never completes]'
 const TOKEN_LETTERS = 5
 const RADIX = 36
 /** Characters of one prompt token. */
--- /dev/null
+++ b/packages/standins/src/load/liveRun.ts
@@ -0,0 +1,47 @@
+/** Sends the live requests of an experiment, each at its intended time, whatever became of the others. */
+import type { Clock } from 'pimentoplank/shared'
+import type { Caller } from '../caller'
+import { expectedAnswer } from '../engine'
+import type { Arrival } from './arrivals'
+import type { Experiment } from './experiment'
+import { createLiveRecorder } from './recorder'
+import type { LiveResult } from './result'
+
+export interface LiveRunOptions {
+  clock: Clock
+  experiment: Experiment
+  arrivals: readonly Arrival[]
+  /** One caller for each account. */
+  callers: readonly Caller[]
+  /** Start of the experiment, on the clock. */
+  startedAt: number
+  signal?: AbortSignal
+}
+
+/** Sends every arrival and waits for all answers. */
+export async function runLive (options: LiveRunOptions): Promise<LiveResult> {
+  const { clock, experiment, startedAt } = options
+  const recorder = createLiveRecorder(experiment.warmupMs)
+  const running: Array<Promise<void>> = []
+  for (const arrival of options.arrivals) {
+    const waitMs = startedAt + arrival.atMs - clock.now()
+    if (waitMs > 0) await clock.sleep(waitMs, options.signal)
+    if (options.signal?.aborted === true) break
+    running.push(sendArrival(arrival))
+  }
+  await Promise.all(running)
+
+  async function sendArrival (arrival: Arrival): Promise<void> {
+    const sendDelayMs = clock.now() - startedAt - arrival.atMs
+    const answer = await options.callers[arrival.account]!.chat({
+      model: experiment.model,
+      prompt: arrival.prompt,
+      maxTokens: arrival.maxTokens,
+      timeoutMs: experiment.live?.timeoutMs
+    })
+    const expected = expectedAnswer(arrival.prompt, arrival.maxTokens)
+    recorder.note({ intendedAtMs: arrival.atMs, sendDelayMs, expected }, answer)
+  }
+
+  return recorder.result()
+}
--- /dev/null
+++ b/packages/standins/src/load/load.steps.ts
@@ -0,0 +1,88 @@
+import assert from 'node:assert/strict'
+import { Given, Then, When } from '@cucumber/cucumber'
+import { parseSettings } from 'pimentoplank/shared'
+import type { LiveAnswer } from '../caller'
+import { drawArrivals } from './arrivals'
+import { experiment as experimentSchema, type Experiment } from './experiment'
+import { createLiveRecorder, type LiveRecorder } from './recorder'
+
+const DURATION_MS = 60_000
+const WINDOW_MS = 250
+
+interface LoadWorld {
+  experiment: Experiment
+  recorder: LiveRecorder
+}
+
+Given('an experiment of the load tool with bursts and idle gaps', function (this: LoadWorld) {
+  this.experiment = experimentSchema.parse({
+    name: 'bursts',
+    seed: 7,
+    model: 'desk-lm-8b',
+    durationMs: DURATION_MS,
+    accounts: { count: 100, skew: 1.1 },
+    live: {
+      ratePerSecond: 50,
+      prefixChars: 8,
+      phases: [{ ms: 2000, factor: 1 }, { ms: 500, factor: 4 }, { ms: 2000, factor: 0 }]
+    }
+  })
+})
+
+Then('the load tool draws the same requests twice from one seed', function (this: LoadWorld) {
+  assert.deepEqual(drawArrivals(this.experiment), drawArrivals(this.experiment))
+})
+
+Then('the load tool draws other requests from another seed', function (this: LoadWorld) {
+  assert.notDeepEqual(drawArrivals(this.experiment), drawArrivals({ ...this.experiment, seed: 8 }))
+})
+
+Then('the load tool sends nothing in a quarter of the time, and in bursts more than twice the mean',
+  function (this: LoadWorld) {
+    const windows = new Array<number>(DURATION_MS / WINDOW_MS).fill(0)
+    const arrivals = drawArrivals(this.experiment)
+    for (const { atMs } of arrivals) windows[Math.floor(atMs / WINDOW_MS)]! += 1
+    assert.ok(windows.filter((count) => count === 0).length > windows.length / 4)
+    assert.ok(Math.max(...windows) > 2 * arrivals.length / windows.length)
+  })
+
+Then('the first account of the load tool sends more than ten times as much as the fiftieth', function (this: LoadWorld) {
+  const arrivals = drawArrivals(this.experiment)
+  const sentBy = (account: number): number => arrivals.filter((arrival) => arrival.account === account).length
+  assert.ok(sentBy(0) > 10 * sentBy(49))
+})
+
+function answerOf (changes: Partial<LiveAnswer>): LiveAnswer {
+  return { status: 200, requestId: 'r', whole: true, text: 'right', tokens: 1, tokenGapsMs: [], totalMs: 10, ...changes }
+}
+
+const SENT = { intendedAtMs: 0, sendDelayMs: 0, expected: 'right' }
+
+When('the load tool notes an answer that was sent 40 ms late and began 10 ms after', function (this: LoadWorld) {
+  this.recorder = createLiveRecorder(0)
+  this.recorder.note({ ...SENT, sendDelayMs: 40 }, answerOf({ firstTokenMs: 10 }))
+})
+
+When('the load tool notes a wrong text and a refusal', function (this: LoadWorld) {
+  this.recorder = createLiveRecorder(0)
+  this.recorder.note(SENT, answerOf({ text: 'of another caller' }))
+  this.recorder.note(SENT, answerOf({ status: 503, whole: false, reason: 'overloaded' }))
+})
+
+Then('the load tool reports a first token after {int} ms', function (this: LoadWorld, ms: number) {
+  assert.equal(Math.round(this.recorder.result().firstTokenMs.max), ms)
+})
+
+Then('the load tool reports {int} sent, {int} whole, {int} wrong and {int} refused as {string}',
+  function (this: LoadWorld, sent: number, whole: number, wrong: number, refused: number, reason: string) {
+    const result = this.recorder.result()
+    assert.deepEqual([result.sent, result.whole, result.wrong], [sent, whole, wrong])
+    assert.deepEqual(result.refusals, { [reason]: refused })
+  })
+
+Then('the load tool names {string} in an experiment that has it', function (path: string) {
+  const live = { ratePerSecond: 1, ratePerMinute: 60 }
+  const text = JSON.stringify({ name: 'x', model: 'm', durationMs: 1, accounts: { count: 1 }, live })
+  const issues = parseSettings('x.json', text, experimentSchema)._unsafeUnwrapErr().issues
+  assert.deepEqual(issues.map((issue) => issue.path), [path])
+})
--- /dev/null
+++ b/packages/standins/src/load/runExperiment.ts
@@ -0,0 +1,57 @@
+/** Runs one experiment against entry instances. */
+import { createSystemClock, type Clock } from 'pimentoplank/shared'
+import { createCaller, type Caller } from '../caller'
+import { drawArrivals } from './arrivals'
+import { runBatch } from './batchRun'
+import { accountKeys, type Experiment } from './experiment'
+import { runFaultSchedule } from './faultSchedule'
+import { runLive } from './liveRun'
+import { createRandom } from './random'
+import type { ExperimentResult } from './result'
+
+export interface RunExperimentOptions {
+  experiment: Experiment
+  /** Addresses of entry instances to ask first for the directory. */
+  entries: readonly string[]
+  /** URLs of stand-ins by the names that the fault schedule uses. */
+  targets?: Readonly<Record<string, string>>
+  commit?: string
+  clock?: Clock
+}
+
+/** Runs live load, batch jobs and faults beside each other, and collects what callers saw. */
+export async function runExperiment (options: RunExperimentOptions): Promise<ExperimentResult> {
+  const { experiment } = options
+  const clock = options.clock ?? createSystemClock()
+  const arrivals = drawArrivals(experiment)
+  const callers = accountKeys(experiment).map((key, index) => createSeededCaller(options, key, index))
+  const batchKey = experiment.batchKey ?? accountKeys(experiment)[0]!
+  const batchCaller = createSeededCaller(options, batchKey, -1)
+  const end = new AbortController()
+  try {
+    // Every account knows its addresses before the first request, as in a long-running caller.
+    await Promise.all(callers.map(async (caller) => await caller.addresses()))
+    const startedAtText = new Date().toISOString()
+    const startedAt = clock.now()
+    const faultsDone = runFaultSchedule({
+      clock, faults: experiment.faults, targets: options.targets ?? {}, startedAt, signal: end.signal
+    })
+    const [live, batch] = await Promise.all([
+      experiment.live === undefined ? undefined : runLive({ clock, experiment, arrivals, callers, startedAt }),
+      experiment.batch === undefined
+        ? undefined
+        : runBatch({ clock, experiment, batch: experiment.batch, caller: batchCaller, startedAt })
+    ])
+    end.abort()
+    await faultsDone
+    return { experiment, commit: options.commit, startedAt: startedAtText, live, batch }
+  } finally {
+    end.abort()
+    await Promise.all([...callers, batchCaller].map(async (caller) => await caller.close()))
+  }
+}
+
+function createSeededCaller ({ experiment, entries }: RunExperimentOptions, key: string, index: number): Caller {
+  const random = createRandom(experiment.seed, `caller/${index}`)
+  return createCaller({ seeds: entries, key, random: random.float })
+}
