--- a/packages/standins/src/deployment/deployment.ts
+++ b/packages/standins/src/deployment/deployment.ts
@@ -2,8 +2,10 @@
 import { mkdir, writeFile } from 'node:fs/promises'
 import path from 'node:path'
 import { fileURLToPath } from 'node:url'
+import type { InstanceRecord } from 'pimentoplank/shared'
 import { request } from 'undici'
 import type { DeploymentPlan } from './plan'
+import { createLink, type Link } from '../link'
 import { startProcess, type RunningProcess } from './runningProcess'
 
 export const DEPLOYMENT_PEER_KEY = 'development-peer-key'
@@ -16,6 +18,8 @@
   folder: string
   /** Repository root; found from this file when absent. */
   root?: string
+  /** Puts a link before each target, each peer address and each program's way to the platform. */
+  links?: boolean
 }
 
 export interface Deployment {
@@ -23,6 +27,8 @@
   /** Caller addresses of the entry instances. */
   entryAddresses: () => string[]
   processes: ReadonlyMap<string, RunningProcess>
+  /** Links by the instance or target that they lead to; `platform:<id>` leads from an instance to the platform. */
+  links: ReadonlyMap<string, Link>
   /** Settings file of the operators' command line. */
   cliSettings: string
   /** Starts an instance again under its name. */
@@ -52,6 +58,7 @@
   const root = options.root ?? findRoot()
   await mkdir(folder, { recursive: true })
   const processes = new Map<string, RunningProcess>()
+  const links = new Map<string, Link>()
   const starters = new Map<string, () => Promise<RunningProcess>>()
 
   function bundle (packageName: string, name: string): string {
@@ -67,23 +74,45 @@
   const platform = await launch('platform', bundle('standins', 'standin-platform'), ['--port', '0', ...plan.platformArgs])
   const platformUrl = `http://${platform.listening.address}`
 
+  /** Address to use for a far end: a new link to it, or the far end itself. */
+  async function linkTo (name: string, address: string): Promise<string> {
+    if (options.links !== true) return address
+    await links.get(name)?.close()
+    const link = await createLink(address)
+    links.set(name, link)
+    return link.address
+  }
+
   function domainOf (index: number): string {
     return plan.failureDomains[index % plan.failureDomains.length]!
   }
 
   async function launchTarget (member: Member, program: string, args: readonly string[]): Promise<RunningProcess> {
-    return await launch(member.id, bundle('standins', program), [
+    const started = await launch(member.id, bundle('standins', program), [
       '--port', '0', '--platform', platformUrl, '--id', member.id, '--service', member.service!,
       '--failure-domain', member.failureDomain, '--region', plan.region, ...args
     ])
+    const address = await linkTo(member.id, started.listening.address)
+    if (options.links === true) await relistTarget(platformUrl, member.id, address)
+    return started
   }
 
   async function launchProgram (member: Member, program: Program): Promise<RunningProcess> {
     const file = path.join(folder, `${member.id}.json`)
-    const settings = programSettings({ member, program, plan, platformUrl, folder })
+    const platformAddress = await linkTo(`platform:${member.id}`, platform.listening.address)
+    const settings = programSettings({ member, program, plan, platformUrl: `http://${platformAddress}` })
     await writeFile(file, JSON.stringify(settings, null, 2))
     const started = await launch(member.id, bundle('pimentoplank', `pimentoplank-${program}`), ['--config', file])
-    await registerInstance(platformUrl, plan, member, started)
+    const { address, peerAddress } = started.listening
+    await putRecord(platformUrl, {
+      id: member.id,
+      role: member.role,
+      address,
+      peerAddress: peerAddress === undefined ? undefined : await linkTo(member.id, peerAddress),
+      failureDomain: member.failureDomain,
+      region: plan.region,
+      state: 'live'
+    })
     return started
   }
 
@@ -116,12 +145,17 @@
     platformUrl,
     entryAddresses,
     processes,
+    links,
     cliSettings,
     restart: async (id) => {
       await starters.get(id)!()
       return processes.get(id)!
     },
-    stop: async ({ graceMs = DEFAULT_STOP_GRACE_MS } = {}) => await stopAll(processes, graceMs)
+    stop: async ({ graceMs = DEFAULT_STOP_GRACE_MS } = {}) => {
+      const ended = await stopAll(processes, graceMs)
+      await Promise.all([...links.values()].map(async (link) => await link.close()))
+      return ended
+    }
   }
 }
 
@@ -138,7 +172,6 @@
   program: Program
   plan: DeploymentPlan
   platformUrl: string
-  folder: string
 }
 
 function programSettings ({ member, program, plan, platformUrl }: SettingsContext): object {
@@ -151,24 +184,18 @@
   }
 }
 
-async function registerInstance (
-  platformUrl: string,
-  plan: DeploymentPlan,
-  member: Member,
-  started: RunningProcess
-): Promise<void> {
-  const res = await request(`${platformUrl}/_control/instances/${member.id}`, {
+/** Lists a target under another address. */
+async function relistTarget (platformUrl: string, id: string, address: string): Promise<void> {
+  const res = await request(`${platformUrl}/v1/instances`)
+  const { instances } = await res.body.json() as { instances: InstanceRecord[] }
+  await putRecord(platformUrl, { ...instances.find((record) => record.id === id)!, address })
+}
+
+async function putRecord (platformUrl: string, record: { id: string } & Record<string, unknown>): Promise<void> {
+  const res = await request(`${platformUrl}/_control/instances/${record.id}`, {
     method: 'PUT',
     headers: { 'content-type': 'application/json' },
-    body: JSON.stringify({
-      id: member.id,
-      role: member.role,
-      address: started.listening.address,
-      peerAddress: started.listening.peerAddress,
-      failureDomain: member.failureDomain,
-      region: plan.region,
-      state: 'live'
-    })
+    body: JSON.stringify(record)
   })
   await res.body.dump()
 }
