--- /dev/null
+++ b/packages/faults/src/control.ts
@@ -0,0 +1,113 @@
+/** Control of the stand-ins of a deployment: gates, fault switches and what they counted. */
+import type { StoredObject } from 'pimentoplank/shared'
+import { request, type Dispatcher } from 'undici'
+
+/** A call that a gate holds. */
+export interface HeldCall {
+  kind: string
+  operation: string
+  name: string
+  /** Instance that made the call. */
+  instance: string
+}
+
+export interface GateOptions {
+  kind: string
+  operation: 'get' | 'list' | 'put' | 'remove' | 'watch'
+  /** Before the call takes effect, or after it and before its answer. */
+  when: 'before' | 'after'
+  instance?: string
+  name?: string
+  skip?: number
+}
+
+export interface Gate {
+  /** Waits until a call is held. */
+  held: () => Promise<HeldCall>
+  /** Lets held calls go on, or drops their connections without an answer. */
+  release: (action: 'go' | 'drop') => Promise<void>
+}
+
+export interface EngineRun {
+  requestId: string
+  content: string
+  tokens: number
+  outcome: 'running' | 'done' | 'cancelled' | 'crashed'
+}
+
+export interface ServiceRun {
+  key: string
+  method: string
+  path: string
+}
+
+export interface ReceivedOrder {
+  action: string
+  model?: string
+  version?: string
+  fencing: number
+  applied?: boolean
+}
+
+/** Control of the platform stand-in. */
+export interface PlatformControl {
+  gate: (options: GateOptions) => Promise<Gate>
+  setFaults: (faults: Record<string, unknown>) => Promise<void>
+  objects: (kind: string) => Promise<StoredObject[]>
+  putInstance: (id: string, record: Record<string, unknown>) => Promise<void>
+  instances: () => Promise<Array<Record<string, unknown> & { id: string }>>
+}
+
+/** Control of an engine or service stand-in. */
+export interface TargetControl {
+  setFaults: (faults: Record<string, unknown>) => Promise<void>
+  engineRuns: () => Promise<EngineRun[]>
+  serviceRuns: () => Promise<ServiceRun[]>
+  orders: () => Promise<ReceivedOrder[]>
+}
+
+/** Creates the control of a platform stand-in. */
+export function createPlatformControl (url: string): PlatformControl {
+  return {
+    gate: async (options) => {
+      const { id } = await call<{ id: string }>(url, 'POST', '/_control/gates', options)
+      return {
+        held: async () => (await call<{ calls: HeldCall[] }>(url, 'GET', `/_control/gates/${id}`)).calls[0]!,
+        release: async (action) => { await call(url, 'DELETE', `/_control/gates/${id}?action=${action}`) }
+      }
+    },
+    setFaults: async (faults) => { await call(url, 'PATCH', '/_control/faults', faults) },
+    objects: async (kind) => (await call<{ items: StoredObject[] }>(url, 'GET', `/_control/objects/${kind}`)).items,
+    putInstance: async (id, record) => { await call(url, 'PUT', `/_control/instances/${id}`, record) },
+    instances: async () => {
+      return (await call<{ instances: Array<{ id: string }> }>(url, 'GET', '/v1/instances')).instances
+    }
+  }
+}
+
+/** Creates the control of a target stand-in. */
+export function createTargetControl (url: string): TargetControl {
+  return {
+    setFaults: async (faults) => { await call(url, 'PATCH', '/_control/faults', faults) },
+    engineRuns: async () => (await call<{ runs: EngineRun[] }>(url, 'GET', '/_control/runs')).runs,
+    serviceRuns: async () => (await call<{ runs: ServiceRun[] }>(url, 'GET', '/_control/runs')).runs,
+    orders: async () => (await call<{ orders: ReceivedOrder[] }>(url, 'GET', '/_control/orders')).orders
+  }
+}
+
+async function call<Answer> (
+  url: string,
+  method: Dispatcher.HttpMethod,
+  path: string,
+  body?: unknown
+): Promise<Answer> {
+  const res = await request(url + path, {
+    method,
+    headers: body === undefined ? {} : { 'content-type': 'application/json' },
+    body: body === undefined ? undefined : JSON.stringify(body),
+    headersTimeout: 0
+  })
+  const text = await res.body.text()
+  if (res.statusCode !== 200) throw new Error(`${method} ${path} answered ${res.statusCode}: ${text}`)
+  return JSON.parse(text) as Answer
+}
