Add the entry's caller API, live path, plain services, at-most-once records and quarantine

Cause: nothing answered callers yet. Every part takes its dependencies as options, so that the followers and the slots of other parts can be wired in. Seen failing first: a stream that ends while its connection is silent runs again from its resume point (the scenario now uses a longer stream), and a refused second target hid a cut as noTarget; it is targetFailed now.

--- /dev/null
+++ b/packages/pimentoplank/src/entry/api/index.ts
@@ -0,0 +1,2 @@
+export { createCallerApi, type CallerApiDeps } from './app'
+export { hashKey } from './authenticate'
--- /dev/null
+++ b/packages/pimentoplank/src/entry/api/problems.ts
@@ -0,0 +1,16 @@
+/** Answers of refused requests. */
+import type { Context } from 'hono'
+import { problemOf, type Metrics, type RefusalError } from '../../shared'
+
+export interface ProblemDeps {
+  metrics: Metrics
+}
+
+/** Counts a refusal and builds its answer. */
+export function refuse (c: Context, deps: ProblemDeps, err: RefusalError): Response {
+  deps.metrics.refused(err.reason)
+  const { body, headers } = problemOf(err, c.get('requestId'))
+  // The rest of an oversized body is never read, so the connection can't be used again.
+  if (err.reason === 'bodyTooLarge') headers.connection = 'close'
+  return c.body(JSON.stringify(body), body.status as 400, headers)
+}
--- /dev/null
+++ b/packages/pimentoplank/src/entry/createEntry.ts
@@ -0,0 +1,153 @@
+/** Puts an entry instance together. */
+import type { ConnectRouter } from '@connectrpc/connect'
+import type { Hono } from 'hono'
+import { err, ok, ResultAsync, type Result } from 'neverthrow'
+import {
+  createEngineClient, createMetrics, createPeerServer, createPeerTransports, createQuarantine, createSystemClock,
+  createTargetAgent, serveHttp,
+  type Clock, type ConfigView, type EngineClient, type Log, type MembershipView, type Metrics, type ObjectFeed,
+  type PeerSecurity, type PeerTransports, type PlatformClient, type SlotClient
+} from '../shared'
+import { createAccountLimits } from './api/accountLimits'
+import { createCallerApi } from './api'
+import type { EntryEnv } from './context'
+import { createDirectory } from './directory'
+import { createOnceRecords, createOwnerQuery, registerOnceService } from './once'
+import { createRetryBudget } from './retries'
+import type { EntrySettings } from './settings'
+import { createStopper, type StopStage } from './stopping'
+
+/** Silence on a stream taken up again, as a multiple of the silence allowed between tokens. */
+const ATTACH_TIMEOUT_GAPS = 2
+
+export interface EntryDeps {
+  platform: PlatformClient
+  config: ConfigView
+  membership: MembershipView
+  feed: Pick<ObjectFeed, 'objects' | 'offer'>
+  slots: SlotClient
+  security: PeerSecurity
+  log: Log
+  /** Made from the settings when absent. */
+  engine?: EngineClient
+  transports?: PeerTransports
+  metrics?: Metrics
+  clock?: Clock
+  /** Further services for peers. */
+  peerRoutes?: (router: ConnectRouter) => void
+  /** Further routes for callers, behind the authentication. */
+  extraRoutes?: Hono<EntryEnv>
+  /** Called as a planned stop begins. */
+  onLeave?: () => Promise<void>
+}
+
+export interface Entry {
+  /** Where callers connect. */
+  address: string
+  /** Where peers connect. */
+  peerAddress: string
+  stage: () => StopStage
+  /** Leaves the directory, serves what callers still send, finishes what runs, and closes. */
+  stop: () => Promise<void>
+  /** Closes at once, as a crash would. */
+  close: () => Promise<void>
+}
+
+/** Starts an entry instance; fails when one of its addresses is in use. */
+export function createEntry (settings: EntrySettings, deps: EntryDeps): ResultAsync<Entry, Error> {
+  return new ResultAsync(start(settings, deps))
+}
+
+async function start (settings: EntrySettings, deps: EntryDeps): Promise<Result<Entry, Error>> {
+  const { config, feed, log, membership, platform, security, slots } = deps
+  const clock = deps.clock ?? createSystemClock()
+  const metrics = deps.metrics ?? createMetrics(settings.metrics)
+  const transports = deps.transports ?? createPeerTransports({ security })
+  const engine = deps.engine ?? createEngineClient({ ...settings.streams, clock })
+  const agent = createTargetAgent()
+  let peerAddress = ''
+
+  const once = createOnceRecords({
+    platform,
+    ownAddress: () => peerAddress,
+    askOwner: createOwnerQuery(transports),
+    ...settings.once,
+    clock,
+    metrics,
+    log
+  })
+  const stopper = createStopper({
+    directoryMaxAgeMs: settings.directory.maxAgeMs,
+    graceMs: settings.stop.graceMs,
+    onLeave: deps.onLeave ?? (async () => undefined),
+    clock,
+    log
+  })
+  const directory = createDirectory({
+    self: settings.instance,
+    settings: settings.directory,
+    membership,
+    isLeaving: () => stopper.stage() !== 'serving'
+  })
+  const app = createCallerApi({
+    settings,
+    config,
+    membership,
+    slots,
+    engine,
+    agent,
+    once,
+    clock,
+    metrics,
+    log,
+    stopper,
+    directory,
+    extraRoutes: deps.extraRoutes,
+    limits: createAccountLimits(clock),
+    budget: createRetryBudget({ ratio: settings.retries.budgetRatio, reserve: settings.retries.budgetReserve }),
+    quarantine: createQuarantine({ platform, feed, clock, metrics, log, keepMs: settings.quarantine.keepMs }),
+    maxAttempts: settings.retries.maxAttempts,
+    attachTimeoutMs: settings.streams.tokenGapTimeoutMs * ATTACH_TIMEOUT_GAPS
+  })
+
+  const peers = await createPeerServer({
+    ...settings.peers.listen,
+    security,
+    routes: (router) => {
+      registerOnceService(router, once)
+      deps.peerRoutes?.(router)
+    }
+  })
+  if (peers.isErr()) return err(peers.error)
+  peerAddress = peers.value.address
+  const callers = await serveHttp(app, settings.listen)
+  if (callers.isErr()) {
+    await peers.value.close()
+    return err(callers.error)
+  }
+  const { server } = callers.value
+  // Finds callers that are gone without a word.
+  server.on('connection', (socket) => socket.setKeepAlive(true, settings.streams.callerStallTimeoutMs))
+
+  async function close (): Promise<void> {
+    await callers._unsafeUnwrap().close()
+    await peers._unsafeUnwrap().close()
+    await Promise.all([engine.close(), agent.close(), slots.close()])
+    if (deps.transports === undefined) transports.close()
+    if (deps.metrics === undefined) await metrics.close()
+  }
+
+  async function stop (): Promise<void> {
+    await stopper.stop()
+    const limit = new AbortController()
+    const timer = setTimeout(() => limit.abort(), SETTLE_ON_STOP_MS)
+    await once.settled(limit.signal)
+    clearTimeout(timer)
+    await close()
+  }
+
+  return ok({ address: callers.value.address, peerAddress, stage: stopper.stage, stop, close })
+}
+
+/** Longest wait for outcomes that are still to be recorded as the instance stops. */
+const SETTLE_ON_STOP_MS = 5000
--- /dev/null
+++ b/packages/pimentoplank/src/entry/directory/index.ts
@@ -0,0 +1,1 @@
+export { createDirectory, type Directory, type DirectoryAnswer, type DirectoryEntry, type DirectoryOptions } from './directory'
--- /dev/null
+++ b/packages/pimentoplank/src/entry/live/index.ts
@@ -0,0 +1,3 @@
+export { createLiveRoutes, type LiveRouteDeps } from './liveRoutes'
+export { createLiveRun } from './liveRun'
+export type { LiveDeps, LiveJob, LiveRun } from './liveJob'
--- /dev/null
+++ b/packages/pimentoplank/src/entry/live/live.feature
@@ -0,0 +1,84 @@
+Feature: Live completions through an entry instance
+
+  Scenario Outline: The entry answers a <kind> request whole
+    Given the entry bench with 2 engines
+    When the entry gets a <kind> request for 12 tokens
+    Then the entry answers 200 with the whole text of 12 tokens
+
+    Examples:
+      | kind       |
+      | chat       |
+      | completion |
+
+  Scenario Outline: The entry streams a <kind> answer token by token
+    Given the entry bench with 2 engines
+    When the entry gets a streamed <kind> request for 12 tokens
+    Then the entry streams the whole text of 12 tokens, each once, with the closing mark
+
+    Examples:
+      | kind       |
+      | chat       |
+      | completion |
+
+  Scenario Outline: The entry goes on when a target <fault>
+    Given the entry bench with 2 engines
+    And the entry bench makes engine 0 <fault>
+    When the entry gets a streamed chat request for 12 tokens
+    Then the entry streams the whole text of 12 tokens, each once, with the closing mark
+    And the entry counts a retry for <reason>
+    And the entry holds no slot any more
+
+    Examples:
+      | fault                  | reason         |
+      | refuse connections     | connectFailed  |
+      | answer that it leaves  | targetLeaving  |
+      | answer that it is busy | targetBusy     |
+      | miss the model         | modelNotLoaded |
+      | cut every 5 tokens     | streamCut      |
+      | go silent after a cut  | streamSilent   |
+
+  Scenario: The entry takes up a stream whose connection has gone silent
+    Given the entry bench with 1 engine
+    When the entry gets a streamed chat request for 400 tokens
+    And the entry's connections to engine 0 go silent after 5 tokens
+    Then the entry streams the whole text of 400 tokens, each once, with the closing mark
+    And engine 0 ran the entry's request once
+
+  Scenario: The entry never passes a cut answer off as whole
+    Given the entry bench with 1 engine
+    When the entry gets a streamed chat request for 40 tokens
+    And engine 0 of the entry dies after 5 tokens
+    Then the entry's stream ends with an error event and without the closing mark
+    And the entry's stream has outcome failed
+
+  Scenario: The entry says 502 for a whole answer that was cut
+    Given the entry bench with 1 engine
+    When the entry gets a chat request for 40 tokens
+    And engine 0 of the entry dies after 5 tokens
+    Then the entry answers 502 with reason targetFailed and outcome failed
+
+  Scenario: The entry says not run when no target can be reached
+    Given the entry bench with 1 engine
+    And the entry bench makes engine 0 refuse connections
+    When the entry gets a chat request for 4 tokens
+    Then the entry answers 503 with reason noTarget and outcome not_run
+    And the entry's answer says when to come back
+
+  Scenario: The entry gives up at the deadline, frees the slot and stops the stream
+    Given the entry bench with 1 engine
+    When the entry gets a chat request for 4000 tokens with header X-Request-Timeout-Ms 150
+    Then the entry answers 504 with reason timeout and outcome unknown
+    And engine 0 of the entry has stopped every stream
+    And the entry holds no slot any more
+
+  Scenario: The entry stops the stream of a caller that goes away
+    Given the entry bench with 1 engine
+    When the entry gets a streamed chat request for 4000 tokens whose caller leaves after 5 tokens
+    Then engine 0 of the entry has stopped every stream
+    And the entry holds no slot any more
+
+  Scenario: The entry stops retrying when the budget is spent
+    Given the entry bench with 2 engines and settings {"retries":{"budgetRatio":0,"budgetReserve":0}}
+    And the entry bench makes engine 0 refuse connections
+    When the entry gets a chat request for 4 tokens
+    Then the entry answers 503 with reason retryBudget and outcome not_run
--- /dev/null
+++ b/packages/pimentoplank/src/entry/live/live.steps.ts
@@ -0,0 +1,137 @@
+import assert from 'node:assert/strict'
+import { Given, Then, When } from '@cucumber/cucumber'
+import { expectedAnswer } from '@pimentoplank/standins'
+import { MODEL, readEvents, type SendOptions } from '../testing/entryBench'
+import type { EntryWorld } from '../testing/entryBench.steps'
+import { until } from '../testing/until'
+
+const PROMPT = 'Which route is open tomorrow?'
+const PATHS: Record<string, string> = { chat: '/v1/chat/completions', completion: '/v1/completions' }
+
+function bodyOf (kind: string, tokens: number, stream: boolean): object {
+  const input = kind === 'chat' ? { messages: [{ role: 'user', content: PROMPT }] } : { prompt: PROMPT }
+  return { model: MODEL, max_tokens: tokens, stream, ...input }
+}
+
+function start (world: EntryWorld, kind: string, tokens: number, stream: boolean, options: SendOptions = {}): void {
+  world.pending = world.bench.send(PATHS[kind]!, { method: 'POST', body: bodyOf(kind, tokens, stream), ...options })
+  world.pending.catch(() => undefined)
+}
+
+const ENGINE_FAULTS: Record<string, (world: EntryWorld, index: number) => unknown> = {
+  'refuse connections': async ({ bench }, index) => await bench.engines[index]!.close(),
+  'answer that it leaves': ({ bench }, index) => bench.engines[index]!.setFaults({ leaving: true }),
+  'answer that it is busy': ({ bench }, index) => bench.engines[index]!.setFaults({ busy: true }),
+  'miss the model': ({ bench }, index) => bench.engines[index]!.order({
+    orderId: 'unload', fencing: 1, action: 'unload', model: MODEL, version: '1'
+  }),
+  'cut every 5 tokens': ({ bench }, index) => bench.engines[index]!.setFaults({ cutAfterTokens: 5 }),
+  'go silent after a cut': ({ bench }, index) => bench.engines[index]!.setFaults({ silentStreams: 'all' })
+}
+
+Given(/^the entry bench makes engine (\d+) (.+)$/, async function (this: EntryWorld, index: string, fault: string) {
+  await ENGINE_FAULTS[fault]!(this, Number(index))
+})
+
+When('the entry gets a {word} request for {int} tokens', function (this: EntryWorld, kind: string, tokens: number) {
+  start(this, kind, tokens, false)
+})
+
+When('the entry gets a streamed {word} request for {int} tokens', function (
+  this: EntryWorld, kind: string, tokens: number
+) {
+  start(this, kind, tokens, true)
+})
+
+When('the entry gets a {word} request for {int} tokens with header {word} {word}', function (
+  this: EntryWorld, kind: string, tokens: number, name: string, value: string
+) {
+  start(this, kind, tokens, false, { headers: { [name]: value } })
+})
+
+async function untilTokens ({ bench }: EntryWorld, index: number, tokens: number): Promise<void> {
+  await until(() => bench.engines[index]!.runs().some((run) => run.tokens >= tokens))
+}
+
+When('the entry\'s connections to engine {int} go silent after {int} tokens', async function (
+  this: EntryWorld, index: number, tokens: number
+) {
+  await untilTokens(this, index, tokens)
+  this.bench.engines[index]!.setFaults({ silentStreams: true })
+})
+
+When('engine {int} of the entry dies after {int} tokens', async function (
+  this: EntryWorld, index: number, tokens: number
+) {
+  await untilTokens(this, index, tokens)
+  await this.bench.engines[index]!.crash()
+})
+
+When('the entry gets a streamed chat request for {int} tokens whose caller leaves after {int} tokens', async function (
+  this: EntryWorld, tokens: number, read: number
+) {
+  const leaving = new AbortController()
+  start(this, 'chat', tokens, true, { signal: leaving.signal })
+  await untilTokens(this, 0, read)
+  leaving.abort()
+})
+
+Then('the entry answers 200 with the whole text of {int} tokens', async function (this: EntryWorld, tokens: number) {
+  const { status, json } = await this.pending
+  assert.equal(status, 200)
+  assert.equal(json.choices[0].message?.content ?? json.choices[0].text, expectedAnswer(PROMPT, tokens))
+  assert.equal(json.usage.completion_tokens, tokens)
+})
+
+Then('the entry streams the whole text of {int} tokens, each once, with the closing mark', async function (
+  this: EntryWorld, tokens: number
+) {
+  const reply = await this.pending
+  assert.equal(reply.status, 200, reply.text)
+  const events = readEvents(reply.text)
+  assert.equal(events.text, expectedAnswer(PROMPT, tokens))
+  assert.equal(events.tokens, tokens)
+  assert.equal(events.done, true)
+})
+
+Then('the entry counts a retry for {word}', function (this: EntryWorld, reason: string) {
+  assert.ok((this.bench.metrics[0]!.snapshot().counters[`retries.${reason}`] ?? 0) > 0)
+})
+
+Then('the entry holds no slot any more', async function (this: EntryWorld) {
+  await until(() => this.bench.slots.held() === 0)
+})
+
+Then('engine {int} ran the entry\'s request once', function (this: EntryWorld, index: number) {
+  assert.equal(this.bench.engines[index]!.runs().length, 1)
+})
+
+Then('engine {int} of the entry has stopped every stream', async function (this: EntryWorld, index: number) {
+  await this.pending?.catch(() => undefined)
+  await until(() => this.bench.engines[index]!.runs().every((run) => run.outcome === 'cancelled'))
+})
+
+Then('the entry\'s stream ends with an error event and without the closing mark', async function (this: EntryWorld) {
+  this.reply = await this.pending
+  const events = readEvents(this.reply.text)
+  assert.equal(events.done, false)
+  assert.ok(events.error !== undefined, this.reply.text)
+  assert.ok(expectedAnswer(PROMPT, 40).startsWith(events.text))
+})
+
+Then('the entry\'s stream has outcome {word}', function (this: EntryWorld, outcome: string) {
+  assert.equal(readEvents(this.reply.text).error.outcome, outcome)
+})
+
+Then('the entry answers {int} with reason {word} and outcome {word}', async function (
+  this: EntryWorld, status: number, reason: string, outcome: string
+) {
+  this.reply = await this.pending
+  assert.deepEqual(
+    { status: this.reply.status, reason: this.reply.json?.reason, outcome: this.reply.json?.outcome },
+    { status, reason, outcome }, this.reply.text)
+})
+
+Then('the entry\'s answer says when to come back', function (this: EntryWorld) {
+  assert.ok(Number(this.reply.headers['retry-after']) >= 1)
+})
--- /dev/null
+++ b/packages/pimentoplank/src/entry/live/liveRoutes.ts
@@ -0,0 +1,187 @@
+/** `POST /v1/chat/completions` and `POST /v1/completions`. */
+import { Hono, type Context } from 'hono'
+import { err, ok, type Result } from 'neverthrow'
+import {
+  hash64, hashHex, RefusalError, type AccountEntry, type ConfigView, type ModelEntry
+} from '../../shared'
+import type { AccountLimits } from '../api/accountLimits'
+import { refuse } from '../api/problems'
+import { parseJsonBody, readBody } from '../api/requestBody'
+import { readOnceKey, readTimeout } from '../api/requestHeaders'
+import type { EntryEnv } from '../context'
+import { contentHashOf, type OnceRecords } from '../once'
+import type { EntrySettings } from '../settings'
+import { collectAnswer, streamEvents } from './answers'
+import { COMPLETION_FORMATS, type CompletionIdentity } from './completionFormat'
+import type { LiveDeps, LiveJob, LiveRun } from './liveJob'
+import { createLiveRun } from './liveRun'
+import { startOnceRun } from './onceRun'
+import { chatRequest, completionRequest, promptTextOf, type LiveRequest } from './requests'
+
+/** Requests with the same start of the prompt go to the same targets where that is possible. */
+const PREFIX_LENGTH = 256
+const ADAPTER_MARK = '+'
+
+export interface LiveRouteDeps extends LiveDeps {
+  settings: EntrySettings
+  config: ConfigView
+  limits: AccountLimits
+  once: OnceRecords
+}
+
+type Kind = LiveJob['kind']
+
+const SCHEMAS = { chat: chatRequest, completion: completionRequest } as const
+
+/** A request that has passed every check. */
+interface Accepted {
+  kind: Kind
+  req: LiveRequest
+  job: LiveJob
+  identity: CompletionIdentity
+  onceKey: string | undefined
+  contentHash: string
+}
+
+/** Creates the routes; the caller account is already known. */
+export function createLiveRoutes (deps: LiveRouteDeps): Hono<EntryEnv> {
+  const app = new Hono<EntryEnv>()
+  app.get('/v1/models', (c) => c.json(listModels(deps)))
+  app.post('/v1/chat/completions', async (c) => await serve(c, 'chat', deps))
+  app.post('/v1/completions', async (c) => await serve(c, 'completion', deps))
+  return app
+}
+
+async function serve (c: Context<EntryEnv>, kind: Kind, deps: LiveRouteDeps): Promise<Response> {
+  const entered = deps.limits.enter(c.get('account'))
+  if (entered.isErr()) return refuse(c, deps, entered.error)
+  const leave = entered.value
+  const accepted = await accept(c, kind, deps)
+  if (accepted.isErr()) {
+    leave()
+    return refuse(c, deps, accepted.error)
+  }
+  const run = await startRun(c, accepted.value, deps)
+  if (run.isErr()) {
+    leave()
+    return refuse(c, deps, run.error)
+  }
+  if (accepted.value.req.stream) return await answerEvents(c, accepted.value, run.value, leave, deps)
+  try {
+    return await answerWhole(c, accepted.value, run.value, deps)
+  } finally {
+    leave()
+  }
+}
+
+async function answerWhole (
+  c: Context<EntryEnv>,
+  { kind, identity }: Accepted,
+  run: LiveRun,
+  deps: LiveRouteDeps
+): Promise<Response> {
+  const answer = await collectAnswer(run, identity)
+  if (answer.isErr()) return refuse(c, deps, answer.error)
+  return c.json(COMPLETION_FORMATS[kind].whole(answer.value) as object)
+}
+
+async function answerEvents (
+  c: Context<EntryEnv>,
+  { kind, identity }: Accepted,
+  run: LiveRun,
+  leave: () => void,
+  deps: LiveRouteDeps
+): Promise<Response> {
+  // Until the first event is there, a failure can still be told with its own status.
+  const first = await run.next()
+  if (first.isErr()) {
+    leave()
+    return refuse(c, deps, first.error)
+  }
+  return streamEvents(c, run, first.value, {
+    identity,
+    format: COMPLETION_FORMATS[kind],
+    clock: deps.clock,
+    metrics: deps.metrics,
+    stallTimeoutMs: deps.settings.streams.callerStallTimeoutMs,
+    onClose: leave
+  })
+}
+
+async function accept (
+  c: Context<EntryEnv>,
+  kind: Kind,
+  deps: LiveRouteDeps
+): Promise<Result<Accepted, RefusalError>> {
+  const onceKey = readOnceKey(c)
+  if (onceKey.isErr()) return err(onceKey.error)
+  const timeoutMs = readTimeout(c, deps.settings.deadlines)
+  if (timeoutMs.isErr()) return err(timeoutMs.error)
+  const body = await readBody(c, deps.settings.maxBodyBytes)
+  if (body.isErr()) return err(body.error)
+  const req = parseJsonBody<typeof chatRequest | typeof completionRequest>(body.value, SCHEMAS[kind])
+  if (req.isErr()) return err(req.error)
+  const model = findModel(req.value.model, deps.config)
+  if (model.isErr()) return err(model.error)
+  const requestId = c.get('requestId')
+  return ok({
+    kind,
+    req: req.value,
+    onceKey: onceKey.value,
+    contentHash: contentHashOf('POST', c.req.path, body.value),
+    identity: {
+      id: COMPLETION_FORMATS[kind].idPrefix + requestId,
+      model: req.value.model,
+      created: Math.floor(deps.clock.wallTime() / 1000)
+    },
+    job: describeJob(c.get('account'), kind, req.value, model.value, requestId, timeoutMs.value)
+  })
+}
+
+function describeJob (
+  account: AccountEntry,
+  kind: Kind,
+  req: LiveRequest,
+  model: ModelEntry,
+  requestId: string,
+  timeoutMs: number
+): LiveJob {
+  const prompt = promptTextOf(req)
+  return {
+    requestId,
+    kind,
+    body: req,
+    service: model.service,
+    model: model.name,
+    account: account.name,
+    weight: account.weight,
+    timeoutMs,
+    prefixHash: hash64(`${model.name}\u0000${prompt.slice(0, PREFIX_LENGTH)}`),
+    contentHash: hashHex(`${model.name}\u0000${prompt}`),
+    repeatable: true
+  }
+}
+
+async function startRun (
+  c: Context<EntryEnv>,
+  accepted: Accepted,
+  deps: LiveRouteDeps
+): Promise<Result<LiveRun, RefusalError>> {
+  const { job, onceKey, contentHash, identity } = accepted
+  if (onceKey === undefined) return ok(createLiveRun({ ...job, signal: c.req.raw.signal }, deps))
+  return await startOnceRun(job, identity, { account: job.account, key: onceKey, contentHash }, deps)
+}
+
+function findModel (name: string, config: ConfigView): Result<ModelEntry, RefusalError> {
+  const [modelName = '', adapterName] = name.split(ADAPTER_MARK)
+  const model = config.current().models.get(modelName)
+  const hasAdapter = adapterName === undefined || model?.adapters.some((adapter) => adapter.name === adapterName)
+  if (model !== undefined && hasAdapter === true) return ok(model)
+  return err(new RefusalError('unknownModel', { detail: `no model ${name} is in service`, field: 'model' }))
+}
+
+function listModels ({ config }: LiveRouteDeps): unknown {
+  const names = [...config.current().models.values()].flatMap((model) =>
+    [model.name, ...model.adapters.map((adapter) => model.name + ADAPTER_MARK + adapter.name)])
+  return { object: 'list', data: names.map((id) => ({ id, object: 'model' })) }
+}
--- /dev/null
+++ b/packages/pimentoplank/src/entry/live/requests.ts
@@ -0,0 +1,31 @@
+/** Requests for completions, in the widely used JSON form. */
+import { z } from 'zod'
+
+const message = z.looseObject({
+  role: z.string().min(1),
+  content: z.union([z.string(), z.array(z.looseObject({ type: z.string() }))]).nullish()
+})
+
+const common = {
+  /** Model name, or `model+adapter`. */
+  model: z.string().min(1).max(200),
+  stream: z.boolean().default(false),
+  max_tokens: z.int().min(1).optional(),
+  temperature: z.number().min(0).optional(),
+  // One answer for each request: several could not be told apart when a stream is taken up again.
+  n: z.literal(1).optional()
+}
+
+export const chatRequest = z.looseObject({ ...common, messages: z.array(message).min(1) })
+export type ChatRequest = z.infer<typeof chatRequest>
+
+export const completionRequest = z.looseObject({ ...common, prompt: z.string() })
+export type CompletionRequest = z.infer<typeof completionRequest>
+
+export type LiveRequest = ChatRequest | CompletionRequest
+
+/** The text that an engine reads first; requests that share its start share a prefix cache. */
+export function promptTextOf (req: LiveRequest): string {
+  if (typeof req.prompt === 'string') return req.prompt
+  return JSON.stringify(req.messages)
+}
--- /dev/null
+++ b/packages/pimentoplank/src/entry/retries/index.ts
@@ -0,0 +1,1 @@
+export { createRetryBudget, type RetryBudget, type RetryBudgetOptions } from './retryBudget'
--- /dev/null
+++ b/packages/pimentoplank/src/entry/services/index.ts
@@ -0,0 +1,1 @@
+export { createServiceRoutes, type ServiceRouteDeps } from './serviceRoutes'
--- /dev/null
+++ b/packages/pimentoplank/src/entry/services/serviceCall.ts
@@ -0,0 +1,184 @@
+/** Sends one call to a target of a plain service, and to another where that is safe. */
+import { err, ok, type Result, type ResultAsync } from 'neverthrow'
+import type { Dispatcher } from 'undici'
+import {
+  describeCause, RefusalError, TIMED_OUT, withTimeLimit,
+  type Clock, type MembershipView, type Metrics, type Outcome, type RetryReason, type ServiceEntry, type SlotClient,
+  type SlotGrant, type SlotReport, type TargetAgent
+} from '../../shared'
+import type { RetryBudget } from '../retries'
+
+const HTTP_UNAVAILABLE = 503
+const LEAVING_CODE = 'leaving'
+
+export interface ServiceCall {
+  service: ServiceEntry
+  account: string
+  weight: number
+  method: string
+  /** Path and query at the target. */
+  path: string
+  headers: Record<string, string>
+  body: Uint8Array
+  timeoutMs: number
+  /** True when a call that may have run may be sent again. */
+  repeatable: boolean
+  beforeDispatch?: () => ResultAsync<void, RefusalError>
+  /** Aborts when the caller is gone. */
+  signal?: AbortSignal
+}
+
+export interface ServiceDeps {
+  slots: SlotClient
+  agent: TargetAgent
+  membership: MembershipView
+  budget: RetryBudget
+  clock: Clock
+  metrics: Metrics
+  maxAttempts: number
+}
+
+/** An answer whose head is there. */
+export interface ServiceAnswer {
+  status: number
+  headers: Record<string, string | string[] | undefined>
+  body: AsyncIterator<Uint8Array, undefined>
+  /** Gives the slot back, and ends the connection of an answer that was not read to its end. */
+  close: (result: SlotReport['result']) => void
+}
+
+interface Failure {
+  reason: RetryReason
+  reached: boolean
+  detail: string
+}
+
+/** Runs a call until a target has answered, or says why none has. */
+export async function callService (call: ServiceCall, deps: ServiceDeps): Promise<Result<ServiceAnswer, RefusalError>> {
+  const { clock } = deps
+  const deadlineAt = clock.now() + call.timeoutMs
+  const excluded: string[] = []
+  let dispatchAllowed = call.beforeDispatch === undefined
+  let outcome: Outcome = 'not_run'
+  deps.budget.noteRequest(call.service.name)
+
+  for (let attempt = 1; ; attempt++) {
+    const grant = await acquire(call, deps, excluded, deadlineAt - clock.now())
+    if (grant.isErr()) return err(withOutcome(grant.error, outcome))
+    if (!dispatchAllowed && call.beforeDispatch !== undefined) {
+      const allowed = await call.beforeDispatch()
+      if (allowed.isErr()) {
+        grant.value.release({ result: 'notRun' })
+        return err(allowed.error)
+      }
+      dispatchAllowed = true
+    }
+    const answer = await dispatch(call, deps, grant.value, deadlineAt - clock.now())
+    if (answer.isOk()) return ok(answer.value)
+
+    const { reason, reached, detail } = answer.error
+    grant.value.release({ result: reached ? 'failed' : 'notRun' })
+    // A call that reached its target without an answer may have run to its end.
+    if (reached) outcome = 'unknown'
+    excluded.push(grant.value.target.id)
+    if (reason === 'targetLeaving') deps.membership.noteLeaving(grant.value.target.id, 'ownAnswer')
+    const isSafe = call.repeatable || outcome === 'not_run'
+    const isOver = clock.now() >= deadlineAt || call.signal?.aborted === true
+    if (isOver) return err(new RefusalError('timeout', { outcome, detail }))
+    if (!isSafe || attempt >= deps.maxAttempts) {
+      return err(new RefusalError(outcome === 'not_run' ? 'noTarget' : 'targetFailed', { outcome, detail }))
+    }
+    if (reason !== 'targetLeaving' && !deps.budget.takeRetry(call.service.name)) {
+      return err(new RefusalError('retryBudget', { outcome, detail }))
+    }
+    deps.metrics.retried(reason)
+  }
+}
+
+async function acquire (
+  call: ServiceCall,
+  deps: ServiceDeps,
+  excluded: string[],
+  deadlineMs: number
+): Promise<Result<SlotGrant, RefusalError>> {
+  return await deps.slots.acquire({
+    service: call.service.name,
+    workClass: 'live',
+    account: call.account,
+    weight: call.weight,
+    deadlineMs: Math.max(0, deadlineMs),
+    prefixHash: 0n,
+    excluded
+  }, { signal: call.signal })
+}
+
+async function dispatch (
+  call: ServiceCall,
+  deps: ServiceDeps,
+  grant: SlotGrant,
+  leftMs: number
+): Promise<Result<ServiceAnswer, Failure>> {
+  const mark = { sent: false }
+  const connection = new AbortController()
+  const limitMs = Math.min(leftMs, call.service.timeoutMs)
+  const overall = new AbortController()
+  deps.clock.sleep(limitMs, overall.signal).then(() => {
+    if (!overall.signal.aborted) connection.abort()
+  })
+  const signal = call.signal === undefined ? connection.signal : AbortSignal.any([connection.signal, call.signal])
+  const sent = deps.agent.request({
+    address: grant.target.address,
+    path: call.path,
+    method: call.method,
+    headers: call.headers,
+    body: call.body.length === 0 ? undefined : call.body,
+    signal,
+    mark
+  })
+  try {
+    const res = await withTimeLimit(deps.clock, limitMs, sent)
+    if (res === TIMED_OUT) {
+      connection.abort()
+      return err({ reason: 'streamSilent', reached: mark.sent, detail: 'the target did not answer in time' })
+    }
+    if (res.statusCode !== HTTP_UNAVAILABLE) return ok(answerOf(res, res.body[Symbol.asyncIterator](), close))
+    const text = new Uint8Array(await res.body.arrayBuffer())
+    if (!saysLeaving(text)) return ok(answerOf(res, [text].values(), close))
+    overall.abort()
+    return err({ reason: 'targetLeaving', reached: false, detail: 'the target is leaving' })
+  } catch (cause) {
+    overall.abort()
+    const reason = mark.sent ? 'streamCut' : 'connectFailed'
+    return err({ reason, reached: mark.sent, detail: describeCause(cause) })
+  }
+
+  function close (result: SlotReport['result']): void {
+    overall.abort()
+    if (result !== 'done') connection.abort()
+    grant.release({ result })
+  }
+}
+
+function answerOf (
+  res: Dispatcher.ResponseData,
+  chunks: AsyncIterator<Uint8Array> | Iterator<Uint8Array>,
+  close: ServiceAnswer['close']
+): ServiceAnswer {
+  const body = { next: async () => await chunks.next() as IteratorResult<Uint8Array, undefined> }
+  return { status: res.statusCode, headers: res.headers, body, close }
+}
+
+function saysLeaving (body: Uint8Array): boolean {
+  try {
+    return JSON.parse(new TextDecoder().decode(body))?.error?.code === LEAVING_CODE
+  } catch {
+    return false
+  }
+}
+
+function withOutcome (cause: RefusalError, outcome: Outcome): RefusalError {
+  const { message, retryAfterMs } = cause
+  const isLast = cause.reason === 'noTarget' && outcome !== 'not_run'
+  const reason = isLast ? 'targetFailed' : cause.reason
+  return new RefusalError(reason, { detail: message, retryAfterMs, outcome, cause })
+}
--- /dev/null
+++ b/packages/pimentoplank/src/entry/stopping/index.ts
@@ -0,0 +1,2 @@
+export { createStopper, type Stopper, type StopperOptions, type StopStage } from './stopper'
+export { createLeavingGuard } from './leavingGuard'
--- a/packages/pimentoplank/src/shared/clock/index.ts
+++ b/packages/pimentoplank/src/shared/clock/index.ts
@@ -1,1 +1,2 @@
 export { createSystemClock, type Clock } from './clock'
+export { TIMED_OUT, withTimeLimit } from './limit'
--- a/packages/pimentoplank/src/shared/engine/index.ts
+++ b/packages/pimentoplank/src/shared/engine/index.ts
@@ -1,1 +1,2 @@
 export * from './types'
+export { createEngineClient, type EngineClientOptions } from './client'
--- a/packages/pimentoplank/src/shared/engine/types.ts
+++ b/packages/pimentoplank/src/shared/engine/types.ts
@@ -20,6 +20,14 @@
   /** The caller's body; the client sets `stream`. */
   body: Readonly<Record<string, unknown>>
   resume?: ResumePoint
+  /** Takes up the running stream of `resume` and never starts a second run; for work that may not be repeated. */
+  attachOnly?: boolean
+}
+
+export interface EngineStartOptions {
+  signal?: AbortSignal
+  /** Limit for the first token of this start, in milliseconds; the client's own when absent. */
+  firstTokenTimeoutMs?: number
 }
 
 /** One event of a stream. Tokens arrive in order and never twice. */
@@ -70,7 +78,7 @@
   start: (
     target: Target,
     req: EngineRequest,
-    options: { signal?: AbortSignal }
+    options?: EngineStartOptions
   ) => ResultAsync<EngineStream, EngineError>
   /** True when the target accepts connections; used to tell a crash from a cut stream. */
   probe: (target: Target) => Promise<boolean>
--- a/packages/pimentoplank/src/shared/quarantine/index.ts
+++ b/packages/pimentoplank/src/shared/quarantine/index.ts
@@ -1,1 +1,2 @@
 export * from './types'
+export { createQuarantine, type QuarantineOptions } from './quarantine'
--- a/packages/pimentoplank/src/shared/quarantine/types.ts
+++ b/packages/pimentoplank/src/shared/quarantine/types.ts
@@ -6,6 +6,14 @@
 export interface Quarantine {
   /** True when the content may not run any more. */
   isQuarantined: (contentHash: string) => boolean
+  /**
+   * Notes that content runs on a target, so that a crash there can be told apart from that of its neighbours.
+   *
+   * @returns notes the end of the run; call it after `noteCrash`
+   */
+  noteRun: (contentHash: string, targetId: string) => () => void
+  /** Targets that run content that was there at an earlier crash; other such content keeps away from them. */
+  targetsWithSuspects: (contentHash: string) => readonly string[]
   /**
    * Records that a target died while it ran the content.
    *
--- a/packages/pimentoplank/src/shared/rpc/index.ts
+++ b/packages/pimentoplank/src/shared/rpc/index.ts
@@ -2,3 +2,4 @@
 export { createPeerTransports, type PeerTransports, type PeerTransportsOptions } from './peerTransports'
 export { loadPeerSecurity, type PeerSecurity } from './peerSecurity'
 export * from './gen/pimentoplank/v1/status_pb'
+export * from './gen/pimentoplank/v1/once_pb'
