--- a/packages/pimentoplank/src/entry/settings.ts
+++ b/packages/pimentoplank/src/entry/settings.ts
@@ -1,11 +1,14 @@
 /** Settings of an entry instance. */
 import { z } from 'zod'
-import { address, commonSettings, HOUR_MS, KIB_BYTES, listenSettings, MIB_BYTES, MINUTE_MS, SECOND_MS } from '../shared'
+import {
+  commonSettings, HOUR_MS, KIB_BYTES, listenSettings, MIB_BYTES, MINUTE_MS, SECOND_MS, slotClientSettings,
+  slotHomeSettings
+} from '../shared'
 
 const durationMs = z.int().min(1).max(24 * HOUR_MS)
 
 export const directorySettings = z.strictObject({
-  maxAgeMs: durationMs.default(10 * SECOND_MS).describe('How long callers may keep the answer, in milliseconds.'),
+  maxAgeMs: durationMs.default(5 * SECOND_MS).describe('How long callers may keep the answer, in milliseconds.'),
   maxInstances: z.int().min(1).max(1000).default(16).describe('Most instances in one answer.')
 })
 
@@ -48,7 +51,6 @@
 export const entrySettings = z.strictObject({
   ...commonSettings,
   listen: listenSettings.describe('Where callers connect.'),
-  advertise: address.optional().describe('Address that callers are told; the listening address when absent.'),
   maxBodyBytes: z.int().min(1).default(MIB_BYTES).describe('Largest request body, in bytes; uploads of jobs are apart.'),
   deadlines: deadlineSettings.prefault({}),
   directory: directorySettings.prefault({}),
@@ -56,6 +58,8 @@
   streams: streamSettings.prefault({}),
   once: onceSettings.prefault({}),
   quarantine: quarantineSettings.prefault({}),
-  stop: stopSettings.prefault({})
+  stop: stopSettings.prefault({}),
+  slotClient: slotClientSettings.prefault({}),
+  slotHome: slotHomeSettings.prefault({})
 })
 export type EntrySettings = z.infer<typeof entrySettings>
--- a/packages/pimentoplank/src/entry/stopping/stopper.ts
+++ b/packages/pimentoplank/src/entry/stopping/stopper.ts
@@ -1,5 +1,8 @@
 /** The planned stop of an instance: callers move away first, and whatever runs is finished. */
-import { createSystemClock, type Clock, type Log } from '../../shared'
+import { createSystemClock, SECOND_MS, type Clock, type Log } from '../../shared'
+
+/** Time for the other instances to hear of the stop; until then their directories name this one. */
+const ANNOUNCE_MS = SECOND_MS
 
 export const STOP_STAGES = ['serving', 'moving', 'closed'] as const
 /**
@@ -43,7 +46,7 @@
     log.info({ inFlight }, 'leaving: out of the directory')
     const handedOver = options.onLeave().catch((cause) => log.warn({ err: cause }, 'hand-over failed'))
     // An answer of the directory given right before may be kept, and used, until its age is over.
-    await clock.sleep(Math.min(options.directoryMaxAgeMs, options.graceMs))
+    await clock.sleep(Math.min(options.directoryMaxAgeMs + ANNOUNCE_MS, options.graceMs))
     stage = 'closed'
     log.info({ inFlight }, 'leaving: new requests are refused')
     const idle = inFlight === 0 ? Promise.resolve() : new Promise<void>((resolve) => { onIdle = resolve })
