--- a/packages/pimentoplank/src/entry/runEntry.ts
+++ b/packages/pimentoplank/src/entry/runEntry.ts
@@ -31,7 +31,13 @@
   const common = { instanceId: instance.id, membership, clock, metrics, log }
   const home = createSlotHome({ ...common, config, settings: settings.slotHome })
   const slots = createSlotClient({
-    ...common, failureDomain: instance.failureDomain, region: instance.region, config, transports, localHome: home, settings: settings.slotClient
+    ...common,
+    failureDomain: instance.failureDomain,
+    region: instance.region,
+    config,
+    transports,
+    localHome: home,
+    settings: settings.slotClient
   })
   const stopSignal = createStopSignal()
   const drain = new AbortController()
