Add the benchmark: comparisons of both sides in turn, with a report

Each comparison starts its deployments from the built bundles, runs its sides in turn over several repeats, every other repeat backwards, and reports medians, ratios paired by repeat, their spread, and whether each goal is met. Batch throughput counts committed results while live requests are sent; the best that idle slots allow is computed from the stand-in's pace.

Settings that switch routing and admission are taken to stand under "slots" of an entry instance, which is to be confirmed.

--- /dev/null
+++ b/packages/standins/src/bench/benchDeployment.ts
@@ -0,0 +1,171 @@
+/** A deployment under measurement: started, configured, and measured while it runs experiments. */
+import { mkdir, writeFile } from 'node:fs/promises'
+import path from 'node:path'
+import { setTimeout as delay } from 'node:timers/promises'
+import { request } from 'undici'
+import { createCaller } from '../caller'
+import { applyNote, startDeployment, type Deployment } from '../deployment'
+import { runExperiment, type Experiment, type ExperimentResult } from '../load'
+import type { PlatformStats } from '../platform'
+import { createBenchNote, createBenchPlan, KEY_PREFIX, MODEL, SERVICE, type BenchPlanOptions } from './benchPlan'
+import { readUsage, type ProcessUsage } from './processUsage'
+
+const READY_LIMIT_MS = 30_000
+const READY_POLL_MS = 100
+const READY_TOKENS = 2
+
+/** One run of an experiment, with what the processes used. */
+export interface MeasuredRun {
+  result: ExperimentResult
+  elapsedMs: number
+  /** Usage during the run, by process id; absent for those that ended. */
+  usage: Record<string, ProcessUsage>
+  platform: PlatformStats
+}
+
+export interface BenchDeployment {
+  deployment: Deployment
+  engineIds: string[]
+  /** Runs an experiment; `during` is called as it starts. */
+  measure: (experiment: Experiment, during?: (bench: BenchDeployment) => Promise<void>) => Promise<MeasuredRun>
+  /** Runs an experiment against the engines, without the system between. */
+  measureDirect: (experiment: Experiment) => Promise<MeasuredRun>
+  /** Kills an instance at once. */
+  kill: (id: string) => void
+  /** Starts every killed instance again and waits until the deployment answers. */
+  repair: () => Promise<void>
+  stop: () => Promise<void>
+}
+
+/**
+ * Starts a deployment and waits until each entry instance answers.
+ *
+ * @param name - names its folder of settings and logs
+ * @param folder - folder of the benchmark run
+ */
+export async function startBenchDeployment (
+  name: string,
+  folder: string,
+  options: BenchPlanOptions,
+  commit?: string
+): Promise<BenchDeployment> {
+  const home = path.join(folder, name)
+  await mkdir(home, { recursive: true })
+  const deployment = await startDeployment({ plan: createBenchPlan(options), folder: home })
+  const killed = new Set<string>()
+  const engineIds = [...deployment.processes.keys()].filter((id) => id.startsWith(`${SERVICE}-`))
+  const noteFile = path.join(home, 'release-note.json')
+
+  async function measureAt (
+    entries: readonly string[],
+    experiment: Experiment,
+    during?: () => Promise<void>
+  ): Promise<MeasuredRun> {
+    await request(`${deployment.platformUrl}/_control/stats`, { method: 'DELETE' }).then((res) => res.body.dump())
+    const before = await readAllUsage(deployment)
+    const startedAt = performance.now()
+    const [result] = await Promise.all([runExperiment({ experiment, entries, commit }), during?.()])
+    const elapsedMs = performance.now() - startedAt
+    const usage = subtractUsage(await readAllUsage(deployment), before)
+    const stats = await request(`${deployment.platformUrl}/_control/stats`)
+    return { result, elapsedMs, usage, platform: await stats.body.json() as PlatformStats }
+  }
+
+  function kill (id: string): void {
+    killed.add(id)
+    deployment.processes.get(id)!.signal('SIGKILL')
+  }
+
+  async function repair (): Promise<void> {
+    for (const id of killed) {
+      await deployment.processes.get(id)!.exited
+      await deployment.restart(id)
+    }
+    killed.clear()
+    await waitUntilReady(deployment)
+  }
+
+  const bench: BenchDeployment = {
+    deployment,
+    engineIds,
+    measure: async (experiment, during) =>
+      await measureAt(deployment.entryAddresses(), experiment, async () => await during?.(bench)),
+    measureDirect: async (experiment) =>
+      await measureAt(engineIds.map((id) => deployment.processes.get(id)!.listening.address), experiment),
+    kill,
+    repair,
+    stop: async () => { await deployment.stop() }
+  }
+
+  try {
+    await writeFile(noteFile, JSON.stringify(createBenchNote(options), null, 2))
+    await applyNote(deployment, noteFile)
+    await waitUntilReady(deployment)
+  } catch (cause) {
+    await deployment.stop()
+    throw cause
+  }
+  return bench
+}
+
+/** Waits until every target has the model and every entry instance answers whole. */
+async function waitUntilReady (deployment: Deployment): Promise<void> {
+  const limit = performance.now() + READY_LIMIT_MS
+  await Promise.all([
+    ...engineAddresses(deployment).map(async (address) => await poll(limit, async () => await hasModel(address))),
+    ...deployment.entryAddresses().map(async (address) => await poll(limit, async () => await answers(address)))
+  ])
+}
+
+function engineAddresses (deployment: Deployment): string[] {
+  return [...deployment.processes.values()]
+    .filter(({ id }) => id.startsWith(`${SERVICE}-`))
+    .map(({ listening }) => listening.address)
+}
+
+async function poll (limit: number, test: () => Promise<boolean>): Promise<void> {
+  while (!await test().catch(() => false)) {
+    if (performance.now() > limit) throw new Error('the deployment did not get ready')
+    await delay(READY_POLL_MS)
+  }
+}
+
+async function hasModel (address: string): Promise<boolean> {
+  const res = await request(`http://${address}/v1/state`)
+  const { models } = await res.body.json() as { models: Array<{ name: string, status: string }> }
+  return models.some((model) => model.name === MODEL && model.status === 'ready')
+}
+
+async function answers (address: string): Promise<boolean> {
+  // Without a directory answer the caller stays with this address.
+  const caller = createCaller({ seeds: [address], key: `${KEY_PREFIX}0` })
+  try {
+    const res = await caller.send('/v1/chat/completions', {
+      method: 'POST',
+      address,
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify({ model: MODEL, max_tokens: READY_TOKENS, messages: [{ role: 'user', content: 'ready?' }] })
+    })
+    await res.body.dump()
+    return res.statusCode === 200
+  } finally {
+    await caller.close()
+  }
+}
+
+async function readAllUsage (deployment: Deployment): Promise<Record<string, ProcessUsage>> {
+  const usage: Record<string, ProcessUsage> = {}
+  for (const { id, pid } of deployment.processes.values()) {
+    const read = await readUsage(pid)
+    if (read !== undefined) usage[id] = read
+  }
+  return usage
+}
+
+function subtractUsage (
+  after: Record<string, ProcessUsage>,
+  before: Record<string, ProcessUsage>
+): Record<string, ProcessUsage> {
+  return Object.fromEntries(Object.entries(after).map(([id, usage]) =>
+    [id, { ...usage, cpuMs: usage.cpuMs - (before[id]?.cpuMs ?? 0) }]))
+}
--- /dev/null
+++ b/packages/standins/src/bench/comparisons/batchBesideLive.ts
@@ -0,0 +1,83 @@
+/** Harm to the live tail by batch work, and how much of the idle slots batch work uses. */
+import { findSummary, type Comparison, type ComparisonOutcome } from '../comparison'
+import { createLoad } from '../experiments'
+import {
+  batchRate, entryCoreShare, firstTokenP50, firstTokenP99, lostOrDoubled, notWholeShare, platformCalls,
+  shareOfIdleBest, tokenGapP99, wrongAnswers
+} from '../metrics'
+import { baseSettings } from '../policies'
+import type { ComparisonScale } from '.'
+
+const LIVE_RATE = 60
+/** More than the idle slots can take while live requests are sent. */
+const ITEMS_PER_SECOND = 130
+const MAX_TAIL_RATIO = 1.05
+const MIN_IDLE_SHARE = 90
+const ALONE = 'live alone'
+const BESIDE = 'live beside batch'
+const BATCH_ONLY = 'batch alone'
+
+/** Live load alone, beside a batch job, and the batch job alone. */
+export function batchBesideLive ({ durationMs }: ComparisonScale): Comparison {
+  const plan = { settings: baseSettings() }
+  const batchItems = Math.round(ITEMS_PER_SECOND * durationMs / 1000)
+  const name = 'batch-beside-live'
+  return {
+    name,
+    title: 'Live tail with and without batch work beside it',
+    sides: [
+      { name: ALONE, plan, experiment: (seed) => createLoad({ name, seed, durationMs, ratePerSecond: LIVE_RATE }) },
+      {
+        name: BESIDE,
+        plan,
+        experiment: (seed) => createLoad({
+          name, seed, durationMs, ratePerSecond: LIVE_RATE, batchItems, batch: { neverCompleting: 3 }
+        })
+      },
+      { name: BATCH_ONLY, plan, experiment: (seed) => createLoad({ name, seed, durationMs, batchItems }) }
+    ],
+    metrics: [
+      firstTokenP50, firstTokenP99, tokenGapP99, batchRate, shareOfIdleBest, notWholeShare, wrongAnswers,
+      lostOrDoubled, entryCoreShare, platformCalls
+    ],
+    goals: [
+      tailGoal(firstTokenP99.name, 'Live 99th percentile of first token at most 5% above live alone'),
+      tailGoal(tokenGapP99.name, 'Live 99th percentile of token gap at most 5% above live alone'),
+      {
+        text: 'At least 90% of idle slots\' best batch throughput beside live load',
+        isMet: (outcome) => isAtLeast(outcome, BESIDE, shareOfIdleBest.name, MIN_IDLE_SHARE)
+      },
+      {
+        text: 'No batch item lost or doubled',
+        isMet: (outcome) => isAtMost(outcome, BESIDE, lostOrDoubled.name, 0)
+      }
+    ]
+  }
+}
+
+function tailGoal (metric: string, text: string): Comparison['goals'][number] {
+  return {
+    text,
+    isMet: (outcome) => {
+      const ratio = findSummary(outcome, BESIDE, metric)?.ratio
+      return ratio === undefined ? undefined : ratio.median <= MAX_TAIL_RATIO
+    }
+  }
+}
+
+/** True when the median of a metric is at least so high. */
+export function isAtLeast (
+  outcome: ComparisonOutcome,
+  side: string,
+  metric: string,
+  least: number
+): boolean | undefined {
+  const value = findSummary(outcome, side, metric)?.value
+  return value === undefined ? undefined : value.median >= least
+}
+
+/** True when every run's value of a metric is at most so high. */
+export function isAtMost (outcome: ComparisonOutcome, side: string, metric: string, most: number): boolean | undefined {
+  const value = findSummary(outcome, side, metric)?.value
+  return value === undefined ? undefined : value.max <= most
+}
--- /dev/null
+++ b/packages/standins/src/bench/comparisons/commitSize.ts
@@ -0,0 +1,27 @@
+/** Sizes of commits of batch results. */
+import type { Comparison } from '../comparison'
+import { createLoad } from '../experiments'
+import { batchRate, lostOrDoubled, platformCalls, shareOfIdleBest } from '../metrics'
+import { commitSettings } from '../policies'
+import type { ComparisonScale } from '.'
+
+const ITEMS_PER_SECOND = 150
+const SIZES = [256, 64, 16, 1]
+const EVERY_MS = 10_000
+
+/** A batch job alone with commits of different sizes. */
+export function commitSize ({ durationMs }: ComparisonScale): Comparison {
+  const name = 'commit-size'
+  const batchItems = Math.round(ITEMS_PER_SECOND * durationMs / 1000)
+  return {
+    name,
+    title: 'Items of one commit of batch results',
+    sides: SIZES.map((size) => ({
+      name: `${size} items`,
+      plan: { settings: commitSettings(size, EVERY_MS) },
+      experiment: (seed) => createLoad({ name, seed, durationMs, batchItems })
+    })),
+    metrics: [batchRate, shareOfIdleBest, platformCalls, lostOrDoubled],
+    goals: []
+  }
+}
--- /dev/null
+++ b/packages/standins/src/bench/comparisons/overhead.ts
@@ -0,0 +1,31 @@
+/** What the system adds to a call, against a direct call to the engine. */
+import type { Comparison } from '../comparison'
+import { createLoad } from '../experiments'
+import { entryCoreShare, entryMemory, firstTokenP50, firstTokenP99, notWholeShare, tokenGapP99, wrongAnswers } from '../metrics'
+import { baseSettings } from '../policies'
+import type { ComparisonScale } from '.'
+
+/** Far below capacity, so that nothing waits. */
+const LIGHT_RATE = 40
+const HEAVY_RATE = 120
+
+/** Direct calls, calls through the system, and a heavy load through one entry instance. */
+export function overhead ({ durationMs }: ComparisonScale): Comparison {
+  const name = 'overhead'
+  const plan = { entries: 1, batches: 0, settings: baseSettings() }
+  const light = (seed: number): ReturnType<typeof createLoad> =>
+    createLoad({ name, seed, durationMs, ratePerSecond: LIGHT_RATE, isBursty: false })
+  const heavy = (seed: number): ReturnType<typeof createLoad> =>
+    createLoad({ name, seed, durationMs, ratePerSecond: HEAVY_RATE, isBursty: false })
+  return {
+    name,
+    title: 'Added time over a direct call to the engine',
+    sides: [
+      { name: 'direct', plan, direct: true, experiment: light },
+      { name: 'through one entry instance', plan, experiment: light },
+      { name: 'through one entry instance, 120 requests a second', plan, experiment: heavy }
+    ],
+    metrics: [firstTokenP50, firstTokenP99, tokenGapP99, notWholeShare, wrongAnswers, entryCoreShare, entryMemory],
+    goals: []
+  }
+}
--- /dev/null
+++ b/packages/standins/src/bench/comparisons/overload.ts
@@ -0,0 +1,75 @@
+/** Useful work and refusals in an overload, with and without a retry budget. */
+import { findSummary, type Comparison } from '../comparison'
+import { switchFault } from '../../load'
+import type { BenchDeployment } from '../benchDeployment'
+import { createLoad } from '../experiments'
+import { firstTokenP99, notWholeShare, refusalP99, usefulTokens, wrongAnswers } from '../metrics'
+import { baseSettings, retrySettings } from '../policies'
+import { isAtMost } from './batchBesideLive'
+import type { ComparisonScale } from '.'
+
+/** About what the slots of the default pace can take. */
+const CAPACITY_RATE = 140
+const OVERLOAD_FACTOR = 3
+const MIN_USEFUL_RATIO = 0.95
+const MAX_REFUSAL_MS = 50
+const LIVE = { timeoutMs: 2000 }
+/** Tokens after which the faulty target cuts each stream. */
+const CUT_AFTER_TOKENS = 3
+const OVERLOAD = 'threefold overload'
+
+function loadAt (name: string, durationMs: number, factor: number) {
+  return (seed: number) => createLoad({
+    name, seed, durationMs, ratePerSecond: CAPACITY_RATE * factor, isBursty: false, live: LIVE
+  })
+}
+
+/** A steady load at capacity against three times as much. */
+export function overload ({ durationMs }: ComparisonScale): Comparison {
+  const name = 'overload'
+  const plan = { batches: 0, settings: baseSettings() }
+  return {
+    name,
+    title: 'Useful work in a threefold overload',
+    sides: [
+      { name: 'at capacity', plan, experiment: loadAt(name, durationMs, 1) },
+      { name: OVERLOAD, plan, experiment: loadAt(name, durationMs, OVERLOAD_FACTOR) }
+    ],
+    metrics: [usefulTokens, refusalP99, firstTokenP99, notWholeShare, wrongAnswers],
+    goals: [
+      {
+        text: 'Useful work in a threefold overload at least 95% of that at capacity',
+        isMet: (outcome) => {
+          const ratio = findSummary(outcome, OVERLOAD, usefulTokens.name)?.ratio
+          return ratio === undefined ? undefined : ratio.median >= MIN_USEFUL_RATIO
+        }
+      },
+      {
+        text: 'Refusals answered within 50 ms (99th percentile)',
+        isMet: (outcome) => isAtMost(outcome, OVERLOAD, refusalP99.name, MAX_REFUSAL_MS)
+      }
+    ]
+  }
+}
+
+/** A threefold overload with a target that cuts its streams, with and without a limit on retries. */
+export function retryBudget ({ durationMs }: ComparisonScale): Comparison {
+  const name = 'retry-budget'
+  const experiment = loadAt(name, durationMs, OVERLOAD_FACTOR)
+  const faulty = { pace: { engines: 4 }, batches: 0 }
+  return {
+    name,
+    title: 'Retry budget in a threefold overload with a target that cuts its streams',
+    sides: [
+      { name: 'budget on', plan: { ...faulty, settings: baseSettings() }, experiment, during: cutStreams },
+      { name: 'budget off', plan: { ...faulty, settings: retrySettings(1, 1_000_000) }, experiment, during: cutStreams }
+    ],
+    metrics: [usefulTokens, refusalP99, firstTokenP99, notWholeShare, wrongAnswers],
+    goals: []
+  }
+}
+
+async function cutStreams ({ deployment, engineIds }: BenchDeployment): Promise<void> {
+  const { address } = deployment.processes.get(engineIds[0]!)!.listening
+  await switchFault(`http://${address}`, { cutAfterTokens: CUT_AFTER_TOKENS })
+}
--- /dev/null
+++ b/packages/standins/src/bench/comparisons/routing.ts
@@ -0,0 +1,53 @@
+/** Ways to choose a target, and prefix affinity. */
+import { ROUTING_WAYS } from 'pimentoplank/shared'
+import type { Comparison } from '../comparison'
+import { createLoad } from '../experiments'
+import { entryCoreShare, firstTokenP50, firstTokenP99, notWholeShare, tokenGapP99, usefulTokens } from '../metrics'
+import { slotSettings } from '../policies'
+import type { ComparisonScale } from '.'
+
+const BUSY_RATE = 90
+const DEFAULT_WAY = 'homes'
+/** A target at this share of its limit gets no affinity, so that practically none has it. */
+const NO_AFFINITY_SHARE = 0.000_001
+/** Long shared beginnings, and caches that hold some of them only. */
+const PREFIX_LOAD = { prefixChars: 8192, promptPrefixes: 40, prefixSkew: 0.5 }
+const PREFIX_PACE = { prefillTokenMs: 0.05, cacheBlocks: 512 }
+
+/** Every routing way under the same bursty load. */
+export function routing ({ durationMs }: ComparisonScale): Comparison {
+  const name = 'routing'
+  const ways = [DEFAULT_WAY, ...ROUTING_WAYS.filter((way) => way !== DEFAULT_WAY)]
+  return {
+    name,
+    title: 'Routing ways under the same load',
+    sides: ways.map((way) => ({
+      name: way,
+      plan: { batches: 0, settings: slotSettings({ routing: way }) },
+      experiment: (seed) => createLoad({ name, seed, durationMs, ratePerSecond: BUSY_RATE })
+    })),
+    metrics: [firstTokenP50, firstTokenP99, tokenGapP99, notWholeShare, usefulTokens, entryCoreShare],
+    goals: []
+  }
+}
+
+/** Long shared prompt prefixes with and without affinity. */
+export function prefixAffinity ({ durationMs }: ComparisonScale): Comparison {
+  const name = 'prefix-affinity'
+  const experiment = (seed: number): ReturnType<typeof createLoad> =>
+    createLoad({ name, seed, durationMs, ratePerSecond: BUSY_RATE / 2, live: PREFIX_LOAD })
+  return {
+    name,
+    title: 'Prefix affinity with long shared prompts',
+    sides: [
+      { name: 'affinity on', plan: { pace: PREFIX_PACE, batches: 0, settings: slotSettings({}) }, experiment },
+      {
+        name: 'affinity off',
+        plan: { pace: PREFIX_PACE, batches: 0, settings: slotSettings({ overloadedShare: NO_AFFINITY_SHARE }) },
+        experiment
+      }
+    ],
+    metrics: [firstTokenP50, firstTokenP99, tokenGapP99, notWholeShare, usefulTokens],
+    goals: []
+  }
+}
--- /dev/null
+++ b/packages/standins/src/bench/metrics.ts
@@ -0,0 +1,159 @@
+/** Figures that comparisons take from a run. */
+import { MIB_BYTES, SECOND_MS } from 'pimentoplank/shared'
+import type { Percentiles } from '../load'
+import type { MeasuredRun } from './benchDeployment'
+import { resolvePace } from './benchPlan'
+import type { Metric, Side } from './comparison'
+
+const CHARS_PER_TOKEN = 4
+
+function percentile (name: string, of: (run: MeasuredRun) => Percentiles | undefined, key: 'p50' | 'p99'): Metric {
+  return {
+    name,
+    unit: 'ms',
+    better: 'lower',
+    of: (run) => {
+      const found = of(run)
+      return found === undefined || found.count === 0 ? undefined : found[key]
+    }
+  }
+}
+
+export const firstTokenP50 = percentile('first token p50', (run) => run.result.live?.firstTokenMs, 'p50')
+export const firstTokenP99 = percentile('first token p99', (run) => run.result.live?.firstTokenMs, 'p99')
+export const tokenGapP99 = percentile('token gap p99', (run) => run.result.live?.tokenGapMs, 'p99')
+export const refusalP99 = percentile('refusal p99', (run) => run.result.live?.refusalMs, 'p99')
+
+/** Batch items with a committed result a second, while live requests are sent. */
+export const batchRate: Metric = {
+  name: 'batch items',
+  unit: '1/s',
+  better: 'higher',
+  of: batchItemsPerSecond
+}
+
+function batchItemsPerSecond (run: MeasuredRun): number | undefined {
+  const { batch, experiment } = run.result
+  const points = batch?.progress.filter(({ atMs }) => atMs <= experiment.durationMs) ?? []
+  const first = points[0]
+  if (first === undefined) return undefined
+  // Later looks at a job that is done already would make it appear slower.
+  const last = points.find(({ finished }) => finished === points.at(-1)!.finished)!
+  return last.atMs === first.atMs ? 0 : (last.finished - first.finished) * SECOND_MS / (last.atMs - first.atMs)
+}
+
+export const usefulTokens: Metric = {
+  name: 'useful tokens',
+  unit: '1/s',
+  better: 'higher',
+  of: (run) => {
+    const { live, experiment } = run.result
+    if (live === undefined) return undefined
+    return live.usefulTokens * SECOND_MS / (experiment.durationMs - experiment.warmupMs)
+  }
+}
+
+export const notWholeShare: Metric = {
+  name: 'not whole',
+  unit: '%',
+  better: 'lower',
+  of: (run) => {
+    const { live } = run.result
+    return live === undefined ? undefined : 100 * (live.sent - live.whole) / live.sent
+  }
+}
+
+export const wrongAnswers: Metric = {
+  name: 'wrong answers',
+  unit: '',
+  better: 'lower',
+  of: (run) => run.result.live?.wrong
+}
+
+export const lostOrDoubled: Metric = {
+  name: 'items lost or doubled',
+  unit: '',
+  better: 'lower',
+  of: (run) => run.result.batch?.jobs.reduce((sum, job) => sum + job.lost + job.doubled, 0)
+}
+
+/** Share of one core that an entry process used, on average. */
+export const entryCoreShare: Metric = {
+  name: 'core share of an entry',
+  unit: '%',
+  better: 'lower',
+  of: (run) => {
+    const entries = Object.entries(run.usage).filter(([id]) => id.startsWith('entry-'))
+    if (entries.length === 0) return undefined
+    const cpuMs = entries.reduce((sum, [, usage]) => sum + usage.cpuMs, 0)
+    return 100 * cpuMs / entries.length / run.elapsedMs
+  }
+}
+
+export const entryMemory: Metric = {
+  name: 'peak memory of an entry',
+  unit: 'MiB',
+  better: 'lower',
+  of: (run) => {
+    const entries = Object.entries(run.usage).filter(([id]) => id.startsWith('entry-'))
+    if (entries.length === 0) return undefined
+    return Math.max(...entries.map(([, usage]) => usage.peakResidentBytes)) / MIB_BYTES
+  }
+}
+
+/** Platform calls a second of all processes together, each watch counted. */
+export const platformCalls: Metric = {
+  name: 'platform calls',
+  unit: '1/s',
+  better: 'lower',
+  of: (run) => {
+    const counts = Object.values(run.platform.calls).flatMap((operations) => Object.values(operations))
+    return counts.reduce((sum, count) => sum + count, 0) * SECOND_MS / run.elapsedMs
+  }
+}
+
+/**
+ * Time from the disturbance to the end of the last live request that failed, in seconds; 0 when none failed.
+ *
+ * @param atMs - time of the disturbance, from the start of the experiment
+ */
+export function recoverySeconds (atMs: number): Metric {
+  return {
+    name: 'live errors end after',
+    unit: 's',
+    better: 'lower',
+    of: (run) => {
+      const { live } = run.result
+      if (live === undefined) return undefined
+      const ends = live.failures.filter((failure) => failure.endedAtMs >= atMs).map((failure) => failure.endedAtMs)
+      return ends.length === 0 ? 0 : (Math.max(...ends) - atMs) / SECOND_MS
+    }
+  }
+}
+
+/**
+ * Batch items a second as a share of what idle slots allow at best. The best is computed from the stand-in's pace:
+ * slots that live answers leave, over the time that one item holds a slot when all slots run.
+ */
+export const shareOfIdleBest: Metric = {
+  name: 'share of idle best',
+  unit: '%',
+  better: 'higher',
+  of: (run, side) => {
+    const rate = batchItemsPerSecond(run)
+    return rate === undefined ? undefined : 100 * rate / idleBest(run, side)
+  }
+}
+
+/** Batch items a second that the idle slots allow at best. */
+export function idleBest (run: MeasuredRun, side: Side): number {
+  const pace = resolvePace(side.plan)
+  const { experiment, live } = run.result
+  const stepMs = pace.tokenMs + pace.tokenSlopeMs * (pace.slots - 1)
+  const slotMs = (answers: number, tokens: number, promptChars: number): number =>
+    answers * (pace.firstTokenMs + promptChars / CHARS_PER_TOKEN * pace.prefillTokenMs) + tokens * stepMs
+  // Shared beginnings are taken as cached, so the computed best is an upper bound.
+  const liveSlotMs = live === undefined ? 0 : slotMs(live.whole, live.usefulTokens, experiment.live!.promptChars)
+  const idleSlots = pace.engines * pace.slots - liveSlotMs / (experiment.durationMs - experiment.warmupMs)
+  return idleSlots * SECOND_MS / slotMs(1, experiment.batch!.maxTokens, 0)
+}
--- a/packages/standins/src/load/load.feature
+++ b/packages/standins/src/load/load.feature
@@ -23,3 +23,11 @@
 
   Scenario: An experiment with an unknown setting is refused
     Then the load tool names "live.ratePerMinute" in an experiment that has it
+
+  Scenario Outline: The experiments of the playground are valid
+    Then the load tool accepts "<file>"
+
+    Examples:
+      | file                                  |
+      | playground/wadi-rum/experiment.json   |
+      | playground/pastificio/experiment.json |
--- a/packages/standins/src/load/load.steps.ts
+++ b/packages/standins/src/load/load.steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
-import { parseSettings } from 'pimentoplank/shared'
+import { loadSettings, parseSettings } from 'pimentoplank/shared'
 import type { LiveAnswer } from '../caller'
 import { drawArrivals } from './arrivals'
 import { experiment as experimentSchema, type Experiment } from './experiment'
@@ -86,3 +86,8 @@
   const issues = parseSettings('x.json', text, experimentSchema)._unsafeUnwrapErr().issues
   assert.deepEqual(issues.map((issue) => issue.path), [path])
 })
+
+Then('the load tool accepts {string}', async function (file: string) {
+  const loaded = await loadSettings(file, experimentSchema)
+  assert.ok(loaded.isOk())
+})
--- a/packages/standins/src/load/recorder.ts
+++ b/packages/standins/src/load/recorder.ts
@@ -1,12 +1,13 @@
 /** Collects what live callers saw: histograms from the intended send time, and a series by second. */
 import { build, type Histogram } from 'hdr-histogram-js'
 import type { LiveAnswer } from '../caller'
-import type { LiveResult, Percentiles, SeriesPoint } from './result'
+import type { FailedRequest, LiveResult, Percentiles, SeriesPoint } from './result'
 
 const MS_PER_SECOND = 1000
 /** Histograms count in microseconds. */
 const US_PER_MS = 1000
 const HTTP_OK = 200
+const MAX_FAILURES = 5000
 
 export interface SentRequest {
   /** Intended send time, from the start of the experiment. */
@@ -34,6 +35,7 @@
   const refusal = build()
   const series = new Map<number, SeriesPoint>()
   const refusals: Record<string, number> = {}
+  const failures: FailedRequest[] = []
   let sent = 0
   let whole = 0
   let wrong = 0
@@ -70,6 +72,8 @@
   function noteRefusal (req: SentRequest, answer: LiveAnswer): void {
     const reason = answer.reason ?? answer.failure ?? 'cut'
     refusals[reason] = (refusals[reason] ?? 0) + 1
+    const endedAtMs = req.intendedAtMs + req.sendDelayMs + answer.totalMs
+    if (failures.length < MAX_FAILURES) failures.push({ intendedAtMs: req.intendedAtMs, endedAtMs, reason })
     if (answer.status !== 0 && answer.status !== HTTP_OK) record(refusal, answer.totalMs + req.sendDelayMs)
   }
 
@@ -94,7 +98,8 @@
       tokenGapMs: percentiles(tokenGap),
       totalMs: percentiles(total),
       refusalMs: percentiles(refusal),
-      series: [...series.values()].sort((a, b) => a.second - b.second)
+      series: [...series.values()].sort((a, b) => a.second - b.second),
+      failures
     })
   }
 }
--- a/packages/standins/src/load/result.ts
+++ b/packages/standins/src/load/result.ts
@@ -21,6 +21,13 @@
   maxFirstTokenMs: number
 }
 
+/** A request that got no whole answer. Times are in milliseconds from the start of the experiment. */
+export interface FailedRequest {
+  intendedAtMs: number
+  endedAtMs: number
+  reason: string
+}
+
 export interface LiveResult {
   sent: number
   whole: number
@@ -38,6 +45,8 @@
   /** From the intended send time to the answer of a refused request. */
   refusalMs: Percentiles
   series: SeriesPoint[]
+  /** The first requests without a whole answer. */
+  failures: FailedRequest[]
 }
 
 export interface ProgressPoint {
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -10,7 +10,8 @@
   { package: 'standins', name: 'standin-engine', entry: 'src/engine/main.ts' },
   { package: 'standins', name: 'standin-service', entry: 'src/service/main.ts' },
   { package: 'standins', name: 'pimentoplank-load', entry: 'src/load/main.ts' },
-  { package: 'standins', name: 'demo', entry: 'src/demo/main.ts' }
+  { package: 'standins', name: 'demo', entry: 'src/demo/main.ts' },
+  { package: 'standins', name: 'bench', entry: 'src/bench/main.ts' }
 ]
 
 const BANNER = [
