Add scenarios of batch runners, alone and under failure

A fleet of fakes behind the interfaces: platform and targets in memory, a clock for each runner, so that a frozen or killed process is one whose clock stands still. Checks count runs at the targets and objects in the platform. Found while writing: a step that armed a fault after the runner had claimed; the step was wrong, not the runner.

--- /dev/null
+++ b/packages/pimentoplank/features/support/batchFleet.ts
@@ -0,0 +1,164 @@
+/** Batch runners in one process, each with a clock of its own, over a platform and targets in memory. */
+import assert from 'node:assert/strict'
+import { Hono } from 'hono'
+import { createBatchRunner, runnerSettings, type BatchRunner, type RunnerSettings } from '../../src/batch'
+import { createBatchRoutes, type JobView } from '../../src/entry/batches'
+import type { EntryEnv } from '../../src/entry/context'
+import {
+  accountEntry, configEntry, createNullMetrics, createSilentLog, createSnapshot, createStaticConfig,
+  createStaticMembership, type BatchResult, type InstanceRecord, type Metrics
+} from '../../src/shared'
+import { createFakeTargets, type FakeTargets, type FakeTargetsOptions } from './fakeTargets'
+import { createManualClock, type ManualClock } from './manualClock'
+import { createMemoryPlatform, type MemoryPlatform } from './memoryPlatform'
+
+/** Steps in which time passes for the runners in turn. */
+const STEP_MS = 50
+
+export interface BatchFleetOptions {
+  targets?: Partial<FakeTargetsOptions>
+  settings?: Record<string, unknown>
+  chunkItems?: number
+  /** Names of the runners that the instance list shows. */
+  listed?: string[]
+}
+
+export interface FleetRunner {
+  runner: BatchRunner
+  clock: ManualClock
+  metrics: Metrics
+  /** A frozen process does nothing; a killed one stays frozen. */
+  isFrozen: boolean
+  isKilled: boolean
+  /** No event of the feed reaches it. */
+  isDeaf: boolean
+}
+
+export interface UploadItem {
+  content: string
+  noRepeat?: boolean
+}
+
+export interface BatchFleet {
+  platform: MemoryPlatform
+  targets: FakeTargets
+  runners: Map<string, FleetRunner>
+  /** Starts a process; the name of its instance is the id without what follows a `/`. */
+  start: (id: string) => FleetRunner
+  /** Freezes a process and cuts it off for good. */
+  kill: (id: string) => void
+  advance: (ms: number) => Promise<void>
+  /** Lets time pass until a condition holds; fails when it doesn't within the limit. */
+  until: (condition: () => boolean | Promise<boolean>, limitMs: number) => Promise<void>
+  /** Uploads items, named by their place, and gives the job's id. */
+  upload: (items: readonly UploadItem[], key?: string) => Promise<string>
+  view: (job: string) => Promise<JobView>
+  results: (job: string) => Promise<BatchResult[]>
+  cancel: (job: string) => Promise<number>
+  close: () => Promise<void>
+}
+
+/** Creates a fleet without runners. */
+export function createBatchFleet (options: BatchFleetOptions = {}): BatchFleet {
+  const platform = createMemoryPlatform()
+  const targets = createFakeTargets({ targets: 3, slots: 4, tokenMs: 100, tokens: 5, ...options.targets })
+  const model = configEntry.parse({ kind: 'model', name: 'desk', service: 'desk-lm', version: '1' })
+  const config = createStaticConfig(createSnapshot(1, [model]))
+  const settings: RunnerSettings = runnerSettings.parse({ parallelism: 6, chunksHeld: 2, ...options.settings })
+  const runners = new Map<string, FleetRunner>()
+  const listed = (options.listed ?? []).map((id): InstanceRecord => ({
+    id, role: 'batch', address: '127.0.0.1:1', failureDomain: 'rum-a', region: 'jo-south', state: 'live'
+  }))
+  const app = new Hono<EntryEnv>()
+  app.use(async (c, next) => {
+    c.set('account', accountEntry.parse({ kind: 'account', name: 'dunes', keyHash: '0'.repeat(64) }))
+    c.set('requestId', 'request')
+    c.set('log', createSilentLog())
+    await next()
+  })
+  const limits = { chunkItems: options.chunkItems ?? 5 }
+  app.route('/v1/batches', createBatchRoutes({
+    platform: platform.client('entry'), config, metrics: createNullMetrics(), limits
+  }))
+
+  function start (id: string): FleetRunner {
+    const clock = createManualClock()
+    const metrics = createNullMetrics()
+    const started: Omit<FleetRunner, 'runner'> = { clock, metrics, isFrozen: false, isKilled: false, isDeaf: false }
+    const runner = createBatchRunner({ instance: id.split('/')[0]!, processId: id, settings }, {
+      platform: platform.client(id),
+      feed: platform.feed(() => !entry.isFrozen && !entry.isDeaf),
+      slots: targets.slots(clock),
+      engines: targets.engines(id, clock),
+      membership: createStaticMembership([...targets.records, ...listed]),
+      config,
+      quarantine: targets.quarantine(),
+      clock,
+      metrics,
+      log: createSilentLog()
+    })
+    const entry: FleetRunner = Object.assign(started, { runner })
+    runners.set(id, entry)
+    return entry
+  }
+
+  function kill (id: string): void {
+    Object.assign(runners.get(id)!, { isFrozen: true, isKilled: true })
+    const before = platform.faultOf
+    platform.faultOf = (call) => call.client === id ? 'down' : before(call)
+  }
+
+  async function advance (ms: number): Promise<void> {
+    for (let passed = 0; passed < ms; passed += STEP_MS) {
+      for (const { clock, isFrozen } of runners.values()) if (!isFrozen) await clock.advance(STEP_MS)
+    }
+  }
+
+  async function until (condition: () => boolean | Promise<boolean>, limitMs: number): Promise<void> {
+    for (let passed = 0; !await condition(); passed += STEP_MS) {
+      assert.ok(passed < limitMs, `the condition did not hold within ${limitMs} ms: ${condition.toString()}`)
+      await advance(STEP_MS)
+    }
+  }
+
+  async function upload (items: readonly UploadItem[], key = 'rosters'): Promise<string> {
+    const lines = items.map(({ content, noRepeat }, index) =>
+      JSON.stringify({ id: `item-${index}`, body: { messages: [{ role: 'user', content }] }, noRepeat }))
+    const headers = { 'idempotency-key': key }
+    const res = await app.request('/v1/batches?model=desk', { method: 'POST', headers, body: lines.join('\n') })
+    const view = await res.json() as JobView
+    assert.ok(res.ok, JSON.stringify(view))
+    return view.id
+  }
+
+  async function results (job: string): Promise<BatchResult[]> {
+    const res = await app.request(`/v1/batches/${job}/results`)
+    const text = await res.text()
+    return text.split('\n').filter(Boolean).map((line) => JSON.parse(line) as BatchResult)
+  }
+
+  async function close (): Promise<void> {
+    platform.faultOf = () => undefined
+    const live = [...runners.values()].filter(({ isFrozen }) => !isFrozen)
+    const stopped = Promise.all(live.map(async ({ runner }) => await runner.stop()))
+    let isDone = false
+    const ended = stopped.then(() => { isDone = true })
+    await until(() => isDone, 120_000)
+    await ended
+  }
+
+  return {
+    platform,
+    targets,
+    runners,
+    start,
+    kill,
+    advance,
+    until,
+    upload,
+    view: async (job) => await (await app.request(`/v1/batches/${job}`)).json() as JobView,
+    results,
+    cancel: async (job) => (await app.request(`/v1/batches/${job}/cancel`, { method: 'POST' })).status,
+    close
+  }
+}
--- /dev/null
+++ b/packages/pimentoplank/features/support/fakeTargets.ts
@@ -0,0 +1,151 @@
+/** Targets in memory behind the engine, slot and quarantine interfaces; they count every run. */
+import { errAsync, okAsync, ResultAsync } from 'neverthrow'
+import {
+  EngineError, RefusalError, type Clock, type EngineClient, type EngineEvent, type EngineRequest, type EngineStream,
+  type Quarantine, type SlotClient, type Target
+} from '../../src/shared'
+
+export interface FakeRun {
+  requestId: string
+  content: string
+  target: string
+  runner: string
+  /** Tokens that were there when the run began; 0 for a new one. */
+  resumedAt: number
+  tokens: number
+  outcome: 'running' | 'done' | 'cancelled' | 'failed' | 'crashed'
+}
+
+export interface FakeTargetsOptions {
+  targets: number
+  slots: number
+  tokenMs: number
+  tokens: number
+}
+
+export interface FakeTargets {
+  records: Target[]
+  runs: FakeRun[]
+  /** Content with this marker ends its target. */
+  crashMarker: string
+  /** Content with this marker gets an error each time. */
+  failMarker: string
+  /** Takes every slot back, and grants none until allowed again. */
+  revoke: () => void
+  allow: () => void
+  engines: (runner: string, clock: Clock) => EngineClient
+  slots: (clock: Clock) => SlotClient
+  quarantine: () => Quarantine
+}
+
+/** Creates targets that are all alive and free. */
+export function createFakeTargets (options: FakeTargetsOptions): FakeTargets {
+  const records = Array.from({ length: options.targets }, (_, index): Target => ({
+    id: `target-${index}`,
+    role: 'engine',
+    service: 'desk-lm',
+    address: `127.0.0.1:${index + 1}`,
+    failureDomain: 'rum-a',
+    region: 'jo-south',
+    state: 'live'
+  }))
+  const dead = new Set<string>()
+  const used = new Map<string, number>()
+  const granted = new Set<AbortController>()
+  const crashes = new Map<string, Set<string>>()
+  const runs: FakeRun[] = []
+  let isAllowed = true
+
+  function crash (target: string): void {
+    dead.add(target)
+    for (const run of runs) if (run.target === target && run.outcome === 'running') run.outcome = 'crashed'
+  }
+
+  function createStream (run: FakeRun, clock: Clock): EngineStream {
+    async function produce (): Promise<EngineEvent> {
+      await clock.sleep(options.tokenMs)
+      if (run.outcome === 'crashed') throw new EngineError('streamCut', { reached: true })
+      if (run.content.includes(fake.crashMarker)) {
+        crash(run.target)
+        throw new EngineError('streamCut', { reached: true })
+      }
+      if (run.content.includes(fake.failMarker)) {
+        run.outcome = 'failed'
+        throw new EngineError('targetError', { reached: true, status: 500 })
+      }
+      if (run.tokens >= options.tokens) {
+        if (run.outcome === 'running') run.outcome = 'done'
+        return { type: 'end', finishReason: 'stop', promptTokens: 1, completionTokens: run.tokens }
+      }
+      return { type: 'token', index: run.tokens++, text: `${run.tokens} ` }
+    }
+    return {
+      streamId: `stream-${runs.length}`,
+      next: () => ResultAsync.fromPromise(produce(), (cause) => cause as EngineError),
+      cancel: async () => { if (run.outcome === 'running') run.outcome = 'cancelled' }
+    }
+  }
+
+  function engines (runner: string, clock: Clock): EngineClient {
+    return {
+      start: (target: Target, req: EngineRequest) => {
+        if (dead.has(target.id)) return errAsync(new EngineError('connectFailed', { reached: false }))
+        const content = JSON.stringify(req.body.messages)
+        const resumedAt = req.resume?.tokens ?? 0
+        const run: FakeRun = {
+          requestId: req.requestId, content, target: target.id, runner, resumedAt, tokens: resumedAt, outcome: 'running'
+        }
+        runs.push(run)
+        return okAsync(createStream(run, clock))
+      },
+      probe: async (target) => !dead.has(target.id),
+      close: async () => undefined
+    }
+  }
+
+  function slots (clock: Clock): SlotClient {
+    const refusal = (): RefusalError => new RefusalError('noTarget', { retryAfterMs: 200 })
+    return {
+      acquire: (req) => {
+        const free = records.filter(({ id }) => !dead.has(id) && (used.get(id) ?? 0) < options.slots)
+        const allowed = free.filter(({ id }) => !req.excluded.includes(id))
+        const target = allowed.find(({ id }) => id === req.preferred) ?? allowed[0]
+        if (target === undefined || !isAllowed) {
+          return ResultAsync.fromSafePromise(clock.sleep(1)).andThen(() => errAsync(refusal()))
+        }
+        used.set(target.id, (used.get(target.id) ?? 0) + 1)
+        const revoker = new AbortController()
+        granted.add(revoker)
+        return okAsync({
+          target,
+          revoked: revoker.signal,
+          release: () => { if (granted.delete(revoker)) used.set(target.id, used.get(target.id)! - 1) }
+        })
+      },
+      close: async () => undefined
+    }
+  }
+
+  const fake: FakeTargets = {
+    records,
+    runs,
+    crashMarker: 'CRASH',
+    failMarker: 'FAIL',
+    revoke: () => {
+      isAllowed = false
+      for (const revoker of granted) revoker.abort()
+    },
+    allow: () => { isAllowed = true },
+    engines,
+    slots,
+    quarantine: () => ({
+      isQuarantined: (hash) => (crashes.get(hash)?.size ?? 0) >= 2,
+      noteCrash: async (hash, target) => {
+        const died = crashes.get(hash) ?? new Set()
+        crashes.set(hash, died.add(target))
+        return died.size >= 2 ? 'quarantined' : 'suspect'
+      }
+    })
+  }
+  return fake
+}
--- a/packages/pimentoplank/features/support/manualClock.ts
+++ b/packages/pimentoplank/features/support/manualClock.ts
@@ -8,7 +8,7 @@
 }
 
 /** Turns of the event loop that work woken by the clock gets to settle. */
-const SETTLE_TURNS = 20
+const SETTLE_TURNS = 5
 
 interface Sleeper {
   dueAt: number
--- a/packages/pimentoplank/features/support/memoryPlatform.ts
+++ b/packages/pimentoplank/features/support/memoryPlatform.ts
@@ -17,7 +17,8 @@
 export interface MemoryPlatform {
   /** A client whose calls the switches can tell from those of others. */
   client: (id: string) => PlatformClient
-  feed: () => ObjectFeed
+  /** A feed without lag; the switch tells whether events reach its listener now. */
+  feed: (isDelivered?: () => boolean) => ObjectFeed
   objects: (kind: string) => StoredObject[]
   calls: MemoryCall[]
   /** Asked before each call. */
@@ -86,14 +87,15 @@
     }
   }
 
-  function feed (): ObjectFeed {
+  function feed (isDelivered = (): boolean => true): ObjectFeed {
     return {
       objects: (kind) => new Map(list(kind).map((object) => [object.name, object])),
       revision: () => revision,
       subscribe: (kind, listener) => {
         const set = listeners.get(kind) ?? new Set()
-        listeners.set(kind, set.add(listener))
-        return () => { set.delete(listener) }
+        const gated = (event: WatchEvent): void => { if (isDelivered()) listener(event) }
+        listeners.set(kind, set.add(gated))
+        return () => { set.delete(gated) }
       },
       offer: () => undefined,
       ready: async () => undefined,
--- /dev/null
+++ b/packages/pimentoplank/features/support/randomFaults.ts
@@ -0,0 +1,138 @@
+/** Drives a batch fleet through random sequences of faults; fast-check prints the seed of a failure. */
+import assert from 'node:assert/strict'
+import * as fc from 'fast-check'
+import { createBatchFleet, type BatchFleet } from './batchFleet'
+import type { CallFault, MemoryCall } from './memoryPlatform'
+
+const SECOND = 1000
+const RUNNERS = ['a', 'b', 'c']
+const KINDS = ['lease', 'job', 'chunk', 'checkpoint', 'segment']
+const ITEMS = 16
+const END_LIMIT_MS = 400 * SECOND
+
+type Fault =
+  | { type: 'wait', ms: number }
+  | { type: 'freeze' | 'kill' | 'restart', runner: string }
+  | { type: 'platform', fault: CallFault, kind: string, client: string, share: number }
+  | { type: 'heal' | 'revoke' | 'cancel' }
+
+const fault: fc.Arbitrary<Fault> = fc.oneof(
+  { weight: 4, arbitrary: fc.record({ type: fc.constant('wait' as const), ms: fc.integer({ min: 50, max: 40 * SECOND }) }) },
+  {
+    weight: 3,
+    arbitrary: fc.record({
+      type: fc.constantFrom('freeze' as const, 'kill' as const, 'restart' as const),
+      runner: fc.constantFrom(...RUNNERS)
+    })
+  },
+  {
+    weight: 3,
+    arbitrary: fc.record({
+      type: fc.constant('platform' as const),
+      fault: fc.constantFrom<CallFault>('down', 'loseAnswer'),
+      kind: fc.constantFrom(...KINDS),
+      client: fc.constantFrom(...RUNNERS),
+      share: fc.integer({ min: 1, max: 3 })
+    })
+  },
+  { weight: 2, arbitrary: fc.record({ type: fc.constantFrom('heal' as const, 'revoke' as const) }) },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('cancel' as const) }) }
+)
+
+interface Run {
+  fleet: BatchFleet
+  job: string
+  /** Process ids in use, by name. */
+  processes: Map<string, string>
+}
+
+/** Runs random sequences; each must end with the job final, and each item with one result or none. */
+export async function runRandomFaults (numRuns: number): Promise<void> {
+  const sequence = fc.array(fault, { minLength: 2, maxLength: 12 })
+  const noRepeat = fc.array(fc.boolean(), { minLength: ITEMS, maxLength: ITEMS })
+  await fc.assert(fc.asyncProperty(sequence, noRepeat, runSequence), { numRuns, verbose: true })
+}
+
+async function runSequence (faults: Fault[], noRepeat: boolean[]): Promise<void> {
+  const fleet = createBatchFleet({ chunkItems: 4, listed: RUNNERS, settings: { commit: { everyMs: SECOND } } })
+  for (const id of RUNNERS) fleet.start(id)
+  const job = await fleet.upload(noRepeat.map((flag, index) => ({ content: `roster ${index} `, noRepeat: flag })))
+  const run: Run = { fleet, job, processes: new Map(RUNNERS.map((id) => [id, id])) }
+  try {
+    for (const one of faults) await applyFault(run, one)
+    await heal(run)
+    await fleet.until(async () => ['done', 'cancelled'].includes((await fleet.view(job)).state), END_LIMIT_MS)
+    await checkOutcome(run, noRepeat)
+  } finally {
+    await fleet.close()
+  }
+}
+
+async function applyFault (run: Run, one: Fault): Promise<void> {
+  const { fleet, job, processes } = run
+  switch (one.type) {
+    case 'wait': return await fleet.advance(one.ms)
+    case 'freeze':
+      fleet.runners.get(processes.get(one.runner)!)!.isFrozen = true
+      return
+    case 'kill': return fleet.kill(processes.get(one.runner)!)
+    case 'restart': return restart(run, one.runner)
+    case 'platform': return addPlatformFault(fleet, one)
+    case 'heal': return await heal(run)
+    case 'revoke':
+      fleet.targets.revoke()
+      await fleet.advance(SECOND)
+      return fleet.targets.allow()
+    case 'cancel': await fleet.cancel(job)
+  }
+}
+
+function restart ({ fleet, processes }: Run, name: string): void {
+  const id = `${name}/${fleet.runners.size}`
+  fleet.start(id)
+  processes.set(name, id)
+}
+
+function addPlatformFault (fleet: BatchFleet, { fault, kind, client, share }: Extract<Fault, { type: 'platform' }>): void {
+  let calls = 0
+  const before = fleet.platform.faultOf
+  const matches = (call: MemoryCall): boolean => call.client.startsWith(client) && call.kind === kind
+  fleet.platform.faultOf = (call) => matches(call) && ++calls % share === 0 ? fault : before(call)
+}
+
+/** Thaws what is frozen, ends every platform fault, and makes sure that one runner is there. */
+async function heal (run: Run): Promise<void> {
+  const { fleet } = run
+  fleet.platform.faultOf = () => undefined
+  for (const [id, entry] of fleet.runners) {
+    if (entry.isFrozen && !entry.isKilled) {
+      entry.isFrozen = false
+      await entry.clock.advance(40 * SECOND)
+    }
+    if (entry.isKilled) fleet.kill(id)
+  }
+  if ([...fleet.runners.values()].every(({ isKilled }) => isKilled)) restart(run, 'a')
+}
+
+async function checkOutcome ({ fleet, job }: Run, noRepeat: boolean[]): Promise<void> {
+  const results = await fleet.results(job)
+  const view = await fleet.view(job)
+  assert.equal(new Set(results.map(({ id }) => id)).size, results.length, 'an id stands twice')
+  assert.equal(view.counts!.done + view.counts!.failed + view.counts!.unknown, results.length)
+  if (view.state === 'done') assert.equal(results.length, ITEMS)
+  for (const [index, mustNotRepeat] of noRepeat.entries()) {
+    const runs = fleet.targets.runs.filter(({ content, resumedAt }) => content.includes(`roster ${index} `) && resumedAt === 0)
+    if (mustNotRepeat) assert.ok(runs.length <= 1, `item ${index} ran ${runs.length} times`)
+    const result = results.find(({ id }) => id === `item-${index}`)
+    if (result?.status === 'done') assert.equal(textOf(result.response), '1 2 3 4 5 ')
+    if (mustNotRepeat && runs.length > 0) assert.ok(result !== undefined, `item ${index} ran but counts as cancelled`)
+  }
+  await fleet.advance(60 * SECOND)
+  assert.deepEqual(await fleet.results(job), results, 'results changed after the end')
+  assert.deepEqual(await fleet.view(job), view)
+}
+
+function textOf (response: unknown): string {
+  const { choices } = response as { choices: Array<{ message: { content: string } }> }
+  return choices[0]!.message.content
+}
--- /dev/null
+++ b/packages/pimentoplank/src/batch/runner.steps.ts
@@ -0,0 +1,382 @@
+import assert from 'node:assert/strict'
+import { After, Given, Then, When } from '@cucumber/cucumber'
+import { createBatchFleet, type BatchFleet, type BatchFleetOptions, type UploadItem } from '../../features/support/batchFleet'
+import type { FakeRun } from '../../features/support/fakeTargets'
+import type { CallFault, MemoryCall } from '../../features/support/memoryPlatform'
+import {
+  OBJECT_KINDS, uploadPrefix,
+  type BatchResult, type CheckpointRecord, type JobRecord, type SegmentRecord
+} from '../shared'
+import { createChunkStore } from '../entry/batches/storeUpload'
+import { runRandomFaults } from '../../features/support/randomFaults'
+
+const SECOND = 1000
+const MINUTE = 60 * SECOND
+
+interface FleetWorld {
+  fleet: BatchFleet
+  batchJob: string
+  /** Ids that a runner had committed before it failed. */
+  committedIds: string[]
+}
+
+function createFleet (world: FleetWorld, names: string, options: BatchFleetOptions = {}): void {
+  const ids = names === '' ? [] : names.split(', ')
+  world.fleet = createBatchFleet({ ...options, listed: ids.map((id) => id.split('/')[0]!) })
+  for (const id of ids) world.fleet.start(id)
+}
+
+async function uploadItems (
+  world: FleetWorld,
+  count: number,
+  special: Partial<Record<number, string>>,
+  noRepeat = false
+): Promise<void> {
+  const items = Array.from({ length: count }, (_, index): UploadItem =>
+    ({ content: `roster ${index} ${special[index] ?? ''}`, noRepeat }))
+  world.batchJob = await world.fleet.upload(items)
+}
+
+/** Runs of an item; a resumed one is the same run continued. */
+function runsOf (world: FleetWorld, index: number): FakeRun[] {
+  return world.fleet.targets.runs.filter(({ content, resumedAt }) =>
+    content.includes(`roster ${index} `) && resumedAt === 0)
+}
+
+function runsBy (world: FleetWorld, runner: string): FakeRun[] {
+  return world.fleet.targets.runs.filter((run) => run.runner === runner)
+}
+
+function committedIds (world: FleetWorld): string[] {
+  const listed = new Set(world.fleet.platform.objects(OBJECT_KINDS.checkpoint)
+    .flatMap(({ value }) => (value as CheckpointRecord).segments.map(({ name }) => name)))
+  return world.fleet.platform.objects(OBJECT_KINDS.segment)
+    .filter(({ name }) => listed.has(name))
+    .flatMap(({ value }) => (value as SegmentRecord).results.map(({ id }) => id))
+}
+
+function runsNow (world: FleetWorld, runner: string): boolean {
+  return runsBy(world, runner).some(({ outcome, tokens }) => outcome === 'running' && tokens > 0)
+}
+
+async function resultById (world: FleetWorld): Promise<Map<string, BatchResult>> {
+  const results = await world.fleet.results(world.batchJob)
+  const byId = new Map(results.map((result) => [result.id, result]))
+  assert.equal(byId.size, results.length, 'an id stands twice in the results')
+  return byId
+}
+
+function faultAt (world: FleetWorld, fault: CallFault, matches: (call: MemoryCall) => boolean): void {
+  world.fleet.platform.faultOf = (call) => call.client !== 'entry' && matches(call) ? fault : undefined
+}
+
+Given('a batch fleet with the runners {string}', function (this: FleetWorld, names: string) {
+  createFleet(this, names, { settings: { commit: { everyMs: SECOND } } })
+})
+
+Given('a batch fleet without runners', function (this: FleetWorld) {
+  createFleet(this, '')
+})
+
+Given('a batch fleet with the runners {string} that keeps jobs for {int} minutes',
+  function (this: FleetWorld, names: string, minutes: number) {
+    createFleet(this, names, { settings: { collector: { retentionMs: minutes * MINUTE } } })
+  })
+
+Given('a batch fleet with the runners {string} that goes on for {int} s without the platform',
+  function (this: FleetWorld, names: string, seconds: number) {
+    createFleet(this, names, { settings: { outage: { runMs: seconds * SECOND } } })
+  })
+
+When('{int} batch items are uploaded', async function (this: FleetWorld, count: number) {
+  await uploadItems(this, count, {})
+})
+
+When('{int} batch items are uploaded, of which item {int} holds {string}',
+  async function (this: FleetWorld, count: number, index: number, marker: string) {
+    await uploadItems(this, count, { [index]: marker })
+  })
+
+When('{int} batch items that must not be repeated are uploaded', async function (this: FleetWorld, count: number) {
+  await uploadItems(this, count, {}, true)
+})
+
+When('{int} batch items that must not be repeated are uploaded, of which item {int} holds {string}',
+  async function (this: FleetWorld, count: number, index: number, marker: string) {
+    await uploadItems(this, count, { [index]: marker }, true)
+  })
+
+When('the batch runner {string} starts', function (this: FleetWorld, id: string) {
+  this.fleet.start(id)
+})
+
+When('the batch runner {string} runs items', async function (this: FleetWorld, id: string) {
+  await this.fleet.until(() => runsNow(this, id), 30 * SECOND)
+})
+
+When('the batch runner {string} has committed results and runs items', async function (this: FleetWorld, id: string) {
+  const done = (): number => runsBy(this, id).filter(({ outcome }) => outcome === 'done').length
+  await this.fleet.until(() => committedIds(this).length > 0 && done() > 0 && runsNow(this, id), 30 * SECOND)
+  this.committedIds = committedIds(this)
+})
+
+When('batch items are running with some tokens', async function (this: FleetWorld) {
+  const running = (): FakeRun[] => this.fleet.targets.runs.filter(({ outcome }) => outcome === 'running')
+  await this.fleet.until(() => running().length > 0 && running().every(({ tokens }) => tokens >= 2), 30 * SECOND)
+})
+
+When('every batch slot is taken back', async function (this: FleetWorld) {
+  this.fleet.targets.revoke()
+  await this.fleet.advance(100)
+})
+
+When('batch slots are scarce', function (this: FleetWorld) {
+  this.fleet.targets.revoke()
+})
+
+When('batch slots are granted again', function (this: FleetWorld) {
+  this.fleet.targets.allow()
+})
+
+When('the batch runner {string} is killed', function (this: FleetWorld, id: string) {
+  this.fleet.kill(id)
+})
+
+When('the batch runner {string} is killed before it can write the job', async function (this: FleetWorld, id: string) {
+  faultAt(this, 'down', ({ operation, kind }) => operation === 'put' && kind === OBJECT_KINDS.job)
+  const areComplete = (): boolean => this.fleet.platform.objects(OBJECT_KINDS.checkpoint)
+    .filter(({ value }) => (value as CheckpointRecord).state === 'complete').length === 2
+  await this.fleet.until(areComplete, 60 * SECOND)
+  this.fleet.platform.faultOf = () => undefined
+  this.fleet.kill(id)
+})
+
+When('the batch runner {string} freezes', function (this: FleetWorld, id: string) {
+  this.fleet.runners.get(id)!.isFrozen = true
+})
+
+When('the batch runner {string} thaws', async function (this: FleetWorld, id: string) {
+  const entry = this.fleet.runners.get(id)!
+  entry.isFrozen = false
+  // A frozen process finds on waking that its monotonic clock went on.
+  await entry.clock.advance(MINUTE)
+})
+
+When('the batch runner {string} is told to stop', async function (this: FleetWorld, id: string) {
+  let isStopped = false
+  const stopping = this.fleet.runners.get(id)!.runner.stop().then(() => { isStopped = true })
+  await this.fleet.until(() => isStopped, 15 * SECOND)
+  await stopping
+})
+
+When('the batch job is cancelled', async function (this: FleetWorld) {
+  assert.equal(await this.fleet.cancel(this.batchJob), 202)
+  await this.fleet.advance(100)
+})
+
+When('the batch job is going to be cancelled at the moment of its first claim', function (this: FleetWorld) {
+  let isCancelled = false
+  this.fleet.platform.faultOf = (call) => {
+    if (isCancelled || call.operation !== 'put' || call.kind !== OBJECT_KINDS.checkpoint) return undefined
+    isCancelled = true
+    // The runner's feed does not tell it in time.
+    this.fleet.runners.get('a')!.isFrozen = true
+    const { name, revision, value } = this.fleet.platform.objects(OBJECT_KINDS.job)[0]!
+    const cancelling = { ...value as JobRecord, state: 'cancelling' }
+    this.fleet.platform.client('entry').put(OBJECT_KINDS.job, name, cancelling, { ifRevision: revision })
+    this.fleet.runners.get('a')!.isFrozen = false
+    return undefined
+  }
+})
+
+When('{int} s pass in the batch fleet', async function (this: FleetWorld, seconds: number) {
+  await this.fleet.advance(seconds * SECOND)
+})
+
+When('{int} minutes pass in the batch fleet', { timeout: MINUTE }, async function (this: FleetWorld, minutes: number) {
+  for (const { clock } of this.fleet.runners.values()) await clock.advance(minutes * MINUTE)
+})
+
+When('the platform is away from the batch fleet', function (this: FleetWorld) {
+  faultAt(this, 'down', () => true)
+})
+
+When('the batch runner {string} is cut off from the platform', function (this: FleetWorld, id: string) {
+  faultAt(this, 'down', ({ client }) => client === id)
+  this.fleet.runners.get(id)!.isDeaf = true
+})
+
+When('the platform is back for the batch fleet', function (this: FleetWorld) {
+  this.fleet.platform.faultOf = () => undefined
+  for (const entry of this.fleet.runners.values()) entry.isDeaf = false
+})
+
+When('answers to {word} of {string} are lost for the batch fleet, 2 of 3',
+  function (this: FleetWorld, operation: string, kind: string) {
+    let calls = 0
+    faultAt(this, 'loseAnswer', (call) => call.operation === operation && call.kind === kind && ++calls % 3 !== 0)
+  })
+
+When('the platform refuses {word} of {string} for the batch fleet',
+  function (this: FleetWorld, operation: string, kind: string) {
+    faultAt(this, 'down', (call) => call.operation === operation && call.kind === kind)
+  })
+
+When('the platform refuses put of {string} after the first for the batch fleet', function (this: FleetWorld, kind: string) {
+  let calls = 0
+  faultAt(this, 'down', (call) => call.operation === 'put' && call.kind === kind && ++calls > 1)
+})
+
+When('the batch runner {string} loses every answer to its commits once it runs items',
+  async function (this: FleetWorld, id: string) {
+    await this.fleet.until(() => runsNow(this, id), 30 * SECOND)
+    faultAt(this, 'loseAnswer', ({ client, operation, kind }) =>
+      client === id && operation === 'put' && kind === OBJECT_KINDS.checkpoint)
+  })
+
+When('the batch runner {string} wrote a commit and lost its answer', async function (this: FleetWorld, _id: string) {
+  await this.fleet.until(() => committedIds(this).length > 0, 30 * SECOND)
+})
+
+When('a batch upload breaks off after {int} chunks', async function (this: FleetWorld, chunks: number) {
+  const client = this.fleet.platform.client('entry')
+  const store = createChunkStore(client, { job: 'broken-job', uploadId: 'broken', startedAt: 0 })
+  for (let chunk = 0; chunk < chunks; chunk++) await store.write([])
+})
+
+Then('the broken batch upload has {int} objects left', function (this: FleetWorld, count: number) {
+  const left = this.fleet.platform.objects(OBJECT_KINDS.chunk)
+    .filter(({ name }) => name.startsWith(uploadPrefix('broken-job', 'broken')))
+  assert.equal(left.length, count)
+})
+
+Then('the platform holds no object of a batch job', function (this: FleetWorld) {
+  const kinds = [OBJECT_KINDS.job, OBJECT_KINDS.chunk, OBJECT_KINDS.checkpoint, OBJECT_KINDS.segment]
+  assert.deepEqual(kinds.flatMap((kind) => this.fleet.platform.objects(kind).map(({ name }) => name)), [])
+})
+
+Then('the batch job is {string} within {int} s', { timeout: MINUTE }, async function (this: FleetWorld, state: string, seconds: number) {
+  await this.fleet.until(async () => (await this.fleet.view(this.batchJob)).state === state, seconds * SECOND)
+})
+
+Then(/^each of the (\d+) batch items has 1 result, (.*)$/, async function (this: FleetWorld, count: string, statuses: string) {
+  const byId = await resultById(this)
+  assert.equal(byId.size, Number(count))
+  for (const { id, status } of byId.values()) assert.ok(statuses.includes(`"${status}"`), `${id} is ${status}`)
+})
+
+Then('each of the {int} batch items ran exactly once on the targets', function (this: FleetWorld, count: number) {
+  for (let index = 0; index < count; index++) assert.equal(runsOf(this, index).length, 1, `item ${index}`)
+})
+
+Then('no batch item ran twice', function (this: FleetWorld) {
+  const began = this.fleet.targets.runs.filter(({ resumedAt }) => resumedAt === 0).map(({ requestId }) => requestId)
+  assert.equal(new Set(began).size, began.length)
+})
+
+Then('no batch item ran', function (this: FleetWorld) {
+  assert.equal(this.fleet.targets.runs.length, 0)
+})
+
+Then('every batch runner ran at least {int} items', function (this: FleetWorld, least: number) {
+  for (const id of this.fleet.runners.keys()) assert.ok(runsBy(this, id).length >= least, `${id} ran too few`)
+})
+
+Then('the batch runner {string} ran nothing', function (this: FleetWorld, id: string) {
+  assert.equal(runsBy(this, id).length, 0)
+})
+
+Then('batch results grow while the job runs, with no id twice', async function (this: FleetWorld) {
+  const sizes = new Set<number>()
+  await this.fleet.until(async () => {
+    sizes.add((await resultById(this)).size)
+    return sizes.has(60)
+  }, 120 * SECOND)
+  assert.ok(sizes.size > 3)
+})
+
+Then('no batch stream runs on a target', function (this: FleetWorld) {
+  assert.deepEqual(this.fleet.targets.runs.filter(({ outcome }) => outcome === 'running'), [])
+})
+
+Then('resumed batch runs began after the tokens that were there', function (this: FleetWorld) {
+  const { runs } = this.fleet.targets
+  const cancelled = runs.filter(({ outcome }) => outcome === 'cancelled')
+  assert.ok(cancelled.length > 0)
+  for (const { requestId, tokens } of cancelled) {
+    const resumed = runs.find((run) => run.requestId === requestId && run.resumedAt > 0)
+    assert.ok(resumed !== undefined && resumed.resumedAt <= tokens && resumed.resumedAt >= 2)
+  }
+})
+
+Then('resumed batch runs stayed on their target', function (this: FleetWorld) {
+  const { runs } = this.fleet.targets
+  for (const { requestId, target } of runs.filter(({ resumedAt }) => resumedAt > 0)) {
+    assert.equal(runs.find((run) => run.requestId === requestId)!.target, target)
+  }
+})
+
+Then('batch item {int} is {string} for {string} after {int} runs',
+  async function (this: FleetWorld, index: number, status: string, reason: string, runs: number) {
+    const result = (await resultById(this)).get(`item-${index}`)
+    assert.equal(result?.status, status)
+    assert.equal(result.error?.reason, reason)
+    assert.equal(runsOf(this, index).length, runs)
+  })
+
+Then('the other {int} batch items are {string}', async function (this: FleetWorld, count: number, status: string) {
+  const others = [...(await resultById(this)).values()].filter((result) => result.status === status)
+  assert.equal(others.length, count)
+})
+
+Then('at least {int} batch item is {string}', async function (this: FleetWorld, least: number, status: string) {
+  const found = [...(await resultById(this)).values()].filter((result) => result.status === status)
+  assert.ok(found.length >= least)
+})
+
+Then('no batch item that {string} had committed ran again', function (this: FleetWorld, _id: string) {
+  assert.ok(this.committedIds.length > 0)
+  for (const id of this.committedIds) assert.equal(runsOf(this, Number(id.slice('item-'.length))).length, 1, id)
+})
+
+Then('the batch runner {string} had a commit refused', function (this: FleetWorld, id: string) {
+  assert.ok((this.fleet.runners.get(id)!.metrics.snapshot().counters['batch.commits.lost'] ?? 0) > 0)
+})
+
+Then('batch items that were held have run meanwhile', function (this: FleetWorld) {
+  const done = this.fleet.targets.runs.filter(({ outcome }) => outcome === 'done')
+  assert.ok(done.length > 0 && done.length > committedIds(this).length)
+})
+
+Then('no batch item starts in {int} s', async function (this: FleetWorld, seconds: number) {
+  this.fleet.targets.allow()
+  const before = this.fleet.targets.runs.length
+  await this.fleet.advance(seconds * SECOND)
+  assert.equal(this.fleet.targets.runs.length, before)
+})
+
+Then('nothing about the batch job changes in {int} s', { timeout: MINUTE }, async function (this: FleetWorld, seconds: number) {
+  const { fleet, batchJob } = this
+  const state = async (): Promise<unknown> => [await fleet.view(batchJob), await fleet.results(batchJob)]
+  const before = await state()
+  const runs = this.fleet.targets.runs.length
+  await this.fleet.advance(seconds * SECOND)
+  assert.deepEqual(await state(), before)
+  assert.equal(this.fleet.targets.runs.length, runs)
+})
+
+Then('every batch item that ran has a result', async function (this: FleetWorld) {
+  const byId = await resultById(this)
+  const ran = Array.from({ length: 40 }, (_, index) => index).filter((index) => runsOf(this, index).length > 0)
+  assert.ok(ran.length > 0)
+  for (const index of ran) assert.ok(byId.has(`item-${index}`), `item ${index} ran but counts as cancelled`)
+})
+
+Then('in {int} random runs of faults each batch item has at most one result and every job ends',
+  { timeout: 3 * MINUTE }, async function (runs: number) {
+    await runRandomFaults(runs)
+  })
+
+After(async function (this: FleetWorld) {
+  await this.fleet?.close()
+})
