--- a/packages/pimentoplank/features/support/slotRig.ts
+++ b/packages/pimentoplank/features/support/slotRig.ts
@@ -42,6 +42,9 @@
   homes: Map<string, RigMember<SlotHome>>
   holders: Map<string, RigMember<SlotClient>>
   addHolder: (id: string) => RigMember<SlotClient>
+  /** Every record, whatever has been taken off the list. */
+  fullList: () => InstanceRecord[]
+  targetIds: () => string[]
   target: (index: number) => Target
   /** Id of the first home of a target. */
   homeOf: (index: number) => string
@@ -60,7 +63,8 @@
 /** Creates the homes; holders follow by `addHolder`. */
 export async function createSlotRig (options: SlotRigOptions): Promise<SlotRig> {
   const clock = createManualClock()
-  let list = [...entryRecords(options.homes), ...targetRecords(options.targets)]
+  const fullList = [...entryRecords(options.homes), ...targetRecords(options.targets)]
+  let list = fullList
   const config = createStaticConfig(createSnapshot(1, [serviceEntry.parse({
     kind: 'service', name: RIG_SERVICE, type: 'engine', slotsPerTarget: options.slots
   })]))
@@ -91,7 +95,6 @@
       failureDomain: FAILURE_DOMAIN,
       region: REGION,
       membership,
-      config,
       clock,
       metrics,
       log: createSilentLog(),
@@ -130,7 +133,9 @@
     homes,
     holders,
     addHolder,
-    target: (index) => list.find((record): record is Target => record.id === `target-${index}`)!,
+    fullList: () => fullList,
+    targetIds: () => list.filter((record) => record.service !== undefined).map((record) => record.id),
+    target: (index) => fullList.find((record): record is Target => record.id === `target-${index}`)!,
     homeOf: (index) => order.of(rig.target(index))[0]!.id,
     setList: (change, ids = [...homes.keys(), ...holders.keys()]) => {
       list = change(list)
--- a/packages/pimentoplank/src/entry/slots/slotHome.ts
+++ b/packages/pimentoplank/src/entry/slots/slotHome.ts
@@ -37,14 +37,16 @@
   /** Registers the service for peers. */
   routes: (router: ConnectRouter) => void
   stats: () => SlotHomeStats[]
-  /** Sends waiting and held tickets to the next homes; resolves when holders have moved or the time is up. */
+  /** Sends held and waiting tickets to the next homes; resolves when they have moved or the time is up. */
   handOver: (timeoutMs?: number) => Promise<void>
   close: () => Promise<void>
 }
 
 /** Time that holders get to move to the next home, in milliseconds. */
 const HAND_OVER_TIMEOUT_MS = 2000
-const HAND_OVER_POLL_MS = 10
+/** Time after which waiting requests move although some grants have not, in milliseconds. */
+const GRANTS_MOVE_TIMEOUT_MS = 100
+const HAND_OVER_POLL_MS = 5
 
 /** Creates the home side of an entry instance. */
 export function createSlotHome (options: SlotHomeOptions): SlotHome {
@@ -110,7 +112,7 @@
         metrics,
         goals: () => serviceOf(targetId),
         authority: () => authorityOf(targetId),
-        isGrantable: () => isGrantable(targetId),
+        isGrantable: () => !handingOver && isGrantable(targetId),
         scaleLimit: options.ownership === 'localShares' ? localShare : undefined
       })
       boards.set(targetId, board)
@@ -207,7 +209,6 @@
     noteEntriesChanged()
     for (const [targetId, board] of [...boards]) {
       if (!isGrantable(targetId)) board.refuseWaiting(SlotRefusalReason.LEAVING)
-      else if (rankOf(targetId) !== 0) board.refuseWaiting(SlotRefusalReason.NOT_HOME)
       else board.sweep()
       if (board.isEmpty() && membership.target(targetId) === undefined) boards.delete(targetId)
     }
@@ -232,9 +233,15 @@
   async function handOver (timeoutMs = HAND_OVER_TIMEOUT_MS): Promise<void> {
     handingOver = true
     for (const stream of streams) stream.handOver()
+    // The next homes learn of the grants before waiting requests reach them.
+    await until((board) => board.load().inUse === 0, Math.min(timeoutMs, GRANTS_MOVE_TIMEOUT_MS))
     for (const board of boards.values()) board.refuseWaiting(SlotRefusalReason.NOT_HOME)
-    const until = clock.now() + timeoutMs
-    while ([...boards.values()].some((board) => !board.isEmpty()) && clock.now() < until) {
+    await until((board) => board.isEmpty(), timeoutMs)
+  }
+
+  async function until (isDone: (board: TargetBoard) => boolean, timeoutMs: number): Promise<void> {
+    const endsAt = clock.now() + timeoutMs
+    while (![...boards.values()].every(isDone) && clock.now() < endsAt) {
       await clock.sleep(HAND_OVER_POLL_MS, closed.signal)
     }
   }
--- a/packages/pimentoplank/src/shared/slots/routing.ts
+++ b/packages/pimentoplank/src/shared/slots/routing.ts
@@ -10,6 +10,9 @@
 
 export interface RoutingContext {
   req: SlotRequest
+  /** Where this process stands. */
+  failureDomain: string
+  region: string
   /** Targets that may be asked. */
   targets: readonly Target[]
   loads: LoadTable
@@ -18,7 +21,8 @@
   random: () => number
 }
 
-export interface RoutingPlan {
+/** How a way of routing orders the targets. */
+export interface RoutingOrder {
   /** Targets in the order of asking. */
   targets: Target[]
   /** Targets asked at once; further ones follow when these queue or refuse. */
@@ -27,8 +31,13 @@
   maxOpen: number
 }
 
-/** Plans by way of routing. */
-export const ROUTING: Record<RoutingWay, (context: RoutingContext) => RoutingPlan> = {
+export interface RoutingPlan extends RoutingOrder {
+  /** True when so many targets are ejected that ejection is void. */
+  ignoreEjection: boolean
+}
+
+/** Orders by way of routing. */
+const ROUTING: Record<RoutingWay, (context: RoutingContext) => RoutingOrder> = {
   random: (context) => ({ targets: shuffle(context.targets, context.random), atOnce: 1, maxOpen: 1 }),
   twoChoices: (context) => ({ targets: byTwoChoices(context), atOnce: 1, maxOpen: 1 }),
   localShares: (context) => ({ targets: byTwoChoices(context), atOnce: 1, maxOpen: 1 }),
@@ -36,27 +45,35 @@
   homesAtOnce: (context) => ({ targets: byAffinity(context), atOnce: 2, maxOpen: 2 })
 }
 
+/**
+ * Plans which targets a request asks: without excluded and ejected ones, the preferred one first, then the nearest
+ * by the way of routing, then those further away.
+ */
+export function planRoute (context: RoutingContext): RoutingPlan {
+  const { req, loads, settings } = context
+  const allowed = context.targets.filter((target) => !req.excluded.includes(target.id))
+  const working = allowed.filter((target) => !loads.isEjected(target.id))
+  const ignoreEjection = allowed.length - working.length > allowed.length * settings.maxEjectedShare
+  const usable = ignoreEjection ? allowed : working
+  const near = nearestTargets(usable, context)
+  const order = ROUTING[settings.routing]({ ...context, targets: near })
+  const far = usable.filter((target) => !near.includes(target))
+  return { ...order, ignoreEjection, targets: preferTarget([...order.targets, ...far], req.preferred) }
+}
+
 /** Moves the preferred target to the front. */
-export function preferTarget (targets: readonly Target[], preferred: string | undefined): Target[] {
+function preferTarget (targets: readonly Target[], preferred: string | undefined): Target[] {
   const first = targets.filter((target) => target.id === preferred)
   const others = targets.filter((target) => target.id !== preferred)
   return [...first, ...others]
 }
 
-/**
- * The nearest targets that are not all overloaded: of the own failure domain, else of the region, else all.
- *
- * @param place - where this process stands
- */
-export function nearestTargets (
-  targets: readonly Target[],
-  place: { failureDomain: string, region: string },
-  loads: LoadTable
-): readonly Target[] {
-  const hasRoom = (target: Target): boolean => loads.share(target.id) < SPILL_SHARE
-  const inDomain = targets.filter((target) => target.failureDomain === place.failureDomain)
+/** The nearest targets that are not all overloaded: of the own failure domain, else of the region, else all. */
+function nearestTargets (targets: readonly Target[], context: RoutingContext): readonly Target[] {
+  const hasRoom = (target: Target): boolean => context.loads.share(target.id) < SPILL_SHARE
+  const inDomain = targets.filter((target) => target.failureDomain === context.failureDomain)
   if (inDomain.some(hasRoom)) return inDomain
-  const inRegion = targets.filter((target) => target.region === place.region)
+  const inRegion = targets.filter((target) => target.region === context.region)
   if (inRegion.some(hasRoom)) return inRegion
   return targets
 }
