Mend a stand-in scenario that advanced time before its calls had arrived

Cause: the manual clock ran on while the fifth transfer was still on its way, so that four had ended before it came. Ruled out: the weight store itself, which counts under one lock.

--- a/packages/pimentoplank/features/support/fakeTargets.ts
+++ b/packages/pimentoplank/features/support/fakeTargets.ts
@@ -139,6 +139,8 @@
     engines,
     slots,
     quarantine: () => ({
+      noteRun: () => () => undefined,
+      targetsWithSuspects: () => [],
       isQuarantined: (hash) => (crashes.get(hash)?.size ?? 0) >= 2,
       noteCrash: async (hash, target) => {
         const died = crashes.get(hash) ?? new Set()
--- a/packages/pimentoplank/src/entry/runEntry.ts
+++ b/packages/pimentoplank/src/entry/runEntry.ts
@@ -21,7 +21,7 @@
   const log = createLog({ name: PROGRAM, instance: instance.id, level: settings.log.level })
   const metrics = createMetrics({ ...settings.metrics, tags: { instance: instance.id } })
   const clock = createSystemClock()
-  const platform = createPlatformClient({ ...settings.platform, metrics, clock })
+  const platform = createPlatformClient({ ...settings.platform, instance: instance.id, metrics, clock })
   const transports = createPeerTransports({ security: security.value })
   const self: Peer = { id: instance.id, failureDomain: instance.failureDomain }
   const followers = createFollowers({
@@ -34,7 +34,6 @@
     ...common,
     failureDomain: instance.failureDomain,
     region: instance.region,
-    config,
     transports,
     localHome: home,
     settings: settings.slotClient
--- a/packages/standins/src/platform/platform.steps.ts
+++ b/packages/standins/src/platform/platform.steps.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict'
+import { setImmediate } from 'node:timers/promises'
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import type { ObjectPage, WatchBatch } from 'pimentoplank/shared'
 import { createManualClock, type ManualClock } from '../../../pimentoplank/features/support/manualClock'
@@ -62,6 +63,8 @@
   async function (this: PlatformWorld, count: number) {
     const url = `${this.server.url}/v1/weights/desk-lm/1?mb=1000`
     const transfers = Array.from({ length: count }, async () => this.replies.push(await callJson('GET', url)))
+    // Time stands still until all have arrived, so that they meet.
+    while ((this.platform.stats().calls._weights?.transfer ?? 0) < count) await setImmediate()
     while (this.replies.length < count) await this.clock.advance(SECOND_MS)
     await Promise.all(transfers)
   })
