--- a/packages/pimentoplank/src/batch/main.ts
+++ b/packages/pimentoplank/src/batch/main.ts
@@ -1,9 +1,10 @@
-import { command, option, string } from 'cmd-ts'
-import { runProgram, VERSION } from '../shared'
+import { runDaemon } from '../shared'
+import { runBatch } from './runBatch'
+import { batchSettings } from './settings'
 
-await runProgram(command({
+await runDaemon({
   name: 'pimentoplank-batch',
-  version: VERSION,
-  args: { config: option({ type: string, long: 'config', description: 'Settings file (JSON).' }) },
-  handler: async () => undefined
-}))
+  description: 'Works on batch jobs: claims chunks, runs items in idle slots, commits results.',
+  schema: batchSettings,
+  run: runBatch
+})
--- /dev/null
+++ b/packages/pimentoplank/src/batch/runBatch.ts
@@ -0,0 +1,51 @@
+/** Runs a batch runner as a process, until it is told to stop. */
+import { err, ok, type Result } from 'neverthrow'
+import { v4 as uuid } from 'uuid'
+import {
+  createEngineClient, createPeerServer, createProgramContext, createQuarantine, createSlotClient, OBJECT_KINDS
+} from '../shared'
+import { createBatchRunner } from './runner'
+import type { BatchSettings } from './settings'
+
+/** Works until the process is told to stop; an error says why it could not start. */
+export async function runBatch (settings: BatchSettings): Promise<Result<void, Error>> {
+  const created = await createProgramContext(settings, { program: 'pimentoplank-batch', kinds: [OBJECT_KINDS.job] })
+  if (created.isErr()) return err(created.error)
+  const context = created.value
+  const { clock, followers, log, metrics, platform, security, transports } = context
+  const { config, feed, membership } = followers
+  const { instance } = settings
+  const peers = await createPeerServer({ ...settings.peers.listen, security, routes: context.peerRoutes })
+  if (peers.isErr()) return err(peers.error)
+  let isLeaving = false
+  context.setLeaving(() => isLeaving)
+
+  const engines = createEngineClient({ clock })
+  const slots = createSlotClient({
+    instanceId: instance.id,
+    failureDomain: instance.failureDomain,
+    region: instance.region,
+    membership,
+    transports,
+    clock,
+    metrics,
+    log,
+    settings: settings.slotClient
+  })
+  const quarantine = createQuarantine({ platform, feed, clock, metrics, log })
+  const runner = createBatchRunner(
+    { instance: instance.id, processId: `${instance.id}-${uuid()}`, settings: settings.batch },
+    { platform, feed, slots, engines, membership, config, quarantine, clock, metrics, log }
+  )
+  const { address } = peers.value
+  context.announce({ address, peerAddress: address })
+
+  await context.stopRequested
+  isLeaving = true
+  membership.announceLeaving()
+  await runner.stop()
+  await Promise.all([slots.close(), engines.close()])
+  await peers.value.close()
+  await context.close()
+  return ok(undefined)
+}
--- a/packages/pimentoplank/src/batch/settings.ts
+++ b/packages/pimentoplank/src/batch/settings.ts
@@ -1,6 +1,8 @@
 /** Settings of a batch runner. */
 import { z } from 'zod'
-import { commonSettings, HOUR_MS, KIB_BYTES, MIB_BYTES, MINUTE_MS, SECOND_MS } from '../shared'
+import {
+  commonSettings, HOUR_MS, KIB_BYTES, MIB_BYTES, MINUTE_MS, SECOND_MS, slotClientSettings
+} from '../shared'
 
 const ms = z.int().min(1)
 
@@ -49,5 +51,9 @@
 })
 export type RunnerSettings = z.infer<typeof runnerSettings>
 
-export const batchSettings = z.strictObject({ ...commonSettings, batch: runnerSettings.prefault({}) })
+export const batchSettings = z.strictObject({
+  ...commonSettings,
+  batch: runnerSettings.prefault({}),
+  slotClient: slotClientSettings.prefault({})
+})
 export type BatchSettings = z.infer<typeof batchSettings>
--- /dev/null
+++ b/packages/pimentoplank/src/shared/program/index.ts
@@ -0,0 +1,2 @@
+export { createProgramContext, type ProgramContext, type ProgramContextOptions } from './programContext'
+export { runDaemon, type DaemonOptions } from './daemon'
