--- a/packages/standins/src/bench/benchDeployment.ts
+++ b/packages/standins/src/bench/benchDeployment.ts
@@ -1,13 +1,14 @@
 /** A deployment under measurement: started, configured, and measured while it runs experiments. */
-import { mkdir, writeFile } from 'node:fs/promises'
+import { mkdir } from 'node:fs/promises'
 import path from 'node:path'
 import { setTimeout as delay } from 'node:timers/promises'
 import { request } from 'undici'
 import { createCaller } from '../caller'
-import { applyNote, startDeployment, type Deployment } from '../deployment'
+import { startDeployment, type Deployment } from '../deployment'
 import { runExperiment, type Experiment, type ExperimentResult } from '../load'
 import type { PlatformStats } from '../platform'
 import { createBenchNote, createBenchPlan, KEY_PREFIX, MODEL, SERVICE, type BenchPlanOptions } from './benchPlan'
+import { putFirstNote } from './putNote'
 import { readUsage, type ProcessUsage } from './processUsage'
 
 const READY_LIMIT_MS = 30_000
@@ -54,7 +55,6 @@
   const deployment = await startDeployment({ plan: createBenchPlan(options), folder: home })
   const killed = new Set<string>()
   const engineIds = [...deployment.processes.keys()].filter((id) => id.startsWith(`${SERVICE}-`))
-  const noteFile = path.join(home, 'release-note.json')
 
   async function measureAt (
     entries: readonly string[],
@@ -98,8 +98,7 @@
   }
 
   try {
-    await writeFile(noteFile, JSON.stringify(createBenchNote(options), null, 2))
-    await applyNote(deployment, noteFile)
+    await putFirstNote(deployment.platformUrl, createBenchNote(options))
     await waitUntilReady(deployment)
   } catch (cause) {
     await deployment.stop()
--- a/packages/standins/src/bench/benchPlan.ts
+++ b/packages/standins/src/bench/benchPlan.ts
@@ -4,6 +4,7 @@
 import { FAIL_MARKER } from '../engine'
 
 export const MODEL = 'desk-lm-8b'
+export const MODEL_VERSION = '1.0.0'
 export const SERVICE = 'desk-lm'
 export const ACCOUNT_COUNT = 60
 export const KEY_PREFIX = 'bench-key-'
@@ -34,6 +35,7 @@
   pace?: Partial<EnginePace>
   entries?: number
   batches?: number
+  controllers?: number
   /** Settings laid over the defaults, by program. */
   settings?: Partial<DeploymentPlan['settings']>
   platformArgs?: string[]
@@ -52,7 +54,7 @@
     failureDomains: ['bench-a', 'bench-b', 'bench-c'],
     entries: options.entries ?? 3,
     batches: options.batches ?? 2,
-    controllers: 1,
+    controllers: options.controllers ?? 1,
     engines: [{ service: SERVICE, count: pace.engines, args: engineArguments(pace) }],
     settings: options.settings ?? {},
     platformArgs: options.platformArgs ?? []
@@ -67,6 +69,7 @@
     '--first-token-ms', String(pace.firstTokenMs),
     '--prefill-token-ms', String(pace.prefillTokenMs),
     '--cache-blocks', String(pace.cacheBlocks),
+    '--preloaded', `${MODEL}@${MODEL_VERSION}`,
     '--fail-on', FAIL_MARKER
   ]
 }
@@ -81,7 +84,7 @@
     message: 'Benchmark',
     added: [
       { kind: 'service', name: SERVICE, type: 'engine', slotsPerTarget: slots },
-      { kind: 'model', name: MODEL, service: SERVICE, version: '1.0.0', weightsMb: 100 },
+      { kind: 'model', name: MODEL, service: SERVICE, version: MODEL_VERSION, weightsMb: 100 },
       account('batch', BATCH_KEY),
       ...callers
     ]
--- a/packages/standins/src/bench/policies.ts
+++ b/packages/standins/src/bench/policies.ts
@@ -26,6 +26,6 @@
 }
 
 /** Settings of the holder's side of admission, for entry instances. */
-export function slotSettings (slots: Record<string, unknown>): ProgramSettings {
-  return baseSettings({ entry: { slots } })
+export function slotSettings (slotClient: Record<string, unknown>): ProgramSettings {
+  return baseSettings({ entry: { slotClient } })
 }
