--- a/packages/pimentoplank/src/batch/runBatch.ts
+++ b/packages/pimentoplank/src/batch/runBatch.ts
@@ -18,7 +18,6 @@
   const peers = await createPeerServer({ ...settings.peers.listen, security, routes: context.peerRoutes })
   if (peers.isErr()) return err(peers.error)
   let isLeaving = false
-  context.setLeaving(() => isLeaving)
 
   const engines = createEngineClient({ clock })
   const slots = createSlotClient({
@@ -37,6 +36,14 @@
     { instance: instance.id, processId: `${instance.id}-${uuid()}`, settings: settings.batch },
     { platform, feed, slots, engines, membership, config, quarantine, clock, metrics, log }
   )
+  context.setStatusSource({
+    isLeaving: () => isLeaving,
+    refreshGauges: () => {
+      const { chunksHeld, itemsInHand } = runner.status()
+      metrics.gauge('batch.chunks.held', chunksHeld)
+      metrics.gauge('batch.items.inHand', itemsInHand)
+    }
+  })
   const { address } = peers.value
   context.announce({ address, peerAddress: address })
 
--- /dev/null
+++ b/packages/pimentoplank/src/cli/commands/drain.ts
@@ -0,0 +1,33 @@
+import { createClient } from '@connectrpc/connect'
+import { command, positional, string } from 'cmd-ts'
+import { err, ok, type Result } from 'neverthrow'
+import { describeCause, SECOND_MS, StatusService } from '../../shared'
+import { CliError, usageError } from '../cliError'
+import { withConnections } from '../connections'
+import { configOption } from '../options'
+import { runCommand, type Output } from '../runCommand'
+
+const CALL_TIMEOUT_MS = 5 * SECOND_MS
+
+/** `drain INSTANCE`: makes an instance leave as SIGTERM does. */
+export const drain = command({
+  name: 'drain',
+  description: 'Make an instance leave: it finishes what runs, hands over, and ends.',
+  args: { instance: positional({ type: string, displayName: 'INSTANCE' }), config: configOption },
+  handler: async ({ instance, config }) => await runCommand(async () => await drainInstance(instance, config))
+})
+
+async function drainInstance (id: string, config: string): Promise<Result<Output, CliError>> {
+  return await withConnections(config, async ({ platform, transports }) => {
+    const records = await platform.listInstances()
+    if (records.isErr()) return err(new CliError(records.error.message))
+    const peerAddress = records.value.find((record) => record.id === id)?.peerAddress
+    if (peerAddress === undefined) return err(usageError(`INSTANCE: an instance of the system; found "${id}"`))
+    try {
+      await createClient(StatusService, transports.to(peerAddress)).drain({}, { timeoutMs: CALL_TIMEOUT_MS })
+    } catch (cause) {
+      return err(new CliError(`${id} did not answer: ${describeCause(cause)}`))
+    }
+    return ok({ text: `${id} is leaving`, data: { instance: id } })
+  })
+}
--- /dev/null
+++ b/packages/pimentoplank/src/cli/commands/key.ts
@@ -0,0 +1,19 @@
+import { createHash, randomBytes } from 'node:crypto'
+import { command } from 'cmd-ts'
+import { ok } from 'neverthrow'
+import { jsonFlag } from '../options'
+import { runCommand } from '../runCommand'
+
+const KEY_BYTES = 32
+
+/** `key`: makes an account key and the hash that goes into the release note. */
+export const key = command({
+  name: 'key',
+  description: 'Make an account key. The key goes to the caller, the hash into a release note.',
+  args: { json: jsonFlag },
+  handler: async ({ json }) => await runCommand(async () => {
+    const key = randomBytes(KEY_BYTES).toString('base64url')
+    const keyHash = createHash('sha256').update(key).digest('hex')
+    return ok({ text: `key      ${key}\nkeyHash  ${keyHash}`, data: { key, keyHash } })
+  }, json)
+})
--- /dev/null
+++ b/packages/pimentoplank/src/cli/documents.ts
@@ -0,0 +1,17 @@
+/** The JSON documents that operators write, with their schemas. */
+import type { z } from 'zod'
+import { batchSettings } from '../batch'
+import { entrySettings } from '../entry'
+import { releaseNote } from '../shared'
+import { cliSettings } from './settings'
+
+/** Schemas by the name that `schema` and `check --as` take. */
+export const DOCUMENTS = {
+  entry: entrySettings,
+  batch: batchSettings,
+  cli: cliSettings,
+  'release-note': releaseNote
+} satisfies Record<string, z.ZodType>
+
+export type DocumentName = keyof typeof DOCUMENTS
+export const DOCUMENT_NAMES = Object.keys(DOCUMENTS) as DocumentName[]
--- a/packages/pimentoplank/src/cli/index.ts
+++ b/packages/pimentoplank/src/cli/index.ts
@@ -1,1 +1,1 @@
-export {}
+export { cliSettings, type CliSettings } from './settings'
--- a/packages/pimentoplank/src/cli/main.ts
+++ b/packages/pimentoplank/src/cli/main.ts
@@ -1,6 +1,18 @@
-import { command, subcommands } from 'cmd-ts'
+import { subcommands } from 'cmd-ts'
 import { runProgram, VERSION } from '../shared'
+import { apply } from './commands/apply'
+import { cancel } from './commands/cancel'
+import { check } from './commands/check'
+import { diff } from './commands/diff'
+import { drain } from './commands/drain'
+import { jobs } from './commands/jobs'
+import { key } from './commands/key'
+import { schema } from './commands/schema'
+import { status } from './commands/status'
 
-const check = command({ name: 'check', args: {}, handler: async () => undefined })
-
-await runProgram(subcommands({ name: 'pimentoplank', version: VERSION, cmds: { check } }))
+await runProgram(subcommands({
+  name: 'pimentoplank',
+  description: 'Operators\' command line. Exit codes: 0 done, 1 failed, 2 wrong usage or settings.',
+  version: VERSION,
+  cmds: { apply, cancel, check, diff, drain, jobs, key, schema, status }
+}))
--- a/packages/pimentoplank/src/entry/runEntry.ts
+++ b/packages/pimentoplank/src/entry/runEntry.ts
@@ -1,12 +1,12 @@
 /** Runs an entry instance as a process: what it follows, what it serves, and its planned stop. */
 import { Hono } from 'hono'
 import { err, ok, type Result } from 'neverthrow'
-import { createProgramContext, createSlotClient, OBJECT_KINDS } from '../shared'
+import { createProgramContext, createSlotClient, OBJECT_KINDS, type Metrics } from '../shared'
 import { createBatchRoutes } from './batches'
 import type { EntryEnv } from './context'
 import { createEntry } from './createEntry'
 import type { EntrySettings } from './settings'
-import { createSlotHome } from './slots'
+import { createSlotHome, type SlotHome, type SlotHomeStats } from './slots'
 
 /** Serves until the process is told to stop; an error says why it could not start. */
 export async function runEntry (settings: EntrySettings): Promise<Result<void, Error>> {
@@ -49,7 +49,10 @@
   })
   if (started.isErr()) return err(started.error)
   const entry = started.value
-  context.value.setLeaving(() => entry.stage() !== 'serving')
+  context.value.setStatusSource({
+    isLeaving: () => entry.stage() !== 'serving',
+    refreshGauges: () => setSlotGauges(home, metrics)
+  })
   context.value.announce(entry)
 
   await context.value.stopRequested
@@ -58,3 +61,13 @@
   await context.value.close()
   return ok(undefined)
 }
+
+function setSlotGauges (home: SlotHome, metrics: Metrics): void {
+  const stats = home.stats()
+  const sum = (valueOf: (one: SlotHomeStats) => number): number => stats.reduce((total, one) => total + valueOf(one), 0)
+  metrics.gauge('slots.targets', stats.length)
+  metrics.gauge('slots.limit', sum((one) => one.limit))
+  metrics.gauge('slots.live', sum((one) => one.inUse - one.batchInUse))
+  metrics.gauge('slots.batch', sum((one) => one.batchInUse))
+  metrics.gauge('slots.waiting', sum((one) => one.waiting))
+}
--- a/packages/pimentoplank/src/shared/program/index.ts
+++ b/packages/pimentoplank/src/shared/program/index.ts
@@ -1,2 +1,2 @@
-export { createProgramContext, type ProgramContext, type ProgramContextOptions } from './programContext'
+export { createProgramContext, type ProgramContext, type ProgramContextOptions, type StatusSource } from './programContext'
 export { runDaemon, type DaemonOptions } from './daemon'
--- a/packages/pimentoplank/src/shared/program/programContext.ts
+++ b/packages/pimentoplank/src/shared/program/programContext.ts
@@ -19,6 +19,12 @@
   kinds?: readonly string[]
 }
 
+export interface StatusSource {
+  isLeaving: () => boolean
+  /** Brings the gauges up to date before they are read. */
+  refreshGauges?: () => void
+}
+
 export interface ProgramContext {
   clock: Clock
   log: Log
@@ -31,8 +37,8 @@
   peerRoutes: (router: ConnectRouter) => void
   /** Tells peers where this process listens, and logs the addresses. */
   announce: (addresses: { address: string, peerAddress: string }) => void
-  /** Sets how the status tells that this process is leaving. */
-  setLeaving: (isLeaving: () => boolean) => void
+  /** Sets what the status page asks of this program. */
+  setStatusSource: (source: StatusSource) => void
   /** Resolves when the process is told to stop, by a signal or by an operator. */
   stopRequested: Promise<void>
   close: () => Promise<void>
@@ -59,13 +65,14 @@
   })
   const { config } = followers
   const drain = new AbortController()
-  let isLeaving = (): boolean => false
+  let source: StatusSource = { isLeaving: () => false }
   const status = createStatusRoutes({
     instance: instance.id,
     program: options.program,
     metrics,
     config,
-    isLeaving: () => isLeaving(),
+    isLeaving: () => source.isLeaving(),
+    refreshGauges: () => source.refreshGauges?.(),
     drain: () => drain.abort()
   })
   followers.ready().then(() => log.info({ sequence: config.current().sequence }, 'configuration read'), () => undefined)
@@ -86,7 +93,7 @@
       self.peerAddress = peerAddress
       log.info({ address, peerAddress }, 'listening')
     },
-    setLeaving: (next) => { isLeaving = next },
+    setStatusSource: (next) => { source = next },
     stopRequested: aborted(AbortSignal.any([createStopSignal(), drain.signal])),
     close: async () => {
       await followers.close()
--- a/packages/pimentoplank/src/shared/settings/index.ts
+++ b/packages/pimentoplank/src/shared/settings/index.ts
@@ -7,6 +7,7 @@
   logSettings,
   metricsSettings,
   peerSettings,
+  tlsSettings,
   platformSettings,
   type CommonSettings
 } from './commonSettings'
--- a/packages/pimentoplank/src/shared/status/statusRoutes.ts
+++ b/packages/pimentoplank/src/shared/status/statusRoutes.ts
@@ -13,6 +13,8 @@
   metrics: Metrics
   config: ConfigView
   isLeaving: () => boolean
+  /** Brings the gauges up to date before they are read. */
+  refreshGauges?: () => void
   /** Starts to leave, as SIGTERM does; returns at once. */
   drain: () => void
 }
@@ -23,6 +25,7 @@
   return (router) => {
     router.service(StatusService, {
       getStatus: () => {
+        options.refreshGauges?.()
         const { counters, gauges } = metrics.snapshot()
         return create(GetStatusResponseSchema, {
           instance,
