--- a/packages/standins/src/bench/main.ts
+++ b/packages/standins/src/bench/main.ts
@@ -65,7 +65,8 @@
 }
 
 function printOutcome (outcome: ComparisonOutcome): void {
-  console.log(`\n${outcome.title}`)
+  const highest = Math.max(...outcome.runs.map(({ run }) => run.loadAverage))
+  console.log(`\n${outcome.title}   (load average up to ${highest.toFixed(1)})`)
   for (const { side, metric, unit, value, ratio } of outcome.summaries) {
     const ratioText = ratio === undefined ? '' : `   ratio ${formatSummary(ratio)}`
     console.log(`  ${metric.padEnd(24)} ${side.padEnd(34)} ${formatSummary(value)} ${unit}${ratioText}`)
--- a/packages/standins/src/bench/report.ts
+++ b/packages/standins/src/bench/report.ts
@@ -1,4 +1,5 @@
 /** Writes the outcomes as one HTML page with plots. */
+import { availableParallelism } from 'node:os'
 import { renderChart } from './charts'
 import type { ComparisonOutcome, SideSummary } from './comparison'
 import type { Summary } from './statistics'
@@ -35,12 +36,18 @@
 async function renderSection (outcome: ComparisonOutcome): Promise<string> {
   const charts = await renderChart(outcome)
   return `<section><h2>${escape(outcome.title)}</h2>
+${renderLoadAverage(outcome)}
 ${renderGoals(outcome)}
 ${renderTable(outcome)}
 ${charts.join('\n')}
 </section>`
 }
 
+function renderLoadAverage (outcome: ComparisonOutcome): string {
+  const highest = Math.max(...outcome.runs.map(({ run }) => run.loadAverage))
+  return `<p>Highest load average of the machine: ${format(highest)} on ${availableParallelism()} processors.</p>`
+}
+
 function renderGoals (outcome: ComparisonOutcome): string {
   if (outcome.goals.length === 0) return ''
   const items = outcome.goals.map((goal) => {
