--- a/packages/pimentoplank/features/support/slotRig.ts
+++ b/packages/pimentoplank/features/support/slotRig.ts
@@ -1,4 +1,5 @@
 /** Homes and holders of slots in one process, on one controlled clock, with connections that can fail. */
+import { setImmediate as nextTurn } from 'node:timers/promises'
 import { Code, ConnectError, createRouterTransport, type Transport } from '@connectrpc/connect'
 import { createSlotHome, type SlotHome } from '../../src/entry/slots'
 import {
@@ -11,6 +12,7 @@
 
 export const RIG_SERVICE = 'desk-lm'
 const REGION = 'jo-south'
+const SLOW_TURNS = 5
 const FAILURE_DOMAIN = 'rum-a'
 
 export interface SlotRigOptions {
@@ -27,6 +29,8 @@
   down: boolean
   /** Open connections stay, and nothing comes through. */
   silent: boolean
+  /** Frames take several turns of the event loop. */
+  slow: boolean
   cuts: Set<AbortController>
 }
 
@@ -184,7 +188,7 @@
 }
 
 function createGate (): Gate {
-  return { down: false, silent: false, cuts: new Set() }
+  return { down: false, silent: false, slow: false, cuts: new Set() }
 }
 
 /** A transport whose streams obey the gates at both of its ends. */
@@ -194,8 +198,8 @@
     stream: async (method, signal, timeoutMs, header, input, contextValues) => {
       if (gates.some((gate) => gate.down)) throw new ConnectError('refused', Code.Unavailable)
       const connection = new AbortController()
-      const cut = (): void => connection.abort()
-      signal?.addEventListener('abort', cut)
+      // Through a silent connection the other end doesn't learn that this one has given it up.
+      signal?.addEventListener('abort', () => { if (!isSilent(gates)) connection.abort() })
       for (const gate of gates) gate.cuts.add(connection)
       const res = await inner.stream(
         method, connection.signal, timeoutMs, header, pass(input, gates, connection.signal), contextValues)
@@ -204,10 +208,19 @@
   }
 }
 
+async function turns (count: number): Promise<void> {
+  for (let turn = 0; turn < count; turn += 1) await nextTurn()
+}
+
+function isSilent (gates: readonly Gate[]): boolean {
+  return gates.some((gate) => gate.silent)
+}
+
 /** Passes frames on while no gate is silent. */
 async function * pass<T> (frames: AsyncIterable<T>, gates: readonly Gate[], signal: AbortSignal): AsyncGenerator<T> {
   for await (const frame of frames) {
-    if (gates.some((gate) => gate.silent)) await aborted(signal)
+    if (gates.some((gate) => gate.slow)) await turns(SLOW_TURNS)
+    if (isSilent(gates)) await aborted(signal)
     if (signal.aborted) return
     yield frame
   }
--- a/packages/pimentoplank/src/entry/slots/admission.feature
+++ b/packages/pimentoplank/src/entry/slots/admission.feature
@@ -12,6 +12,14 @@
     Then slot holder "b" holds 1 live slot
     And slot holder "a" waits for 1 live slot
 
+  Scenario: Between accounts that have had the same, the earlier deadline goes first
+    Given a slot rig of 1 home and 1 target with 1 slot
+    When slot holder "x" asks for 1 live slot
+    And slot holder "a" asks for 1 live slot as account "late" with 9000 ms left
+    And slot holder "b" asks for 1 live slot as account "early" with 5000 ms left
+    And slot holder "x" releases 1 live slot
+    Then slot holder "b" holds 1 live slot
+
   Scenario: A live burst takes the slots that batch work holds
     Given a slot rig of 1 home and 1 target with 4 slots
     When slot holder "a" asks for 6 batch slots
@@ -32,6 +40,8 @@
     And slot holder "b" asks for 1 live slot
     Then slot holder "b" holds 1 live slot
     And 1 batch slot of slot holder "a" is revoked
+    When the slot clock moves 200 ms
+    Then 1 batch slot of slot holder "a" is revoked
 
   Scenario: A later live request goes before a full batch queue
     Given a slot rig of 1 home and 1 target with 2 slots
@@ -96,6 +106,13 @@
     Then slot holder "b" holds 1 live slot
     And the homes count 2 slots in use
 
+  Scenario: A home ignores the release of a ticket that holds nothing
+    Given a slot rig of 1 home and 1 target with 2 slots
+    When slot holder "a" asks for 1 live slot
+    And a bare slot stream asks for a slot as ticket 7 and releases tickets 7, 7 and 9
+    Then the homes count 1 slot in use
+    And the home has counted 2 late releases
+
   Scenario: A request that is given up leaves the queue
     Given a slot rig of 1 home and 1 target with 1 slot
     When slot holder "a" asks for 1 live slot
--- a/packages/pimentoplank/src/entry/slots/failures.feature
+++ b/packages/pimentoplank/src/entry/slots/failures.feature
@@ -63,8 +63,11 @@
 
   Scenario: A home hands over at a planned stop
     Given a slot rig of 3 homes and 1 target with 4 slots
-    When slot holder "a" asks for 4 live slots
+    When slot holder "b" asks for 1 live slot
+    And slot holder "b" releases 1 live slot
+    And slot holder "a" asks for 4 live slots
     And slot holder "b" asks for 2 live slots
+    And the connections of slot holder "a" are slow
     And the home of the target hands over
     Then slot holder "b" waits for 2 live slots
     And the homes count 4 slots in use
@@ -80,7 +83,10 @@
     Then slot holder "a" holds 4 live slots
     And slot holder "b" holds 2 live slots
     When slot holder "b" asks for 2 batch slots
-    Then slot holder "b" holds 0 batch slots
+    And slot holder "b" releases 2 live slots
+    And slot holder "b" releases 2 live slots
+    Then slot holder "b" holds 0 live slots
+    And slot holder "b" holds 0 batch slots
 
   Scenario: A target that fails is ejected and comes back by a single probe
     Given a slot rig of 1 home and 2 targets with 4 slots
@@ -115,6 +121,14 @@
     When slot holder "a" asks for 1 live slot preferring target 0
     Then slot holder "a" holds 1 live slot on target 1
 
+  Scenario: A target that leaves gets no new work from a holder whose list lags
+    Given a slot rig of 1 home and 2 targets with 1 slot
+    When slot holder "a" asks for 1 live slot
+    And slot holder "a" releases 1 live slot
+    And the homes alone see that target 0 leaves
+    And slot holder "a" asks for 1 live slot preferring target 0
+    Then slot holder "a" holds 1 live slot on target 1
+
   Scenario: A holder's own sign that a target leaves is enough for it
     Given a slot rig of 1 home and 2 targets with 1 slot
     When slot holder "a" notes that target 0 leaves
--- a/packages/pimentoplank/src/entry/slots/sequences.steps.ts
+++ b/packages/pimentoplank/src/entry/slots/sequences.steps.ts
@@ -149,7 +149,7 @@
 }
 
 async function runSequence (steps: readonly Step[], losesHomes: boolean): Promise<void> {
-  const homeSettings = slotHomeSettings.parse({ limit: 'fixed' })
+  const homeSettings = slotHomeSettings.parse({ limit: 'fixed', sweepMs: 250 })
   const rig = await createSlotRig({ homes: HOMES, targets: TARGETS, slots: SLOTS, homeSettings })
   for (const id of HOLDERS) rig.addHolder(id)
   const run: Run = { rig, asked: [], lostHolders: new Set(), lostHomes: new Set() }
--- a/packages/pimentoplank/src/entry/slots/slots.steps.ts
+++ b/packages/pimentoplank/src/entry/slots/slots.steps.ts
@@ -1,8 +1,9 @@
 import assert from 'node:assert/strict'
 import { After, Given, Then, When, type DataTable } from '@cucumber/cucumber'
+import { create } from '@bufbuild/protobuf'
 import {
-  slotHomeSettings,
-  type RefusalError, type SlotGrant, type SlotReport, type SlotRequest, type WorkClass
+  createFrameOutbox, HolderFrameSchema, SlotAcquireSchema, slotHomeSettings, SlotHelloSchema, SlotReleaseSchema,
+  type HomeFrame, type RefusalError, type SlotGrant, type SlotReport, type SlotRequest, type WorkClass
 } from '../../shared'
 import type { SlotHomeStats } from '.'
 import { createSlotRig, RIG_SERVICE, type SlotRig, type SlotRigOptions } from '../../../features/support/slotRig'
@@ -256,6 +257,28 @@
   }
 })
 
+When('a bare slot stream asks for a slot as ticket {int} and releases tickets {int}, {int} and {int}', async function (
+  this: SlotsWorld, asked: number, first: number, second: number, third: number
+) {
+  const released = [first, second, third]
+  const outbox = createFrameOutbox(() => create(HolderFrameSchema))
+  const [home] = this.slotRig.homes.values()
+  const answers = home!.part.open(outbox.frames(), new AbortController().signal)[Symbol.asyncIterator]()
+  outbox.add((frame) => {
+    frame.hello = create(SlotHelloSchema, { holder: 'bare' })
+    frame.acquires.push(create(SlotAcquireSchema, { ticket: asked, target: 'target-0', deadlineMs: DEADLINE_MS }))
+  })
+  const { value } = await answers.next()
+  assert.deepEqual((value as HomeFrame).granted, [asked])
+  outbox.add((frame) => frame.releases.push(...released.map((ticket) => create(SlotReleaseSchema, { ticket }))))
+  await this.slotRig.settle()
+})
+
+Then('the home has counted {int} late releases', function (this: SlotsWorld, count: number) {
+  const [home] = this.slotRig.homes.values()
+  assert.equal(home!.metrics.snapshot().counters['slots.releases.late'], count)
+})
+
 When('the slot clock moves {int} ms', async function (this: SlotsWorld, ms: number) {
   await this.slotRig.clock.advance(ms)
 })
@@ -299,6 +322,10 @@
   await this.slotRig.silence(holder)
 })
 
+When('the connections of slot holder {string} are slow', function (this: SlotsWorld, holder: string) {
+  this.slotRig.holders.get(holder)!.gate.slow = true
+})
+
 When('the connections of slot holder {string} break', async function (this: SlotsWorld, holder: string) {
   await this.slotRig.cut(holder)
 })
@@ -308,6 +335,13 @@
   await this.slotRig.settle()
 })
 
+When('the homes alone see that target {int} leaves', async function (this: SlotsWorld, index: number) {
+  const homes = [...this.slotRig.homes.keys()]
+  this.slotRig.setList((records) => records.map((record) =>
+    record.id === `target-${index}` ? { ...record, state: 'leaving' } : record), homes)
+  await this.slotRig.settle()
+})
+
 When('slot holder {string} notes that target {int} leaves', async function (
   this: SlotsWorld, holder: string, index: number
 ) {
@@ -364,7 +398,7 @@
   assert.deepEqual(this.asked.filter((asked) => asked.refusal !== undefined), [])
 })
 
-Then('the homes count {int} slots in use', function (this: SlotsWorld, count: number) {
+Then('the homes count {int} slot(s) in use', function (this: SlotsWorld, count: number) {
   const inUse = homeStats(this).map((stats) => stats.inUse)
   assert.equal(inUse.reduce((sum, each) => sum + each, 0), count)
 })
--- a/packages/pimentoplank/src/entry/slots/targetBoard.ts
+++ b/packages/pimentoplank/src/entry/slots/targetBoard.ts
@@ -199,7 +199,7 @@
   }
 
   function mayStartBatch (): boolean {
-    return options.authority() === 'full' && live.size() === 0 && batch.size() > 0 &&
+    return options.authority() === 'full' && batch.size() > 0 &&
       grants.size < capacity() - reserve()
   }
 
--- a/packages/pimentoplank/src/shared/slots/homeLinks.ts
+++ b/packages/pimentoplank/src/shared/slots/homeLinks.ts
@@ -44,10 +44,13 @@
     if (isLocal && options.localHome !== undefined) return options.localHome.open
     if (home.peerAddress === undefined) return undefined
     const { peerAddress } = home
-    return (frames, signal) => {
-      // An abort at the client side must not wait for the peer, so the transport gets the signal itself.
-      return createClient(SlotService, options.transports.to(peerAddress)).open(frames, { signal })
-    }
+    return (frames, signal) => createClient(SlotService, options.transports.to(peerAddress)).open(frames, { signal })
+  }
+
+  /** Passes a home over for a while, and gives up its connection, which may be silent for good. */
+  function loseHome (home: Instance): void {
+    passOver(home, settings.lostHomeMs)
+    if (home.peerAddress !== undefined) options.transports.drop(home.peerAddress)
   }
 
   function passOver (home: Instance, ms: number): void {
@@ -56,7 +59,7 @@
 
   function onEnd (link: HomeLink, end: LinkEnd): void {
     if (links.get(link.home.id) === link) links.delete(link.home.id)
-    if (end === 'unreachable') passOver(link.home, settings.lostHomeMs)
+    if (end === 'unreachable') loseHome(link.home)
     if (end !== 'idle') options.log.debug({ home: link.home.id, end }, 'slot stream ended')
     options.onEnd(link, end)
   }
