--- a/packages/pimentoplank/src/entry/main.ts
+++ b/packages/pimentoplank/src/entry/main.ts
@@ -1,9 +1,10 @@
-import { command, option, string } from 'cmd-ts'
-import { runProgram, VERSION } from '../shared'
+import { runDaemon } from '../shared'
+import { runEntry } from './runEntry'
+import { entrySettings } from './settings'
 
-await runProgram(command({
+await runDaemon({
   name: 'pimentoplank-entry',
-  version: VERSION,
-  args: { config: option({ type: string, long: 'config', description: 'Settings file (JSON).' }) },
-  handler: async () => undefined
-}))
+  description: 'Serves callers: instance directory, live requests, plain services and batch jobs.',
+  schema: entrySettings,
+  run: runEntry
+})
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,1 +1,7 @@
-export {}
+export * from './engine'
+export * from './platform'
+export * from './service'
+export type { ListenOptions, StandinServer } from './shared'
+export * from './caller'
+export * from './deployment'
+export * from './link'
