Prove the feed over tens of instances, and apply notes by one conditional create

Causes found by the scenarios: followers whose polled peers all went silent waited for the staleness bound (15 s) before they watched themselves, now for one poll (4.5 s); a sign contradicted during the first poll was told to nobody; an HTTP/2 session told to go away emits its error after its manager let go of it, which ended the process.

Seen to fail: without fallback (holders killed, holders silent), with every instance watching (watch counts at 10, 20 and 40), with the platform read first at start (stale replica), with signs not told (leaving instance). The watch counts also failed under a busy machine with cut timings, since late polls look silent; they use the product's timings now.

--- a/packages/pimentoplank/src/shared/config/index.ts
+++ b/packages/pimentoplank/src/shared/config/index.ts
@@ -6,3 +6,7 @@
   noteName, sequenceOf, snapshotPart, snapshotPartName, splitSnapshot, storedNote, type SnapshotPart, type StoredNote
 } from './noteLog'
 export { CONFIG_KINDS, createConfigFollower, type ConfigFollower, type ConfigFollowerOptions } from './configFollower'
+export {
+  BaseConflict, createReleaseLog, type ApplyError, type Differences, type ReleaseLog, type ReleaseLogOptions,
+  type ReleaseLogState
+} from './releaseLog'
--- /dev/null
+++ b/packages/pimentoplank/src/shared/config/releaseLog.ts
@@ -0,0 +1,175 @@
+/** The log of release notes as operators read and extend it, straight at the platform. */
+import { err, ok, ResultAsync, type Result } from 'neverthrow'
+import { v7 as uuid } from 'uuid'
+import type { Clock } from '../clock'
+import { SECOND_MS } from '../constants'
+import type { Log } from '../logging'
+import type { Metrics } from '../metrics'
+import { OBJECT_KINDS } from '../objects'
+import { PlatformConflict, PlatformUnavailable, type PlatformClient, type PlatformError, type StoredObject } from '../platform'
+import { applyNote, entryKey, NoteError } from './applyNote'
+import type { EntryRef, ReleaseNote } from './entries'
+import { noteName, sequenceOf, type StoredNote } from './noteLog'
+import { advance, parseNote } from './readLog'
+import { createSnapshot, type ConfigSnapshot } from './snapshot'
+
+/** How long a write whose answer was lost is followed up, in milliseconds. */
+const SETTLE_LIMIT_MS = 20 * SECOND_MS
+const SETTLE_PAUSE_MS = 250
+
+/** What other operators changed since the base of a note. */
+export interface Differences {
+  /** Sequence number of the configuration now. */
+  sequence: number
+  /** Notes applied since the base, as far as the log still holds them. */
+  notes: Array<{ sequence: number, note: StoredNote }>
+  /** Entries that they changed and the losing note touches too, such as `model/desk-lm`. */
+  overlapping: string[]
+  /** Entries that only they changed. */
+  others: string[]
+  /** True when notes after the base are gone from the log, so that the lists are not complete. */
+  isPartial: boolean
+}
+
+/** The base of a note is not the newest configuration. */
+export class BaseConflict extends Error {
+  readonly base: number
+  readonly differences: Differences
+
+  constructor (base: number, differences: Differences) {
+    super(`the note is based on ${base}, but the configuration is at ${differences.sequence}`)
+    this.name = 'BaseConflict'
+    this.base = base
+    this.differences = differences
+  }
+}
+
+export type ApplyError = BaseConflict | NoteError | PlatformError
+
+/** The log as read at one moment. */
+export interface ReleaseLogState {
+  current: ConfigSnapshot
+  notes: ReadonlyMap<string, StoredObject>
+  snapshots: ReadonlyMap<string, StoredObject>
+}
+
+export interface ReleaseLog {
+  read: () => ResultAsync<ReleaseLogState, PlatformError>
+  /** What was applied after the base of a note. */
+  differences: (state: ReleaseLogState, note: ReleaseNote) => Differences
+  /**
+   * Puts a note in force by one conditional create, or changes nothing. A write whose answer was lost is followed up
+   * until it is known to have won or lost.
+   *
+   * @returns the sequence number that the note made
+   */
+  apply: (note: ReleaseNote) => ResultAsync<number, ApplyError>
+}
+
+export interface ReleaseLogOptions {
+  platform: PlatformClient
+  clock: Clock
+  metrics: Metrics
+  log: Log
+  /** Makes the unique id of a change. */
+  newChangeId?: () => string
+}
+
+/** Creates access to the log. */
+export function createReleaseLog (options: ReleaseLogOptions): ReleaseLog {
+  const { platform, clock } = options
+  const newChangeId = options.newChangeId ?? uuid
+
+  async function read (): Promise<Result<ReleaseLogState, PlatformError>> {
+    // Snapshots are read last: a note that was trimmed in between is then covered by one of them.
+    const notes = await platform.listAll(OBJECT_KINDS.releaseNote)
+    if (notes.isErr()) return err(notes.error)
+    const snapshots = await platform.listAll(OBJECT_KINDS.configSnapshot)
+    if (snapshots.isErr()) return err(snapshots.error)
+    const objects = { notes: byName(notes.value.items), snapshots: byName(snapshots.value.items) }
+    return ok({ ...objects, current: advance(createSnapshot(0, []), objects, options) })
+  }
+
+  async function apply (note: ReleaseNote): Promise<Result<number, ApplyError>> {
+    const state = await read()
+    if (state.isErr()) return err(state.error)
+    if (note.base !== state.value.current.sequence) {
+      return err(new BaseConflict(note.base, differences(state.value, note)))
+    }
+    const checked = applyNote(state.value.current, note)
+    if (checked.isErr()) return err(checked.error)
+    const stored: StoredNote = { ...note, id: newChangeId(), appliedAt: clock.wallTime() }
+    const written = await write(stored)
+    if (written.isErr()) return err(written.error)
+    return written.value === undefined ? await conflict(note) : await confirm(note, written.value)
+  }
+
+  /** Creates the note's object; undefined when another note has its place. */
+  async function write (note: StoredNote): Promise<Result<StoredObject | undefined, PlatformError>> {
+    const until = clock.now() + SETTLE_LIMIT_MS
+    let maybeApplied = false
+    for (;;) {
+      const put = await platform.put(OBJECT_KINDS.releaseNote, noteName(note.base + 1), note, { ifRevision: 0 })
+      if (put.isOk()) return ok(put.value)
+      if (put.error instanceof PlatformConflict) return ok(ownObject(put.error.current, note))
+      maybeApplied ||= put.error instanceof PlatformUnavailable && put.error.maybeApplied
+      if (!maybeApplied || clock.now() >= until) return err(put.error)
+      await clock.sleep(SETTLE_PAUSE_MS)
+    }
+  }
+
+  /** A note that was created after a snapshot had covered its place does not count; it is taken out again. */
+  async function confirm (note: ReleaseNote, object: StoredObject): Promise<Result<number, ApplyError>> {
+    const sequence = note.base + 1
+    const snapshots = await platform.listAll(OBJECT_KINDS.configSnapshot)
+    if (snapshots.isErr()) return ok(sequence)
+    const isLate = snapshots.value.items
+      .some((snapshot) => sequenceOf(snapshot.name) >= sequence && snapshot.revision < object.revision)
+    if (!isLate) return ok(sequence)
+    await platform.remove(OBJECT_KINDS.releaseNote, object.name, { ifRevision: object.revision })
+    return await conflict(note)
+  }
+
+  async function conflict (note: ReleaseNote): Promise<Result<number, ApplyError>> {
+    const state = await read()
+    if (state.isErr()) return err(state.error)
+    return err(new BaseConflict(note.base, differences(state.value, note)))
+  }
+
+  return {
+    read: () => new ResultAsync(read()),
+    differences,
+    apply: (note) => new ResultAsync(apply(note))
+  }
+}
+
+function differences (state: ReleaseLogState, note: ReleaseNote): Differences {
+  const sequence = state.current.sequence
+  const notes = [...state.notes.values()]
+    .map((object) => ({ sequence: sequenceOf(object.name), note: parseNote(object) }))
+    .filter((entry): entry is { sequence: number, note: StoredNote } => entry.note !== undefined)
+    .filter((entry) => entry.sequence > note.base && entry.sequence <= sequence)
+  const theirs = new Set(notes.flatMap((entry) => touchedBy(entry.note)))
+  const ours = new Set(touchedBy(note))
+  return {
+    sequence,
+    notes,
+    overlapping: [...theirs].filter((key) => ours.has(key)),
+    others: [...theirs].filter((key) => !ours.has(key)),
+    isPartial: notes.length < sequence - note.base
+  }
+}
+
+function touchedBy (note: ReleaseNote): string[] {
+  const refs: EntryRef[] = [...note.added, ...note.changed, ...note.withdrawn]
+  return refs.map(entryKey)
+}
+
+function ownObject (object: StoredObject | null, note: StoredNote): StoredObject | undefined {
+  if (object === null) return undefined
+  return parseNote(object)?.id === note.id ? object : undefined
+}
+
+function byName (objects: readonly StoredObject[]): Map<string, StoredObject> {
+  return new Map(objects.map((object) => [object.name, object]))
+}
--- a/packages/pimentoplank/src/shared/feed/objectFeed.ts
+++ b/packages/pimentoplank/src/shared/feed/objectFeed.ts
@@ -64,7 +64,7 @@
 
 const DEFAULT_HOLDERS_PER_DOMAIN = 2
 /** How often an instance checks whether it should watch the platform. */
-const ROLE_CHECK_MS = 500
+const ROLE_CHECK_MS = 250
 
 /** Creates a feed and starts it. */
 export function createObjectFeed (options: ObjectFeedOptions): PeeredFeed {
@@ -76,6 +76,8 @@
   const freshness = createFreshness(clock)
   const changed = createNotifier()
   const watch: PlatformWatchOptions = { ...options, ...timings, state, freshness }
+  /** Healthy peers answer a poll within its wait. */
+  const silentAfterMs = timings.pollWaitMs + timings.pollMarginMs / 2
   const staleAfterMs = timings.staleAfterMs * (1 + random() / 2)
 
   function placement (): Parameters<typeof rankUpstreams>[0] {
@@ -91,7 +93,7 @@
   const polls = createPeerPolls({ ...options, ...timings, state, freshness, addresses, instance: options.instance.id })
 
   function shouldWatch (): boolean {
-    return isHolder(placement()) || freshness.peerAgeMs() > staleAfterMs
+    return isHolder(placement()) || freshness.peerAgeMs() > staleAfterMs || polls.sinceAnswerMs() > silentAfterMs
   }
 
   async function watchWhileNeeded (signal: AbortSignal): Promise<void> {
--- a/packages/pimentoplank/src/shared/feed/peerPolls.ts
+++ b/packages/pimentoplank/src/shared/feed/peerPolls.ts
@@ -15,13 +15,14 @@
 /** Peers that are polled at a time. */
 const POLLED_PEERS = 2
 /** A peer that did not answer is passed over for this time. */
-const QUIET_MS = 5 * SECOND_MS
+const QUIET_MS = 3 * SECOND_MS
 /** Pause when there is nobody to poll. */
 const NO_PEER_PAUSE_MS = 500
 /** Least time between two polls of one peer, in milliseconds. */
 const MIN_POLL_GAP_MS = 20
 /** Limit for handing a sign on. */
 const TELL_TIMEOUT_MS = SECOND_MS
+const TELL_TRIES = 5
 /** Limit for the polls at start. */
 const FIRST_POLL_TIMEOUT_MS = SECOND_MS
 
@@ -48,6 +49,8 @@
   run: (signal: AbortSignal) => Promise<void>
   /** Hands signs to the peers that are polled now. */
   tell: (signs: readonly MemberSign[]) => Promise<void>
+  /** Milliseconds since any peer answered a poll. */
+  sinceAnswerMs: () => number
 }
 
 /** Creates the polls of an instance. */
@@ -57,6 +60,7 @@
   const tokens = new Map<string, string>()
   const quietUntil = new Map<string, number>()
   const inUse = new Set<string>()
+  let lastAnswerAt = clock.now()
 
   function clientOf (address: string): Client<typeof FeedService> {
     let client = clients.get(address)
@@ -67,9 +71,14 @@
     return client
   }
 
-  function choose (): string | undefined {
+  /** The best peer that is not quiet, else the one that has been quiet for longest. */
+  function choose (): { address?: string, isQuiet: boolean } {
     const now = clock.now()
-    return options.addresses().find((address) => !inUse.has(address) && (quietUntil.get(address) ?? 0) <= now)
+    const free = options.addresses().filter((address) => !inUse.has(address))
+    const awake = free.find((address) => (quietUntil.get(address) ?? 0) <= now)
+    if (awake !== undefined) return { address: awake, isQuiet: false }
+    const [address] = free.sort((a, b) => quietUntil.get(a)! - quietUntil.get(b)!)
+    return { address, isQuiet: true }
   }
 
   async function poll (address: string, waitMs: number, timeoutMs: number, signal?: AbortSignal): Promise<boolean> {
@@ -102,6 +111,7 @@
   }
 
   function take (address: string, res: PollResponse): void {
+    lastAnswerAt = clock.now()
     for (const update of res.updates) {
       const isTaken = state.kinds.includes(update.kind) && state.merge(update.kind, decodeChanges(update))
       if (!isTaken) metrics.count('feed.stalePeers')
@@ -115,11 +125,9 @@
 
   async function pollForever (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const address = choose()
-      if (address === undefined) {
-        await clock.sleep(NO_PEER_PAUSE_MS, signal)
-        continue
-      }
+      const { address, isQuiet } = choose()
+      if (isQuiet) await clock.sleep(NO_PEER_PAUSE_MS, signal)
+      if (address === undefined || inUse.has(address)) continue
       inUse.add(address)
       const isAnswered = await poll(address, options.pollWaitMs, options.pollWaitMs + options.pollMarginMs, signal)
       inUse.delete(address)
@@ -127,6 +135,16 @@
     }
   }
 
+  /** Hands signs to the peers that are polled now; true when one of them took them. */
+  async function tellOnce (signs: readonly MemberSign[]): Promise<boolean> {
+    const polled = inUse.size > 0 ? [...inUse] : options.addresses().slice(0, POLLED_PEERS)
+    const told = polled.map(async (address) => {
+      await clientOf(address).tell({ signs: [...signs] }, { timeoutMs: TELL_TIMEOUT_MS })
+    })
+    const results = await Promise.allSettled(told)
+    return results.some((result) => result.status === 'fulfilled')
+  }
+
   return {
     pollOnce: async () => {
       const addresses = options.addresses().slice(0, POLLED_PEERS)
@@ -136,10 +154,12 @@
       await Promise.all(Array.from({ length: POLLED_PEERS }, async () => await pollForever(signal)))
     },
     tell: async (signs) => {
-      const told = [...inUse].map(async (address) => {
-        await clientOf(address).tell({ signs: [...signs] }, { timeoutMs: TELL_TIMEOUT_MS })
-      })
-      await Promise.allSettled(told)
-    }
+      for (let attempt = 1; attempt <= TELL_TRIES; attempt++) {
+        if (await tellOnce(signs)) return
+        metrics.retried('peerUnavailable')
+        await clock.sleep(NO_PEER_PAUSE_MS)
+      }
+    },
+    sinceAnswerMs: () => clock.now() - lastAnswerAt
   }
 }
--- /dev/null
+++ b/packages/pimentoplank/src/shared/followers/followers.steps.ts
@@ -0,0 +1,261 @@
+import assert from 'node:assert/strict'
+import { createPlatformStandin, type PlatformStandin } from '@pimentoplank/standins'
+import { After, Given, Then, When } from '@cucumber/cucumber'
+import { startFollowerCluster, type ClusterMember, type FollowerCluster } from '../../../features/support/followerCluster'
+import { until } from '../../../features/support/until'
+import {
+  createNullMetrics, createReleaseLog, createSilentLog, createSystemClock, isHolder, OBJECT_KINDS, releaseNote,
+  type InstanceRecord
+} from '../../shared'
+
+interface FollowersWorld {
+  cluster: FollowerCluster
+  connected: ClusterMember[]
+  cutOff?: ClusterMember
+  started?: ClusterMember
+  replica?: PlatformStandin
+  replicaAddress?: string
+  announcer?: ClusterMember
+}
+
+const HOLDERS_PER_DOMAIN = 2
+
+function all (world: FollowersWorld): ClusterMember[] {
+  return [...world.cluster.members.values()]
+}
+
+function sequenceOf (member: ClusterMember): number {
+  return member.followers.config.current().sequence
+}
+
+function holders (world: FollowersWorld): ClusterMember[] {
+  return all(world).filter((member) => {
+    const peers = member.followers.membership.peers()
+    const self = peers.find((peer) => peer.id === member.id)
+    return self !== undefined && isHolder({ self, peers, holdersPerDomain: HOLDERS_PER_DOMAIN })
+  })
+}
+
+async function apply (world: FollowersWorld, sequence: number): Promise<void> {
+  const log = createReleaseLog({
+    platform: world.cluster.client, clock: createSystemClock(), metrics: createNullMetrics(), log: createSilentLog()
+  })
+  const note = releaseNote.parse({
+    base: sequence - 1, added: [{ kind: 'service', name: `service-${sequence}`, type: 'plain' }]
+  })
+  const applied = await log.apply(note)
+  assert.equal(applied._unsafeUnwrap(), sequence)
+}
+
+async function haveSequence (members: readonly ClusterMember[], sequence: number, seconds: number): Promise<void> {
+  await until(() => members.every((member) => sequenceOf(member) === sequence), {
+    limitMs: seconds * 1000,
+    describe: () => members.map((member) => `${member.id}: ${sequenceOf(member)}`).join(', ')
+  })
+}
+
+async function knowEachOther (world: FollowersWorld): Promise<void> {
+  const count = all(world).length
+  await until(() => all(world).every((member) => member.followers.membership.peers().length === count), {
+    limitMs: 10_000, describe: () => all(world).map((member) => member.followers.membership.peers().length).join(', ')
+  })
+}
+
+Given('a platform that instances follow', async function (this: FollowersWorld) {
+  this.cluster = await startFollowerCluster()
+})
+
+Given('a platform that instances follow with the product\'s timings', async function (this: FollowersWorld) {
+  this.cluster = await startFollowerCluster({ productTimings: true })
+})
+
+Given('{int} follower instances in {int} failure domains at configuration {int}',
+  { timeout: 30_000 },
+  async function (this: FollowersWorld, count: number, domains: number, sequence: number) {
+    for (let made = 1; made <= sequence; made++) await apply(this, made)
+    const indexes = Array.from({ length: count }, (_, index) => index)
+    await Promise.all(indexes.map(async (index) => await this.cluster.start(`entry-${index}`, `domain-${index % domains}`)))
+    await knowEachOther(this)
+    await haveSequence(all(this), sequence, 10)
+  })
+
+When('an operator\'s change number {int} is accepted', async function (this: FollowersWorld, sequence: number) {
+  await apply(this, sequence)
+})
+
+Then('every follower instance has configuration {int} within {int} s', { timeout: 10_000 },
+  async function (this: FollowersWorld, sequence: number, seconds: number) {
+    await haveSequence(all(this), sequence, seconds)
+  })
+
+Then('the connected follower instances have configuration {int} within {int} s', { timeout: 10_000 },
+  async function (this: FollowersWorld, sequence: number, seconds: number) {
+    await haveSequence(this.connected, sequence, seconds)
+  })
+
+Then('at most {int} of the follower instances watch the platform', { timeout: 10_000 },
+  async function (this: FollowersWorld, most: number) {
+    const kinds = 4
+    await until(() => this.cluster.platform.stats().watches <= most * kinds, {
+      limitMs: 8000, describe: () => `${this.cluster.platform.stats().watches} watches`
+    })
+    assert.equal(holders(this).length, most)
+  })
+
+Then('a change costs at most {int} platform calls for {int} follower instances', { timeout: 20_000 },
+  async function (this: FollowersWorld, most: number, count: number) {
+    assert.equal(all(this).length, count)
+    this.cluster.platform.resetStats()
+    await apply(this, 2)
+    await haveSequence(all(this), 2, 6)
+    const { calls } = this.cluster.platform.stats()
+    const total = Object.values(calls).flatMap((kind) => Object.values(kind)).reduce((sum, n) => sum + n, 0)
+    assert.ok(total <= most, `${total} calls: ${JSON.stringify(calls)}`)
+  })
+
+When('a follower instance that holds watches is started before a platform replica that shows configuration 1',
+  async function (this: FollowersWorld) {
+    this.replica = createPlatformStandin()
+    this.replicaAddress = (await this.replica.start()).address
+    const [first] = this.cluster.platform.objects(OBJECT_KINDS.releaseNote)
+    this.replica.putObject(OBJECT_KINDS.releaseNote, first!.name, first!.value)
+    await startBeforeReplica(this, holderId(this), this.replicaAddress)
+  })
+
+When('one of the others is restarted before that replica', async function (this: FollowersWorld) {
+  const other = all(this)[0]!
+  await other.stop()
+  await startBeforeReplica(this, other.id, this.replicaAddress!)
+})
+
+Then('no follower instance ever had configuration 1 after configuration 2 was in force', function (this: FollowersWorld) {
+  for (const { id, sequences } of all(this)) assert.deepEqual(sequences, [2], `${id}: ${sequences.join(', ')}`)
+})
+
+/** An id that the instances would choose to hold the watches of the first failure domain. */
+function holderId (world: FollowersWorld): string {
+  const peers = all(world)[0]!.followers.membership.peers()
+  for (let index = 0; ; index++) {
+    const self = { id: `entry-holder-${index}`, failureDomain: 'domain-0' }
+    if (isHolder({ self, peers, holdersPerDomain: HOLDERS_PER_DOMAIN })) return self.id
+  }
+}
+
+async function startBeforeReplica (world: FollowersWorld, id: string, platformAddress: string): Promise<void> {
+  const seeds = all(world).slice(0, 2).map((member) => member.peerLink.address)
+  world.started = await world.cluster.start(id, 'domain-0', { seeds, platformAddress })
+  await world.started.followers.ready()
+}
+
+When('a follower instance is started beside the others', async function (this: FollowersWorld) {
+  const seeds = all(this).slice(0, 2).map((member) => member.peerLink.address)
+  this.started = await this.cluster.start('entry-new', 'domain-0', { seeds })
+})
+
+Then('the started follower instance knows the other instances', async function (this: FollowersWorld) {
+  await until(() => this.started!.followers.membership.peers().length >= all(this).length - 1)
+})
+
+When('the platform of the followers goes down', function (this: FollowersWorld) {
+  this.cluster.platform.setFaults({ down: true })
+})
+
+When('every follower instance has noticed the outage', { timeout: 10_000 }, async function (this: FollowersWorld) {
+  await until(() => all(this).every((member) => member.followers.feed.ageMs() > 2000), { limitMs: 8000 })
+})
+
+When('the platform of the followers comes back', function (this: FollowersWorld) {
+  this.cluster.platform.setFaults({ down: false })
+})
+
+Then('no follower instance ever went back', function (this: FollowersWorld) {
+  for (const { id, sequences } of all(this)) {
+    const sorted = [...sequences].sort((a, b) => a - b)
+    assert.deepEqual(sequences, sorted, `${id}: ${sequences.join(', ')}`)
+  }
+})
+
+When('one follower instance is cut off from the platform and its peers', function (this: FollowersWorld) {
+  // A holder has the most to lose.
+  this.cutOff = holders(this)[0]!
+  this.connected = all(this).filter((member) => member !== this.cutOff)
+  this.cutOff.platformLink.set('cut')
+  this.cutOff.peerLink.set('cut')
+  this.cutOff.isolate(true)
+})
+
+When('the follower instance that was cut off is connected again', function (this: FollowersWorld) {
+  this.cutOff!.platformLink.set('open')
+  this.cutOff!.peerLink.set('open')
+  this.cutOff!.isolate(false)
+})
+
+When('all follower instances that watch the platform are killed', async function (this: FollowersWorld) {
+  await Promise.all(holders(this).map(async (member) => await member.stop()))
+})
+
+When('the connections of all follower instances that watch the platform go silent', function (this: FollowersWorld) {
+  const silent = holders(this)
+  this.connected = all(this).filter((member) => !silent.includes(member))
+  for (const member of silent) {
+    member.platformLink.set('silent')
+    member.peerLink.set('silent')
+  }
+})
+
+Given('a target {string} in the list of all follower instances', { timeout: 10_000 },
+  async function (this: FollowersWorld, id: string) {
+    const record: InstanceRecord = {
+      id, role: 'engine', service: 'desk-lm', address: '127.0.0.1:9', failureDomain: 'domain-0', region: 'r', state: 'live'
+    }
+    this.cluster.platform.putInstance(record)
+    await until(() => all(this).every(({ followers }) => followers.membership.targets('desk-lm').length === 1), {
+      limitMs: 8000
+    })
+  })
+
+Given('the instance list of the platform stands still', function (this: FollowersWorld) {
+  this.cluster.platform.setFaults({ staleInstances: true })
+})
+
+When('one follower instance sees that target {string} is leaving', function (this: FollowersWorld, id: string) {
+  const seeing = all(this).find((member) => !holders(this).includes(member))!
+  seeing.followers.membership.noteLeaving(id, 'ownAnswer')
+})
+
+Then('every follower instance takes target {string} for leaving within {int} s', { timeout: 10_000 },
+  async function (this: FollowersWorld, id: string, seconds: number) {
+    const isOut = (member: ClusterMember): boolean =>
+      member.followers.membership.targets('desk-lm').every((target) => target.id !== id)
+    await until(() => all(this).every(isOut), { limitMs: seconds * 1000 })
+  })
+
+When('a follower instance announces that it leaves', function (this: FollowersWorld) {
+  this.announcer = all(this)[0]!
+  this.announcer.followers.membership.announceLeaving()
+})
+
+function knows (member: ClusterMember, id: string): boolean {
+  return member.followers.membership.instances().some((instance) => instance.id === id)
+}
+
+Then('every other follower instance drops it within {int} s', { timeout: 10_000 },
+  async function (this: FollowersWorld, seconds: number) {
+    const others = all(this).filter((member) => member !== this.announcer)
+    await until(() => others.every((member) => !knows(member, this.announcer!.id)), { limitMs: seconds * 1000 })
+  })
+
+When('that follower instance runs again at the same address', async function (this: FollowersWorld) {
+  await this.announcer!.stop()
+  await this.cluster.start(this.announcer!.id, 'domain-0')
+})
+
+Then('every other follower instance takes it back within {int} s', { timeout: 10_000 },
+  async function (this: FollowersWorld, seconds: number) {
+    await until(() => all(this).every((member) => knows(member, this.announcer!.id)), { limitMs: seconds * 1000 })
+  })
+
+After({ timeout: 20_000 }, async function (this: FollowersWorld) {
+  await this.cluster?.close()
+  await this.replica?.close()
+})
--- a/packages/pimentoplank/src/shared/rpc/peerTransports.ts
+++ b/packages/pimentoplank/src/shared/rpc/peerTransports.ts
@@ -1,4 +1,5 @@
 /** Connections to peer processes, one HTTP/2 session for each address. */
+import type { ClientHttp2Session } from 'node:http2'
 import type { Interceptor, Transport } from '@connectrpc/connect'
 import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node'
 import { SECOND_MS } from '../constants'
@@ -45,6 +46,7 @@
       pingTimeoutMs: options.pingTimeoutMs ?? PING_TIMEOUT_MS,
       idleConnectionTimeoutMs: IDLE_CONNECTION_TIMEOUT_MS
     }, sessionOptions(options.security))
+    catchLateErrors(sessions)
     const transport = createConnectTransport({
       httpVersion: '2',
       baseUrl,
@@ -76,6 +78,24 @@
   }
 }
 
+/**
+ * A session that was told to go away emits an error when its socket closes. The manager may have let go of it by then,
+ * and an error without a listener ends the process.
+ */
+function catchLateErrors (sessions: Http2SessionManager): void {
+  const request = sessions.request.bind(sessions)
+  const caught = new WeakSet<ClientHttp2Session>()
+  sessions.request = async (...args) => {
+    const stream = await request(...args)
+    const { session } = stream
+    if (session !== undefined && !caught.has(session as ClientHttp2Session)) {
+      caught.add(session as ClientHttp2Session)
+      session.on('error', () => undefined)
+    }
+    return stream
+  }
+}
+
 function sessionOptions ({ tls }: PeerSecurity): ConstructorParameters<typeof Http2SessionManager>[2] {
   if (tls === undefined) return undefined
   // Peers are known by IP number; the certificate authority is what is trusted.
