--- /dev/null
+++ b/packages/pimentoplank/src/controller/controller.ts
@@ -0,0 +1,156 @@
+/** Makes the fleet follow the configuration, for as long as this process holds the controllers' lease. */
+import { v7 as uuid } from 'uuid'
+import {
+  createLeaseObserver, tryAcquireLease,
+  type Clock, type Followers, type Lease, type Log, type Metrics, type PlatformClient, type Random
+} from '../shared'
+import { createDrains, type Drains } from './drains'
+import type { EngineControl, Order } from './engineControl'
+import { createLoadBudget } from './loadBudget'
+import { createEngineObserver } from './observer'
+import { createPlacementWriter } from './placementWriter'
+import { planFleet, type ObservedEngine, type Plan, type PlannedOrder } from './plan'
+import type { ControllerSettings } from './settings'
+import { createSnapshotKeeper } from './snapshots'
+
+export const CONTROLLER_LEASE = 'controller'
+
+export interface ControllerDeps {
+  platform: PlatformClient
+  followers: Pick<Followers, 'feed' | 'config' | 'membership'>
+  engines: EngineControl
+  clock: Clock
+  random: Random
+  metrics: Metrics
+  log: Log
+  /** Unique id of this process among lease holders. */
+  holder?: string
+}
+
+export interface Controller {
+  /** Leads whenever it can take the lease; resolves after the signal aborts, with the lease given up. */
+  run: (signal: AbortSignal) => Promise<void>
+  isLeading: () => boolean
+}
+
+/** Creates a controller that does nothing until it runs. */
+export function createController (settings: ControllerSettings, deps: ControllerDeps): Controller {
+  const { platform, followers, engines, clock, metrics, log } = deps
+  const holder = deps.holder ?? `${settings.instance.id}.${uuid()}`
+  const leaseObserver = createLeaseObserver({ clock })
+  const observer = createEngineObserver(deps)
+  const budget = createLoadBudget(clock, settings.loads.mbPerSecond)
+  const placements = createPlacementWriter({ ...deps, everyMs: settings.placementEveryMs })
+  const snapshots = createSnapshotKeeper({ ...deps, settings: settings.snapshots })
+  let current: Lease | undefined
+
+  async function run (signal: AbortSignal): Promise<void> {
+    await followers.config.ready()
+    while (!signal.aborted) {
+      const lease = await tryAcquireLease({ platform, clock, observer: leaseObserver }, {
+        name: CONTROLLER_LEASE, holder, ...settings.lease
+      })
+      if (lease.isOk() && lease.value !== null) await lead(lease.value, signal)
+      await clock.sleep(settings.lease.renewEveryMs, signal)
+    }
+  }
+
+  async function lead (lease: Lease, signal: AbortSignal): Promise<void> {
+    log.info({ epoch: lease.epoch() }, 'leading the fleet')
+    current = lease
+    const over = AbortSignal.any([signal, lease.lost])
+    const drains = createDrains({ clock, ...settings.drain })
+    while (!over.aborted) {
+      const isSuperseded = lease.isHeld() && await step(lease, drains) === 'superseded'
+      if (isSuperseded) break
+      await clock.sleep(settings.checkEveryMs, over)
+    }
+    current = undefined
+    await lease.release()
+    log.info('no longer leading the fleet')
+  }
+
+  /** A controller whose configuration is behind that of its predecessor waits for the feed. */
+  function isBehind (): boolean {
+    const { sequence } = followers.config.current()
+    return placements.published().some((record) => record.sequence > sequence)
+  }
+
+  async function step (lease: Lease, drains: Drains): Promise<'done' | 'superseded'> {
+    if (isBehind()) return 'done'
+    const targets = followers.membership.allTargets().filter(({ role }) => role === 'engine')
+    const observed = await observer.observe(targets)
+    await readLoads(drains, observed)
+    const plan = planFleet({
+      config: followers.config.current(),
+      engines: observed,
+      isDrained: drains.isDrained,
+      maxConcurrentLoads: settings.loads.maxConcurrent,
+      minServingShare: settings.rolling.minServingShare
+    })
+    const published = await publish(plan, lease)
+    if (published === 'superseded') return 'superseded'
+    // Work is drained only from the moment on at which the platform shows the placement without it.
+    drains.update(published === 'current' ? plan.draining : new Set())
+    const given = await Promise.all(plan.orders.map(async (planned) => await give(planned, lease)))
+    if (given.includes('superseded')) return 'superseded'
+    await snapshots.keep(lease)
+    return 'done'
+  }
+
+  async function readLoads (drains: Drains, observed: readonly ObservedEngine[]): Promise<void> {
+    const waiting = new Set(drains.waitingTargets())
+    await Promise.all(observed.filter(({ target }) => waiting.has(target.id)).map(async ({ target }) => {
+      const load = await engines.load(target)
+      if (load.isOk()) drains.noteLoad(target.id, load.value)
+    }))
+  }
+
+  async function publish (plan: Plan, lease: Lease): Promise<'current' | 'later' | 'superseded'> {
+    const { sequence, models } = followers.config.current()
+    const records = [...plan.placement].map(([model, targets]) => ({
+      model,
+      version: models.get(model)!.version,
+      targets: targets.map(({ id }) => id).sort(),
+      sequence,
+      epoch: lease.epoch()
+    }))
+    for (const { model } of placements.published()) {
+      if (!plan.placement.has(model)) await placements.withdraw(model, lease)
+    }
+    const results = await Promise.all(records.map(async (record) => await placements.publish(record, lease)))
+    if (results.includes('superseded')) return 'superseded'
+    return results.includes('later') ? 'later' : 'current'
+  }
+
+  /** Reads the engine once more and acts on a difference only, since some engines take orders from anyone. */
+  async function give ({ target, order }: PlannedOrder, lease: Lease): Promise<'done' | 'superseded'> {
+    if (observer.isBackedOff(target.id)) return 'done'
+    if (order.action === 'load' && !budget.take(order.weightsMb ?? 0)) return 'done'
+    const engine = await observer.refresh(target)
+    if (engine === undefined || !makesDifference(engine, order)) return 'done'
+    if (!lease.isHeld()) return 'superseded'
+    const given = await engines.order(target, order, { orderId: uuid(), fencing: lease.epoch() })
+    metrics.count(`controller.orders.${order.action}`)
+    if (given.isOk()) return 'done'
+    log.warn({ err: given.error, target: target.id, order }, 'order not taken')
+    if (given.error.kind === 'fenced') return 'superseded'
+    observer.noteFailure(target.id)
+    return 'done'
+  }
+
+  return { run, isLeading: () => current?.isHeld() === true }
+}
+
+/** True when an order would still change something on an engine. */
+function makesDifference ({ state }: ObservedEngine, order: Order): boolean {
+  const found = state.models.find(({ name, version }) => name === order.model && version === order.version)
+  const differs: Record<Order['action'], () => boolean> = {
+    load: () => found === undefined || found.status === 'failed',
+    unload: () => found !== undefined && found.status !== 'unloading',
+    loadAdapter: () => found !== undefined &&
+      !found.adapters.some(({ name, version }) => name === order.adapter && version === order.adapterVersion),
+    unloadAdapter: () => found !== undefined && found.adapters.some(({ name }) => name === order.adapter)
+  }
+  return differs[order.action]()
+}
--- /dev/null
+++ b/packages/pimentoplank/src/controller/engineControl.ts
@@ -0,0 +1,118 @@
+/** Reads the state of engines and gives them orders, as docs/reference/engine.md states. */
+import { err, ok, ResultAsync, type Result } from 'neverthrow'
+import { Agent, request } from 'undici'
+import { z } from 'zod'
+import { describeCause, SECOND_MS, type Target } from '../shared'
+
+const TIMEOUT_MS = 2 * SECOND_MS
+const HTTP_OK = 200
+const HTTP_ACCEPTED = 202
+const HTTP_CONFLICT = 409
+
+const adapter = z.object({ name: z.string(), version: z.string() })
+
+export const engineModel = z.object({
+  name: z.string(),
+  version: z.string(),
+  status: z.enum(['loading', 'ready', 'unloading', 'failed']),
+  adapters: z.array(adapter).default([])
+})
+export type EngineModel = z.infer<typeof engineModel>
+
+export const engineState = z.object({
+  role: z.string(),
+  state: z.enum(['live', 'leaving']),
+  fencing: z.number().default(0),
+  models: z.array(engineModel)
+})
+export type EngineState = z.infer<typeof engineState>
+
+const engineLoad = z.object({ running: z.number(), waiting: z.number() })
+
+export type OrderAction = 'load' | 'unload' | 'loadAdapter' | 'unloadAdapter'
+
+/** What an engine is told to do; the fencing number is added when it is sent. */
+export interface Order {
+  action: OrderAction
+  model: string
+  version: string
+  weightsMb?: number
+  adapter?: string
+  adapterVersion?: string
+}
+
+/** Why an engine did not take an order, or did not answer. */
+export class OrderError extends Error {
+  readonly kind: 'fenced' | 'refused' | 'unreachable'
+
+  constructor (kind: OrderError['kind'], detail: string, cause?: unknown) {
+    super(detail, { cause })
+    this.name = 'OrderError'
+    this.kind = kind
+  }
+}
+
+export interface EngineControl {
+  state: (target: Target) => ResultAsync<EngineState, OrderError>
+  /** Requests that run or wait on an engine. */
+  load: (target: Target) => ResultAsync<number, OrderError>
+  /**
+   * Gives an order.
+   *
+   * @param orderId - the same for each try of one order, so that a repeat has no further effect
+   */
+  order: (target: Target, order: Order, ids: { orderId: string, fencing: number }) => ResultAsync<void, OrderError>
+  close: () => Promise<void>
+}
+
+interface Reply {
+  status: number
+  body: unknown
+}
+
+/** Creates the client. */
+export function createEngineControl (): EngineControl {
+  const agent = new Agent({ connect: { timeout: TIMEOUT_MS } })
+
+  async function send (target: Target, path: string, body?: unknown): Promise<Result<Reply, OrderError>> {
+    try {
+      const res = await request(`http://${target.address}${path}`, {
+        method: body === undefined ? 'GET' : 'POST',
+        dispatcher: agent,
+        signal: AbortSignal.timeout(TIMEOUT_MS),
+        headers: body === undefined ? {} : { 'content-type': 'application/json' },
+        body: body === undefined ? undefined : JSON.stringify(body)
+      })
+      return ok({ status: res.statusCode, body: await res.body.json() })
+    } catch (cause) {
+      return err(new OrderError('unreachable', describeCause(cause), cause))
+    }
+  }
+
+  async function read<Schema extends z.ZodType> (
+    target: Target,
+    path: string,
+    schema: Schema
+  ): Promise<Result<z.output<Schema>, OrderError>> {
+    const reply = await send(target, path)
+    if (reply.isErr()) return err(reply.error)
+    const parsed = schema.safeParse(reply.value.body)
+    if (reply.value.status === HTTP_OK && parsed.success) return ok(parsed.data)
+    return err(new OrderError('unreachable', `unreadable answer with status ${reply.value.status}`))
+  }
+
+  async function order (target: Target, body: unknown): Promise<Result<void, OrderError>> {
+    const reply = await send(target, '/v1/orders', body)
+    if (reply.isErr()) return err(reply.error)
+    if (reply.value.status === HTTP_ACCEPTED) return ok(undefined)
+    const kind = reply.value.status === HTTP_CONFLICT ? 'fenced' : 'refused'
+    return err(new OrderError(kind, JSON.stringify(reply.value.body)))
+  }
+
+  return {
+    state: (target) => new ResultAsync(read(target, '/v1/state', engineState)),
+    load: (target) => new ResultAsync(read(target, '/v1/load', engineLoad)).map(({ running, waiting }) => running + waiting),
+    order: (target, wanted, ids) => new ResultAsync(order(target, { ...wanted, ...ids })),
+    close: async () => await agent.destroy()
+  }
+}
--- /dev/null
+++ b/packages/pimentoplank/src/controller/snapshots.ts
@@ -0,0 +1,61 @@
+/** Writes snapshots of the configuration, and trims the notes and snapshots that they make needless. */
+import {
+  entriesOf, newestSnapshot, OBJECT_KINDS, PlatformConflict, sequenceOf, snapshotPartName, splitSnapshot,
+  type Followers, type Lease, type Log, type PlatformClient
+} from '../shared'
+import type { ControllerSettings } from './settings'
+
+/** Most objects removed in one go. */
+const MAX_REMOVALS = 20
+const KEPT_SNAPSHOTS = 2
+
+export interface SnapshotKeeperOptions {
+  platform: PlatformClient
+  followers: Pick<Followers, 'feed' | 'config'>
+  settings: ControllerSettings['snapshots']
+  log: Log
+}
+
+export interface SnapshotKeeper {
+  /** Writes a snapshot when enough notes came since the last, else removes some of what is needless. */
+  keep: (lease: Lease) => Promise<void>
+}
+
+/** Creates the keeper. */
+export function createSnapshotKeeper (options: SnapshotKeeperOptions): SnapshotKeeper {
+  const { platform, followers, settings, log } = options
+  const { feed, config } = followers
+
+  async function write (lease: Lease): Promise<void> {
+    const { sequence } = config.current()
+    for (const part of splitSnapshot(sequence, entriesOf(config.current()))) {
+      if (!lease.isHeld()) return
+      const name = snapshotPartName(sequence, part.part)
+      const written = await platform.put(OBJECT_KINDS.configSnapshot, name, part, { ifRevision: 0 })
+      // Another controller that wrote this part wrote the same.
+      if (written.isErr() && !(written.error instanceof PlatformConflict)) return
+    }
+    log.info({ sequence }, 'snapshot of the configuration written')
+  }
+
+  async function trim (newest: number, lease: Lease): Promise<void> {
+    const oldNotes = [...feed.objects(OBJECT_KINDS.releaseNote).values()]
+      .filter(({ name }) => sequenceOf(name) <= newest - settings.keepNotes)
+    const snapshots = [...feed.objects(OBJECT_KINDS.configSnapshot).values()]
+    const sequences = [...new Set(snapshots.map(({ name }) => sequenceOf(name)))].sort((a, b) => b - a)
+    const kept = sequences.filter((sequence) => sequence >= newest || sequence > (sequences[KEPT_SNAPSHOTS] ?? -1))
+    const oldSnapshots = snapshots.filter(({ name }) => !kept.includes(sequenceOf(name)))
+    for (const { kind, name, revision } of [...oldNotes, ...oldSnapshots].slice(0, MAX_REMOVALS)) {
+      if (!lease.isHeld()) return
+      await platform.remove(kind, name, { ifRevision: revision })
+    }
+  }
+
+  return {
+    keep: async (lease) => {
+      const newest = newestSnapshot(feed.objects(OBJECT_KINDS.configSnapshot), 0)?.sequence ?? 0
+      if (config.current().sequence - newest >= settings.everyNotes) await write(lease)
+      else if (newest > 0) await trim(newest, lease)
+    }
+  }
+}
--- a/packages/pimentoplank/src/shared/config/noteLog.ts
+++ b/packages/pimentoplank/src/shared/config/noteLog.ts
@@ -39,11 +39,12 @@
   return `${noteName(sequence)}.${part}`
 }
 
-/** Cuts the entries of a configuration into parts that the platform can hold. */
+/** Cuts the entries of a configuration into parts that the platform can hold; equal entries give equal parts. */
 export function splitSnapshot (sequence: number, entries: readonly z.infer<typeof configEntry>[]): SnapshotPart[] {
   const groups: Array<Array<z.infer<typeof configEntry>>> = [[]]
   let bytes = 0
-  for (const entry of entries) {
+  const sorted = [...entries].sort((a, b) => sortKey(a) < sortKey(b) ? -1 : 1)
+  for (const entry of sorted) {
     const size = Buffer.byteLength(JSON.stringify(entry)) + 1
     if (bytes + size > MAX_PART_BYTES) {
       groups.push([])
@@ -54,3 +55,7 @@
   }
   return groups.map((group, part) => ({ sequence, part, parts: groups.length, entries: group }))
 }
+
+function sortKey (entry: z.infer<typeof configEntry>): string {
+  return `${entry.kind}/${entry.name}`
+}
--- a/packages/pimentoplank/src/shared/membership/membershipFollower.ts
+++ b/packages/pimentoplank/src/shared/membership/membershipFollower.ts
@@ -40,6 +40,8 @@
 export interface MembershipFollower extends MembershipView, MemberExchange {
   /** Instances that may be polled for changes. */
   peers: () => readonly Peer[]
+  /** Targets of every service that may get new work. */
+  allTargets: () => readonly Target[]
   /** Tells peers that this instance is leaving, so that directories drop it at once. */
   announceLeaving: () => void
   /** Resolves when the list was asked for once, with or without an answer. */
@@ -173,6 +175,7 @@
   return {
     instances,
     targets: (service) => records.filter((record): record is Target => record.service === service && isLive(record)),
+    allTargets: () => records.filter((record): record is Target => record.service !== undefined && isLive(record)),
     target: (id) => {
       const record = byId.get(id)
       return record?.service === undefined ? undefined : record as Target
