--- a/packages/pimentoplank/src/shared/rpc/index.ts
+++ b/packages/pimentoplank/src/shared/rpc/index.ts
@@ -3,3 +3,5 @@
 export { loadPeerSecurity, type PeerSecurity } from './peerSecurity'
 export * from './gen/pimentoplank/v1/feed_pb'
 export * from './gen/pimentoplank/v1/status_pb'
+export * from './gen/pimentoplank/v1/once_pb'
+export * from './gen/pimentoplank/v1/slots_pb'
