--- a/packages/faults/src/deploy.ts
+++ b/packages/faults/src/deploy.ts
@@ -78,7 +78,12 @@
           stopGraceMs: 3 * SECOND_MS
         }
       },
-      controller: { controller: { lease: { lengthMs: LEASE_MS, renewEveryMs: RENEW_MS } } }
+      controller: {
+        lease: { lengthMs: LEASE_MS, renewEveryMs: RENEW_MS },
+        checkEveryMs: 100,
+        placementEveryMs: 100,
+        drain: { spreadMs: SECOND_MS }
+      }
     }
   })
   const folder = await mkdtemp(path.join(tmpdir(), 'pimentoplank-faults-'))
--- a/packages/pimentoplank/src/cli/documents.ts
+++ b/packages/pimentoplank/src/cli/documents.ts
@@ -1,6 +1,7 @@
 /** The JSON documents that operators write, with their schemas. */
 import type { z } from 'zod'
 import { batchSettings } from '../batch'
+import { controllerSettings } from '../controller'
 import { entrySettings } from '../entry'
 import { releaseNote } from '../shared'
 import { cliSettings } from './settings'
@@ -9,6 +10,7 @@
 export const DOCUMENTS = {
   entry: entrySettings,
   batch: batchSettings,
+  controller: controllerSettings,
   cli: cliSettings,
   'release-note': releaseNote
 } satisfies Record<string, z.ZodType>
