--- /dev/null
+++ b/packages/faults/src/paths/index.ts
@@ -0,0 +1,1 @@
+export { PATHS, type PathName } from './paths'
--- /dev/null
+++ b/scripts/scenarios.mjs
@@ -0,0 +1,36 @@
+// Reads the scenarios of a cucumber message file with their results.
+import { existsSync, readFileSync } from 'node:fs'
+
+/**
+ * Lists the scenarios that ran.
+ *
+ * @param {string} file - path of the messages
+ * @returns {Array<{ uri: string, name: string, ok: boolean }>}
+ */
+export function readScenarios (file) {
+  const pickles = new Map()
+  const cases = new Map()
+  const runs = new Map()
+  const results = new Map()
+  for (const message of readMessages(file)) {
+    if (message.pickle) pickles.set(message.pickle.id, message.pickle)
+    if (message.testCase) cases.set(message.testCase.id, message.testCase.pickleId)
+    if (message.testCaseStarted) runs.set(message.testCaseStarted.id, message.testCaseStarted.testCaseId)
+    if (message.testStepFinished) noteStep(results, runs, message.testStepFinished)
+  }
+  return [...results].map(([testCase, ok]) => {
+    const { uri, name } = pickles.get(cases.get(testCase))
+    return { uri, name, ok }
+  })
+}
+
+function readMessages (path) {
+  if (!existsSync(path)) return []
+  return readFileSync(path, 'utf8').split('\n').filter(Boolean).map((line) => JSON.parse(line))
+}
+
+function noteStep (results, runs, step) {
+  const testCase = runs.get(step.testCaseStartedId)
+  const before = results.get(testCase) ?? true
+  results.set(testCase, before && step.testStepResult.status === 'PASSED')
+}
