Compare the ways to limit a target, and take batch throughput between commits

The throughput of a short run counted the job's start and the wait for the first commit, which made it too low; it now goes from the first committed results to the last while live requests are sent.

--- a/packages/standins/src/bench/benchPlan.ts
+++ b/packages/standins/src/bench/benchPlan.ts
@@ -35,7 +35,6 @@
   pace?: Partial<EnginePace>
   entries?: number
   batches?: number
-  controllers?: number
   /** Settings laid over the defaults, by program. */
   settings?: Partial<DeploymentPlan['settings']>
   platformArgs?: string[]
@@ -54,7 +53,8 @@
     failureDomains: ['bench-a', 'bench-b', 'bench-c'],
     entries: options.entries ?? 3,
     batches: options.batches ?? 2,
-    controllers: options.controllers ?? 1,
+    // The engines have their model from the start.
+    controllers: 0,
     engines: [{ service: SERVICE, count: pace.engines, args: engineArguments(pace) }],
     settings: options.settings ?? {},
     platformArgs: options.platformArgs ?? []
--- a/packages/standins/src/bench/comparisons/index.ts
+++ b/packages/standins/src/bench/comparisons/index.ts
@@ -2,6 +2,7 @@
 import type { Comparison } from '../comparison'
 import { batchBesideLive } from './batchBesideLive'
 import { commitSize } from './commitSize'
+import { limitWays } from './limitWays'
 import { overhead } from './overhead'
 import { overload, retryBudget } from './overload'
 import { recovery } from './recovery'
@@ -17,6 +18,7 @@
 /** In the order in which they run. */
 export const COMPARISONS: Record<string, CreateComparison> = {
   batchBesideLive,
+  limitWays,
   overhead,
   overload,
   recovery,
--- /dev/null
+++ b/packages/standins/src/bench/comparisons/limitWays.ts
@@ -0,0 +1,27 @@
+/** Ways in which the limit of a target follows its measured times, with batch work beside live load. */
+import { LIMIT_WAYS } from 'pimentoplank/shared'
+import type { Comparison } from '../comparison'
+import { createLoad } from '../experiments'
+import { batchRate, firstTokenP50, firstTokenP99, notWholeShare, shareOfIdleBest, tokenGapP99 } from '../metrics'
+import { homeSettings } from '../policies'
+import type { ComparisonScale } from '.'
+
+const LIVE_RATE = 30
+const ITEMS_PER_SECOND = 75
+
+/** Every way under the same live and batch load. */
+export function limitWays ({ durationMs }: ComparisonScale): Comparison {
+  const name = 'limit-ways'
+  const batchItems = Math.round(ITEMS_PER_SECOND * durationMs / 1000)
+  return {
+    name,
+    title: 'Ways to limit the work of a target, with batch work beside live load',
+    sides: LIMIT_WAYS.map((way) => ({
+      name: way,
+      plan: { settings: homeSettings({ limit: way }) },
+      experiment: (seed) => createLoad({ name, seed, durationMs, ratePerSecond: LIVE_RATE, batchItems })
+    })),
+    metrics: [firstTokenP50, firstTokenP99, tokenGapP99, batchRate, shareOfIdleBest, notWholeShare],
+    goals: []
+  }
+}
--- a/packages/standins/src/bench/comparisons/overhead.ts
+++ b/packages/standins/src/bench/comparisons/overhead.ts
@@ -12,7 +12,7 @@
 /** Direct calls, calls through the system, and a heavy load through one entry instance. */
 export function overhead ({ durationMs }: ComparisonScale): Comparison {
   const name = 'overhead'
-  const plan = { entries: 1, batches: 0, controllers: 0, settings: baseSettings() }
+  const plan = { entries: 1, batches: 0, settings: baseSettings() }
   const light = (seed: number): ReturnType<typeof createLoad> =>
     createLoad({ name, seed, durationMs, ratePerSecond: LIGHT_RATE, isBursty: false })
   const heavy = (seed: number): ReturnType<typeof createLoad> =>
--- a/packages/standins/src/bench/comparisons/overload.ts
+++ b/packages/standins/src/bench/comparisons/overload.ts
@@ -27,7 +27,7 @@
 /** A steady load at capacity against three times as much. */
 export function overload ({ durationMs }: ComparisonScale): Comparison {
   const name = 'overload'
-  const plan = { batches: 0, controllers: 0, settings: baseSettings() }
+  const plan = { batches: 0, settings: baseSettings() }
   return {
     name,
     title: 'Useful work in a threefold overload',
@@ -56,7 +56,7 @@
 export function retryBudget ({ durationMs }: ComparisonScale): Comparison {
   const name = 'retry-budget'
   const experiment = loadAt(name, durationMs, OVERLOAD_FACTOR)
-  const faulty = { pace: { engines: 4 }, batches: 0, controllers: 0 }
+  const faulty = { pace: { engines: 4 }, batches: 0 }
   return {
     name,
     title: 'Retry budget in a threefold overload with a target that cuts its streams',
--- a/packages/standins/src/bench/comparisons/routing.ts
+++ b/packages/standins/src/bench/comparisons/routing.ts
@@ -23,7 +23,7 @@
     title: 'Routing ways under the same load',
     sides: ways.map((way) => ({
       name: way,
-      plan: { batches: 0, controllers: 0, settings: slotSettings({ routing: way }) },
+      plan: { batches: 0, settings: slotSettings({ routing: way }) },
       experiment: (seed) => createLoad({ name, seed, durationMs, ratePerSecond: BUSY_RATE })
     })),
     metrics: [firstTokenP50, firstTokenP99, tokenGapP99, notWholeShare, usefulTokens, entryCoreShare],
@@ -36,7 +36,7 @@
   const name = 'prefix-affinity'
   const experiment = (seed: number): ReturnType<typeof createLoad> =>
     createLoad({ name, seed, durationMs, ratePerSecond: BUSY_RATE / 2, live: PREFIX_LOAD })
-  const prefixPlan = { pace: PREFIX_PACE, batches: 0, controllers: 0 }
+  const prefixPlan = { pace: PREFIX_PACE, batches: 0 }
   return {
     name,
     title: 'Prefix affinity with long shared prompts',
--- a/packages/standins/src/bench/metrics.ts
+++ b/packages/standins/src/bench/metrics.ts
@@ -35,11 +35,12 @@
 function batchItemsPerSecond (run: MeasuredRun): number | undefined {
   const { batch, experiment } = run.result
   const points = batch?.progress.filter(({ atMs }) => atMs <= experiment.durationMs) ?? []
-  const first = points[0]
-  if (first === undefined) return undefined
-  // Later looks at a job that is done already would make it appear slower.
-  const last = points.find(({ finished }) => finished === points.at(-1)!.finished)!
-  return last.atMs === first.atMs ? 0 : (last.finished - first.finished) * SECOND_MS / (last.atMs - first.atMs)
+  if (batch === undefined || points.length === 0) return undefined
+  // From the first committed results to the last: the start of the job and looks after its end are left out.
+  const first = points.find(({ finished }) => finished > 0)
+  const last = points.find(({ finished }) => finished === points.at(-1)!.finished)
+  if (first === undefined || last === undefined || last.atMs === first.atMs) return undefined
+  return (last.finished - first.finished) * SECOND_MS / (last.atMs - first.atMs)
 }
 
 export const usefulTokens: Metric = {
--- a/packages/standins/src/bench/policies.ts
+++ b/packages/standins/src/bench/policies.ts
@@ -29,3 +29,8 @@
 export function slotSettings (slotClient: Record<string, unknown>): ProgramSettings {
   return baseSettings({ entry: { slotClient } })
 }
+
+/** Settings of the home's side of admission, for entry instances. */
+export function homeSettings (slotHome: Record<string, unknown>): ProgramSettings {
+  return baseSettings({ entry: { slotHome } })
+}
