--- a/packages/pimentoplank/src/entry/slots/failures.feature
+++ b/packages/pimentoplank/src/entry/slots/failures.feature
@@ -72,6 +72,7 @@
     Then slot holder "b" waits for 2 live slots
     And the homes count 4 slots in use
     When slot holder "a" releases 4 live slots
+    And the slot clock moves 100 ms
     Then slot holder "b" holds 2 live slots
     And no request of a slot holder has been refused
 
