Add scenarios of slots over real connections

Cause: the rig of the other scenarios stands on in-memory streams; sockets that go silent or reset, HTTP/2 sessions and frames were only reached by the programs.

--- /dev/null
+++ b/packages/pimentoplank/src/entry/slots/loopback.steps.ts
@@ -0,0 +1,135 @@
+import assert from 'node:assert/strict'
+import { EventEmitter, once } from 'node:events'
+import { After, Given, Then, When } from '@cucumber/cucumber'
+import { createLink, type Link } from '@pimentoplank/standins'
+import {
+  createHomeOrder, createNullMetrics, createPeerServer, createPeerTransports, createSilentLog, createSlotClient,
+  createSnapshot, createStaticConfig, createStaticMembership, createSystemClock, serviceEntry,
+  type InstanceRecord, type PeerServer, type PeerTransports, type SlotClient, type SlotGrant
+} from '../../shared'
+import { createSlotHome, type SlotHome } from '.'
+
+const SERVICE = 'desk-lm'
+const SLOTS = 2
+const DEADLINE_MS = 30_000
+const SETTLE_MS = 1
+const PLACE = { failureDomain: 'rum-a', region: 'jo-south', state: 'live' } as const
+const TARGET: InstanceRecord = { ...PLACE, id: 'target', role: 'engine', service: SERVICE, address: '127.0.0.1:1' }
+const security = { sharedKey: 'a shared key for tests' }
+
+interface NetworkHome {
+  record: InstanceRecord
+  home: SlotHome
+  server: PeerServer
+  link: Link
+}
+
+interface LoopbackWorld {
+  networkHomes: NetworkHome[]
+  transports: PeerTransports
+  client: SlotClient
+  held: SlotGrant[]
+  granted: number
+  asked: number
+  changes: EventEmitter
+}
+
+const clock = createSystemClock()
+const config = createStaticConfig(createSnapshot(1, [
+  serviceEntry.parse({ kind: 'service', name: SERVICE, type: 'engine', slotsPerTarget: SLOTS })
+]))
+
+async function startHome (id: string, membership: ReturnType<typeof createStaticMembership>): Promise<NetworkHome> {
+  const home = createSlotHome({
+    instanceId: id,
+    membership,
+    config,
+    clock,
+    metrics: createNullMetrics(),
+    log: createSilentLog(),
+    settings: { settleMs: SETTLE_MS, partialShare: 1 }
+  })
+  const routes: Parameters<typeof createPeerServer>[0]['routes'] = (router) => { home.routes(router) }
+  const started = await createPeerServer({ host: '127.0.0.1', port: 0, security, routes })
+  const server = started._unsafeUnwrap()
+  const link = await createLink(server.address)
+  const record: InstanceRecord = { ...PLACE, id, role: 'entry', address: link.address, peerAddress: link.address }
+  return { record, home, server, link }
+}
+
+/** Waits for an event after which the condition holds. */
+async function until (world: LoopbackWorld, condition: () => boolean): Promise<void> {
+  while (!condition()) await once(world.changes, 'change')
+}
+
+Given('{int} slot homes on loopback and a holder on the network', async function (this: LoopbackWorld, count: number) {
+  const membership = createStaticMembership([])
+  this.networkHomes = []
+  for (let index = 0; index < count; index += 1) this.networkHomes.push(await startHome(`entry-${index}`, membership))
+  membership.set([TARGET, ...this.networkHomes.map((home) => home.record)])
+  this.transports = createPeerTransports({ security })
+  this.client = createSlotClient({
+    instanceId: 'holder',
+    ...PLACE,
+    membership,
+    clock,
+    metrics: createNullMetrics(),
+    log: createSilentLog(),
+    transports: this.transports
+  })
+  Object.assign(this, { held: [], granted: 0, asked: 0, changes: new EventEmitter() })
+})
+
+When('the network slot holder asks for {int} slot(s)', function (this: LoopbackWorld, count: number) {
+  for (let index = 0; index < count; index += 1) {
+    this.asked += 1
+    this.client.acquire({
+      service: SERVICE,
+      workClass: 'live',
+      account: 'desk',
+      weight: 1,
+      deadlineMs: DEADLINE_MS,
+      prefixHash: 0n,
+      excluded: []
+    }).match((grant) => {
+      this.granted += 1
+      this.held.push(grant)
+      this.changes.emit('change')
+    }, (refusal) => this.changes.emit('error', refusal)).catch((cause: unknown) => { throw cause })
+  }
+})
+
+When('the network slot holder gives {int} slot(s) back', function (this: LoopbackWorld, count: number) {
+  for (const grant of this.held.splice(0, count)) grant.release({ result: 'done' })
+})
+
+When('the connections of the network slot holder go silent for good', function (this: LoopbackWorld) {
+  for (const { link } of this.networkHomes) link.set('oldSilent')
+})
+
+When('the home\'s server is gone', async function (this: LoopbackWorld) {
+  const order = createHomeOrder(createStaticMembership(this.networkHomes.map((home) => home.record)))
+  const first = order.of(TARGET as Parameters<typeof order.of>[0])[0]
+  const lost = this.networkHomes.find((home) => home.record.id === first?.id)
+  lost!.link.set('cut')
+  await lost!.server.close()
+})
+
+Then('the network slot holder is granted {int} slots and waits for {int}', async function (
+  this: LoopbackWorld, granted: number, waiting: number
+) {
+  await until(this, () => this.granted >= granted)
+  assert.equal(this.granted, granted)
+  assert.equal(this.asked - this.granted, waiting)
+})
+
+After(async function (this: Partial<LoopbackWorld>) {
+  if (this.networkHomes === undefined) return
+  await this.client?.close()
+  this.transports?.close()
+  for (const { home, server, link } of this.networkHomes) {
+    await home.close()
+    await link.close()
+    await server.close()
+  }
+})
