Make frozen runners find their clock moved on, and lag the fake feed

Cause: a thawed runner woke through every missed timer in turn and renewed a lease that it should have found lapsed; and the claim that meets a cancellation was saved by a feed that knew at once. Both fakes are now as strict as the real ones. A stream that broke before its first token is no longer resumed.

--- a/packages/pimentoplank/features/support/manualClock.ts
+++ b/packages/pimentoplank/features/support/manualClock.ts
@@ -5,6 +5,8 @@
 export interface ManualClock extends Clock {
   /** Moves the time on and wakes whoever waited until then. */
   advance: (ms: number) => Promise<void>
+  /** Moves the time on at once, as a process finds it that was frozen. */
+  jump: (ms: number) => Promise<void>
 }
 
 /** Turns of the event loop that work woken by the clock gets to settle. */
@@ -49,7 +51,12 @@
     await settle()
   }
 
-  return { now: () => time, wallTime: () => time, sleep, advance }
+  async function jump (ms: number): Promise<void> {
+    time += ms
+    await advance(0)
+  }
+
+  return { now: () => time, wallTime: () => time, sleep, advance, jump }
 }
 
 async function settle (): Promise<void> {
--- a/packages/pimentoplank/features/support/memoryPlatform.ts
+++ b/packages/pimentoplank/features/support/memoryPlatform.ts
@@ -17,7 +17,7 @@
 export interface MemoryPlatform {
   /** A client whose calls the switches can tell from those of others. */
   client: (id: string) => PlatformClient
-  /** A feed without lag; the switch tells whether events reach its listener now. */
+  /** A feed without lag; while the switch is off it stands still. */
   feed: (isDelivered?: () => boolean) => ObjectFeed
   objects: (kind: string) => StoredObject[]
   calls: MemoryCall[]
@@ -88,8 +88,15 @@
   }
 
   function feed (isDelivered = (): boolean => true): ObjectFeed {
+    const seen = new Map<string, Map<string, StoredObject>>()
     return {
-      objects: (kind) => new Map(list(kind).map((object) => [object.name, object])),
+      objects: (kind) => {
+        const known = seen.get(kind)
+        if (known !== undefined && !isDelivered()) return known
+        const current = new Map(list(kind).map((object) => [object.name, object]))
+        seen.set(kind, current)
+        return current
+      },
       revision: () => revision,
       subscribe: (kind, listener) => {
         const set = listeners.get(kind) ?? new Set()
--- a/packages/pimentoplank/features/support/randomFaults.ts
+++ b/packages/pimentoplank/features/support/randomFaults.ts
@@ -59,7 +59,8 @@
 }
 
 async function runSequence (faults: Fault[], noRepeat: boolean[]): Promise<void> {
-  const fleet = createBatchFleet({ chunkItems: 8, listed: RUNNERS, settings: { parallelism: 3, commit: { everyMs: SECOND } } })
+  const settings = { parallelism: 3, commit: { everyMs: SECOND } }
+  const fleet = createBatchFleet({ chunkItems: 8, listed: RUNNERS, settings })
   for (const id of RUNNERS) fleet.start(id)
   const job = await fleet.upload(noRepeat.map((flag, index) => ({ content: `roster ${index} `, noRepeat: flag })))
   const run: Run = { fleet, job, processes: new Map(RUNNERS.map((id) => [id, id])) }
@@ -114,7 +115,7 @@
   for (const [id, entry] of fleet.runners) {
     if (entry.isFrozen && !entry.isKilled) {
       entry.isFrozen = false
-      await entry.clock.advance(40 * SECOND)
+      await entry.clock.jump(40 * SECOND)
     }
     if (entry.isKilled) fleet.kill(id)
   }
--- a/packages/pimentoplank/src/batch/claims.ts
+++ b/packages/pimentoplank/src/batch/claims.ts
@@ -135,6 +135,7 @@
     const page = await platform.list(OBJECT_KINDS.job, { prefix: name, limit: 1 })
     if (page.isErr() || page.value.revision < claim.revision) return false
     const found = page.value.items.find((object) => object.name === name)
+    if (found !== undefined) context.feed.offer(found)
     const job = jobRecord.safeParse(found?.value).data
     return job !== undefined && job.uploadId === uploadId && job.state === 'running'
   }
--- a/packages/pimentoplank/src/batch/faults.feature
+++ b/packages/pimentoplank/src/batch/faults.feature
@@ -184,5 +184,8 @@
     Given a batch fleet with the runners "a"
     When the batch job is going to be cancelled at the moment of its first claim
     And 10 batch items are uploaded
+    And 5 s pass in the batch fleet
+    Then no batch item ran
+    When the platform is back for the batch fleet
     Then the batch job is "cancelled" within 30 s
     And no batch item ran
--- a/packages/pimentoplank/src/batch/runItem.ts
+++ b/packages/pimentoplank/src/batch/runItem.ts
@@ -2,7 +2,8 @@
 import { err, type Result } from 'neverthrow'
 import {
   EngineError, hash64, hashHex, SECOND_MS,
-  type BatchResult, type ChunkItem, type EngineEvent, type EngineStream, type ModelEntry, type RefusalError,
+  type BatchResult, type ChunkItem, type EngineErrorKind, type EngineEvent, type EngineStream,
+  type ModelEntry, type RefusalError,
   type ResumePoint, type SlotGrant, type SlotReport, type Target
 } from '../shared'
 import { ENGINE_ERROR_TRAITS } from './engineErrors'
@@ -244,8 +245,13 @@
   return { type: 'retry' }
 }
 
-function resumePoint ({ target, progress, streamId }: FailedRun): ResumePoint | undefined {
-  if (streamId === undefined) return undefined
+/** Errors after which the tokens so far are good to go on from. */
+const RESUMABLE: ReadonlySet<EngineErrorKind> = new Set(['aborted', 'streamCut', 'streamSilent'])
+
+function resumePoint ({ target, error, progress, streamId }: FailedRun): ResumePoint | undefined {
+  if (streamId === undefined || !RESUMABLE.has(error.kind)) return undefined
+  // A stream that broke before its first token has nothing to go on from; one that was cancelled is still kept.
+  if (error.kind !== 'aborted' && progress.tokens === 0) return undefined
   return { streamId, targetId: target.id, tokens: progress.tokens, text: progress.text }
 }
 
--- a/packages/pimentoplank/src/batch/runner.steps.ts
+++ b/packages/pimentoplank/src/batch/runner.steps.ts
@@ -159,8 +159,7 @@
 When('the batch runner {string} thaws', async function (this: FleetWorld, id: string) {
   const entry = this.fleet.runners.get(id)!
   entry.isFrozen = false
-  // A frozen process finds on waking that its monotonic clock went on.
-  await entry.clock.advance(MINUTE)
+  await entry.clock.jump(MINUTE)
 })
 
 When('the batch runner {string} is told to stop', async function (this: FleetWorld, id: string) {
@@ -180,12 +179,10 @@
   this.fleet.platform.faultOf = (call) => {
     if (isCancelled || call.operation !== 'put' || call.kind !== OBJECT_KINDS.checkpoint) return undefined
     isCancelled = true
-    // The runner's feed does not tell it in time.
-    this.fleet.runners.get('a')!.isFrozen = true
+    this.fleet.runners.get('a')!.isDeaf = true
     const { name, revision, value } = this.fleet.platform.objects(OBJECT_KINDS.job)[0]!
     const cancelling = { ...value as JobRecord, state: 'cancelling' }
     this.fleet.platform.client('entry').put(OBJECT_KINDS.job, name, cancelling, { ifRevision: revision })
-    this.fleet.runners.get('a')!.isFrozen = false
     return undefined
   }
 })
