--- a/packages/pimentoplank/src/controller/main.ts
+++ b/packages/pimentoplank/src/controller/main.ts
@@ -1,9 +1,10 @@
-import { command, option, string } from 'cmd-ts'
-import { runProgram, VERSION } from '../shared'
+import { runDaemon } from '../shared'
+import { runController } from './runController'
+import { controllerSettings } from './settings'
 
-await runProgram(command({
+await runDaemon({
   name: 'pimentoplank-controller',
-  version: VERSION,
-  args: { config: option({ type: string, long: 'config', description: 'Settings file (JSON).' }) },
-  handler: async () => undefined
-}))
+  description: 'Makes targets follow the configuration: orders to engines, weight-store rate, status.',
+  schema: controllerSettings,
+  run: runController
+})
