--- a/packages/pimentoplank/features/support/randomFaults.ts
+++ b/packages/pimentoplank/features/support/randomFaults.ts
@@ -115,7 +115,7 @@
   for (const [id, entry] of fleet.runners) {
     if (entry.isFrozen && !entry.isKilled) {
       entry.isFrozen = false
-      await entry.clock.advance(40 * SECOND)
+      await entry.clock.jump(40 * SECOND)
     }
     if (entry.isKilled) fleet.kill(id)
   }
