--- a/packages/pimentoplank/src/cli/main.ts
+++ b/packages/pimentoplank/src/cli/main.ts
@@ -1,6 +1,4 @@
-import { command, subcommands } from 'cmd-ts'
-import { runProgram, VERSION } from '../shared'
+import { runProgram } from '../shared'
+import { cli } from './commands'
 
-const check = command({ name: 'check', args: {}, handler: async () => undefined })
-
-await runProgram(subcommands({ name: 'pimentoplank', version: VERSION, cmds: { check } }))
+await runProgram(cli)
--- a/packages/pimentoplank/src/shared/settings/index.ts
+++ b/packages/pimentoplank/src/shared/settings/index.ts
@@ -8,5 +8,6 @@
   metricsSettings,
   peerSettings,
   platformSettings,
+  tlsSettings,
   type CommonSettings
 } from './commonSettings'
