--- a/packages/pimentoplank/src/cli/connections.ts
+++ b/packages/pimentoplank/src/cli/connections.ts
@@ -1,32 +1,52 @@
-/** The connections that a command needs, closed when it ends. */
+/** Connections that a command needs, made from its settings. */
+import { err, ok, type Result } from 'neverthrow'
 import {
-  createPeerTransports, createPlatformClient, EXIT_USAGE, loadPeerSecurity, loadSettings,
-  type PeerTransports, type PlatformClient
+  createLog, createNullMetrics, createPeerTransports, createPlatformClient, createReleaseLog, createSystemClock,
+  loadPeerSecurity, loadSettings,
+  type PeerTransports, type PlatformClient, type ReleaseLog
 } from '../shared'
-import { fail } from './output'
+import { CliError, usageError } from './cliError'
 import { cliSettings, type CliSettings } from './settings'
 
 export interface Connections {
   settings: CliSettings
   platform: PlatformClient
-  peers: PeerTransports
+  releaseLog: ReleaseLog
+  transports: PeerTransports
 }
 
 /**
- * Runs a command with the connections of a settings file.
+ * Connects, does the work and closes the connections.
  *
- * @param file - settings file of the command line
- * @param act - the command
+ * @param file - settings file
  */
-export async function withConnections (file: string, act: (connections: Connections) => Promise<void>): Promise<void> {
+export async function withConnections<Value> (
+  file: string,
+  work: (connections: Connections) => Promise<Result<Value, CliError>>
+): Promise<Result<Value, CliError>> {
   const settings = await loadSettings(file, cliSettings)
-  if (settings.isErr()) return fail(settings.error.message, EXIT_USAGE)
-  const { sharedKey, tls } = settings.value.peers
-  const security = await loadPeerSecurity({ sharedKey, tls, listen: { host: '', port: 0 }, seeds: [] })
-  if (security.isErr()) return fail(security.error.message, EXIT_USAGE)
-  const platform = createPlatformClient({ ...settings.value.platform, instance: 'pimentoplank' })
-  const peers = createPeerTransports({ security: security.value })
-  await act({ settings: settings.value, platform, peers })
-  peers.close()
-  await platform.close()
+  if (settings.isErr()) return err(usageError(settings.error.message))
+  const connections = await connect(settings.value)
+  if (connections.isErr()) return err(connections.error)
+  try {
+    return await work(connections.value)
+  } finally {
+    connections.value.transports.close()
+    await connections.value.platform.close()
+  }
+}
+
+async function connect (settings: CliSettings): Promise<Result<Connections, CliError>> {
+  const security = await loadPeerSecurity({ ...settings.peers, listen: { host: '127.0.0.1', port: 0 }, seeds: [] })
+  if (security.isErr()) return err(usageError(`peers.tls: ${security.error.message}`))
+  const clock = createSystemClock()
+  const metrics = createNullMetrics()
+  const platform = createPlatformClient({ ...settings.platform, instance: 'cli', metrics, clock })
+  const log = createLog({ name: 'pimentoplank', level: 'warn', stream: process.stderr })
+  return ok({
+    settings,
+    platform,
+    releaseLog: createReleaseLog({ platform, clock, metrics, log }),
+    transports: createPeerTransports({ security: security.value })
+  })
 }
--- a/packages/pimentoplank/src/cli/main.ts
+++ b/packages/pimentoplank/src/cli/main.ts
@@ -1,4 +1,18 @@
-import { runProgram } from '../shared'
-import { cli } from './commands'
+import { subcommands } from 'cmd-ts'
+import { runProgram, VERSION } from '../shared'
+import { apply } from './commands/apply'
+import { cancel } from './commands/cancel'
+import { check } from './commands/check'
+import { diff } from './commands/diff'
+import { drain } from './commands/drain'
+import { jobs } from './commands/jobs'
+import { key } from './commands/key'
+import { schema } from './commands/schema'
+import { status } from './commands/status'
 
-await runProgram(cli)
+await runProgram(subcommands({
+  name: 'pimentoplank',
+  description: 'Operators\' command line. Exit codes: 0 done, 1 failed, 2 wrong usage or settings.',
+  version: VERSION,
+  cmds: { apply, cancel, check, diff, drain, jobs, key, schema, status }
+}))
--- a/packages/pimentoplank/src/controller/main.ts
+++ b/packages/pimentoplank/src/controller/main.ts
@@ -4,7 +4,7 @@
 
 await runDaemon({
   name: 'pimentoplank-controller',
-  description: 'Makes the fleet follow the configuration. Exit codes: 0 done, 1 failed, 2 wrong usage or settings.',
+  description: 'Makes targets follow the configuration: orders to engines, weight-store rate, status.',
   schema: controllerSettings,
   run: runController
 })
--- a/packages/pimentoplank/src/controller/runController.ts
+++ b/packages/pimentoplank/src/controller/runController.ts
@@ -5,29 +5,31 @@
 import { createEngineControl } from './engineControl'
 import type { ControllerSettings } from './settings'
 
-/** Leads whenever it can until the process is told to stop; an error says why it could not start. */
+/** Works until the process is told to stop; an error says why it could not start. */
 export async function runController (settings: ControllerSettings): Promise<Result<void, Error>> {
   const created = await createProgramContext(settings, { program: 'pimentoplank-controller' })
   if (created.isErr()) return err(created.error)
   const context = created.value
-  const peers = await createPeerServer({
-    ...settings.peers.listen, security: context.security, routes: context.peerRoutes
-  })
+  const { clock, followers, log, metrics, platform, security } = context
+  const peers = await createPeerServer({ ...settings.peers.listen, security, routes: context.peerRoutes })
   if (peers.isErr()) return err(peers.error)
   const { address } = peers.value
   context.announce({ address, peerAddress: address })
 
-  const stop = new AbortController()
-  context.setLeaving(() => stop.signal.aborted)
+  const leaving = new AbortController()
+  context.setStatusSource({ isLeaving: () => leaving.signal.aborted })
+  leaving.signal.addEventListener('abort', followers.membership.announceLeaving)
   const engines = createEngineControl()
-  const running = createController(settings, { ...context, engines, random: Math.random }).run(stop.signal)
+  const controller = createController(settings, {
+    platform, followers, engines, clock, random: Math.random, metrics, log
+  })
+  const running = controller.run(leaving.signal)
 
   await context.stopRequested
-  context.followers.membership.announceLeaving()
-  stop.abort()
+  leaving.abort()
   await running
-  await engines.close()
   await peers.value.close()
+  await engines.close()
   await context.close()
   return ok(undefined)
 }
--- a/packages/pimentoplank/src/shared/settings/index.ts
+++ b/packages/pimentoplank/src/shared/settings/index.ts
@@ -7,7 +7,7 @@
   logSettings,
   metricsSettings,
   peerSettings,
-  platformSettings,
   tlsSettings,
+  platformSettings,
   type CommonSettings
 } from './commonSettings'
