--- a/cucumber.js
+++ b/cucumber.js
@@ -8,12 +8,13 @@
 export default {
   ...common,
   paths: ['packages/*/src/**/*.feature', 'packages/*/features/**/*.feature'],
-  tags: 'not @matrix'
+  tags: 'not @matrix or @ci'
 }
 
 export const faults = {
   ...common,
   paths: ['packages/*/features/**/*.feature'],
   tags: '@matrix',
+  parallel: 3,
   format: ['progress', 'message:reports/faults.ndjson']
 }
--- a/packages/faults/features/batch.feature
+++ b/packages/faults/features/batch.feature
@@ -8,15 +8,23 @@
     When "<fault>" strikes at "<step>"
     Then the path keeps its guarantee
 
+    @ci
+    Examples:
+      | fault                            | step               |
+      | kill carrier                     | job written        |
+      | kill carrier                     | running            |
+      | freeze carrier past its lease    | commit not written |
+      | lose platform answer             | commit written     |
+      | platform down                    | running            |
+      | kill target                      | running            |
+
     Examples:
       | fault                            | step               |
       | kill carrier                     | chunk not written  |
       | kill carrier                     | chunk written      |
       | kill carrier                     | job not written    |
-      | kill carrier                     | job written        |
       | kill carrier                     | claim not written  |
       | kill carrier                     | claim written      |
-      | kill carrier                     | running            |
       | kill carrier                     | segment written    |
       | kill carrier                     | commit not written |
       | kill carrier                     | commit written     |
@@ -24,7 +32,6 @@
       | kill carrier                     | end written        |
       | freeze carrier past its lease    | claim written      |
       | freeze carrier past its lease    | running            |
-      | freeze carrier past its lease    | commit not written |
       | freeze carrier past its lease    | commit written     |
       | lose platform call               | chunk not written  |
       | lose platform answer             | chunk written      |
@@ -33,12 +40,10 @@
       | lose platform answer             | claim written      |
       | lose platform answer             | segment written    |
       | lose platform call               | commit not written |
-      | lose platform answer             | commit written     |
       | lose platform answer             | end written        |
       | platform down                    | chunk written      |
       | platform down                    | job written        |
       | platform down                    | claim written      |
-      | platform down                    | running            |
       | platform down                    | commit written     |
       | platform slow                    | running            |
       | platform stale                   | running            |
@@ -47,7 +52,6 @@
       | cut carrier from platform        | running            |
       | cut carrier from platform        | commit not written |
       | silence carrier to platform      | running            |
-      | kill target                      | running            |
       | silence target connections       | running            |
       | cut target connections           | running            |
       | target leaves                    | running            |
--- a/packages/faults/features/matrix.steps.ts
+++ b/packages/faults/features/matrix.steps.ts
@@ -9,6 +9,7 @@
 interface MatrixWorld {
   bed: FaultBed
   path: PathRun
+  strike: StrikeName
 }
 
 Given('a deployment for the {word} path', { timeout: MATRIX_TIMEOUT_MS }, async function (this: MatrixWorld, path: PathName) {
@@ -19,6 +20,7 @@
 
 When('{string} strikes at {string}', { timeout: MATRIX_TIMEOUT_MS },
   async function (this: MatrixWorld, strike: StrikeName, step: string) {
+    this.strike = strike
     const moment = await this.path.reach(step)
     const heal = await STRIKES[strike](this.bed, moment)
     await moment.resume?.()
@@ -28,7 +30,7 @@
   })
 
 Then('the path keeps its guarantee', { timeout: MATRIX_TIMEOUT_MS }, async function (this: MatrixWorld) {
-  await this.path.check()
+  await this.path.check(this.strike)
 })
 
 After({ timeout: MATRIX_TIMEOUT_MS }, async function (this: Partial<MatrixWorld>) {
--- a/packages/faults/src/control.ts
+++ b/packages/faults/src/control.ts
@@ -31,6 +31,8 @@
 export interface EngineRun {
   requestId: string
   content: string
+  /** Wall clock time in milliseconds. */
+  startedAt: number
   tokens: number
   outcome: 'running' | 'done' | 'cancelled' | 'crashed'
 }
@@ -41,6 +43,12 @@
   path: string
 }
 
+export interface ServiceState {
+  runs: ServiceRun[]
+  /** Calls that are held now. */
+  held: number
+}
+
 export interface ReceivedOrder {
   action: string
   model?: string
@@ -63,6 +71,7 @@
   setFaults: (faults: Record<string, unknown>) => Promise<void>
   engineRuns: () => Promise<EngineRun[]>
   serviceRuns: () => Promise<ServiceRun[]>
+  serviceState: () => Promise<ServiceState>
   orders: () => Promise<ReceivedOrder[]>
 }
 
@@ -91,6 +100,7 @@
     setFaults: async (faults) => { await call(url, 'PATCH', '/_control/faults', faults) },
     engineRuns: async () => (await call<{ runs: EngineRun[] }>(url, 'GET', '/_control/runs')).runs,
     serviceRuns: async () => (await call<{ runs: ServiceRun[] }>(url, 'GET', '/_control/runs')).runs,
+    serviceState: async () => await call<ServiceState>(url, 'GET', '/_control/runs'),
     orders: async () => (await call<{ orders: ReceivedOrder[] }>(url, 'GET', '/_control/orders')).orders
   }
 }
--- a/packages/faults/src/deploy.ts
+++ b/packages/faults/src/deploy.ts
@@ -14,6 +14,8 @@
 export const MODEL = 'desk-lm-8b'
 export const ENGINE_SERVICE = 'desk-lm'
 export const PLAIN_SERVICE = 'bookings'
+/** Slots of one engine. */
+export const ENGINE_SLOTS = 8
 const LIVE_KEY = 'faults-live-key'
 const BATCH_KEY = 'faults-batch-key'
 const OPERATOR_KEY = 'faults-operator-key'
@@ -60,7 +62,7 @@
     engines: [{
       service: ENGINE_SERVICE,
       count: options.engines ?? 3,
-      args: ['--slots', '8', '--token-ms', '5', '--first-token-ms', '10', ...(options.engineArgs ?? [])]
+      args: ['--slots', String(ENGINE_SLOTS), '--token-ms', '5', '--first-token-ms', '10', ...(options.engineArgs ?? [])]
     }],
     services: [{ service: PLAIN_SERVICE, count: 2 }],
     settings: {
--- a/packages/faults/src/paths/batch.ts
+++ b/packages/faults/src/paths/batch.ts
@@ -3,9 +3,9 @@
 import { createJobClient, type JobResult } from '@pimentoplank/standins'
 import type { GateOptions } from '../control'
 import { BOUND_MS, MODEL, type FaultBed } from '../deploy'
-import { engineRunning, setEngines } from '../strikes'
+import { engineRunning, engineRuns, setEngines } from '../strikes'
 import { until } from '../until'
-import type { Moment, PathRun } from './types'
+import { reachFrom, type Moment, type PathRun } from './types'
 
 const ITEMS = 60
 /** Every so many items, one is not to be repeated. */
@@ -46,11 +46,10 @@
   const jobs = createJobClient(bed.batch)
   let accepted: Promise<string>
 
-  async function reach (step: string): Promise<Moment> {
-    if (step in GATED_STEPS) return await reachGate(GATED_STEPS[step]!)
-    if (step in COMMIT_STEPS) return await reachCommit(COMMIT_STEPS[step]!)
-    if (step === 'running') return await reachRunning()
-    throw new Error(`the batch path has no step "${step}"`)
+  const steps = {
+    ...mapSteps(GATED_STEPS, reachGate),
+    ...mapSteps(COMMIT_STEPS, reachCommit),
+    running: reachRunning
   }
 
   function submit (): void {
@@ -102,7 +101,14 @@
     assert.deepEqual(notDone, [])
   }
 
-  return { reach, finish, check }
+  return { reach: async (step) => await reachFrom(steps, step), finish, check }
+}
+
+function mapSteps (
+  gates: Readonly<Record<string, GateOptions>>,
+  reach: (options: GateOptions) => Promise<Moment>
+): Record<string, () => Promise<Moment>> {
+  return Object.fromEntries(Object.entries(gates).map(([step, options]) => [step, async () => await reach(options)]))
 }
 
 /** Items of a job; one in `NO_REPEAT_EVERY` is not to be repeated. */
@@ -148,8 +154,7 @@
 
 /** Counts at the engines that no item was run twice that must not be. */
 export async function assertNoRepeats (bed: FaultBed, items: BatchItemLine[]): Promise<void> {
-  const alive = bed.engines.filter((id) => bed.process(id).child.exitCode === null)
-  const runs = (await Promise.all(alive.map(async (id) => await bed.target(id).engineRuns()))).flat()
+  const runs = await engineRuns(bed)
   for (const item of items.filter((item) => item.noRepeat)) {
     const own = runs.filter((run) => run.content.includes(item.body.messages[0]!.content))
     assert.ok(own.length <= 1, `${item.id} ran ${own.length} times`)
--- /dev/null
+++ b/packages/faults/src/paths/cancel.ts
@@ -0,0 +1,101 @@
+/** The cancel path: a running job is cancelled, also while a commit is under way. */
+import assert from 'node:assert/strict'
+import { createJobClient, type JobResult } from '@pimentoplank/standins'
+import type { GateOptions } from '../control'
+import { BOUND_MS, type FaultBed } from '../deploy'
+import { engineRunning, engineRuns, setEngines } from '../strikes'
+import { until } from '../until'
+import { assertNoRepeats, createItems, holderOf, submitUntilAccepted } from './batch'
+import { reachFrom, type Moment, type PathRun } from './types'
+
+const ITEMS = 120
+const HOLD_TOKENS = 2
+const FINAL_STATES = new Set(['cancelled', 'done'])
+
+/** Creates a run of the path. */
+export function createCancelPath (bed: FaultBed): PathRun {
+  const items = createItems(ITEMS)
+  const jobs = createJobClient(bed.batch)
+  let id: string
+
+  async function startHeld (): Promise<void> {
+    await setEngines(bed, { holdAfterTokens: HOLD_TOKENS })
+    id = await submitUntilAccepted(bed, items)
+  }
+
+  const resume = async (): Promise<void> => await setEngines(bed, { holdAfterTokens: null })
+
+  async function reachRunning (): Promise<Moment> {
+    await startHeld()
+    const target = await engineRunning(bed, (content) => content.includes('Item '))
+    return { carrier: await holderOf(bed, id), target, resume }
+  }
+
+  /** Holds the write of the cancel itself. */
+  async function reachCancel (when: GateOptions['when']): Promise<Moment> {
+    await startHeld()
+    await engineRunning(bed, (content) => content.includes('Item '))
+    const gate = await bed.platform.gate({ kind: 'job', operation: 'put', when })
+    jobs.cancel(id).catch(() => undefined)
+    const call = await gate.held()
+    return { carrier: call.instance, gate, resume }
+  }
+
+  /** Holds a commit of a runner, and cancels meanwhile. */
+  async function reachCommit (when: GateOptions['when']): Promise<Moment> {
+    const segment = await bed.platform.gate({ kind: 'segment', operation: 'put', when: 'after' })
+    id = await submitUntilAccepted(bed, items)
+    const { instance } = await segment.held()
+    const gate = await bed.platform.gate({ kind: 'checkpoint', operation: 'put', when, instance })
+    await segment.release('go')
+    await gate.held()
+    await cancelUntilAccepted()
+    return { carrier: instance, gate }
+  }
+
+  async function cancelUntilAccepted (): Promise<void> {
+    await until('the cancel to be accepted', async () => {
+      const status = await jobs.cancel(id).catch(() => undefined)
+      // 409: the job was done before the cancel came.
+      return status !== undefined && (status < 300 || status === 409) ? true : undefined
+    }, BOUND_MS)
+  }
+
+  const steps = {
+    running: reachRunning,
+    'cancel not written': async () => await reachCancel('before'),
+    'cancel written': async () => await reachCancel('after'),
+    'commit not written': async () => await reachCommit('before'),
+    'commit written': async () => await reachCommit('after')
+  }
+
+  async function finish (): Promise<void> {
+    await cancelUntilAccepted()
+    await until('the job to end', async () => {
+      const status = await jobs.status(id).catch(() => undefined)
+      return status !== undefined && FINAL_STATES.has(status.state) ? true : undefined
+    }, BOUND_MS)
+  }
+
+  async function check (): Promise<void> {
+    const { state, endedAt } = await jobs.status(id)
+    assert.equal(state, 'cancelled')
+    const before = await jobs.results(id)
+    await until('every run of the job to have ended', async () => {
+      const runs = await engineRuns(bed)
+      return runs.every((run) => run.outcome !== 'running') || undefined
+    }, BOUND_MS)
+    const late = (await engineRuns(bed))
+      .filter((run) => run.content.includes('Item ') && run.startedAt > Date.parse(endedAt!))
+    assert.deepEqual(late, [], 'items started after the job was cancelled')
+    assert.deepEqual(sortIds(await jobs.results(id)), sortIds(before), 'results changed after the end')
+    assert.equal(new Set(sortIds(before)).size, before.length, 'an item has two results')
+    await assertNoRepeats(bed, items)
+  }
+
+  return { reach: async (step) => await reachFrom(steps, step), finish, check }
+}
+
+function sortIds (results: JobResult[]): string[] {
+  return results.map((result) => result.id).sort()
+}
--- a/packages/faults/src/paths/types.ts
+++ b/packages/faults/src/paths/types.ts
@@ -1,6 +1,6 @@
 /** What a path offers to the fault matrix. */
-import type { FaultBed } from '../deploy'
 import type { Gate } from '../control'
+import type { FaultBed } from '../deploy'
 
 /** The point that a path was held at, and who stands there. */
 export interface Moment {
@@ -20,8 +20,22 @@
   reach: (step: string) => Promise<Moment>
   /** Waits for the end of the work, resending as a caller would. */
   finish: () => Promise<void>
-  /** Asserts what must hold, from what the stand-ins counted. */
-  check: () => Promise<void>
+  /**
+   * Asserts what must hold, from what the stand-ins counted.
+   *
+   * @param strike - name of the fault that struck
+   */
+  check: (strike: string) => Promise<void>
 }
 
 export type CreatePath = (bed: FaultBed) => PathRun
+
+/** Takes the driver of a step from a table; an unknown step is an error in the matrix. */
+export async function reachFrom (
+  steps: Readonly<Record<string, () => Promise<Moment>>>,
+  step: string
+): Promise<Moment> {
+  const reach = steps[step]
+  if (reach === undefined) throw new Error(`there is no step "${step}" among ${Object.keys(steps).join(', ')}`)
+  return await reach()
+}
--- a/packages/faults/src/strikes.ts
+++ b/packages/faults/src/strikes.ts
@@ -1,5 +1,6 @@
 /** The faults of the matrix. */
-import { BOUND_MS, ENGINE_SERVICE, LEASE_MS, type FaultBed } from './deploy'
+import type { EngineRun } from './control'
+import { BOUND_MS, LEASE_MS, type FaultBed } from './deploy'
 import type { Moment } from './paths/types'
 import { until } from './until'
 
@@ -31,6 +32,9 @@
   'freeze home': freezeHome,
   'kill carrier and platform down': both(killCarrier, platformDown),
   'kill target and carrier': both(killTarget, killCarrier),
+  'kill target and platform down': both(killTarget, platformDown),
+  'stop carrier and platform down': both(stopCarrier, platformDown),
+  'target leaves and instance list stale': both(targetLeaves, staleInstances),
   'freeze carrier and platform slow': both(freezeCarrier, platformSlow),
   none: async () => HEALED
 } satisfies Record<string, Strike>
@@ -181,7 +185,7 @@
 /** Finds the engine that runs a request now. */
 export async function engineRunning (bed: FaultBed, matches: (content: string) => boolean): Promise<string> {
   return await until('an engine to run the work', async () => {
-    for (const id of bed.engines) {
+    for (const id of livingEngines(bed)) {
       const runs = await bed.target(id).engineRuns()
       if (runs.some((run) => run.outcome === 'running' && matches(run.content))) return id
     }
@@ -189,10 +193,20 @@
   }, BOUND_MS)
 }
 
-/** Sets switches on every engine. */
+/** Engines whose processes live. */
+function livingEngines (bed: FaultBed): string[] {
+  return bed.engines.filter((id) => {
+    const { child } = bed.process(id)
+    return child.exitCode === null && child.signalCode === null
+  })
+}
+
+/** Sets switches on every engine that lives. */
 export async function setEngines (bed: FaultBed, faults: Record<string, unknown>): Promise<void> {
-  const alive = bed.engines.filter((id) => bed.process(id).child.exitCode === null && !bed.process(id).child.killed)
-  await Promise.all(alive.map(async (id) => await bed.target(id).setFaults(faults)))
+  await Promise.all(livingEngines(bed).map(async (id) => await bed.target(id).setFaults(faults)))
 }
 
-export { ENGINE_SERVICE }
+/** Runs at every engine that lives. */
+export async function engineRuns (bed: FaultBed): Promise<EngineRun[]> {
+  return (await Promise.all(livingEngines(bed).map(async (id) => await bed.target(id).engineRuns()))).flat()
+}
--- a/packages/standins/src/caller/caller.ts
+++ b/packages/standins/src/caller/caller.ts
@@ -22,6 +22,8 @@
   requestId?: string
   timeoutMs?: number
   headers?: Record<string, string>
+  /** Address to send to, instead of one from the directory. */
+  address?: string
   signal?: AbortSignal
 }
 
@@ -154,6 +156,7 @@
 function chatOptions (req: LiveRequest, requestId: string): SendOptions {
   return {
     method: 'POST',
+    address: req.address,
     signal: req.signal,
     headers: {
       'content-type': 'application/json',
--- a/packages/standins/src/caller/jobClient.ts
+++ b/packages/standins/src/caller/jobClient.ts
@@ -7,6 +7,8 @@
 export interface JobStatus {
   id: string
   state: string
+  /** Present once the state is final. */
+  endedAt?: string
   counts: { total: number, done: number, failed: number, unknown: number, pending: number }
 }
 
--- a/packages/standins/src/service/serviceStandin.ts
+++ b/packages/standins/src/service/serviceStandin.ts
@@ -61,11 +61,13 @@
   clock: Clock
   faults: ServiceFaults
   runs: ServiceRun[]
+  /** Calls that are held now. */
+  held: number
 }
 
 /** Creates a stand-in that does not listen yet. */
 export function createServiceStandin (options: ServiceStandinOptions = {}): ServiceStandin {
-  const state: ServiceState = { clock: options.clock ?? createSystemClock(), faults: {}, runs: [] }
+  const state: ServiceState = { clock: options.clock ?? createSystemClock(), faults: {}, runs: [], held: 0 }
   const server = createRestartableServer(createServiceApp(state), options)
   const id = options.id ?? 'service-0'
 
@@ -103,7 +105,7 @@
 
 function createServiceApp (state: ServiceState): Hono<StandinEnv> {
   const app = new Hono<StandinEnv>()
-  app.get('/_control/runs', (c) => c.json({ runs: state.runs }))
+  app.get('/_control/runs', (c) => c.json({ runs: state.runs, held: state.held }))
   app.patch('/_control/faults', async (c) => {
     const faults = serviceFaults.safeParse(await c.req.json().catch(() => undefined))
     if (!faults.success) return c.json({ error: z.prettifyError(faults.error) }, 400)
@@ -152,7 +154,9 @@
 }
 
 async function waitWhileHeld (state: ServiceState, when: 'before' | 'after'): Promise<void> {
+  state.held += 1
   while (state.faults.hold === when) await state.clock.sleep(HOLD_CHECK_MS)
+  state.held -= 1
 }
 
 async function run (state: ServiceState, c: Context<StandinEnv>): Promise<void> {
