Keep prefix affinity to one target, measured, and document admission

Cause: the hottest prefixes overload their target, and what overflows is spread by load, so few requests meet a cached prefix. Tried: the next targets of the prefix's own order take the overflow (new setting affinityTargets).

Conclusion: one target for a prefix and homes asked in turn stay the defaults. localShares is now a setting of the home as well, so that choosing it on one side only is visible.

--- a/packages/pimentoplank/src/entry/slots/slotHome.ts
+++ b/packages/pimentoplank/src/entry/slots/slotHome.ts
@@ -20,11 +20,6 @@
   metrics: Metrics
   log: Log
   settings?: Partial<SlotHomeSettings>
-  /**
-   * `localShares` grants this instance's share of every target to its own process without asking anyone;
-   * kept for comparison.
-   */
-  ownership?: 'homes' | 'localShares'
 }
 
 /** State of one target at its home. */
@@ -67,7 +62,7 @@
   }
 
   function rankOf (targetId: string): number {
-    if (options.ownership === 'localShares') return 0
+    if (settings.ownership === 'localShares') return 0
     const target = membership.target(targetId)
     if (target === undefined) return -1
     return order.of(target).findIndex((instance) => instance.id === instanceId)
@@ -79,7 +74,7 @@
   }
 
   function authorityOf (targetId: string): Authority {
-    if (options.ownership === 'localShares') return 'full'
+    if (settings.ownership === 'localShares') return 'full'
     if (rankOf(targetId) !== 0) return 'partial'
     const settled = settledAt.get(targetId) ?? entriesChangedAt + settings.settleMs
     settledAt.set(targetId, settled)
@@ -113,7 +108,7 @@
         goals: () => serviceOf(targetId),
         authority: () => authorityOf(targetId),
         isGrantable: () => !handingOver && isGrantable(targetId),
-        scaleLimit: options.ownership === 'localShares' ? localShare : undefined
+        scaleLimit: settings.ownership === 'localShares' ? localShare : undefined
       })
       boards.set(targetId, board)
     }
--- a/packages/pimentoplank/src/shared/slots/routing.ts
+++ b/packages/pimentoplank/src/shared/slots/routing.ts
@@ -87,13 +87,18 @@
   return shuffled
 }
 
-/** The target that most likely has the prompt's start cached first, and the better of two others after it. */
+/**
+ * A target that most likely has the prompt's start cached first, and the better of two others after it. A prefix that
+ * overloads its first target goes to the next ones in a fixed order, so that few targets cache it.
+ */
 function byAffinity (context: RoutingContext): Target[] {
   const { req, targets, loads, settings } = context
-  if (req.prefixHash === 0n) return byTwoChoices(context)
+  if (req.prefixHash === 0n || settings.affinityTargets === 0) return byTwoChoices(context)
   const ranked = rankByRendezvous(`${req.model ?? ''}/${req.prefixHash}`, targets, (target) => target.id)
-  const affine = ranked[0]
-  if (affine === undefined || loads.share(affine.id) >= settings.overloadedShare) return byTwoChoices(context)
+  const affine = ranked
+    .slice(0, settings.affinityTargets)
+    .find((target) => loads.share(target.id) < settings.overloadedShare)
+  if (affine === undefined) return byTwoChoices(context)
   const others = targets.filter((target) => target !== affine)
   return [affine, ...byTwoChoices({ ...context, targets: others })]
 }
--- a/packages/pimentoplank/src/shared/slots/settings.ts
+++ b/packages/pimentoplank/src/shared/slots/settings.ts
@@ -29,6 +29,8 @@
     .describe('A stream without open work is closed after this time, in milliseconds.'),
   maxEjectedShare: share.default(0.5)
     .describe('Ejection is ignored while more than this share of a service\'s targets is ejected.'),
+  affinityTargets: z.int().min(0).default(1)
+    .describe('Targets that may serve one prompt prefix before load alone decides; 0 turns prefix affinity off.'),
   overloadedShare: z.number().positive().default(1)
     .describe('A target with more running and waiting work than this share of its limit gets no prefix affinity.')
 })
@@ -36,6 +38,8 @@
 
 /** Settings of the home of targets. */
 export const slotHomeSettings = z.strictObject({
+  ownership: z.enum(['homes', 'localShares']).default('homes')
+    .describe('Whose targets it grants: those it is home of, or a share of every target to its own process alone.'),
   maxWaiting: z.int().min(1).default(64)
     .describe('Waiting live requests of one target; one more is refused.'),
   maxWaitingBatch: z.int().min(1).default(256)
--- a/scripts/benchSlots/entryProcess.ts
+++ b/scripts/benchSlots/entryProcess.ts
@@ -31,7 +31,7 @@
 const homeSettings: Partial<SlotHomeSettings> = { limit: 'fixed', settleMs: 1 }
 const home = createSlotHome({ instanceId, membership, config, clock, metrics, log, settings: homeSettings })
 const shares = createSlotHome({
-  instanceId, membership, config, clock, metrics, log, settings: homeSettings, ownership: 'localShares'
+  instanceId, membership, config, clock, metrics, log, settings: { ...homeSettings, ownership: 'localShares' }
 })
 
 const sockets = new Set<Socket>()
@@ -68,7 +68,7 @@
     log,
     transports: createPeerTransports({ security }),
     localHome,
-    settings: { routing: load.way }
+    settings: { routing: load.way, affinityTargets: load.affinityTargets }
   })
 }
 
--- a/scripts/benchSlots/run.ts
+++ b/scripts/benchSlots/run.ts
@@ -18,11 +18,10 @@
   repeats: number
   deadlineMs: number
   ways: string
+  affinity: string
 }
 
-interface RunSummary {
-  way: RoutingWay
-  repeat: number
+interface RunSummary extends RunChoice {
   finished: number
   refusedShare: number
   lateShare: number
@@ -51,7 +50,14 @@
   child.send(message)
 }
 
-async function runOnce (options: BenchOptions, way: RoutingWay, repeat: number): Promise<RunSummary> {
+interface RunChoice {
+  way: RoutingWay
+  affinityTargets: number
+  repeat: number
+}
+
+async function runOnce (options: BenchOptions, choice: RunChoice): Promise<RunSummary> {
+  const { way, affinityTargets, repeat } = choice
   const engines = start('./targetsProcess.ts', [])
   const entries = Array.from({ length: options.entries }, (_, index) => start('./entryProcess.ts', [`entry-${index}`]))
   const [engineAddress, ...addresses] = await Promise.all([engines, ...entries].map(addressOf))
@@ -72,7 +78,8 @@
       durationMs: options.seconds * 1000,
       deadlineMs: options.deadlineMs,
       accounts: 200,
-      prefixes: 60
+      prefixes: 60,
+      affinityTargets
     }
     tell(entry, { type: 'run', load })
     const [message] = await once(entry, 'message') as [FromProcess]
@@ -83,12 +90,10 @@
   const exits = children.map(async (child) => await once(child, 'exit'))
   for (const child of children) tell(child, { type: 'stop' })
   await Promise.all(exits)
-  return summarize(options, { way, repeat, results })
+  return summarize(options, choice, results)
 }
 
-function summarize (
-  options: BenchOptions, { way, repeat, results }: { way: RoutingWay, repeat: number, results: EntryResult[] }
-): RunSummary {
+function summarize (options: BenchOptions, choice: RunChoice, results: EntryResult[]): RunSummary {
   const sum = (pick: (result: EntryResult) => number): number =>
     results.reduce((total, result) => total + pick(result), 0)
   const finished = sum((result) => result.finished)
@@ -98,8 +103,7 @@
   const firstToken = percentiles(results.flatMap((result) => result.firstTokenMs))
   const grant = percentiles(results.flatMap((result) => result.grantMs))
   return {
-    way,
-    repeat,
+    ...choice,
     finished,
     refusedShare: round(refused / requests),
     lateShare: round(sum((result) => result.late) / requests),
@@ -135,12 +139,18 @@
     seconds: option({ type: number, long: 'seconds', defaultValue: () => 8 }),
     repeats: option({ type: number, long: 'repeats', defaultValue: () => 3 }),
     deadlineMs: option({ type: number, long: 'deadline', defaultValue: () => 2000 }),
+    affinity: option({ type: string, long: 'affinity', defaultValue: () => '1' }),
     ways: option({ type: string, long: 'ways', defaultValue: () => ROUTING_WAYS.join() })
   },
   handler: async (options) => {
     const ways = options.ways.split(',') as RoutingWay[]
+    const depths = options.affinity.split(',').map(Number)
     for (let repeat = 1; repeat <= options.repeats; repeat += 1) {
-      for (const way of ways) console.log(JSON.stringify(await runOnce(options, way, repeat)))
+      for (const way of ways) {
+        for (const affinityTargets of depths) {
+          console.log(JSON.stringify(await runOnce(options, { way, affinityTargets, repeat })))
+        }
+      }
     }
   }
 }), process.argv.slice(2))
--- a/scripts/benchSlots/types.ts
+++ b/scripts/benchSlots/types.ts
@@ -9,6 +9,7 @@
   deadlineMs: number
   accounts: number
   prefixes: number
+  affinityTargets: number
 }
 
 export type ToProcess =
