Prove the entry's API, at-most-once records, quarantine and planned stop by scenarios

Cause: each mechanism needs a scenario that causes its failure. Runs are counted at the stand-ins. Seen failing on the way: the attempts of a request end when four targets in a row are dead and nothing ejects them (the fake slots of these scenarios do not), so the scenario kills three. The test process did not end while a service stand-in was left holding a call; the bench takes the hold back, and a closed entry gives up on outcomes that it could not record.

--- a/packages/pimentoplank/src/entry/createEntry.ts
+++ b/packages/pimentoplank/src/entry/createEntry.ts
@@ -130,6 +130,7 @@
   server.on('connection', (socket) => socket.setKeepAlive(true, settings.streams.callerStallTimeoutMs))
 
   async function close (): Promise<void> {
+    once.close()
     await callers._unsafeUnwrap().close()
     await peers._unsafeUnwrap().close()
     await Promise.all([engine.close(), agent.close(), slots.close()])
--- /dev/null
+++ b/packages/pimentoplank/src/entry/live/quarantine.steps.ts
@@ -0,0 +1,98 @@
+import assert from 'node:assert/strict'
+import { Given, Then, When } from '@cucumber/cucumber'
+import { expectedAnswer, type EngineStandin } from '@pimentoplank/standins'
+import { request } from 'undici'
+import { OBJECT_KINDS } from '../../shared'
+import { createEntryBench, MODEL, type Reply } from '../testing/entryBench'
+import type { EntryWorld } from '../testing/entryBench.steps'
+import { until } from '../testing/until'
+
+const TOKENS = 12
+
+interface QuarantineWorld extends EntryWorld {
+  beside: Array<{ prompt: string, reply: Promise<Reply> }>
+}
+
+Given('the entry bench with {int} entries, {int} engines and settings {word}', async function (
+  this: QuarantineWorld, entries: number, engines: number, settings: string
+) {
+  this.bench = await createEntryBench({ entries, engines, settings: JSON.parse(settings) })
+})
+
+async function ask ({ bench }: EntryWorld, prompt: string, entry: number): Promise<Reply> {
+  const body = { model: MODEL, prompt, max_tokens: TOKENS }
+  return await bench.send('/v1/completions', { entry, method: 'POST', body })
+}
+
+Given('the entry bench\'s engines crash on {word}', function (this: QuarantineWorld, marker: string) {
+  for (const engine of this.bench.engines) engine.setFaults({ crashOn: marker })
+})
+
+Given('the entry bench\'s engines hold streams after {int} tokens', function (this: QuarantineWorld, tokens: number) {
+  for (const engine of this.bench.engines) engine.setFaults({ holdAfterTokens: tokens })
+})
+
+When('the entry bench\'s engines hold streams no more', function (this: QuarantineWorld) {
+  for (const engine of this.bench.engines) engine.setFaults({ holdAfterTokens: null })
+})
+
+When('a request with prompt {string} is sent to entry {int}', async function (
+  this: QuarantineWorld, prompt: string, entry: number
+) {
+  this.prompt = prompt
+  this.reply = await ask(this, prompt, entry)
+})
+
+When('requests with prompts {string} and {string} run on engine 0', async function (
+  this: QuarantineWorld, first: string, second: string
+) {
+  this.beside = [first, second].map((prompt) => ({ prompt, reply: ask(this, prompt, 0) }))
+  await until(() => this.bench.engines[0]!.runs().filter((run) => run.tokens >= 1).length === 2)
+})
+
+When('engines {int} to {int} of the entry bench die together', async function (
+  this: QuarantineWorld, first: number, last: number
+) {
+  await Promise.all(this.bench.engines.slice(first, last + 1).map(async (engine) => await engine.crash()))
+})
+
+Then('that request is refused with {int} {word}', function (this: QuarantineWorld, status: number, reason: string) {
+  assert.deepEqual([this.reply.status, this.reply.json.reason], [status, reason], this.reply.text)
+})
+
+Then('that request is answered whole', function (this: QuarantineWorld) {
+  assert.equal(this.reply.status, 200, this.reply.text)
+  assert.equal(this.reply.json.choices[0].text, expectedAnswer(this.prompt, TOKENS))
+})
+
+Then('the requests beside it get their whole answers', async function (this: QuarantineWorld) {
+  for (const { prompt, reply } of this.beside) {
+    const { status, json, text } = await reply
+    assert.equal(status, 200, text)
+    assert.equal(json.choices[0].text, expectedAnswer(prompt, TOKENS))
+  }
+})
+
+async function isAlive (engine: EngineStandin): Promise<boolean> {
+  return await request(`http://${engine.record().address}/v1/load`).then(async (res) => {
+    await res.body.dump()
+    return true
+  }, () => false)
+}
+
+async function deadEngines ({ bench }: EntryWorld): Promise<EngineStandin[]> {
+  const alive = await Promise.all(bench.engines.map(isAlive))
+  return bench.engines.filter((_, index) => !alive[index])
+}
+
+When('the dead engines of the entry bench leave the list', async function (this: QuarantineWorld) {
+  for (const engine of await deadEngines(this)) this.bench.membership.noteLeaving(engine.record().id, 'list')
+})
+
+Then('{int} engines of the entry bench are dead', async function (this: QuarantineWorld, count: number) {
+  assert.equal((await deadEngines(this)).length, count)
+})
+
+Then('the platform of the entry bench holds no crash record', function (this: QuarantineWorld) {
+  assert.deepEqual(this.bench.platform.objects(OBJECT_KINDS.quarantine), [])
+})
--- a/packages/pimentoplank/src/entry/once/onceRecords.ts
+++ b/packages/pimentoplank/src/entry/once/onceRecords.ts
@@ -63,6 +63,8 @@
   stateOf: (intent: string, run: string) => RunState
   /** Resolves when every outcome is recorded, or with the signal. */
   settled: (signal: AbortSignal) => Promise<void>
+  /** Gives up on outcomes that are not recorded yet. */
+  close: () => void
 }
 
 interface OwnRun {
@@ -76,6 +78,7 @@
   /** Runs whose outcome is not yet recorded, by intent name. */
   const ownRuns = new Map<string, OwnRun>()
   const settling = new Set<Promise<void>>()
+  const closed = new AbortController()
 
   function stateOf (intent: string, run: string): RunState {
     const own = ownRuns.get(intent)
@@ -195,7 +198,7 @@
     const startedAt = clock.now()
     let ifRevision = revision
     let pauseMs = SETTLE_PAUSE_MS
-    while (clock.now() - startedAt < SETTLE_LIMIT_MS) {
+    while (clock.now() - startedAt < SETTLE_LIMIT_MS && !closed.signal.aborted) {
       const put = await platform.put(OBJECT_KINDS.intent, name, outcome, { ifRevision })
       if (put.isOk()) return
       if (put.error instanceof PlatformConflict) {
@@ -205,7 +208,7 @@
         ifRevision = current.revision
         continue
       }
-      await clock.sleep(pauseMs)
+      await clock.sleep(pauseMs, closed.signal)
       pauseMs = Math.min(SETTLE_PAUSE_MAX_MS, pauseMs * 2)
     }
     log.error({ intent: name, state: outcome.state }, 'gave up recording an outcome')
@@ -230,7 +233,8 @@
     find: (req) => new ResultAsync(find(req)),
     open: (req, revision) => new ResultAsync(open(req, revision)),
     stateOf,
-    settled
+    settled,
+    close: () => closed.abort()
   }
 }
 
--- a/packages/pimentoplank/src/entry/testing/entryBench.ts
+++ b/packages/pimentoplank/src/entry/testing/entryBench.ts
@@ -1,4 +1,5 @@
 /** Entry instances before stand-ins, in one process, for scenarios. */
+import { Readable } from 'node:stream'
 import { createEngineStandin, createPlatformStandin, createServiceStandin } from '@pimentoplank/standins'
 import type { EngineStandin, PlatformStandin, ServiceStandin } from '@pimentoplank/standins'
 import { errAsync, okAsync } from 'neverthrow'
@@ -55,6 +56,8 @@
   key?: string | null
   headers?: Record<string, string>
   body?: unknown
+  /** Sends the body without declaring its length. */
+  chunked?: boolean
   signal?: AbortSignal
 }
 
@@ -147,7 +150,7 @@
     })
     const own = createMetrics()
     const started = await createEntry(settings, {
-      platform: createPlatformClient({ url: platformUrl, timeoutMs: 300 }),
+      platform: createPlatformClient({ url: platformUrl, timeoutMs: 300, instance: id }),
       config,
       membership,
       feed: feedOf(platform),
@@ -182,13 +185,15 @@
         ...(body === undefined ? {} : { 'content-type': 'application/json' }),
         ...sendOptions.headers
       },
-      body: body === undefined || typeof body === 'string' ? body as string | undefined : JSON.stringify(body),
+      body: encodeBody(sendOptions),
       signal: sendOptions.signal
     })
     return await readReply(res)
   }
 
   async function close (): Promise<void> {
+    // A stand-in checks a hold again and again, so that it would keep the test process alive.
+    for (const service of services) service.setFaults({ hold: null })
     await Promise.all(entries.map(async (entry) => await entry.close()))
     await Promise.all([...engines, ...services, platform].map(async (standin) => await standin.close()))
     await agent.destroy()
@@ -198,6 +203,12 @@
   return bench
 }
 
+function encodeBody ({ body, chunked }: SendOptions): string | Readable | undefined {
+  if (body === undefined) return undefined
+  const text = typeof body === 'string' ? body : JSON.stringify(body)
+  return chunked === true ? Readable.from([text]) : text
+}
+
 /** Reads an answer as far as it goes. */
 export async function readReply (res: Dispatcher.ResponseData): Promise<Reply> {
   const chunks: Buffer[] = []
--- /dev/null
+++ b/packages/pimentoplank/src/shared/quarantine/quarantine.steps.ts
@@ -0,0 +1,83 @@
+import assert from 'node:assert/strict'
+import { After, Given, Then, When } from '@cucumber/cucumber'
+import { createPlatformStandin, type PlatformStandin } from '@pimentoplank/standins'
+import { createQuarantine, type Quarantine } from '.'
+import { createSystemClock, type Clock } from '../clock'
+import { createSilentLog } from '../logging'
+import { createNullMetrics } from '../metrics'
+import { createPlatformClient, type PlatformClient } from '../platform'
+
+interface QuarantineWorld {
+  platform: PlatformStandin
+  client: PlatformClient
+  instances: Quarantine[]
+  /** Time that has passed by hand, in milliseconds. */
+  passedMs: number
+}
+
+Given('a crash quarantine on {int} instances', async function (this: QuarantineWorld, count: number) {
+  this.passedMs = 0
+  this.platform = createPlatformStandin()
+  const { url } = await this.platform.start()
+  this.client = createPlatformClient({ url })
+  const { sleep } = createSystemClock()
+  const clock: Clock = { now: () => this.passedMs, wallTime: () => this.passedMs, sleep }
+  this.instances = Array.from({ length: count }, () => createQuarantine({
+    platform: this.client,
+    feed: {
+      objects: (kind) => new Map(this.platform.objects(kind).map((object) => [object.name, object])),
+      offer: () => undefined
+    },
+    clock,
+    metrics: createNullMetrics(),
+    log: createSilentLog()
+  }))
+})
+
+async function crash (quarantine: Quarantine, content: string, target: string): Promise<void> {
+  const end = quarantine.noteRun(content, target)
+  await quarantine.noteCrash(content, target)
+  end()
+}
+
+When('target {word} dies with content {word} on crash instance {int}', async function (
+  this: QuarantineWorld, target: string, content: string, index: number
+) {
+  await crash(this.instances[index]!, content, target)
+})
+
+When('content {word} and content {word} run on target {word} as it dies', async function (
+  this: QuarantineWorld, first: string, second: string, target: string
+) {
+  const quarantine = this.instances[0]!
+  const ends = [first, second].map((content) => quarantine.noteRun(content, target))
+  await Promise.all([first, second].map(async (content) => await quarantine.noteCrash(content, target)))
+  for (const end of ends) end()
+})
+
+When('{int} s pass for the crash quarantine', function (this: QuarantineWorld, seconds: number) {
+  this.passedMs += seconds * 1000
+})
+
+Given('the platform of the crash quarantine is down', function (this: QuarantineWorld) {
+  this.platform.setFaults({ down: true })
+})
+
+Then('content {word} is only suspect', function (this: QuarantineWorld, content: string) {
+  assert.deepEqual(this.instances.map((instance) => instance.isQuarantined(content)), [false, false])
+})
+
+Then('content {word} is quarantined on both crash instances', function (this: QuarantineWorld, content: string) {
+  assert.deepEqual(this.instances.map((instance) => instance.isQuarantined(content)), [true, true])
+})
+
+Then('content {word} is quarantined on crash instance {int}', function (
+  this: QuarantineWorld, content: string, index: number
+) {
+  assert.equal(this.instances[index]!.isQuarantined(content), true)
+})
+
+After(async function (this: Partial<QuarantineWorld>) {
+  await this.client?.close()
+  await this.platform?.close()
+})
