--- /dev/null
+++ b/packages/pimentoplank/src/shared/program/index.ts
@@ -0,0 +1,2 @@
+export { createProgramContext, type ProgramContext, type ProgramContextOptions, type StatusSource } from './programContext'
+export { runDaemon, type DaemonOptions } from './daemon'
