--- /dev/null
+++ b/packages/pimentoplank/src/controller/fleet.feature
@@ -0,0 +1,79 @@
+Feature: The controller makes the fleet follow the configuration
+
+  Scenario: Loads keep within the weight store's limits
+    Given a fleet of 8 engines
+    And a controller that orders at most 2 loads at a time
+    When model "desk-8b" at version "1" is released
+    Then the controller has model "desk-8b" at version "1" ready on 8 engines
+    And the fleet never had more than 2 loads running
+    And each engine was ordered to load once
+
+  Scenario: Enough replicas serve throughout a version change
+    Given a fleet of 8 engines
+    And a controller that orders at most 2 loads at a time
+    When model "desk-8b" at version "1" is released
+    Then the controller has model "desk-8b" at version "1" ready on 8 engines
+    When the serving replicas of "desk-8b" are watched
+    And model "desk-8b" is changed to version "2"
+    Then the controller has model "desk-8b" at version "2" ready on 8 engines
+    And version "1" of "desk-8b" is gone from all engines
+    And at least 6 placed replicas of "desk-8b" served at all times
+
+  Scenario: A withdrawn model gets no new work, and is unloaded only after its last request
+    Given a fleet of 2 engines
+    And a controller that orders at most 2 loads at a time
+    When model "desk-8b" at version "1" is released
+    Then the controller has model "desk-8b" at version "1" ready on 2 engines
+    When a long request runs on engine "engine-0"
+    And model "desk-8b" is withdrawn
+    Then the controller unloads "desk-8b" from engine "engine-1"
+    And the placement of "desk-8b" names no target
+    And engine "engine-0" was not ordered to unload while its request ran
+    When the long request ends
+    Then the controller unloads "desk-8b" from engine "engine-0"
+
+  Scenario: A second controller that takes over changes nothing that is right already
+    Given a fleet of 4 engines
+    And a controller that orders at most 2 loads at a time
+    When model "desk-8b" at version "1" is released
+    Then the controller has model "desk-8b" at version "1" ready on 4 engines
+    When a second controller runs and the first one stops
+    Then the second controller leads
+    And each engine was ordered to load once
+
+  Scenario Outline: An order of a paused controller has no lasting effect on engines that <check> fencing numbers
+    Given a fleet of 2 engines that <check> fencing numbers
+    And a controller that orders at most 2 loads at a time
+    When model "desk-8b" at version "1" is released
+    Then the controller has model "desk-8b" at version "1" ready on 2 engines
+    When the controller is paused just before it orders an unload of the withdrawn "desk-8b"
+    And a second controller leads after the first one's lease lapsed
+    And model "desk-8b" at version "1" is released again
+    Then the controller has model "desk-8b" at version "1" ready on 2 engines
+    When the paused controller goes on
+    Then the late order is <outcome>
+    And the controller has model "desk-8b" at version "1" ready on 2 engines
+    And only the second controller leads
+
+    Examples:
+      | check  | outcome |
+      | check  | refused |
+      | ignore | taken   |
+
+  Scenario: A controller without its lease orders nothing
+    Given a fleet of 2 engines
+    And a controller that orders at most 2 loads at a time
+    When model "desk-8b" at version "1" is released
+    Then the controller has model "desk-8b" at version "1" ready on 2 engines
+    When the platform of the fleet is down for longer than the lease
+    And an engine of the fleet loses its models
+    Then the controller orders nothing while the platform is down
+    When the platform of the fleet answers again
+    Then the controller has model "desk-8b" at version "1" ready on 2 engines
+
+  Scenario: Old notes are replaced by snapshots, and an instance that starts later reads both
+    Given a fleet of 1 engines
+    And a controller that orders at most 2 loads at a time
+    When 25 notes are applied one after the other
+    Then the log of the fleet holds at most 15 notes and a snapshot
+    And an instance that starts now has configuration 25
