--- a/packages/faults/src/control.ts
+++ b/packages/faults/src/control.ts
@@ -13,7 +13,7 @@
 
 export interface GateOptions {
   kind: string
-  operation: 'get' | 'list' | 'put' | 'remove' | 'watch'
+  operation: 'get' | 'list' | 'put' | 'remove' | 'watch' | 'transfer'
   /** Before the call takes effect, or after it and before its answer. */
   when: 'before' | 'after'
   instance?: string
@@ -43,6 +43,10 @@
   path: string
 }
 
+export interface EngineState {
+  models: Array<{ name: string, version: string, status: string }>
+}
+
 export interface ServiceState {
   runs: ServiceRun[]
   /** Calls that are held now. */
@@ -70,6 +74,7 @@
 export interface TargetControl {
   setFaults: (faults: Record<string, unknown>) => Promise<void>
   engineRuns: () => Promise<EngineRun[]>
+  engineState: () => Promise<EngineState>
   serviceRuns: () => Promise<ServiceRun[]>
   serviceState: () => Promise<ServiceState>
   orders: () => Promise<ReceivedOrder[]>
@@ -99,6 +104,7 @@
   return {
     setFaults: async (faults) => { await call(url, 'PATCH', '/_control/faults', faults) },
     engineRuns: async () => (await call<{ runs: EngineRun[] }>(url, 'GET', '/_control/runs')).runs,
+    engineState: async () => await call<EngineState>(url, 'GET', '/v1/state'),
     serviceRuns: async () => (await call<{ runs: ServiceRun[] }>(url, 'GET', '/_control/runs')).runs,
     serviceState: async () => await call<ServiceState>(url, 'GET', '/_control/runs'),
     orders: async () => (await call<{ orders: ReceivedOrder[] }>(url, 'GET', '/_control/orders')).orders
--- /dev/null
+++ b/packages/faults/src/paths/order.ts
@@ -0,0 +1,117 @@
+/** The order path: a new version of the model is loaded on every engine while live requests go on. */
+import assert from 'node:assert/strict'
+import type { LiveAnswer } from '@pimentoplank/standins'
+import { runCli } from '../cli'
+import type { GateOptions } from '../control'
+import { BOUND_MS, ENGINE_SERVICE, MODEL, type FaultBed } from '../deploy'
+import { livingEngines } from '../strikes'
+import { until } from '../until'
+import { reachFrom, type Moment, type PathRun } from './types'
+
+const NEW_VERSION = '2'
+const LIVE_EVERY_MS = 50
+const CONTROLLER_LEASE = 'controller'
+
+/**
+ * Creates a run of the path.
+ *
+ * @param checksFencing - true where the engines refuse an old fencing number
+ */
+export function createOrderPath (bed: FaultBed, checksFencing: boolean): PathRun {
+  const answers: Array<Promise<LiveAnswer>> = []
+  const live = setInterval(() => {
+    answers.push(bed.live.chat({ model: MODEL, prompt: `Live ${answers.length}?`, maxTokens: 4 }))
+  }, LIVE_EVERY_MS)
+
+  async function changeVersion (): Promise<void> {
+    const outcome = await runCli(bed, ['apply'], {
+      base: 1,
+      changed: [{ kind: 'model', name: MODEL, service: ENGINE_SERVICE, version: NEW_VERSION, weightsMb: 10 }]
+    })
+    assert.equal(outcome.code, 0, outcome.stderr)
+  }
+
+  async function holder (): Promise<string> {
+    return await until('a controller to hold the lease', async () => {
+      const lease = (await bed.platform.objects('lease')).find((object) => object.name === CONTROLLER_LEASE)
+      const { holder } = (lease?.value ?? { holder: '' }) as { holder: string }
+      return /controller-\d+/.exec(holder)?.[0]
+    }, BOUND_MS)
+  }
+
+  /** The engine reads the weights of the new version. */
+  async function reachLoading (): Promise<Moment> {
+    const gate = await bed.platform.gate({ kind: '_weights', operation: 'transfer', when: 'before' })
+    await changeVersion()
+    await gate.held()
+    const target = await until('an engine to load', async () => {
+      for (const id of livingEngines(bed)) {
+        const { models } = await bed.target(id).engineState()
+        if (models.some((model) => model.status === 'loading')) return id
+      }
+      return undefined
+    }, BOUND_MS)
+    return { carrier: await holder(), target, gate }
+  }
+
+  /** The controller tells where the model is served. */
+  async function reachPlacement (when: GateOptions['when']): Promise<Moment> {
+    const carrier = await holder()
+    const gate = await bed.platform.gate({ kind: 'status', operation: 'put', when, instance: carrier })
+    await changeVersion()
+    await gate.held()
+    return { carrier, gate }
+  }
+
+  async function reachLease (when: GateOptions['when']): Promise<Moment> {
+    const carrier = await holder()
+    const gate = await bed.platform.gate({ kind: 'lease', operation: 'put', when, instance: carrier })
+    await gate.held()
+    await changeVersion()
+    return { carrier, gate }
+  }
+
+  const steps = {
+    loading: reachLoading,
+    'placement not written': async () => await reachPlacement('before'),
+    'placement written': async () => await reachPlacement('after'),
+    'lease not renewed': async () => await reachLease('before'),
+    'lease renewed': async () => await reachLease('after')
+  }
+
+  async function finish (): Promise<void> {
+    await until('every engine to serve the new version only', async () => {
+      const states = await Promise.all(livingEngines(bed).map(async (id) => await bed.target(id).engineState()))
+      const isDone = states.every(({ models }) => {
+        const ours = models.filter((model) => model.name === MODEL)
+        return ours.length === 1 && ours[0]!.version === NEW_VERSION && ours[0]!.status === 'ready'
+      })
+      return isDone || undefined
+    }, BOUND_MS)
+    clearInterval(live)
+  }
+
+  async function check (strike: string): Promise<void> {
+    clearInterval(live)
+    const seen = await Promise.all(answers)
+    const notWhole = seen.filter((answer) => !answer.whole)
+    if (!strike.includes('kill target')) assert.deepEqual(notWhole.map(describeAnswer), [])
+    if (checksFencing) for (const id of livingEngines(bed)) await checkOrders(id)
+  }
+
+  /** No order with a lower number than an earlier one took effect. */
+  async function checkOrders (id: string): Promise<void> {
+    const orders = (await bed.target(id).orders()).filter((order) => order.applied === true)
+    let highest = 0
+    for (const order of orders) {
+      assert.ok(order.fencing >= highest, `${id} applied an order with number ${order.fencing} after ${highest}`)
+      highest = order.fencing
+    }
+  }
+
+  return { reach: async (step) => await reachFrom(steps, step), finish, check }
+}
+
+function describeAnswer ({ status, reason, failure }: LiveAnswer): string {
+  return [status, reason, failure].join(' ')
+}
--- a/packages/faults/src/paths/paths.ts
+++ b/packages/faults/src/paths/paths.ts
@@ -2,8 +2,10 @@
 import type { DeployOptions } from '../deploy'
 import { createBatchPath } from './batch'
 import { createCancelPath } from './cancel'
+import { createConfigurationPath } from './configuration'
 import { createLivePath } from './live'
 import { createOncePath } from './once'
+import { createOrderPath } from './order'
 import type { CreatePath } from './types'
 
 export interface MatrixPath {
@@ -14,8 +16,17 @@
 export const PATHS = {
   batch: { deployOptions: {}, create: createBatchPath },
   cancel: { deployOptions: {}, create: createCancelPath },
+  configuration: { deployOptions: { entries: 5, engines: 1 }, create: createConfigurationPath },
   live: { deployOptions: { batches: 0 }, create: createLivePath },
-  once: { deployOptions: { batches: 0, engines: 1 }, create: createOncePath }
+  once: { deployOptions: { batches: 0, engines: 1 }, create: createOncePath },
+  order: {
+    deployOptions: { batches: 0, controllers: 2, engines: 4, engineArgs: ['--checks-fencing'] },
+    create: (bed) => createOrderPath(bed, true)
+  },
+  unfenced: {
+    deployOptions: { batches: 0, controllers: 2, engines: 4 },
+    create: (bed) => createOrderPath(bed, false)
+  }
 } satisfies Record<string, MatrixPath>
 
 export type PathName = keyof typeof PATHS
--- a/packages/faults/src/strikes.ts
+++ b/packages/faults/src/strikes.ts
@@ -36,6 +36,7 @@
   'stop carrier and platform down': both(stopCarrier, platformDown),
   'target leaves and instance list stale': both(targetLeaves, staleInstances),
   'freeze carrier and platform slow': both(freezeCarrier, platformSlow),
+  'restart carrier in an outage': restartInOutage,
   none: async () => HEALED
 } satisfies Record<string, Strike>
 
@@ -164,6 +165,14 @@
   return entries.find((id) => id !== carrier)!
 }
 
+/** Starts the instance while the platform is down, so that it depends on its peers. */
+async function restartInOutage (bed: FaultBed, moment: Moment): Promise<Heal> {
+  const heal = await platformDown(bed)
+  await killCarrier(bed, moment)
+  await bed.deployment.restart(moment.carrier!)
+  return heal
+}
+
 function both (first: Strike, second: Strike): Strike {
   return async (bed, moment) => {
     const heals = [await first(bed, moment), await second(bed, moment)]
@@ -194,7 +203,7 @@
 }
 
 /** Engines whose processes live. */
-function livingEngines (bed: FaultBed): string[] {
+export function livingEngines (bed: FaultBed): string[] {
   return bed.engines.filter((id) => {
     const { child } = bed.process(id)
     return child.exitCode === null && child.signalCode === null
