--- a/packages/pimentoplank/src/entry/createEntry.ts
+++ b/packages/pimentoplank/src/entry/createEntry.ts
@@ -33,6 +33,8 @@
   transports?: PeerTransports
   metrics?: Metrics
   clock?: Clock
+  /** Targets that have loaded a model; undefined when nothing is known. */
+  targetsServing?: (model: string) => ReadonlySet<string> | undefined
   /** Further services for peers. */
   peerRoutes?: (router: ConnectRouter) => void
   /** Further routes for callers, behind the authentication. */
@@ -103,6 +105,7 @@
     stopper,
     directory,
     extraRoutes: deps.extraRoutes,
+    targetsServing: deps.targetsServing,
     limits: createAccountLimits(clock),
     budget: createRetryBudget({ ratio: settings.retries.budgetRatio, reserve: settings.retries.budgetReserve }),
     quarantine: createQuarantine({ platform, feed, clock, metrics, log, keepMs: settings.quarantine.keepMs }),
--- a/packages/pimentoplank/src/entry/live/liveJob.ts
+++ b/packages/pimentoplank/src/entry/live/liveJob.ts
@@ -45,6 +45,8 @@
   clock: Clock
   metrics: Metrics
   log: Log
+  /** Targets that have loaded a model; undefined when nothing is known. */
+  targetsServing?: (model: string) => ReadonlySet<string> | undefined
   /** Tries of one job without a new token. */
   maxAttempts: number
   /** Silence on a stream taken up again after which it is given up, in milliseconds. */
--- a/packages/pimentoplank/src/entry/live/liveRun.ts
+++ b/packages/pimentoplank/src/entry/live/liveRun.ts
@@ -1,7 +1,8 @@
 /** Runs a live job: takes slots, reads the stream, and goes on elsewhere when a target fails. */
 import { err, ok, ResultAsync, type Result } from 'neverthrow'
 import {
-  RefusalError, type EngineError, type EngineEvent, type EngineStream, type Outcome, type ResumePoint,
+  RefusalError,
+  type EngineError, type EngineErrorKind, type EngineEvent, type EngineStream, type Outcome, type ResumePoint,
   type SlotGrant, type SlotReport
 } from '../../shared'
 import { createAttemptTimer, type AttemptTimer } from './attemptTimer'
@@ -19,6 +20,9 @@
 /** Crashes that one job may be part of; after them it ends, whatever the quarantine says. */
 const MAX_CRASHES = 2
 
+/** Cheap refusals that say nothing about load or faults, so that going elsewhere needs no budget. */
+const FREE_RETRIES: ReadonlySet<EngineErrorKind> = new Set(['targetLeaving', 'modelNotLoaded'])
+
 /** Starts a job; nothing is sent before the first call of `next`. */
 export function createLiveRun (job: LiveJob, deps: LiveDeps): LiveRun {
   const { clock, engine, metrics, slots } = deps
@@ -81,7 +85,7 @@
       weight: job.weight,
       deadlineMs: Math.max(0, deadlineAt - clock.now()),
       prefixHash: job.prefixHash,
-      excluded: [...excluded, ...deps.quarantine.targetsWithSuspects(job.contentHash)]
+      excluded: [...excluded, ...deps.quarantine.targetsWithSuspects(job.contentHash), ...targetsWithoutModel()]
     }, { signal })
     metrics.timing('live.slotWait', clock.now() - startedAt)
     if (grant.isOk()) return grant
@@ -93,6 +97,13 @@
     return err(new RefusalError(reason, { detail: message, outcome, retryAfterMs, cause: grant.error }))
   }
 
+  /** Targets that have not loaded the model, as far as the controller has said where it is. */
+  function targetsWithoutModel (): string[] {
+    const serving = deps.targetsServing?.(job.model)
+    if (serving === undefined || serving.size === 0) return []
+    return deps.membership.targets(job.service).map((target) => target.id).filter((id) => !serving.has(id))
+  }
+
   async function allowDispatch (): Promise<Result<void, RefusalError>> {
     if (dispatchAllowed || job.beforeDispatch === undefined) return ok(undefined)
     const allowed = await job.beforeDispatch()
@@ -198,8 +209,7 @@
   }
 
   function takeRetry (cause: EngineError | undefined): boolean {
-    // Each target says once that it leaves, so these retries need no budget.
-    const isFree = cause?.kind === 'targetLeaving'
+    const isFree = cause !== undefined && FREE_RETRIES.has(cause.kind)
     if (!isFree && !deps.budget.takeRetry(job.service)) return false
     metrics.retried(RETRY_REASON_OF[cause?.kind ?? 'streamCut'] ?? 'targetError')
     return true
--- a/packages/pimentoplank/src/entry/runEntry.ts
+++ b/packages/pimentoplank/src/entry/runEntry.ts
@@ -37,6 +37,7 @@
     log,
     metrics,
     clock,
+    targetsServing: followers.placement.targetsServing,
     peerRoutes: (router) => {
       context.value.peerRoutes(router)
       home.routes(router)
--- /dev/null
+++ b/packages/pimentoplank/src/shared/engine/engine.feature
@@ -0,0 +1,19 @@
+Feature: The client of model engines
+
+  Scenario Outline: A stream that <what>
+    Given a raw engine that <what>
+    When the engine client reads its stream
+    Then the engine client got <tokens> tokens and then <kind>, reached <reached>
+
+    Examples:
+      | what                                      | tokens | kind          | reached |
+      | ends with a reason and the mark           | 2      | end           | true    |
+      | ends in order without the mark            | 2      | streamCut     | true    |
+      | has the mark without a reason             | 2      | streamCut     | true    |
+      | breaks off                                | 2      | streamCut     | true    |
+      | goes silent                               | 2      | streamSilent  | true    |
+      | never answers                             | 0      | streamSilent  | true    |
+      | breaks off before its head                | 0      | streamCut     | true    |
+      | says that it leaves                       | 0      | targetLeaving | false   |
+      | fails                                     | 0      | targetError   | true    |
+      | does not listen                           | 0      | connectFailed | false   |
--- /dev/null
+++ b/packages/pimentoplank/src/shared/engine/engine.steps.ts
@@ -0,0 +1,76 @@
+import assert from 'node:assert/strict'
+import { createServer, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { After, Given, Then, When } from '@cucumber/cucumber'
+import { createEngineClient } from '.'
+import type { Target } from '../membership'
+
+interface EngineWorld {
+  server?: Server
+  target: Target
+  tokens: number
+  last: { kind: string, reached: boolean }
+}
+
+const TOKENS = 'data: {"choices":[{"text":"a "}]}\n\ndata: {"choices":[{"text":"b "}]}\n\n'
+const REASON = 'data: {"choices":[{"text":"","finish_reason":"stop"}]}\n\n'
+const MARK = 'data: [DONE]\n\n'
+
+function cutAfter (res: ServerResponse, text: string): void {
+  res.write(text, () => setImmediate(() => res.destroy()))
+}
+
+const ANSWERS: Record<string, (res: ServerResponse) => void> = {
+  'ends with a reason and the mark': (res) => { res.end(TOKENS + REASON + MARK) },
+  'ends in order without the mark': (res) => { res.end(TOKENS + REASON) },
+  'has the mark without a reason': (res) => { res.end(TOKENS + MARK) },
+  'breaks off': (res) => cutAfter(res, TOKENS),
+  'goes silent': (res) => { res.write(TOKENS) },
+  'never answers': () => undefined,
+  'breaks off before its head': (res) => { res.destroy() },
+  'says that it leaves': (res) => { res.writeHead(503).end('{"error":{"code":"leaving"}}') },
+  fails: (res) => { res.writeHead(500).end('{}') },
+  'does not listen': () => undefined
+}
+
+Given(/^a raw engine that (.+)$/, async function (this: EngineWorld, what: string) {
+  const server = createServer((req, res) => ANSWERS[what]!(res))
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', () => resolve()))
+  const { port } = server.address() as AddressInfo
+  if (what === 'does not listen') server.close()
+  else this.server = server
+  this.target = {
+    id: 'raw', role: 'engine', service: 's', address: `127.0.0.1:${port}`, failureDomain: 'd', region: 'r', state: 'live'
+  }
+})
+
+When('the engine client reads its stream', async function (this: EngineWorld) {
+  const client = createEngineClient({ firstTokenTimeoutMs: 200, tokenGapTimeoutMs: 100 })
+  this.tokens = 0
+  const started = await client.start(this.target, { requestId: 'r', kind: 'completion', body: {} })
+  if (started.isErr()) this.last = started.error
+  else {
+    for (;;) {
+      const event = await started.value.next()
+      if (event.isErr()) this.last = event.error
+      else if (event.value.type === 'end') this.last = { kind: 'end', reached: true }
+      else {
+        this.tokens += 1
+        continue
+      }
+      break
+    }
+  }
+  await client.close()
+})
+
+Then('the engine client got {int} tokens and then {word}, reached {word}', function (
+  this: EngineWorld, tokens: number, kind: string, reached: string
+) {
+  assert.deepEqual([this.tokens, this.last.kind, String(this.last.reached)], [tokens, kind, reached])
+})
+
+After(function (this: Partial<EngineWorld>) {
+  this.server?.closeAllConnections()
+  this.server?.close()
+})
