Bound the stop of a runner whose streams do not react; parse each job revision once

Cause: a stop waited for every running item to react to its cancellation; a silent engine kept the process for good. The scenario 'A runner stops within its bound' fails with the bound off. Also: every look for work parsed all retained jobs anew; at 8,400 kept jobs that is most of a look (not measured).

--- a/packages/pimentoplank/features/support/fakeTargets.ts
+++ b/packages/pimentoplank/features/support/fakeTargets.ts
@@ -32,6 +32,8 @@
   crashMarker: string
   /** Content with this marker gets an error each time. */
   failMarker: string
+  /** Runners whose streams send nothing any more and do not react to being cancelled. */
+  silent: Set<string>
   /** Takes every slot back, and grants none until allowed again. */
   revoke: () => void
   allow: () => void
@@ -66,6 +68,7 @@
   function createStream (run: FakeRun, clock: Clock): EngineStream {
     async function produce (): Promise<EngineEvent> {
       await clock.sleep(options.tokenMs)
+      if (fake.silent.has(run.runner)) await new Promise(() => undefined)
       if (run.outcome === 'crashed') throw new EngineError('streamCut', { reached: true })
       if (run.content.includes(fake.crashMarker)) {
         crash(run.target)
@@ -84,7 +87,10 @@
     return {
       streamId: `stream-${runs.length}`,
       next: () => ResultAsync.fromPromise(produce(), (cause) => cause as EngineError),
-      cancel: async () => { if (run.outcome === 'running') run.outcome = 'cancelled' }
+      cancel: async () => {
+        if (fake.silent.has(run.runner)) await new Promise(() => undefined)
+        if (run.outcome === 'running') run.outcome = 'cancelled'
+      }
     }
   }
 
@@ -140,6 +146,7 @@
     runs,
     crashMarker: 'CRASH',
     failMarker: 'FAIL',
+    silent: new Set(),
     revoke: () => {
       isAllowed = false
       for (const revoker of granted) revoker.abort()
--- a/packages/pimentoplank/src/batch/faults.feature
+++ b/packages/pimentoplank/src/batch/faults.feature
@@ -189,3 +189,12 @@
     When the platform is back for the batch fleet
     Then the batch job is "cancelled" within 30 s
     And no batch item ran
+
+  Scenario: A runner stops within its bound although its streams do not react to being cancelled
+    Given a batch fleet with the runners "a, b"
+    When 40 batch items are uploaded
+    And the batch runner "a" runs items
+    And the streams of batch runner "a" go silent for good
+    And the batch runner "a" is told to stop and has ended within 40 s
+    Then the batch job is "done" within 60 s
+    And each of the 40 batch items has 1 result, "done"
--- a/packages/pimentoplank/src/batch/heldChunk.ts
+++ b/packages/pimentoplank/src/batch/heldChunk.ts
@@ -193,11 +193,13 @@
   async function endEarly (end: Exclude<ChunkEnd, 'complete'>): Promise<HeldChunkEnd> {
     while (running.size > 0 && clock.now() < graceEndsAt) await wakeup.wait(graceEndsAt - clock.now())
     stopped.abort()
-    while (running.size > 0) await wakeup.wait(COMMIT_RETRY_MS)
+    // A stream that does not react to being cancelled must not keep the process.
+    const abandonsAt = clock.now() + settings.stopGraceMs
+    while (running.size > 0 && clock.now() < abandonsAt) await wakeup.wait(abandonsAt - clock.now())
     const withdrawn = settleIntents(end)
     const givesUpAt = clock.now() + (end === 'released' ? settings.stopGraceMs : settings.outage.runMs)
     for (;;) {
-      const isWhole = queue.every(({ index }) => ledger.hasResult(index))
+      const isWhole = [...queue, ...running].every(({ index }) => ledger.hasResult(index))
       const outcome = await commit({ end: isWhole ? 'complete' : end, withdrawn })
       if (outcome === 'committed') return isWhole ? 'complete' : end
       if (outcome === 'lost' || clock.now() > givesUpAt) return 'lost'
@@ -207,7 +209,7 @@
 
   /** Settles items with an intent: unknown where they may have run, else their intents are taken back. */
   function settleIntents (end: ChunkEnd): number[] {
-    const intended = queue.filter(({ index }) => ledger.hasIntent(index))
+    const intended = [...queue, ...running].filter(({ index }) => ledger.hasIntent(index))
     for (const { index, item, isDispatched } of intended) {
       if (isDispatched && end === 'sealed') ledger.record(index, unknownResult(item, 'the job was cancelled'))
     }
--- a/packages/pimentoplank/src/batch/runner.steps.ts
+++ b/packages/pimentoplank/src/batch/runner.steps.ts
@@ -70,6 +70,13 @@
   world.fleet.platform.faultOf = (call) => call.client !== 'entry' && matches(call) ? fault : undefined
 }
 
+async function stopRunner (world: FleetWorld, id: string, limitMs: number): Promise<void> {
+  let isStopped = false
+  const stopping = world.fleet.runners.get(id)!.runner.stop().then(() => { isStopped = true })
+  await world.fleet.until(() => isStopped, limitMs)
+  await stopping
+}
+
 Given('a batch fleet with the runners {string}', function (this: FleetWorld, names: string) {
   createFleet(this, names, { settings: { commit: { everyMs: SECOND } } })
 })
@@ -163,12 +170,18 @@
 })
 
 When('the batch runner {string} is told to stop', async function (this: FleetWorld, id: string) {
-  let isStopped = false
-  const stopping = this.fleet.runners.get(id)!.runner.stop().then(() => { isStopped = true })
-  await this.fleet.until(() => isStopped, 15 * SECOND)
-  await stopping
+  await stopRunner(this, id, 15 * SECOND)
+})
+
+When('the streams of batch runner {string} go silent for good', function (this: FleetWorld, id: string) {
+  this.fleet.targets.silent.add(id)
 })
 
+When('the batch runner {string} is told to stop and has ended within {int} s',
+  async function (this: FleetWorld, id: string, seconds: number) {
+    await stopRunner(this, id, seconds * SECOND)
+  })
+
 When('the batch job is cancelled', async function (this: FleetWorld) {
   assert.equal(await this.fleet.cancel(this.batchJob), 202)
   await this.fleet.advance(100)
--- a/packages/pimentoplank/src/batch/runner.ts
+++ b/packages/pimentoplank/src/batch/runner.ts
@@ -71,6 +71,8 @@
   const jobEnds = createJobEnds(context, claims)
   const held = new Map<string, HeldChunk>()
   const jobs = new Map<string, ParsedJob>()
+  /** Newest revision taken in of each job, ended ones included, so that none is parsed twice. */
+  const notedRevisions = new Map<string, number>()
   const stopped = new AbortController()
   const wakeup = createWakeup(clock)
   const dispatcher = createDispatcher({ clock, parallelism: settings.parallelism, chunks: () => held.values() })
@@ -88,8 +90,10 @@
 
   /** Takes in the newest state of a job; undefined when it is gone. */
   function noteJob (name: string, object: StoredObject | undefined): void {
+    if (object !== undefined && object.revision <= (notedRevisions.get(name) ?? 0)) return
+    if (object === undefined) notedRevisions.delete(name)
+    else notedRevisions.set(name, object.revision)
     const before = jobs.get(name)
-    if (object !== undefined && before !== undefined && object.revision <= before.object.revision) return
     const job = jobRecord.safeParse(object?.value).data
     if (object === undefined || job === undefined || isFinalState(job.state)) {
       jobs.delete(name)
@@ -110,7 +114,7 @@
   function readFeed (): void {
     const current = feed.objects(OBJECT_KINDS.job)
     for (const [name, object] of current) noteJob(name, object)
-    for (const name of [...jobs.keys()]) if (!current.has(name)) noteJob(name, undefined)
+    for (const name of [...notedRevisions.keys()]) if (!current.has(name)) noteJob(name, undefined)
   }
 
   async function keepLease (): Promise<void> {
