--- /dev/null
+++ b/packages/pimentoplank/src/cli/cli.steps.ts
@@ -0,0 +1,76 @@
+import assert from 'node:assert/strict'
+import { execFile } from 'node:child_process'
+import { mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import path from 'node:path'
+import { createPlatformStandin, type PlatformStandin } from '@pimentoplank/standins'
+import { After, Before, Given, Then, When } from '@cucumber/cucumber'
+import { OBJECT_KINDS } from '../shared'
+
+interface CliWorld {
+  folder: string
+  cliPlatform: PlatformStandin
+  code: number
+  output: string
+}
+
+/** Built by the test script before the scenarios run. */
+const PROGRAM = path.resolve('packages/pimentoplank/dist/pimentoplank.js')
+const DEAD_ADDRESS = '127.0.0.1:9'
+
+Before(async function (this: CliWorld) {
+  this.folder = ''
+})
+
+async function folderOf (world: CliWorld): Promise<string> {
+  if (world.folder === '') world.folder = await mkdtemp(path.join(tmpdir(), 'pimentoplank-cli-'))
+  return world.folder
+}
+
+Given('an operator\'s file {string} with text {string}', async function (this: CliWorld, name: string, text: string) {
+  await writeFile(path.join(await folderOf(this), name), text)
+})
+
+Given('a platform for the command line', async function (this: CliWorld) {
+  this.cliPlatform = createPlatformStandin()
+  const { url } = await this.cliPlatform.start()
+  const settings = { platform: { url }, peers: { sharedKey: 'a-key-for-tests-only' } }
+  await writeFile(path.join(await folderOf(this), 'cli.json'), JSON.stringify(settings))
+})
+
+Given('an instance {string} in its list that is dead', function (this: CliWorld, id: string) {
+  this.cliPlatform.putInstance({
+    id, role: 'entry', address: DEAD_ADDRESS, peerAddress: DEAD_ADDRESS, failureDomain: 'a', region: 'r', state: 'live'
+  })
+})
+
+When('the platform for the command line goes away', async function (this: CliWorld) {
+  await this.cliPlatform.close()
+})
+
+When('the operator runs {string}', { timeout: 20_000 }, async function (this: CliWorld, line: string) {
+  const cwd = await folderOf(this)
+  await new Promise<void>((resolve) => {
+    // Options of the test runner's own process are not for the program.
+    const env = { ...process.env, NODE_OPTIONS: '' }
+    execFile(process.execPath, [PROGRAM, ...line.split(' ')], { cwd, env }, (err, stdout, stderr) => {
+      this.code = err === null ? 0 : Number(err.code)
+      this.output = stdout + stderr
+      resolve()
+    })
+  })
+})
+
+Then('the command line ends with {int} and says {string}', function (this: CliWorld, code: number, words: string) {
+  assert.equal(this.code, code, this.output)
+  for (const word of words.split(', ')) assert.ok(this.output.includes(word), `${word} is not in: ${this.output}`)
+})
+
+Then('the platform for the command line holds {int} release note', function (this: CliWorld, count: number) {
+  assert.equal(this.cliPlatform.objects(OBJECT_KINDS.releaseNote).length, count)
+})
+
+After(async function (this: CliWorld) {
+  if (this.folder !== '') await rm(this.folder, { recursive: true, force: true })
+  await this.cliPlatform?.close()
+})
--- a/packages/pimentoplank/src/controller/controller.ts
+++ b/packages/pimentoplank/src/controller/controller.ts
@@ -80,6 +80,7 @@
     if (isBehind()) return 'done'
     const targets = followers.membership.allTargets().filter(({ role }) => role === 'engine')
     const observed = await observer.observe(targets)
+    noteLeaving(observed)
     await readLoads(drains, observed)
     const plan = planFleet({
       config: followers.config.current(),
@@ -98,6 +99,13 @@
     return 'done'
   }
 
+  /** An engine tells that it leaves before the platform's list does. */
+  function noteLeaving (observed: readonly ObservedEngine[]): void {
+    for (const { target, state } of observed) {
+      if (state.state === 'leaving') followers.membership.noteLeaving(target.id, 'ownAnswer')
+    }
+  }
+
   async function readLoads (drains: Drains, observed: readonly ObservedEngine[]): Promise<void> {
     const waiting = new Set(drains.waitingTargets())
     await Promise.all(observed.filter(({ target }) => waiting.has(target.id)).map(async ({ target }) => {
--- a/packages/pimentoplank/src/controller/fleet.feature
+++ b/packages/pimentoplank/src/controller/fleet.feature
@@ -77,3 +77,12 @@
     When 25 notes are applied one after the other
     Then the log of the fleet holds at most 15 notes and a snapshot
     And an instance that starts now has configuration 25
+
+  Scenario: A target that says it is leaving is out of the placement while the list still shows it
+    Given a fleet of 4 engines
+    And a controller that orders at most 2 loads at a time
+    When model "desk-8b" at version "1" is released
+    Then the controller has model "desk-8b" at version "1" ready on 4 engines
+    When engine "engine-2" says that it is leaving
+    Then the placement of "desk-8b" loses "engine-2" within 3 s
+    And every follower of the fleet has dropped "engine-2"
--- a/packages/pimentoplank/src/controller/fleet.steps.ts
+++ b/packages/pimentoplank/src/controller/fleet.steps.ts
@@ -293,6 +293,21 @@
   assert.equal(followers.config.current().services.size, sequence)
 })
 
+When('engine {string} says that it is leaving', function (this: FleetWorld, id: string) {
+  engineNamed(this, id).setFaults({ leaving: true })
+})
+
+Then('the placement of {string} loses {string} within {int} s',
+  async function (this: FleetWorld, name: string, id: string, seconds: number) {
+    await until(() => placedTargets(this, name)?.includes(id) === false, { limitMs: seconds * 1000 })
+  })
+
+Then('every follower of the fleet has dropped {string}', async function (this: FleetWorld, id: string) {
+  const isOut = ({ followers }: BenchController): boolean =>
+    followers.membership.targets('desk-lm').every((target) => target.id !== id)
+  await until(() => this.bench.controllers.every(isOut))
+})
+
 After({ timeout: 20_000 }, async function (this: FleetWorld) {
   for (const stop of this.watchers ?? []) stop()
   this.longRequestOver?.abort()
