--- a/packages/pimentoplank/src/shared/followers/followers.feature
+++ b/packages/pimentoplank/src/shared/followers/followers.feature
@@ -87,3 +87,17 @@
     Then every other follower instance drops it within 6 s
     When that follower instance runs again at the same address
     Then every other follower instance takes it back within 6 s
+
+  Scenario Outline: After any sequence of faults every instance has the newest configuration, and none went back
+    Given a platform that instances follow
+    And 6 follower instances in 2 failure domains at configuration 1
+    When a random sequence of 10 faults and changes from seed <seed> befalls the follower instances
+    And all faults of the follower instances end
+    Then every follower instance has the newest configuration within 10 s
+    And no follower instance ever went back
+
+    Examples:
+      | seed |
+      | 11   |
+      | 12   |
+      | 13   |
--- a/packages/pimentoplank/src/shared/followers/followers.steps.ts
+++ b/packages/pimentoplank/src/shared/followers/followers.steps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { createPlatformStandin, type PlatformStandin } from '@pimentoplank/standins'
-import { After, Given, Then, When } from '@cucumber/cucumber'
+import { After, Given, Then, When, type IWorld } from '@cucumber/cucumber'
+import fc from 'fast-check'
 import { startFollowerCluster, type ClusterMember, type FollowerCluster } from '../../../features/support/followerCluster'
 import { until } from '../../../features/support/until'
 import {
@@ -8,7 +9,7 @@
   type InstanceRecord
 } from '../../shared'
 
-interface FollowersWorld {
+interface FollowersWorld extends Pick<IWorld, 'log'> {
   cluster: FollowerCluster
   connected: ClusterMember[]
   cutOff?: ClusterMember
@@ -255,6 +256,49 @@
     await until(() => all(this).every((member) => knows(member, this.announcer!.id)), { limitMs: seconds * 1000 })
   })
 
+/** What can befall an instance or the platform; each lasts until the faults end. */
+const FAULTS: Record<string, (world: FollowersWorld, member: ClusterMember) => unknown> = {
+  change: async (world) => await apply(world, world.cluster.platform.objects(OBJECT_KINDS.releaseNote).length + 1),
+  platformCut: (_, member) => member.platformLink.set('cut'),
+  platformSilent: (_, member) => member.platformLink.set('silent'),
+  peersCut: (_, member) => member.peerLink.set('cut'),
+  peersSilent: (_, member) => member.peerLink.set('oldSilent'),
+  isolated: (_, member) => member.isolate(true),
+  staleList: (world) => world.cluster.platform.setFaults({ staleInstances: true }),
+  compaction: (world) => world.cluster.platform.compact(),
+  restart: async (world, member) => {
+    const { id } = member
+    const seeds = all(world).filter((other) => other !== member).map((other) => other.peerLink.address)
+    await member.stop()
+    await world.cluster.start(id, `domain-${Number(id.split('-')[1]) % 2}`, { seeds })
+  }
+}
+
+When('a random sequence of {int} faults and changes from seed {int} befalls the follower instances',
+  { timeout: 30_000 },
+  async function (this: FollowersWorld, length: number, seed: number) {
+    const fault = fc.constantFrom(...Object.keys(FAULTS), 'change', 'change')
+    const step = fc.record({ fault, index: fc.nat({ max: all(this).length - 1 }) })
+    const [steps = []] = fc.sample(fc.array(step, { minLength: length, maxLength: length }), { seed, numRuns: 1 })
+    this.log(steps.map((taken) => `${taken.fault} ${taken.index}`).join(', '))
+    for (const taken of steps) await FAULTS[taken.fault]!(this, all(this)[taken.index]!)
+    await apply(this, this.cluster.platform.objects(OBJECT_KINDS.releaseNote).length + 1)
+  })
+
+When('all faults of the follower instances end', function (this: FollowersWorld) {
+  this.cluster.platform.setFaults({ staleInstances: false })
+  for (const member of all(this)) {
+    member.platformLink.set('open')
+    member.peerLink.set('open')
+    member.isolate(false)
+  }
+})
+
+Then('every follower instance has the newest configuration within {int} s', { timeout: 15_000 },
+  async function (this: FollowersWorld, seconds: number) {
+    await haveSequence(all(this), this.cluster.platform.objects(OBJECT_KINDS.releaseNote).length, seconds)
+  })
+
 After({ timeout: 20_000 }, async function (this: FollowersWorld) {
   await this.cluster?.close()
   await this.replica?.close()
