Keep limits at the engine's slots, spread batch over the region, make waits cheaper

Conclusion: the limit shrinks below slotsPerTarget and returns to it; batch takes any target of the region; waits end without errors.

--- a/packages/pimentoplank/src/shared/clock/clock.ts
+++ b/packages/pimentoplank/src/shared/clock/clock.ts
@@ -1,5 +1,4 @@
 /** Time as an option, so that tests can control it. */
-import { setTimeout as delay } from 'node:timers/promises'
 
 export interface Clock {
   /** Milliseconds on a monotonic clock; comparable only within this process. */
@@ -21,7 +20,16 @@
     now: () => performance.now(),
     wallTime: () => Date.now(),
     sleep: async (ms, signal) => {
-      await delay(ms, undefined, { signal }).catch(() => undefined)
+      if (signal?.aborted === true) return
+      await new Promise<void>((resolve) => {
+        const wake = (): void => {
+          clearTimeout(timer)
+          signal?.removeEventListener('abort', wake)
+          resolve()
+        }
+        const timer = setTimeout(wake, ms)
+        signal?.addEventListener('abort', wake)
+      })
     }
   }
 }
--- a/packages/pimentoplank/src/shared/clock/limit.ts
+++ b/packages/pimentoplank/src/shared/clock/limit.ts
@@ -20,6 +20,6 @@
   try {
     return await Promise.race([promise, limit])
   } finally {
-    settled.abort()
+    settled.abort(TIMED_OUT)
   }
 }
--- a/packages/pimentoplank/src/shared/slots/routing.ts
+++ b/packages/pimentoplank/src/shared/slots/routing.ts
@@ -70,14 +70,21 @@
 
 /** The nearest targets that are not all overloaded: of the own failure domain, else of the region, else all. */
 function nearestTargets (targets: readonly Target[], context: RoutingContext): readonly Target[] {
+  const isInRegion = (target: Target): boolean => target.region === context.region
   const hasRoom = (target: Target): boolean => context.loads.share(target.id) < SPILL_SHARE
+  // Batch work gains nothing by being near, and a failure domain without a runner must not stay idle.
+  if (context.req.workClass === 'batch') return orAll(targets.filter(isInRegion), targets)
   const inDomain = targets.filter((target) => target.failureDomain === context.failureDomain)
   if (inDomain.some(hasRoom)) return inDomain
-  const inRegion = targets.filter((target) => target.region === context.region)
+  const inRegion = targets.filter(isInRegion)
   if (inRegion.some(hasRoom)) return inRegion
   return targets
 }
 
+function orAll (chosen: readonly Target[], all: readonly Target[]): readonly Target[] {
+  return chosen.length > 0 ? chosen : all
+}
+
 /** The order of two choices: the better of each random pair first. */
 function byTwoChoices ({ targets, loads, random }: RoutingContext): Target[] {
   const shuffled = shuffle(targets, random)
--- a/packages/pimentoplank/src/shared/slots/settings.ts
+++ b/packages/pimentoplank/src/shared/slots/settings.ts
@@ -66,8 +66,8 @@
     .describe('Instances after the first home that may stand in for it.'),
   limit: z.enum(LIMIT_WAYS).default('aimd')
     .describe('How the limit of a target follows its measured times.'),
-  maxLimitFactor: z.number().min(1).default(4)
-    .describe('Highest limit of a target, as a multiple of slotsPerTarget.'),
+  maxLimitFactor: z.number().min(1).default(1)
+    .describe('Highest limit of a target, as a multiple of slotsPerTarget; above 1 where that is below the engine\'s own slots.'),
   limitWindow: z.int().min(1).default(20)
     .describe('Reports that one step of a limit is taken from.'),
   ejectAfter: z.int().min(1).default(3)
