Bind the entry's test hooks to their features; stricter checks of cancel and stop

Cause: hooks of cucumber run after every scenario; one of the entry's took the server of the platform stand-in's scenarios for its own and failed 10 of them. Found by mutation, green before and mended: without the order to stop a stream the stand-in's grace ended it in time (the grace is longer now), and a stop that did not wait for outcomes was slow enough to record them (the platform comes back only after the stop's last stage now).

--- a/packages/pimentoplank/src/entry/api/api.feature
+++ b/packages/pimentoplank/src/entry/api/api.feature
@@ -1,3 +1,4 @@
+@entryBench
 Feature: The caller API of an entry instance
 
   Scenario Outline: The entry refuses <what>
--- a/packages/pimentoplank/src/entry/live/live.feature
+++ b/packages/pimentoplank/src/entry/live/live.feature
@@ -1,3 +1,4 @@
+@entryBench
 Feature: Live completions through an entry instance
 
   Scenario Outline: The entry answers a <kind> request whole
@@ -82,3 +83,22 @@
     And the entry bench makes engine 0 refuse connections
     When the entry gets a chat request for 4 tokens
     Then the entry answers 503 with reason retryBudget and outcome not_run
+
+  Scenario: The entry replays the answer of a completion that runs at most once
+    Given the entry bench with 2 entries and 2 engines
+    When the entry gets a streamed chat request for 12 tokens that may not be repeated, at instance 0
+    Then the entry streams the whole text of 12 tokens, each once, with the closing mark
+    When the entry gets a chat request for 12 tokens that may not be repeated, at instance 1, until it is settled
+    Then the entry answers 422 with reason onceKeyReused and outcome not_run
+    When the entry gets a streamed chat request for 12 tokens that may not be repeated, at instance 1
+    Then the entry streams the whole text again
+    And the entry's engines ran 1 request
+
+  Scenario: The entry never runs a completion again whose target died
+    Given the entry bench with 2 entries and 2 engines
+    When the entry gets a streamed chat request for 40 tokens that may not be repeated, at instance 0
+    And engine 0 of the entry dies after 5 tokens
+    Then the entry's stream ends with an error event and without the closing mark
+    When the entry gets a streamed chat request for 40 tokens that may not be repeated, at instance 1
+    Then the entry answers 409 with reason onceUnknown and outcome unknown
+    And the entry's engines ran 1 request
--- a/packages/pimentoplank/src/entry/live/live.steps.ts
+++ b/packages/pimentoplank/src/entry/live/live.steps.ts
@@ -135,3 +135,30 @@
 Then('the entry\'s answer says when to come back', function (this: EntryWorld) {
   assert.ok(Number(this.reply.headers['retry-after']) >= 1)
 })
+
+const ONCE_HEADERS = { 'x-no-repeat': 'true', 'idempotency-key': 'confirmation 12' }
+
+When('the entry gets a streamed chat request for {int} tokens that may not be repeated, at instance {int}', function (
+  this: EntryWorld, tokens: number, entry: number
+) {
+  start(this, 'chat', tokens, true, { entry, headers: ONCE_HEADERS })
+})
+
+When(
+  'the entry gets a chat request for {int} tokens that may not be repeated, at instance {int}, until it is settled',
+  async function (this: EntryWorld, tokens: number, entry: number) {
+    await until(async () => {
+      start(this, 'chat', tokens, false, { entry, headers: ONCE_HEADERS })
+      return (await this.pending).json.reason !== 'onceInProgress'
+    })
+  })
+
+Then('the entry streams the whole text again', async function (this: EntryWorld) {
+  const events = readEvents((await this.pending).text)
+  assert.equal(events.text, expectedAnswer(PROMPT, 12))
+  assert.equal(events.done, true)
+})
+
+Then('the entry\'s engines ran {int} request(s)', function (this: EntryWorld, count: number) {
+  assert.equal(this.bench.engines.flatMap((engine) => engine.runs()).length, count)
+})
--- a/packages/pimentoplank/src/entry/live/quarantine.feature
+++ b/packages/pimentoplank/src/entry/live/quarantine.feature
@@ -1,3 +1,4 @@
+@entryBench
 Feature: Requests that crash targets, at entry instances
 
   Scenario: The second target that dies with a request makes its content quarantined everywhere
--- a/packages/pimentoplank/src/entry/once/once.feature
+++ b/packages/pimentoplank/src/entry/once/once.feature
@@ -1,3 +1,4 @@
+@entryBench
 Feature: Requests that run at most once
 
   Background:
--- a/packages/pimentoplank/src/entry/program/program.feature
+++ b/packages/pimentoplank/src/entry/program/program.feature
@@ -1,3 +1,4 @@
+@entryProgram
 Feature: The entry program
 
   Scenario: A missing settings file
--- a/packages/pimentoplank/src/entry/program/program.steps.ts
+++ b/packages/pimentoplank/src/entry/program/program.steps.ts
@@ -102,7 +102,7 @@
   for (const name of expected) assert.ok(this.errors.includes(name), this.errors)
 })
 
-After(async function (this: Partial<ProgramWorld>) {
+After({ tags: '@entryProgram' }, async function (this: Partial<ProgramWorld>) {
   this.child?.kill('SIGKILL')
   this.other?.close()
   if (this.folder !== undefined) await rm(this.folder, { recursive: true })
--- a/packages/pimentoplank/src/entry/stopping/stopping.feature
+++ b/packages/pimentoplank/src/entry/stopping/stopping.feature
@@ -1,3 +1,4 @@
+@entryBench @entryStopping
 Feature: The planned stop of an entry instance
 
   Scenario: A stop cuts off no request
@@ -22,6 +23,7 @@
     Given a stopping bench whose directory answers are kept for 1 ms and whose stop may take 20000 ms
     When a booking runs through the stopping entry while the platform takes no outcome
     And the entry is told to stop
+    And the stopping entry refuses new requests
     And the platform of the stopping entry comes back
     Then the stop of the entry ends
     And the outcome of the booking is recorded
--- a/packages/pimentoplank/src/entry/stopping/stopping.steps.ts
+++ b/packages/pimentoplank/src/entry/stopping/stopping.steps.ts
@@ -172,7 +172,7 @@
   assert.equal(this.reply.broken, true)
 })
 
-After(async function (this: Partial<StoppingWorld>) {
+After({ tags: '@entryStopping' }, async function (this: Partial<StoppingWorld>) {
   this.socket?.destroy()
   this.raw?.closeAllConnections()
   this.raw?.close()
--- a/packages/pimentoplank/src/entry/testing/entryBench.steps.ts
+++ b/packages/pimentoplank/src/entry/testing/entryBench.steps.ts
@@ -32,6 +32,6 @@
   this.bench = await createEntryBench({ entries, services, engines: 0 })
 })
 
-After(async function (this: Partial<EntryWorld>) {
+After({ tags: '@entryBench' }, async function (this: Partial<EntryWorld>) {
   await this.bench?.close()
 })
--- a/packages/pimentoplank/src/entry/testing/entryBench.ts
+++ b/packages/pimentoplank/src/entry/testing/entryBench.ts
@@ -118,7 +118,13 @@
   const platformUrl = (await platform.start()).url
   const engines = await Promise.all(numbers(options.engines ?? 2).map(async (index) => {
     const engine = createEngineStandin({
-      id: `engine-${index}`, preloaded: [MODEL], tokenMs: 2, firstTokenMs: 1, prefillTokenMs: 0
+      id: `engine-${index}`,
+      preloaded: [MODEL],
+      tokenMs: 2,
+      firstTokenMs: 1,
+      prefillTokenMs: 0,
+      // Only an order to stop ends a stream within a scenario.
+      detachGraceMs: 60_000
     })
     await engine.start()
     return engine
--- a/packages/pimentoplank/src/shared/engine/engine.feature
+++ b/packages/pimentoplank/src/shared/engine/engine.feature
@@ -1,3 +1,4 @@
+@rawEngine
 Feature: The client of model engines
 
   Scenario Outline: A stream that <what>
--- a/packages/pimentoplank/src/shared/engine/engine.steps.ts
+++ b/packages/pimentoplank/src/shared/engine/engine.steps.ts
@@ -70,7 +70,7 @@
   assert.deepEqual([this.tokens, this.last.kind, String(this.last.reached)], [tokens, kind, reached])
 })
 
-After(function (this: Partial<EngineWorld>) {
+After({ tags: '@rawEngine' }, function (this: Partial<EngineWorld>) {
   this.server?.closeAllConnections()
   this.server?.close()
 })
--- a/packages/pimentoplank/src/shared/quarantine/quarantine.feature
+++ b/packages/pimentoplank/src/shared/quarantine/quarantine.feature
@@ -1,3 +1,4 @@
+@crashQuarantine
 Feature: Quarantine of content that crashes targets
 
   Background:
--- a/packages/pimentoplank/src/shared/quarantine/quarantine.steps.ts
+++ b/packages/pimentoplank/src/shared/quarantine/quarantine.steps.ts
@@ -77,7 +77,7 @@
   assert.equal(this.instances[index]!.isQuarantined(content), true)
 })
 
-After(async function (this: Partial<QuarantineWorld>) {
+After({ tags: '@crashQuarantine' }, async function (this: Partial<QuarantineWorld>) {
   await this.client?.close()
   await this.platform?.close()
 })
