Measure what instances, targets, accounts, jobs, requests and items cost

Cause: docs/CAPACITY.md needs slopes from real processes. npm run capacity starts deployments with counting links, reads processor time, memory, bytes and platform calls at three sizes each, and fits a line through each figure.

Ruled out: byte counters of the network namespace, which other work shares; wall-clock latency, on a machine that runs other work beside it.

--- /dev/null
+++ b/packages/standins/src/capacity/cluster.ts
@@ -0,0 +1,135 @@
+/** A deployment whose bytes, processor time, memory and platform calls are read over a stretch of time. */
+import path from 'node:path'
+import { setTimeout as delay } from 'node:timers/promises'
+import { createClient } from '@connectrpc/connect'
+import {
+  createPeerTransports, createPlatformClient, SECOND_MS, StatusService, type PlatformClient
+} from 'pimentoplank/shared'
+import { request } from 'undici'
+import { MODEL, MODEL_VERSION, SERVICE } from '../bench/benchPlan'
+import { readUsage, type ProcessUsage } from '../bench/processUsage'
+import { DEPLOYMENT_PEER_KEY, deploymentPlan, startDeployment, type Deployment } from '../deployment'
+import type { PlatformStats } from '../platform'
+import { createFirstNote, putNote, SLOTS_PER_TARGET } from './notes'
+
+const READY_LIMIT_MS = 40_000
+const POLL_MS = 25
+const CALL_LIMIT_MS = 2 * SECOND_MS
+
+export interface ClusterSize {
+  entries: number
+  domains: number
+  batches?: number
+  controllers?: number
+  engines?: number
+  accounts?: number
+  models?: number
+  /** Time of one token of an engine, in milliseconds. */
+  tokenMs?: number
+}
+
+/** What happened in a stretch of time. */
+export interface Stretch {
+  seconds: number
+  /** Processor time spent, and memory at the end, by process. */
+  usage: Record<string, ProcessUsage>
+  /** Bytes on each link: by instance for its peer address, `platform:<id>` for its way to the platform. */
+  bytes: Record<string, number>
+  platform: PlatformStats
+}
+
+export interface Cluster {
+  deployment: Deployment
+  platform: PlatformClient
+  /** Ids of the system's own instances. */
+  programs: string[]
+  /** Measures while something is done. */
+  during: (work: () => Promise<unknown>) => Promise<Stretch>
+  /** Waits until a configuration is in force on every instance; resolves with the milliseconds waited. */
+  inForce: (sequence: number) => Promise<number>
+  stop: () => Promise<void>
+}
+
+/** Starts a cluster and waits until its first configuration is in force. */
+export async function startCluster (name: string, folder: string, size: ClusterSize): Promise<Cluster> {
+  const deployment = await startDeployment({ plan: createPlan(size), folder: path.join(folder, name), links: true })
+  const platform = createPlatformClient({ url: deployment.platformUrl })
+  const transports = createPeerTransports({ security: { sharedKey: DEPLOYMENT_PEER_KEY } })
+  const programs = [...deployment.processes.keys()].filter((id) => /^(entry|batch|controller)-/.test(id))
+
+  async function inForce (sequence: number): Promise<number> {
+    const startedAt = performance.now()
+    await Promise.all(programs.map(async (id) => await waitFor(id, sequence)))
+    return performance.now() - startedAt
+  }
+
+  async function waitFor (id: string, sequence: number): Promise<void> {
+    // The process itself is asked, not the link before it, so that these calls are not among the bytes.
+    const { peerAddress } = deployment.processes.get(id)!.listening
+    const client = createClient(StatusService, transports.to(peerAddress!))
+    const limit = performance.now() + READY_LIMIT_MS
+    while (performance.now() < limit) {
+      const status = await client.getStatus({}, { timeoutMs: CALL_LIMIT_MS }).catch(() => undefined)
+      if (status !== undefined && status.configSequence >= sequence) return
+      await delay(POLL_MS)
+    }
+    throw new Error(`${id} did not get configuration ${sequence}`)
+  }
+
+  async function stop (): Promise<void> {
+    transports.close()
+    await platform.close()
+    // Instances are ended without a planned stop: nothing is asked of them any more.
+    await deployment.stop({ graceMs: 0 })
+  }
+
+  try {
+    await putNote(platform, createFirstNote({ accounts: size.accounts ?? 100, models: size.models ?? 27 }))
+    await inForce(1)
+  } catch (cause) {
+    await stop()
+    throw cause
+  }
+  return { deployment, platform, programs, inForce, stop, during: async (work) => await measure(deployment, work) }
+}
+
+function createPlan (size: ClusterSize): ReturnType<typeof deploymentPlan.parse> {
+  const engineArgs = [
+    '--slots', String(SLOTS_PER_TARGET), '--token-ms', String(size.tokenMs ?? 20), '--token-slope-ms', '0',
+    '--first-token-ms', '5', '--prefill-token-ms', '0', '--preloaded', `${MODEL}@${MODEL_VERSION}`
+  ]
+  return deploymentPlan.parse({
+    region: 'local',
+    failureDomains: Array.from({ length: size.domains }, (_, index) => `local-${index}`),
+    entries: size.entries,
+    batches: size.batches ?? 0,
+    controllers: size.controllers ?? 0,
+    engines: size.engines === undefined ? [] : [{ service: SERVICE, count: size.engines, args: engineArgs }]
+  })
+}
+
+async function measure (deployment: Deployment, work: () => Promise<unknown>): Promise<Stretch> {
+  await request(`${deployment.platformUrl}/_control/stats`, { method: 'DELETE' }).then((res) => res.body.dump())
+  const before = await read(deployment)
+  const linksBefore = new Map(deployment.links)
+  const startedAt = performance.now()
+  await work()
+  const seconds = (performance.now() - startedAt) / SECOND_MS
+  const after = await read(deployment)
+  const res = await request(`${deployment.platformUrl}/_control/stats`)
+  const usage = Object.fromEntries(Object.entries(after.usage).map(([id, each]) =>
+    [id, { ...each, cpuMs: each.cpuMs - (before.usage[id]?.cpuMs ?? 0) }]))
+  const bytes = Object.fromEntries(Object.entries(after.bytes).map(([name, count]) =>
+    [name, linksBefore.get(name) === deployment.links.get(name) ? count - before.bytes[name]! : count]))
+  return { seconds, usage, bytes, platform: await res.body.json() as PlatformStats }
+}
+
+async function read (deployment: Deployment): Promise<Pick<Stretch, 'usage' | 'bytes'>> {
+  const usage: Stretch['usage'] = {}
+  for (const { id, pid } of deployment.processes.values()) {
+    const found = await readUsage(pid)
+    if (found !== undefined) usage[id] = found
+  }
+  const bytes = Object.fromEntries([...deployment.links].map(([name, link]) => [name, link.bytes()]))
+  return { usage, bytes }
+}
--- /dev/null
+++ b/packages/standins/src/capacity/probes/accounts.ts
@@ -0,0 +1,52 @@
+/** Entries of the configuration: memory, bytes at start and bytes of a change. */
+import { setTimeout as delay } from 'node:timers/promises'
+import { startCluster } from '../cluster'
+import { cpuOf, mean, roleFigures, type Point } from '../figures'
+import { createChange, putNote } from '../notes'
+import type { Probe, ProbeContext } from './types'
+
+const FULL = [100, 1000, 3400]
+const QUICK = [100, 500, 1000]
+const ENTRIES = 6
+const CHANGES = 5
+const CHANGE_GAP_MS = 500
+const SETTLE_MS = 3000
+
+export const accounts: Probe = async (context) => {
+  const points: Point[] = []
+  for (const size of context.isQuick ? QUICK : FULL) points.push(await measureSize(size, context))
+  return { size: 'client accounts', points }
+}
+
+async function measureSize (size: number, { folder }: ProbeContext): Promise<Point> {
+  const cluster = await startCluster(`accounts-${size}`, folder, { entries: ENTRIES, domains: 2, accounts: size })
+  const allBytes = (bytes: Record<string, number>): number => mean(Object.values(bytes)) * Object.keys(bytes).length
+  try {
+    await delay(SETTLE_MS)
+    const duration = CHANGES * CHANGE_GAP_MS
+    const idle = await cluster.during(async () => await delay(duration))
+    const changing = await cluster.during(async () => {
+      for (let base = 1; base <= CHANGES; base++) {
+        await putNote(cluster.platform, createChange(base))
+        await delay(CHANGE_GAP_MS)
+      }
+    })
+    const start = await cluster.during(async () => {
+      cluster.deployment.processes.get('entry-1')!.signal('SIGKILL')
+      await cluster.deployment.restart('entry-1')
+      await delay(SETTLE_MS)
+    })
+    return {
+      size,
+      figures: {
+        'memory, MiB': roleFigures(changing, 'entry')['memory, MiB']!,
+        'memory after a fresh start, MiB': start.usage['entry-1']!.residentBytes / 2 ** 20,
+        'bytes a change, one instance': (allBytes(changing.bytes) - allBytes(idle.bytes)) / CHANGES / ENTRIES,
+        'processor ms a change, one instance': (cpuOf(changing, 'entry') - cpuOf(idle, 'entry')) / CHANGES / ENTRIES,
+        'bytes to start one instance': allBytes(start.bytes)
+      }
+    }
+  } finally {
+    await cluster.stop()
+  }
+}
--- /dev/null
+++ b/packages/standins/src/capacity/probes/controllers.ts
@@ -0,0 +1,39 @@
+/** A controller, by the number of engines that it looks after. */
+import { setTimeout as delay } from 'node:timers/promises'
+import { startCluster } from '../cluster'
+import { callFigures, mean, roleFigures, type Point } from '../figures'
+import { SERVICE } from '../../bench/benchPlan'
+import type { Probe } from './types'
+
+const FULL = { sizes: [4, 8, 16], idleMs: 12_000 }
+const QUICK = { sizes: [2, 4, 8], idleMs: 8000 }
+const SETTLE_MS = 5000
+
+export const controllers: Probe = async ({ folder, isQuick }) => {
+  const scale = isQuick ? QUICK : FULL
+  const points: Point[] = []
+  for (const size of scale.sizes) {
+    const cluster = await startCluster(`controllers-${size}`, folder, {
+      entries: 1, controllers: 1, engines: size, domains: 1, models: 1
+    })
+    try {
+      await delay(SETTLE_MS)
+      const idle = await cluster.during(async () => await delay(scale.idleMs))
+      const engineBytes = Object.entries(idle.bytes)
+        .filter(([name]) => name.startsWith(`${SERVICE}-`))
+        .map(([, bytes]) => bytes / idle.seconds)
+      points.push({
+        size,
+        figures: {
+          ...roleFigures(idle, 'controller'),
+          ...callFigures(idle),
+          'bytes/s to and from one engine': mean(engineBytes),
+          'bytes/s to and from all engines': mean(engineBytes) * engineBytes.length
+        }
+      })
+    } finally {
+      await cluster.stop()
+    }
+  }
+  return { size: 'engines', points }
+}
--- /dev/null
+++ b/packages/standins/src/capacity/probes/index.ts
@@ -0,0 +1,22 @@
+import { accounts } from './accounts'
+import { batch } from './batch'
+import { controllers } from './controllers'
+import { instances } from './instances'
+import { jobs } from './jobs'
+import { liveRate, liveTokens } from './live'
+import { runners } from './runners'
+import { targets } from './targets'
+import type { Probe } from './types'
+
+/** Every probe, by name. */
+export const PROBES: Readonly<Record<string, Probe>> = {
+  instances, targets, accounts, jobs, runners, controllers, liveRate, liveTokens, batch
+}
+
+/** Probes that run beside each other, in lanes; the stages follow each other. */
+export const STAGES: ReadonlyArray<ReadonlyArray<readonly string[]>> = [
+  [['instances'], ['targets', 'jobs'], ['accounts', 'runners']],
+  [['liveRate', 'liveTokens', 'batch'], ['controllers']]
+]
+
+export type { Probe, ProbeContext, ProbeResult } from './types'
--- /dev/null
+++ b/packages/standins/src/capacity/probes/runners.ts
@@ -0,0 +1,25 @@
+/** Batch runners without work. */
+import { setTimeout as delay } from 'node:timers/promises'
+import { startCluster } from '../cluster'
+import { callFigures, peerFigures, roleFigures, type Point } from '../figures'
+import type { Probe } from './types'
+
+const FULL = { sizes: [2, 4, 8], idleMs: 12_000 }
+const QUICK = { sizes: [1, 2, 4], idleMs: 10_000 }
+const SETTLE_MS = 3000
+
+export const runners: Probe = async ({ folder, isQuick }) => {
+  const scale = isQuick ? QUICK : FULL
+  const points: Point[] = []
+  for (const size of scale.sizes) {
+    const cluster = await startCluster(`runners-${size}`, folder, { entries: 2, batches: size, domains: 2 })
+    try {
+      await delay(SETTLE_MS)
+      const idle = await cluster.during(async () => await delay(scale.idleMs))
+      points.push({ size, figures: { ...roleFigures(idle, 'batch'), ...peerFigures(idle), ...callFigures(idle) } })
+    } finally {
+      await cluster.stop()
+    }
+  }
+  return { size: 'batch runners', points }
+}
--- a/packages/standins/src/link/link.ts
+++ b/packages/standins/src/link/link.ts
@@ -16,6 +16,8 @@
   address: string
   /** Changes what happens to bytes from now on. */
   set: (mode: LinkMode) => void
+  /** Bytes that came from either end so far. */
+  bytes: () => number
   close: () => Promise<void>
 }
 
@@ -34,6 +36,7 @@
   const pairs = new Set<Pair>()
   const sockets = new Set<Socket>()
   let mode: LinkMode = 'open'
+  let byteCount = 0
 
   function accept (near: Socket): void {
     if (mode === 'cut') {
@@ -49,6 +52,7 @@
 
   function relay (pair: Pair, from: Socket, into: Socket): void {
     from.on('data', (bytes) => {
+      byteCount += bytes.length
       if (pair.silent) return
       if (into.write(bytes)) return
       from.pause()
@@ -75,6 +79,7 @@
       mode = next
       for (const pair of pairs) applyMode(pair, next)
     },
+    bytes: () => byteCount,
     close: async () => {
       const closed = new Promise<void>((resolve) => server.close(() => resolve()))
       // The other end of a silent connection stays open after one end is gone.
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -11,7 +11,8 @@
   { package: 'standins', name: 'standin-service', entry: 'src/service/main.ts' },
   { package: 'standins', name: 'pimentoplank-load', entry: 'src/load/main.ts' },
   { package: 'standins', name: 'demo', entry: 'src/demo/main.ts' },
-  { package: 'standins', name: 'bench', entry: 'src/bench/main.ts' }
+  { package: 'standins', name: 'bench', entry: 'src/bench/main.ts' },
+  { package: 'standins', name: 'capacity', entry: 'src/capacity/main.ts' }
 ]
 
 const BANNER = [
