--- a/packages/pimentoplank/src/entry/live/liveRoutes.ts
+++ b/packages/pimentoplank/src/entry/live/liveRoutes.ts
@@ -2,7 +2,7 @@
 import { Hono, type Context } from 'hono'
 import { err, ok, type Result } from 'neverthrow'
 import {
-  hash64, hashHex, RefusalError, type AccountEntry, type ConfigView, type ModelEntry
+  hashPrompt, RefusalError, type AccountEntry, type ConfigView, type ModelEntry
 } from '../../shared'
 import type { AccountLimits } from '../api/accountLimits'
 import { refuse } from '../api/problems'
@@ -16,10 +16,8 @@
 import type { LiveDeps, LiveJob, LiveRun } from './liveJob'
 import { createLiveRun } from './liveRun'
 import { startOnceRun } from './onceRun'
-import { chatRequest, completionRequest, promptTextOf, type LiveRequest } from './requests'
+import { chatRequest, completionRequest, type LiveRequest } from './requests'
 
-/** Requests with the same start of the prompt go to the same targets where that is possible. */
-const PREFIX_LENGTH = 256
 const ADAPTER_MARK = '+'
 
 export interface LiveRouteDeps extends LiveDeps {
@@ -146,7 +144,6 @@
   requestId: string,
   timeoutMs: number
 ): LiveJob {
-  const prompt = promptTextOf(req)
   return {
     requestId,
     kind,
@@ -156,8 +153,7 @@
     account: account.name,
     weight: account.weight,
     timeoutMs,
-    prefixHash: hash64(`${model.name}\u0000${prompt.slice(0, PREFIX_LENGTH)}`),
-    contentHash: hashHex(`${model.name}\u0000${prompt}`),
+    ...hashPrompt(req.model, req),
     repeatable: true
   }
 }
--- a/packages/pimentoplank/src/entry/live/requests.ts
+++ b/packages/pimentoplank/src/entry/live/requests.ts
@@ -23,9 +23,3 @@
 export type CompletionRequest = z.infer<typeof completionRequest>
 
 export type LiveRequest = ChatRequest | CompletionRequest
-
-/** The text that an engine reads first; requests that share its start share a prefix cache. */
-export function promptTextOf (req: LiveRequest): string {
-  if (typeof req.prompt === 'string') return req.prompt
-  return JSON.stringify(req.messages)
-}
--- a/packages/standins/src/deployment/index.ts
+++ b/packages/standins/src/deployment/index.ts
@@ -1,3 +1,4 @@
+export { DEPLOYMENT_PEER_KEY } from './launcher'
 export { readPlan, deploymentPlan, type DeploymentPlan } from './plan'
-export { DEPLOYMENT_PEER_KEY, startDeployment, type Deployment, type StartOptions } from './deployment'
+export { startDeployment, type Deployment, type StartOptions } from './deployment'
 export { startProcess, type RunningProcess } from './runningProcess'
