Refuse earlier what newcomers would overtake in the queue

Cause: in an overload refusals came late. A request was let in on an estimate that leaves out later arrivals of accounts with less service, waited, and became hopeless; queues held mostly such requests.

Changed check: the scenario of the earlier deadline between accounts had a deadline at the edge of the new margin; both are ten times longer, their order is as before.

--- a/packages/pimentoplank/src/entry/slots/admission.feature
+++ b/packages/pimentoplank/src/entry/slots/admission.feature
@@ -15,8 +15,8 @@
   Scenario: Between accounts that have had the same, the earlier deadline goes first
     Given a slot rig of 1 home and 1 target with 1 slot
     When slot holder "x" asks for 1 live slot
-    And slot holder "a" asks for 1 live slot as account "late" with 9000 ms left
-    And slot holder "b" asks for 1 live slot as account "early" with 5000 ms left
+    And slot holder "a" asks for 1 live slot as account "late" with 90000 ms left
+    And slot holder "b" asks for 1 live slot as account "early" with 50000 ms left
     And slot holder "x" releases 1 live slot
     Then slot holder "b" holds 1 live slot
 
--- a/packages/pimentoplank/src/entry/slots/fairQueue.ts
+++ b/packages/pimentoplank/src/entry/slots/fairQueue.ts
@@ -23,6 +23,8 @@
   take: () => Item | undefined
   /** Items that will be taken before this one, waiting or not. */
   aheadOf: (item: Item) => number
+  /** True when the account has had more than its share, so that newcomers will go before it. */
+  isOvertaken: (item: Item) => boolean
   /** The item to give up when this one needs its place; undefined when its own account has the most waiting. */
   victimFor: (item: Item) => Item | undefined
 }
@@ -104,6 +106,10 @@
       }
       return ahead
     },
+    isOvertaken: (item) => {
+      const virtual = active.get(item.account)?.virtual ?? idleVirtual.get(item.account) ?? floor
+      return virtual > floor + DEADLINE_SLACK
+    },
     victimFor: (item) => {
       const heaviest = [...active.values()]
         .reduce((best, queue) => queue.items.length / queue.weight > best.items.length / best.weight ? queue : best)
--- a/packages/pimentoplank/src/entry/slots/targetBoard.ts
+++ b/packages/pimentoplank/src/entry/slots/targetBoard.ts
@@ -124,8 +124,9 @@
     return behind <= 0 ? 0 : behind * drain.meanRunMs() / capacity()
   }
 
-  function isHopeless (ticket: Ticket): boolean {
-    const wait = ticket.batch ? 0 : waitMs(live.aheadOf(ticket))
+  /** Whether the deadline is out of reach, with the estimated wait stretched by a margin. */
+  function isHopeless (ticket: Ticket, margin: number): boolean {
+    const wait = ticket.batch ? 0 : margin * waitMs(live.aheadOf(ticket))
     const needed = wait === 0 ? 0 : wait + drain.meanRunMs() * settings.runShare
     return clock.now() + needed >= ticket.deadlineAt
   }
@@ -152,11 +153,16 @@
     return ticket.ignoreEjection || ejection.admission(clock.now()) !== 'closed'
   }
 
+  /** Stretches the wait of a new ticket, so that few that may wait are refused later. */
+  function marginOf (ticket: Ticket): number {
+    return live.isOvertaken(ticket) ? settings.overtakenMargin : settings.waitMargin
+  }
+
   /** Why a new ticket is turned away before it waits; undefined when it is not. */
   function objection (ticket: Ticket): SlotRefusalReason | undefined {
     if (!options.isGrantable()) return SlotRefusalReason.LEAVING
     if (!mayRun(ticket)) return SlotRefusalReason.EJECTED
-    if (isHopeless(ticket)) return SlotRefusalReason.DEADLINE
+    if (isHopeless(ticket, marginOf(ticket))) return SlotRefusalReason.DEADLINE
     return undefined
   }
 
@@ -277,7 +283,7 @@
   }
 
   function sweep (): void {
-    const hopeless = [...waiting.values()].filter(isHopeless)
+    const hopeless = [...waiting.values()].filter((ticket) => isHopeless(ticket, 1))
     for (const ticket of hopeless) refuseQueued(ticket, SlotRefusalReason.DEADLINE)
     pump()
   }
--- a/packages/pimentoplank/src/shared/slots/acquisition.ts
+++ b/packages/pimentoplank/src/shared/slots/acquisition.ts
@@ -44,6 +44,8 @@
   /** Targets of the plan that were asked. */
   planned: number
   loadRefusals: number
+  /** Tickets that were told to wait. */
+  queued: Set<number>
   retryAfterMs?: number
   reason: 'noTarget' | 'queueFull' | 'deadlineUnreachable'
 }
@@ -53,7 +55,7 @@
   const { req, signal, clock } = options
   const mailbox = createMailbox<AcquisitionEvent>()
   const finished = new AbortController()
-  const answers: Answers = { open: new Map(), questions: 0, planned: 0, loadRefusals: 0, reason: 'noTarget' }
+  const answers = createAnswers()
   const onAbort = (): void => mailbox.post({ type: 'ended', reason: 'aborted' })
   if (signal?.aborted === true) onAbort()
   signal?.addEventListener('abort', onAbort, { once: true })
@@ -110,6 +112,7 @@
     const target = answers.open.get(event.ticket)
     if (target === undefined) continue
     if (event.type === 'queued') {
+      answers.queued.add(event.ticket)
       if (answers.open.size < plan.maxOpen) askNext()
       continue
     }
@@ -121,12 +124,22 @@
     if (event.type === 'homeLost') metrics.retried('homeLost')
     if ((event.type === 'homeLost' || event.type === 'homeMoved') && askTarget(target)) continue
     if (event.type === 'refused') noteRefusal(answers, event)
+    if (event.type === 'refused' && isHopeless(answers, event)) continue
     if (answers.open.size < plan.atOnce) askNext()
     if (answers.open.size === 0) planAgain()
   }
   return err(new RefusalError(answers.reason, { retryAfterMs: answers.retryAfterMs ?? DEFAULT_RETRY_AFTER_MS }))
 }
 
+function createAnswers (): Answers {
+  return { open: new Map(), questions: 0, planned: 0, loadRefusals: 0, queued: new Set(), reason: 'noTarget' }
+}
+
+/** True when the request has spent its time in a queue: no further target is asked. */
+function isHopeless (answers: Answers, event: Extract<TicketEvent, { type: 'refused' }>): boolean {
+  return event.reason === SlotRefusalReason.DEADLINE && answers.queued.has(event.ticket)
+}
+
 function noteRefusal (answers: Answers, event: Extract<TicketEvent, { type: 'refused' }>): void {
   if (event.reason !== SlotRefusalReason.NOT_HOME) {
     answers.retryAfterMs = Math.min(answers.retryAfterMs ?? Infinity, event.retryAfterMs)
--- a/packages/pimentoplank/src/shared/slots/settings.ts
+++ b/packages/pimentoplank/src/shared/slots/settings.ts
@@ -48,6 +48,10 @@
     .describe('Slots of each target that batch work leaves free for live bursts.'),
   runShare: z.number().min(0).default(1)
     .describe('Part of the mean run time that must be left before the deadline when a queued request starts.'),
+  waitMargin: z.number().min(1).default(2)
+    .describe('Factor on the estimated wait of a new request when it is compared with the deadline.'),
+  overtakenMargin: z.number().min(1).default(4)
+    .describe('The same for an account that has had more than its share, which newcomers overtake.'),
   initialRunMs: durationMs.default(SECOND_MS)
     .describe('Mean run time that is assumed before one is measured, in milliseconds.'),
   sweepMs: durationMs.default(50)
--- a/scripts/benchSlots/run.ts
+++ b/scripts/benchSlots/run.ts
@@ -9,6 +9,7 @@
 
 const PLACE = { failureDomain: 'bench-a', region: 'bench', state: 'live' } as const
 const US_PER_MS = 1000
+const PROMPT_REFUSAL_MS = 50
 
 interface BenchOptions {
   entries: number
@@ -17,6 +18,7 @@
   seconds: number
   repeats: number
   deadlineMs: number
+  accounts: number
   ways: string
   affinity: string
 }
@@ -31,6 +33,8 @@
   grantP50Ms: number
   grantP99Ms: number
   refusalP99Ms: number
+  /** Share of the refusals that were answered within 50 ms. */
+  promptRefusalShare: number
   controlBytesPerRequest: number
   controlBytesPerSecondAndEntry: number
   cpuMsPerRequest: number
@@ -77,7 +81,7 @@
       requestsPerSecond: options.requestsPerSecond / options.entries,
       durationMs: options.seconds * 1000,
       deadlineMs: options.deadlineMs,
-      accounts: 200,
+      accounts: options.accounts,
       prefixes: 60,
       affinityTargets
     }
@@ -99,6 +103,7 @@
   const finished = sum((result) => result.finished)
   const refused = sum((result) => result.refusalMs.length)
   const requests = finished + refused
+  const refusals = results.flatMap((result) => result.refusalMs)
   const controlBytes = sum((result) => result.controlBytes)
   const firstToken = percentiles(results.flatMap((result) => result.firstTokenMs))
   const grant = percentiles(results.flatMap((result) => result.grantMs))
@@ -112,7 +117,8 @@
     firstTokenP99Ms: firstToken.p99,
     grantP50Ms: grant.p50,
     grantP99Ms: grant.p99,
-    refusalP99Ms: percentiles(results.flatMap((result) => result.refusalMs)).p99,
+    refusalP99Ms: percentiles(refusals).p99,
+    promptRefusalShare: round(refusals.filter((ms) => ms <= PROMPT_REFUSAL_MS).length / Math.max(1, refusals.length)),
     controlBytesPerRequest: round(controlBytes / requests),
     controlBytesPerSecondAndEntry: round(controlBytes / options.seconds / options.entries),
     cpuMsPerRequest: round(sum((result) => result.cpuMs) / (requests / 2))
@@ -140,6 +146,7 @@
     repeats: option({ type: number, long: 'repeats', defaultValue: () => 3 }),
     deadlineMs: option({ type: number, long: 'deadline', defaultValue: () => 2000 }),
     affinity: option({ type: string, long: 'affinity', defaultValue: () => '1' }),
+    accounts: option({ type: number, long: 'accounts', defaultValue: () => 200 }),
     ways: option({ type: string, long: 'ways', defaultValue: () => ROUTING_WAYS.join() })
   },
   handler: async (options) => {
