Let a planned stop wait for at-most-once runs whose caller has gone

Cause: such a run no longer counts as a request in flight, so a stop could end the process under it and leave its intent open, which reads as unknown. The stop waits for every own run until its outcome is recorded, within its grace.

--- a/packages/pimentoplank/src/entry/createEntry.ts
+++ b/packages/pimentoplank/src/entry/createEntry.ts
@@ -142,9 +142,11 @@
   }
 
   async function stop (): Promise<void> {
+    const startedAt = clock.now()
     await stopper.stop()
+    const leftMs = settings.stop.graceMs - (clock.now() - startedAt)
     const limit = new AbortController()
-    const timer = setTimeout(() => limit.abort(), SETTLE_ON_STOP_MS)
+    const timer = setTimeout(() => limit.abort(), Math.max(SETTLE_ON_STOP_MS, leftMs))
     await once.settled(limit.signal)
     clearTimeout(timer)
     await close()
@@ -153,5 +155,5 @@
   return ok({ address: callers.value.address, peerAddress, stage: stopper.stage, stop, close })
 }
 
-/** Longest wait for outcomes that are still to be recorded as the instance stops. */
+/** Least time for outcomes that are still to be recorded as the instance stops. */
 const SETTLE_ON_STOP_MS = 5000
--- a/packages/pimentoplank/src/entry/once/onceRecords.ts
+++ b/packages/pimentoplank/src/entry/once/onceRecords.ts
@@ -61,7 +61,7 @@
   open: (req: OnceRequest, revision: number) => ResultAsync<OnceTicket, RefusalError>
   /** What this instance knows about a run of its own. */
   stateOf: (intent: string, run: string) => RunState
-  /** Resolves when every outcome is recorded, or with the signal. */
+  /** Resolves when no run goes on and every outcome is recorded, or with the signal. */
   settled: (signal: AbortSignal) => Promise<void>
   /** Gives up on outcomes that are not recorded yet. */
   close: () => void
@@ -77,7 +77,7 @@
   const { platform, clock, log, metrics } = options
   /** Runs whose outcome is not yet recorded, by intent name. */
   const ownRuns = new Map<string, OwnRun>()
-  const settling = new Set<Promise<void>>()
+  let onIdle = (): void => undefined
   const closed = new AbortController()
 
   function stateOf (intent: string, run: string): RunState {
@@ -144,7 +144,7 @@
       metrics.count('once.unsettledIntents')
       settle(name, own, record, revision, { state: 'notRun' })
     } else {
-      ownRuns.delete(name)
+      forget(name, own)
     }
     if (put.error instanceof PlatformConflict) return err(inProgress())
     return err(platformDown(undefined, put.error))
@@ -184,13 +184,14 @@
 
   function settle (name: string, own: OwnRun, record: IntentRecord, revision: number, settlement: Settlement): void {
     own.state = settlement.state === 'notRun' ? 'notDispatched' : 'running'
-    const work = writeOutcome(name, { ...record, ...settlement }, revision)
+    writeOutcome(name, { ...record, ...settlement }, revision)
       .catch((cause) => log.error({ err: cause, intent: name }, 'the outcome could not be recorded'))
-      .then(() => {
-        if (ownRuns.get(name) === own) ownRuns.delete(name)
-        settling.delete(work)
-      })
-    settling.add(work)
+      .finally(() => forget(name, own))
+  }
+
+  function forget (name: string, own: OwnRun): void {
+    if (ownRuns.get(name) === own) ownRuns.delete(name)
+    if (ownRuns.size === 0) onIdle()
   }
 
   /** Replaces the open intent of this run, wherever its own write has got to. */
@@ -222,11 +223,11 @@
   }
 
   async function settled (signal: AbortSignal): Promise<void> {
-    const stopped = new Promise<void>((resolve) => {
-      if (signal.aborted) resolve()
+    if (ownRuns.size === 0 || signal.aborted) return
+    await new Promise<void>((resolve) => {
+      onIdle = resolve
       signal.addEventListener('abort', () => resolve(), { once: true })
     })
-    while (settling.size > 0 && !signal.aborted) await Promise.race([Promise.all(settling), stopped])
   }
 
   return {
--- a/packages/pimentoplank/src/entry/stopping/stopping.feature
+++ b/packages/pimentoplank/src/entry/stopping/stopping.feature
@@ -28,6 +28,15 @@
     Then the stop of the entry ends
     And the outcome of the booking is recorded
 
+  Scenario: A stop waits for a run whose caller has gone
+    Given a stopping bench whose directory answers are kept for 1 ms and whose stop may take 20000 ms
+    When a booking whose caller goes away runs through the stopping entry
+    And the entry is told to stop
+    And the stopping entry refuses new requests
+    And the held booking of the stopping entry goes on
+    Then the stop of the entry ends
+    And the outcome of the booking is recorded
+
   Scenario: A caller that stops reading is cut off, and its slot is free again
     Given the entry bench with 1 engine and settings {"streams":{"callerStallTimeoutMs":300}}
     And a plain service of the entry whose answer never ends
--- a/packages/pimentoplank/src/entry/stopping/stopping.steps.ts
+++ b/packages/pimentoplank/src/entry/stopping/stopping.steps.ts
@@ -104,6 +104,21 @@
   assert.equal((await booking).status, 201)
 })
 
+When('a booking whose caller goes away runs through the stopping entry', async function (this: StoppingWorld) {
+  const { bench } = this
+  bench.services[0]!.setFaults({ hold: 'after' })
+  const caller = new AbortController()
+  bench.send('/services/bookings/bookings', {
+    method: 'POST', body: {}, headers: { 'x-no-repeat': 'true', 'idempotency-key': 'k' }, signal: caller.signal
+  }).catch(() => undefined)
+  await until(() => bench.services[0]!.runs().length === 1)
+  caller.abort()
+})
+
+When('the held booking of the stopping entry goes on', function (this: StoppingWorld) {
+  this.bench.services[0]!.setFaults({ hold: null })
+})
+
 When('the platform of the stopping entry comes back', function (this: StoppingWorld) {
   this.bench.platform.setFaults({ down: false })
 })
