--- a/packages/pimentoplank/src/cli/cli.steps.ts
+++ b/packages/pimentoplank/src/cli/cli.steps.ts
@@ -4,11 +4,11 @@
 import { tmpdir } from 'node:os'
 import path from 'node:path'
 import { createPlatformStandin, type PlatformStandin } from '@pimentoplank/standins'
-import { After, Before, Given, Then, When } from '@cucumber/cucumber'
+import { After, Given, Then, When } from '@cucumber/cucumber'
 import { OBJECT_KINDS } from '../shared'
 
 interface CliWorld {
-  folder: string
+  cliFolder?: string
   cliPlatform: PlatformStandin
   code: number
   output: string
@@ -18,13 +18,9 @@
 const PROGRAM = path.resolve('packages/pimentoplank/dist/pimentoplank.js')
 const DEAD_ADDRESS = '127.0.0.1:9'
 
-Before(async function (this: CliWorld) {
-  this.folder = ''
-})
-
 async function folderOf (world: CliWorld): Promise<string> {
-  if (world.folder === '') world.folder = await mkdtemp(path.join(tmpdir(), 'pimentoplank-cli-'))
-  return world.folder
+  world.cliFolder ??= await mkdtemp(path.join(tmpdir(), 'pimentoplank-cli-'))
+  return world.cliFolder
 }
 
 Given('an operator\'s file {string} with text {string}', async function (this: CliWorld, name: string, text: string) {
@@ -71,6 +67,6 @@
 })
 
 After(async function (this: CliWorld) {
-  if (this.folder !== '') await rm(this.folder, { recursive: true, force: true })
+  if (this.cliFolder !== undefined) await rm(this.cliFolder, { recursive: true, force: true })
   await this.cliPlatform?.close()
 })
