--- a/packages/faults/src/paths/batch.ts
+++ b/packages/faults/src/paths/batch.ts
@@ -4,7 +4,7 @@
 import type { GateOptions } from '../control'
 import { BOUND_MS, MODEL, type FaultBed } from '../deploy'
 import { engineRunning, engineRuns, setEngines } from '../strikes'
-import { until } from '../until'
+import { until, untilAnswered } from '../until'
 import { reachFrom, type Moment, type PathRun } from './types'
 
 const ITEMS = 60
@@ -93,7 +93,8 @@
   }
 
   async function check (): Promise<void> {
-    const results = await jobs.results(await accepted)
+    const id = await accepted
+    const results = await untilAnswered('the results', async () => await jobs.results(id), BOUND_MS)
     assertEachOnce(items, results)
     await assertNoRepeats(bed, items)
     const repeatable = new Set(items.filter((item) => !item.noRepeat).map((item) => item.id))
--- a/packages/faults/src/paths/live.ts
+++ b/packages/faults/src/paths/live.ts
@@ -1,6 +1,7 @@
 /** The live path: a request waits for a slot, for its first token, and streams. */
 import assert from 'node:assert/strict'
 import { expectedAnswer, type LiveAnswer } from '@pimentoplank/standins'
+import { runCli } from '../cli'
 import { BOUND_MS, ENGINE_SLOTS, MODEL, type FaultBed } from '../deploy'
 import { engineRunning, engineRuns, setEngines } from '../strikes'
 import { until } from '../until'
@@ -12,6 +13,8 @@
 /** Slow enough that streams stay, and below the silence after which a stream is given up. */
 const SLOW_TOKEN_MS = 400
 const FAST_TOKEN_MS = 5
+/** Requests for each slot of the fleet. */
+const FILL_FACTOR = 2
 const REQUEST_TIMEOUT_MS = 60_000
 /** Faults that end the instance that a caller is connected to: an answer may be cut, and is not shown as whole. */
 const CUTTING = new Set([
@@ -47,17 +50,13 @@
     return { carrier, target, resume: async () => await setEngines(bed, { holdAfterTokens: null }) }
   }
 
-  /** Fills every slot with slow streams, so that the requests wait at homes. */
+  /** Sends more slow streams than there are slots, so that requests wait at homes. */
   async function reachQueued (): Promise<Moment> {
     await setEngines(bed, { tokenMs: SLOW_TOKEN_MS })
-    const slots = ENGINE_SLOTS * bed.engines.length
-    for (let index = 0; index < slots; index++) send(`Filler ${index}?`)
-    await until('every slot to be taken', async () => {
-      const running = (await engineRuns(bed)).filter((run) => run.outcome === 'running')
-      return running.length >= slots || undefined
-    }, BOUND_MS)
-    for (let index = 0; index < REQUESTS; index++) send(`Question ${index}?`)
-    const target = await engineRunning(bed, (content) => content.includes('Filler'))
+    const count = FILL_FACTOR * ENGINE_SLOTS * bed.engines.length
+    for (let index = 0; index < count; index++) send(`Question ${index}?`)
+    await until('a request to wait at a home', async () => await waitingAtHomes(bed) > 0 || undefined, BOUND_MS)
+    const target = await engineRunning(bed, (content) => content.includes('Question'))
     return { carrier, target, resume: async () => await setEngines(bed, { tokenMs: FAST_TOKEN_MS }) }
   }
 
@@ -102,6 +101,13 @@
   return { reach: async (step) => await reachFrom(steps, step), finish, check }
 }
 
+/** Requests that wait for a slot, as the entry instances report it. */
+async function waitingAtHomes (bed: FaultBed): Promise<number> {
+  const { stdout } = await runCli(bed, ['status', '--json'])
+  const { instances } = JSON.parse(stdout) as { instances: Array<{ gauges?: Record<string, number> }> }
+  return instances.reduce((sum, { gauges }) => sum + (gauges?.['slots.waiting'] ?? 0), 0)
+}
+
 function describeAnswer ({ status, reason, outcome, failure, tokens }: LiveAnswer): string {
   return [status, reason, outcome, failure, `${tokens} tokens`].join(' ')
 }
--- a/packages/faults/src/until.ts
+++ b/packages/faults/src/until.ts
@@ -23,3 +23,13 @@
     await new Promise((resolve) => setTimeout(resolve, LOOK_MS))
   }
 }
+
+/**
+ * Repeats a call of a caller that may still hold the address of a lost instance, until it is answered.
+ *
+ * @param what - what is asked for, for the error
+ * @param boundMs - longest wait, in milliseconds
+ */
+export async function untilAnswered<Value> (what: string, ask: () => Promise<Value>, boundMs: number): Promise<Value> {
+  return await until(what, async () => await ask().catch(() => undefined), boundMs)
+}
