--- a/packages/pimentoplank/src/entry/program/program.steps.ts
+++ b/packages/pimentoplank/src/entry/program/program.steps.ts
@@ -15,7 +15,7 @@
 const NOBODY = 'http://127.0.0.1:9'
 
 interface ProgramWorld {
-  folder: string
+  programFolder: string
   child: ChildProcess
   errors: string
   address: Promise<string>
@@ -49,8 +49,8 @@
 }
 
 async function runWith (world: ProgramWorld, content: object): Promise<void> {
-  world.folder = await mkdtemp(path.join(tmpdir(), 'entry-program-'))
-  const file = path.join(world.folder, 'entry.json')
+  world.programFolder = await mkdtemp(path.join(tmpdir(), 'entry-program-'))
+  const file = path.join(world.programFolder, 'entry.json')
   await writeFile(file, JSON.stringify(content))
   run(world, file)
 }
@@ -105,5 +105,5 @@
 After({ tags: '@entryProgram' }, async function (this: Partial<ProgramWorld>) {
   this.child?.kill('SIGKILL')
   this.other?.close()
-  if (this.folder !== undefined) await rm(this.folder, { recursive: true })
+  if (this.programFolder !== undefined) await rm(this.programFolder, { recursive: true })
 })
