Keep an expired leaving sign from coming back by a copy that was on its way

Cause: the sign was forgotten as it expired, so that a copy sent by a peer moments before was taken in as a new one and lived on for the time left at its sending, again and again. Ruled out: the renewal step, which only guards signs that are still known.

--- a/packages/pimentoplank/src/shared/membership/signs.ts
+++ b/packages/pimentoplank/src/shared/membership/signs.ts
@@ -49,9 +49,10 @@
     return sign.address !== known.address && sign.address !== ''
   }
 
-  function dropExpired (): void {
+  /** An expired sign is remembered for a while: a copy that was still on its way must not bring it back. */
+  function forgetOld (): void {
     for (const [id, sign] of signs) {
-      if (sign.expiresAt <= clock.now()) signs.delete(id)
+      if (sign.expiresAt + SIGN_TTL_MS <= clock.now()) signs.delete(id)
     }
   }
 
@@ -63,7 +64,7 @@
 
   return {
     add: (sign) => {
-      dropExpired()
+      forgetOld()
       if (sign.ttlMs <= 0 || !isNewer(sign)) return false
       const { ttlMs, ...rest } = sign
       signs.set(sign.id, { ...rest, expiresAt: clock.now() + Math.min(ttlMs, SIGN_TTL_MS) })
@@ -75,7 +76,7 @@
       return sign.address === '' || sign.address === record.address
     },
     compare: (records) => {
-      dropExpired()
+      forgetOld()
       const live = new Map(records.filter((record) => record.state === 'live').map((record) => [record.id, record]))
       for (const [id, sign] of signs) {
         const record = live.get(id)
@@ -85,8 +86,9 @@
       }
     },
     list: () => {
-      dropExpired()
-      return [...signs.values()].map(({ id, leaving, incarnation, address, expiresAt }) => (
+      forgetOld()
+      const current = [...signs.values()].filter((sign) => sign.expiresAt > clock.now())
+      return current.map(({ id, leaving, incarnation, address, expiresAt }) => (
         { id, leaving, incarnation, address, ttlMs: Math.round(expiresAt - clock.now()) }
       ))
     }
