--- a/packages/pimentoplank/src/shared/membership/signs.ts
+++ b/packages/pimentoplank/src/shared/membership/signs.ts
@@ -64,7 +64,8 @@
   return {
     add: (sign) => {
       dropExpired()
-      if (sign.ttlMs <= 0 || !isNewer(sign)) return false
+      // One near its end could be passed round past it, longer by the time that each message takes.
+      if (sign.ttlMs < RENEW_STEP_MS || !isNewer(sign)) return false
       const { ttlMs, ...rest } = sign
       signs.set(sign.id, { ...rest, expiresAt: clock.now() + Math.min(ttlMs, SIGN_TTL_MS) })
       return true
