--- a/packages/pimentoplank/src/shared/membership/signs.ts
+++ b/packages/pimentoplank/src/shared/membership/signs.ts
@@ -49,10 +49,9 @@
     return sign.address !== known.address && sign.address !== ''
   }
 
-  /** An expired sign is remembered for a while: a copy that was still on its way must not bring it back. */
-  function forgetOld (): void {
+  function dropExpired (): void {
     for (const [id, sign] of signs) {
-      if (sign.expiresAt + SIGN_TTL_MS <= clock.now()) signs.delete(id)
+      if (sign.expiresAt <= clock.now()) signs.delete(id)
     }
   }
 
@@ -64,8 +63,9 @@
 
   return {
     add: (sign) => {
-      forgetOld()
-      if (sign.ttlMs <= 0 || !isNewer(sign)) return false
+      dropExpired()
+      // One near its end could be passed round past it, longer by the time that each message takes.
+      if (sign.ttlMs < RENEW_STEP_MS || !isNewer(sign)) return false
       const { ttlMs, ...rest } = sign
       signs.set(sign.id, { ...rest, expiresAt: clock.now() + Math.min(ttlMs, SIGN_TTL_MS) })
       return true
@@ -76,7 +76,7 @@
       return sign.address === '' || sign.address === record.address
     },
     compare: (records) => {
-      forgetOld()
+      dropExpired()
       const live = new Map(records.filter((record) => record.state === 'live').map((record) => [record.id, record]))
       for (const [id, sign] of signs) {
         const record = live.get(id)
@@ -86,9 +86,8 @@
       }
     },
     list: () => {
-      forgetOld()
-      const current = [...signs.values()].filter((sign) => sign.expiresAt > clock.now())
-      return current.map(({ id, leaving, incarnation, address, expiresAt }) => (
+      dropExpired()
+      return [...signs.values()].map(({ id, leaving, incarnation, address, expiresAt }) => (
         { id, leaving, incarnation, address, ttlMs: Math.round(expiresAt - clock.now()) }
       ))
     }
