Measure older processes, and the platform's calls in an outage

Cause: an idle entry process seemed to cost 0.018% of a core more for each further instance. Conclusion: the slope was the start itself.

--- a/packages/standins/src/capacity/probes/controllers.ts
+++ b/packages/standins/src/capacity/probes/controllers.ts
@@ -5,9 +5,8 @@
 import { SERVICE } from '../../bench/benchPlan'
 import type { Probe } from './types'
 
-const FULL = { sizes: [4, 8, 16], idleMs: 12_000 }
-const QUICK = { sizes: [2, 4, 8], idleMs: 8000 }
-const SETTLE_MS = 5000
+const FULL = { sizes: [4, 12, 24], idleMs: 12_000, settleMs: 20_000 }
+const QUICK = { sizes: [2, 4, 8], idleMs: 8000, settleMs: 4000 }
 
 export const controllers: Probe = async ({ folder, isQuick }) => {
   const scale = isQuick ? QUICK : FULL
@@ -17,7 +16,7 @@
       entries: 1, controllers: 1, engines: size, domains: 1, models: 1
     })
     try {
-      await delay(SETTLE_MS)
+      await delay(scale.settleMs)
       const idle = await cluster.during(async () => await delay(scale.idleMs))
       const engineBytes = Object.entries(idle.bytes)
         .filter(([name]) => name.startsWith(`${SERVICE}-`))
--- a/packages/standins/src/capacity/probes/index.ts
+++ b/packages/standins/src/capacity/probes/index.ts
@@ -4,19 +4,20 @@
 import { instances } from './instances'
 import { jobs } from './jobs'
 import { liveRate, liveTokens } from './live'
+import { outage } from './outage'
 import { runners } from './runners'
 import { targets } from './targets'
 import type { Probe } from './types'
 
 /** Every probe, by name. */
 export const PROBES: Readonly<Record<string, Probe>> = {
-  instances, targets, accounts, jobs, runners, controllers, liveRate, liveTokens, batch
+  instances, targets, accounts, jobs, runners, controllers, outage, liveRate, liveTokens, batch
 }
 
 /** Probes that run beside each other, in lanes; the stages follow each other. */
 export const STAGES: ReadonlyArray<ReadonlyArray<readonly string[]>> = [
   [['instances'], ['targets', 'jobs'], ['accounts', 'runners']],
-  [['liveRate', 'liveTokens', 'batch'], ['controllers']]
+  [['liveRate', 'liveTokens', 'batch'], ['controllers'], ['outage']]
 ]
 
 export type { Probe, ProbeContext, ProbeResult } from './types'
--- a/packages/standins/src/capacity/probes/instances.ts
+++ b/packages/standins/src/capacity/probes/instances.ts
@@ -5,10 +5,9 @@
 import { createChange, putNote } from '../notes'
 import type { Probe, ProbeContext } from './types'
 
-const FULL = { sizes: [6, 12, 24], idleMs: 14_000, changes: 5 }
-const QUICK = { sizes: [4, 8, 12], idleMs: 10_000, changes: 3 }
+const FULL = { sizes: [8, 16, 32], idleMs: 20_000, changes: 5, settleMs: 20_000 }
+const QUICK = { sizes: [4, 8, 12], idleMs: 10_000, changes: 3, settleMs: 3000 }
 const DOMAINS = 4
-const SETTLE_MS = 3000
 const CHANGE_GAP_MS = 700
 
 export const instances: Probe = async (context) => {
@@ -21,7 +20,7 @@
 async function measureSize (size: number, scale: typeof FULL, { folder }: ProbeContext): Promise<Point> {
   const cluster = await startCluster(`instances-${size}`, folder, { entries: size, domains: DOMAINS })
   try {
-    await delay(SETTLE_MS)
+    await delay(scale.settleMs)
     const idle = await cluster.during(async () => await delay(scale.idleMs))
     const changing = await cluster.during(async () => await applyChanges(cluster, 1, scale.changes))
     const waits = await timeChanges(cluster, 1 + scale.changes, scale.changes)
--- /dev/null
+++ b/packages/standins/src/capacity/probes/outage.ts
@@ -0,0 +1,35 @@
+/** Calls that reach the platform while it answers none of them. */
+import { setTimeout as delay } from 'node:timers/promises'
+import { request } from 'undici'
+import { startCluster } from '../cluster'
+import { callFigures, roleFigures, type Point } from '../figures'
+import type { Probe, ProbeContext } from './types'
+
+const FULL = { sizes: [3, 6, 9], windowMs: 10_000 }
+const QUICK = { sizes: [2, 3, 4], windowMs: 6000 }
+/** After this time every instance has gone without word of the platform for longest. */
+const ALL_STALE_MS = 26_000
+
+export const outage: Probe = async (context) => {
+  const scale = context.isQuick ? QUICK : FULL
+  const points = await Promise.all(scale.sizes.map(async (size) => await measureSize(size, scale.windowMs, context)))
+  return { size: 'entry instances', points }
+}
+
+async function measureSize (size: number, windowMs: number, { folder }: ProbeContext): Promise<Point> {
+  const cluster = await startCluster(`outage-${size}`, folder, { entries: size, domains: 1 })
+  try {
+    const res = await request(`${cluster.deployment.platformUrl}/_control/faults`, {
+      method: 'PATCH',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify({ down: true })
+    })
+    await res.body.dump()
+    await delay(ALL_STALE_MS)
+    const down = await cluster.during(async () => await delay(windowMs))
+    const calls = callFigures(down)
+    return { size, figures: { ...calls, 'calls/s of one instance': calls['all, calls/s']! / size, ...roleFigures(down, 'entry') } }
+  } finally {
+    await cluster.stop()
+  }
+}
--- a/packages/standins/src/capacity/probes/runners.ts
+++ b/packages/standins/src/capacity/probes/runners.ts
@@ -4,9 +4,8 @@
 import { callFigures, peerFigures, roleFigures, type Point } from '../figures'
 import type { Probe } from './types'
 
-const FULL = { sizes: [2, 4, 8], idleMs: 12_000 }
-const QUICK = { sizes: [1, 2, 4], idleMs: 10_000 }
-const SETTLE_MS = 3000
+const FULL = { sizes: [2, 4, 8], idleMs: 20_000, settleMs: 15_000 }
+const QUICK = { sizes: [1, 2, 4], idleMs: 10_000, settleMs: 3000 }
 
 export const runners: Probe = async ({ folder, isQuick }) => {
   const scale = isQuick ? QUICK : FULL
@@ -14,7 +13,7 @@
   for (const size of scale.sizes) {
     const cluster = await startCluster(`runners-${size}`, folder, { entries: 2, batches: size, domains: 2 })
     try {
-      await delay(SETTLE_MS)
+      await delay(scale.settleMs)
       const idle = await cluster.during(async () => await delay(scale.idleMs))
       points.push({ size, figures: { ...roleFigures(idle, 'batch'), ...peerFigures(idle), ...callFigures(idle) } })
     } finally {
--- a/packages/standins/src/capacity/probes/targets.ts
+++ b/packages/standins/src/capacity/probes/targets.ts
@@ -34,7 +34,7 @@
 }
 
 async function measureSize (cluster: Cluster): Promise<Figures> {
-  await delay(SETTLE_MS)
+  await delay(2 * SETTLE_MS)
   const idle = await cluster.during(async () => await delay(IDLE_MS))
   const changing = await cluster.during(async () => {
     for (let index = 0; index < CHANGES; index++) {
