Let instances that stand in for silent holders pause longer in a larger fleet

Ruled out: falling back by rank, which needs a view of who else has fallen back. Holders still come back within 2 s and tell the others.

--- a/packages/pimentoplank/src/shared/feed/objectFeed.ts
+++ b/packages/pimentoplank/src/shared/feed/objectFeed.ts
@@ -12,7 +12,7 @@
 import { createFreshness } from './freshness'
 import { createNotifier } from './notifier'
 import { createPeerPolls } from './peerPolls'
-import { readKind, watchKind, type PlatformWatchOptions } from './platformWatch'
+import { longestPauseMs, readKind, watchKind, type PlatformWatchOptions } from './platformWatch'
 import type { MemberExchange, ObjectFeed } from './types'
 import { isHolder, rankUpstreams, type Peer } from './upstreams'
 
@@ -25,7 +25,7 @@
   pollMarginMs: number
   /** Without word of the platform for this long, an instance watches it itself. */
   staleAfterMs: number
-  /** Longest pause after an error of the platform, in milliseconds. */
+  /** Longest pause of a holder after an error of the platform, in milliseconds. */
   maxPauseMs: number
 }
 
@@ -75,7 +75,15 @@
   const state = createFeedState(options.kinds)
   const freshness = createFreshness(clock)
   const changed = createNotifier()
-  const watch: PlatformWatchOptions = { ...options, ...timings, state, freshness }
+  const watch: PlatformWatchOptions = {
+    ...options,
+    ...timings,
+    state,
+    freshness,
+    longestPauseMs: () => longestPauseMs({
+      isHolder: isHolder(placement()), peers: members.peers().length, maxPauseMs: timings.maxPauseMs
+    })
+  }
   /** Healthy peers answer a poll within its wait. */
   const silentAfterMs = timings.pollWaitMs + timings.pollMarginMs / 2
   const staleAfterMs = timings.staleAfterMs * (1 + random() / 2)
--- a/packages/pimentoplank/src/shared/feed/platformWatch.ts
+++ b/packages/pimentoplank/src/shared/feed/platformWatch.ts
@@ -18,11 +18,29 @@
   log: Log
   /** How long the platform may hold a watch, in milliseconds. */
   watchWaitMs: number
-  /** Longest pause after an error, in milliseconds. */
-  maxPauseMs: number
+  /** Longest pause after an error, in milliseconds; asked for each pause. */
+  longestPauseMs: () => number
 }
 
 const FIRST_PAUSE_MS = 100
+/** What each peer adds to the longest pause of an instance that only stands in for silent holders. */
+const PAUSE_PER_PEER_MS = 20
+
+export interface PauseOptions {
+  isHolder: boolean
+  /** Instances that may watch the platform at the same time. */
+  peers: number
+  /** Longest pause of a holder, in milliseconds. */
+  maxPauseMs: number
+}
+
+/**
+ * The longest pause between two tries at a platform that does not answer. Holders come back soon and tell the others;
+ * these pause longer in a larger fleet, so that an outage costs the platform the same calls at any size.
+ */
+export function longestPauseMs ({ isHolder, peers, maxPauseMs }: PauseOptions): number {
+  return isHolder ? maxPauseMs : Math.max(maxPauseMs, peers * PAUSE_PER_PEER_MS)
+}
 
 /** Reads all objects of a kind once. Returns false when the platform did not answer, or with older state. */
 export async function readKind (kind: string, options: PlatformWatchOptions): Promise<boolean> {
@@ -40,7 +58,7 @@
 
 /** Follows a kind until the signal aborts. */
 export async function watchKind (kind: string, options: PlatformWatchOptions, signal: AbortSignal): Promise<void> {
-  const { clock, random, metrics, log, maxPauseMs } = options
+  const { clock, random, metrics, log } = options
   let failures = 0
   while (!signal.aborted) {
     const isKnown = options.state.kind(kind).cursor() !== NOTHING_KNOWN
@@ -53,7 +71,7 @@
     failures += 1
     metrics.count('feed.watchErrors')
     if (failures === 1) log.warn({ kind }, 'watch failed')
-    const pauseMs = Math.min(maxPauseMs, FIRST_PAUSE_MS * 2 ** failures)
+    const pauseMs = Math.min(options.longestPauseMs(), FIRST_PAUSE_MS * 2 ** failures)
     await clock.sleep(pauseMs * (0.5 + random() / 2), signal)
   }
 }
