Let suspects share targets where there is no other; allow larger bursts of retries

Cause: a target that died with six streams made six suspects, and each kept away from targets that ran another: with two targets left, four of the six got targetFailed (matrix cell 'kill target at streaming', 4 of 6 callers). And a target whose connections were cut spent the 10 retries of a burst, so that 18 further callers were refused for the retry budget ('cut target connections at queued'). Ruled out: longer waits for a free target, which would hold callers up for a target that may never come; no budget for retries of cut streams, which would remove the bound in an overload. Conclusion: keeping apart is a preference; the ratio of the budget, which bounds overload, stays at 0.1, and the burst is 32.

--- a/packages/faults/src/strikes.ts
+++ b/packages/faults/src/strikes.ts
@@ -176,7 +176,10 @@
 function both (first: Strike, second: Strike): Strike {
   return async (bed, moment) => {
     const heals = [await first(bed, moment), await second(bed, moment)]
-    return async () => { await Promise.all(heals.map(async (heal) => await heal())) }
+    return async () => {
+      // A target that starts again must find the platform.
+      for (const heal of heals.reverse()) await heal()
+    }
   }
 }
 
--- a/packages/pimentoplank/src/entry/live/liveRun.ts
+++ b/packages/pimentoplank/src/entry/live/liveRun.ts
@@ -77,16 +77,7 @@
 
   async function acquire (): Promise<Result<SlotGrant, RefusalError>> {
     const startedAt = clock.now()
-    const grant = await slots.acquire({
-      service: job.service,
-      model: job.model,
-      workClass: 'live',
-      account: job.account,
-      weight: job.weight,
-      deadlineMs: Math.max(0, deadlineAt - clock.now()),
-      prefixHash: job.prefixHash,
-      excluded: [...excluded, ...deps.quarantine.targetsWithSuspects(job.contentHash), ...targetsWithoutModel()]
-    }, { signal })
+    const grant = await acquireApart()
     metrics.timing('live.slotWait', clock.now() - startedAt)
     if (grant.isOk()) return grant
     if (signal.aborted) return err(stopped())
@@ -97,6 +88,28 @@
     return err(new RefusalError(reason, { detail: message, outcome, retryAfterMs, cause: grant.error }))
   }
 
+  /** Keeps suspect content apart from other suspects where there are targets enough. */
+  async function acquireApart (): Promise<Result<SlotGrant, RefusalError>> {
+    const unfit = [...excluded, ...targetsWithoutModel()]
+    const suspects = deps.quarantine.targetsWithSuspects(job.contentHash)
+    const apart = await acquireExcept([...unfit, ...suspects])
+    const hasChoice = suspects.length > 0 && apart.isErr() && apart.error.reason === 'noTarget'
+    return hasChoice ? await acquireExcept(unfit) : apart
+  }
+
+  async function acquireExcept (unfit: readonly string[]): Promise<Result<SlotGrant, RefusalError>> {
+    return await slots.acquire({
+      service: job.service,
+      model: job.model,
+      workClass: 'live',
+      account: job.account,
+      weight: job.weight,
+      deadlineMs: Math.max(0, deadlineAt - clock.now()),
+      prefixHash: job.prefixHash,
+      excluded: unfit
+    }, { signal })
+  }
+
   /** Targets that have not loaded the model, as far as the controller has said where it is. */
   function targetsWithoutModel (): string[] {
     const serving = deps.targetsServing?.(job.model)
--- a/packages/pimentoplank/src/entry/settings.ts
+++ b/packages/pimentoplank/src/entry/settings.ts
@@ -19,7 +19,7 @@
 
 export const retrySettings = z.strictObject({
   budgetRatio: z.number().min(0).max(1).default(0.1).describe('Retries allowed for each request, on average.'),
-  budgetReserve: z.number().min(0).default(10).describe('Retries of a service that may be made in a burst.'),
+  budgetReserve: z.number().min(0).default(32).describe('Retries of a service that may be made in a burst.'),
   maxAttempts: z.int().min(1).max(20).default(4).describe('Tries of one request without progress, the first included.')
 })
 
