Let batch items not to be repeated run to their end when their slot is taken back

Ruled out: asking for the stream again after the cancel, since the engine's answer does not tell whether it still ran. Conclusion: such an item is not interrupted; a live request waits for its slot at most for the rest of one item. The scenario that expected a pause is replaced by one that allows neither a cancelled nor a resumed run. Also: an engine that leaves is not brought to the new version, which the order path of the matrix wrongly expected.

--- a/packages/faults/src/control.ts
+++ b/packages/faults/src/control.ts
@@ -44,6 +44,7 @@
 }
 
 export interface EngineState {
+  state: 'live' | 'leaving'
   models: Array<{ name: string, version: string, status: string }>
 }
 
--- a/packages/faults/src/paths/order.ts
+++ b/packages/faults/src/paths/order.ts
@@ -82,7 +82,8 @@
   async function finish (): Promise<void> {
     await until('every engine to serve the new version only', async () => {
       const states = await Promise.all(livingEngines(bed).map(async (id) => await bed.target(id).engineState()))
-      const isDone = states.every(({ models }) => {
+      // An engine that leaves is left as it is.
+      const isDone = states.filter(({ state }) => state === 'live').every(({ models }) => {
         const ours = models.filter((model) => model.name === MODEL)
         return ours.length === 1 && ours[0]!.version === NEW_VERSION && ours[0]!.status === 'ready'
       })
--- a/packages/pimentoplank/src/batch/faults.feature
+++ b/packages/pimentoplank/src/batch/faults.feature
@@ -147,15 +147,14 @@
     And no batch item ran twice
     And batch item 3 is "unknown" for "onceUnknown" after 1 runs
 
-  Scenario: An item not to be repeated whose slot is taken back goes on as the same run
+  Scenario: An item not to be repeated runs to its end when its slot is taken back
     Given a batch fleet with the runners "a"
     When 6 batch items that must not be repeated are uploaded
     And batch items are running with some tokens
     And every batch slot is taken back
     And batch slots are granted again
     Then the batch job is "done" within 60 s
-    And resumed batch runs began after the tokens that were there
-    And resumed batch runs stayed on their target
+    And no batch run was cancelled or taken up again
     And each of the 6 batch items has 1 result, "done"
 
   Scenario: A job is cancelled while its runner can't reach the platform
--- a/packages/pimentoplank/src/batch/runItem.ts
+++ b/packages/pimentoplank/src/batch/runItem.ts
@@ -150,7 +150,8 @@
   const { engines, quarantine, clock } = context
   const { target } = grant
   const { item, requestId, resume } = task
-  const stop = AbortSignal.any([signal, grant.revoked])
+  // A cancelled stream may have ended at the engine a moment before, and going on with it would run its rest again.
+  const stop = item.noRepeat ? signal : AbortSignal.any([signal, grant.revoked])
   const startedAt = clock.now()
   const progress: Progress = { text: resume?.text ?? '', tokens: resume?.tokens ?? 0 }
   let report: SlotReport = { result: 'failed' }
--- a/packages/pimentoplank/src/batch/runner.steps.ts
+++ b/packages/pimentoplank/src/batch/runner.steps.ts
@@ -320,6 +320,11 @@
   }
 })
 
+Then('no batch run was cancelled or taken up again', function (this: FleetWorld) {
+  const { runs } = this.fleet.targets
+  assert.deepEqual(runs.filter(({ outcome, isResumed }) => outcome === 'cancelled' || isResumed), [])
+})
+
 Then('resumed batch runs stayed on their target', function (this: FleetWorld) {
   const { runs } = this.fleet.targets
   for (const { requestId, target } of runs.filter(({ isResumed }) => isResumed)) {
