Send batch work on at once where an instance only stands in for a target's home

Cause: after an entry instance was killed, the next home queued batch tickets of its targets, which a stand-in never grants; the ticket ended after 5 s, and the target, showing no load, was asked first again. Ruled out: claims and leases (the chunk was held, the lease renewed), and the lost home itself (it was passed over). Conclusion: a home without full authority refuses batch tickets as not its own, and the holder asks the next target.

--- a/packages/pimentoplank/src/entry/slots/targetBoard.ts
+++ b/packages/pimentoplank/src/entry/slots/targetBoard.ts
@@ -160,6 +160,8 @@
 
   /** Why a new ticket is turned away before it waits; undefined when it is not. */
   function objection (ticket: Ticket): SlotRefusalReason | undefined {
+    // Batch work is not granted before the home has full authority; it goes on to another target meanwhile.
+    if (ticket.batch && options.authority() !== 'full') return SlotRefusalReason.NOT_HOME
     if (!options.isGrantable()) return SlotRefusalReason.LEAVING
     if (!mayRun(ticket)) return SlotRefusalReason.EJECTED
     if (isHopeless(ticket, marginOf(ticket))) return SlotRefusalReason.DEADLINE
