--- a/packages/pimentoplank/features/support/fleetBench.ts
+++ b/packages/pimentoplank/features/support/fleetBench.ts
@@ -34,7 +34,7 @@
 
 /** A model of the bench's service. */
 export function benchModel (name: string, version: string): Partial<ConfigEntry> {
-  return { kind: 'model', name, version, service: SERVICE, weightsMb: 20 }
+  return { kind: 'model', name, version, service: SERVICE, weightsMb: 100 }
 }
 
 /** Starts the platform and engines; controllers are started one by one. */
--- a/packages/pimentoplank/src/controller/fleet.feature
+++ b/packages/pimentoplank/src/controller/fleet.feature
@@ -66,7 +66,7 @@
     When model "desk-8b" at version "1" is released
     Then the controller has model "desk-8b" at version "1" ready on 2 engines
     When the platform of the fleet is down for longer than the lease
-    And an engine of the fleet loses its models
+    And an engine of the fleet loses its model "desk-8b" at version "1"
     Then the controller orders nothing while the platform is down
     When the platform of the fleet answers again
     Then the controller has model "desk-8b" at version "1" ready on 2 engines
--- a/packages/pimentoplank/src/controller/fleet.steps.ts
+++ b/packages/pimentoplank/src/controller/fleet.steps.ts
@@ -253,16 +253,18 @@
   await until(() => !this.bench.controllers[0]!.controller.isLeading(), { limitMs: 10_000 })
 })
 
-When('an engine of the fleet loses its models', async function (this: FleetWorld) {
-  this.ordersBefore = ordersOf(this, 'load')
-  const [engine] = this.bench.engines
-  await engine!.crash()
-  await engine!.start()
-})
+When('an engine of the fleet loses its model {string} at version {string}',
+  async function (this: FleetWorld, model: string, version: string) {
+    this.ordersBefore = ordersOf(this, 'load')
+    const [engine] = this.bench.engines
+    engine!.order({ orderId: 'by-hand', fencing: 0, action: 'unload', model, version })
+    await until(() => modelsOf(engine!).length === 0)
+  })
 
 Then('the controller orders nothing while the platform is down', async function (this: FleetWorld) {
   const tries = leaseCalls(this)
-  await until(() => leaseCalls(this) >= tries + 3)
+  // Many looks at the fleet fit between as many tries to renew the lease.
+  await until(() => leaseCalls(this) >= tries + 12)
   assert.equal(ordersOf(this, 'load'), this.ordersBefore)
 })
 
