--- a/packages/pimentoplank/features/support/fleetBench.ts
+++ b/packages/pimentoplank/features/support/fleetBench.ts
@@ -92,6 +92,7 @@
       drain: { spreadMs: 150, maxMs: 60_000 },
       snapshots: { everyNotes: 10, keepNotes: 5 },
       checkEveryMs: 20,
+      settled: { everyMs: 50, perEngineMs: 0 },
       placementEveryMs: 20
     })
     const control = controllerOptions.engines ?? createEngineControl()
--- a/packages/pimentoplank/src/batch/dispatcher.ts
+++ b/packages/pimentoplank/src/batch/dispatcher.ts
@@ -1,8 +1,7 @@
 /** Keeps as many items in hand as the runner's parallelism allows, over all held chunks. */
-import type { Clock } from '../shared'
+import { createWakeup, type Clock } from '../shared'
 import type { HeldChunk } from './heldChunk'
 import type { ItemTask } from './runItem'
-import { createWakeup } from './wakeup'
 
 /** Longest sleep while nothing is ready, in milliseconds. */
 const MAX_IDLE_MS = 1000
--- a/packages/pimentoplank/src/batch/heldChunk.ts
+++ b/packages/pimentoplank/src/batch/heldChunk.ts
@@ -1,10 +1,9 @@
 /** One claimed chunk: its items in hand, and the task that commits their results. */
-import { createBitmap, type CheckpointRecord, type ChunkRecord, type Log } from '../shared'
+import { createBitmap, createWakeup, type CheckpointRecord, type ChunkRecord, type Log } from '../shared'
 import type { RunnerContext } from './context'
 import { unknownResult } from './itemResult'
 import { createLedger, type ChunkEnd, type CommitOutcome } from './ledger'
 import { createItemTask, runItem, type ItemOutcome, type ItemTask } from './runItem'
-import { createWakeup } from './wakeup'
 
 /** Pause before a commit that the platform did not take is tried again, in milliseconds. */
 const COMMIT_RETRY_MS = 1000
--- a/packages/pimentoplank/src/batch/runner.ts
+++ b/packages/pimentoplank/src/batch/runner.ts
@@ -1,6 +1,6 @@
 /** A batch runner: holds its lease, claims chunks, works them, and brings jobs to their end. */
 import {
-  createLeaseObserver, isFinalState, jobRecord, OBJECT_KINDS, tryAcquireLease,
+  createLeaseObserver, createWakeup, isFinalState, jobRecord, OBJECT_KINDS, tryAcquireLease,
   type ChunkOwner, type JobRecord, type Lease, type StoredObject
 } from '../shared'
 import { createClaims, type KnownJob } from './claims'
@@ -11,7 +11,6 @@
 import { createJobEnds } from './jobEnds'
 import { createOwnerWatch } from './ownerWatch'
 import type { RunnerSettings } from './settings'
-import { createWakeup } from './wakeup'
 
 /** Items ready in hand for each item that may run, before more chunks are claimed. */
 const READY_PER_SLOT = 2
--- a/packages/pimentoplank/src/controller/controller.ts
+++ b/packages/pimentoplank/src/controller/controller.ts
@@ -1,8 +1,8 @@
 /** Makes the fleet follow the configuration, for as long as this process holds the controllers' lease. */
 import { v7 as uuid } from 'uuid'
 import {
-  createLeaseObserver, tryAcquireLease,
-  type Clock, type Followers, type Lease, type Log, type Metrics, type PlatformClient, type Random
+  createLeaseObserver, createWakeup, tryAcquireLease,
+  type Clock, type Followers, type Lease, type Log, type Metrics, type PlatformClient, type Random, type Target
 } from '../shared'
 import { createDrains, type Drains } from './drains'
 import type { EngineControl, Order } from './engineControl'
@@ -33,6 +33,9 @@
   isLeading: () => boolean
 }
 
+/** What a look at the fleet came to; `settled` when nothing is to be done. */
+type StepOutcome = 'done' | 'settled' | 'superseded'
+
 /** Creates a controller that does nothing until it runs. */
 export function createController (settings: ControllerSettings, deps: ControllerDeps): Controller {
   const { platform, followers, engines, clock, metrics, log } = deps
@@ -60,25 +63,38 @@
     current = lease
     const over = AbortSignal.any([signal, lease.lost])
     const drains = createDrains({ clock, ...settings.drain })
+    const wakeup = createWakeup(clock)
+    const unsubscribe = [followers.config.onChange(wakeup.wake), followers.membership.onChange(wakeup.wake)]
+    over.addEventListener('abort', wakeup.wake)
     while (!over.aborted) {
-      const isSuperseded = lease.isHeld() && await step(lease, drains) === 'superseded'
-      if (isSuperseded) break
-      await clock.sleep(settings.checkEveryMs, over)
+      const outcome = lease.isHeld() ? await step(lease, drains) : 'done'
+      if (outcome === 'superseded') break
+      await wakeup.wait(pauseAfter(outcome))
     }
+    for (const stop of unsubscribe) stop()
     current = undefined
     await lease.release()
     log.info('no longer leading the fleet')
   }
 
+  function engineTargets (): Target[] {
+    return followers.membership.allTargets().filter(({ role }) => role === 'engine')
+  }
+
+  function pauseAfter (outcome: StepOutcome): number {
+    if (outcome !== 'settled') return settings.checkEveryMs
+    return Math.max(settings.settled.everyMs, settings.settled.perEngineMs * engineTargets().length)
+  }
+
   /** A controller whose configuration is behind that of its predecessor waits for the feed. */
   function isBehind (): boolean {
     const { sequence } = followers.config.current()
     return placements.published().some((record) => record.sequence > sequence)
   }
 
-  async function step (lease: Lease, drains: Drains): Promise<'done' | 'superseded'> {
+  async function step (lease: Lease, drains: Drains): Promise<StepOutcome> {
     if (isBehind()) return 'done'
-    const targets = followers.membership.allTargets().filter(({ role }) => role === 'engine')
+    const targets = engineTargets()
     const observed = await observer.observe(targets)
     noteLeaving(observed)
     await readLoads(drains, observed)
@@ -96,7 +112,7 @@
     const given = await Promise.all(plan.orders.map(async (planned) => await give(planned, lease)))
     if (given.includes('superseded')) return 'superseded'
     await snapshots.keep(lease)
-    return 'done'
+    return isSettled(plan, observed, targets) && published === 'current' ? 'settled' : 'done'
   }
 
   /** An engine tells that it leaves before the platform's list does. */
@@ -150,6 +166,14 @@
   return { run, isLeading: () => current?.isHeld() === true }
 }
 
+/** True when every engine was read and stands as it should. */
+function isSettled (plan: Plan, observed: readonly ObservedEngine[], targets: readonly Target[]): boolean {
+  const isAtRest = ({ state }: ObservedEngine): boolean =>
+    state.models.every(({ status }) => status === 'ready')
+  return plan.orders.length === 0 && plan.draining.size === 0 &&
+    observed.length === targets.length && observed.every(isAtRest)
+}
+
 /** True when an order would still change something on an engine. */
 function makesDifference ({ state }: ObservedEngine, order: Order): boolean {
   const found = state.models.find(({ name, version }) => name === order.model && version === order.version)
--- a/packages/pimentoplank/src/controller/observer.ts
+++ b/packages/pimentoplank/src/controller/observer.ts
@@ -28,15 +28,12 @@
   isBackedOff: (targetId: string) => boolean
 }
 
-interface Seen {
-  engine: ObservedEngine
-  at: number
-}
-
 /** Creates an observer. */
 export function createEngineObserver (options: EngineObserverOptions): EngineObserver {
   const { engines, clock, random, metrics } = options
-  const seen = new Map<string, Seen>()
+  const seen = new Map<string, ObservedEngine>()
+  /** When an engine first did not answer, since its last answer. */
+  const silentSince = new Map<string, number>()
   const failures = new Map<string, { count: number, retryAt: number }>()
 
   function noteFailure (targetId: string): void {
@@ -54,10 +51,12 @@
     const state = await engines.state(target)
     if (state.isErr()) {
       noteFailure(target.id)
+      if (!silentSince.has(target.id)) silentSince.set(target.id, clock.now())
       return undefined
     }
     const engine = { target, state: state.value }
-    seen.set(target.id, { engine, at: clock.now() })
+    seen.set(target.id, engine)
+    silentSince.delete(target.id)
     return engine
   }
 
@@ -70,8 +69,12 @@
   async function observe (targets: readonly Target[]): Promise<ObservedEngine[]> {
     const queue = [...targets]
     await Promise.all(Array.from({ length: CONCURRENT_READS }, async () => await readSome(queue)))
-    const known = targets.map((target) => seen.get(target.id))
-    return known.flatMap((found) => found !== undefined && clock.now() - found.at < LOST_AFTER_MS ? [found.engine] : [])
+    return targets.filter(isThere).flatMap((target) => seen.get(target.id) ?? [])
+  }
+
+  function isThere ({ id }: Target): boolean {
+    const since = silentSince.get(id)
+    return since === undefined || clock.now() - since < LOST_AFTER_MS
   }
 
   return { observe, refresh, noteFailure, isBackedOff }
--- a/packages/pimentoplank/src/controller/settings.ts
+++ b/packages/pimentoplank/src/controller/settings.ts
@@ -31,6 +31,13 @@
   keepNotes: z.int().min(0).default(50).describe('Release notes that stay in the log below the newest snapshot.')
 })
 
+export const settledSettings = z.strictObject({
+  everyMs: durationMs.default(5 * SECOND_MS)
+    .describe('Time between two looks at a fleet that stands as it should, in milliseconds.'),
+  perEngineMs: z.number().min(0).default(100)
+    .describe('The same for each engine, in milliseconds; the longer time counts, so that the bytes stay bounded.')
+})
+
 export const controllerSettings = z.strictObject({
   ...commonSettings,
   lease: leaseSettings.prefault({}),
@@ -38,7 +45,9 @@
   rolling: rollingSettings.prefault({}),
   drain: drainSettings.prefault({}),
   snapshots: snapshotSettings.prefault({}),
-  checkEveryMs: durationMs.default(500).describe('Time between two looks at the fleet, in milliseconds.'),
+  checkEveryMs: durationMs.default(500)
+    .describe('Time between two looks at the fleet while something is to be done, in milliseconds.'),
+  settled: settledSettings.prefault({}),
   placementEveryMs: durationMs.default(500)
     .describe('Least time between two writes of where one model is served, in milliseconds.')
 })
--- a/packages/pimentoplank/src/batch/wakeup.ts
+++ b/packages/pimentoplank/src/shared/clock/wakeup.ts
@@ -1,5 +1,5 @@
 /** Lets a loop sleep until there is something to do. */
-import type { Clock } from '../shared'
+import type { Clock } from './clock'
 
 export interface Wakeup {
   /** Resolves after the delay, or at the next `wake`. */
