--- a/packages/pimentoplank/features/support/memoryPlatform.ts
+++ b/packages/pimentoplank/features/support/memoryPlatform.ts
@@ -81,6 +81,7 @@
       remove: (kind, name) => call('remove', kind, name, () => {
         if (store.delete(`${kind}/${name}`)) emit(kind, { type: 'remove', name, revision: ++revision })
       }),
+      putStatus: (kind, name) => call('put', kind, name, () => undefined),
       watch: () => okAsync({ revision, events: [] }),
       listInstances: () => okAsync([]),
       close: async () => undefined
--- /dev/null
+++ b/packages/pimentoplank/src/relay/constants.ts
@@ -0,0 +1,32 @@
+/** Times and limits of the relay that no setting changes. */
+
+/** Least time between two reports to peers, in milliseconds; a step of live traffic is seen within two of them. */
+export const REPORT_GAP_MS = 50
+/** A report is sent at least this often, in milliseconds. */
+export const REPORT_HEARTBEAT_MS = 300
+/** A peer that missed several heartbeats counts as gone, in milliseconds. */
+export const PEER_SILENT_MS = 1500
+/** How often work that depends on time is looked at, in milliseconds. */
+export const TICK_MS = 50
+/** How long a target stays suspect after it went silent, in milliseconds. */
+export const TARGET_SUSPECT_MS = 1000
+/** Share of the drain bound for which targets whose entries lapsed together are still used. */
+export const REMOVAL_GRACE_SHARE = 0.8
+/** Limit for a connection to a target, in milliseconds; a few round trips within a region. */
+export const TARGET_CONNECT_TIMEOUT_MS = 250
+/** Unused connections to targets are closed after this time, in milliseconds. */
+export const TARGET_KEEP_IDLE_MS = 3000
+/** Crashes of targets after which their common request is refused. */
+export const CRASH_LIMIT = 2
+/** How long such a request is remembered, in milliseconds. */
+export const CRASH_KEEP_MS = 600_000
+/** How long callers may keep the directory's answer, in milliseconds; a stop waits for three times as long. */
+export const DIRECTORY_MAX_AGE_MS = 1000
+/** Callers keep the directory's answer for up to this many times its age. */
+export const DIRECTORY_OVERSTAY = 3
+/** Most addresses in one answer of the directory. */
+export const DIRECTORY_MAX_ADDRESSES = 64
+/** How long peers are told of a change of a job, in milliseconds. */
+export const JOB_NOTICE_MS = 5000
+/** How long the platform may hold a watch, in milliseconds; a silent connection is found a margin later. */
+export const WATCH_WAIT_MS = 3000
--- /dev/null
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -0,0 +1,375 @@
+/** Puts a relaying instance together. */
+import type { ConnectRouter } from '@connectrpc/connect'
+import { create } from '@bufbuild/protobuf'
+import { err, ok, ResultAsync, type Result } from 'neverthrow'
+import {
+  createObjectFeed, createPeerServer, createPeerTransports, createSystemClock, describeCause, MemberStateSchema,
+  type Clock, type Log, type Metrics, type Peer, type PeeredFeed, type PeerSecurity, type PlatformClient, type Random
+} from '../shared'
+import { createStopper } from '../entry/stopping'
+import { createDirectory, createRelayHandler, type CallerProtocol, type Directory, type RelayHandler } from './callers'
+import {
+  CRASH_KEEP_MS, CRASH_LIMIT, DIRECTORY_MAX_AGE_MS, DIRECTORY_OVERSTAY, JOB_NOTICE_MS, PEER_SILENT_MS,
+  REMOVAL_GRACE_SHARE, REPORT_GAP_MS, REPORT_HEARTBEAT_MS, TARGET_CONNECT_TIMEOUT_MS, TARGET_KEEP_IDLE_MS,
+  TARGET_SUSPECT_MS, TICK_MS, WATCH_WAIT_MS
+} from './constants'
+import { createExchange, createTargetConnections } from './exchange'
+import { startGossip, type Gossip, type OwnReport, type PeerView, type Stage } from './gossip'
+import {
+  createItemRunner, createJobBoard, createJobCalls, createJobKeeper, createJobService, createJobStore, handOverJobs,
+  type JobCalls
+} from './jobs'
+import { createCrashLedger, createSlotDesk, createTargetActivity } from './live'
+import { createLoadView } from './load'
+import type { RelayConfig, Target, TargetProtocol } from './model'
+import { createRouteTable, type RouteTable } from './routing'
+import { RELAY_RULES } from './rules'
+import type { RelaySettings } from './settings'
+import { createTargetDirectory } from './targets'
+
+/** What one deployment's platform, callers and targets speak. */
+export interface RelayProtocols {
+  callers: CallerProtocol
+  targets: TargetProtocol
+  /** Object that holds the configuration. */
+  config: { kind: string, name: string, decode: (value: unknown) => Result<RelayConfig, Error> }
+  /** Objects that name targets. */
+  targetEntries: { kind: string, decode: (id: string, value: unknown) => Target | undefined }
+}
+
+export interface RelayDeps {
+  platform: PlatformClient
+  protocols: RelayProtocols
+  security: PeerSecurity
+  metrics: Metrics
+  log: Log
+  clock?: Clock
+  random?: Random
+}
+
+export interface Relay {
+  handle: RelayHandler
+  directory: Directory
+  jobs: JobCalls
+  /** True while callers may use this instance. */
+  isReady: () => boolean
+  table: () => RouteTable | undefined
+  /** Leaves the directory, hands jobs over, finishes what runs, and closes. */
+  stop: () => Promise<void>
+  close: () => Promise<void>
+}
+
+/** Starts an instance; fails when the address for peers is in use. */
+export function createRelay (settings: RelaySettings, deps: RelayDeps): ResultAsync<Relay, Error> {
+  return new ResultAsync(start(settings, deps))
+}
+
+async function start (settings: RelaySettings, deps: RelayDeps): Promise<Result<Relay, Error>> {
+  const { platform, protocols, metrics, log, security } = deps
+  const clock = deps.clock ?? createSystemClock()
+  const random = deps.random ?? Math.random
+  const { instance } = settings
+  const peerAddress = addressOf(settings.listen.peers)
+  const callerAddress = settings.listen.callers === undefined ? '' : addressOf(settings.listen.callers)
+  const transports = createPeerTransports({ security })
+  const stopper = createStopper({
+    directoryMaxAgeMs: DIRECTORY_MAX_AGE_MS * DIRECTORY_OVERSTAY,
+    graceMs: settings.bounds.graceMs - STOP_MARGIN_MS,
+    onLeave: leave,
+    clock,
+    log
+  })
+  const peerRoutes: Array<(router: ConnectRouter) => void> = []
+  let table: RouteTable | undefined
+
+  const peerServer = await createPeerServer({
+    ...settings.listen.peers,
+    security,
+    routes: (router) => peerRoutes.forEach((register) => register(router))
+  })
+  if (peerServer.isErr()) return err(peerServer.error)
+  const started = await startGossip({
+    instance,
+    incarnation: clock.wallTime(),
+    listen: settings.listen.peers,
+    peerAddress,
+    seeds: settings.seeds,
+    settings: { minGapMs: REPORT_GAP_MS, heartbeatMs: REPORT_HEARTBEAT_MS, silentAfterMs: PEER_SILENT_MS },
+    own: ownReport,
+    onYield: (key, count) => yieldByKey(key, count),
+    clock,
+    random,
+    metrics,
+    log
+  })
+  if (started.isErr()) {
+    await peerServer.value.close()
+    return err(started.error)
+  }
+  const gossip: Gossip = started.value
+  const feed = followPlatform()
+  const targets = createTargetDirectory({
+    feed,
+    ...protocols.targetEntries,
+    removalGraceMs: settings.bounds.drainMs * REMOVAL_GRACE_SHARE,
+    clock,
+    log
+  })
+  const loads = createLoadView({ targets, peers: gossip.peers, clock, suspectMs: TARGET_SUSPECT_MS })
+  const connections = createTargetConnections({
+    settings: { connectTimeoutMs: TARGET_CONNECT_TIMEOUT_MS, keepIdleMs: TARGET_KEEP_IDLE_MS }, clock, metrics
+  })
+  const exchange = createExchange(protocols.targets, connections)
+  const crashes = createCrashLedger({ limit: CRASH_LIMIT, keepMs: CRASH_KEEP_MS, clock })
+  const board = createJobBoard({ self: instance.id, noticeMs: JOB_NOTICE_MS, clock })
+  const store = createJobStore(platform)
+  const runner = createItemRunner({
+    board,
+    loads,
+    exchange,
+    table: () => table,
+    peers: gossip.peers,
+    failureDomain: instance.failureDomain,
+    rules: RELAY_RULES.items,
+    isPaused: () => stopper.stage() !== 'serving',
+    onFinished: (job) => keeper.noteFinished(job),
+    clock,
+    random,
+    metrics,
+    log
+  })
+  const keeper = createJobKeeper({
+    self: instance.id,
+    board,
+    store,
+    table: () => table,
+    peers: gossip.peers,
+    isLeaving: () => stopper.stage() !== 'serving',
+    onWork: () => runner.pump(),
+    onStop: (job) => runner.stopJob(job),
+    rules: { ...RELAY_RULES.jobs, keepMs: settings.bounds.jobStatusMs },
+    clock,
+    random,
+    metrics,
+    log
+  })
+  const jobs = createJobCalls({
+    self: instance.id,
+    board,
+    keeper,
+    store,
+    transports,
+    peers: gossip.peers,
+    waitingTokens: ownWaitingTokens,
+    onAccepted: () => {
+      gossip.touch()
+      runner.pump()
+    },
+    isLeaving: () => stopper.stage() !== 'serving',
+    clock,
+    metrics,
+    log
+  })
+  const desk = createSlotDesk({
+    loads,
+    gossip,
+    yieldOwn: runner.yieldItems,
+    failureDomain: instance.failureDomain,
+    rules: RELAY_RULES.live,
+    clock,
+    random,
+    metrics,
+    log
+  })
+  const handle = createRelayHandler({
+    protocol: protocols.callers,
+    table: () => table,
+    live: { desk, exchange, loads, activity: createTargetActivity(clock), crashes, rules: RELAY_RULES.live, clock, metrics, log },
+    jobs,
+    isLeaving: () => stopper.stage() !== 'serving',
+    enter: stopper.enter,
+    clock,
+    random,
+    log
+  })
+  peerRoutes.push(feed.routes, createJobService({ board, keeper, calls: jobs }))
+  followConfig()
+  targets.onChange(pumpAll)
+  loads.onOwnChange(() => {
+    gossip.touch()
+    schedulePump()
+  })
+  gossip.onReport((report) => {
+    for (const { job, ...news } of report.jobs) board.learn(job, news)
+    crashes.merge(report.crashes)
+    schedulePump()
+  })
+  gossip.onGone(({ report }) => {
+    keeper.adoptFrom(report.instance).catch((cause: unknown) => log.error({ cause: describeCause(cause) }, 'jobs could not be taken over'))
+  })
+  gossip.start()
+  const ticking = setInterval(tick, TICK_MS)
+  feed.ready().then(async () => await keeper.recover()).catch((cause: unknown) => {
+    log.error({ cause: describeCause(cause) }, 'jobs could not be recovered')
+  })
+
+  function followPlatform (): PeeredFeed {
+    const self: Peer = { id: instance.id, failureDomain: instance.failureDomain, peerAddress }
+    return createObjectFeed({
+      platform,
+      transports,
+      instance: self,
+      kinds: [protocols.config.kind, protocols.targetEntries.kind],
+      seeds: settings.seeds,
+      members: membersOf(gossip),
+      holdersPerDomain: 1,
+      timings: { watchWaitMs: WATCH_WAIT_MS },
+      isPlatformCurrent: true,
+      clock,
+      random,
+      metrics,
+      log
+    })
+  }
+
+  function followConfig (): void {
+    const { kind, name } = protocols.config
+    const object = feed.objects(kind).get(name)
+    if (object !== undefined) takeConfig(object.value, object.revision)
+    feed.subscribe(kind, (event) => {
+      if (event.name === name && event.object !== undefined) takeConfig(event.object.value, event.revision)
+    })
+  }
+
+  function takeConfig (value: unknown, revision: number): void {
+    const config = protocols.config.decode(value)
+    if (config.isErr()) {
+      log.error({ revision, cause: config.error.message }, 'configuration cannot be read; the one in force stays')
+      metrics.count('config.unreadable')
+      return
+    }
+    if (table !== undefined && config.value.version < table.version) {
+      log.warn({ revision, version: config.value.version, inForce: table.version }, 'older configuration left out')
+      return
+    }
+    table = createRouteTable(config.value)
+    log.info({ version: table.version, revision, routes: config.value.routes.length }, 'configuration in force')
+    gossip.touch()
+    pumpAll()
+  }
+
+  function stage (): Stage {
+    if (stopper.stage() !== 'serving') return 'leaving'
+    return table === undefined ? 'starting' : 'serving'
+  }
+
+  function ownReport (): OwnReport {
+    return {
+      stage: stage(),
+      callerAddress,
+      uses: loads.ownUses(),
+      waiting: runner.waiting(),
+      jobs: board.notes(),
+      suspects: loads.ownSuspects(),
+      crashes: crashes.notes(),
+      configRevision: Math.max(0, feed.revision(protocols.config.kind))
+    }
+  }
+
+  function yieldByKey (key: number, count: number): void {
+    for (const target of targets.all()) {
+      if (loads.loadOf(target.id)?.key === key) runner.yieldItems(target.id, count)
+    }
+  }
+
+  function ownWaitingTokens (route: string): number {
+    let sum = 0
+    for (const job of board.owned()) if (job.record().route === route && !job.record().ended) sum += job.openTokens()
+    return sum
+  }
+
+  let isPumpDue = false
+  function schedulePump (): void {
+    if (isPumpDue) return
+    isPumpDue = true
+    setImmediate(() => {
+      isPumpDue = false
+      pumpAll()
+    })
+  }
+
+  function pumpAll (): void {
+    desk.pump()
+    runner.pump()
+  }
+
+  function tick (): void {
+    pumpAll()
+    runner.relieve()
+    keeper.tick()
+  }
+
+  async function leave (): Promise<void> {
+    gossip.send()
+    await runner.stopAll()
+    await keeper.flushAll(FLUSH_ON_STOP_MS)
+    await handOverJobs({ board, peers: gossip.peers, transports, log })
+  }
+
+  async function close (): Promise<void> {
+    clearInterval(ticking)
+    keeper.close()
+    await feed.close()
+    await gossip.close()
+    transports.close()
+    connections.close()
+    await peerServer._unsafeUnwrap().close()
+  }
+
+  return ok({
+    handle,
+    directory: createDirectory({
+      self: { callerAddress, failureDomain: instance.failureDomain, stage },
+      peers: gossip.peers,
+      maxAgeMs: settings.bounds.directoryMaxAgeMs
+    }),
+    jobs,
+    isReady: () => stage() === 'serving',
+    table: () => table,
+    stop: async () => {
+      await stopper.stop()
+      await close()
+    },
+    close
+  })
+}
+
+/** Kept for closing what is left before the platform ends the process, in milliseconds. */
+const STOP_MARGIN_MS = 800
+/** Limit for storing results at a stop, in milliseconds. */
+const FLUSH_ON_STOP_MS = 1000
+/** Time in which peers may be heard after the start, in milliseconds. */
+const FIRST_PEERS_MS = 300
+
+function addressOf ({ host, port }: { host: string, port: number }): string {
+  return `${host}:${port}`
+}
+
+/** The feed's view of the peers; what else members tell each other travels by datagrams. */
+function membersOf (gossip: Gossip): Parameters<typeof createObjectFeed>[0]['members'] {
+  const nothing = { state: create(MemberStateSchema, {}), isNews: false }
+  return {
+    peers: () => gossip.peers().filter(({ report }) => report.stage !== 'leaving').map(peerOf),
+    ready: async () => await new Promise((resolve) => { setTimeout(resolve, FIRST_PEERS_MS) }),
+    ask: () => ({ $typeName: 'pimentoplank.v1.MemberAsk', listDigest: '', listAgeMs: 0, signsToken: '' }),
+    answer: () => nothing,
+    merge: () => undefined,
+    mergeSigns: () => undefined,
+    onNews: () => () => undefined,
+    onOwnSigns: () => () => undefined
+  }
+}
+
+function peerOf ({ report }: PeerView): Peer {
+  return { id: report.instance, failureDomain: report.failureDomain, peerAddress: report.peerAddress }
+}
--- /dev/null
+++ b/packages/pimentoplank/src/relay/decisions/batchShare.ts
@@ -0,0 +1,79 @@
+/**
+ * How many batch items may start now, which ones, and which give way.
+ *
+ * Load pattern: idle capacity lasts seconds. Between two steps of live traffic batch fills what is free, each job in
+ * the order in which it is due over all instances; at a step up the items with most time left give way first.
+ */
+
+export interface WaitingItem {
+  job: string
+  /** When the item is due, on the monotonic clock. */
+  dueAt: number
+}
+
+export interface BatchCapacity {
+  id: string
+  slots: number
+  live: number
+  batch: number
+  isNear: boolean
+  isSuspect: boolean
+}
+
+export interface BatchShareInput<Item extends WaitingItem> {
+  targets: readonly BatchCapacity[]
+  /** Items of this instance that wait, in any order. */
+  own: readonly Item[]
+  /** Items of other instances that wait. */
+  others: ReadonlyArray<{ dueAt: number, count: number }>
+  /** Slots that stay free for live requests, over all targets. */
+  liveReserve: number
+}
+
+export interface BatchStart<Item> {
+  item: Item
+  target: string
+}
+
+/** Chooses the items of this instance that start now, and where. */
+export function chooseStarts<Item extends WaitingItem> (input: BatchShareInput<Item>): Array<BatchStart<Item>> {
+  const free = new Map(input.targets
+    .filter((target) => !target.isSuspect)
+    .map((target) => [target.id, { near: target.isNear, count: target.slots - target.live - target.batch }]))
+  const total = [...free.values()].reduce((sum, { count }) => sum + Math.max(0, count), 0)
+  const allowance = total - input.liveReserve
+  const starts: Array<BatchStart<Item>> = []
+  for (const item of [...input.own].sort((a, b) => a.dueAt - b.dueAt)) {
+    // Items of others that are due earlier come first.
+    const ahead = input.others.reduce((sum, { dueAt, count }) => sum + (dueAt < item.dueAt ? count : 0), 0)
+    if (allowance - starts.length - ahead <= 0) break
+    const target = roomiest(free)
+    if (target === undefined) break
+    free.get(target)!.count -= 1
+    starts.push({ item, target })
+  }
+  return starts
+}
+
+function roomiest (free: ReadonlyMap<string, { near: boolean, count: number }>): string | undefined {
+  let best: { id: string, near: boolean, count: number } | undefined
+  for (const [id, { near, count }] of free) {
+    if (count <= 0) continue
+    if (best === undefined || count > best.count || (count === best.count && near && !best.near)) best = { id, near, count }
+  }
+  return best?.id
+}
+
+export interface RunningItem extends WaitingItem {
+  target: string
+}
+
+/**
+ * Chooses items to take off a target: those with most time left.
+ *
+ * @param running - items of this instance at the target
+ * @param count - items that have to go
+ */
+export function chooseYields<Item extends RunningItem> (running: readonly Item[], count: number): Item[] {
+  return [...running].sort((a, b) => b.dueAt - a.dueAt).slice(0, count)
+}
--- /dev/null
+++ b/packages/pimentoplank/src/relay/decisions/index.ts
@@ -0,0 +1,9 @@
+export {
+  decideAdmission, orderWaiting, type Admission, type AdmissionInput, type AdmissionRules, type WaitingRequest
+} from './admission'
+export { choosePlacement, type Placement, type PlacementCandidate, type PlacementRules } from './placement'
+export {
+  chooseStarts, chooseYields,
+  type BatchCapacity, type BatchShareInput, type BatchStart, type RunningItem, type WaitingItem
+} from './batchShare'
+export { isRepeatable, mayTryAgain, type RetryState, type TryFailure } from './retries'
--- /dev/null
+++ b/packages/pimentoplank/src/relay/exchange/connections.ts
@@ -0,0 +1,108 @@
+/** Connections to targets: one request at a time on each, kept for the next one. */
+import type { Socket } from 'node:net'
+import { buildConnector, Client } from 'undici'
+import { markDispatch, type Clock, type Metrics } from '../../shared'
+
+export interface ConnectionSettings {
+  /** Limit for making a connection, in milliseconds. */
+  connectTimeoutMs: number
+  /** A connection that was unused for this long is closed, in milliseconds. */
+  keepIdleMs: number
+}
+
+/** A connection that carries one request at a time. */
+export interface TargetConnection {
+  client: Client
+  /** Dispatches with a mark that is set right before the first byte goes out. */
+  marked: ReturnType<Client['compose']>
+  /** Set once the connection is made. */
+  socket?: Socket
+  /** True when an earlier request was answered on it. */
+  isReused: boolean
+}
+
+export interface TargetConnections {
+  /** Takes an unused connection, or makes one. */
+  take: (address: string) => TargetConnection
+  /** Keeps a connection whose answer was read to its end. */
+  keep: (address: string, connection: TargetConnection) => void
+  /** Ends a connection. */
+  drop: (connection: TargetConnection) => void
+  /** Ends the unused connections to a target, such as one that is gone. */
+  dropIdle: (address: string) => void
+  close: () => void
+}
+
+interface Idle {
+  connection: TargetConnection
+  since: number
+}
+
+const NO_LIMIT = 0
+
+/** Creates the connections of an instance. */
+export function createTargetConnections (options: {
+  settings: ConnectionSettings
+  clock: Clock
+  metrics: Metrics
+}): TargetConnections {
+  const { settings, clock, metrics } = options
+  const idle = new Map<string, Idle[]>()
+  const all = new Set<TargetConnection>()
+
+  function make (address: string): TargetConnection {
+    metrics.count('targets.connections')
+    const connector = buildConnector({ timeout: settings.connectTimeoutMs, keepAlive: true })
+    const client = new Client(`http://${address}`, {
+      pipelining: 1,
+      headersTimeout: NO_LIMIT,
+      bodyTimeout: NO_LIMIT,
+      keepAliveTimeout: settings.keepIdleMs,
+      keepAliveMaxTimeout: settings.keepIdleMs,
+      connect: (connectOptions, done) => connector(connectOptions, (...result) => {
+        if (result[1] !== null) connection.socket = result[1]
+        done(...result)
+      })
+    })
+    const connection: TargetConnection = { client, marked: client.compose(markDispatch), isReused: false }
+    client.on('disconnect', () => drop(connection))
+    client.on('connectionError', () => drop(connection))
+    all.add(connection)
+    return connection
+  }
+
+  function take (address: string): TargetConnection {
+    const list = idle.get(address) ?? []
+    for (let entry = list.pop(); entry !== undefined; entry = list.pop()) {
+      const { connection, since } = entry
+      const isFresh = clock.now() - since < settings.keepIdleMs
+      if (isFresh && all.has(connection) && connection.socket?.writable === true) {
+        connection.isReused = true
+        return connection
+      }
+      drop(connection)
+    }
+    return make(address)
+  }
+
+  function drop (connection: TargetConnection): void {
+    if (!all.delete(connection)) return
+    connection.client.destroy().catch(() => undefined)
+  }
+
+  return {
+    take,
+    keep: (address, connection) => {
+      if (!all.has(connection)) return
+      const list = idle.get(address) ?? []
+      list.push({ connection, since: clock.now() })
+      idle.set(address, list)
+    },
+    drop,
+    dropIdle: (address) => {
+      idle.get(address)?.forEach(({ connection }) => drop(connection))
+      idle.delete(address)
+    },
+    close: () => { for (const connection of [...all]) drop(connection) }
+  }
+}
--- /dev/null
+++ b/packages/pimentoplank/src/relay/gossip/datagrams.ts
@@ -0,0 +1,72 @@
+/** Translates between the datagrams of instances and the types used here. */
+import { create, fromBinary, toBinary } from '@bufbuild/protobuf'
+import { DatagramSchema, InstanceReportSchema, InstanceStage, YieldRequestSchema, type Datagram } from '../../shared'
+import type { CrashNote, JobNote, Report, Stage, TargetUse } from './types'
+
+const STAGE_CODES: Record<Stage, InstanceStage> = {
+  starting: InstanceStage.STARTING,
+  serving: InstanceStage.SERVING,
+  leaving: InstanceStage.LEAVING
+}
+const STAGES = new Map(Object.entries(STAGE_CODES).map(([stage, code]) => [code, stage as Stage]))
+
+/** Encodes a report; due times are sent relative to `now`, since clocks differ between instances. */
+export function encodeReport (report: Report, now: number): Uint8Array {
+  const message = create(InstanceReportSchema, {
+    ...report,
+    incarnation: BigInt(report.incarnation),
+    stage: STAGE_CODES[report.stage],
+    uses: [...report.uses].map(([target, { live, batch }]) => ({ target, live, batch })),
+    waiting: report.waiting.map(({ dueAt, count }) => ({ dueInMs: Math.round(dueAt - now), count })),
+    knownPeers: [...report.knownPeers],
+    jobs: [...report.jobs],
+    crashes: [...report.crashes],
+    suspects: [...report.suspects],
+    configRevision: BigInt(report.configRevision)
+  })
+  return toBinary(DatagramSchema, create(DatagramSchema, { content: { case: 'report', value: message } }))
+}
+
+/** Encodes a request to take batch items off a target. */
+export function encodeYield (target: number, count: number): Uint8Array {
+  const message = create(YieldRequestSchema, { target, count })
+  return toBinary(DatagramSchema, create(DatagramSchema, { content: { case: 'yield', value: message } }))
+}
+
+export type Received =
+  | { type: 'report', report: Report }
+  | { type: 'yield', target: number, count: number }
+
+/** Decodes a datagram; undefined for bytes that are none. */
+export function decodeDatagram (bytes: Uint8Array, now: number): Received | undefined {
+  let datagram: Datagram
+  try {
+    datagram = fromBinary(DatagramSchema, bytes)
+  } catch {
+    return undefined
+  }
+  const { content } = datagram
+  if (content.case === 'yield') return { type: 'yield', target: content.value.target, count: content.value.count }
+  if (content.case !== 'report') return undefined
+  const { uses, waiting, suspects, jobs, crashes, ...rest } = content.value
+  return {
+    type: 'report',
+    report: {
+      instance: rest.instance,
+      incarnation: Number(rest.incarnation),
+      sequence: rest.sequence,
+      stage: STAGES.get(rest.stage) ?? 'starting',
+      callerAddress: rest.callerAddress,
+      peerAddress: rest.peerAddress,
+      failureDomain: rest.failureDomain,
+      region: rest.region,
+      uses: new Map(uses.map(({ target, live, batch }): [number, TargetUse] => [target, { live, batch }])),
+      waiting: waiting.map(({ dueInMs, count }) => ({ dueAt: now + dueInMs, count })),
+      knownPeers: rest.knownPeers,
+      jobs: jobs.map(({ job, owner, epoch, ended }): JobNote => ({ job, owner, epoch, ended })),
+      suspects: new Set(suspects),
+      crashes: crashes.map(({ content, crashes }): CrashNote => ({ content, crashes })),
+      configRevision: Number(rest.configRevision)
+    }
+  }
+}
--- /dev/null
+++ b/packages/pimentoplank/src/relay/gossip/gossip.ts
@@ -0,0 +1,240 @@
+/** Sends this instance's report to its peers and keeps theirs. */
+import { createSocket, type Socket } from 'node:dgram'
+import { ResultAsync } from 'neverthrow'
+import { describeCause, type Clock, type Log, type Metrics, type Random } from '../../shared'
+import { decodeDatagram, encodeReport, encodeYield } from './datagrams'
+import type { PeerView, Report } from './types'
+
+export interface GossipSettings {
+  /** Least time between two reports, in milliseconds. */
+  minGapMs: number
+  /** A report is sent at least this often, in milliseconds. */
+  heartbeatMs: number
+  /** A peer that was not heard for this long counts as gone, in milliseconds. */
+  silentAfterMs: number
+}
+
+/** The part of a report that the instance fills in. */
+export type OwnReport = Pick<Report, 'stage' | 'callerAddress' | 'uses' | 'waiting' | 'jobs' | 'suspects' | 'crashes' | 'configRevision'>
+
+export interface GossipOptions {
+  instance: { id: string, failureDomain: string, region: string }
+  /** Wall clock time of the process start, in milliseconds. */
+  incarnation: number
+  listen: { host: string, port: number }
+  /** Where datagrams and calls of peers arrive. */
+  peerAddress: string
+  /** Addresses to report to before any peer is known. */
+  seeds: readonly string[]
+  settings: GossipSettings
+  /** The state to report. */
+  own: () => OwnReport
+  /** A peer asks for batch items to be taken off a target. */
+  onYield: (target: number, count: number) => void
+  clock: Clock
+  random: Random
+  metrics: Metrics
+  log: Log
+}
+
+export interface Gossip {
+  /** Begins to report; until then this instance only listens. */
+  start: () => void
+  /** Peers that were heard a short while ago, leaving ones included. */
+  peers: () => readonly PeerView[]
+  /** Milliseconds since an instance was heard; undefined when it never was. */
+  silentMs: (instance: string) => number | undefined
+  /** Sends a report soon, since something changed. */
+  touch: () => void
+  /** Sends a report at once. */
+  send: () => void
+  askToYield: (instance: string, target: number, count: number) => void
+  /** Adds an address to report to. */
+  introduce: (address: string) => void
+  /** Calls the listener after each report of a peer, with the report before it. */
+  onReport: (listener: (report: Report, before: Report | undefined) => void) => void
+  /** Calls the listener when a peer counts as gone. */
+  onGone: (listener: (peer: PeerView) => void) => void
+  close: () => Promise<void>
+}
+
+/** Peers named in one report. */
+const KNOWN_PEERS_SENT = 8
+/** An address that never answered is tried this often, in milliseconds. */
+const INTRODUCTION_EVERY_MS = 500
+/** An address from which nothing came for this long is forgotten, in milliseconds. */
+const FORGET_AFTER_MS = 30_000
+
+interface Introduction {
+  since: number
+  sentAt: number
+}
+
+/** Starts the exchange; fails when the address is in use. */
+export function startGossip (options: GossipOptions): ResultAsync<Gossip, Error> {
+  const socket = createSocket('udp4')
+  return ResultAsync.fromPromise(bind(socket, options.listen), (cause) => cause as Error)
+    .map(() => run(socket, options))
+}
+
+async function bind (socket: Socket, { host, port }: { host: string, port: number }): Promise<void> {
+  await new Promise<void>((resolve, reject) => {
+    socket.once('error', reject)
+    socket.bind(port, host, () => {
+      socket.off('error', reject)
+      resolve()
+    })
+  })
+}
+
+function run (socket: Socket, options: GossipOptions): Gossip {
+  const { instance, settings, clock, random, metrics, log } = options
+  const peers = new Map<string, PeerView>()
+  const introductions = new Map<string, Introduction>()
+  const reportListeners: Array<(report: Report, before: Report | undefined) => void> = []
+  const goneListeners: Array<(peer: PeerView) => void> = []
+  let sequence = 0
+  let sentAt = -Infinity
+  let timer: NodeJS.Timeout | undefined
+  let isRunning = false
+
+  socket.on('error', (cause) => log.warn({ cause: describeCause(cause) }, 'datagram socket failed'))
+  socket.on('message', (bytes) => receive(bytes))
+  options.seeds.forEach(introduce)
+
+  function introduce (address: string): void {
+    if (address === options.peerAddress || introductions.has(address)) return
+    introductions.set(address, { since: clock.now(), sentAt: -Infinity })
+  }
+
+  function receive (bytes: Uint8Array): void {
+    const received = decodeDatagram(bytes, clock.now())
+    if (received === undefined) {
+      metrics.count('gossip.unreadable')
+      return
+    }
+    if (received.type === 'yield') options.onYield(received.target, received.count)
+    else take(received.report)
+  }
+
+  function take (report: Report): void {
+    if (report.instance === instance.id && report.incarnation === options.incarnation) return
+    const known = peers.get(report.instance)
+    if (known !== undefined && !isNewer(report, known.report)) return
+    peers.set(report.instance, { report, heardAt: clock.now() })
+    introductions.delete(report.peerAddress)
+    report.knownPeers.forEach((address) => { if (!isKnown(address)) introduce(address) })
+    if (known?.report.incarnation !== report.incarnation || known.report.stage !== report.stage) {
+      log.info({ peer: report.instance, incarnation: report.incarnation, stage: report.stage }, 'peer heard')
+      // A peer that has just started knows nobody.
+      if (known?.report.incarnation !== report.incarnation) touch()
+    }
+    reportListeners.forEach((listener) => listener(report, known?.report))
+  }
+
+  function isKnown (address: string): boolean {
+    for (const { report } of peers.values()) if (report.peerAddress === address) return true
+    return false
+  }
+
+  function dropSilent (): void {
+    const now = clock.now()
+    for (const [id, peer] of peers) {
+      if (now - peer.heardAt <= settings.silentAfterMs) continue
+      peers.delete(id)
+      introduce(peer.report.peerAddress)
+      log.warn({ peer: id, silentMs: Math.round(now - peer.heardAt) }, 'peer is silent')
+      goneListeners.forEach((listener) => listener(peer))
+    }
+    for (const [address, { since }] of introductions) {
+      if (now - since > FORGET_AFTER_MS && !options.seeds.includes(address)) introductions.delete(address)
+    }
+  }
+
+  function receivers (): string[] {
+    const now = clock.now()
+    const addresses = [...peers.values()].map(({ report }) => report.peerAddress)
+    for (const [address, introduction] of introductions) {
+      if (now - introduction.sentAt < INTRODUCTION_EVERY_MS) continue
+      introduction.sentAt = now
+      addresses.push(address)
+    }
+    return addresses
+  }
+
+  function send (): void {
+    if (!isRunning) return
+    dropSilent()
+    sentAt = clock.now()
+    const report: Report = {
+      ...options.own(),
+      peerAddress: options.peerAddress,
+      instance: instance.id,
+      failureDomain: instance.failureDomain,
+      region: instance.region,
+      incarnation: options.incarnation,
+      sequence: ++sequence,
+      knownPeers: sample([...peers.values()].map((peer) => peer.report.peerAddress), KNOWN_PEERS_SENT, random)
+    }
+    const bytes = encodeReport(report, sentAt)
+    receivers().forEach((address) => sendTo(address, bytes))
+    schedule(settings.heartbeatMs)
+  }
+
+  function sendTo (address: string, bytes: Uint8Array): void {
+    const colon = address.lastIndexOf(':')
+    socket.send(bytes, Number(address.slice(colon + 1)), address.slice(0, colon), (cause) => {
+      if (cause !== null) metrics.count('gossip.sendErrors')
+    })
+  }
+
+  function schedule (ms: number): void {
+    clearTimeout(timer)
+    timer = setTimeout(send, ms)
+  }
+
+  function touch (): void {
+    const dueIn = Math.max(0, sentAt + settings.minGapMs - clock.now())
+    if (isRunning) schedule(dueIn)
+  }
+
+  return {
+    start: () => {
+      isRunning = true
+      schedule(0)
+    },
+    peers: () => [...peers.values()].filter((peer) => clock.now() - peer.heardAt <= settings.silentAfterMs),
+    silentMs: (id) => {
+      const peer = peers.get(id)
+      return peer === undefined ? undefined : clock.now() - peer.heardAt
+    },
+    touch,
+    send,
+    askToYield: (id, target, count) => {
+      const peer = peers.get(id)
+      if (peer !== undefined) sendTo(peer.report.peerAddress, encodeYield(target, count))
+    },
+    introduce,
+    onReport: (listener) => { reportListeners.push(listener) },
+    onGone: (listener) => { goneListeners.push(listener) },
+    close: async () => {
+      isRunning = false
+      clearTimeout(timer)
+      await new Promise<void>((resolve) => socket.close(() => resolve()))
+    }
+  }
+}
+
+function isNewer (report: Report, known: Report): boolean {
+  if (report.incarnation !== known.incarnation) return report.incarnation > known.incarnation
+  return report.sequence > known.sequence
+}
+
+function sample (items: string[], count: number, random: Random): string[] {
+  const rest = [...items]
+  const chosen: string[] = []
+  while (chosen.length < count && rest.length > 0) {
+    chosen.push(...rest.splice(Math.floor(random() * rest.length), 1))
+  }
+  return chosen
+}
--- /dev/null
+++ b/packages/pimentoplank/src/relay/index.ts
@@ -0,0 +1,7 @@
+export { createRelay, type Relay, type RelayDeps, type RelayProtocols } from './createRelay'
+export type { CallerProtocol, Directory, DirectoryAnswer } from './callers'
+export type { JobCalls, JobItem, JobSubmission, ItemResult, ResultPage } from './jobs'
+export { JOB_KINDS } from './jobs'
+export type { RefusalAnswer } from './live'
+export * from './model'
+export { boundSettings, relaySettings, type RelaySettings, type RelaySettingsInput } from './settings'
--- /dev/null
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.ts
@@ -0,0 +1,228 @@
+/** Runs items of the jobs of this instance in slots that live requests leave free. */
+import type { Clock, Log, Metrics, Random } from '../../shared'
+import { chooseStarts, chooseYields, type WaitingItem } from '../decisions'
+import type { Exchange } from '../exchange'
+import type { PeerView, WaitingItems } from '../gossip'
+import type { LoadView } from '../load'
+import type { Route, Target } from '../model'
+import { pickService, type RouteTable } from '../routing'
+import type { JobBoard } from './jobBoard'
+import type { ItemProgress, OwnedJob } from './ownedJob'
+import { runItem, type ItemEnd } from './runItem'
+
+export interface ItemRunnerRules {
+  /** Slots of each service that batch leaves free, as a share of all. */
+  liveReserveShare: number
+  /** Pause before an item that a target refused is sent again, in milliseconds. */
+  refusedPauseMs: number
+  /** Pause before an item that failed runs again, in milliseconds. */
+  failedPauseMs: number
+  /** Silence after which a run is taken for lost, in milliseconds. */
+  silenceMs: number
+}
+
+export interface ItemRunnerOptions {
+  board: JobBoard
+  loads: LoadView
+  exchange: Exchange
+  table: () => RouteTable | undefined
+  peers: () => readonly PeerView[]
+  failureDomain: string
+  rules: ItemRunnerRules
+  /** True while no new run may start. */
+  isPaused: () => boolean
+  /** Called after an item got its result. */
+  onFinished: (job: OwnedJob) => void
+  clock: Clock
+  random: Random
+  metrics: Metrics
+  log: Log
+}
+
+export interface ItemRunner {
+  /** Starts what may start now. */
+  pump: () => void
+  /** Takes items off targets that stay over their slots; called at regular times. */
+  relieve: () => void
+  /** Takes items off a target. */
+  yieldItems: (targetId: string, count: number) => void
+  /** Ends the runs of a job. */
+  stopJob: (job: OwnedJob) => void
+  /** Ends all runs; resolves when they are over. */
+  stopAll: () => Promise<void>
+  /** What waits, for peers. */
+  waiting: () => WaitingItems[]
+}
+
+interface Ready extends WaitingItem {
+  owned: OwnedJob
+  itemId: string
+  progress: ItemProgress
+  service: string
+  route: Route
+}
+
+interface Running extends WaitingItem {
+  target: string
+  stop: AbortController
+  done: Promise<void>
+}
+
+/** Due times are told to peers in steps of this size, in milliseconds, so that a report stays small. */
+const DUE_STEP_MS = 1000
+/** Most due times in one report. */
+const MAX_DUE_STEPS = 12
+/** Checks in a row that find a target over its slots before an item is taken off without being asked. */
+const OVERFULL_CHECKS = 3
+
+/** Creates the runner of an instance. */
+export function createItemRunner (options: ItemRunnerOptions): ItemRunner {
+  const { board, loads, rules, clock, random, metrics, log } = options
+  const running = new Set<Running>()
+  const overfull = new Map<string, number>()
+
+  function readyItems (table: RouteTable): Ready[] {
+    const now = clock.now()
+    const ready: Ready[] = []
+    for (const owned of board.owned()) {
+      if (owned.record().ended) continue
+      for (const [itemId, progress] of owned.open()) {
+        if (progress.target !== undefined || progress.notBefore > now) continue
+        const route = table.find(owned.record().host, owned.item(itemId)?.path ?? '')
+        const service = route === undefined ? undefined : pickService(route, random())
+        if (route === undefined || service === undefined) continue
+        ready.push({ job: owned.id, dueAt: owned.dueAt, owned, itemId, progress, service, route })
+      }
+    }
+    return ready
+  }
+
+  function pump (): void {
+    const table = options.table()
+    if (table === undefined || options.isPaused()) return
+    const ready = readyItems(table)
+    const others = options.peers().flatMap(({ report }) => report.waiting)
+    for (const service of new Set(ready.map((item) => item.service))) {
+      startItems(service, ready.filter((item) => item.service === service), others)
+    }
+  }
+
+  function startItems (service: string, own: Ready[], others: readonly WaitingItems[]): void {
+    const all = loads.loads(service)
+    const slots = all.reduce((sum, { target }) => sum + target.slots, 0)
+    const starts = chooseStarts({
+      targets: all.map(({ target, live, batch, isSuspect }) => ({
+        id: target.id, slots: target.slots, live, batch, isNear: target.failureDomain === options.failureDomain, isSuspect
+      })),
+      own,
+      others,
+      liveReserve: Math.round(slots * rules.liveReserveShare)
+    })
+    const targets = new Map(all.map(({ target }) => [target.id, target]))
+    for (const { item, target } of starts) start(item, targets.get(target)!)
+  }
+
+  function start (ready: Ready, target: Target): void {
+    const { owned, itemId, progress } = ready
+    const item = owned.item(itemId)!
+    const stop = new AbortController()
+    progress.target = target.id
+    progress.interrupt = () => stop.abort()
+    loads.begin(target.id, 'batch')
+    log.info({
+      job: owned.id, item: itemId, target: target.id, lastEvent: progress.lastEventId, dueInMs: Math.round(owned.dueAt - clock.now())
+    }, 'item started')
+    const entry: Running = { job: owned.id, dueAt: owned.dueAt, target: target.id, stop, done: Promise.resolve() }
+    running.add(entry)
+    entry.done = runItem({
+      item,
+      host: owned.record().host,
+      progress,
+      target,
+      leftMs: owned.giveUpAt - clock.now(),
+      silenceMs: rules.silenceMs,
+      exchange: options.exchange,
+      clock,
+      log,
+      signal: stop.signal
+    }).then((end) => {
+      running.delete(entry)
+      progress.target = undefined
+      progress.interrupt = undefined
+      loads.end(target.id, 'batch')
+      settle(ready, target, end)
+    })
+  }
+
+  function settle ({ owned, itemId, progress, route }: Ready, target: Target, end: ItemEnd): void {
+    metrics.count(`items.${end.type}`)
+    log.info({ job: owned.id, item: itemId, target: target.id, end: end.type, lastEvent: progress.lastEventId }, 'item run ended')
+    const now = clock.now()
+    const handlers: { [Type in ItemEnd['type']]: (end: Extract<ItemEnd, { type: Type }>) => void } = {
+      completed: ({ text }) => finish(owned, itemId, true, text),
+      impossible: () => finish(owned, itemId, false, ''),
+      failed: () => {
+        progress.failures += 1
+        if (progress.failures >= route.maxAttempts) finish(owned, itemId, false, '')
+        else progress.notBefore = now + rules.failedPauseMs
+      },
+      refused: () => { progress.notBefore = now + rules.refusedPauseMs * (0.5 + random()) },
+      interrupted: ({ isBroken }) => { if (isBroken) progress.notBefore = now + rules.refusedPauseMs * random() }
+    }
+    handlers[end.type](end as never)
+    pump()
+  }
+
+  function finish (owned: OwnedJob, itemId: string, completed: boolean, text: string): void {
+    owned.finish({ item: itemId, completed, text })
+    options.onFinished(owned)
+  }
+
+  function yieldItems (targetId: string, count: number): void {
+    const there = [...running].filter((entry) => entry.target === targetId && !entry.stop.signal.aborted)
+    for (const entry of chooseYields(there, count)) {
+      metrics.count('items.yielded')
+      entry.stop.abort()
+    }
+  }
+
+  /** Takes items off targets that stay over their slots although nobody asked, such as after a lost datagram. */
+  function relieveOverfull (): void {
+    const table = options.table()
+    if (table === undefined || running.size === 0) {
+      overfull.clear()
+      return
+    }
+    const services = new Set([...running].map(({ target }) => target))
+    for (const targetId of services) {
+      const load = loads.loadOf(targetId)
+      const excess = load === undefined ? 0 : load.live + load.batch - load.target.slots
+      const checks = excess > 0 ? (overfull.get(targetId) ?? 0) + 1 : 0
+      overfull.set(targetId, checks)
+      if (checks >= OVERFULL_CHECKS) yieldItems(targetId, excess)
+    }
+  }
+
+  return {
+    pump,
+    relieve: relieveOverfull,
+    yieldItems,
+    stopJob: (job) => { for (const entry of running) if (entry.job === job.id) entry.stop.abort() },
+    stopAll: async () => {
+      const all = [...running]
+      all.forEach(({ stop }) => stop.abort())
+      await Promise.all(all.map(async ({ done }) => await done))
+    },
+    waiting: () => {
+      const table = options.table()
+      if (table === undefined) return []
+      const steps = new Map<number, number>()
+      for (const { dueAt } of readyItems(table)) {
+        const step = Math.ceil(dueAt / DUE_STEP_MS)
+        steps.set(step, (steps.get(step) ?? 0) + 1)
+      }
+      return [...steps].sort(([a], [b]) => a - b).slice(0, MAX_DUE_STEPS)
+        .map(([step, count]) => ({ dueAt: step * DUE_STEP_MS, count }))
+    }
+  }
+}
--- /dev/null
+++ b/packages/pimentoplank/src/relay/jobs/jobService.ts
@@ -0,0 +1,53 @@
+/** Answers peers that ask about jobs of this instance. */
+import { create } from '@bufbuild/protobuf'
+import type { ConnectRouter } from '@connectrpc/connect'
+import {
+  HandOverResponseSchema, JobEndedResponseSchema, JobService, ReadResultsResponseSchema,
+  type HandOverRequest, type HandOverResponse, type JobEndedRequest, type JobEndedResponse, type ReadResultsRequest,
+  type ReadResultsResponse
+} from '../../shared'
+import type { JobBoard } from './jobBoard'
+import type { JobCalls } from './jobCalls'
+import type { JobKeeper } from './jobKeeper'
+
+export interface JobServiceOptions {
+  board: JobBoard
+  keeper: JobKeeper
+  calls: JobCalls
+}
+
+/** Longest wait for a result, in milliseconds. */
+const MAX_WAIT_MS = 5000
+
+/** Creates the registration of the service. */
+export function createJobService ({ board, keeper, calls }: JobServiceOptions): (router: ConnectRouter) => void {
+  async function readResults (req: ReadResultsRequest): Promise<ReadResultsResponse> {
+    const page = await calls.readOwned(req.job, req.after, Math.min(req.waitMs, MAX_WAIT_MS))
+    if (page === undefined) return create(ReadResultsResponseSchema, { isOwner: false })
+    return create(ReadResultsResponseSchema, { isOwner: true, total: page.total, results: [...page.results] })
+  }
+
+  async function jobEnded (req: JobEndedRequest): Promise<JobEndedResponse> {
+    const job = board.get(req.job)
+    if (job === undefined) return create(JobEndedResponseSchema, { isOwner: false })
+    const ended = await keeper.end(job)
+    return create(JobEndedResponseSchema, { isOwner: ended.isOk() })
+  }
+
+  async function handOver (req: HandOverRequest): Promise<HandOverResponse> {
+    const open = req.progress.filter(({ finished }) => !finished)
+    const done = req.progress.filter(({ finished }) => finished)
+    const taken = await keeper.takeOver(
+      req.job,
+      new Map(open.map(({ item, lastEvent, text, failures }) => [item, {
+        lastEventId: lastEvent > 0 ? lastEvent : undefined,
+        data: lastEvent > 0 ? [text] : [],
+        failures
+      }])),
+      done.map(({ item, completed, text }) => ({ item, completed, text }))
+    )
+    return create(HandOverResponseSchema, { taken })
+  }
+
+  return (router) => { router.service(JobService, { readResults, jobEnded, handOver }) }
+}
--- /dev/null
+++ b/packages/pimentoplank/src/relay/live/index.ts
@@ -0,0 +1,5 @@
+export { createCallerReply, type CallerReply, type CallerReplyOptions, type RefusalAnswer } from './callerReply'
+export { createCrashLedger, type CrashLedger } from './crashLedger'
+export { noteUnexpected, relayRequest, type LiveCall, type RelayDeps, type RelayRules } from './relayRequest'
+export { createSlotDesk, type Slot, type SlotAsk, type SlotDesk } from './slotDesk'
+export { createTargetActivity, type TargetActivity } from './targetActivity'
--- /dev/null
+++ b/packages/pimentoplank/src/relay/live/slotDesk.ts
@@ -0,0 +1,178 @@
+/** Gives live requests their targets: at once where one has room, else in order as room comes up. */
+import { err, ok, type Result } from 'neverthrow'
+import { RefusalError, type Clock, type Log, type Metrics, type Random } from '../../shared'
+import { choosePlacement, decideAdmission, orderWaiting, type AdmissionRules, type PlacementRules } from '../decisions'
+import type { Gossip } from '../gossip'
+import type { LoadView, TargetLoad } from '../load'
+import type { Route, Target } from '../model'
+
+/** The right to send one request to a target. */
+export interface Slot {
+  target: Target
+  /** How the target was chosen; for the log. */
+  placement: string
+  /** Requests at the target when it was chosen, by this instance's view. */
+  load: { live: number, batch: number, slots: number }
+  release: () => void
+}
+
+export interface SlotAsk {
+  requestId: string
+  route: Route
+  service: string
+  arrivedAt: number
+  /** When the request has to be over, on the monotonic clock. */
+  endAt: number
+  /** True when the caller was refused before and came back. */
+  isReturning: boolean
+  /** Targets not to use. */
+  excluded: ReadonlySet<string>
+  signal: AbortSignal
+}
+
+export interface SlotDesk {
+  acquire: (ask: SlotAsk) => Promise<Result<Slot, RefusalError>>
+  /** Looks again for room for those that wait. */
+  pump: () => void
+  waiting: () => number
+}
+
+export interface SlotDeskOptions {
+  loads: LoadView
+  gossip: Pick<Gossip, 'askToYield'>
+  /** Takes batch items of this instance off a target. */
+  yieldOwn: (targetId: string, count: number) => void
+  failureDomain: string
+  rules: PlacementRules & AdmissionRules
+  clock: Clock
+  random: Random
+  metrics: Metrics
+  log: Log
+}
+
+interface Waiting {
+  ask: SlotAsk
+  since: number
+  settle: (result: Result<Slot, RefusalError>) => void
+}
+
+/** Used for the first estimates, before any answer was seen, in milliseconds. */
+const FIRST_RUN_ESTIMATE_MS = 1000
+/** Weight of a new run time in the running mean. */
+const RUN_MEAN_WEIGHT = 0.1
+
+/** Creates the desk of an instance. */
+export function createSlotDesk (options: SlotDeskOptions): SlotDesk {
+  const { loads, rules, clock, random, metrics, log } = options
+  let queue: Waiting[] = []
+  const meanRunMs = new Map<string, number>()
+
+  function candidates (ask: SlotAsk): TargetLoad[] {
+    return loads.loads(ask.service).filter(({ target }) => !ask.excluded.has(target.id))
+  }
+
+  function tryPlace (ask: SlotAsk): Slot | undefined {
+    const all = candidates(ask)
+    const placement = choosePlacement(all.map((load) => ({
+      id: load.target.id,
+      slots: load.target.slots,
+      live: load.live,
+      batch: load.batch,
+      ownBatch: load.ownBatch,
+      isNear: load.target.failureDomain === options.failureDomain,
+      isSuspect: load.isSuspect
+    })), rules, random)
+    if (placement.type === 'wait') return undefined
+    const chosen = all.find(({ target }) => target.id === placement.id)!
+    if (placement.type === 'yield') makeRoom(chosen)
+    return grant(ask, chosen, placement.type)
+  }
+
+  function makeRoom (load: TargetLoad): void {
+    if (load.ownBatch > 0) {
+      options.yieldOwn(load.target.id, 1)
+      return
+    }
+    const [holder] = loads.batchHolders(load.key)
+    if (holder !== undefined) options.gossip.askToYield(holder.report.instance, load.key, 1)
+  }
+
+  function grant (ask: SlotAsk, { target, live, batch }: TargetLoad, placement: string): Slot {
+    const startedAt = clock.now()
+    let isHeld = true
+    loads.begin(target.id, 'live')
+    metrics.count(`slots.${placement}`)
+    return {
+      target,
+      placement,
+      load: { live, batch, slots: target.slots },
+      release: () => {
+        if (!isHeld) return
+        isHeld = false
+        noteRun(ask.service, clock.now() - startedAt)
+        loads.end(target.id, 'live')
+        pump()
+      }
+    }
+  }
+
+  function noteRun (service: string, ms: number): void {
+    const mean = meanRunMs.get(service) ?? ms
+    meanRunMs.set(service, mean + (ms - mean) * RUN_MEAN_WEIGHT)
+  }
+
+  async function acquire (ask: SlotAsk): Promise<Result<Slot, RefusalError>> {
+    if (queue.length === 0) {
+      const slot = tryPlace(ask)
+      if (slot !== undefined) return ok(slot)
+    }
+    const all = candidates(ask)
+    const admission = decideAdmission({
+      slots: all.reduce((sum, { target }) => sum + target.slots, 0),
+      queued: all.reduce((sum, { target, live }) => sum + Math.max(0, live - target.slots), 0),
+      ahead: queue.length,
+      meanRunMs: meanRunMs.get(ask.service) ?? FIRST_RUN_ESTIMATE_MS,
+      leftMs: ask.endAt - clock.now(),
+      targetLatencyMs: ask.route.targetLatencyMs,
+      isReturning: ask.isReturning
+    }, rules, random)
+    if (admission.type === 'refuse') {
+      log.info({
+        req: ask.requestId, reason: admission.reason, waiting: queue.length, expectedMs: admission.expectedMs,
+        retryAfterMs: admission.retryAfterMs
+      }, 'refused')
+      return err(new RefusalError(admission.reason, { retryAfterMs: admission.retryAfterMs }))
+    }
+    return await wait(ask)
+  }
+
+  async function wait (ask: SlotAsk): Promise<Result<Slot, RefusalError>> {
+    if (ask.signal.aborted) return err(new RefusalError('timeout'))
+    return await new Promise((resolve) => {
+      const onAbort = (): void => entry.settle(err(new RefusalError('timeout')))
+      const entry: Waiting = {
+        ask,
+        since: clock.now(),
+        settle: (result) => {
+          ask.signal.removeEventListener('abort', onAbort)
+          queue = queue.filter((other) => other !== entry)
+          resolve(result)
+        }
+      }
+      ask.signal.addEventListener('abort', onAbort)
+      queue.push(entry)
+      metrics.gauge('slots.waiting', queue.length)
+    })
+  }
+
+  function pump (): void {
+    if (queue.length === 0) return
+    for (const entry of orderWaiting(queue, clock.now())) {
+      const slot = tryPlace(entry.ask)
+      if (slot !== undefined) entry.settle(ok(slot))
+    }
+    metrics.gauge('slots.waiting', queue.length)
+  }
+
+  return { acquire, pump, waiting: () => queue.length }
+}
--- /dev/null
+++ b/packages/pimentoplank/src/relay/model/index.ts
@@ -0,0 +1,1 @@
+export * from './types'
--- /dev/null
+++ b/packages/pimentoplank/src/relay/routing/index.ts
@@ -0,0 +1,1 @@
+export { createRouteTable, pickService, type RouteTable } from './routeTable'
--- /dev/null
+++ b/packages/pimentoplank/src/relay/targets/index.ts
@@ -0,0 +1,1 @@
+export { createTargetDirectory, type TargetDirectory, type TargetDirectoryOptions } from './targetDirectory'
--- a/packages/pimentoplank/src/shared/feed/objectFeed.ts
+++ b/packages/pimentoplank/src/shared/feed/objectFeed.ts
@@ -53,6 +53,8 @@
   /** Instances of each failure domain that watch the platform. */
   holdersPerDomain?: number
   timings?: Partial<FeedTimings>
+  /** True where reads of the platform are never stale, so that an instance that starts needn't ask its peers first. */
+  isPlatformCurrent?: boolean
 }
 
 /** A feed that also serves its peers. */
@@ -127,6 +129,12 @@
 
   /** Asks peers first: they know revisions that a stale answer of the platform would hide. */
   async function start (): Promise<void> {
+    if (options.isPlatformCurrent === true) {
+      const reading = readAll()
+      running.push(reading, polls.run(closing.signal), watchWhileNeeded(closing.signal))
+      while (!state.isComplete() && !closing.signal.aborted) await state.changed.next(closing.signal)
+      return
+    }
     if (addresses().length > 0) await polls.pollOnce()
     if (!state.isComplete()) {
       await members.ready()
--- a/packages/pimentoplank/src/shared/platform/client.ts
+++ b/packages/pimentoplank/src/shared/platform/client.ts
@@ -7,6 +7,7 @@
 import { SECOND_MS } from '../constants'
 import { describeCause } from '../errors'
 import { createNullMetrics, type Metrics } from '../metrics'
+import { DEFAULT_DIALECT, type PlatformCall, type PlatformDialect, type PlatformOperation, type PlatformReply } from './dialect'
 import { PlatformConflict, PlatformRejected, PlatformUnavailable, type PlatformError } from './errors'
 import {
   conflictReply, instanceList, objectPage, putReply, storedObject, watchBatch,
@@ -37,6 +38,8 @@
   clock?: Clock
   /** Makes the unique id of a write. */
   newWriteId?: () => string
+  /** How calls are written; those of docs/reference/platform.md when absent. */
+  dialect?: PlatformDialect
 }
 
 export interface PutOptions {
@@ -45,6 +48,11 @@
   signal?: AbortSignal
 }
 
+export interface PutStatusOptions {
+  /** Revision that the object must have; any when absent. */
+  ifRevision?: number
+}
+
 export interface RemoveOptions {
   ifRevision?: number
 }
@@ -79,6 +87,8 @@
    * with the same write id again: it either takes effect now, or finds its own id.
    */
   put: (kind: string, name: string, value: unknown, options: PutOptions) => ResultAsync<StoredObject, PlatformError>
+  /** Writes the status part of an object, which other writers own otherwise. */
+  putStatus: (kind: string, name: string, status: unknown, options?: PutStatusOptions) => ResultAsync<void, PlatformError>
   /** Removes an object; one that is gone already counts as removed. */
   remove: (kind: string, name: string, options?: RemoveOptions) => ResultAsync<void, PlatformError>
   /** Waits for changes to a kind: one long poll, which the platform counts as a call. */
@@ -88,18 +98,12 @@
   close: () => Promise<void>
 }
 
-interface Call {
-  method: 'GET' | 'PUT' | 'DELETE'
-  path: string
-  body?: unknown
+interface Call extends PlatformCall {
   timeoutMs?: number
   signal?: AbortSignal
 }
 
-interface Reply {
-  status: number
-  body: unknown
-}
+type Reply = PlatformReply
 
 /** Creates a client of the platform. */
 export function createPlatformClient (options: PlatformClientOptions): PlatformClient {
@@ -107,6 +111,7 @@
   const metrics = options.metrics ?? createNullMetrics()
   const clock = options.clock ?? createSystemClock()
   const newWriteId = options.newWriteId ?? uuid
+  const dialect = options.dialect ?? DEFAULT_DIALECT
   const agent = new Agent({ connect: { timeout: timeoutMs } })
   const base = options.url.replace(/\/$/, '')
 
@@ -136,13 +141,15 @@
   }
 
   async function read<Schema extends z.ZodType> (
+    operation: PlatformOperation,
+    kind: string,
     call: Call,
     schema: Schema,
     tries = READ_TRIES
   ): Promise<Result<z.output<Schema>, PlatformError>> {
     for (let attempt = 1; ; attempt++) {
       const reply = await send(call)
-      if (reply.isOk()) return parseReply(reply.value, schema)
+      if (reply.isOk()) return parseReply(dialect.translate(operation, kind, reply.value), schema)
       if (attempt >= tries || call.signal?.aborted === true) return err(reply.error)
       metrics.retried('platformUnavailable')
       await clock.sleep(RETRY_PAUSE_MS, call.signal)
@@ -150,8 +157,7 @@
   }
 
   async function get (kind: string, name: string): Promise<Result<StoredObject | null, PlatformError>> {
-    const call: Call = { method: 'GET', path: objectPath(kind, name) }
-    const reply = await read(call, storedObject)
+    const reply = await read('get', kind, dialect.get(kind, name), storedObject)
     if (reply.isErr() && isNotFound(reply.error)) return ok(null)
     return reply
   }
@@ -161,7 +167,7 @@
     let revision: number | undefined
     let after: string | undefined
     do {
-      const page = await read({ method: 'GET', path: listPath(kind, { ...listOptions, after }) }, objectPage)
+      const page = await read('list', kind, dialect.list(kind, { ...listOptions, after }), objectPage)
       if (page.isErr()) return err(page.error)
       items.push(...page.value.items)
       // Events after the first page's revision cover whatever changed while later pages were read.
@@ -177,12 +183,17 @@
     value: unknown,
     putOptions: PutOptions
   ): Promise<Result<StoredObject, PlatformError>> {
+    const { ifRevision, signal } = putOptions
     const writeId = newWriteId()
-    const body = { value, writeId, ifRevision: putOptions.ifRevision }
+    const call = { ...dialect.put(kind, name, { value, writeId, ifRevision }), signal }
     let maybeApplied = false
     for (let attempt = 1; ; attempt++) {
-      const reply = await send({ method: 'PUT', path: objectPath(kind, name), body, signal: putOptions.signal })
-      if (reply.isOk()) return readPutReply(reply.value, { kind, name, writeId, value, maybeApplied })
+      const reply = await send(call)
+      if (reply.isOk()) {
+        return await readPutReply(dialect.translate('put', kind, reply.value), {
+          kind, name, writeId, value, maybeApplied, readCurrent: async () => await get(kind, name)
+        })
+      }
       maybeApplied ||= reply.error.maybeApplied
       if (attempt >= WRITE_TRIES || putOptions.signal?.aborted === true) {
         return err(new PlatformUnavailable(reply.error.message, { maybeApplied, cause: reply.error }))
@@ -192,11 +203,28 @@
     }
   }
 
+  async function putStatus (
+    kind: string,
+    name: string,
+    status: unknown,
+    { ifRevision }: PutStatusOptions
+  ): Promise<Result<void, PlatformError>> {
+    if (dialect.putStatus === undefined) return err(new PlatformRejected(HTTP_NOT_FOUND, 'objects have no status'))
+    const call = dialect.putStatus(kind, name, status, ifRevision)
+    for (let attempt = 1; ; attempt++) {
+      const reply = await send(call)
+      if (reply.isOk()) return readRemoveReply(dialect.translate('putStatus', kind, reply.value))
+      if (attempt >= WRITE_TRIES) return err(reply.error)
+      metrics.retried('platformUnavailable')
+      await clock.sleep(RETRY_PAUSE_MS * attempt)
+    }
+  }
+
   async function remove (kind: string, name: string, options: RemoveOptions): Promise<Result<void, PlatformError>> {
-    const query = options.ifRevision === undefined ? '' : `?ifRevision=${options.ifRevision}`
+    const call = dialect.remove(kind, name, options.ifRevision)
     for (let attempt = 1; ; attempt++) {
-      const reply = await send({ method: 'DELETE', path: objectPath(kind, name) + query })
-      if (reply.isOk()) return readRemoveReply(reply.value)
+      const reply = await send(call)
+      if (reply.isOk()) return readRemoveReply(dialect.translate('remove', kind, reply.value))
       if (attempt >= WRITE_TRIES) return err(reply.error)
       metrics.retried('platformUnavailable')
       await clock.sleep(RETRY_PAUSE_MS * attempt)
@@ -204,27 +232,25 @@
   }
 
   async function watch (kind: string, watchOptions: WatchOptions): Promise<Result<WatchBatch, PlatformError>> {
-    const query = new URLSearchParams({ since: String(watchOptions.since), waitMs: String(watchOptions.waitMs) })
-    if (watchOptions.prefix !== undefined) query.set('prefix', watchOptions.prefix)
     const call: Call = {
-      method: 'GET',
-      path: `/v1/watch/${encodeURIComponent(kind)}?${query.toString()}`,
+      ...dialect.watch(kind, watchOptions),
       timeoutMs: watchOptions.waitMs + WATCH_MARGIN_MS,
       signal: watchOptions.signal
     }
-    return await read(call, watchBatch, 1)
+    return await read('watch', kind, call, watchBatch, 1)
   }
 
   async function listInstances (): Promise<Result<InstanceRecord[], PlatformError>> {
-    const reply = await read({ method: 'GET', path: '/v1/instances' }, instanceList)
+    const reply = await read('get', '', { method: 'GET', path: '/v1/instances' }, instanceList)
     return reply.map((list) => list.instances)
   }
 
   return {
     get: (kind, name) => new ResultAsync(get(kind, name)),
-    list: (kind, listOptions = {}) => new ResultAsync(read({ method: 'GET', path: listPath(kind, listOptions) }, objectPage)),
+    list: (kind, listOptions = {}) => new ResultAsync(read('list', kind, dialect.list(kind, listOptions), objectPage)),
     listAll: (kind, listOptions = {}) => new ResultAsync(listAll(kind, listOptions)),
     put: (kind, name, value, putOptions) => new ResultAsync(put(kind, name, value, putOptions)),
+    putStatus: (kind, name, status, statusOptions = {}) => new ResultAsync(putStatus(kind, name, status, statusOptions)),
     remove: (kind, name, removeOptions = {}) => new ResultAsync(remove(kind, name, removeOptions)),
     watch: (kind, watchOptions) => new ResultAsync(watch(kind, watchOptions)),
     listInstances: () => new ResultAsync(listInstances()),
@@ -232,18 +258,6 @@
   }
 }
 
-function objectPath (kind: string, name: string): string {
-  return `/v1/objects/${encodeURIComponent(kind)}/${encodeURIComponent(name)}`
-}
-
-function listPath (kind: string, options: ListOptions): string {
-  const query = new URLSearchParams()
-  if (options.prefix !== undefined) query.set('prefix', options.prefix)
-  if (options.limit !== undefined) query.set('limit', String(options.limit))
-  if (options.after !== undefined) query.set('after', options.after)
-  return `/v1/objects/${encodeURIComponent(kind)}?${query.toString()}`
-}
-
 function isUnavailable (status: number): boolean {
   return status >= HTTP_SERVER_ERROR || status === HTTP_TOO_MANY
 }
@@ -270,16 +284,23 @@
   writeId: string
   value: unknown
   maybeApplied: boolean
+  /** Reads the object that a conflict did not show. */
+  readCurrent: () => Promise<Result<StoredObject | null, PlatformError>>
 }
 
-function readPutReply (reply: Reply, context: PutContext): Result<StoredObject, PlatformError> {
+async function readPutReply (reply: Reply, context: PutContext): Promise<Result<StoredObject, PlatformError>> {
   const { kind, name, writeId, value, maybeApplied } = context
   if (reply.status !== HTTP_CONFLICT) {
     return parseReply(reply, putReply).map(({ revision }) => ({ kind, name, revision, writeId, value }))
   }
   const conflict = conflictReply.safeParse(reply.body)
   if (!conflict.success) return err(new PlatformUnavailable('unreadable conflict', { maybeApplied: true }))
-  const { current } = conflict.data
+  let { current } = conflict.data
+  if (current === undefined) {
+    const found = await context.readCurrent()
+    if (found.isErr()) return err(new PlatformUnavailable('conflict with an unknown object', { maybeApplied: true }))
+    current = found.value
+  }
   if (current?.writeId === writeId) return ok(current)
   return err(new PlatformConflict(current, maybeApplied))
 }
@@ -287,7 +308,7 @@
 function readRemoveReply (reply: Reply): Result<void, PlatformError> {
   if (reply.status === HTTP_CONFLICT) {
     const conflict = conflictReply.safeParse(reply.body)
-    return err(new PlatformConflict(conflict.success ? conflict.data.current : null, false))
+    return err(new PlatformConflict(conflict.data?.current ?? null, false))
   }
   const isGone = reply.status === 200 || reply.status === 204 || reply.status === HTTP_NOT_FOUND
   return isGone ? ok(undefined) : err(new PlatformRejected(reply.status, JSON.stringify(reply.body)))
--- a/packages/pimentoplank/src/shared/platform/schemas.ts
+++ b/packages/pimentoplank/src/shared/platform/schemas.ts
@@ -23,7 +23,8 @@
 
 export const putReply = z.object({ revision: z.int() })
 
-export const conflictReply = z.object({ current: storedObject.nullable() })
+/** A platform that does not show the object that a write ran into leaves `current` out. */
+export const conflictReply = z.object({ current: storedObject.nullable().optional() })
 
 export const watchEvent = z.object({
   type: z.enum(['put', 'remove']),
--- a/packages/pimentoplank/src/shared/targetHttp/index.ts
+++ b/packages/pimentoplank/src/shared/targetHttp/index.ts
@@ -1,3 +1,3 @@
 export {
-  createTargetAgent, isConnectFailure, type SendMark, type TargetAgent, type TargetAgentOptions, type TargetRequest
+  createTargetAgent, markDispatch, isConnectFailure, type SendMark, type TargetAgent, type TargetAgentOptions, type TargetRequest
 } from './targetAgent'
--- a/packages/pimentoplank/src/shared/targetHttp/targetAgent.ts
+++ b/packages/pimentoplank/src/shared/targetHttp/targetAgent.ts
@@ -43,7 +43,7 @@
     headersTimeout: NO_LIMIT,
     bodyTimeout: NO_LIMIT
   })
-  const marking = agent.compose(createMarker)
+  const marking = agent.compose(markDispatch)
 
   return {
     request: async ({ address, mark, ...rest }) => {
@@ -64,7 +64,8 @@
   'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'ENOTFOUND', 'UND_ERR_CONNECT_TIMEOUT'
 ])
 
-function createMarker (dispatch: Dispatcher.Dispatch): Dispatcher.Dispatch {
+/** Interceptor that sets the `mark` of a request right before its first byte goes out. */
+export function markDispatch (dispatch: Dispatcher.Dispatch): Dispatcher.Dispatch {
   return (options, handler) => {
     const { mark } = options as MarkedOptions
     return dispatch(options, mark === undefined ? handler : markHandler(handler, mark))
