--- /dev/null
+++ b/packages/pimentoplank/src/relay/retirement/index.ts
@@ -0,0 +1,1 @@
+export { answerRetirements, type RetirementOptions } from './answerRetirements'
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,4 +1,5 @@
-// Bundles each program into one file under its package's dist folder.
+// Bundles each program into one file: those of the packages under their dist folders, those of the platform under target.
+// With the argument `platform` only the latter are made.
 import { build } from 'esbuild'
 
 const PROGRAMS = [
@@ -15,23 +16,37 @@
   { package: 'standins', name: 'capacity', entry: 'src/capacity/main.ts' }
 ]
 
+const PLATFORM_PROGRAMS = [
+  { name: 'pimentoplank-entry', entry: 'platform/src/main.ts' },
+  { name: 'pimentoplank-store', entry: 'platform/src/storeMain.ts' }
+]
+
 const BANNER = [
   '#!/usr/bin/env node',
   "import { createRequire as __createRequire } from 'node:module';",
   'const require = __createRequire(import.meta.url);'
 ].join('\n')
 
-for (const program of PROGRAMS) {
+async function bundle (entry, outfile, options = {}) {
   await build({
-    entryPoints: [`packages/${program.package}/${program.entry}`],
-    outfile: `packages/${program.package}/dist/${program.name}.js`,
+    entryPoints: [entry],
+    outfile,
     bundle: true,
     platform: 'node',
     target: 'node20',
     format: 'esm',
-    sourcemap: 'linked',
     banner: { js: BANNER },
     external: ['dtrace-provider', 'unix-dgram', 'vega', 'vega-lite'],
-    logLevel: 'warning'
+    logLevel: 'warning',
+    ...options
   })
 }
+
+if (process.argv[2] !== 'platform') {
+  for (const { package: name, ...program } of PROGRAMS) {
+    await bundle(`packages/${name}/${program.entry}`, `packages/${name}/dist/${program.name}.js`, { sourcemap: 'linked' })
+  }
+}
+for (const { name, entry } of PLATFORM_PROGRAMS) {
+  await bundle(entry, `target/${name}.mjs`, { minifySyntax: true, legalComments: 'none' })
+}
