Start the peer server once its services are known

Cause: routes were registered before any service was added, so every call of a peer got 404; each instance then watched the platform for itself and read jobs from the store.

--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -1,5 +1,4 @@
 /** Puts a relaying instance together. */
-import type { ConnectRouter } from '@connectrpc/connect'
 import { create } from '@bufbuild/protobuf'
 import { err, ok, ResultAsync, type Result } from 'neverthrow'
 import {
@@ -79,15 +78,8 @@
     clock,
     log
   })
-  const peerRoutes: Array<(router: ConnectRouter) => void> = []
   let table: RouteTable | undefined
 
-  const peerServer = await createPeerServer({
-    ...settings.listen.peers,
-    security,
-    routes: (router) => peerRoutes.forEach((register) => register(router))
-  })
-  if (peerServer.isErr()) return err(peerServer.error)
   const started = await startGossip({
     instance,
     incarnation: clock.wallTime(),
@@ -102,10 +94,7 @@
     metrics,
     log
   })
-  if (started.isErr()) {
-    await peerServer.value.close()
-    return err(started.error)
-  }
+  if (started.isErr()) return err(started.error)
   const gossip: Gossip = started.value
   const feed = followPlatform()
   const targets = createTargetDirectory({
@@ -192,7 +181,20 @@
     random,
     log
   })
-  peerRoutes.push(feed.routes, createJobService({ board, keeper, calls: jobs }))
+  const jobRoutes = createJobService({ board, keeper, calls: jobs })
+  const peerServer = await createPeerServer({
+    ...settings.listen.peers,
+    security,
+    routes: (router) => {
+      feed.routes(router)
+      jobRoutes(router)
+    }
+  })
+  if (peerServer.isErr()) {
+    await feed.close()
+    await gossip.close()
+    return err(peerServer.error)
+  }
   followConfig()
   targets.onChange(pumpAll)
   loads.onOwnChange(() => {
