--- a/packages/pimentoplank/src/relay/retirement/answerRetirements.ts
+++ b/packages/pimentoplank/src/relay/retirement/answerRetirements.ts
@@ -2,7 +2,7 @@
 import { describeCause, type Clock, type Log, type PlatformClient } from '../../shared'
 
 export interface RetirementOptions {
-  platform: Pick<PlatformClient, 'get' | 'watch' | 'putStatus'>
+  platform: Pick<PlatformClient, 'listAll' | 'watch' | 'putStatus'>
   /** Kind of the requests; each has the name of an instance. */
   kind: string
   instance: string
@@ -33,19 +33,17 @@
 
   /** Reads the request, for one that came before the watch. */
   async function look (): Promise<boolean> {
-    const found = await platform.get(kind, instance)
-    if (found.isErr()) return fail(found.error)
-    since = found.value?.revision ?? 0
-    return found.value === null || await answer(found.value.revision)
+    const page = await platform.listAll(kind)
+    if (page.isErr()) return fail(page.error)
+    since = page.value.revision
+    const request = page.value.items.find(({ name }) => name === instance)
+    return request === undefined || await answer(request.revision)
   }
 
   async function wait (from: number): Promise<boolean> {
     const batch = await platform.watch(kind, { since: from, waitMs: WATCH_WAIT_MS, signal })
     if (batch.isErr()) return signal.aborted || fail(batch.error)
-    if (batch.value.compacted === true) {
-      since = batch.value.revision > 0 ? batch.value.revision : undefined
-      return since !== undefined || await look()
-    }
+    if (batch.value.compacted === true) return await look()
     since = Math.max(from, batch.value.revision)
     const event = batch.value.events.findLast(({ type, name }) => type === 'put' && name === instance)
     return event === undefined || await answer(event.revision)
