Keep ended jobs ended at their owner; find a silent store sooner

The owner now marks the job. Ruled out: a lost datagram (the owner logged the news 12 ms after the end).

--- a/packages/pimentoplank/src/relay/constants.ts
+++ b/packages/pimentoplank/src/relay/constants.ts
@@ -28,5 +28,9 @@
 export const DIRECTORY_MAX_ADDRESSES = 64
 /** How long peers are told of a change of a job, in milliseconds. */
 export const JOB_NOTICE_MS = 5000
-/** How long the platform may hold a watch, in milliseconds; a silent connection is found a margin later. */
-export const WATCH_WAIT_MS = 3000
+/** How long the platform may hold a watch, in milliseconds; with the margin it is shorter than an outage is forgiven. */
+export const WATCH_WAIT_MS = 2000
+/** How much longer the answer to a watch may take before its connection is taken for silent, in milliseconds. */
+export const WATCH_MARGIN_MS = 700
+/** Longest pause between two tries at a platform that does not answer, in milliseconds. */
+export const WATCH_MAX_PAUSE_MS = 500
--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -10,7 +10,7 @@
 import {
   CRASH_KEEP_MS, CRASH_LIMIT, DIRECTORY_MAX_AGE_MS, DIRECTORY_OVERSTAY, JOB_NOTICE_MS, PEER_SILENT_MS,
   REMOVAL_GRACE_SHARE, REPORT_GAP_MS, REPORT_HEARTBEAT_MS, TARGET_CONNECT_TIMEOUT_MS, TARGET_KEEP_IDLE_MS,
-  TARGET_SUSPECT_MS, TICK_MS, WATCH_WAIT_MS
+  TARGET_SUSPECT_MS, TICK_MS, WATCH_MARGIN_MS, WATCH_MAX_PAUSE_MS, WATCH_WAIT_MS
 } from './constants'
 import { createExchange, createTargetConnections } from './exchange'
 import { startGossip, type Gossip, type OwnReport, type PeerView, type Stage } from './gossip'
@@ -225,7 +225,7 @@
       seeds: settings.seeds,
       members: membersOf(gossip),
       holdersPerDomain: 1,
-      timings: { watchWaitMs: WATCH_WAIT_MS },
+      timings: { watchWaitMs: WATCH_WAIT_MS, watchMarginMs: WATCH_MARGIN_MS, maxPauseMs: WATCH_MAX_PAUSE_MS },
       isPlatformCurrent: true,
       clock,
       random,
@@ -286,7 +286,7 @@
 
   function ownWaitingTokens (route: string): number {
     let sum = 0
-    for (const job of board.owned()) if (job.record().route === route && !job.record().ended) sum += job.openTokens()
+    for (const job of board.owned()) if (job.record().route === route && !job.isEnded()) sum += job.openTokens()
     return sum
   }
 
--- a/packages/pimentoplank/src/relay/jobs/handOver.ts
+++ b/packages/pimentoplank/src/relay/jobs/handOver.ts
@@ -17,7 +17,7 @@
 /** Hands every job that is not complete to one of the serving peers; resolves when each was taken or refused. */
 export async function handOverJobs ({ board, peers, transports, log }: HandOverOptions): Promise<void> {
   const serving = peers().filter(({ report }) => report.stage === 'serving')
-  const open = [...board.owned()].filter((job) => !job.isComplete() && !job.record().ended)
+  const open = [...board.owned()].filter((job) => !job.isComplete() && !job.isEnded())
   await Promise.all(open.map(async (job) => {
     const [first] = rankByRendezvous(job.id, serving, ({ report }) => report.instance)
     if (first === undefined) return
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.ts
@@ -85,7 +85,7 @@
     const now = clock.now()
     const ready: Ready[] = []
     for (const owned of board.owned()) {
-      if (owned.record().ended) continue
+      if (owned.isEnded()) continue
       for (const [itemId, progress] of owned.open()) {
         if (progress.target !== undefined || progress.notBefore > now) continue
         const route = table.find(owned.record().host, owned.item(itemId)?.path ?? '')
--- a/packages/pimentoplank/src/relay/jobs/jobCalls.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobCalls.ts
@@ -142,7 +142,7 @@
       const job = board.get(id)
       if (job === undefined) return undefined
       const leftMs = until - clock.now()
-      if (job.stored().length > after || leftMs <= 0 || job.isComplete() || job.record().ended) return pageOf(job, after)
+      if (job.stored().length > after || leftMs <= 0 || job.isComplete() || job.isEnded()) return pageOf(job, after)
       await job.changed(leftMs)
     }
   }
--- a/packages/pimentoplank/src/relay/jobs/jobKeeper.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobKeeper.ts
@@ -75,6 +75,7 @@
 
   board.onNews((job, news) => {
     log.info({ job: job.id, owner: news.owner, epoch: news.epoch, ended: news.ended }, 'job is not worked on here any more')
+    if (news.ended) job.markEnded()
     options.onStop(job)
     if (news.owner !== self) board.remove(job.id)
   })
@@ -145,7 +146,7 @@
   function noteComplete (job: OwnedJob): void {
     if (finishedAt.has(job.id)) return
     finishedAt.set(job.id, clock.now())
-    if (job.record().finished || job.record().ended) return
+    if (job.record().finished || job.isEnded()) return
     clock.sleep(FINISH_NOTE_DELAY_MS, closing.signal)
       .then(async () => await changeRecord(job, (record) => ({ ...record, finished: true })))
       .catch((cause: unknown) => log.error({ job: job.id, cause: describeCause(cause) }, 'job could not be closed'))
@@ -175,7 +176,7 @@
 
   async function end (job: OwnedJob): Promise<Result<void, PlatformError>> {
     options.onStop(job)
-    const written = job.record().ended ? ok(undefined) : await changeRecord(job, (record) => ({ ...record, ended: true }))
+    const written = job.isEnded() ? ok(undefined) : await changeRecord(job, (record) => ({ ...record, ended: true }))
     if (written.isErr()) return written
     board.learn(job.id, { owner: self, epoch: job.record().epoch, ended: true })
     log.info({ job: job.id }, 'job ended by its caller')
@@ -279,7 +280,7 @@
     tick: () => {
       const now = clock.now()
       for (const job of board.owned()) {
-        if (now > job.giveUpAt && job.open().size > 0 && !job.record().ended) giveUp(job)
+        if (now > job.giveUpAt && job.open().size > 0 && !job.isEnded()) giveUp(job)
         const finished = finishedAt.get(job.id)
         if (finished !== undefined && now - finished > rules.keepMs) {
           finishedAt.delete(job.id)
--- a/packages/pimentoplank/src/relay/jobs/ownedJob.ts
+++ b/packages/pimentoplank/src/relay/jobs/ownedJob.ts
@@ -23,6 +23,9 @@
   record: () => JobRecord
   revision: () => number
   setStored: (stored: StoredJob) => void
+  /** True once its caller ended it, as far as this instance has heard by any way. */
+  isEnded: () => boolean
+  markEnded: () => void
   /** When results are due, on the monotonic clock. */
   dueAt: number
   /** When items may be given up, on the monotonic clock. */
@@ -69,6 +72,7 @@
   let pendingSince: number | undefined
   let segments = 0
   let current = options.stored
+  let isMarkedEnded = false
   let waiters: Array<() => void> = []
 
   function appendSegment (results: readonly ItemResult[]): void {
@@ -93,6 +97,8 @@
     record: () => current.record,
     revision: () => current.revision,
     setStored: (next) => { current = next },
+    isEnded: () => isMarkedEnded || current.record.ended,
+    markEnded: () => { isMarkedEnded = true },
     dueAt: options.dueAt,
     giveUpAt: options.giveUpAt,
     item: (name) => items.get(name),
--- a/packages/pimentoplank/src/shared/feed/objectFeed.ts
+++ b/packages/pimentoplank/src/shared/feed/objectFeed.ts
@@ -19,6 +19,8 @@
 export interface FeedTimings {
   /** How long the platform may hold a watch, in milliseconds. */
   watchWaitMs: number
+  /** How much longer than its wait a watch may take, in milliseconds. */
+  watchMarginMs: number
   /** How long a peer may hold a poll, in milliseconds. */
   pollWaitMs: number
   /** How much longer than its wait a poll may take, in milliseconds. */
@@ -31,6 +33,7 @@
 
 export const FEED_TIMINGS: FeedTimings = {
   watchWaitMs: 10 * SECOND_MS,
+  watchMarginMs: 2 * SECOND_MS,
   pollWaitMs: 4 * SECOND_MS,
   pollMarginMs: SECOND_MS,
   staleAfterMs: 15 * SECOND_MS,
--- a/packages/pimentoplank/src/shared/feed/platformWatch.ts
+++ b/packages/pimentoplank/src/shared/feed/platformWatch.ts
@@ -18,11 +18,15 @@
   log: Log
   /** How long the platform may hold a watch, in milliseconds. */
   watchWaitMs: number
+  /** How much longer its answer may take, in milliseconds; that of the client when absent. */
+  watchMarginMs?: number
   /** Longest pause after an error, in milliseconds; asked for each pause. */
   longestPauseMs: () => number
 }
 
 const FIRST_PAUSE_MS = 100
+/** Longest wait of a watch after a failed one, in milliseconds: a platform that is back is noticed soon. */
+const RECOVERY_WAIT_MS = 500
 /** What each peer adds to the longest pause of an instance that only stands in for silent holders. */
 const PAUSE_PER_PEER_MS = 20
 
@@ -62,7 +66,7 @@
   let failures = 0
   while (!signal.aborted) {
     const isKnown = options.state.kind(kind).cursor() !== NOTHING_KNOWN
-    const done = isKnown ? await watchOnce(kind, options, signal) : await readKind(kind, options)
+    const done = isKnown ? await watchOnce(kind, options, failures > 0, signal) : await readKind(kind, options)
     if (done) {
       failures = 0
       continue
@@ -76,10 +80,16 @@
   }
 }
 
-async function watchOnce (kind: string, options: PlatformWatchOptions, signal: AbortSignal): Promise<boolean> {
-  const { platform, state, freshness, metrics, watchWaitMs } = options
+async function watchOnce (
+  kind: string,
+  options: PlatformWatchOptions,
+  isRecovering: boolean,
+  signal: AbortSignal
+): Promise<boolean> {
+  const { platform, state, freshness, metrics, watchWaitMs, watchMarginMs } = options
   const since = state.kind(kind).cursor()
-  const batch = await platform.watch(kind, { since, waitMs: watchWaitMs, signal })
+  const waitMs = isRecovering ? Math.min(watchWaitMs, RECOVERY_WAIT_MS) : watchWaitMs
+  const batch = await platform.watch(kind, { since, waitMs, marginMs: watchMarginMs, signal })
   if (batch.isErr()) return false
   if (batch.value.compacted === true) return await readKind(kind, options)
   const { revision, events } = batch.value
--- a/packages/pimentoplank/src/shared/platform/client.ts
+++ b/packages/pimentoplank/src/shared/platform/client.ts
@@ -19,7 +19,7 @@
 const WRITE_TRIES = 3
 const READ_TRIES = 2
 const RETRY_PAUSE_MS = 50
-/** A watch may take this much longer than it asked the platform to wait. */
+/** A watch may take this much longer than it asked the platform to wait, unless its options say otherwise. */
 const WATCH_MARGIN_MS = 2 * SECOND_MS
 const HTTP_NOT_FOUND = 404
 const HTTP_CONFLICT = 409
@@ -71,6 +71,8 @@
   since: number
   /** How long the platform may hold the call, in milliseconds. */
   waitMs: number
+  /** How much longer the answer may take, in milliseconds; then the connection is taken for silent. */
+  marginMs?: number
   signal?: AbortSignal
 }
 
@@ -234,7 +236,7 @@
   async function watch (kind: string, watchOptions: WatchOptions): Promise<Result<WatchBatch, PlatformError>> {
     const call: Call = {
       ...dialect.watch(kind, watchOptions),
-      timeoutMs: watchOptions.waitMs + WATCH_MARGIN_MS,
+      timeoutMs: watchOptions.waitMs + (watchOptions.marginMs ?? WATCH_MARGIN_MS),
       signal: watchOptions.signal
     }
     return await read('watch', kind, call, watchBatch, 1)
