--- a/packages/pimentoplank/src/relay/exchange/connections.ts
+++ b/packages/pimentoplank/src/relay/exchange/connections.ts
@@ -1,7 +1,7 @@
 /** Connections to targets: one request at a time on each, kept for the next one. */
 import type { Socket } from 'node:net'
-import { buildConnector, Client } from 'undici'
-import { markDispatch, type Clock, type Metrics } from '../../shared'
+import { buildConnector, Client, type Dispatcher } from 'undici'
+import { markDispatch, type Clock, type Metrics, type SendMark } from '../../shared'
 
 export interface ConnectionSettings {
   /** Limit for making a connection, in milliseconds. */
@@ -14,7 +14,7 @@
 export interface TargetConnection {
   client: Client
   /** Dispatches with a mark that is set right before the first byte goes out. */
-  marked: ReturnType<Client['compose']>
+  marked: (options: Dispatcher.DispatchOptions & { mark: SendMark }, handler: Dispatcher.DispatchHandler) => void
   /** Set once the connection is made. */
   socket?: Socket
   /** True when an earlier request was answered on it. */
@@ -64,7 +64,8 @@
         done(...result)
       })
     })
-    const connection: TargetConnection = { client, marked: client.compose(markDispatch), isReused: false }
+    const dispatch = markDispatch(client.dispatch.bind(client))
+    const connection: TargetConnection = { client, marked: (opts, handler) => { dispatch(opts, handler) }, isReused: false }
     client.on('disconnect', () => drop(connection))
     client.on('connectionError', () => drop(connection))
     all.add(connection)
--- a/packages/pimentoplank/src/relay/exchange/exchange.ts
+++ b/packages/pimentoplank/src/relay/exchange/exchange.ts
@@ -1,9 +1,10 @@
 /** Sends one request to one target and reads its answer. */
-import type { Readable } from 'node:stream'
 import { err, ok, type Result } from 'neverthrow'
+import type { Dispatcher } from 'undici'
 import { describeCause, isConnectFailure, type SendMark } from '../../shared'
 import type { AnswerHead, RawHeaders, TargetProtocol, TargetSend } from '../model'
 import type { TargetConnection, TargetConnections } from './connections'
+import { createIncoming, type Incoming } from './incoming'
 
 /** Why there is no usable answer. */
 export type SendFailureReason =
@@ -57,83 +58,68 @@
 export function createExchange (protocol: TargetProtocol, connections: TargetConnections): Exchange {
   async function send (what: TargetSend, signal: AbortSignal): Promise<Result<TargetAnswer, SendFailure>> {
     const { request, target } = what
+    if (signal.aborted) return err(new SendFailure('aborted', false, 'ended by this side'))
     const connection = connections.take(target.address)
     const mark: SendMark = { sent: false }
-    try {
-      const options = {
-        method: request.method,
-        path: request.path,
-        headers: protocol.encodeHeaders(what),
-        body: request.body.length > 0 ? request.body : undefined,
-        responseHeaders: 'raw' as const,
-        signal,
-        mark
-      }
-      const res = await connection.marked.request(options as Parameters<typeof connection.marked.request>[0])
-      const headers = res.headers as unknown as RawHeaders
-      const head = protocol.decodeHead(res.statusCode, headers)
-      const failure = headFailure(what, head)
-      if (failure !== undefined) {
-        drain(res.body, target.address, connection, failure)
-        return err(failure)
-      }
-      return ok(answerOf(head, isFramed(headers), res.body, target.address, connection))
-    } catch (cause) {
+    const incoming = createIncoming()
+    const abort = (): void => {
       connections.drop(connection)
-      if (signal.aborted) return err(new SendFailure('aborted', mark.sent, 'ended by this side'))
-      const reason = !mark.sent || isConnectFailure(cause) ? 'connectFailed' : 'broken'
-      return err(new SendFailure(reason, reason === 'broken', describeCause(cause)))
+      incoming.fail(new Error('ended by this side'))
     }
-  }
-
-  /** Reads the rest of a refusal, so that its connection can be kept. */
-  function drain (body: Readable, address: string, connection: TargetConnection, failure: SendFailure): void {
-    body.on('error', () => connections.drop(connection))
-    if (failure.reason === 'spoiled') {
-      body.destroy()
+    signal.addEventListener('abort', abort)
+    const release = (): void => signal.removeEventListener('abort', abort)
+    const options = {
+      method: request.method as Dispatcher.HttpMethod,
+      path: request.path,
+      headers: protocol.encodeHeaders(what),
+      body: request.body.length > 0 ? request.body : null,
+      mark
+    }
+    connection.marked(options, incoming.handler)
+    const started = await incoming.head()
+    if (started.isErr()) {
+      release()
       connections.drop(connection)
-      return
+      if (signal.aborted) return err(new SendFailure('aborted', mark.sent, 'ended by this side'))
+      const reason = !mark.sent || isConnectFailure(started.error) ? 'connectFailed' : 'broken'
+      return err(new SendFailure(reason, reason === 'broken', describeCause(started.error)))
     }
-    body.on('end', () => connections.keep(address, connection))
-    body.resume()
+    const { status, headers } = started.value
+    const head = protocol.decodeHead(status, headers)
+    const answer = answerOf(head, isFramed(headers), incoming, connection, release, target.address)
+    const failure = headFailure(what, head)
+    if (failure === undefined) return ok(answer)
+    if (failure.reason === 'spoiled') answer.close()
+    else drain(answer).catch(() => answer.close())
+    return err(failure)
   }
 
   function answerOf (
     head: AnswerHead,
     framed: boolean,
-    body: Readable,
-    address: string,
-    connection: TargetConnection
+    incoming: Incoming,
+    connection: TargetConnection,
+    release: () => void,
+    address: string
   ): TargetAnswer {
-    const chunks = body[Symbol.asyncIterator]() as AsyncIterator<Uint8Array, undefined>
     let isDone = false
-
-    async function read (): Promise<Result<Uint8Array | undefined, SendFailure>> {
-      try {
-        const next = await chunks.next()
-        if (next.done !== true) return ok(next.value)
+    return {
+      head,
+      read: async () => {
+        const next = await incoming.read()
+        if (next.isErr()) return err(new SendFailure('broken', true, describeCause(next.error)))
+        if (next.value !== undefined) return ok(next.value)
         // Without a length only an orderly end of the connection tells that the body is whole.
         if (!framed && connection.socket?.readableEnded !== true) {
           return err(new SendFailure('broken', true, 'the connection was reset'))
         }
         isDone = true
         return ok(undefined)
-      } catch (cause) {
-        return err(new SendFailure('broken', true, describeCause(cause)))
-      }
-    }
-
-    return {
-      head,
-      read,
+      },
       close: () => {
-        if (isDone && framed) {
-          connections.keep(address, connection)
-          return
-        }
-        body.on('error', () => undefined)
-        body.destroy()
-        connections.drop(connection)
+        release()
+        if (isDone && framed) connections.keep(address, connection)
+        else connections.drop(connection)
       }
     }
   }
@@ -141,6 +127,15 @@
   return { send, connections }
 }
 
+/** Reads the rest of a refusal, so that its connection can be kept. */
+async function drain (answer: TargetAnswer): Promise<void> {
+  for (;;) {
+    const next = await answer.read()
+    if (next.isErr() || next.value === undefined) break
+  }
+  answer.close()
+}
+
 function headFailure ({ request, target }: TargetSend, head: AnswerHead): SendFailure | undefined {
   if (head.isOtherTarget) return new SendFailure('otherTarget', false, `another target answers at ${target.address}`)
   if (head.requestId !== undefined && head.requestId !== request.id) {
