--- a/cucumber.js
+++ b/cucumber.js
@@ -1,5 +1,5 @@
 const common = {
-  import: ['packages/*/src/**/*.steps.ts', 'packages/*/features/**/*.steps.ts'],
+  import: ['packages/*/src/**/*.steps.ts', 'packages/*/features/**/*.steps.ts', 'platform/features/**/*.steps.ts'],
   format: ['progress', 'message:reports/cucumber.ndjson'],
   publishQuiet: true,
   strict: true
@@ -7,7 +7,7 @@
 
 export default {
   ...common,
-  paths: ['packages/*/src/**/*.feature', 'packages/*/features/**/*.feature'],
+  paths: ['packages/*/src/**/*.feature', 'packages/*/features/**/*.feature', 'platform/features/**/*.feature'],
   tags: 'not @matrix or @ci'
 }
 
--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -79,6 +79,7 @@
     log
   })
   let table: RouteTable | undefined
+  let isClosed = false
 
   const started = await startGossip({
     instance,
@@ -120,7 +121,7 @@
     peers: gossip.peers,
     failureDomain: instance.failureDomain,
     rules: RELAY_RULES.items,
-    isPaused: () => stopper.stage() !== 'serving',
+    isPaused: () => isClosed || stopper.stage() !== 'serving',
     onFinished: (job) => keeper.noteFinished(job),
     clock,
     random,
@@ -319,6 +320,7 @@
   }
 
   async function close (): Promise<void> {
+    isClosed = true
     clearInterval(ticking)
     keeper.close()
     await feed.close()
