Take batch items off overfull targets by one holder at a time; replay load patterns through the decisions

Cause: two instances that see each other 50 ms late take the same free slot; a live request then waited behind batch items of 5 s until a check 150 ms later. Found by replays in virtual time, which this commit adds.

--- a/packages/pimentoplank/src/relay/callers/relayHandler.ts
+++ b/packages/pimentoplank/src/relay/callers/relayHandler.ts
@@ -100,7 +100,9 @@
 
   async function submit (request: CallerRequest, route: Route, reply: CallerReply, res: ServerResponse): Promise<void> {
     const items = protocol.decodeJob(request.body)
-    const accepted = items.isErr() ? err(items.error) : await jobs.submit({ id: request.id, host: request.host, route, items: items.value })
+    const accepted = items.isErr()
+      ? err(items.error)
+      : await jobs.submit({ id: request.id, host: request.host, route, items: items.value })
     if (accepted.isErr()) {
       live.metrics.refused(accepted.error.reason)
       reply.refuse(accepted.error)
--- a/packages/pimentoplank/src/relay/constants.ts
+++ b/packages/pimentoplank/src/relay/constants.ts
@@ -28,7 +28,7 @@
 export const DIRECTORY_MAX_ADDRESSES = 64
 /** How long peers are told of a change of a job, in milliseconds. */
 export const JOB_NOTICE_MS = 5000
-/** How long the platform may hold a watch, in milliseconds; with the margin it is shorter than an outage is forgiven. */
+/** How long the platform may hold a watch, in milliseconds; with the margin, less than an outage is forgiven for. */
 export const WATCH_WAIT_MS = 2000
 /** How much longer the answer to a watch may take before its connection is taken for silent, in milliseconds. */
 export const WATCH_MARGIN_MS = 700
--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -53,6 +53,8 @@
   /** True while callers may use this instance. */
   isReady: () => boolean
   table: () => RouteTable | undefined
+  /** Puts changed settings in force; returns the names of those that need a new start. */
+  applySettings: (settings: RelaySettings) => string[]
   /** Leaves the directory, hands jobs over, finishes what runs, and closes. */
   stop: () => Promise<void>
   close: () => Promise<void>
@@ -114,6 +116,7 @@
   const board = createJobBoard({ self: instance.id, noticeMs: JOB_NOTICE_MS, clock })
   const store = createJobStore(platform)
   const runner = createItemRunner({
+    self: instance.id,
     board,
     loads,
     exchange,
@@ -174,7 +177,17 @@
   const handle = createRelayHandler({
     protocol: protocols.callers,
     table: () => table,
-    live: { desk, exchange, loads, activity: createTargetActivity(clock), crashes, rules: RELAY_RULES.live, clock, metrics, log },
+    live: {
+      desk,
+      exchange,
+      loads,
+      activity: createTargetActivity(clock),
+      crashes,
+      rules: RELAY_RULES.live,
+      clock,
+      metrics,
+      log
+    },
     jobs,
     isLeaving: () => stopper.stage() !== 'serving',
     enter: stopper.enter,
@@ -303,15 +316,22 @@
 
   function pumpAll (): void {
     desk.pump()
+    runner.relieve()
     runner.pump()
   }
 
   function tick (): void {
     pumpAll()
-    runner.relieve()
     keeper.tick()
   }
 
+  function applySettings (next: RelaySettings): string[] {
+    next.seeds.forEach(gossip.introduce)
+    log.level(next.log.level)
+    const fixed = ['instance', 'listen', 'platform', 'bounds'] as const
+    return fixed.filter((name) => JSON.stringify(next[name]) !== JSON.stringify(settings[name]))
+  }
+
   async function leave (): Promise<void> {
     gossip.send()
     await runner.stopAll()
@@ -340,6 +360,7 @@
     jobs,
     isReady: () => stage() === 'serving',
     table: () => table,
+    applySettings,
     stop: async () => {
       await stopper.stop()
       await close()
--- a/packages/pimentoplank/src/relay/decisions/batchShare.ts
+++ b/packages/pimentoplank/src/relay/decisions/batchShare.ts
@@ -59,21 +59,46 @@
   let best: { id: string, near: boolean, count: number } | undefined
   for (const [id, { near, count }] of free) {
     if (count <= 0) continue
-    if (best === undefined || count > best.count || (count === best.count && near && !best.near)) best = { id, near, count }
+    const isRoomier = best === undefined || count > best.count
+    if (isRoomier || (count === best!.count && near && !best!.near)) best = { id, near, count }
   }
   return best?.id
 }
 
 export interface RunningItem extends WaitingItem {
   target: string
+  /** True once the target began to work on it; one that waits there loses nothing. */
+  hasStarted: boolean
 }
 
 /**
- * Chooses items to take off a target: those with most time left.
+ * Chooses items to take off a target: those that wait there, then those with most time left.
  *
- * @param running - items of this instance at the target
+ * @param held - items of this instance at the target
  * @param count - items that have to go
  */
-export function chooseYields<Item extends RunningItem> (running: readonly Item[], count: number): Item[] {
-  return [...running].sort((a, b) => b.dueAt - a.dueAt).slice(0, count)
+export function chooseYields<Item extends RunningItem> (held: readonly Item[], count: number): Item[] {
+  return [...held]
+    .sort((a, b) => Number(a.hasStarted) - Number(b.hasStarted) || b.dueAt - a.dueAt)
+    .slice(0, count)
+}
+
+export interface ReliefInput {
+  self: string
+  slots: number
+  live: number
+  batch: number
+  /** Batch items of each instance at the target. */
+  holders: ReadonlyArray<{ id: string, batch: number }>
+}
+
+/**
+ * How many items this instance takes off a target that has more requests than slots, without being asked: two instances
+ * may have taken the same free slot, or a datagram was lost. One holder acts at a time, the one with most items there.
+ */
+export function chooseRelief ({ self, slots, live, batch, holders }: ReliefInput): number {
+  const excess = live + batch - slots
+  if (excess <= 0 || batch === 0) return 0
+  const [first] = [...holders].sort((a, b) => b.batch - a.batch || (a.id < b.id ? -1 : 1))
+  return first?.id === self ? Math.min(excess, first.batch) : 0
 }
--- a/packages/pimentoplank/src/relay/decisions/index.ts
+++ b/packages/pimentoplank/src/relay/decisions/index.ts
@@ -3,7 +3,7 @@
 } from './admission'
 export { choosePlacement, type Placement, type PlacementCandidate, type PlacementRules } from './placement'
 export {
-  chooseStarts, chooseYields,
-  type BatchCapacity, type BatchShareInput, type BatchStart, type RunningItem, type WaitingItem
+  chooseRelief, chooseStarts, chooseYields,
+  type BatchCapacity, type BatchShareInput, type BatchStart, type ReliefInput, type RunningItem, type WaitingItem
 } from './batchShare'
 export { isRepeatable, mayTryAgain, type RetryState, type TryFailure } from './retries'
--- /dev/null
+++ b/packages/pimentoplank/src/relay/decisions/patterns.steps.ts
@@ -0,0 +1,82 @@
+import assert from 'node:assert/strict'
+import { Given, Then, When } from '@cucumber/cucumber'
+import { replay, type Outcome, type Pattern } from './testing/replay'
+
+interface PatternWorld {
+  pattern: Pattern
+  outcomes: Outcome[]
+}
+
+const STEP_TIMEOUT_MS = 120_000
+const LENGTH_MS = 32_000
+const LOW_MS = 3000
+const HIGH_MS = 2200
+const LOW = 0.378
+const HIGH = 1.85
+
+/** Steps between a third and nearly twice the mean. */
+function steps (perS: number): (ms: number) => number {
+  return (ms) => perS * (ms % (LOW_MS + HIGH_MS) < LOW_MS ? LOW : HIGH)
+}
+
+/** Jobs of ten items, evenly over the time. */
+function jobs (perS: number, items = 10): Pattern['jobs'] {
+  const count = Math.floor(perS * LENGTH_MS / 1000)
+  return Array.from({ length: count }, (_, index) => ({ atMs: Math.floor(index * 1000 / perS), items }))
+}
+
+const USUAL: Pattern = {
+  instances: 7,
+  targets: 8,
+  slots: 8,
+  lengthMs: LENGTH_MS,
+  livePerS: steps(35),
+  liveRunMs: 780,
+  jobs: jobs(0.4),
+  batchRunMs: 5000
+}
+
+const PATTERNS: Record<string, Pattern> = {
+  'steps beside batch that fits': USUAL,
+  'steps beside batch that does not fit': { ...USUAL, livePerS: steps(40), jobs: jobs(0.9) },
+  'a burst of live requests on top of a step': {
+    ...USUAL, livePerS: (ms) => steps(35)(ms) * (ms >= 8000 && ms < 12_000 ? 2 : 1)
+  },
+  'a third of the targets gone': { ...USUAL, targetsAt: (ms) => ms >= 8000 && ms < 14_000 ? 5 : 8 },
+  'many jobs at once': { ...USUAL, jobs: [...jobs(0.3), ...Array.from({ length: 6 }, () => ({ atMs: 6000, items: 10 }))] },
+  'empty targets added under load': { ...USUAL, targetsAt: (ms) => ms < 16_000 ? 6 : 8 },
+  'instances that see each other late': { ...USUAL, viewAgeMs: 500 }
+}
+
+Given('the load pattern {string}', function (this: PatternWorld, name: string) {
+  const pattern = PATTERNS[name]
+  assert.ok(pattern !== undefined, `no pattern ${name}`)
+  this.pattern = pattern
+})
+
+When('it is replayed with seeds {int} to {int}', { timeout: STEP_TIMEOUT_MS }, function (this: PatternWorld, first: number, last: number) {
+  this.outcomes = Array.from({ length: last - first + 1 }, (_, index) => replay(this.pattern, first + index))
+})
+
+function mean (world: PatternWorld, valueOf: (outcome: Outcome) => number): number {
+  return world.outcomes.reduce((sum, outcome) => sum + valueOf(outcome), 0) / world.outcomes.length
+}
+
+Then('the live requests on time are at least {float} of what is possible', function (this: PatternWorld, least: number) {
+  const share = mean(this, ({ inTime, bounds }) => inTime / bounds.inTime)
+  assert.ok(share >= least, `${share} of what is possible`)
+})
+
+Then('at least {float} of the batch items are done when due', function (this: PatternWorld, least: number) {
+  const share = mean(this, ({ itemsInTime }) => itemsInTime)
+  assert.ok(share >= least, `${share} done`)
+})
+
+Then('every refusal comes within {int} ms', function (this: PatternWorld, most: number) {
+  for (const { slowestRefusalMs } of this.outcomes) assert.ok(slowestRefusalMs <= most, `${slowestRefusalMs} ms`)
+})
+
+Then('the slot time used is at least {float} of what is possible', function (this: PatternWorld, least: number) {
+  const share = mean(this, ({ use, bounds }) => use / bounds.use)
+  assert.ok(share >= least, `${share} of what is possible`)
+})
--- a/packages/pimentoplank/src/relay/decisions/placement.ts
+++ b/packages/pimentoplank/src/relay/decisions/placement.ts
@@ -49,7 +49,8 @@
   const yielding = pool.filter((one) => one.batch > 0 && one.live < one.slots)
   if (yielding.length > 0) {
     const own = yielding.filter((one) => one.ownBatch > 0)
-    return { type: 'yield', id: pickSpread(preferNear(own.length > 0 ? own : yielding), (one) => one.slots - one.live, random).id }
+    const roomOf = (one: PlacementCandidate): number => one.slots - one.live
+    return { type: 'yield', id: pickSpread(preferNear(own.length > 0 ? own : yielding), roomOf, random).id }
   }
   const queueing = pool.filter((one) => one.live - one.slots < rules.targetQueue)
   if (queueing.length === 0) return { type: 'wait' }
@@ -68,7 +69,11 @@
 }
 
 /** Picks by weight, so that instances with the same view don't all pick the same target. */
-function pickSpread<Candidate> (candidates: Candidate[], weightOf: (one: Candidate) => number, random: Random): Candidate {
+function pickSpread<Candidate> (
+  candidates: Candidate[],
+  weightOf: (one: Candidate) => number,
+  random: Random
+): Candidate {
   const total = candidates.reduce((sum, one) => sum + weightOf(one), 0)
   let rest = random() * total
   for (const candidate of candidates) {
--- /dev/null
+++ b/packages/pimentoplank/src/relay/decisions/testing/bounds.ts
@@ -0,0 +1,52 @@
+/** What no order of requests can exceed under a load pattern: its mean flow against its slots, without any waste. */
+import type { Pattern } from './replay'
+
+export interface Bounds {
+  /** Share of live requests that can be on time. */
+  inTime: number
+  /** Share of slot time that can be used. */
+  use: number
+}
+
+const TICK_MS = 10
+const MS_PER_S = 1000
+/** Time that a request may wait for its slot and still be on time, in milliseconds. */
+const WAIT_MS = 240
+
+/** Works the bounds out for the mean of the pattern's arrivals. */
+export function boundsOf (pattern: Pattern): Bounds {
+  const { slots, liveRunMs, batchRunMs, lengthMs } = pattern
+  /** Live requests that run, by the time at which they end. */
+  const running: Array<{ endAt: number, count: number }> = []
+  /** Live requests that wait, by the time until which they can be on time. */
+  let waiting: Array<{ until: number, count: number }> = []
+  let batchMs = 0
+  let live = 0
+  let inTime = 0
+  let usedMs = 0
+  let slotMs = 0
+
+  for (let now = 0; now < lengthMs; now += TICK_MS) {
+    const all = slots * (pattern.targetsAt?.(now) ?? pattern.targets)
+    const arrivals = pattern.livePerS(now) * TICK_MS / MS_PER_S
+    live += arrivals
+    waiting.push({ until: now + WAIT_MS, count: arrivals })
+    const inUse = running.filter(({ endAt }) => endAt > now).reduce((sum, { count }) => sum + count, 0)
+    let free = Math.max(0, all - inUse)
+    for (const entry of waiting) {
+      const taken = Math.min(free, entry.count)
+      entry.count -= taken
+      free -= taken
+      inTime += taken
+      running.push({ endAt: now + liveRunMs, count: taken })
+    }
+    waiting = waiting.filter(({ until, count }) => count > 0 && until > now)
+    const submitted = pattern.jobs.filter(({ atMs }) => atMs >= now && atMs < now + TICK_MS)
+    for (const { items } of submitted) batchMs += items * batchRunMs
+    const batchUse = Math.min(free * TICK_MS, batchMs)
+    batchMs -= batchUse
+    usedMs += Math.min(all, all - free) * TICK_MS + batchUse
+    slotMs += all * TICK_MS
+  }
+  return { inTime: inTime / live, use: usedMs / slotMs }
+}
--- a/packages/pimentoplank/src/relay/exchange/connections.ts
+++ b/packages/pimentoplank/src/relay/exchange/connections.ts
@@ -65,7 +65,11 @@
       })
     })
     const dispatch = markDispatch(client.dispatch.bind(client))
-    const connection: TargetConnection = { client, marked: (opts, handler) => { dispatch(opts, handler) }, isReused: false }
+    const connection: TargetConnection = {
+      client,
+      marked: (what, handler) => { dispatch(what, handler) },
+      isReused: false
+    }
     client.on('disconnect', () => drop(connection))
     client.on('connectionError', () => drop(connection))
     all.add(connection)
--- a/packages/pimentoplank/src/relay/exchange/incoming.ts
+++ b/packages/pimentoplank/src/relay/exchange/incoming.ts
@@ -67,8 +67,11 @@
       onResponseError: (_ctl, cause) => fail(cause)
     },
     head: async () => {
-      while (head === undefined && failure === undefined) await change()
-      return head !== undefined ? ok(head) : err(failure!)
+      for (;;) {
+        if (head !== undefined) return ok(head)
+        if (failure !== undefined) return err(failure)
+        await change()
+      }
     },
     read: async () => {
       for (;;) {
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.ts
@@ -1,6 +1,6 @@
 /** Runs items of the jobs of this instance in slots that live requests leave free. */
 import type { Clock, Log, Metrics, Random } from '../../shared'
-import { chooseStarts, chooseYields, type WaitingItem } from '../decisions'
+import { chooseRelief, chooseStarts, chooseYields, type RunningItem, type WaitingItem } from '../decisions'
 import type { Exchange } from '../exchange'
 import type { PeerView, WaitingItems } from '../gossip'
 import type { LoadView } from '../load'
@@ -22,6 +22,8 @@
 }
 
 export interface ItemRunnerOptions {
+  /** This instance. */
+  self: string
   board: JobBoard
   loads: LoadView
   exchange: Exchange
@@ -42,7 +44,7 @@
 export interface ItemRunner {
   /** Starts what may start now. */
   pump: () => void
-  /** Takes items off targets that stay over their slots; called at regular times. */
+  /** Takes items off targets that have more requests than slots. */
   relieve: () => void
   /** Takes items off a target. */
   yieldItems: (targetId: string, count: number) => void
@@ -62,8 +64,7 @@
   route: Route
 }
 
-interface Running extends WaitingItem {
-  target: string
+interface Running extends RunningItem {
   stop: AbortController
   done: Promise<void>
 }
@@ -72,14 +73,11 @@
 const DUE_STEP_MS = 1000
 /** Most due times in one report. */
 const MAX_DUE_STEPS = 12
-/** Checks in a row that find a target over its slots before an item is taken off without being asked. */
-const OVERFULL_CHECKS = 3
 
 /** Creates the runner of an instance. */
 export function createItemRunner (options: ItemRunnerOptions): ItemRunner {
   const { board, loads, rules, clock, random, metrics, log } = options
   const running = new Set<Running>()
-  const overfull = new Map<string, number>()
 
   function readyItems (table: RouteTable): Ready[] {
     const now = clock.now()
@@ -112,7 +110,12 @@
     const slots = all.reduce((sum, { target }) => sum + target.slots, 0)
     const starts = chooseStarts({
       targets: all.map(({ target, live, batch, isSuspect }) => ({
-        id: target.id, slots: target.slots, live, batch, isNear: target.failureDomain === options.failureDomain, isSuspect
+        id: target.id,
+        slots: target.slots,
+        live,
+        batch,
+        isNear: target.failureDomain === options.failureDomain,
+        isSuspect
       })),
       own,
       others,
@@ -130,9 +133,15 @@
     progress.interrupt = () => stop.abort()
     loads.begin(target.id, 'batch')
     log.info({
-      job: owned.id, item: itemId, target: target.id, lastEvent: progress.lastEventId, dueInMs: Math.round(owned.dueAt - clock.now())
+      job: owned.id,
+      item: itemId,
+      target: target.id,
+      lastEvent: progress.lastEventId,
+      dueInMs: Math.round(owned.dueAt - clock.now())
     }, 'item started')
-    const entry: Running = { job: owned.id, dueAt: owned.dueAt, target: target.id, stop, done: Promise.resolve() }
+    const entry: Running = {
+      job: owned.id, dueAt: owned.dueAt, target: target.id, hasStarted: false, stop, done: Promise.resolve()
+    }
     running.add(entry)
     entry.done = runItem({
       item,
@@ -144,6 +153,7 @@
       exchange: options.exchange,
       clock,
       log,
+      onStarted: () => { entry.hasStarted = true },
       signal: stop.signal
     }).then((end) => {
       running.delete(entry)
@@ -156,7 +166,9 @@
 
   function settle ({ owned, itemId, progress, route }: Ready, target: Target, end: ItemEnd): void {
     metrics.count(`items.${end.type}`)
-    log.info({ job: owned.id, item: itemId, target: target.id, end: end.type, lastEvent: progress.lastEventId }, 'item run ended')
+    log.info({
+      job: owned.id, item: itemId, target: target.id, end: end.type, lastEvent: progress.lastEventId
+    }, 'item run ended')
     const now = clock.now()
     const handlers: { [Type in ItemEnd['type']]: (end: Extract<ItemEnd, { type: Type }>) => void } = {
       completed: ({ text }) => finish(owned, itemId, true, text),
@@ -186,26 +198,29 @@
     }
   }
 
-  /** Takes items off targets that stay over their slots although nobody asked, such as after a lost datagram. */
-  function relieveOverfull (): void {
-    const table = options.table()
-    if (table === undefined || running.size === 0) {
-      overfull.clear()
-      return
-    }
-    const services = new Set([...running].map(({ target }) => target))
-    for (const targetId of services) {
+  function relieve (): void {
+    for (const targetId of new Set([...running].map(({ target }) => target))) {
       const load = loads.loadOf(targetId)
-      const excess = load === undefined ? 0 : load.live + load.batch - load.target.slots
-      const checks = excess > 0 ? (overfull.get(targetId) ?? 0) + 1 : 0
-      overfull.set(targetId, checks)
-      if (checks >= OVERFULL_CHECKS) yieldItems(targetId, excess)
+      if (load === undefined) continue
+      const count = chooseRelief({
+        self: options.self,
+        slots: load.target.slots,
+        live: load.live,
+        batch: load.batch,
+        holders: [
+          { id: options.self, batch: load.ownBatch },
+          ...options.peers().map(({ report }) => ({
+            id: report.instance, batch: report.uses.get(load.key)?.batch ?? 0
+          }))
+        ]
+      })
+      if (count > 0) yieldItems(targetId, count)
     }
   }
 
   return {
     pump,
-    relieve: relieveOverfull,
+    relieve,
     yieldItems,
     stopJob: (job) => { for (const entry of running) if (entry.job === job.id) entry.stop.abort() },
     stopAll: async () => {
--- a/packages/pimentoplank/src/relay/jobs/jobKeeper.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobKeeper.ts
@@ -48,7 +48,11 @@
   /** Marks a job of this instance as ended by its caller. */
   end: (job: OwnedJob) => Promise<Result<void, PlatformError>>
   /** Takes a job over from another instance, with what that one knows of its items. */
-  takeOver: (job: string, progress?: ReadonlyMap<string, Partial<ItemProgress>>, results?: readonly ItemResult[]) => Promise<boolean>
+  takeOver: (
+    job: string,
+    progress?: ReadonlyMap<string, Partial<ItemProgress>>,
+    results?: readonly ItemResult[]
+  ) => Promise<boolean>
   /** Takes over the jobs of instances that are gone. */
   adoptFrom: (owner: string) => Promise<void>
   /** Looks for jobs of this instance's earlier life, and of others that did not come back. */
--- a/packages/pimentoplank/src/relay/jobs/jobStore.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobStore.ts
@@ -17,7 +17,11 @@
 
 export interface JobStore {
   /** Creates a job; `created` is false when it is there already. */
-  create: (job: string, record: JobRecord, items: readonly JobItem[]) => ResultAsync<StoredJob & { created: boolean }, PlatformError>
+  create: (
+    job: string,
+    record: JobRecord,
+    items: readonly JobItem[]
+  ) => ResultAsync<StoredJob & { created: boolean }, PlatformError>
   /** Reads a record; undefined when there is none. */
   read: (job: string) => ResultAsync<StoredJob | undefined, PlatformError>
   /** Every record, by job. */
@@ -64,7 +68,9 @@
   ): Promise<Result<StoredJob & { created: boolean }, PlatformError>> {
     const writes = splitItems(items).map(async (part, index) =>
       await createOnce(platform, JOB_KINDS.input, inputName(job, index), { items: part }))
-    const [recorded, ...inputs] = await Promise.all([platform.put(JOB_KINDS.record, job, record, { ifRevision: 0 }), ...writes])
+    const [recorded, ...inputs] = await Promise.all([
+      platform.put(JOB_KINDS.record, job, record, { ifRevision: 0 }), ...writes
+    ])
     for (const input of inputs) if (input.isErr()) return err(input.error)
     if (recorded.isOk()) return ok({ record, revision: recorded.value.revision, created: true })
     if (!(recorded.error instanceof PlatformConflict) || recorded.error.current === null) return err(recorded.error)
@@ -149,7 +155,10 @@
   return isThere ? ok(undefined) : err(written.error)
 }
 
-function parse<Schema extends z.ZodType> (schema: Schema, object: StoredObject): Result<z.output<Schema>, PlatformError> {
+function parse<Schema extends z.ZodType> (
+  schema: Schema,
+  object: StoredObject
+): Result<z.output<Schema>, PlatformError> {
   const parsed = schema.safeParse(object.value)
   if (parsed.success) return ok(parsed.data)
   return err(new PlatformUnavailable(`${object.kind}/${object.name} cannot be read: ${parsed.error.message}`))
--- a/packages/pimentoplank/src/relay/jobs/runItem.ts
+++ b/packages/pimentoplank/src/relay/jobs/runItem.ts
@@ -32,6 +32,8 @@
   exchange: Exchange
   clock: Clock
   log: Log
+  /** Called when the target begins to work on the item. */
+  onStarted: () => void
   /** Ends the run. */
   signal: AbortSignal
 }
@@ -67,6 +69,7 @@
         : { type: 'refused' }
     }
     timer.refresh()
+    options.onStarted()
     const end = await readAnswer(sent.value, progress, () => timer.refresh())
     sent.value.close()
     if (end.isOk()) return end.value
--- a/packages/pimentoplank/src/relay/live/relayRequest.ts
+++ b/packages/pimentoplank/src/relay/live/relayRequest.ts
@@ -1,7 +1,7 @@
 /** Relays one live request: a target, a try, and another where that is safe. */
 import { describeCause, RefusalError, type Clock, type Log, type Metrics } from '../../shared'
 import { isRepeatable, mayTryAgain } from '../decisions'
-import { createEventSplitter, SendFailure, type Exchange, type TargetAnswer } from '../exchange'
+import { createEventSplitter, SendFailure, type Exchange, type SendFailureReason, type TargetAnswer } from '../exchange'
 import type { LoadView } from '../load'
 import type { CallerRequest, Route } from '../model'
 import type { CallerReply } from './callerReply'
@@ -20,7 +20,10 @@
 }
 
 export interface RelayRules {
-  /** Silence of a target before the first event after which a stream that may be resumed goes elsewhere, as a share of the target latency. */
+  /**
+   * Silence of a target before the first event after which a stream that may be resumed goes elsewhere, as a share of
+   * the target latency.
+   */
   firstEventShare: number
   /** Silence between events after which it does, as a share of the target gap. */
   gapShare: number
@@ -50,6 +53,11 @@
 /** How a try ended. */
 type TryEnd = { type: 'done' } | { type: 'gone' } | { type: 'failed', failure: SendFailure }
 
+function failed (reason: SendFailureReason, detail: string): TryEnd {
+  return { type: 'failed', failure: new SendFailure(reason, true, detail) }
+}
+
+const STATUS_SERVER_ERROR = 500
 /** A timer for all requests would be longer than any deadline; this is Node's limit, in milliseconds. */
 const MAX_TIMER_MS = 2 ** 31 - 1
 
@@ -86,12 +94,20 @@
       if (end.type === 'done') return logEnd('done')
       if (end.type === 'gone') return logEnd('callerGone')
       const { failure } = end
-      log.info({ req: request.id, target: slot.target.id, reason: failure.reason, mayHaveRun: failure.mayHaveRun, detail: failure.message }, 'try failed')
+      log.info({
+        req: request.id,
+        target: slot.target.id,
+        reason: failure.reason,
+        mayHaveRun: failure.mayHaveRun,
+        detail: failure.message
+      }, 'try failed')
       progress.excluded.add(slot.target.id)
       if (failure.mayHaveRun) progress.runs += 1
       else progress.refusals += 1
       const state = { ...progress, leftMs: endAt - clock.now() }
-      if (over.signal.aborted || !mayTryAgain(route, failure, state)) return giveUp(refusalOf(failure, over.signal.aborted))
+      if (over.signal.aborted || !mayTryAgain(route, failure, state)) {
+        return giveUp(refusalOf(failure, over.signal.aborted))
+      }
       metrics.retried(failure.reason === 'refused' ? 'targetBusy' : 'streamCut')
     }
   } finally {
@@ -142,7 +158,11 @@
       }
     : undefined)
   deps.log.info({
-    req: request.id, target: slot.target.id, placement: slot.placement, ...slot.load, waitedMs: Math.round(clock.now() - call.arrivedAt)
+    req: request.id,
+    target: slot.target.id,
+    placement: slot.placement,
+    ...slot.load,
+    waitedMs: Math.round(clock.now() - call.arrivedAt)
   }, 'sent')
   try {
     const answer = await deps.exchange.send({
@@ -165,7 +185,7 @@
     if (call.reply.gone.aborted) return { type: 'gone' }
     if (silence.signal.aborted) {
       deps.loads.suspect(slot.target.id)
-      return { type: 'failed', failure: new SendFailure('broken', true, 'the target went silent') }
+      return failed('broken', 'the target went silent')
     }
     if (failure.reason === 'connectFailed') deps.loads.suspect(slot.target.id)
     if (failure.reason === 'broken') deps.crashes.noteBroken(slot.target, request)
@@ -175,10 +195,9 @@
   async function passOn (answer: TargetAnswer): Promise<TryEnd> {
     const { head } = answer
     const isSuccess = head.status >= 200 && head.status < 300
-    if (isSuccess && !head.isSigned) return { type: 'failed', failure: new SendFailure('spoiled', true, 'a success without proof') }
-    const isFault = head.status >= 500
-    if (isFault && movableAfterFault()) return { type: 'failed', failure: new SendFailure('broken', true, `status ${head.status}`) }
-    if (!isSuccess && call.reply.isBegun()) return { type: 'failed', failure: new SendFailure('broken', true, `status ${head.status}`) }
+    if (isSuccess && !head.isSigned) return failed('spoiled', 'a success without proof')
+    if (head.status >= STATUS_SERVER_ERROR && movableAfterFault()) return failed('broken', `status ${head.status}`)
+    if (!isSuccess && call.reply.isBegun()) return failed('broken', `status ${head.status}`)
     return route.kind === 'stream' && isSuccess ? await passEvents(answer) : await passBody(answer)
   }
 
@@ -214,7 +233,7 @@
       watch.note()
       for (const event of splitter.push(next.value)) {
         if (isRepeat(event.id)) continue
-        if (isGap(event.id)) return { type: 'failed', failure: new SendFailure('spoiled', true, `event ${event.id} follows ${progress.lastEventId}`) }
+        if (isGap(event.id)) return failed('spoiled', `event ${event.id} follows ${progress.lastEventId}`)
         await passBytes(answer, event.bytes)
         progress.lastEventId = event.id ?? progress.lastEventId
       }
--- a/packages/pimentoplank/src/relay/live/slotDesk.ts
+++ b/packages/pimentoplank/src/relay/live/slotDesk.ts
@@ -138,7 +138,10 @@
     }, rules, random)
     if (admission.type === 'refuse') {
       log.info({
-        req: ask.requestId, reason: admission.reason, waiting: queue.length, expectedMs: admission.expectedMs,
+        req: ask.requestId,
+        reason: admission.reason,
+        waiting: queue.length,
+        expectedMs: admission.expectedMs,
         retryAfterMs: admission.retryAfterMs
       }, 'refused')
       return err(new RefusalError(admission.reason, { retryAfterMs: admission.retryAfterMs }))
--- a/packages/pimentoplank/src/shared/logging/index.ts
+++ b/packages/pimentoplank/src/shared/logging/index.ts
@@ -1,6 +1,8 @@
 /** Structured logs: one JSON line each, with the fields of the request or chunk that they concern. */
 import bunyan from 'bunyan'
 
+export { createBoundedOutput, openStandardOutput, type BoundedOutputOptions } from './boundedOutput'
+
 export type Log = bunyan
 
 export interface LogOptions {
--- /dev/null
+++ b/packages/pimentoplank/src/shared/metrics/servedMetrics.ts
@@ -0,0 +1,72 @@
+/** Counters, gauges and latency histograms that are read over HTTP as Prometheus text. */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import type { Metrics, MetricsSnapshot } from './metrics'
+
+export interface ServedMetrics extends Metrics {
+  /** Everything as Prometheus text. */
+  render: () => Promise<string>
+  contentType: string
+}
+
+const PREFIX = 'pimentoplank_'
+/** Upper bounds of latency buckets, in milliseconds. */
+const LATENCY_BUCKETS_MS = [5, 10, 20, 50, 100, 200, 300, 500, 1000, 2000, 5000, 10_000, 20_000]
+
+/** Creates the metrics of a process. A name such as `refusals.queueFull` becomes a counter with a label. */
+export function createServedMetrics (): ServedMetrics {
+  const registry = new Registry()
+  const counters = new Map<string, Counter<'kind'>>()
+  const gauges = new Map<string, Gauge>()
+  const histograms = new Map<string, Histogram>()
+  const totals = new Map<string, number>()
+  const levels = new Map<string, number>()
+
+  function count (name: string, by = 1): void {
+    totals.set(name, (totals.get(name) ?? 0) + by)
+    const [family, kind] = splitName(name)
+    const counter = counters.get(family) ?? new Counter({
+      name: `${PREFIX}${family}_total`, help: `Count of ${family}.`, labelNames: ['kind'], registers: [registry]
+    })
+    counters.set(family, counter)
+    counter.inc({ kind }, by)
+  }
+
+  function timing (name: string, ms: number): void {
+    const family = familyName(name)
+    const histogram = histograms.get(family) ?? new Histogram({
+      name: `${PREFIX}${family}_ms`, help: `Time of ${family}, in milliseconds.`, buckets: LATENCY_BUCKETS_MS, registers: [registry]
+    })
+    histograms.set(family, histogram)
+    histogram.observe(ms)
+  }
+
+  function gauge (name: string, value: number): void {
+    levels.set(name, value)
+    const family = familyName(name)
+    const level = gauges.get(family) ?? new Gauge({ name: `${PREFIX}${family}`, help: `Level of ${family}.`, registers: [registry] })
+    gauges.set(family, level)
+    level.set(value)
+  }
+
+  return {
+    refused: (reason) => count(`refusals.${reason}`),
+    retried: (reason) => count(`retries.${reason}`),
+    count,
+    timing,
+    gauge,
+    snapshot: (): MetricsSnapshot => ({ counters: Object.fromEntries(totals), gauges: Object.fromEntries(levels) }),
+    render: async () => await registry.metrics(),
+    contentType: registry.contentType,
+    close: async () => registry.clear()
+  }
+}
+
+/** The part after the first dot becomes the label. */
+function splitName (name: string): [string, string] {
+  const dot = name.indexOf('.')
+  return dot < 0 ? [familyName(name), ''] : [familyName(name.slice(0, dot)), name.slice(dot + 1)]
+}
+
+function familyName (name: string): string {
+  return name.replace(/[^A-Za-z0-9]+/g, '_').toLowerCase()
+}
--- a/packages/pimentoplank/src/shared/platform/client.ts
+++ b/packages/pimentoplank/src/shared/platform/client.ts
@@ -90,7 +90,12 @@
    */
   put: (kind: string, name: string, value: unknown, options: PutOptions) => ResultAsync<StoredObject, PlatformError>
   /** Writes the status part of an object, which other writers own otherwise. */
-  putStatus: (kind: string, name: string, status: unknown, options?: PutStatusOptions) => ResultAsync<void, PlatformError>
+  putStatus: (
+    kind: string,
+    name: string,
+    status: unknown,
+    options?: PutStatusOptions
+  ) => ResultAsync<void, PlatformError>
   /** Removes an object; one that is gone already counts as removed. */
   remove: (kind: string, name: string, options?: RemoveOptions) => ResultAsync<void, PlatformError>
   /** Waits for changes to a kind: one long poll, which the platform counts as a call. */
@@ -252,7 +257,7 @@
     list: (kind, listOptions = {}) => new ResultAsync(read('list', kind, dialect.list(kind, listOptions), objectPage)),
     listAll: (kind, listOptions = {}) => new ResultAsync(listAll(kind, listOptions)),
     put: (kind, name, value, putOptions) => new ResultAsync(put(kind, name, value, putOptions)),
-    putStatus: (kind, name, status, statusOptions = {}) => new ResultAsync(putStatus(kind, name, status, statusOptions)),
+    putStatus: (kind, name, status, options = {}) => new ResultAsync(putStatus(kind, name, status, options)),
     remove: (kind, name, removeOptions = {}) => new ResultAsync(remove(kind, name, removeOptions)),
     watch: (kind, watchOptions) => new ResultAsync(watch(kind, watchOptions)),
     listInstances: () => new ResultAsync(listInstances()),
--- a/packages/pimentoplank/src/shared/targetHttp/index.ts
+++ b/packages/pimentoplank/src/shared/targetHttp/index.ts
@@ -1,3 +1,4 @@
 export {
-  createTargetAgent, markDispatch, isConnectFailure, type SendMark, type TargetAgent, type TargetAgentOptions, type TargetRequest
+  createTargetAgent, isConnectFailure, markDispatch,
+  type SendMark, type TargetAgent, type TargetAgentOptions, type TargetRequest
 } from './targetAgent'
