Refuse at once what can't be on time, and tell peers of load in small datagrams

A request now goes to a target only while the queue there leaves it on time; else it is refused at once with a time to come back, spread over the longest wait that callers keep.

--- a/packages/pimentoplank/src/relay/constants.ts
+++ b/packages/pimentoplank/src/relay/constants.ts
@@ -1,7 +1,7 @@
 /** Times and limits of the relay that no setting changes. */
 
-/** Least time between two reports to peers, in milliseconds; a step of live traffic is seen within two of them. */
-export const REPORT_GAP_MS = 50
+/** Least time between two datagrams to a peer, in milliseconds; replays show what an older view costs. */
+export const REPORT_GAP_MS = 10
 /** A report is sent at least this often, in milliseconds. */
 export const REPORT_HEARTBEAT_MS = 300
 /** A peer that missed several heartbeats counts as gone, in milliseconds. */
--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -113,7 +113,9 @@
   })
   const exchange = createExchange(protocols.targets, connections)
   const crashes = createCrashLedger({ limit: CRASH_LIMIT, keepMs: CRASH_KEEP_MS, clock })
-  const board = createJobBoard({ self: instance.id, noticeMs: JOB_NOTICE_MS, clock })
+  const board = createJobBoard({
+    self: instance.id, noticeMs: JOB_NOTICE_MS, onNotice: () => gossip.send(), clock
+  })
   const store = createJobStore(platform)
   const runner = createItemRunner({
     self: instance.id,
@@ -154,10 +156,7 @@
     transports,
     peers: gossip.peers,
     waitingTokens: ownWaitingTokens,
-    onAccepted: () => {
-      gossip.touch()
-      runner.pump()
-    },
+    onAccepted: () => runner.pump(),
     isLeaving: () => stopper.stage() !== 'serving',
     clock,
     metrics,
@@ -270,7 +269,7 @@
     }
     table = createRouteTable(config.value)
     log.info({ version: table.version, revision, routes: config.value.routes.length }, 'configuration in force')
-    gossip.touch()
+    gossip.send()
     pumpAll()
   }
 
--- a/packages/pimentoplank/src/relay/decisions/admission.ts
+++ b/packages/pimentoplank/src/relay/decisions/admission.ts
@@ -8,8 +8,6 @@
 import type { Random, RefusalReason } from '../../shared'
 
 export interface AdmissionRules {
-  /** Share of the target latency that a request may expect to wait. */
-  waitShare: number
   /** Longest expected wait of a request that was refused before, in milliseconds. */
   returningWaitMs: number
   /** Longest wait that a refused caller is asked for, as a share of the time that it has left. */
@@ -19,13 +17,10 @@
 export interface AdmissionInput {
   /** Slots of all targets of the service that may be used. */
   slots: number
-  /** Live requests that wait at targets already. */
-  queued: number
   /** Requests that wait at this instance. */
   ahead: number
   meanRunMs: number
   leftMs: number
-  targetLatencyMs: number
   /** True when the caller was refused before and came back. */
   isReturning: boolean
 }
@@ -34,26 +29,22 @@
   | { type: 'wait', expectedMs: number }
   | { type: 'refuse', reason: RefusalReason, expectedMs: number, retryAfterMs: number }
 
-/** Least time after which a refused caller may come back, in milliseconds. */
-const MIN_RETRY_AFTER_MS = 100
 /** Time after which targets that are all gone may be back, in milliseconds. */
 const NO_TARGET_RETRY_MS = 500
-/** Spread of the times at which refused callers come back. */
-const RETRY_SPREAD = 0.5
+/** Refused callers come back between this share of the longest wait and all of it, so that they don't come together. */
+const RETRY_FROM_SHARE = 0.4
 
-/** Decides on a request that found no room. */
+/** Decides on a request that can't be on time: every slot and every queue that is short enough is taken. */
 export function decideAdmission (input: AdmissionInput, rules: AdmissionRules, random: Random): Admission {
-  const longestMs = Math.max(MIN_RETRY_AFTER_MS, input.leftMs * rules.retryAfterShare)
-  if (input.slots === 0) {
-    const retryAfterMs = Math.min(NO_TARGET_RETRY_MS, longestMs)
-    return { type: 'refuse', reason: 'noTarget', expectedMs: Infinity, retryAfterMs }
+  const { slots, leftMs } = input
+  const spread = RETRY_FROM_SHARE + (1 - RETRY_FROM_SHARE) * random()
+  const retryAfterMs = leftMs * rules.retryAfterShare * spread
+  if (slots === 0) {
+    return { type: 'refuse', reason: 'noTarget', expectedMs: Infinity, retryAfterMs: Math.min(NO_TARGET_RETRY_MS, retryAfterMs) }
   }
-  const expectedMs = (input.queued + input.ahead + 1) * input.meanRunMs / input.slots
-  const allowedMs = input.isReturning ? rules.returningWaitMs : input.targetLatencyMs * rules.waitShare
-  if (expectedMs <= Math.min(allowedMs, input.leftMs)) return { type: 'wait', expectedMs }
-  const spread = 1 + (random() - 0.5) * RETRY_SPREAD
-  const retryAfterMs = Math.min(longestMs, Math.max(MIN_RETRY_AFTER_MS, expectedMs * spread))
-  return { type: 'refuse', reason: 'queueFull', expectedMs, retryAfterMs }
+  const expectedMs = (input.ahead + 1) * input.meanRunMs / slots
+  const mayWait = input.isReturning && expectedMs <= Math.min(rules.returningWaitMs, leftMs)
+  return mayWait ? { type: 'wait', expectedMs } : { type: 'refuse', reason: 'queueFull', expectedMs, retryAfterMs }
 }
 
 export interface WaitingRequest {
--- a/packages/pimentoplank/src/relay/decisions/batchShare.ts
+++ b/packages/pimentoplank/src/relay/decisions/batchShare.ts
@@ -55,12 +55,15 @@
   return starts
 }
 
+/** Free slots that a target in the same failure domain may have fewer; bytes between failure domains cost. */
+const NEAR_BONUS = 2
+
 function roomiest (free: ReadonlyMap<string, { near: boolean, count: number }>): string | undefined {
-  let best: { id: string, near: boolean, count: number } | undefined
+  let best: { id: string, room: number } | undefined
   for (const [id, { near, count }] of free) {
     if (count <= 0) continue
-    const isRoomier = best === undefined || count > best.count
-    if (isRoomier || (count === best!.count && near && !best!.near)) best = { id, near, count }
+    const room = count + (near ? NEAR_BONUS : 0)
+    if (best === undefined || room > best.room) best = { id, room }
   }
   return best?.id
 }
--- a/packages/pimentoplank/src/relay/decisions/index.ts
+++ b/packages/pimentoplank/src/relay/decisions/index.ts
@@ -1,7 +1,9 @@
 export {
   decideAdmission, orderWaiting, type Admission, type AdmissionInput, type AdmissionRules, type WaitingRequest
 } from './admission'
-export { choosePlacement, type Placement, type PlacementCandidate, type PlacementRules } from './placement'
+export {
+  choosePlacement, type Placement, type PlacementCandidate, type PlacementInput, type PlacementRules
+} from './placement'
 export {
   chooseRelief, chooseStarts, chooseYields,
   type BatchCapacity, type BatchShareInput, type BatchStart, type ReliefInput, type RunningItem, type WaitingItem
--- a/packages/pimentoplank/src/relay/decisions/placement.ts
+++ b/packages/pimentoplank/src/relay/decisions/placement.ts
@@ -22,8 +22,19 @@
 }
 
 export interface PlacementRules {
-  /** Live requests that may wait in a target's own queue, beyond its slots. */
-  targetQueue: number
+  /** Share of the target latency that a request may wait in a target's own queue. */
+  queueShare: number
+  /** Share of all slots that must be free before a request that can't be on time takes one. */
+  lateReserveShare: number
+}
+
+export interface PlacementInput {
+  candidates: readonly PlacementCandidate[]
+  targetLatencyMs: number
+  /** Mean time of a request at a target. */
+  meanRunMs: number
+  /** False for a request that can't be on time any more: it takes only what is free. */
+  mayQueue: boolean
 }
 
 export type Placement =
@@ -37,14 +48,12 @@
   | { type: 'wait' }
 
 /** Chooses a target; suspects only where there is no other. */
-export function choosePlacement (
-  candidates: readonly PlacementCandidate[],
-  rules: PlacementRules,
-  random: Random
-): Placement {
+export function choosePlacement (input: PlacementInput, rules: PlacementRules, random: Random): Placement {
+  const { candidates, mayQueue } = input
   const trusted = candidates.filter((candidate) => !candidate.isSuspect)
   const pool = trusted.length > 0 ? trusted : candidates
   const free = pool.filter((one) => freeSlots(one) > 0)
+  if (!mayQueue && !hasSurplus(pool, rules)) return { type: 'wait' }
   if (free.length > 0) return { type: 'free', id: pickSpread(preferNear(free), freeSlots, random).id }
   const yielding = pool.filter((one) => one.batch > 0 && one.live < one.slots)
   if (yielding.length > 0) {
@@ -52,13 +61,22 @@
     const roomOf = (one: PlacementCandidate): number => one.slots - one.live
     return { type: 'yield', id: pickSpread(preferNear(own.length > 0 ? own : yielding), roomOf, random).id }
   }
-  const queueing = pool.filter((one) => one.live - one.slots < rules.targetQueue)
+  if (!mayQueue) return { type: 'wait' }
+  const waitMs = input.targetLatencyMs * rules.queueShare
+  const queueing = pool.filter((one) => (one.live - one.slots + 1) * input.meanRunMs / one.slots <= waitMs)
   if (queueing.length === 0) return { type: 'wait' }
   const shortest = Math.min(...queueing.map((one) => one.live - one.slots))
   const best = queueing.filter((one) => one.live - one.slots === shortest)
   return { type: 'queue', id: pickSpread(preferNear(best), () => 1, random).id }
 }
 
+function hasSurplus (candidates: readonly PlacementCandidate[], { lateReserveShare }: PlacementRules): boolean {
+  const slots = candidates.reduce((sum, one) => sum + one.slots, 0)
+  // Batch items give way to a live request, also to a late one.
+  const room = candidates.reduce((sum, one) => sum + Math.max(0, one.slots - one.live), 0)
+  return room > slots * lateReserveShare
+}
+
 function freeSlots (candidate: PlacementCandidate): number {
   return candidate.slots - candidate.live - candidate.batch
 }
--- a/packages/pimentoplank/src/relay/decisions/testing/replay.ts
+++ b/packages/pimentoplank/src/relay/decisions/testing/replay.ts
@@ -149,8 +149,13 @@
     }
   }
 
-  function place (live: Live): boolean {
-    const placement = choosePlacement(candidates(live.instance), RELAY_RULES.live, random)
+  function place (live: Live, mayQueue: boolean): boolean {
+    const placement = choosePlacement({
+      candidates: candidates(live.instance),
+      targetLatencyMs: TARGET_LATENCY_MS,
+      meanRunMs: pattern.liveRunMs,
+      mayQueue
+    }, RELAY_RULES.live, random)
     if (placement.type === 'wait') return false
     if (placement.type === 'yield') takeOff(placement.id, 1)
     enter(placement.id, {
@@ -194,15 +199,13 @@
   }
 
   function arrive (live: Live): void {
-    if (place(live)) return
+    if (place(live, true)) return
     const all = candidates(live.instance)
     const admission = decideAdmission({
       slots: all.length * pattern.slots,
-      queued: all.reduce((sum, one) => sum + Math.max(0, one.live - one.slots), 0),
       ahead: waiting.filter((one) => one.live.instance === live.instance).length,
       meanRunMs: pattern.liveRunMs,
       leftMs: LIVE_TIMEOUT_MS,
-      targetLatencyMs: TARGET_LATENCY_MS,
       isReturning: live.isReturning
     }, RELAY_RULES.live, random)
     if (admission.type === 'wait') {
@@ -284,7 +287,7 @@
   function serveWaiting (): void {
     for (const entry of orderWaiting(waiting, now)) {
       const isOver = now > entry.ask.endAt
-      if (!isOver && !place(entry.live)) continue
+      if (!isOver && !place(entry.live, false)) continue
       waiting.splice(waiting.indexOf(entry), 1)
       if (isOver) outcome.refused += 1
     }
--- a/packages/pimentoplank/src/relay/gossip/datagrams.ts
+++ b/packages/pimentoplank/src/relay/gossip/datagrams.ts
@@ -1,7 +1,10 @@
 /** Translates between the datagrams of instances and the types used here. */
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf'
-import { DatagramSchema, InstanceReportSchema, InstanceStage, YieldRequestSchema, type Datagram } from '../../shared'
-import type { CrashNote, JobNote, Report, Stage, TargetUse } from './types'
+import {
+  DatagramSchema, hash32, InstanceReportSchema, InstanceStage, LoadChangeSchema, YieldRequestSchema,
+  type Datagram, type LoadChange
+} from '../../shared'
+import type { CrashNote, JobNote, Report, Stage, TargetUse, WaitingItems } from './types'
 
 const STAGE_CODES: Record<Stage, InstanceStage> = {
   starting: InstanceStage.STARTING,
@@ -27,13 +30,46 @@
   return toBinary(DatagramSchema, create(DatagramSchema, { content: { case: 'report', value: message } }))
 }
 
+/** Encodes what changes often in a report. */
+export function encodeLoad (report: Report, now: number): Uint8Array {
+  const uses = [...report.uses]
+  const message = create(LoadChangeSchema, {
+    instance: hash32(report.instance),
+    incarnation: lowBits(report.incarnation),
+    sequence: report.sequence,
+    targets: uses.map(([target]) => target),
+    live: uses.map(([, { live }]) => live),
+    batch: uses.map(([, { batch }]) => batch),
+    waiting: report.waiting.map(({ dueAt, count }) => ({ dueInMs: Math.round(dueAt - now), count }))
+  })
+  return toBinary(DatagramSchema, create(DatagramSchema, { content: { case: 'load', value: message } }))
+}
+
+/** The lowest 32 bits of an incarnation, as a load change names it. */
+export function lowBits (incarnation: number): number {
+  return incarnation % INCARNATION_MODULUS
+}
+
+const INCARNATION_MODULUS = 2 ** 32
+
 /** Encodes a request to take batch items off a target. */
 export function encodeYield (target: number, count: number): Uint8Array {
   const message = create(YieldRequestSchema, { target, count })
   return toBinary(DatagramSchema, create(DatagramSchema, { content: { case: 'yield', value: message } }))
 }
 
+/** News of the load of an instance whose report the receiver may have. */
+export interface LoadNews {
+  /** Hash of the instance's id. */
+  instance: number
+  incarnation: number
+  sequence: number
+  uses: ReadonlyMap<number, TargetUse>
+  waiting: readonly WaitingItems[]
+}
+
 export type Received =
+  | { type: 'load', load: LoadNews }
   | { type: 'report', report: Report }
   | { type: 'yield', target: number, count: number }
 
@@ -47,6 +83,7 @@
   }
   const { content } = datagram
   if (content.case === 'yield') return { type: 'yield', target: content.value.target, count: content.value.count }
+  if (content.case === 'load') return { type: 'load', load: readLoad(content.value, now) }
   if (content.case !== 'report') return undefined
   const { uses, waiting, suspects, jobs, crashes, ...rest } = content.value
   return {
@@ -70,3 +107,14 @@
     }
   }
 }
+
+function readLoad (change: LoadChange, now: number): LoadNews {
+  const { instance, incarnation, sequence, targets, live, batch, waiting } = change
+  return {
+    instance,
+    incarnation,
+    sequence,
+    uses: new Map(targets.map((target, index) => [target, { live: live[index] ?? 0, batch: batch[index] ?? 0 }])),
+    waiting: waiting.map(({ dueInMs, count }) => ({ dueAt: now + dueInMs, count }))
+  }
+}
--- a/packages/pimentoplank/src/relay/gossip/gossip.ts
+++ b/packages/pimentoplank/src/relay/gossip/gossip.ts
@@ -1,14 +1,14 @@
 /** Sends this instance's report to its peers and keeps theirs. */
 import { createSocket, type Socket } from 'node:dgram'
 import { ResultAsync } from 'neverthrow'
-import { describeCause, type Clock, type Log, type Metrics, type Random } from '../../shared'
-import { decodeDatagram, encodeReport, encodeYield } from './datagrams'
+import { describeCause, hash32, type Clock, type Log, type Metrics, type Random } from '../../shared'
+import { decodeDatagram, encodeLoad, encodeReport, encodeYield, lowBits, type LoadNews } from './datagrams'
 import type { PeerView, Report } from './types'
 
 export interface GossipSettings {
-  /** Least time between two reports, in milliseconds. */
+  /** Least time between two datagrams to a peer, in milliseconds. */
   minGapMs: number
-  /** A report is sent at least this often, in milliseconds. */
+  /** A whole report is sent this often, in milliseconds; between them only what changes often. */
   heartbeatMs: number
   /** A peer that was not heard for this long counts as gone, in milliseconds. */
   silentAfterMs: number
@@ -44,9 +44,9 @@
   peers: () => readonly PeerView[]
   /** Milliseconds since an instance was heard; undefined when it never was. */
   silentMs: (instance: string) => number | undefined
-  /** Sends a report soon, since something changed. */
+  /** Tells peers soon of a change of the load. */
   touch: () => void
-  /** Sends a report at once. */
+  /** Sends a whole report at once. */
   send: () => void
   askToYield: (instance: string, target: number, count: number) => void
   /** Adds an address to report to. */
@@ -59,7 +59,7 @@
 }
 
 /** Peers named in one report. */
-const KNOWN_PEERS_SENT = 8
+const KNOWN_PEERS_SENT = 3
 /** An address that never answered is tried this often, in milliseconds. */
 const INTRODUCTION_EVERY_MS = 500
 /** An address from which nothing came for this long is forgotten, in milliseconds. */
@@ -95,7 +95,10 @@
   const goneListeners: Array<(peer: PeerView) => void> = []
   let sequence = 0
   let sentAt = -Infinity
+  let reportedAt = -Infinity
   let timer: NodeJS.Timeout | undefined
+  let loadTimer: NodeJS.Timeout | undefined
+  let isLoadDue = false
   let isRunning = false
 
   socket.on('error', (cause) => log.warn({ cause: describeCause(cause) }, 'datagram socket failed'))
@@ -114,9 +117,21 @@
       return
     }
     if (received.type === 'yield') options.onYield(received.target, received.count)
+    else if (received.type === 'load') takeLoad(received.load)
     else take(received.report)
   }
 
+  function takeLoad (load: LoadNews): void {
+    for (const [id, { report }] of peers) {
+      if (hash32(id) !== load.instance || lowBits(report.incarnation) !== load.incarnation) continue
+      if (load.sequence <= report.sequence) return
+      const { sequence, uses, waiting } = load
+      const next = { ...report, sequence, uses, waiting }
+      peers.set(id, { report: next, heardAt: clock.now() })
+      reportListeners.forEach((listener) => listener(next, report))
+    }
+  }
+
   function take (report: Report): void {
     if (report.instance === instance.id && report.incarnation === options.incarnation) return
     const known = peers.get(report.instance)
@@ -127,7 +142,7 @@
     if (known?.report.incarnation !== report.incarnation || known.report.stage !== report.stage) {
       log.info({ peer: report.instance, incarnation: report.incarnation, stage: report.stage }, 'peer heard')
       // A peer that has just started knows nobody.
-      if (known?.report.incarnation !== report.incarnation) touch()
+      if (known?.report.incarnation !== report.incarnation) schedule(0)
     }
     reportListeners.forEach((listener) => listener(report, known?.report))
   }
@@ -151,9 +166,9 @@
     }
   }
 
-  function receivers (): string[] {
+  function newAddresses (): string[] {
     const now = clock.now()
-    const addresses = [...peers.values()].map(({ report }) => report.peerAddress)
+    const addresses: string[] = []
     for (const [address, introduction] of introductions) {
       if (now - introduction.sentAt < INTRODUCTION_EVERY_MS) continue
       introduction.sentAt = now
@@ -166,7 +181,25 @@
     if (!isRunning) return
     dropSilent()
     sentAt = clock.now()
-    const report: Report = {
+    reportedAt = sentAt
+    const bytes = encodeReport(ownReport(), sentAt)
+    newAddresses().concat(peerAddresses()).forEach((address) => sendTo(address, bytes))
+    schedule(settings.heartbeatMs)
+  }
+
+  function sendLoad (): void {
+    sentAt = clock.now()
+    const bytes = encodeLoad(ownReport(), sentAt)
+    peerAddresses().forEach((address) => sendTo(address, bytes))
+    schedule(Math.max(0, reportedAt + settings.heartbeatMs - sentAt))
+  }
+
+  function peerAddresses (): string[] {
+    return [...peers.values()].map(({ report }) => report.peerAddress)
+  }
+
+  function ownReport (): Report {
+    return {
       ...options.own(),
       peerAddress: options.peerAddress,
       instance: instance.id,
@@ -174,11 +207,8 @@
       region: instance.region,
       incarnation: options.incarnation,
       sequence: ++sequence,
-      knownPeers: sample([...peers.values()].map((peer) => peer.report.peerAddress), KNOWN_PEERS_SENT, random)
+      knownPeers: sample(peerAddresses(), KNOWN_PEERS_SENT, random)
     }
-    const bytes = encodeReport(report, sentAt)
-    receivers().forEach((address) => sendTo(address, bytes))
-    schedule(settings.heartbeatMs)
   }
 
   function sendTo (address: string, bytes: Uint8Array): void {
@@ -194,8 +224,12 @@
   }
 
   function touch (): void {
-    const dueIn = Math.max(0, sentAt + settings.minGapMs - clock.now())
-    if (isRunning) schedule(dueIn)
+    if (!isRunning || isLoadDue) return
+    isLoadDue = true
+    loadTimer = setTimeout(() => {
+      isLoadDue = false
+      if (isRunning) sendLoad()
+    }, Math.max(0, sentAt + settings.minGapMs - clock.now()))
   }
 
   return {
@@ -220,6 +254,7 @@
     close: async () => {
       isRunning = false
       clearTimeout(timer)
+      clearTimeout(loadTimer)
       await new Promise<void>((resolve) => socket.close(() => resolve()))
     }
   }
--- a/packages/pimentoplank/src/relay/jobs/jobBoard.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobBoard.ts
@@ -31,6 +31,8 @@
   self: string
   /** How long peers are told of a change, in milliseconds. */
   noticeMs: number
+  /** Called when peers are to hear of a change. */
+  onNotice: () => void
   clock: Clock
 }
 
@@ -39,7 +41,7 @@
 const MAX_NOTES = 24
 
 /** Creates the board of an instance. */
-export function createJobBoard ({ self, noticeMs, clock }: JobBoardOptions): JobBoard {
+export function createJobBoard ({ self, noticeMs, onNotice, clock }: JobBoardOptions): JobBoard {
   const jobs = new Map<string, OwnedJob>()
   const known = new LRUCache<string, KnownJob>({ max: MAX_KNOWN_JOBS })
   /** Own changes, by job, with the time until which peers are told. */
@@ -53,7 +55,10 @@
     if (before?.epoch === news.epoch && before.ended === ended) return
     const merged = { ...news, ended }
     known.set(job, merged)
-    if (news.owner === self || ended) notices.set(job, clock.now() + noticeMs)
+    if (news.owner === self || ended) {
+      notices.set(job, clock.now() + noticeMs)
+      onNotice()
+    }
     const owned = jobs.get(job)
     if (owned === undefined) return
     const isLost = news.owner !== self && news.epoch >= owned.record().epoch
--- a/packages/pimentoplank/src/relay/live/slotDesk.ts
+++ b/packages/pimentoplank/src/relay/live/slotDesk.ts
@@ -71,17 +71,26 @@
     return loads.loads(ask.service).filter(({ target }) => !ask.excluded.has(target.id))
   }
 
-  function tryPlace (ask: SlotAsk): Slot | undefined {
+  function runEstimate (service: string): number {
+    return meanRunMs.get(service) ?? FIRST_RUN_ESTIMATE_MS
+  }
+
+  function tryPlace (ask: SlotAsk, mayQueue: boolean): Slot | undefined {
     const all = candidates(ask)
-    const placement = choosePlacement(all.map((load) => ({
-      id: load.target.id,
-      slots: load.target.slots,
-      live: load.live,
-      batch: load.batch,
-      ownBatch: load.ownBatch,
-      isNear: load.target.failureDomain === options.failureDomain,
-      isSuspect: load.isSuspect
-    })), rules, random)
+    const placement = choosePlacement({
+      candidates: all.map((load) => ({
+        id: load.target.id,
+        slots: load.target.slots,
+        live: load.live,
+        batch: load.batch,
+        ownBatch: load.ownBatch,
+        isNear: load.target.failureDomain === options.failureDomain,
+        isSuspect: load.isSuspect
+      })),
+      targetLatencyMs: ask.route.targetLatencyMs,
+      meanRunMs: runEstimate(ask.service),
+      mayQueue
+    }, rules, random)
     if (placement.type === 'wait') return undefined
     const chosen = all.find(({ target }) => target.id === placement.id)!
     if (placement.type === 'yield') makeRoom(chosen)
@@ -122,18 +131,14 @@
   }
 
   async function acquire (ask: SlotAsk): Promise<Result<Slot, RefusalError>> {
-    if (queue.length === 0) {
-      const slot = tryPlace(ask)
-      if (slot !== undefined) return ok(slot)
-    }
+    const slot = tryPlace(ask, true)
+    if (slot !== undefined) return ok(slot)
     const all = candidates(ask)
     const admission = decideAdmission({
       slots: all.reduce((sum, { target }) => sum + target.slots, 0),
-      queued: all.reduce((sum, { target, live }) => sum + Math.max(0, live - target.slots), 0),
       ahead: queue.length,
-      meanRunMs: meanRunMs.get(ask.service) ?? FIRST_RUN_ESTIMATE_MS,
+      meanRunMs: runEstimate(ask.service),
       leftMs: ask.endAt - clock.now(),
-      targetLatencyMs: ask.route.targetLatencyMs,
       isReturning: ask.isReturning
     }, rules, random)
     if (admission.type === 'refuse') {
@@ -171,7 +176,7 @@
   function pump (): void {
     if (queue.length === 0) return
     for (const entry of orderWaiting(queue, clock.now())) {
-      const slot = tryPlace(entry.ask)
+      const slot = tryPlace(entry.ask, false)
       if (slot !== undefined) entry.settle(ok(slot))
     }
     metrics.gauge('slots.waiting', queue.length)
--- a/packages/pimentoplank/src/relay/rules.ts
+++ b/packages/pimentoplank/src/relay/rules.ts
@@ -5,8 +5,8 @@
 
 /** Rules of live requests. */
 const live: PlacementRules & AdmissionRules & RelayRules = {
-  targetQueue: 2,
-  waitShare: 0.5,
+  queueShare: 0.6,
+  lateReserveShare: 0.15,
   returningWaitMs: 1500,
   retryAfterShare: 1 / 3,
   firstEventShare: 0.6,
