Ask once more whether a chunk is held when an item's slot is granted

Cause of the known red case 'cancel: freeze carrier past its lease at commit written': an item passes the check of the claim, then waits for its slot; a process frozen there past its lease finds the grant when it thaws, before the news of the cancellation, and starts the item.

--- a/packages/pimentoplank/features/support/fakeTargets.ts
+++ b/packages/pimentoplank/features/support/fakeTargets.ts
@@ -37,6 +37,8 @@
   /** Takes every slot back, and grants none until allowed again. */
   revoke: () => void
   allow: () => void
+  /** Time that every further slot takes to be granted, in milliseconds. */
+  grantAfterMs: number
   engines: (runner: string, clock: Clock) => EngineClient
   slots: (clock: Clock) => SlotClient
   quarantine: () => Quarantine
@@ -131,11 +133,12 @@
         used.set(target.id, (used.get(target.id) ?? 0) + 1)
         const revoker = new AbortController()
         granted.add(revoker)
-        return okAsync({
+        const granting = fake.grantAfterMs > 0 ? clock.sleep(fake.grantAfterMs) : Promise.resolve()
+        return ResultAsync.fromSafePromise(granting).map(() => ({
           target,
           revoked: revoker.signal,
           release: () => { if (granted.delete(revoker)) used.set(target.id, used.get(target.id)! - 1) }
-        })
+        }))
       },
       close: async () => undefined
     }
@@ -152,6 +155,7 @@
       for (const revoker of granted) revoker.abort()
     },
     allow: () => { isAllowed = true },
+    grantAfterMs: 0,
     engines,
     slots,
     quarantine: () => ({
--- a/packages/pimentoplank/src/batch/faults.feature
+++ b/packages/pimentoplank/src/batch/faults.feature
@@ -179,6 +179,18 @@
     Then nothing about the batch job changes in 120 s
     And every batch item that ran has a result
 
+  Scenario: A runner that thaws with a slot just granted starts nothing of a job that was cancelled meanwhile
+    Given a batch fleet with the runners "a, b"
+    When 40 batch items are uploaded
+    And the batch runner "a" runs items
+    And each batch slot takes 3 s to be granted
+    And batch items wait for their slots
+    And the batch runner "a" freezes, and its slots come before its news when it thaws
+    And the batch job is cancelled
+    Then the batch job is "cancelled" within 60 s
+    When the batch runner "a" thaws
+    Then no batch run began after the job had ended
+
   Scenario: A claim that meets a cancellation runs nothing
     Given a batch fleet with the runners "a"
     When the batch job is going to be cancelled at the moment of its first claim
--- a/packages/pimentoplank/src/batch/heldChunk.ts
+++ b/packages/pimentoplank/src/batch/heldChunk.ts
@@ -143,7 +143,7 @@
       if (outcome !== 'committed' || !ledger.hasIntent(task.index)) return blocked()
     }
     if (stopped.signal.aborted) return { type: 'retry' }
-    return await runItem(context, task, stopped.signal)
+    return await runItem(context, task, { signal: stopped.signal, mayDispatch })
   }
 
   async function work (task: ItemTask): Promise<ItemOutcome> {
--- a/packages/pimentoplank/src/batch/runItem.ts
+++ b/packages/pimentoplank/src/batch/runItem.ts
@@ -59,12 +59,19 @@
   }
 }
 
-/**
- * Tries an item once.
- *
- * @param signal - aborts when the chunk's work ends; a running stream is then cancelled on the engine
- */
-export async function runItem (context: RunnerContext, task: ItemTask, signal: AbortSignal): Promise<ItemOutcome> {
+export interface RunItemOptions {
+  /** Aborts when the chunk's work ends; a running stream is then cancelled on the engine. */
+  signal: AbortSignal
+  /** Tells whether the runner still holds the chunk; asked again once there is a slot, since that may take long. */
+  mayDispatch: () => Promise<boolean>
+}
+
+/** Tries an item once. */
+export async function runItem (
+  context: RunnerContext,
+  task: ItemTask,
+  { signal, mayDispatch }: RunItemOptions
+): Promise<ItemOutcome> {
   const { config, quarantine, clock, metrics } = context
   const { item, hashes: { contentHash } } = task
   if (quarantine.isQuarantined(contentHash)) {
@@ -85,7 +92,9 @@
   }
   const grant = granted.value
   const isElsewhere = isBound(task) && task.resume?.targetId !== grant.target.id
-  if (signal.aborted || isElsewhere) {
+  // A process that was frozen while it waited may have lost the chunk, and hear of that only later.
+  const isHeld = await mayDispatch()
+  if (signal.aborted || isElsewhere || !isHeld) {
     grant.release({ result: 'notRun' })
     task.notBefore = clock.now() + MIN_SLOT_PAUSE_MS
     return { type: 'retry' }
--- a/packages/pimentoplank/src/batch/runner.steps.ts
+++ b/packages/pimentoplank/src/batch/runner.steps.ts
@@ -14,6 +14,8 @@
 const MINUTE = 60 * SECOND
 
 interface FleetWorld {
+  /** Runs that had begun when a frozen runner woke. */
+  runsBeforeThaw: number
   fleet: BatchFleet
   batchJob: string
   /** Ids that a runner had committed before it failed. */
@@ -141,6 +143,19 @@
   this.fleet.targets.revoke()
 })
 
+When('each batch slot takes {int} s to be granted', function (this: FleetWorld, seconds: number) {
+  this.fleet.targets.grantAfterMs = seconds * SECOND
+})
+
+When('batch items wait for their slots', async function (this: FleetWorld) {
+  await this.fleet.advance(2 * SECOND)
+})
+
+Then('no batch run began after the job had ended', async function (this: FleetWorld) {
+  await this.fleet.advance(10 * SECOND)
+  assert.deepEqual(this.fleet.targets.runs.slice(this.runsBeforeThaw).map(({ requestId }) => requestId), [])
+})
+
 When('batch slots are granted again', function (this: FleetWorld) {
   this.fleet.targets.allow()
 })
@@ -163,9 +178,16 @@
   this.fleet.runners.get(id)!.isFrozen = true
 })
 
+When('the batch runner {string} freezes, and its slots come before its news when it thaws', function (
+  this: FleetWorld, id: string
+) {
+  Object.assign(this.fleet.runners.get(id)!, { isFrozen: true, isDeaf: true })
+})
+
 When('the batch runner {string} thaws', async function (this: FleetWorld, id: string) {
   const entry = this.fleet.runners.get(id)!
   entry.isFrozen = false
+  this.runsBeforeThaw = this.fleet.targets.runs.length
   await entry.clock.jump(MINUTE)
 })
 
