Keep waiting tokens within a route's limit over all instances; remove old jobs

Cause: each instance counted its own jobs only. Far from the limit reports of peers decide; near it the records at the platform do: a job counts those stored before it, by the store's revisions, and is taken back where it does not fit. Tried first and dropped: turns taken by a conditional write (four jobs at once took each other back; one of two that fit stayed).

--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -15,7 +15,8 @@
 import { createExchange, createTargetConnections } from './exchange'
 import { startGossip, type Gossip, type OwnReport, type PeerView, type Stage } from './gossip'
 import {
-  createItemRunner, createJobBoard, createJobCalls, createJobKeeper, createJobService, createJobStore, handOverJobs,
+  createItemRunner, createJobBoard, createJobCalls, createJobCollector, createJobKeeper, createJobService,
+  createJobStore, createQuota, handOverJobs, openTokens,
   type JobCalls
 } from './jobs'
 import { createCrashLedger, createSlotDesk, createTargetActivity } from './live'
@@ -155,7 +156,7 @@
     store,
     transports,
     peers: gossip.peers,
-    waitingTokens: ownWaitingTokens,
+    quota: createQuota({ self: instance.id, board, store, peers: gossip.peers, clock, log }),
     onAccepted: () => runner.pump(),
     isLeaving: () => stopper.stage() !== 'serving',
     clock,
@@ -224,6 +225,9 @@
   })
   gossip.start()
   const ticking = setInterval(tick, TICK_MS)
+  const collector = createJobCollector({
+    self: instance.id, store, peers: gossip.peers, keepMs: settings.bounds.jobStatusMs, clock, log
+  })
   feed.ready().then(async () => await keeper.recover()).catch((cause: unknown) => {
     log.error({ cause: describeCause(cause) }, 'jobs could not be recovered')
   })
@@ -287,7 +291,8 @@
       jobs: board.notes(),
       suspects: loads.ownSuspects(),
       crashes: crashes.notes(),
-      configRevision: Math.max(0, feed.revision(protocols.config.kind))
+      configRevision: Math.max(0, feed.revision(protocols.config.kind)),
+      openJobs: openTokens(board)
     }
   }
 
@@ -297,12 +302,6 @@
     }
   }
 
-  function ownWaitingTokens (route: string): number {
-    let sum = 0
-    for (const job of board.owned()) if (job.record().route === route && !job.isEnded()) sum += job.openTokens()
-    return sum
-  }
-
   let isPumpDue = false
   function schedulePump (): void {
     if (isPumpDue) return
@@ -342,6 +341,7 @@
     isClosed = true
     clearInterval(ticking)
     keeper.close()
+    collector.close()
     await feed.close()
     await gossip.close()
     transports.close()
--- a/packages/pimentoplank/src/relay/decisions/index.ts
+++ b/packages/pimentoplank/src/relay/decisions/index.ts
@@ -9,3 +9,4 @@
   type BatchCapacity, type BatchShareInput, type BatchStart, type ReliefInput, type RunningItem, type WaitingItem
 } from './batchShare'
 export { isRepeatable, mayTryAgain, type RetryState, type TryFailure } from './retries'
+export { hasRoomForSure, waitingTokens, type CountedJob } from './quota'
--- a/packages/pimentoplank/src/relay/gossip/datagrams.ts
+++ b/packages/pimentoplank/src/relay/gossip/datagrams.ts
@@ -25,7 +25,8 @@
     jobs: [...report.jobs],
     crashes: [...report.crashes],
     suspects: [...report.suspects],
-    configRevision: BigInt(report.configRevision)
+    configRevision: BigInt(report.configRevision),
+    openJobs: [...report.openJobs].map(([job, tokens]) => ({ job, tokens: BigInt(Math.round(tokens)) }))
   })
   return toBinary(DatagramSchema, create(DatagramSchema, { content: { case: 'report', value: message } }))
 }
@@ -85,7 +86,7 @@
   if (content.case === 'yield') return { type: 'yield', target: content.value.target, count: content.value.count }
   if (content.case === 'load') return { type: 'load', load: readLoad(content.value, now) }
   if (content.case !== 'report') return undefined
-  const { uses, waiting, suspects, jobs, crashes, ...rest } = content.value
+  const { uses, waiting, suspects, jobs, crashes, openJobs, ...rest } = content.value
   return {
     type: 'report',
     report: {
@@ -103,7 +104,8 @@
       jobs: jobs.map(({ job, owner, epoch, ended }): JobNote => ({ job, owner, epoch, ended })),
       suspects: new Set(suspects),
       crashes: crashes.map(({ content, crashes }): CrashNote => ({ content, crashes })),
-      configRevision: Number(rest.configRevision)
+      configRevision: Number(rest.configRevision),
+      openJobs: new Map(openJobs.map(({ job, tokens }) => [job, Number(tokens)]))
     }
   }
 }
--- a/packages/pimentoplank/src/relay/gossip/gossip.ts
+++ b/packages/pimentoplank/src/relay/gossip/gossip.ts
@@ -15,7 +15,7 @@
 }
 
 /** The part of a report that the instance fills in. */
-export type OwnReport = Pick<Report, 'stage' | 'callerAddress' | 'uses' | 'waiting' | 'jobs' | 'suspects' | 'crashes' | 'configRevision'>
+export type OwnReport = Pick<Report, 'stage' | 'callerAddress' | 'uses' | 'waiting' | 'jobs' | 'suspects' | 'crashes' | 'configRevision' | 'openJobs'>
 
 export interface GossipOptions {
   instance: { id: string, failureDomain: string, region: string }
--- a/packages/pimentoplank/src/relay/gossip/types.ts
+++ b/packages/pimentoplank/src/relay/gossip/types.ts
@@ -48,6 +48,8 @@
   suspects: ReadonlySet<number>
   crashes: readonly CrashNote[]
   configRevision: number
+  /** Tokens of items without a result, by hash of the job's id. */
+  openJobs: ReadonlyMap<number, number>
 }
 
 /** Another instance, as its last report shows it. */
--- a/packages/pimentoplank/src/relay/jobs/jobCalls.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobCalls.ts
@@ -12,6 +12,7 @@
 import type { JobKeeper } from './jobKeeper'
 import { splitItems, type JobStore } from './jobStore'
 import type { OwnedJob } from './ownedJob'
+import type { Quota } from './quota'
 import type { ItemResult, JobItem, JobRecord } from './records'
 
 export interface JobSubmission {
@@ -51,8 +52,7 @@
   store: JobStore
   transports: PeerTransports
   peers: () => readonly PeerView[]
-  /** Tokens of items without a result on a route, over all instances. */
-  waitingTokens: (route: string) => number
+  quota: Quota
   /** Called after a job was accepted. */
   onAccepted: () => void
   isLeaving: () => boolean
@@ -97,13 +97,9 @@
     if (options.isLeaving()) return err(new RefusalError('addressMoved', { retryAfterMs: 0 }))
     const tokens = items.reduce((sum, item) => sum + item.tokens, 0)
     const limit = route.batch?.maxWaitingTokens ?? 0
-    const waiting = limit > 0 ? options.waitingTokens(route.name) : 0
-    if (limit > 0 && waiting + tokens > limit) {
-      const known = await store.read(id)
-      if (known.isOk() && known.value !== undefined) return ok(undefined)
-      log.info({ job: id, tokens, waiting, limit }, 'job refused: too many tokens wait')
-      return err(new RefusalError('accountLimit', { retryAfterMs: QUOTA_RETRY_MS }))
-    }
+    const room = await options.quota.reserve(route.name, tokens, limit)
+    if (room.isErr()) return err(unstored(id, room.error))
+    if (!room.value.fits) return await refuseOverQuota(id, tokens, limit)
     const record: JobRecord = {
       route: route.name,
       host: job.host,
@@ -118,6 +114,9 @@
     }
     const created = await store.create(id, record, items)
     if (created.isErr()) return err(unstored(id, created.error))
+    const confirmed = created.value.created ? await room.value.confirm(id, created.value.revision) : ok(true)
+    if (confirmed.isErr()) return err(unstored(id, confirmed.error))
+    if (!confirmed.value) return await refuseOverQuota(id, tokens, limit)
     const { record: kept } = created.value
     if (created.value.created || kept.owner === self) {
       if (board.get(id) === undefined && !kept.ended && !kept.finished) keeper.open(id, created.value, items)
@@ -129,6 +128,15 @@
     return ok(undefined)
   }
 
+  /** A job that was accepted before is accepted again, however many tokens wait now. */
+  async function refuseOverQuota (id: string, tokens: number, limit: number): Promise<Result<void, RefusalError>> {
+    const known = await store.read(id)
+    if (known.isErr()) return err(unreadable(known.error))
+    if (known.value !== undefined) return ok(undefined)
+    log.info({ job: id, tokens, limit }, 'job refused: too many tokens wait')
+    return err(new RefusalError('accountLimit', { retryAfterMs: QUOTA_RETRY_MS }))
+  }
+
   function unstored (id: string, cause: PlatformError): RefusalError {
     const mayExist = cause instanceof PlatformUnavailable && cause.maybeApplied
     log.warn({ job: id, mayExist, cause: cause.message }, 'job could not be stored')
--- a/packages/pimentoplank/src/relay/jobs/jobStore.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobStore.ts
@@ -36,6 +36,10 @@
    * @param index - number of segments before it
    */
   writeSegment: (job: string, index: number, results: readonly ItemResult[]) => ResultAsync<ItemResult[], PlatformError>
+  /** Takes back the record of a job that was not acknowledged. */
+  withdraw: (job: string) => ResultAsync<void, PlatformError>
+  /** Removes all that is kept of a job, its record last. */
+  remove: (job: string, record: JobRecord) => ResultAsync<void, PlatformError>
   /** Reads a segment; undefined when there is none. */
   readSegment: (job: string, index: number) => ResultAsync<ItemResult[] | undefined, PlatformError>
 }
@@ -122,6 +126,21 @@
     return parse(resultSegment, found.value).map((segment) => segment.results)
   }
 
+  async function remove (job: string, record: JobRecord): Promise<Result<void, PlatformError>> {
+    for (let index = 0; ; index++) {
+      const segment = await readSegment(job, index)
+      if (segment.isErr()) return err(segment.error)
+      if (segment.value === undefined) break
+      const removed = await platform.remove(JOB_KINDS.results, segmentName(job, index))
+      if (removed.isErr()) return removed
+    }
+    for (let part = 0; part < record.inputParts; part++) {
+      const removed = await platform.remove(JOB_KINDS.input, inputName(job, part))
+      if (removed.isErr()) return removed
+    }
+    return await platform.remove(JOB_KINDS.record, job)
+  }
+
   async function read (job: string): Promise<Result<StoredJob | undefined, PlatformError>> {
     const found = await platform.get(JOB_KINDS.record, job)
     if (found.isErr()) return err(found.error)
@@ -136,6 +155,8 @@
     list: () => new ResultAsync(list()),
     update: (job, record, revision) => platform.put(JOB_KINDS.record, job, record, { ifRevision: revision })
       .map((object) => ({ record, revision: object.revision })),
+    withdraw: (job) => platform.remove(JOB_KINDS.record, job),
+    remove: (job, record) => new ResultAsync(remove(job, record)),
     readItems: (...args) => new ResultAsync(readItems(...args)),
     writeSegment: (...args) => new ResultAsync(writeSegment(...args)),
     readSegment: (...args) => new ResultAsync(readSegment(...args))
--- /dev/null
+++ b/packages/pimentoplank/src/relay/jobs/quota.ts
@@ -0,0 +1,109 @@
+/** Keeps the tokens that wait on a route within its limit, over all instances. */
+import { err, ok, type Result } from 'neverthrow'
+import { hash32, type Clock, type Log, type PlatformError } from '../../shared'
+import { hasRoomForSure, waitingTokens } from '../decisions'
+import type { PeerView } from '../gossip'
+import type { JobBoard } from './jobBoard'
+import type { JobStore, StoredJob } from './jobStore'
+
+export interface Room {
+  fits: boolean
+  /**
+   * Called once the job is stored, before it is acknowledged: settles a race with other instances. False when the job
+   * had to be taken back.
+   */
+  confirm: (job: string, revision: number) => Promise<Result<boolean, PlatformError>>
+}
+
+export interface Quota {
+  /**
+   * Looks whether tokens fit.
+   *
+   * @param route - name of the route
+   * @param tokens - tokens of the job
+   * @param limit - most tokens that may wait; 0 for no limit
+   */
+  reserve: (route: string, tokens: number, limit: number) => Promise<Result<Room, PlatformError>>
+}
+
+export interface QuotaOptions {
+  self: string
+  board: JobBoard
+  store: JobStore
+  peers: () => readonly PeerView[]
+  clock: Clock
+  log: Log
+}
+
+const NO_LIMIT = 0
+const CONFIRMED: Room = { fits: true, confirm: async () => ok(true) }
+const REFUSED: Room = { fits: false, confirm: async () => ok(false) }
+
+/** Tokens of the items without a result of each job of this instance, by hash of the job's id. */
+export function openTokens (board: JobBoard): Map<number, number> {
+  const open = new Map<number, number>()
+  for (const job of board.owned()) {
+    if (!job.isEnded() && job.open().size > 0) open.set(hash32(job.id), job.openTokens())
+  }
+  return open
+}
+
+/** Creates the quota of an instance. */
+export function createQuota ({ self, board, store, peers, clock, log }: QuotaOptions): Quota {
+  function reportedTokens (): number {
+    const own = [...openTokens(board).values()]
+    const others = peers().flatMap(({ report }) => [...report.openJobs.values()])
+    return [...own, ...others].reduce((sum, tokens) => sum + tokens, 0)
+  }
+
+  /** Counts from the records; what instances report of a job makes it exact. */
+  async function countedTokens (
+    route: string,
+    isCounted: (job: StoredJob) => boolean
+  ): Promise<Result<number, PlatformError>> {
+    const jobs = await store.list()
+    if (jobs.isErr()) return err(jobs.error)
+    const reports = new Map(peers().map(({ report }) => [report.instance, report.openJobs]))
+    reports.set(self, openTokens(board))
+    const now = clock.wallTime()
+    return ok(waitingTokens([...jobs.value]
+      .filter(([, { record }]) => record.route === route && !record.ended && !record.finished)
+      .filter(([, job]) => isCounted(job))
+      .map(([id, { record }]) => ({
+        tokens: record.tokens,
+        ageMs: now - record.submittedAt,
+        isOwnerHeard: reports.has(record.owner),
+        reported: reports.get(record.owner)?.get(hash32(id))
+      }))))
+  }
+
+  /**
+   * Jobs that were stored at the same moment count in the order of the store's revisions, which is the same for every
+   * instance: the first ones that fit stay.
+   */
+  async function confirm (
+    route: string,
+    limit: number,
+    job: string,
+    revision: number
+  ): Promise<Result<boolean, PlatformError>> {
+    const isEarlier = (other: StoredJob): boolean => other.revision <= revision || other.record.epoch > 1
+    const counted = await countedTokens(route, isEarlier)
+    if (counted.isErr()) return err(counted.error)
+    if (counted.value <= limit) return ok(true)
+    log.info({ job, route, counted: counted.value, limit }, 'job taken back: others came first')
+    return (await store.withdraw(job)).map(() => false)
+  }
+
+  async function reserve (route: string, tokens: number, limit: number): Promise<Result<Room, PlatformError>> {
+    const instances = peers().length + 1
+    const isSure = limit === NO_LIMIT || hasRoomForSure({ reported: reportedTokens(), tokens, limit, instances })
+    if (isSure) return ok(CONFIRMED)
+    const counted = await countedTokens(route, () => true)
+    if (counted.isErr()) return err(counted.error)
+    if (counted.value + tokens > limit) return ok(REFUSED)
+    return ok({ fits: true, confirm: async (job, revision) => await confirm(route, limit, job, revision) })
+  }
+
+  return { reserve }
+}
