Settle submissions whose answers were lost; ask the platform less

The instance now looks until a late write can't come any more, and works on the job. Inputs carry their number of parts, so that a body needs one read, kept afterwards; the second look after a start is left out where the first found nothing open; results wait up to 2.5 s to be stored together. Peers are polled each second, so that an instance sees within 4 s that none of them hears the platform, and watches it itself.

--- a/packages/pimentoplank/src/relay/constants.ts
+++ b/packages/pimentoplank/src/relay/constants.ts
@@ -1,4 +1,5 @@
 /** Times and limits of the relay that no setting changes. */
+import type { FeedTimings } from '../shared'
 
 /** Least time between two datagrams to a peer, in milliseconds; replays show what an older view costs. */
 export const REPORT_GAP_MS = 10
@@ -28,9 +29,14 @@
 export const DIRECTORY_MAX_ADDRESSES = 64
 /** How long peers are told of a change of a job, in milliseconds. */
 export const JOB_NOTICE_MS = 5000
-/** How long the platform may hold a watch, in milliseconds; with the margin, less than an outage is forgiven for. */
-export const WATCH_WAIT_MS = 2000
-/** How much longer the answer to a watch may take before its connection is taken for silent, in milliseconds. */
-export const WATCH_MARGIN_MS = 700
-/** Longest pause between two tries at a platform that does not answer, in milliseconds. */
-export const WATCH_MAX_PAUSE_MS = 500
+/** Times of following the platform, in milliseconds. */
+export const FEED_TIMINGS: FeedTimings = {
+  // With its margin a watch is shorter than an outage of the platform is forgiven for.
+  watchWaitMs: 2000,
+  watchMarginMs: 700,
+  pollWaitMs: 1000,
+  pollMarginMs: 500,
+  // Longer than a watch and a poll together, so that it is passed only when no peer hears of the platform.
+  staleAfterMs: 4000,
+  maxPauseMs: 500
+}
--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -8,9 +8,9 @@
 import { createStopper } from '../entry/stopping'
 import { createDirectory, createRelayHandler, type CallerProtocol, type Directory, type RelayHandler } from './callers'
 import {
-  CRASH_KEEP_MS, CRASH_LIMIT, DIRECTORY_MAX_AGE_MS, DIRECTORY_OVERSTAY, JOB_NOTICE_MS, PEER_SILENT_MS,
+  CRASH_KEEP_MS, CRASH_LIMIT, DIRECTORY_MAX_AGE_MS, DIRECTORY_OVERSTAY, FEED_TIMINGS, JOB_NOTICE_MS, PEER_SILENT_MS,
   REMOVAL_GRACE_SHARE, REPORT_GAP_MS, REPORT_HEARTBEAT_MS, TARGET_CONNECT_TIMEOUT_MS, TARGET_KEEP_IDLE_MS,
-  TARGET_SUSPECT_MS, TICK_MS, WATCH_MARGIN_MS, WATCH_MAX_PAUSE_MS, WATCH_WAIT_MS
+  TARGET_SUSPECT_MS, TICK_MS
 } from './constants'
 import { createExchange, createTargetConnections } from './exchange'
 import { startGossip, type Gossip, type OwnReport, type PeerView, type Stage } from './gossip'
@@ -242,7 +242,7 @@
       seeds: settings.seeds,
       members: membersOf(gossip),
       holdersPerDomain: 1,
-      timings: { watchWaitMs: WATCH_WAIT_MS, watchMarginMs: WATCH_MARGIN_MS, maxPauseMs: WATCH_MAX_PAUSE_MS },
+      timings: FEED_TIMINGS,
       isPlatformCurrent: true,
       clock,
       random,
--- a/packages/pimentoplank/src/relay/jobs/jobCalls.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobCalls.ts
@@ -3,7 +3,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import { createClient, type Client } from '@connectrpc/connect'
 import {
-  JobService, PlatformConflict, PlatformRejected, PlatformUnavailable, RefusalError,
+  describeCause, JobService, PlatformConflict, PlatformRejected, PlatformUnavailable, RefusalError,
   type Clock, type Log, type Metrics, type PeerTransports, type PlatformError
 } from '../../shared'
 import type { PeerView } from '../gossip'
@@ -69,6 +69,7 @@
 const QUOTA_RETRY_MS = 2000
 const PLATFORM_RETRY_MS = 1000
 const CACHED_JOBS = 200
+const CACHED_INPUTS = 50
 
 interface Cached {
   record: JobRecord
@@ -81,6 +82,7 @@
   const { self, board, keeper, store, clock, log } = options
   const clients = new Map<string, Client<typeof JobService>>()
   const cache = new LRUCache<string, Cached>({ max: CACHED_JOBS })
+  const inputs = new LRUCache<string, readonly JobItem[]>({ max: CACHED_INPUTS })
 
   function clientOf (address: string): Client<typeof JobService> {
     let client = clients.get(address)
@@ -140,6 +142,7 @@
   function unstored (id: string, cause: PlatformError): RefusalError {
     const mayExist = cause instanceof PlatformUnavailable && cause.maybeApplied
     log.warn({ job: id, mayExist, cause: cause.message }, 'job could not be stored')
+    if (mayExist) keeper.settle(id).catch((error: unknown) => log.error({ job: id, cause: describeCause(error) }, 'job not settled'))
     const retryAfterMs = PLATFORM_RETRY_MS
     return new RefusalError('platformDown', { outcome: mayExist ? 'unknown' : 'not_run', retryAfterMs, cause })
   }
@@ -226,14 +229,23 @@
     return ok({ total: record.total, results: cutPage(cached.results, after) })
   }
 
+  /** Input never changes, so what was read once is kept. */
+  async function readItems (id: string): Promise<Result<readonly JobItem[], RefusalError>> {
+    const cached = inputs.get(id)
+    if (cached !== undefined) return ok(cached)
+    const items = await store.readItems(id)
+    if (items.isErr()) return err(unreadable(items.error))
+    if (items.value === undefined) return err(new RefusalError('notFound', { detail: `no job ${id} exists` }))
+    inputs.set(id, items.value)
+    return ok(items.value)
+  }
+
   async function body (id: string, item: string): Promise<Result<Uint8Array, RefusalError>> {
     const own = board.get(id)?.item(item)
     if (own !== undefined) return ok(Buffer.from(own.body, 'base64'))
-    const stored = await readStored(id)
-    if (stored.isErr()) return err(stored.error)
-    const items = await store.readItems(id, stored.value.record.inputParts)
-    if (items.isErr()) return err(unreadable(items.error))
-    const found = items.value?.find((one) => one.id === item)
+    const items = await readItems(id)
+    if (items.isErr()) return err(items.error)
+    const found = items.value.find((one) => one.id === item)
     if (found === undefined) return err(new RefusalError('notFound', { detail: `no item ${item} in job ${id}` }))
     return ok(Buffer.from(found.body, 'base64'))
   }
--- a/packages/pimentoplank/src/relay/jobs/jobKeeper.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobKeeper.ts
@@ -53,6 +53,8 @@
     progress?: ReadonlyMap<string, Partial<ItemProgress>>,
     results?: readonly ItemResult[]
   ) => Promise<boolean>
+  /** Finds out whether a job was stored whose submission got no answer, and works on it then. */
+  settle: (job: string) => Promise<void>
   /** Takes over the jobs of instances that are gone. */
   adoptFrom: (owner: string) => Promise<void>
   /** Looks for jobs of this instance's earlier life, and of others that did not come back. */
@@ -65,6 +67,8 @@
 }
 
 const FIRST_PAUSE_MS = 50
+/** A write whose answer was lost may still be done after this time, in milliseconds. */
+const LATE_WRITE_MS = 8000
 /** Pause before the record of a finished job is brought up to date, in milliseconds. */
 const FINISH_NOTE_DELAY_MS = 1000
 
@@ -223,7 +227,7 @@
       board.learn(id, { owner: record.owner, epoch: record.epoch, ended: record.ended })
       return ok(undefined)
     }
-    const items = await store.readItems(id, record.inputParts)
+    const items = await store.readItems(id)
     if (items.isErr()) return err(items.error)
     // A job without its whole input was never acknowledged; its caller sends it again.
     if (items.value === undefined) return ok(undefined)
@@ -241,16 +245,19 @@
     return ok(open(id, taken.value, items.value, segments))
   }
 
-  async function adoptAll (isWanted: (record: JobRecord) => boolean): Promise<void> {
+  /** Takes over the open jobs that are wanted; returns how many others are open. */
+  async function adoptAll (isWanted: (record: JobRecord) => boolean): Promise<number> {
     for (let failures = 1; !closing.signal.aborted && !options.isLeaving(); failures++) {
       const jobs = await store.list()
       if (jobs.isOk()) {
-        const wanted = [...jobs.value].filter(([, { record }]) => !record.finished && !record.ended && isWanted(record))
+        const open = [...jobs.value].filter(([, { record }]) => !record.finished && !record.ended)
+        const wanted = open.filter(([, { record }]) => isWanted(record))
         const taken = await Promise.all(wanted.map(async ([id]) => await takeOver(id)))
-        if (taken.every((one) => one)) return
+        if (taken.every((one) => one)) return open.length - wanted.length
       }
       await clock.sleep(pauseMs(failures), closing.signal)
     }
+    return 0
   }
 
   function isAlive (instance: string): boolean {
@@ -268,12 +275,25 @@
     noteFinished,
     end,
     takeOver,
+    settle: async (id) => {
+      const until = clock.now() + LATE_WRITE_MS
+      const isOver = (): boolean => clock.now() > until || closing.signal.aborted || board.get(id) !== undefined
+      for (let failures = 1; !isOver(); failures++) {
+        await clock.sleep(pauseMs(failures), closing.signal)
+        const found = await store.read(id)
+        if (found.isErr() || found.value === undefined) continue
+        if (found.value.record.owner === self) await takeOver(id)
+        return
+      }
+    },
     adoptFrom: async (owner) => {
       if (!isSuccessorOf(owner)) return
       await adoptAll((record) => record.owner === owner && !isAlive(owner))
     },
     recover: async () => {
-      await adoptAll((record) => record.owner === self)
+      const others = await adoptAll((record) => record.owner === self)
+      // Owners that start at the same time may not be heard yet.
+      if (others === 0) return
       await clock.sleep(rules.settleMs, closing.signal)
       await adoptAll((record) => record.owner === self || (!isAlive(record.owner) && isSuccessorOf(record.owner)))
     },
--- a/packages/pimentoplank/src/relay/jobs/jobStore.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobStore.ts
@@ -29,7 +29,7 @@
   /** Changes a record on condition of its revision. */
   update: (job: string, record: JobRecord, revision: number) => ResultAsync<StoredJob, PlatformError>
   /** Items of a job; undefined while its input is not there. */
-  readItems: (job: string, parts: number) => ResultAsync<JobItem[] | undefined, PlatformError>
+  readItems: (job: string) => ResultAsync<JobItem[] | undefined, PlatformError>
   /**
    * Writes a segment. When another owner wrote it first, the answer holds what stands there instead.
    *
@@ -70,8 +70,9 @@
     record: JobRecord,
     items: readonly JobItem[]
   ): Promise<Result<StoredJob & { created: boolean }, PlatformError>> {
-    const writes = splitItems(items).map(async (part, index) =>
-      await createOnce(platform, JOB_KINDS.input, inputName(job, index), { items: part }))
+    const parts = splitItems(items)
+    const writes = parts.map(async (part, index) =>
+      await createOnce(platform, JOB_KINDS.input, inputName(job, index), { items: part, parts: parts.length }))
     const [recorded, ...inputs] = await Promise.all([
       platform.put(JOB_KINDS.record, job, record, { ifRevision: 0 }), ...writes
     ])
@@ -94,8 +95,9 @@
     return ok(jobs)
   }
 
-  async function readItems (job: string, parts: number): Promise<Result<JobItem[] | undefined, PlatformError>> {
+  async function readItems (job: string): Promise<Result<JobItem[] | undefined, PlatformError>> {
     const items: JobItem[] = []
+    let parts = 1
     for (let part = 0; part < parts; part++) {
       const found = await platform.get(JOB_KINDS.input, inputName(job, part))
       if (found.isErr()) return err(found.error)
@@ -103,6 +105,7 @@
       const input = parse(jobInput, found.value)
       if (input.isErr()) return err(input.error)
       items.push(...input.value.items)
+      parts = input.value.parts
     }
     return ok(items)
   }
--- a/packages/pimentoplank/src/relay/jobs/records.ts
+++ b/packages/pimentoplank/src/relay/jobs/records.ts
@@ -41,7 +41,11 @@
 })
 export type JobItem = z.infer<typeof jobItem>
 
-export const jobInput = z.object({ items: z.array(jobItem) })
+export const jobInput = z.object({
+  items: z.array(jobItem),
+  /** Objects that hold the input of the job. */
+  parts: z.int().min(1)
+})
 export type JobInput = z.infer<typeof jobInput>
 
 export const itemResult = z.object({
--- a/packages/pimentoplank/src/relay/rules.ts
+++ b/packages/pimentoplank/src/relay/rules.ts
@@ -23,7 +23,7 @@
 
 /** Rules of storing results and taking jobs over. */
 const jobs: Omit<JobKeeperRules, 'keepMs'> = {
-  storeDelayMs: 1500,
+  storeDelayMs: 2500,
   dueSoonMs: 1000,
   maxPauseMs: 1000,
   settleMs: 3000
