Leave failing targets out for longer each time; refuse content that takes targets down

Now: content counts the targets that broke off as they began it, over all instances, and is refused after three, with 502, since the platform takes a 4xx for the caller's fault; each failure leaves a target out, twice as long as the one before; a stale connection shortens the rest of all for 10 s. Suspects get a probe where nothing else takes a request that may run again. Not measured yet.

--- a/packages/pimentoplank/src/relay/callers/directory.ts
+++ b/packages/pimentoplank/src/relay/callers/directory.ts
@@ -1,5 +1,5 @@
 /** Which instances callers may use. */
-import { DIRECTORY_MAX_ADDRESSES, DIRECTORY_MAX_AGE_MS } from '../constants'
+import { DIRECTORY_MAX_ADDRESSES, DIRECTORY_MAX_AGE_MS, ENOUGH_NEAR_INSTANCES } from '../constants'
 import type { PeerView, Stage } from '../gossip'
 
 export interface DirectoryAnswer {
@@ -17,7 +17,7 @@
 
 export interface Directory {
   /**
-   * Names instances that serve, nearest first.
+   * Names instances that serve, nearest first; where enough are near, only those, since callers choose any of them.
    *
    * @param failureDomain - failure domain of the caller
    */
@@ -50,8 +50,9 @@
       const usable = all.filter((entry) => entry.stage === stage)
       const near = usable.filter((entry) => entry.failureDomain === failureDomain)
       const far = usable.filter((entry) => entry.failureDomain !== failureDomain)
+      const named = near.length >= ENOUGH_NEAR_INSTANCES ? near : [...near, ...far]
       return {
-        addresses: [...near, ...far].map(({ address }) => address).slice(0, DIRECTORY_MAX_ADDRESSES),
+        addresses: named.map(({ address }) => address).slice(0, DIRECTORY_MAX_ADDRESSES),
         maxAgeMs: Math.min(maxAgeMs, DIRECTORY_MAX_AGE_MS)
       }
     }
--- a/packages/pimentoplank/src/relay/constants.ts
+++ b/packages/pimentoplank/src/relay/constants.ts
@@ -7,18 +7,22 @@
 export const REPORT_HEARTBEAT_MS = 300
 /** A peer that missed several heartbeats counts as gone, in milliseconds. */
 export const PEER_SILENT_MS = 1500
+/** Most peers that are told of each change of the load; a deployment of a dozen instances hears all of it. */
+export const MAX_CLOSE_PEERS = 16
+/** How many times as seldom instances of other failure domains are told in larger deployments. */
+export const FAR_REPORT_FACTOR = 3
+/** Callers are sent to their own failure domain only where at least so many instances serve there. */
+export const ENOUGH_NEAR_INSTANCES = 4
 /** How often work that depends on time is looked at, in milliseconds. */
 export const TICK_MS = 50
-/** How long a target stays suspect after it went silent, in milliseconds. */
-export const TARGET_SUSPECT_MS = 1000
 /** Share of the drain bound for which targets whose entries lapsed together are still used. */
 export const REMOVAL_GRACE_SHARE = 0.8
 /** Limit for a connection to a target, in milliseconds; a few round trips within a region. */
 export const TARGET_CONNECT_TIMEOUT_MS = 250
 /** Unused connections to targets are closed after this time, in milliseconds. */
 export const TARGET_KEEP_IDLE_MS = 3000
-/** Crashes of targets after which their common request is refused. */
-export const CRASH_LIMIT = 2
+/** Targets that have to break off on the same content before it is refused; the platform allows for three. */
+export const CRASH_LIMIT = 3
 /** How long such a request is remembered, in milliseconds. */
 export const CRASH_KEEP_MS = 600_000
 /** How long callers may keep the directory's answer, in milliseconds; a stop waits for three times as long. */
--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -8,19 +8,20 @@
 import { createStopper } from '../entry/stopping'
 import { createDirectory, createRelayHandler, type CallerProtocol, type Directory, type RelayHandler } from './callers'
 import {
-  CRASH_KEEP_MS, CRASH_LIMIT, DIRECTORY_MAX_AGE_MS, DIRECTORY_OVERSTAY, FEED_TIMINGS, JOB_NOTICE_MS, PEER_SILENT_MS,
+  CRASH_KEEP_MS, CRASH_LIMIT, DIRECTORY_MAX_AGE_MS, DIRECTORY_OVERSTAY, FAR_REPORT_FACTOR, FEED_TIMINGS, JOB_NOTICE_MS,
+  MAX_CLOSE_PEERS, PEER_SILENT_MS,
   REMOVAL_GRACE_SHARE, REPORT_GAP_MS, REPORT_HEARTBEAT_MS, TARGET_CONNECT_TIMEOUT_MS, TARGET_KEEP_IDLE_MS,
-  TARGET_SUSPECT_MS, TICK_MS
+  TICK_MS
 } from './constants'
 import { createExchange, createTargetConnections } from './exchange'
-import { startGossip, type Gossip, type OwnReport, type PeerView, type Stage } from './gossip'
+import { startGossip, type Gossip, type OwnLoad, type OwnReport, type PeerView, type Stage } from './gossip'
 import {
   createItemRunner, createJobBoard, createJobCalls, createJobCollector, createJobKeeper, createJobService,
   createJobStore, createQuota, handOverJobs, openTokens,
   type JobCalls
 } from './jobs'
 import { createCrashLedger, createSlotDesk, createTargetActivity } from './live'
-import { createLoadView } from './load'
+import { createLoadView, createPeerUses } from './load'
 import type { RelayConfig, Target, TargetProtocol } from './model'
 import { createRouteTable, type RouteTable } from './routing'
 import { RELAY_RULES } from './rules'
@@ -90,8 +91,15 @@
     listen: settings.listen.peers,
     peerAddress,
     seeds: settings.seeds,
-    settings: { minGapMs: REPORT_GAP_MS, heartbeatMs: REPORT_HEARTBEAT_MS, silentAfterMs: PEER_SILENT_MS },
+    settings: {
+      minGapMs: REPORT_GAP_MS,
+      heartbeatMs: REPORT_HEARTBEAT_MS,
+      silentAfterMs: PEER_SILENT_MS,
+      maxClosePeers: MAX_CLOSE_PEERS,
+      farFactor: FAR_REPORT_FACTOR
+    },
     own: ownReport,
+    ownLoad,
     onYield: (key, count) => yieldByKey(key, count),
     clock,
     random,
@@ -108,11 +116,23 @@
     clock,
     log
   })
-  const loads = createLoadView({ targets, peers: gossip.peers, clock, suspectMs: TARGET_SUSPECT_MS })
+  const peerUses = createPeerUses(gossip.peers())
+  gossip.onReport((report, before) => peerUses.replace(before, report))
+  gossip.onGone(({ report }) => peerUses.replace(report, undefined))
+  const loads = createLoadView({
+    targets,
+    peerUses,
+    peers: gossip.peers,
+    isClose: gossip.isClose,
+    rules: RELAY_RULES.suspicion,
+    clock,
+    metrics,
+    log
+  })
   const connections = createTargetConnections({
     settings: { connectTimeoutMs: TARGET_CONNECT_TIMEOUT_MS, keepIdleMs: TARGET_KEEP_IDLE_MS }, clock, metrics
   })
-  const exchange = createExchange(protocols.targets, connections)
+  const exchange = createExchange(protocols.targets, connections, clock)
   const crashes = createCrashLedger({ limit: CRASH_LIMIT, keepMs: CRASH_KEEP_MS, clock })
   const board = createJobBoard({
     self: instance.id, noticeMs: JOB_NOTICE_MS, onNotice: () => gossip.send(), clock
@@ -286,20 +306,20 @@
     return {
       stage: stage(),
       callerAddress,
-      uses: loads.ownUses(),
-      waiting: runner.waiting(),
       jobs: board.notes(),
-      suspects: loads.ownSuspects(),
       crashes: crashes.notes(),
       configRevision: Math.max(0, feed.revision(protocols.config.kind)),
       openJobs: openTokens(board)
     }
   }
 
+  function ownLoad (): OwnLoad {
+    return { uses: loads.ownUses(), waiting: runner.waiting(), suspects: loads.ownSuspects() }
+  }
+
   function yieldByKey (key: number, count: number): void {
-    for (const target of targets.all()) {
-      if (loads.loadOf(target.id)?.key === key) runner.yieldItems(target.id, count)
-    }
+    const load = loads.loadByKey(key)
+    if (load !== undefined) runner.yieldItems(load.target.id, count)
   }
 
   let isPumpDue = false
--- a/packages/pimentoplank/src/relay/decisions/batchShare.ts
+++ b/packages/pimentoplank/src/relay/decisions/batchShare.ts
@@ -18,6 +18,8 @@
   batch: number
   isNear: boolean
   isSuspect: boolean
+  /** False when its load is only known as it was about a second ago. */
+  isFresh: boolean
 }
 
 export interface BatchShareInput<Item extends WaitingItem> {
@@ -39,10 +41,11 @@
 export function chooseStarts<Item extends WaitingItem> (input: BatchShareInput<Item>): Array<BatchStart<Item>> {
   const free = new Map(input.targets
     .filter((target) => !target.isSuspect)
-    .map((target) => [target.id, { near: target.isNear, count: target.slots - target.live - target.batch }]))
+    .map((target) => [target.id, { near: target.isNear, count: freeSlots(target) }]))
   const total = [...free.values()].reduce((sum, { count }) => sum + Math.max(0, count), 0)
   const allowance = total - input.liveReserve
   const starts: Array<BatchStart<Item>> = []
+  if (allowance <= 0) return starts
   for (const item of [...input.own].sort((a, b) => a.dueAt - b.dueAt)) {
     // Items of others that are due earlier come first.
     const ahead = input.others.reduce((sum, { dueAt, count }) => sum + (dueAt < item.dueAt ? count : 0), 0)
@@ -55,6 +58,13 @@
   return starts
 }
 
+/** Slots of a target that may have been taken since its load was last heard. */
+const STALE_MARGIN = 2
+
+function freeSlots ({ slots, live, batch, isFresh }: BatchCapacity): number {
+  return slots - live - batch - (isFresh ? 0 : STALE_MARGIN)
+}
+
 /** Free slots that a target in the same failure domain may have fewer; bytes between failure domains cost. */
 const NEAR_BONUS = 2
 
--- a/packages/pimentoplank/src/relay/decisions/index.ts
+++ b/packages/pimentoplank/src/relay/decisions/index.ts
@@ -10,3 +10,4 @@
 } from './batchShare'
 export { isRepeatable, mayTryAgain, type RetryState, type TryFailure } from './retries'
 export { hasRoomForSure, waitingTokens, type CountedJob } from './quota'
+export { suspectAfterFailure, type FailureRecord, type Suspicion, type SuspicionRules } from './suspicion'
--- a/packages/pimentoplank/src/relay/decisions/placement.ts
+++ b/packages/pimentoplank/src/relay/decisions/placement.ts
@@ -17,8 +17,10 @@
   ownBatch: number
   /** True when it stands in the failure domain of this instance. */
   isNear: boolean
-  /** True when it was found silent or unreachable a short while ago. */
+  /** True when it failed a request a short while ago. */
   isSuspect: boolean
+  /** False when its load is only known as it was about a second ago. */
+  isFresh: boolean
 }
 
 export interface PlacementRules {
@@ -35,6 +37,8 @@
   meanRunMs: number
   /** False for a request that can't be on time any more: it takes only what is free. */
   mayQueue: boolean
+  /** True when the request may run again elsewhere, so that a target that may fail it costs little. */
+  isRepeatable: boolean
 }
 
 export type Placement =
@@ -47,11 +51,47 @@
   /** No target takes it now. */
   | { type: 'wait' }
 
-/** Chooses a target; suspects only where there is no other. */
+/**
+ * Chooses a target. Suspects get what no other target takes, a request or two at a time and only those that may run
+ * again; the answers tell whether they are well. Where every target is suspect, they are used like any.
+ */
 export function choosePlacement (input: PlacementInput, rules: PlacementRules, random: Random): Placement {
-  const { candidates, mayQueue } = input
-  const trusted = candidates.filter((candidate) => !candidate.isSuspect)
-  const pool = trusted.length > 0 ? trusted : candidates
+  const trusted = input.candidates.filter((candidate) => !candidate.isSuspect)
+  if (trusted.length === 0) return chooseAmong(input.candidates, input, rules, random)
+  const placement = chooseAmong(trusted, input, rules, random)
+  if (placement.type !== 'wait' || !input.isRepeatable) return placement
+  const probed = input.candidates.filter((one) => one.isSuspect && one.live < MAX_PROBES && freeSlots(one) > 0)
+  return probed.length === 0 ? placement : { type: 'free', id: pickSpread(preferNear(probed), freeSlots, random).id }
+}
+
+/** Live requests that a suspect target may have. */
+const MAX_PROBES = 2
+
+/** Where only the load of some targets is known as it is, the others take what those can't. */
+function chooseAmong (
+  pool: readonly PlacementCandidate[],
+  input: PlacementInput,
+  rules: PlacementRules,
+  random: Random
+): Placement {
+  const fresh = pool.filter((one) => one.isFresh)
+  if (fresh.length === pool.length || fresh.length === 0) return chooseBest(pool, input, rules, random)
+  const placement = chooseBest(fresh, input, rules, random)
+  if (placement.type !== 'wait' && placement.type !== 'queue') return placement
+  const stale = pool.filter((one) => !one.isFresh && freeSlots(one) >= STALE_MARGIN)
+  return stale.length === 0 ? placement : { type: 'free', id: pickSpread(stale, freeSlots, random).id }
+}
+
+/** Slots of a target that may have been taken since its load was last heard. */
+const STALE_MARGIN = 2
+
+function chooseBest (
+  pool: readonly PlacementCandidate[],
+  input: PlacementInput,
+  rules: PlacementRules,
+  random: Random
+): Placement {
+  const { mayQueue } = input
   const free = pool.filter((one) => freeSlots(one) > 0)
   if (!mayQueue && !hasSurplus(pool, rules)) return { type: 'wait' }
   if (free.length > 0) return { type: 'free', id: pickSpread(preferNear(free), freeSlots, random).id }
--- a/packages/pimentoplank/src/relay/decisions/testing/replay.ts
+++ b/packages/pimentoplank/src/relay/decisions/testing/replay.ts
@@ -118,7 +118,7 @@
 
   function candidates (instance: number): PlacementCandidate[] {
     return usable().map(({ id }) => ({
-      id, slots: pattern.slots, ...uses.view(instance, id, now), isNear: true, isSuspect: false
+      id, slots: pattern.slots, ...uses.view(instance, id, now), isNear: true, isSuspect: false, isFresh: true
     }))
   }
 
@@ -154,7 +154,8 @@
       candidates: candidates(live.instance),
       targetLatencyMs: TARGET_LATENCY_MS,
       meanRunMs: pattern.liveRunMs,
-      mayQueue
+      mayQueue,
+      isRepeatable: true
     }, RELAY_RULES.live, random)
     if (placement.type === 'wait') return false
     if (placement.type === 'yield') takeOff(placement.id, 1)
--- a/packages/pimentoplank/src/relay/exchange/connections.ts
+++ b/packages/pimentoplank/src/relay/exchange/connections.ts
@@ -19,6 +19,8 @@
   socket?: Socket
   /** True when an earlier request was answered on it. */
   isReused: boolean
+  /** How long it was unused before its present request, in milliseconds. */
+  restedMs: number
 }
 
 export interface TargetConnections {
@@ -28,8 +30,8 @@
   keep: (address: string, connection: TargetConnection) => void
   /** Ends a connection. */
   drop: (connection: TargetConnection) => void
-  /** Ends the unused connections to a target, such as one that is gone. */
-  dropIdle: (address: string) => void
+  /** Notes that a kept connection was reset while it was unused; others are kept for less long then, for a while. */
+  noteStale: (connection: TargetConnection) => void
   close: () => void
 }
 
@@ -39,6 +41,12 @@
 }
 
 const NO_LIMIT = 0
+/** A reset after a shorter rest than this says nothing of how long targets keep connections, in milliseconds. */
+const MIN_STALE_REST_MS = 50
+/** Share of a rest that was too long which others may take. */
+const STALE_REST_SHARE = 0.8
+/** How long connections are kept for less long after one was found reset, in milliseconds. */
+const REST_LIMIT_MS = 10_000
 
 /** Creates the connections of an instance. */
 export function createTargetConnections (options: {
@@ -49,6 +57,12 @@
   const { settings, clock, metrics } = options
   const idle = new Map<string, Idle[]>()
   const all = new Set<TargetConnection>()
+  let restLimit: { ms: number, until: number } | undefined
+
+  function longestRestMs (): number {
+    if (restLimit === undefined || restLimit.until <= clock.now()) return settings.keepIdleMs
+    return restLimit.ms
+  }
 
   function make (address: string): TargetConnection {
     metrics.count('targets.connections')
@@ -68,7 +82,8 @@
     const connection: TargetConnection = {
       client,
       marked: (what, handler) => { dispatch(what, handler) },
-      isReused: false
+      isReused: false,
+      restedMs: 0
     }
     client.on('disconnect', () => drop(connection))
     client.on('connectionError', () => drop(connection))
@@ -80,7 +95,8 @@
     const list = idle.get(address) ?? []
     for (let entry = list.pop(); entry !== undefined; entry = list.pop()) {
       const { connection, since } = entry
-      const isFresh = clock.now() - since < settings.keepIdleMs
+      connection.restedMs = clock.now() - since
+      const isFresh = connection.restedMs < longestRestMs()
       if (isFresh && all.has(connection) && connection.socket?.writable === true) {
         connection.isReused = true
         return connection
@@ -104,9 +120,10 @@
       idle.set(address, list)
     },
     drop,
-    dropIdle: (address) => {
-      idle.get(address)?.forEach(({ connection }) => drop(connection))
-      idle.delete(address)
+    noteStale: ({ restedMs }) => {
+      metrics.count('targets.staleConnections')
+      if (restedMs < MIN_STALE_REST_MS) return
+      restLimit = { ms: Math.min(longestRestMs(), restedMs * STALE_REST_SHARE), until: clock.now() + REST_LIMIT_MS }
     },
     close: () => { for (const connection of [...all]) drop(connection) }
   }
--- a/packages/pimentoplank/src/relay/exchange/exchange.ts
+++ b/packages/pimentoplank/src/relay/exchange/exchange.ts
@@ -1,7 +1,7 @@
 /** Sends one request to one target and reads its answer. */
 import { err, ok, type Result } from 'neverthrow'
 import type { Dispatcher } from 'undici'
-import { describeCause, isConnectFailure, type SendMark } from '../../shared'
+import { describeCause, isConnectFailure, type Clock, type SendMark } from '../../shared'
 import type { AnswerHead, RawHeaders, TargetProtocol, TargetSend } from '../model'
 import type { TargetConnection, TargetConnections } from './connections'
 import { createIncoming, type Incoming } from './incoming'
@@ -16,6 +16,8 @@
   | 'otherTarget'
   /** The connection broke before or within the answer. */
   | 'broken'
+  /** A kept connection turned out to be reset as the request was written to it. */
+  | 'staleConnection'
   /** The answer belongs to another request or is no answer. */
   | 'spoiled'
   /** This side ended it. */
@@ -55,7 +57,7 @@
 }
 
 /** Creates the exchange of an instance with its targets. */
-export function createExchange (protocol: TargetProtocol, connections: TargetConnections): Exchange {
+export function createExchange (protocol: TargetProtocol, connections: TargetConnections, clock: Clock): Exchange {
   async function send (what: TargetSend, signal: AbortSignal): Promise<Result<TargetAnswer, SendFailure>> {
     const { request, target } = what
     if (signal.aborted) return err(new SendFailure('aborted', false, 'ended by this side'))
@@ -75,14 +77,16 @@
       body: request.body.length > 0 ? request.body : null,
       mark
     }
+    const sentAt = clock.now()
     connection.marked(options, incoming.handler)
     const started = await incoming.head()
     if (started.isErr()) {
       release()
       connections.drop(connection)
       if (signal.aborted) return err(new SendFailure('aborted', mark.sent, 'ended by this side'))
-      const reason = !mark.sent || isConnectFailure(started.error) ? 'connectFailed' : 'broken'
-      return err(new SendFailure(reason, reason === 'broken', describeCause(started.error)))
+      const reason = breakReason(connection, mark, started.error, clock.now() - sentAt)
+      if (reason === 'staleConnection') connections.noteStale(connection)
+      return err(new SendFailure(reason, reason !== 'connectFailed', describeCause(started.error)))
     }
     const { status, headers } = started.value
     const head = protocol.decodeHead(status, headers)
@@ -127,6 +131,14 @@
   return { send, connections }
 }
 
+/** A kept connection that was reset by its target says so after about one round trip, in milliseconds. */
+const STALE_WITHIN_MS = 25
+
+function breakReason (connection: TargetConnection, mark: SendMark, cause: Error, afterMs: number): SendFailureReason {
+  if (!mark.sent || isConnectFailure(cause)) return 'connectFailed'
+  return connection.isReused && afterMs <= STALE_WITHIN_MS ? 'staleConnection' : 'broken'
+}
+
 /** Reads the rest of a refusal, so that its connection can be kept. */
 async function drain (answer: TargetAnswer): Promise<void> {
   for (;;) {
--- a/packages/pimentoplank/src/relay/gossip/datagrams.ts
+++ b/packages/pimentoplank/src/relay/gossip/datagrams.ts
@@ -1,7 +1,7 @@
 /** Translates between the datagrams of instances and the types used here. */
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf'
 import {
-  DatagramSchema, hash32, InstanceReportSchema, InstanceStage, LoadChangeSchema, YieldRequestSchema,
+  DatagramSchema, InstanceReportSchema, InstanceStage, LoadChangeSchema, YieldRequestSchema,
   type Datagram, type LoadChange
 } from '../../shared'
 import type { CrashNote, JobNote, Report, Stage, TargetUse, WaitingItems } from './types'
@@ -23,7 +23,7 @@
     waiting: report.waiting.map(({ dueAt, count }) => ({ dueInMs: Math.round(dueAt - now), count })),
     knownPeers: [...report.knownPeers],
     jobs: [...report.jobs],
-    crashes: [...report.crashes],
+    crashes: report.crashes.map(({ content, targets }) => ({ content, targets: [...targets] })),
     suspects: [...report.suspects],
     configRevision: BigInt(report.configRevision),
     openJobs: [...report.openJobs].map(([job, tokens]) => ({ job, tokens: BigInt(Math.round(tokens)) }))
@@ -32,16 +32,17 @@
 }
 
 /** Encodes what changes often in a report. */
-export function encodeLoad (report: Report, now: number): Uint8Array {
-  const uses = [...report.uses]
+export function encodeLoad (load: LoadNews, now: number): Uint8Array {
+  const uses = [...load.uses]
   const message = create(LoadChangeSchema, {
-    instance: hash32(report.instance),
-    incarnation: lowBits(report.incarnation),
-    sequence: report.sequence,
+    instance: load.instance,
+    incarnation: load.incarnation,
+    sequence: load.sequence,
     targets: uses.map(([target]) => target),
     live: uses.map(([, { live }]) => live),
     batch: uses.map(([, { batch }]) => batch),
-    waiting: report.waiting.map(({ dueAt, count }) => ({ dueInMs: Math.round(dueAt - now), count }))
+    waiting: load.waiting.map(({ dueAt, count }) => ({ dueInMs: Math.round(dueAt - now), count })),
+    suspects: [...load.suspects]
   })
   return toBinary(DatagramSchema, create(DatagramSchema, { content: { case: 'load', value: message } }))
 }
@@ -63,10 +64,12 @@
 export interface LoadNews {
   /** Hash of the instance's id. */
   instance: number
+  /** Lowest bits of its incarnation. */
   incarnation: number
   sequence: number
   uses: ReadonlyMap<number, TargetUse>
   waiting: readonly WaitingItems[]
+  suspects: ReadonlySet<number>
 }
 
 export type Received =
@@ -103,7 +106,7 @@
       knownPeers: rest.knownPeers,
       jobs: jobs.map(({ job, owner, epoch, ended }): JobNote => ({ job, owner, epoch, ended })),
       suspects: new Set(suspects),
-      crashes: crashes.map(({ content, crashes }): CrashNote => ({ content, crashes })),
+      crashes: crashes.map(({ content, targets }): CrashNote => ({ content, targets })),
       configRevision: Number(rest.configRevision),
       openJobs: new Map(openJobs.map(({ job, tokens }) => [job, Number(tokens)]))
     }
@@ -111,12 +114,13 @@
 }
 
 function readLoad (change: LoadChange, now: number): LoadNews {
-  const { instance, incarnation, sequence, targets, live, batch, waiting } = change
+  const { instance, incarnation, sequence, targets, live, batch, waiting, suspects } = change
   return {
     instance,
     incarnation,
     sequence,
     uses: new Map(targets.map((target, index) => [target, { live: live[index] ?? 0, batch: batch[index] ?? 0 }])),
-    waiting: waiting.map(({ dueInMs, count }) => ({ dueAt: now + dueInMs, count }))
+    waiting: waiting.map(({ dueInMs, count }) => ({ dueAt: now + dueInMs, count })),
+    suspects: new Set(suspects)
   }
 }
--- a/packages/pimentoplank/src/relay/gossip/gossip.ts
+++ b/packages/pimentoplank/src/relay/gossip/gossip.ts
@@ -12,10 +12,20 @@
   heartbeatMs: number
   /** A peer that was not heard for this long counts as gone, in milliseconds. */
   silentAfterMs: number
+  /**
+   * Most peers that are told of each change. Where more are heard, only those in the same failure domain are; the
+   * others are far and get a whole report now and then.
+   */
+  maxClosePeers: number
+  /** How many times as seldom far peers get a report, and as late they count as gone. */
+  farFactor: number
 }
 
 /** The part of a report that the instance fills in. */
-export type OwnReport = Pick<Report, 'stage' | 'callerAddress' | 'uses' | 'waiting' | 'jobs' | 'suspects' | 'crashes' | 'configRevision' | 'openJobs'>
+export type OwnReport = Pick<Report, 'stage' | 'callerAddress' | 'jobs' | 'crashes' | 'configRevision' | 'openJobs'>
+
+/** The part that changes with each request. */
+export type OwnLoad = Pick<Report, 'uses' | 'waiting' | 'suspects'>
 
 export interface GossipOptions {
   instance: { id: string, failureDomain: string, region: string }
@@ -29,6 +39,7 @@
   settings: GossipSettings
   /** The state to report. */
   own: () => OwnReport
+  ownLoad: () => OwnLoad
   /** A peer asks for batch items to be taken off a target. */
   onYield: (target: number, count: number) => void
   clock: Clock
@@ -42,6 +53,8 @@
   start: () => void
   /** Peers that were heard a short while ago, leaving ones included. */
   peers: () => readonly PeerView[]
+  /** True when the instances of a failure domain tell this one of each change. */
+  isClose: (failureDomain: string) => boolean
   /** Milliseconds since an instance was heard; undefined when it never was. */
   silentMs: (instance: string) => number | undefined
   /** Tells peers soon of a change of the load. */
@@ -90,12 +103,16 @@
 function run (socket: Socket, options: GossipOptions): Gossip {
   const { instance, settings, clock, random, metrics, log } = options
   const peers = new Map<string, PeerView>()
+  /** Peers by the hash that load changes name them by. */
+  const idsByHash = new Map<number, string>()
   const introductions = new Map<string, Introduction>()
   const reportListeners: Array<(report: Report, before: Report | undefined) => void> = []
   const goneListeners: Array<(peer: PeerView) => void> = []
+  const ownHash = hash32(instance.id)
   let sequence = 0
   let sentAt = -Infinity
   let reportedAt = -Infinity
+  let farReportedAt = -Infinity
   let timer: NodeJS.Timeout | undefined
   let loadTimer: NodeJS.Timeout | undefined
   let isLoadDue = false
@@ -122,14 +139,14 @@
   }
 
   function takeLoad (load: LoadNews): void {
-    for (const [id, { report }] of peers) {
-      if (hash32(id) !== load.instance || lowBits(report.incarnation) !== load.incarnation) continue
-      if (load.sequence <= report.sequence) return
-      const { sequence, uses, waiting } = load
-      const next = { ...report, sequence, uses, waiting }
-      peers.set(id, { report: next, heardAt: clock.now() })
-      reportListeners.forEach((listener) => listener(next, report))
-    }
+    const id = idsByHash.get(load.instance)
+    const report = id === undefined ? undefined : peers.get(id)?.report
+    if (id === undefined || report === undefined) return
+    if (lowBits(report.incarnation) !== load.incarnation || load.sequence <= report.sequence) return
+    const { sequence, uses, waiting, suspects } = load
+    const next = { ...report, sequence, uses, waiting, suspects }
+    peers.set(id, { report: next, heardAt: clock.now() })
+    reportListeners.forEach((listener) => listener(next, report))
   }
 
   function take (report: Report): void {
@@ -137,6 +154,7 @@
     const known = peers.get(report.instance)
     if (known !== undefined && !isNewer(report, known.report)) return
     peers.set(report.instance, { report, heardAt: clock.now() })
+    idsByHash.set(hash32(report.instance), report.instance)
     introductions.delete(report.peerAddress)
     report.knownPeers.forEach((address) => { if (!isKnown(address)) introduce(address) })
     if (known?.report.incarnation !== report.incarnation || known.report.stage !== report.stage) {
@@ -152,11 +170,21 @@
     return false
   }
 
+  function isClose (failureDomain: string): boolean {
+    return peers.size <= settings.maxClosePeers || failureDomain === instance.failureDomain
+  }
+
+  function isHeard ({ report, heardAt }: PeerView, now: number): boolean {
+    const factor = isClose(report.failureDomain) ? 1 : settings.farFactor
+    return now - heardAt <= settings.silentAfterMs * factor
+  }
+
   function dropSilent (): void {
     const now = clock.now()
     for (const [id, peer] of peers) {
-      if (now - peer.heardAt <= settings.silentAfterMs) continue
+      if (isHeard(peer, now)) continue
       peers.delete(id)
+      idsByHash.delete(hash32(id))
       introduce(peer.report.peerAddress)
       log.warn({ peer: id, silentMs: Math.round(now - peer.heardAt) }, 'peer is silent')
       goneListeners.forEach((listener) => listener(peer))
@@ -177,37 +205,53 @@
     return addresses
   }
 
-  function send (): void {
+  function send (isUrgent = false): void {
     if (!isRunning) return
     dropSilent()
     sentAt = clock.now()
     reportedAt = sentAt
     const bytes = encodeReport(ownReport(), sentAt)
-    newAddresses().concat(peerAddresses()).forEach((address) => sendTo(address, bytes))
+    newAddresses().concat(closeAddresses()).forEach((address) => sendTo(address, bytes))
+    if (isUrgent || sentAt - farReportedAt >= settings.heartbeatMs * (settings.farFactor - 0.5)) {
+      farReportedAt = sentAt
+      farAddresses().forEach((address) => sendTo(address, bytes))
+    }
     schedule(settings.heartbeatMs)
   }
 
   function sendLoad (): void {
     sentAt = clock.now()
-    const bytes = encodeLoad(ownReport(), sentAt)
-    peerAddresses().forEach((address) => sendTo(address, bytes))
+    const sender = { instance: ownHash, incarnation: lowBits(options.incarnation), sequence: ++sequence }
+    const bytes = encodeLoad({ ...options.ownLoad(), ...sender }, sentAt)
+    closeAddresses().forEach((address) => sendTo(address, bytes))
     schedule(Math.max(0, reportedAt + settings.heartbeatMs - sentAt))
   }
 
-  function peerAddresses (): string[] {
-    return [...peers.values()].map(({ report }) => report.peerAddress)
+  function peerAddresses (isWanted: (failureDomain: string) => boolean): string[] {
+    return [...peers.values()]
+      .filter(({ report }) => isWanted(report.failureDomain))
+      .map(({ report }) => report.peerAddress)
+  }
+
+  function closeAddresses (): string[] {
+    return peerAddresses(isClose)
+  }
+
+  function farAddresses (): string[] {
+    return peerAddresses((failureDomain) => !isClose(failureDomain))
   }
 
   function ownReport (): Report {
     return {
       ...options.own(),
+      ...options.ownLoad(),
       peerAddress: options.peerAddress,
       instance: instance.id,
       failureDomain: instance.failureDomain,
       region: instance.region,
       incarnation: options.incarnation,
       sequence: ++sequence,
-      knownPeers: sample(peerAddresses(), KNOWN_PEERS_SENT, random)
+      knownPeers: sample(peerAddresses(() => true), KNOWN_PEERS_SENT, random)
     }
   }
 
@@ -220,7 +264,7 @@
 
   function schedule (ms: number): void {
     clearTimeout(timer)
-    timer = setTimeout(send, ms)
+    timer = setTimeout(() => send(), ms)
   }
 
   function touch (): void {
@@ -237,13 +281,17 @@
       isRunning = true
       schedule(0)
     },
-    peers: () => [...peers.values()].filter((peer) => clock.now() - peer.heardAt <= settings.silentAfterMs),
+    peers: () => {
+      const now = clock.now()
+      return [...peers.values()].filter((peer) => isHeard(peer, now))
+    },
+    isClose,
     silentMs: (id) => {
       const peer = peers.get(id)
       return peer === undefined ? undefined : clock.now() - peer.heardAt
     },
     touch,
-    send,
+    send: () => send(true),
     askToYield: (id, target, count) => {
       const peer = peers.get(id)
       if (peer !== undefined) sendTo(peer.report.peerAddress, encodeYield(target, count))
--- a/packages/pimentoplank/src/relay/gossip/types.ts
+++ b/packages/pimentoplank/src/relay/gossip/types.ts
@@ -26,8 +26,8 @@
 export interface CrashNote {
   /** Hash of path and body. */
   content: bigint
-  /** Targets that ended while they ran it. */
-  crashes: number
+  /** Hashes of the targets that broke off as they began to run it. */
+  targets: readonly number[]
 }
 
 export interface Report {
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.ts
@@ -74,6 +74,11 @@
 /** Most due times in one report. */
 const MAX_DUE_STEPS = 12
 
+/** True for an end that is the target's fault rather than the item's or this side's. */
+function speaksAgainst (end: ItemEnd): boolean {
+  return end.type === 'refused' || (end.type === 'interrupted' && end.isBroken)
+}
+
 /** Creates the runner of an instance. */
 export function createItemRunner (options: ItemRunnerOptions): ItemRunner {
   const { board, loads, rules, clock, random, metrics, log } = options
@@ -109,13 +114,14 @@
     const all = loads.loads(service)
     const slots = all.reduce((sum, { target }) => sum + target.slots, 0)
     const starts = chooseStarts({
-      targets: all.map(({ target, live, batch, isSuspect }) => ({
+      targets: all.map(({ target, live, batch, isSuspect, isFresh }) => ({
         id: target.id,
         slots: target.slots,
         live,
         batch,
         isNear: target.failureDomain === options.failureDomain,
-        isSuspect
+        isSuspect,
+        isFresh
       })),
       own,
       others,
@@ -157,6 +163,7 @@
       signal: stop.signal
     }).then((end) => {
       running.delete(entry)
+      if (speaksAgainst(end)) loads.noteFailure(target.id, `item.${end.type}`)
       progress.target = undefined
       progress.interrupt = undefined
       loads.end(target.id, 'batch')
@@ -201,7 +208,7 @@
   function relieve (): void {
     for (const targetId of new Set([...running].map(({ target }) => target))) {
       const load = loads.loadOf(targetId)
-      if (load === undefined) continue
+      if (load === undefined || load.live + load.batch <= load.target.slots) continue
       const count = chooseRelief({
         self: options.self,
         slots: load.target.slots,
--- a/packages/pimentoplank/src/relay/live/crashLedger.ts
+++ b/packages/pimentoplank/src/relay/live/crashLedger.ts
@@ -1,10 +1,11 @@
-/** Remembers content that targets crashed on, so that it does not take down one after the other. */
-import { hash64, type Clock } from '../../shared'
+/** Remembers content that targets broke off on, so that it does not take down one after the other. */
+import { LRUCache } from 'lru-cache'
+import { hash32, hash64, type Clock } from '../../shared'
 import type { CrashNote } from '../gossip'
-import type { CallerRequest, Target } from '../model'
+import type { CallerRequest } from '../model'
 
 export interface CrashLedgerOptions {
-  /** Crashes after which content is refused. */
+  /** Targets that have to break off before content is refused. */
   limit: number
   /** How long content is remembered after its last crash, in milliseconds. */
   keepMs: number
@@ -12,10 +13,9 @@
 }
 
 export interface CrashLedger {
-  /** Notes that the connection to a target broke while it ran a request. */
-  noteBroken: (target: Target, request: CallerRequest) => void
-  /** Notes that a target was found to have ended; its broken requests count as suspects of the crash. */
-  noteEnded: (targetId: string) => void
+  /** Notes that a target broke off as it began to run a request. */
+  noteBroken: (targetId: string, request: CallerRequest) => void
+  /** True when too many targets broke off on the content of a request. */
   isRefused: (request: CallerRequest) => boolean
   /** What peers are to know. */
   notes: () => CrashNote[]
@@ -23,57 +23,47 @@
 }
 
 interface Entry {
-  crashes: number
+  /** Hashes of the targets. */
+  targets: Set<number>
   at: number
 }
 
-interface Broken {
-  content: bigint
-  at: number
-}
-
-/** Requests whose connection broke within this time of each other broke by the same crash, in milliseconds. */
-const SAME_CRASH_MS = 2000
 /** Most notes in one report. */
 const NOTES_SENT = 16
+/** How long peers are told of an entry after it changed, in milliseconds. */
+const NOTICE_MS = 3000
+/** Most contents that are remembered. */
+const MAX_ENTRIES = 5000
 
 /** Creates the ledger of an instance. */
 export function createCrashLedger ({ limit, keepMs, clock }: CrashLedgerOptions): CrashLedger {
-  const entries = new Map<bigint, Entry>()
-  const broken = new Map<string, Broken[]>()
-
-  function raise (content: bigint, crashes: number): void {
-    const known = entries.get(content)
-    if (known !== undefined && known.crashes >= crashes) return
-    entries.set(content, { crashes, at: clock.now() })
-  }
+  const entries = new LRUCache<bigint, Entry>({ max: MAX_ENTRIES })
 
-  function prune (): void {
-    const since = clock.now() - keepMs
-    for (const [content, { at }] of entries) if (at < since) entries.delete(content)
+  function add (content: bigint, targets: readonly number[]): void {
+    const entry = entries.get(content) ?? { targets: new Set<number>(), at: clock.now() }
+    const before = entry.targets.size
+    targets.forEach((target) => entry.targets.add(target))
+    if (entry.targets.size === before) return
+    entry.at = clock.now()
+    entries.set(content, entry)
   }
 
   return {
-    noteBroken: (target, request) => {
-      const now = clock.now()
-      const list = (broken.get(target.id) ?? []).filter(({ at }) => now - at < SAME_CRASH_MS)
-      list.push({ content: contentOf(request), at: now })
-      broken.set(target.id, list)
-    },
-    noteEnded: (targetId) => {
-      const now = clock.now()
-      for (const { content, at } of broken.get(targetId) ?? []) {
-        if (now - at < SAME_CRASH_MS) raise(content, (entries.get(content)?.crashes ?? 0) + 1)
-      }
-      broken.delete(targetId)
-    },
+    noteBroken: (targetId, request) => add(contentOf(request), [hash32(targetId)]),
     isRefused: (request) => {
       if (entries.size === 0) return false
-      prune()
-      return (entries.get(contentOf(request))?.crashes ?? 0) >= limit
+      const entry = entries.get(contentOf(request))
+      return entry !== undefined && entry.targets.size >= limit && clock.now() - entry.at <= keepMs
+    },
+    notes: () => {
+      const since = clock.now() - NOTICE_MS
+      return [...entries.entries()]
+        .filter(([, { at }]) => at >= since)
+        .sort(([, a], [, b]) => b.targets.size - a.targets.size)
+        .slice(0, NOTES_SENT)
+        .map(([content, { targets }]) => ({ content, targets: [...targets] }))
     },
-    notes: () => [...entries].slice(-NOTES_SENT).map(([content, { crashes }]) => ({ content, crashes })),
-    merge: (notes) => notes.forEach(({ content, crashes }) => raise(content, crashes))
+    merge: (notes) => notes.forEach(({ content, targets }) => add(content, targets))
   }
 }
 
--- a/packages/pimentoplank/src/relay/live/relayRequest.ts
+++ b/packages/pimentoplank/src/relay/live/relayRequest.ts
@@ -58,6 +58,10 @@
 }
 
 const STATUS_SERVER_ERROR = 500
+/** A request that takes its target down does so as it begins to run, before this many events. */
+const BEGINNING_EVENTS = 2
+/** Failures that speak against the target itself. */
+const TARGET_FAULTS: ReadonlySet<SendFailureReason> = new Set(['connectFailed', 'refused', 'broken', 'spoiled'])
 /** A timer for all requests would be longer than any deadline; this is Node's limit, in milliseconds. */
 const MAX_TIMER_MS = 2 ** 31 - 1
 
@@ -80,6 +84,7 @@
         arrivedAt,
         endAt,
         isReturning: call.isReturning,
+        isRepeatable: isRepeatable(route),
         excluded: progress.excluded,
         signal: ended
       })
@@ -149,14 +154,18 @@
   const { request, route } = call
   const { clock, activity } = deps
   const silence = new AbortController()
-  const movable = route.kind === 'stream' && isRepeatable(route) && progress.runs + 1 < route.maxAttempts
-  const watch = activity.watch(slot.target.id, movable
-    ? {
-        firstMs: route.targetLatencyMs * deps.rules.firstEventShare,
-        gapMs: route.targetGapMs * deps.rules.gapShare,
-        onSilent: () => silence.abort()
-      }
-    : undefined)
+  const canMove = isRepeatable(route) && progress.runs + 1 < route.maxAttempts
+  const isMovable = route.kind === 'stream' && canMove
+  const watch = activity.watch(slot.target.id, {
+    firstMs: route.targetLatencyMs * ((isMovable ? deps.rules.firstEventShare : 1) + (slot.placement === 'queue' ? 1 : 0)),
+    gapMs: route.targetGapMs * (isMovable ? deps.rules.gapShare : 1),
+    onSilent: () => {
+      deps.loads.noteFailure(slot.target.id, 'silent')
+      if (isMovable) silence.abort()
+    }
+  })
+  const sentAt = clock.now()
+  let events = 0
   deps.log.info({
     req: request.id,
     target: slot.target.id,
@@ -172,7 +181,7 @@
       lastEventId: progress.lastEventId
     }, AbortSignal.any([ended, silence.signal]))
     if (answer.isErr()) return endOf(answer.error)
-    deps.loads.clear(slot.target.id)
+    if (answer.value.head.status < STATUS_SERVER_ERROR) deps.loads.noteSuccess(slot.target.id, sentAt)
     if (answer.value.head.load !== undefined) deps.loads.noteReported(slot.target.id, answer.value.head.load)
     const end = await passOn(answer.value)
     answer.value.close()
@@ -183,28 +192,24 @@
 
   function endOf (failure: SendFailure): TryEnd {
     if (call.reply.gone.aborted) return { type: 'gone' }
-    if (silence.signal.aborted) {
-      deps.loads.suspect(slot.target.id)
-      return failed('broken', 'the target went silent')
-    }
-    if (failure.reason === 'connectFailed') deps.loads.suspect(slot.target.id)
-    if (failure.reason === 'broken') deps.crashes.noteBroken(slot.target, request)
+    if (silence.signal.aborted) return failed('broken', 'the target went silent')
+    if (failure.reason === 'broken' && events < BEGINNING_EVENTS) deps.crashes.noteBroken(slot.target.id, request)
+    if (TARGET_FAULTS.has(failure.reason)) deps.loads.noteFailure(slot.target.id, failure.reason)
     return { type: 'failed', failure }
   }
 
   async function passOn (answer: TargetAnswer): Promise<TryEnd> {
     const { head } = answer
     const isSuccess = head.status >= 200 && head.status < 300
-    if (isSuccess && !head.isSigned) return failed('spoiled', 'a success without proof')
-    if (head.status >= STATUS_SERVER_ERROR && movableAfterFault()) return failed('broken', `status ${head.status}`)
+    if (isSuccess && !head.isSigned) return endOf(new SendFailure('spoiled', true, 'a success without proof'))
+    if (head.status >= STATUS_SERVER_ERROR) {
+      deps.loads.noteFailure(slot.target.id, 'serverError')
+      if (canMove) return failed('broken', `status ${head.status}`)
+    }
     if (!isSuccess && call.reply.isBegun()) return failed('broken', `status ${head.status}`)
     return route.kind === 'stream' && isSuccess ? await passEvents(answer) : await passBody(answer)
   }
 
-  function movableAfterFault (): boolean {
-    return isRepeatable(route) && progress.runs + 1 < route.maxAttempts
-  }
-
   async function passBody (answer: TargetAnswer): Promise<TryEnd> {
     const { head } = answer
     const isHeld = isRepeatable(route)
@@ -233,7 +238,10 @@
       watch.note()
       for (const event of splitter.push(next.value)) {
         if (isRepeat(event.id)) continue
-        if (isGap(event.id)) return failed('spoiled', `event ${event.id} follows ${progress.lastEventId}`)
+        if (isGap(event.id)) {
+          return endOf(new SendFailure('spoiled', true, `event ${event.id} follows ${progress.lastEventId}`))
+        }
+        events += 1
         await passBytes(answer, event.bytes)
         progress.lastEventId = event.id ?? progress.lastEventId
       }
--- a/packages/pimentoplank/src/relay/live/slotDesk.ts
+++ b/packages/pimentoplank/src/relay/live/slotDesk.ts
@@ -25,6 +25,8 @@
   endAt: number
   /** True when the caller was refused before and came back. */
   isReturning: boolean
+  /** True when the request may run again elsewhere. */
+  isRepeatable: boolean
   /** Targets not to use. */
   excluded: ReadonlySet<string>
   signal: AbortSignal
@@ -85,11 +87,13 @@
         batch: load.batch,
         ownBatch: load.ownBatch,
         isNear: load.target.failureDomain === options.failureDomain,
-        isSuspect: load.isSuspect
+        isSuspect: load.isSuspect,
+        isFresh: load.isFresh
       })),
       targetLatencyMs: ask.route.targetLatencyMs,
       meanRunMs: runEstimate(ask.service),
-      mayQueue
+      mayQueue,
+      isRepeatable: ask.isRepeatable
     }, rules, random)
     if (placement.type === 'wait') return undefined
     const chosen = all.find(({ target }) => target.id === placement.id)!
--- a/packages/pimentoplank/src/relay/live/targetActivity.ts
+++ b/packages/pimentoplank/src/relay/live/targetActivity.ts
@@ -16,8 +16,8 @@
 }
 
 export interface TargetActivity {
-  /** Watches one request at a target; without limits only its bytes are noted. */
-  watch: (targetId: string, limits?: SilenceLimits) => ActivityWatch
+  /** Watches one request at a target; its silence is told once. */
+  watch: (targetId: string, limits: SilenceLimits) => ActivityWatch
 }
 
 /**
@@ -27,24 +27,23 @@
 export function createTargetActivity (clock: Clock): TargetActivity {
   const lastBytesAt = new Map<string, number>()
 
-  function watch (targetId: string, limits?: SilenceLimits): ActivityWatch {
+  function watch (targetId: string, limits: SilenceLimits): ActivityWatch {
     const startedAt = clock.now()
     let ownBytesAt: number | undefined
-    let timer: NodeJS.Timeout | undefined
+    let timer = setTimeout(check, limits.firstMs)
 
     function silentSince (): { since: number, limitMs: number } {
-      if (ownBytesAt !== undefined) return { since: ownBytesAt, limitMs: limits!.gapMs }
-      return { since: Math.max(startedAt, lastBytesAt.get(targetId) ?? 0), limitMs: limits!.firstMs }
+      if (ownBytesAt !== undefined) return { since: ownBytesAt, limitMs: limits.gapMs }
+      return { since: Math.max(startedAt, lastBytesAt.get(targetId) ?? 0), limitMs: limits.firstMs }
     }
 
     function check (): void {
       const { since, limitMs } = silentSince()
       const leftMs = since + limitMs - clock.now()
-      if (leftMs <= 0) limits!.onSilent()
+      if (leftMs <= 0) limits.onSilent()
       else timer = setTimeout(check, leftMs)
     }
 
-    if (limits !== undefined) timer = setTimeout(check, limits.firstMs)
     return {
       note: () => {
         const now = clock.now()
--- a/packages/pimentoplank/src/relay/load/index.ts
+++ b/packages/pimentoplank/src/relay/load/index.ts
@@ -1,1 +1,2 @@
 export { createLoadView, type LoadView, type LoadViewOptions, type TargetLoad, type WorkClass } from './loadView'
+export { createPeerUses, type PeerUses } from './peerUses'
--- a/packages/pimentoplank/src/relay/rules.ts
+++ b/packages/pimentoplank/src/relay/rules.ts
@@ -1,6 +1,6 @@
 /** The figures behind the decisions of folder `decisions`. */
 import type { JobKeeperRules, ItemRunnerRules } from './jobs'
-import type { AdmissionRules, PlacementRules } from './decisions'
+import type { AdmissionRules, PlacementRules, SuspicionRules } from './decisions'
 import type { RelayRules } from './live'
 
 /** Rules of live requests. */
@@ -29,4 +29,11 @@
   settleMs: 3000
 }
 
-export const RELAY_RULES = { live, items, jobs }
+/** Rules of leaving targets out that fail requests. */
+const suspicion: SuspicionRules = {
+  firstMs: 500,
+  longestMs: 6000,
+  memoryMs: 6000
+}
+
+export const RELAY_RULES = { live, items, jobs, suspicion }
