--- /dev/null
+++ b/packages/pimentoplank/src/cli/commands/explain.ts
@@ -0,0 +1,40 @@
+import { command, positional, restPositionals, string } from 'cmd-ts'
+import { err, ok, type Result } from 'neverthrow'
+import { CliError } from '../cliError'
+import { buildStory, readLogLines, type LogLine, type StoryLine } from '../explain'
+import { jsonFlag } from '../options'
+import { runCommand, type Output } from '../runCommand'
+import { renderTable } from '../table'
+
+/** `explain`: tells what happened to a request, a job or an item, from log lines. */
+export const explain = command({
+  name: 'explain',
+  description: 'Tell what happened to a request, a job or an item, from the logs of all instances.',
+  args: {
+    id: positional({ type: string, displayName: 'ID', description: 'Id of a request, a job or an item.' }),
+    files: restPositionals({ type: string, displayName: 'FILE', description: 'Log files; standard input when there are none.' }),
+    json: jsonFlag
+  },
+  handler: async ({ id, files, json }) => await runCommand(async () => await explainId(id, files), json)
+})
+
+async function explainId (id: string, files: string[]): Promise<Result<Output, CliError>> {
+  const lines: LogLine[] = []
+  try {
+    for await (const line of readLogLines(files)) lines.push(line)
+  } catch (cause) {
+    return err(new CliError(`logs cannot be read: ${(cause as Error).message}`))
+  }
+  const story = buildStory(lines, id)
+  if (story.length === 0) return err(new CliError(`no line of ${lines.length} is about ${id}`))
+  const rows = story.map(({ time, instance, event, details, isDirect }) => [
+    time, instance, isDirect ? event : `(${event})`, describe(details)
+  ])
+  return ok({ text: renderTable(['time', 'instance', 'event', 'details'], rows), data: story })
+}
+
+function describe (details: StoryLine['details']): string {
+  return Object.entries(details)
+    .map(([name, value]) => `${name}=${typeof value === 'string' ? value : JSON.stringify(value)}`)
+    .join(' ')
+}
--- a/packages/pimentoplank/src/cli/main.ts
+++ b/packages/pimentoplank/src/cli/main.ts
@@ -5,6 +5,7 @@
 import { check } from './commands/check'
 import { diff } from './commands/diff'
 import { drain } from './commands/drain'
+import { explain } from './commands/explain'
 import { jobs } from './commands/jobs'
 import { key } from './commands/key'
 import { schema } from './commands/schema'
@@ -14,5 +15,5 @@
   name: 'pimentoplank',
   description: 'Operators\' command line. Exit codes: 0 done, 1 failed, 2 wrong usage or settings.',
   version: VERSION,
-  cmds: { apply, cancel, check, diff, drain, jobs, key, schema, status }
+  cmds: { apply, cancel, check, diff, drain, explain, jobs, key, schema, status }
 }))
--- a/packages/pimentoplank/src/shared/feed/platformWatch.ts
+++ b/packages/pimentoplank/src/shared/feed/platformWatch.ts
@@ -68,6 +68,7 @@
     const isKnown = options.state.kind(kind).cursor() !== NOTHING_KNOWN
     const done = isKnown ? await watchOnce(kind, options, failures > 0, signal) : await readKind(kind, options)
     if (done) {
+      if (failures > 0) log.info({ kind, failures }, 'watch answers again')
       failures = 0
       continue
     }
--- /dev/null
+++ b/packages/soak/src/main.ts
@@ -0,0 +1,36 @@
+/** Command line of the soak. */
+import { command, number, option, run, string } from 'cmd-ts'
+import { runSeed } from './runSeed'
+
+const EXIT_FAILED = 1
+const MS_PER_S = 1000
+
+const soak = command({
+  name: 'soak',
+  description: 'Play random faults against instances in separate processes and check every promise. Exit code 1: one was broken.',
+  args: {
+    seed: option({ type: number, long: 'seed', defaultValue: () => Date.now() % 1_000_000, description: 'First seed.' }),
+    seeds: option({ type: number, long: 'seeds', defaultValue: () => 1, description: 'Number of seeds, one after the other.' }),
+    seconds: option({ type: number, long: 'seconds', defaultValue: () => 20, description: 'How long faults come.' }),
+    instances: option({ type: number, long: 'instances', defaultValue: () => 5, description: 'Instances.' }),
+    targets: option({ type: number, long: 'targets', defaultValue: () => 8, description: 'Targets.' }),
+    jobs: option({ type: number, long: 'jobs', defaultValue: () => 1, description: 'Seeds that are played at the same time.' }),
+    folder: option({ type: string, long: 'folder', defaultValue: () => 'reports/soak', description: 'Folder for logs of failed seeds.' })
+  },
+  handler: async ({ seed, seeds, seconds, jobs, ...rest }) => {
+    const left = Array.from({ length: seeds }, (_, index) => seed + index)
+    let failed = 0
+    async function work (): Promise<void> {
+      for (let next = left.shift(); next !== undefined; next = left.shift()) {
+        const outcome = await runSeed({ seed: next, lengthMs: seconds * MS_PER_S, ...rest })
+        if (outcome.broken.length > 0) failed += 1
+        process.stdout.write(`${JSON.stringify(outcome)}\n`)
+      }
+    }
+    await Promise.all(Array.from({ length: jobs }, work))
+    process.stdout.write(`${seeds - failed} passed, ${failed} failed\n`)
+    process.exit(failed > 0 ? EXIT_FAILED : 0)
+  }
+})
+
+await run(soak, process.argv.slice(2))
--- /dev/null
+++ b/packages/soak/src/soakFleet.ts
@@ -0,0 +1,158 @@
+/** The deployment of one run: instances as processes, stand-ins of store and targets, links that faults act on. */
+import { spawn, type ChildProcess } from 'node:child_process'
+import { createWriteStream, mkdirSync, writeFileSync } from 'node:fs'
+import path from 'node:path'
+import { createLink, type Link } from '@pimentoplank/standins'
+import {
+  entryOf, PORTS, settingsText, startReplicaStandin, startStoreStandin, usualConfig,
+  type ReplicaStandin, type StoreStandin
+} from 'pimentoplank-platform/testing'
+
+export interface SoakInstance {
+  id: string
+  ip: string
+  /** Where callers connect. */
+  address: string
+  store: Link
+  child: ChildProcess
+  /** When it was last told to stop; undefined while it serves. */
+  stoppedAt?: number
+  /** True while a fault holds it down or frozen. */
+  isHeld: boolean
+  /** When it was killed, frozen or thawed, wall clock time in milliseconds. */
+  disturbedAt: number[]
+  /** Ends of its processes that no fault asked for. */
+  crashes: string[]
+}
+
+export interface SoakTarget {
+  standin: ReplicaStandin
+  link: Link
+  /** When the store took in that it leaves or is gone. */
+  leftAt?: number
+}
+
+export interface SoakFleet {
+  store: StoreStandin
+  instances: SoakInstance[]
+  /** Every target that ever was; those that left come first. */
+  targets: SoakTarget[]
+  usableTargets: () => SoakTarget[]
+  addTarget: () => Promise<SoakTarget>
+  /** Takes a target out of the store's list. */
+  removeTarget: (target: SoakTarget) => void
+  restart: (instance: SoakInstance) => void
+  /** Writes the next configuration; extra routes tell versions apart. */
+  configure: () => void
+  close: () => Promise<void>
+}
+
+export interface SoakFleetOptions {
+  instances: number
+  targets: number
+  /** Folder for settings and logs. */
+  folder: string
+  /** Tells runs on one machine apart. */
+  run: number
+}
+
+/** Bundle of the real program. */
+const PROGRAM = path.resolve('target/pimentoplank-entry.mjs')
+const HEAP_MB = 160
+const RESTART_MS = 300
+const FAILURE_DOMAINS = ['a', 'b', 'c']
+const TARGET = { slots: 4, events: 12, eventMs: 20 }
+
+/** Starts a deployment; instances become ready on their own. */
+export async function startSoakFleet (options: SoakFleetOptions): Promise<SoakFleet> {
+  mkdirSync(options.folder, { recursive: true })
+  const store = await startStoreStandin()
+  const instances: SoakInstance[] = []
+  const targets: SoakTarget[] = []
+  let version = 0
+  let isClosed = false
+
+  function configure (): void {
+    const config = usualConfig(++version)
+    config.routes.push({ ...config.routes[0], name: `extra-${version}`, path_prefix: `/extra-${version}/` })
+    store.write('config', 'main', config)
+  }
+
+  async function addTarget (): Promise<SoakTarget> {
+    const standin = await startReplicaStandin({ id: `target-${targets.length + 1}`, ...TARGET })
+    const link = await createLink(standin.address)
+    const target = { standin, link }
+    targets.push(target)
+    store.write('servers', standin.id, { ...entryOf(standin), address: link.address })
+    return target
+  }
+
+  function launch (instance: SoakInstance): ChildProcess {
+    const file = path.join(options.folder, `${instance.id}.toml`)
+    const log = createWriteStream(path.join(options.folder, `${instance.id}.log`), { flags: 'a' })
+    const child = spawn(process.execPath, [`--max-old-space-size=${HEAP_MB}`, PROGRAM], {
+      env: { PATH: process.env.PATH, PIMENTOPLANK_SETTINGS: file }, stdio: ['ignore', 'pipe', 'pipe']
+    })
+    child.stdout.pipe(log, { end: false })
+    child.stderr.pipe(log, { end: false })
+    child.once('exit', (code, signal) => {
+      if (isClosed || instance.child !== child) return
+      const isPlanned = instance.stoppedAt !== undefined || signal === 'SIGKILL'
+      if (!isPlanned) instance.crashes.push(`${instance.id} ended by itself: ${code ?? signal}`)
+      if (!instance.isHeld) setTimeout(() => restart(instance), RESTART_MS)
+    })
+    return child
+  }
+
+  function restart (instance: SoakInstance): void {
+    if (isClosed) return
+    instance.isHeld = false
+    instance.stoppedAt = undefined
+    instance.child = launch(instance)
+  }
+
+  async function addInstance (index: number): Promise<void> {
+    const id = `front-${index + 1}`
+    const ip = `127.${100 + options.run % 100}.${1 + Math.floor(options.run / 100) % 250}.${index + 1}`
+    const link = await createLink(store.address)
+    const seeds = instances.slice(0, 3).map((one) => `${one.ip}:${PORTS.peers}`)
+    const zone = FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]!
+    writeFileSync(path.join(options.folder, `${id}.toml`), settingsText({ id, ip, seeds, zone, store: link.address }))
+    const instance: SoakInstance = {
+      id, ip, address: `${ip}:${PORTS.callers}`, store: link, child: undefined as never, isHeld: false, disturbedAt: [], crashes: []
+    }
+    instance.child = launch(instance)
+    instances.push(instance)
+  }
+
+  configure()
+  for (let index = 0; index < options.targets; index++) await addTarget()
+  for (let index = 0; index < options.instances; index++) await addInstance(index)
+
+  return {
+    store,
+    instances,
+    targets,
+    usableTargets: () => targets.filter(({ leftAt }) => leftAt === undefined),
+    addTarget,
+    removeTarget: (target) => {
+      store.remove('servers', target.standin.id)
+      target.leftAt = Date.now()
+    },
+    restart,
+    configure,
+    close: async () => {
+      isClosed = true
+      for (const { child } of instances) {
+        child.kill('SIGCONT')
+        child.kill('SIGKILL')
+      }
+      await Promise.all(targets.map(async ({ standin, link }) => {
+        await standin.crash()
+        await link.close()
+      }))
+      await Promise.all(instances.map(async ({ store: link }) => await link.close()))
+      await store.close()
+    }
+  }
+}
--- a/packages/standins/src/link/link.ts
+++ b/packages/standins/src/link/link.ts
@@ -7,9 +7,14 @@
  * - `open`: they pass
  * - `silent`: they are dropped, and connections stay open; new connections open and stay silent too
  * - `oldSilent`: as `silent` for the connections open at that moment; new ones work
+ * - `oneWay`: bytes from the far end are dropped, those to it pass
+ * - `slow`: bytes pass after a delay
  * - `cut`: connections are reset, new ones are refused by an immediate reset
  */
-export type LinkMode = 'open' | 'silent' | 'oldSilent' | 'cut'
+export type LinkMode = 'open' | 'silent' | 'oldSilent' | 'oneWay' | 'slow' | 'cut'
+
+/** Delay of a slow link, in milliseconds. */
+const SLOW_MS = 150
 
 export interface Link {
   /** IP number and port to connect to in place of the far end. */
@@ -21,10 +26,14 @@
   close: () => Promise<void>
 }
 
+/** One connection; what a mode did to it stays so, since bytes that are lost can't be made up for. */
 interface Pair {
   near: Socket
   far: Socket
   silent: boolean
+  /** Bytes from the far end are dropped. */
+  deaf: boolean
+  slow: boolean
 }
 
 /**
@@ -44,29 +53,38 @@
       return
     }
     const far = connect(farEnd(to))
-    const pair: Pair = { near, far, silent: mode === 'silent' }
+    const pair: Pair = { near, far, silent: false, deaf: false, slow: false }
+    if (mode !== 'oldSilent') applyMode(pair, mode)
     pairs.add(pair)
-    relay(pair, near, far)
-    relay(pair, far, near)
+    relay(pair, near, far, false)
+    relay(pair, far, near, true)
   }
 
-  function relay (pair: Pair, from: Socket, into: Socket): void {
+  function relay (pair: Pair, from: Socket, into: Socket, isFromFar: boolean): void {
     from.on('data', (bytes) => {
       byteCount += bytes.length
-      if (pair.silent) return
+      if (pair.silent || (pair.deaf && isFromFar)) return
+      if (pair.slow) {
+        setTimeout(() => { if (into.writable) into.write(bytes) }, SLOW_MS)
+        return
+      }
       if (into.write(bytes)) return
       from.pause()
       into.once('drain', () => from.resume())
     })
     from.on('end', () => {
-      if (!pair.silent) into.end()
+      if (pair.silent || (pair.deaf && isFromFar)) return
+      if (pair.slow) setTimeout(() => into.end(), SLOW_MS)
+      else into.end()
     })
     sockets.add(from)
     from.on('error', () => undefined)
     from.on('close', () => {
       sockets.delete(from)
       pairs.delete(pair)
-      if (!pair.silent) into.destroy()
+      if (pair.silent) return
+      if (pair.slow) setTimeout(() => into.destroy(), 2 * SLOW_MS)
+      else into.destroy()
     })
   }
 
@@ -104,6 +122,8 @@
 function applyMode (pair: Pair, mode: LinkMode): void {
   // A connection that went silent stays so for good, as after a lost entry in a connection table.
   if (mode === 'silent' || mode === 'oldSilent') pair.silent = true
+  if (mode === 'oneWay') pair.deaf = true
+  if (mode === 'slow') pair.slow = true
   if (mode === 'cut') destroyPair(pair)
 }
 
