Tell a request that waits for a slot from a silent target

An instance of a large fleet sees few requests of each target, so that one without bytes may just wait there. A stream that has begun, or a second request without first bytes within a second, still makes a target suspect; the request itself moves as before.

--- a/packages/pimentoplank/src/relay/live/relayRequest.ts
+++ b/packages/pimentoplank/src/relay/live/relayRequest.ts
@@ -159,8 +159,8 @@
   const watch = activity.watch(slot.target.id, {
     firstMs: route.targetLatencyMs * ((isMovable ? deps.rules.firstEventShare : 1) + (slot.placement === 'queue' ? 1 : 0)),
     gapMs: route.targetGapMs * (isMovable ? deps.rules.gapShare : 1),
-    onSilent: () => {
-      deps.loads.noteFailure(slot.target.id, 'silent')
+    onSilent: (isCertain) => {
+      if (isCertain) deps.loads.noteFailure(slot.target.id, 'silent')
       if (isMovable) silence.abort()
     }
   })
--- /dev/null
+++ b/packages/pimentoplank/src/relay/live/targetActivity.steps.ts
@@ -0,0 +1,46 @@
+import assert from 'node:assert/strict'
+import { Before, Then, When } from '@cucumber/cucumber'
+import { createSystemClock } from '../../shared'
+import { createTargetActivity, type ActivityWatch, type TargetActivity } from './targetActivity'
+
+interface ActivityWorld {
+  activity: TargetActivity
+  isCertain?: boolean
+}
+
+const TARGET = 'target-1'
+const FIRST_MS = 30
+const GAP_MS = 20
+
+Before(function (this: ActivityWorld) {
+  this.activity = createTargetActivity(createSystemClock())
+})
+
+async function untilSilent (world: ActivityWorld, prepare?: (watch: ActivityWatch) => void): Promise<void> {
+  world.isCertain = await new Promise((resolve) => {
+    const watch = world.activity.watch(TARGET, { firstMs: FIRST_MS, gapMs: GAP_MS, onSilent: resolve })
+    prepare?.(watch)
+  })
+}
+
+When('a request waits for its first bytes for too long', async function (this: ActivityWorld) {
+  await untilSilent(this)
+})
+
+When('another request gets bytes', function (this: ActivityWorld) {
+  const watch = this.activity.watch(TARGET, { firstMs: FIRST_MS, gapMs: GAP_MS, onSilent: () => undefined })
+  watch.note()
+  watch.stop()
+})
+
+When('a request gets bytes and then none for too long', async function (this: ActivityWorld) {
+  await untilSilent(this, (watch) => watch.note())
+})
+
+Then('it is told to be silent for certain', function (this: ActivityWorld) {
+  assert.equal(this.isCertain, true)
+})
+
+Then('it is told to be silent, not for certain', function (this: ActivityWorld) {
+  assert.equal(this.isCertain, false)
+})
