Keep a large fleet's messages within its processor time, and its queues within what it knows

Now each change goes to instances of the same failure domain, 60 ms apart; others get a digest of the domain's targets every 250 ms and a whole report every 3.2 s. Queue places: an instance queues at full targets no more than its share of what all may run and queue.

--- a/packages/pimentoplank/src/cli/cli.feature
+++ b/packages/pimentoplank/src/cli/cli.feature
@@ -46,3 +46,14 @@
     Then the command line ends with 1 and says "platform unavailable"
     When the operator runs "drain --config cli.json entry-1"
     Then the command line ends with 1 and says "platform unavailable"
+
+  Scenario: A failed request is explained from the logs of all instances
+    Given an operator's file "a.log" with text '2.5 front-1 {"time":"2026-01-01T00:00:02Z","msg":"try failed","instance":"front-1","req":"r1","target":"t1","reason":"broken"}'
+    And an operator's file "b.log" with text '{"time":"2026-01-01T00:00:01Z","msg":"target is left out","instance":"front-1","target":"t1","reason":"silent"}'
+    And an operator's file "c.log" with text 'no log line'
+    When the operator runs "explain r1 a.log b.log c.log"
+    Then the command line ends with 0 and says "try failed, reason=broken, (target is left out), reason=silent"
+    When the operator runs "explain r2 a.log b.log c.log"
+    Then the command line ends with 1 and says "no line of 2 is about r2"
+    When the operator runs "explain r1 missing.log"
+    Then the command line ends with 1 and says "missing.log"
--- a/packages/pimentoplank/src/relay/constants.ts
+++ b/packages/pimentoplank/src/relay/constants.ts
@@ -1,20 +1,24 @@
 /** Times and limits of the relay that no setting changes. */
 import type { FeedTimings } from '../shared'
+import type { GossipSettings } from './gossip'
 
-/** Least time between two datagrams to a peer, in milliseconds; replays show what an older view costs. */
-export const REPORT_GAP_MS = 10
-/** A report is sent at least this often, in milliseconds. */
-export const REPORT_HEARTBEAT_MS = 300
-/** A peer that missed several heartbeats counts as gone, in milliseconds. */
-export const PEER_SILENT_MS = 1500
-/** Most peers that are told of each change of the load; a deployment of a dozen instances hears all of it. */
-export const MAX_CLOSE_PEERS = 16
-/** How many times as seldom instances of other failure domains are told in larger deployments. */
-export const FAR_REPORT_FACTOR = 3
+/** How instances tell each other of their load and that they live. */
+export const GOSSIP_SETTINGS: GossipSettings = {
+  // A deployment of a dozen instances hears all of each change.
+  maxClosePeers: 16,
+  // Replays show what an older view costs. A silent peer has missed several heartbeats.
+  pace: { minGapMs: 10, heartbeatMs: 300, silentAfterMs: 1500 },
+  // Each datagram costs processor time at a dozen peers.
+  paceOfLargeFleet: { minGapMs: 60, heartbeatMs: 800, silentAfterMs: 2500 },
+  farFactor: 4,
+  digestMs: 250
+}
+/** Instances of a large fleet that send their requests to a target first; others follow when these have no room. */
+export const PREFERRING_INSTANCES = 3
 /** Callers are sent to their own failure domain only where at least so many instances serve there. */
 export const ENOUGH_NEAR_INSTANCES = 4
 /** How often work that depends on time is looked at, in milliseconds. */
-export const TICK_MS = 50
+export const TICK_MS = 100
 /** Share of the drain bound for which targets whose entries lapsed together are still used. */
 export const REMOVAL_GRACE_SHARE = 0.8
 /** Limit for a connection to a target, in milliseconds; a few round trips within a region. */
--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -8,10 +8,8 @@
 import { createStopper } from '../entry/stopping'
 import { createDirectory, createRelayHandler, type CallerProtocol, type Directory, type RelayHandler } from './callers'
 import {
-  CRASH_KEEP_MS, CRASH_LIMIT, DIRECTORY_MAX_AGE_MS, DIRECTORY_OVERSTAY, FAR_REPORT_FACTOR, FEED_TIMINGS, JOB_NOTICE_MS,
-  MAX_CLOSE_PEERS, PEER_SILENT_MS,
-  REMOVAL_GRACE_SHARE, REPORT_GAP_MS, REPORT_HEARTBEAT_MS, TARGET_CONNECT_TIMEOUT_MS, TARGET_KEEP_IDLE_MS,
-  TICK_MS
+  CRASH_KEEP_MS, CRASH_LIMIT, DIRECTORY_MAX_AGE_MS, DIRECTORY_OVERSTAY, FEED_TIMINGS, GOSSIP_SETTINGS, JOB_NOTICE_MS,
+  PREFERRING_INSTANCES, REMOVAL_GRACE_SHARE, TARGET_CONNECT_TIMEOUT_MS, TARGET_KEEP_IDLE_MS, TICK_MS
 } from './constants'
 import { createExchange, createTargetConnections } from './exchange'
 import { startGossip, type Gossip, type OwnLoad, type OwnReport, type PeerView, type Stage } from './gossip'
@@ -21,7 +19,7 @@
   type JobCalls
 } from './jobs'
 import { createCrashLedger, createSlotDesk, createTargetActivity } from './live'
-import { createLoadView, createPeerUses } from './load'
+import { createLoadView, createPeerUses, createPreference } from './load'
 import type { RelayConfig, Target, TargetProtocol } from './model'
 import { createRouteTable, type RouteTable } from './routing'
 import { RELAY_RULES } from './rules'
@@ -91,15 +89,10 @@
     listen: settings.listen.peers,
     peerAddress,
     seeds: settings.seeds,
-    settings: {
-      minGapMs: REPORT_GAP_MS,
-      heartbeatMs: REPORT_HEARTBEAT_MS,
-      silentAfterMs: PEER_SILENT_MS,
-      maxClosePeers: MAX_CLOSE_PEERS,
-      farFactor: FAR_REPORT_FACTOR
-    },
+    settings: GOSSIP_SETTINGS,
     own: ownReport,
     ownLoad,
+    farUses: () => loads.farUses(),
     onYield: (key, count) => yieldByKey(key, count),
     clock,
     random,
@@ -118,12 +111,16 @@
   })
   const peerUses = createPeerUses(gossip.peers())
   gossip.onReport((report, before) => peerUses.replace(before, report))
+  gossip.onDigest(peerUses.replaceDigest)
   gossip.onGone(({ report }) => peerUses.replace(report, undefined))
   const loads = createLoadView({
     targets,
     peerUses,
     peers: gossip.peers,
     isClose: gossip.isClose,
+    isPreferred: createPreference({
+      self: instance, gossip, preferring: PREFERRING_INSTANCES, clock
+    }),
     rules: RELAY_RULES.suspicion,
     clock,
     metrics,
@@ -188,6 +185,8 @@
     gossip,
     yieldOwn: runner.yieldItems,
     failureDomain: instance.failureDomain,
+    sharers: () => 1 + gossip.peers()
+      .filter(({ report }) => report.stage === 'serving' && gossip.isClose(report.failureDomain)).length,
     rules: RELAY_RULES.live,
     clock,
     random,
@@ -339,6 +338,8 @@
   }
 
   function tick (): void {
+    const domains = new Set(gossip.peers().map(({ report }) => report.failureDomain))
+    peerUses.keepDigests((failureDomain) => domains.has(failureDomain) && !gossip.isClose(failureDomain))
     pumpAll()
     keeper.tick()
   }
--- a/packages/pimentoplank/src/relay/decisions/patterns.steps.ts
+++ b/packages/pimentoplank/src/relay/decisions/patterns.steps.ts
@@ -45,6 +45,18 @@
   'a third of the targets gone': { ...USUAL, targetsAt: (ms) => ms >= 8000 && ms < 14_000 ? 5 : 8 },
   'many jobs at once': { ...USUAL, jobs: [...jobs(0.3), ...Array.from({ length: 6 }, () => ({ atMs: 6000, items: 10 }))] },
   'empty targets added under load': { ...USUAL, targetsAt: (ms) => ms < 16_000 ? 6 : 8 },
+  'a large fleet whose steps do not fit': {
+    ...USUAL,
+    instances: 13,
+    targets: 13,
+    slots: 7,
+    lengthMs: 16_000,
+    livePerS: steps(75),
+    jobs: jobs(0.7).filter(({ atMs }) => atMs < 16_000),
+    batchRunMs: 4500,
+    viewAgeMs: 60,
+    preferring: 3
+  },
   'instances that see each other late': { ...USUAL, viewAgeMs: 500 }
 }
 
--- a/packages/pimentoplank/src/relay/decisions/placement.ts
+++ b/packages/pimentoplank/src/relay/decisions/placement.ts
@@ -13,7 +13,8 @@
   slots: number
   live: number
   batch: number
-  /** Batch items of this instance among them. */
+  /** Live requests and batch items of this instance among them. */
+  ownLive: number
   ownBatch: number
   /** True when it stands in the failure domain of this instance. */
   isNear: boolean
@@ -21,6 +22,8 @@
   isSuspect: boolean
   /** False when its load is only known as it was about a second ago. */
   isFresh: boolean
+  /** True when this instance tries it before others. */
+  isPreferred: boolean
 }
 
 export interface PlacementRules {
@@ -33,6 +36,8 @@
 export interface PlacementInput {
   candidates: readonly PlacementCandidate[]
   targetLatencyMs: number
+  /** Instances that send to these targets. */
+  instances: number
   /** Mean time of a request at a target. */
   meanRunMs: number
   /** False for a request that can't be on time any more: it takes only what is free. */
@@ -61,7 +66,7 @@
   const placement = chooseAmong(trusted, input, rules, random)
   if (placement.type !== 'wait' || !input.isRepeatable) return placement
   const probed = input.candidates.filter((one) => one.isSuspect && one.live < MAX_PROBES && freeSlots(one) > 0)
-  return probed.length === 0 ? placement : { type: 'free', id: pickSpread(preferNear(probed), freeSlots, random).id }
+  return probed.length === 0 ? placement : { type: 'free', id: pickSpread(prefer(probed), freeSlots, random).id }
 }
 
 /** Live requests that a suspect target may have. */
@@ -94,20 +99,37 @@
   const { mayQueue } = input
   const free = pool.filter((one) => freeSlots(one) > 0)
   if (!mayQueue && !hasSurplus(pool, rules)) return { type: 'wait' }
-  if (free.length > 0) return { type: 'free', id: pickSpread(preferNear(free), freeSlots, random).id }
+  if (free.length > 0) return { type: 'free', id: pickSpread(prefer(free), freeSlots, random).id }
   const yielding = pool.filter((one) => one.batch > 0 && one.live < one.slots)
   if (yielding.length > 0) {
     const own = yielding.filter((one) => one.ownBatch > 0)
     const roomOf = (one: PlacementCandidate): number => one.slots - one.live
-    return { type: 'yield', id: pickSpread(preferNear(own.length > 0 ? own : yielding), roomOf, random).id }
+    return { type: 'yield', id: pickSpread(prefer(own.length > 0 ? own : yielding), roomOf, random).id }
   }
   if (!mayQueue) return { type: 'wait' }
   const waitMs = input.targetLatencyMs * rules.queueShare
   const queueing = pool.filter((one) => (one.live - one.slots + 1) * input.meanRunMs / one.slots <= waitMs)
   if (queueing.length === 0) return { type: 'wait' }
+  if (isOverShare(pool, input, waitMs, random)) return { type: 'wait' }
   const shortest = Math.min(...queueing.map((one) => one.live - one.slots))
   const best = queueing.filter((one) => one.live - one.slots === shortest)
-  return { type: 'queue', id: pickSpread(preferNear(best), () => 1, random).id }
+  return { type: 'queue', id: pickSpread(prefer(best), () => 1, random).id }
+}
+
+/**
+ * True when this instance has more than its share of what all targets may run and queue. Requests that others have
+ * placed since their load was last heard are bounded so, however old the view is.
+ */
+function isOverShare (
+  pool: readonly PlacementCandidate[],
+  input: PlacementInput,
+  waitMs: number,
+  random: Random
+): boolean {
+  const slots = pool.reduce((sum, one) => sum + one.slots, 0)
+  const own = pool.reduce((sum, one) => sum + one.ownLive, 0)
+  const share = slots * (1 + waitMs / input.meanRunMs) / input.instances
+  return own + random() >= share
 }
 
 function hasSurplus (candidates: readonly PlacementCandidate[], { lateReserveShare }: PlacementRules): boolean {
@@ -121,7 +143,9 @@
   return candidate.slots - candidate.live - candidate.batch
 }
 
-function preferNear<Candidate extends PlacementCandidate> (candidates: Candidate[]): Candidate[] {
+function prefer<Candidate extends PlacementCandidate> (candidates: Candidate[]): Candidate[] {
+  const preferred = candidates.filter((candidate) => candidate.isPreferred)
+  if (preferred.length > 0) return preferred
   const near = candidates.filter((candidate) => candidate.isNear)
   return near.length > 0 ? near : candidates
 }
--- a/packages/pimentoplank/src/relay/decisions/testing/replay.ts
+++ b/packages/pimentoplank/src/relay/decisions/testing/replay.ts
@@ -5,7 +5,7 @@
 import {
   chooseRelief, chooseStarts, chooseYields, choosePlacement, decideAdmission, orderWaiting, type PlacementCandidate
 } from '..'
-import type { Random } from '../../../shared'
+import { rankByRendezvous, type Random } from '../../../shared'
 import { RELAY_RULES } from '../../rules'
 import { boundsOf, type Bounds } from './bounds'
 import { createSeededRandom } from './seededRandom'
@@ -24,6 +24,8 @@
   batchRunMs: number
   /** How old the view of other instances is, in milliseconds. */
   viewAgeMs?: number
+  /** Instances that try each target first; none when absent. */
+  preferring?: number
   /** Targets that are there at a time; all of them when absent. */
   targetsAt?: (ms: number) => number
 }
@@ -116,9 +118,24 @@
     return targets.slice(0, pattern.targetsAt?.(now) ?? targets.length)
   }
 
+  const instanceIds = Array.from({ length: pattern.instances }, (_, instance) => String(instance))
+  const preferences = new Map(targets.map(({ id }) => (
+    [id, rankByRendezvous(id, instanceIds, (one) => one).slice(0, pattern.preferring ?? 0)]
+  )))
+
+  function isPreferred (instance: number, target: string): boolean {
+    return preferences.get(target)!.includes(String(instance))
+  }
+
   function candidates (instance: number): PlacementCandidate[] {
     return usable().map(({ id }) => ({
-      id, slots: pattern.slots, ...uses.view(instance, id, now), isNear: true, isSuspect: false, isFresh: true
+      id,
+      slots: pattern.slots,
+      ...uses.view(instance, id, now),
+      isNear: true,
+      isSuspect: false,
+      isFresh: true,
+      isPreferred: isPreferred(instance, id)
     }))
   }
 
@@ -153,6 +170,7 @@
     const placement = choosePlacement({
       candidates: candidates(live.instance),
       targetLatencyMs: TARGET_LATENCY_MS,
+      instances: pattern.instances,
       meanRunMs: pattern.liveRunMs,
       mayQueue,
       isRepeatable: true
--- a/packages/pimentoplank/src/relay/decisions/testing/targets.ts
+++ b/packages/pimentoplank/src/relay/decisions/testing/targets.ts
@@ -28,6 +28,7 @@
 export interface ReplayView {
   live: number
   batch: number
+  ownLive: number
   ownBatch: number
 }
 
@@ -56,12 +57,14 @@
   return {
     note: (change) => { changes.push(change) },
     view: (instance, target, now) => {
-      const view: ReplayView = { live: 0, batch: 0, ownBatch: 0 }
+      const view: ReplayView = { live: 0, batch: 0, ownLive: 0, ownBatch: 0 }
       for (const change of changes) {
         if (change.target !== target || !isSeen(change, instance, now)) continue
         if (change.isLive) view.live += change.by
         else view.batch += change.by
-        if (!change.isLive && change.instance === instance) view.ownBatch += change.by
+        if (change.instance !== instance) continue
+        if (change.isLive) view.ownLive += change.by
+        else view.ownBatch += change.by
       }
       return view
     },
--- a/packages/pimentoplank/src/relay/gossip/datagrams.ts
+++ b/packages/pimentoplank/src/relay/gossip/datagrams.ts
@@ -1,7 +1,7 @@
 /** Translates between the datagrams of instances and the types used here. */
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf'
 import {
-  DatagramSchema, InstanceReportSchema, InstanceStage, LoadChangeSchema, YieldRequestSchema,
+  DatagramSchema, DomainDigestSchema, InstanceReportSchema, InstanceStage, LoadChangeSchema, YieldRequestSchema,
   type Datagram, type LoadChange
 } from '../../shared'
 import type { CrashNote, JobNote, Report, Stage, TargetUse, WaitingItems } from './types'
@@ -54,6 +54,24 @@
 
 const INCARNATION_MODULUS = 2 ** 32
 
+/** Use of the targets of a failure domain by the instances there. */
+export interface DomainUses {
+  failureDomain: string
+  uses: ReadonlyMap<number, TargetUse>
+}
+
+/** Encodes the use of a failure domain. */
+export function encodeDigest ({ failureDomain, uses }: DomainUses): Uint8Array {
+  const list = [...uses]
+  const message = create(DomainDigestSchema, {
+    failureDomain,
+    targets: list.map(([target]) => target),
+    live: list.map(([, { live }]) => live),
+    batch: list.map(([, { batch }]) => batch)
+  })
+  return toBinary(DatagramSchema, create(DatagramSchema, { content: { case: 'digest', value: message } }))
+}
+
 /** Encodes a request to take batch items off a target. */
 export function encodeYield (target: number, count: number): Uint8Array {
   const message = create(YieldRequestSchema, { target, count })
@@ -75,6 +93,7 @@
 export type Received =
   | { type: 'load', load: LoadNews }
   | { type: 'report', report: Report }
+  | { type: 'digest', digest: DomainUses }
   | { type: 'yield', target: number, count: number }
 
 /** Decodes a datagram; undefined for bytes that are none. */
@@ -87,6 +106,10 @@
   }
   const { content } = datagram
   if (content.case === 'yield') return { type: 'yield', target: content.value.target, count: content.value.count }
+  if (content.case === 'digest') {
+    const { failureDomain, targets, live, batch } = content.value
+    return { type: 'digest', digest: { failureDomain, uses: readUses(targets, live, batch) } }
+  }
   if (content.case === 'load') return { type: 'load', load: readLoad(content.value, now) }
   if (content.case !== 'report') return undefined
   const { uses, waiting, suspects, jobs, crashes, openJobs, ...rest } = content.value
@@ -119,8 +142,16 @@
     instance,
     incarnation,
     sequence,
-    uses: new Map(targets.map((target, index) => [target, { live: live[index] ?? 0, batch: batch[index] ?? 0 }])),
+    uses: readUses(targets, live, batch),
     waiting: waiting.map(({ dueInMs, count }) => ({ dueAt: now + dueInMs, count })),
     suspects: new Set(suspects)
   }
 }
+
+function readUses (
+  targets: readonly number[],
+  live: readonly number[],
+  batch: readonly number[]
+): Map<number, TargetUse> {
+  return new Map(targets.map((target, index) => [target, { live: live[index] ?? 0, batch: batch[index] ?? 0 }]))
+}
--- a/packages/pimentoplank/src/relay/gossip/gossip.ts
+++ b/packages/pimentoplank/src/relay/gossip/gossip.ts
@@ -1,32 +1,29 @@
 /** Sends this instance's report to its peers and keeps theirs. */
 import { createSocket, type Socket } from 'node:dgram'
 import { ResultAsync } from 'neverthrow'
-import { describeCause, hash32, type Clock, type Log, type Metrics, type Random } from '../../shared'
-import { decodeDatagram, encodeLoad, encodeReport, encodeYield, lowBits, type LoadNews } from './datagrams'
+import { describeCause, hash32, rankByRendezvous, type Clock, type Log, type Metrics, type Random } from '../../shared'
+import {
+  decodeDatagram, encodeDigest, encodeLoad, encodeReport, encodeYield, lowBits,
+  type DomainUses, type LoadNews, type Received
+} from './datagrams'
+import type { GossipPace, GossipSettings } from './gossipSettings'
+import { createIntroductions } from './introductions'
 import type { PeerView, Report } from './types'
 
-export interface GossipSettings {
-  /** Least time between two datagrams to a peer, in milliseconds. */
-  minGapMs: number
-  /** A whole report is sent this often, in milliseconds; between them only what changes often. */
-  heartbeatMs: number
-  /** A peer that was not heard for this long counts as gone, in milliseconds. */
-  silentAfterMs: number
-  /**
-   * Most peers that are told of each change. Where more are heard, only those in the same failure domain are; the
-   * others are far and get a whole report now and then.
-   */
-  maxClosePeers: number
-  /** How many times as seldom far peers get a report, and as late they count as gone. */
-  farFactor: number
-}
-
 /** The part of a report that the instance fills in. */
 export type OwnReport = Pick<Report, 'stage' | 'callerAddress' | 'jobs' | 'crashes' | 'configRevision' | 'openJobs'>
 
 /** The part that changes with each request. */
 export type OwnLoad = Pick<Report, 'uses' | 'waiting' | 'suspects'>
 
+/** Uses for instances of other failure domains. */
+export interface FarUses {
+  /** This instance's use of targets outside its failure domain. */
+  own: Report['uses']
+  /** Use of the targets of its failure domain by all instances there. */
+  domain: Report['uses']
+}
+
 export interface GossipOptions {
   instance: { id: string, failureDomain: string, region: string }
   /** Wall clock time of the process start, in milliseconds. */
@@ -40,6 +37,7 @@
   /** The state to report. */
   own: () => OwnReport
   ownLoad: () => OwnLoad
+  farUses: () => FarUses
   /** A peer asks for batch items to be taken off a target. */
   onYield: (target: number, count: number) => void
   clock: Clock
@@ -55,6 +53,8 @@
   peers: () => readonly PeerView[]
   /** True when the instances of a failure domain tell this one of each change. */
   isClose: (failureDomain: string) => boolean
+  /** True where more peers are heard than are told of each change. */
+  isLargeFleet: () => boolean
   /** Milliseconds since an instance was heard; undefined when it never was. */
   silentMs: (instance: string) => number | undefined
   /** Tells peers soon of a change of the load. */
@@ -66,6 +66,8 @@
   introduce: (address: string) => void
   /** Calls the listener after each report of a peer, with the report before it. */
   onReport: (listener: (report: Report, before: Report | undefined) => void) => void
+  /** Calls the listener with the use of the targets of another failure domain. */
+  onDigest: (listener: (digest: DomainUses) => void) => void
   /** Calls the listener when a peer counts as gone. */
   onGone: (listener: (peer: PeerView) => void) => void
   close: () => Promise<void>
@@ -73,15 +75,6 @@
 
 /** Peers named in one report. */
 const KNOWN_PEERS_SENT = 3
-/** An address that never answered is tried this often, in milliseconds. */
-const INTRODUCTION_EVERY_MS = 500
-/** An address from which nothing came for this long is forgotten, in milliseconds. */
-const FORGET_AFTER_MS = 30_000
-
-interface Introduction {
-  since: number
-  sentAt: number
-}
 
 /** Starts the exchange; fails when the address is in use. */
 export function startGossip (options: GossipOptions): ResultAsync<Gossip, Error> {
@@ -105,8 +98,9 @@
   const peers = new Map<string, PeerView>()
   /** Peers by the hash that load changes name them by. */
   const idsByHash = new Map<number, string>()
-  const introductions = new Map<string, Introduction>()
+  const introductions = createIntroductions({ self: options.peerAddress, seeds: options.seeds, clock })
   const reportListeners: Array<(report: Report, before: Report | undefined) => void> = []
+  const digestListeners: Array<(digest: DomainUses) => void> = []
   const goneListeners: Array<(peer: PeerView) => void> = []
   const ownHash = hash32(instance.id)
   let sequence = 0
@@ -114,17 +108,20 @@
   let reportedAt = -Infinity
   let farReportedAt = -Infinity
   let timer: NodeJS.Timeout | undefined
+  let digest = { bytes: Buffer.alloc(0), sentAt: -Infinity }
+  let digestTimer: NodeJS.Timeout | undefined
   let loadTimer: NodeJS.Timeout | undefined
   let isLoadDue = false
   let isRunning = false
 
   socket.on('error', (cause) => log.warn({ cause: describeCause(cause) }, 'datagram socket failed'))
   socket.on('message', (bytes) => receive(bytes))
-  options.seeds.forEach(introduce)
 
-  function introduce (address: string): void {
-    if (address === options.peerAddress || introductions.has(address)) return
-    introductions.set(address, { since: clock.now(), sentAt: -Infinity })
+  const handlers: { [Type in Received['type']]: (received: Extract<Received, { type: Type }>) => void } = {
+    yield: ({ target, count }) => options.onYield(target, count),
+    load: ({ load }) => takeLoad(load),
+    digest: ({ digest: heard }) => digestListeners.forEach((listener) => listener(heard)),
+    report: ({ report }) => take(report)
   }
 
   function receive (bytes: Uint8Array): void {
@@ -133,9 +130,7 @@
       metrics.count('gossip.unreadable')
       return
     }
-    if (received.type === 'yield') options.onYield(received.target, received.count)
-    else if (received.type === 'load') takeLoad(received.load)
-    else take(received.report)
+    handlers[received.type](received as never)
   }
 
   function takeLoad (load: LoadNews): void {
@@ -155,8 +150,8 @@
     if (known !== undefined && !isNewer(report, known.report)) return
     peers.set(report.instance, { report, heardAt: clock.now() })
     idsByHash.set(hash32(report.instance), report.instance)
-    introductions.delete(report.peerAddress)
-    report.knownPeers.forEach((address) => { if (!isKnown(address)) introduce(address) })
+    introductions.remove(report.peerAddress)
+    report.knownPeers.forEach((address) => { if (!isKnown(address)) introductions.add(address) })
     if (known?.report.incarnation !== report.incarnation || known.report.stage !== report.stage) {
       log.info({ peer: report.instance, incarnation: report.incarnation, stage: report.stage }, 'peer heard')
       // A peer that has just started knows nobody.
@@ -171,12 +166,12 @@
   }
 
   function isClose (failureDomain: string): boolean {
-    return peers.size <= settings.maxClosePeers || failureDomain === instance.failureDomain
+    return !isLargeFleet() || failureDomain === instance.failureDomain
   }
 
   function isHeard ({ report, heardAt }: PeerView, now: number): boolean {
     const factor = isClose(report.failureDomain) ? 1 : settings.farFactor
-    return now - heardAt <= settings.silentAfterMs * factor
+    return now - heardAt <= pace().silentAfterMs * factor
   }
 
   function dropSilent (): void {
@@ -185,24 +180,19 @@
       if (isHeard(peer, now)) continue
       peers.delete(id)
       idsByHash.delete(hash32(id))
-      introduce(peer.report.peerAddress)
+      introductions.add(peer.report.peerAddress)
       log.warn({ peer: id, silentMs: Math.round(now - peer.heardAt) }, 'peer is silent')
       goneListeners.forEach((listener) => listener(peer))
     }
-    for (const [address, { since }] of introductions) {
-      if (now - since > FORGET_AFTER_MS && !options.seeds.includes(address)) introductions.delete(address)
-    }
+    introductions.prune()
   }
 
-  function newAddresses (): string[] {
-    const now = clock.now()
-    const addresses: string[] = []
-    for (const [address, introduction] of introductions) {
-      if (now - introduction.sentAt < INTRODUCTION_EVERY_MS) continue
-      introduction.sentAt = now
-      addresses.push(address)
-    }
-    return addresses
+  function isLargeFleet (): boolean {
+    return peers.size > settings.maxClosePeers
+  }
+
+  function pace (): GossipPace {
+    return isLargeFleet() ? settings.paceOfLargeFleet : settings.pace
   }
 
   function send (isUrgent = false): void {
@@ -210,13 +200,37 @@
     dropSilent()
     sentAt = clock.now()
     reportedAt = sentAt
-    const bytes = encodeReport(ownReport(), sentAt)
-    newAddresses().concat(closeAddresses()).forEach((address) => sendTo(address, bytes))
-    if (isUrgent || sentAt - farReportedAt >= settings.heartbeatMs * (settings.farFactor - 0.5)) {
-      farReportedAt = sentAt
-      farAddresses().forEach((address) => sendTo(address, bytes))
-    }
-    schedule(settings.heartbeatMs)
+    const report = ownReport()
+    const bytes = encodeReport(report, sentAt)
+    introductions.due().concat(closeAddresses()).forEach((address) => sendTo(address, bytes))
+    if (isUrgent || sentAt - farReportedAt >= pace().heartbeatMs * settings.farFactor) sendFar(report)
+    schedule(pace().heartbeatMs)
+  }
+
+  /** The use of targets of this failure domain is left out; digests tell of it. */
+  function sendFar (report: Report): void {
+    farReportedAt = sentAt
+    const addresses = farAddresses()
+    if (addresses.length === 0) return
+    const bytes = encodeReport({ ...report, uses: options.farUses().own }, sentAt)
+    addresses.forEach((address) => sendTo(address, bytes))
+  }
+
+  /** Each far peer gets the digest from one instance of this failure domain. */
+  function sendDigest (): void {
+    if (!isRunning || !isLargeFleet()) return
+    const reports = [...peers.values()].map(({ report }) => report)
+    const close = reports.filter(({ failureDomain }) => isClose(failureDomain))
+    const senders = [instance.id, ...close.map((report) => report.instance)]
+    const receivers = reports
+      .filter(({ failureDomain }) => !isClose(failureDomain))
+      .filter((report) => rankByRendezvous(report.instance, senders, (id) => id)[0] === instance.id)
+    if (receivers.length === 0) return
+    const bytes = encodeDigest({ failureDomain: instance.failureDomain, uses: options.farUses().domain })
+    const now = clock.now()
+    if (digest.bytes.equals(bytes) && now - digest.sentAt < pace().heartbeatMs) return
+    digest = { bytes: Buffer.from(bytes), sentAt: now }
+    receivers.forEach(({ peerAddress }) => sendTo(peerAddress, bytes))
   }
 
   function sendLoad (): void {
@@ -224,7 +238,7 @@
     const sender = { instance: ownHash, incarnation: lowBits(options.incarnation), sequence: ++sequence }
     const bytes = encodeLoad({ ...options.ownLoad(), ...sender }, sentAt)
     closeAddresses().forEach((address) => sendTo(address, bytes))
-    schedule(Math.max(0, reportedAt + settings.heartbeatMs - sentAt))
+    schedule(Math.max(0, reportedAt + pace().heartbeatMs - sentAt))
   }
 
   function peerAddresses (isWanted: (failureDomain: string) => boolean): string[] {
@@ -273,19 +287,21 @@
     loadTimer = setTimeout(() => {
       isLoadDue = false
       if (isRunning) sendLoad()
-    }, Math.max(0, sentAt + settings.minGapMs - clock.now()))
+    }, Math.max(0, sentAt + pace().minGapMs - clock.now()))
   }
 
   return {
     start: () => {
       isRunning = true
       schedule(0)
+      digestTimer = setInterval(sendDigest, settings.digestMs)
     },
     peers: () => {
       const now = clock.now()
       return [...peers.values()].filter((peer) => isHeard(peer, now))
     },
     isClose,
+    isLargeFleet,
     silentMs: (id) => {
       const peer = peers.get(id)
       return peer === undefined ? undefined : clock.now() - peer.heardAt
@@ -296,13 +312,15 @@
       const peer = peers.get(id)
       if (peer !== undefined) sendTo(peer.report.peerAddress, encodeYield(target, count))
     },
-    introduce,
+    introduce: introductions.add,
     onReport: (listener) => { reportListeners.push(listener) },
+    onDigest: (listener) => { digestListeners.push(listener) },
     onGone: (listener) => { goneListeners.push(listener) },
     close: async () => {
       isRunning = false
       clearTimeout(timer)
       clearTimeout(loadTimer)
+      clearInterval(digestTimer)
       await new Promise<void>((resolve) => socket.close(() => resolve()))
     }
   }
--- a/packages/pimentoplank/src/relay/gossip/index.ts
+++ b/packages/pimentoplank/src/relay/gossip/index.ts
@@ -1,2 +1,4 @@
-export { startGossip, type Gossip, type GossipOptions, type GossipSettings, type OwnLoad, type OwnReport } from './gossip'
+export type { DomainUses } from './datagrams'
+export { startGossip, type Gossip, type GossipOptions, type FarUses, type OwnLoad, type OwnReport } from './gossip'
 export type { CrashNote, JobNote, PeerView, Report, Stage, TargetUse, WaitingItems } from './types'
+export type { GossipPace, GossipSettings } from './gossipSettings'
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.ts
@@ -104,6 +104,7 @@
     const table = options.table()
     if (table === undefined || options.isPaused()) return
     const ready = readyItems(table)
+    if (ready.length === 0) return
     const others = options.peers().flatMap(({ report }) => report.waiting)
     for (const service of new Set(ready.map((item) => item.service))) {
       startItems(service, ready.filter((item) => item.service === service), others)
--- a/packages/pimentoplank/src/relay/live/relayRequest.ts
+++ b/packages/pimentoplank/src/relay/live/relayRequest.ts
@@ -131,9 +131,10 @@
       ? refusal
       : new RefusalError(refusal.reason, { outcome, detail: refusal.message, cause: refusal })
     metrics.refused(last.reason)
-    if (reply.isBegun()) reply.cut()
+    const cut = reply.isBegun()
+    if (cut) reply.cut()
     else reply.refuse(last)
-    logEnd('failed', { reason: last.reason, ran: outcome, cut: reply.isBegun() })
+    logEnd('failed', { reason: last.reason, ran: outcome, cut })
   }
 
   function logEnd (outcome: string, fields: object = {}): void {
--- a/packages/pimentoplank/src/relay/live/slotDesk.ts
+++ b/packages/pimentoplank/src/relay/live/slotDesk.ts
@@ -45,6 +45,8 @@
   /** Takes batch items of this instance off a target. */
   yieldOwn: (targetId: string, count: number) => void
   failureDomain: string
+  /** Instances that send to the targets whose load is known as it is, this one included. */
+  sharers: () => number
   rules: PlacementRules & AdmissionRules
   clock: Clock
   random: Random
@@ -85,12 +87,15 @@
         slots: load.target.slots,
         live: load.live,
         batch: load.batch,
+        ownLive: load.ownLive,
         ownBatch: load.ownBatch,
         isNear: load.target.failureDomain === options.failureDomain,
         isSuspect: load.isSuspect,
-        isFresh: load.isFresh
+        isFresh: load.isFresh,
+        isPreferred: load.isPreferred
       })),
       targetLatencyMs: ask.route.targetLatencyMs,
+      instances: options.sharers(),
       meanRunMs: runEstimate(ask.service),
       mayQueue,
       isRepeatable: ask.isRepeatable
--- a/packages/pimentoplank/src/relay/load/loadView.ts
+++ b/packages/pimentoplank/src/relay/load/loadView.ts
@@ -2,7 +2,7 @@
 import { LRUCache } from 'lru-cache'
 import { hash32, type Clock, type Log, type Metrics } from '../../shared'
 import { suspectAfterFailure, type FailureRecord, type SuspicionRules } from '../decisions'
-import type { PeerView, TargetUse } from '../gossip'
+import type { FarUses, PeerView, TargetUse } from '../gossip'
 import type { ReportedLoad, Target } from '../model'
 import type { TargetDirectory } from '../targets'
 import type { PeerUses } from './peerUses'
@@ -24,6 +24,8 @@
   isSuspect: boolean
   /** True when the load is as it was some milliseconds ago; that of far targets is about a second old. */
   isFresh: boolean
+  /** True when this instance tries it before others. */
+  isPreferred: boolean
 }
 
 export interface LoadViewOptions {
@@ -33,6 +35,8 @@
   peers: () => readonly PeerView[]
   /** True when the instances of a failure domain tell this one of each change. */
   isClose: (failureDomain: string) => boolean
+  /** True when this instance tries the target before others. */
+  isPreferred: (target: Target) => boolean
   rules: SuspicionRules
   clock: Clock
   metrics: Metrics
@@ -58,6 +62,8 @@
    */
   noteSuccess: (targetId: string, sentAt: number) => void
   ownUses: () => ReadonlyMap<number, TargetUse>
+  /** What instances of other failure domains are told. */
+  farUses: () => FarUses
   ownSuspects: () => ReadonlySet<number>
   /** Notes what a target said of its load. */
   noteReported: (targetId: string, load: ReportedLoad) => void
@@ -129,7 +135,8 @@
       ownLive: mine?.live ?? 0,
       ownBatch: mine?.batch ?? 0,
       isSuspect: isOwnSuspect(target.id) || peerUses.isSuspect(key),
-      isFresh: options.isClose(target.failureDomain)
+      isFresh: options.isClose(target.failureDomain),
+      isPreferred: options.isPreferred(target)
     }
   }
 
@@ -166,6 +173,16 @@
       suspicions.delete(id)
       notify()
     },
+    farUses: () => {
+      const mine = new Map<number, TargetUse>()
+      const domain = new Map<number, TargetUse>()
+      for (const target of targets.all()) {
+        const { key, live, batch, ownLive, ownBatch, isFresh } = loadOf(target)
+        if (isFresh && live + batch > 0) domain.set(key, { live, batch })
+        if (!isFresh && ownLive + ownBatch > 0) mine.set(key, { live: ownLive, batch: ownBatch })
+      }
+      return { own: mine, domain }
+    },
     ownUses: () => new Map([...own.values()].map(({ key, live, batch }) => [key, { live, batch }])),
     ownSuspects: () => {
       const now = clock.now()
--- a/packages/pimentoplank/src/relay/load/peerUses.ts
+++ b/packages/pimentoplank/src/relay/load/peerUses.ts
@@ -1,9 +1,13 @@
 /** Sums what peers report of each target, with each report that comes, so that a reader needs no walk over peers. */
-import type { PeerView, Report, TargetUse } from '../gossip'
+import type { DomainUses, PeerView, Report, TargetUse } from '../gossip'
 
 export interface PeerUses {
   /** Replaces an earlier report of a peer by its next one. */
   replace: (before: Report | undefined, after: Report | undefined) => void
+  /** Replaces the earlier digest of a failure domain. */
+  replaceDigest: (digest: DomainUses) => void
+  /** Forgets the digests of other failure domains than these. */
+  keepDigests: (isKept: (failureDomain: string) => boolean) => void
   /** Requests of all peers at a target. */
   usesOf: (key: number) => TargetUse
   /** True when a peer left the target out a short while ago. */
@@ -12,6 +16,7 @@
   onSuspect: (listener: (key: number) => void) => void
 }
 
+const NOTHING: DomainUses['uses'] = new Map()
 const NO_USE: TargetUse = { live: 0, batch: 0 }
 
 /** Creates the sums, of the peers heard so far. */
@@ -20,8 +25,10 @@
   const suspects = new Map<number, number>()
   const listeners: Array<(key: number) => void> = []
 
-  function addUses (report: Report, sign: 1 | -1): void {
-    for (const [key, { live, batch }] of report.uses) {
+  const digests = new Map<string, DomainUses>()
+
+  function addUses (added: Report['uses'], sign: 1 | -1): void {
+    for (const [key, { live, batch }] of added) {
       const sum = uses.get(key) ?? NO_USE
       const next = { live: sum.live + sign * live, batch: sum.batch + sign * batch }
       if (next.live === 0 && next.batch === 0) uses.delete(key)
@@ -39,11 +46,11 @@
 
   function replace (before: Report | undefined, after: Report | undefined): void {
     if (before !== undefined) {
-      addUses(before, -1)
+      addUses(before.uses, -1)
       addSuspects(before, -1)
     }
     if (after === undefined) return
-    addUses(after, 1)
+    addUses(after.uses, 1)
     addSuspects(after, 1)
     for (const key of after.suspects) {
       if (before?.suspects.has(key) !== true) listeners.forEach((listener) => listener(key))
@@ -54,6 +61,18 @@
 
   return {
     replace,
+    replaceDigest: (digest) => {
+      addUses(digests.get(digest.failureDomain)?.uses ?? NOTHING, -1)
+      digests.set(digest.failureDomain, digest)
+      addUses(digest.uses, 1)
+    },
+    keepDigests: (isKept) => {
+      for (const [failureDomain, { uses: old }] of digests) {
+        if (isKept(failureDomain)) continue
+        addUses(old, -1)
+        digests.delete(failureDomain)
+      }
+    },
     usesOf: (key) => uses.get(key) ?? NO_USE,
     isSuspect: (key) => suspects.has(key),
     onSuspect: (listener) => { listeners.push(listener) }
--- /dev/null
+++ b/packages/soak/features/soak.steps.ts
@@ -0,0 +1,26 @@
+import assert from 'node:assert/strict'
+import { Then, When } from '@cucumber/cucumber'
+import { REGRESSIONS, runSeed, type SeedOutcome } from '../src'
+
+interface SoakWorld {
+  outcomes: SeedOutcome[]
+}
+
+const RUN_TIMEOUT_MS = 600_000
+const MS_PER_S = 1000
+const SIZE = { instances: 4, targets: 6, folder: 'reports/soak' }
+
+When('seed {int} is played for {int} s', { timeout: RUN_TIMEOUT_MS }, async function (this: SoakWorld, seed: number, seconds: number) {
+  this.outcomes = [await runSeed({ seed, lengthMs: seconds * MS_PER_S, ...SIZE })]
+})
+
+When('the seeds that failed before are played', { timeout: RUN_TIMEOUT_MS }, async function (this: SoakWorld) {
+  this.outcomes = []
+  for (const { seed, seconds } of REGRESSIONS) {
+    this.outcomes.push(await runSeed({ seed, lengthMs: seconds * MS_PER_S, ...SIZE }))
+  }
+})
+
+Then('no promise was broken', function (this: SoakWorld) {
+  for (const { seed, broken } of this.outcomes) assert.deepEqual(broken, [], `seed ${seed}`)
+})
--- /dev/null
+++ b/packages/soak/src/index.ts
@@ -0,0 +1,2 @@
+export { REGRESSIONS, type Regression } from './regressions'
+export { runSeed, type SeedOptions, type SeedOutcome } from './runSeed'
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -48,5 +48,5 @@
   }
 }
 for (const { name, entry } of PLATFORM_PROGRAMS) {
-  await bundle(entry, `target/${name}.mjs`, { minifySyntax: true, legalComments: 'none' })
+  await bundle(entry, `target/${name}.mjs`, { minify: true, keepNames: true, legalComments: 'none' })
 }
