Serve items that can still be done when due before those that can't

An item whose remaining slot time no longer fits before it is due now ranks after all others, when it starts, when it gives way and in what peers hear. Remaining time comes from the events and the pace of items finished here.

--- a/packages/pimentoplank/src/relay/decisions/batchShare.ts
+++ b/packages/pimentoplank/src/relay/decisions/batchShare.ts
@@ -7,10 +7,23 @@
 
 export interface WaitingItem {
   job: string
-  /** When the item is due, on the monotonic clock. */
+  /** Rank of the item: when it is due, on the monotonic clock, or later; see `rankItem`. */
   dueAt: number
 }
 
+/** What an item that can't be done when due ranks behind, in milliseconds; longer than jobs usually have. */
+const LATE_RANK_MS = 60_000
+
+/**
+ * Ranks an item by the time when it is due. Where not all fit, serving in that order alone makes all of them a little
+ * late; so those that can't be done in time any more come after all that can.
+ *
+ * @param leftMs - slot time that it still needs, in milliseconds
+ */
+export function rankItem (dueAt: number, leftMs: number, now: number): number {
+  return now + leftMs <= dueAt ? dueAt : dueAt + LATE_RANK_MS
+}
+
 export interface BatchCapacity {
   id: string
   slots: number
--- a/packages/pimentoplank/src/relay/decisions/index.ts
+++ b/packages/pimentoplank/src/relay/decisions/index.ts
@@ -5,7 +5,7 @@
   choosePlacement, type Placement, type PlacementCandidate, type PlacementInput, type PlacementRules
 } from './placement'
 export {
-  chooseRelief, chooseStarts, chooseYields,
+  chooseRelief, chooseStarts, chooseYields, rankItem,
   type BatchCapacity, type BatchShareInput, type BatchStart, type ReliefInput, type RunningItem, type WaitingItem
 } from './batchShare'
 export { isRepeatable, mayTryAgain, type RetryState, type TryFailure } from './retries'
--- a/packages/pimentoplank/src/relay/decisions/patterns.feature
+++ b/packages/pimentoplank/src/relay/decisions/patterns.feature
@@ -20,3 +20,13 @@
       | empty targets added under load            | 0.90 | 0.95  | 0.95 |
       | a large fleet whose steps do not fit      | 0.85 | 0.80  | 0.90 |
       | instances that see each other late        | 0.60 | 0.95  | 0.95 |
+
+  Scenario: Where not all items fit, those that can still be done when due go first
+    Given one free slot and two items: one due in 1000 ms that needs 4000 ms, one due in 6000 ms that needs 4000 ms
+    Then the item due in 6000 ms starts
+    And of two running items the one due in 1000 ms gives way
+
+  Scenario: Items that can all be done when due go in that order
+    Given one free slot and two items: one due in 5000 ms that needs 4000 ms, one due in 6000 ms that needs 4000 ms
+    Then the item due in 5000 ms starts
+    And of two running items the one due in 6000 ms gives way
--- a/packages/pimentoplank/src/relay/decisions/patterns.steps.ts
+++ b/packages/pimentoplank/src/relay/decisions/patterns.steps.ts
@@ -1,8 +1,11 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
+import { chooseStarts, chooseYields, rankItem } from '.'
 import { replay, type Outcome, type Pattern } from './testing/replay'
 
 interface PatternWorld {
+  /** Items by the time in which they are due, with their rank. */
+  ranked: Array<{ job: string, dueAt: number }>
   pattern: Pattern
   outcomes: Outcome[]
 }
@@ -92,3 +95,22 @@
   const share = mean(this, ({ use, bounds }) => use / bounds.use)
   assert.ok(share >= least, `${share} of what is possible`)
 })
+
+Given('one free slot and two items: one due in {int} ms that needs {int} ms, one due in {int} ms that needs {int} ms', function (
+  this: PatternWorld, firstDue: number, firstLeft: number, secondDue: number, secondLeft: number
+) {
+  this.ranked = [[firstDue, firstLeft], [secondDue, secondLeft]].map(([due, left]) => (
+    { job: String(due), dueAt: rankItem(due!, left!, 0) }
+  ))
+})
+
+Then('the item due in {int} ms starts', function (this: PatternWorld, due: number) {
+  const target = { id: 't', slots: 1, live: 0, batch: 0, isNear: true, isSuspect: false, isFresh: true }
+  const [start] = chooseStarts({ targets: [target], own: this.ranked, others: [], liveReserve: 0 })
+  assert.equal(start?.item.job, String(due))
+})
+
+Then('of two running items the one due in {int} ms gives way', function (this: PatternWorld, due: number) {
+  const held = this.ranked.map((item) => ({ ...item, target: 't', hasStarted: true }))
+  assert.equal(chooseYields(held, 1)[0]?.job, String(due))
+})
--- a/packages/pimentoplank/src/relay/decisions/testing/replay.ts
+++ b/packages/pimentoplank/src/relay/decisions/testing/replay.ts
@@ -3,7 +3,8 @@
  * decides on a view of the others that is a little old, and targets admit in order of arrival.
  */
 import {
-  chooseRelief, chooseStarts, chooseYields, choosePlacement, decideAdmission, orderWaiting, type PlacementCandidate
+  chooseRelief, chooseStarts, chooseYields, choosePlacement, decideAdmission, orderWaiting, rankItem,
+  type PlacementCandidate
 } from '..'
 import { rankByRendezvous, type Random } from '../../../shared'
 import { RELAY_RULES } from '../../rules'
@@ -192,11 +193,15 @@
     const held = [...target.queue, ...target.running]
       .filter((work) => !work.isLive && (holder === undefined || work.instance === holder))
       .map((work) => ({
-        job: work.job!, dueAt: work.dueAt, target: target.id, hasStarted: work.startedAt !== undefined, work
+        job: work.job!, dueAt: rankItem(work.dueAt, leftOf(work), now), target: target.id, hasStarted: work.startedAt !== undefined, work
       }))
     for (const { work } of chooseYields(held, count)) interrupt(target, work)
   }
 
+  function leftOf ({ runMs, startedAt }: Work): number {
+    return startedAt === undefined ? runMs : runMs - (now - startedAt)
+  }
+
   function interrupt (target: ReplayTarget, work: Work): void {
     const item = items.find((one) => one.work === work)!
     if (work.startedAt !== undefined) {
@@ -248,6 +253,7 @@
 
   function startItems (instance: number): void {
     const ready = items.filter((item) => item.work === undefined && item.leftMs > 0)
+      .map((item) => ({ ...item, dueAt: rankItem(item.dueAt, item.leftMs, now), item }))
     const own = ready.filter((item) => item.instance === instance)
     if (own.length === 0) return
     const all = candidates(instance)
@@ -257,7 +263,7 @@
       others: ready.filter((item) => item.instance !== instance).map(({ dueAt }) => ({ dueAt, count: 1 })),
       liveReserve: Math.round(all.length * pattern.slots * RELAY_RULES.items.liveReserveShare)
     })
-    for (const { item, target } of starts) {
+    for (const { item: { item }, target } of starts) {
       item.work = { isLive: false, instance, runMs: item.leftMs, job: item.job, dueAt: item.dueAt }
       enter(target, item.work)
     }
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.ts
@@ -1,11 +1,12 @@
 /** Runs items of the jobs of this instance in slots that live requests leave free. */
 import type { Clock, Log, Metrics, Random } from '../../shared'
-import { chooseRelief, chooseStarts, chooseYields, type RunningItem, type WaitingItem } from '../decisions'
+import { chooseRelief, chooseStarts, chooseYields, rankItem, type RunningItem, type WaitingItem } from '../decisions'
 import type { Exchange } from '../exchange'
 import type { PeerView, WaitingItems } from '../gossip'
 import type { LoadView } from '../load'
 import type { Route, Target } from '../model'
 import { pickService, type RouteTable } from '../routing'
+import { createItemPace } from './itemPace'
 import type { JobBoard } from './jobBoard'
 import type { ItemProgress, OwnedJob } from './ownedJob'
 import { runItem, type ItemEnd } from './runItem'
@@ -67,6 +68,7 @@
 interface Running extends RunningItem {
   stop: AbortController
   done: Promise<void>
+  ready: Ready
 }
 
 /** Due times are told to peers in steps of this size, in milliseconds, so that a report stays small. */
@@ -83,6 +85,11 @@
 export function createItemRunner (options: ItemRunnerOptions): ItemRunner {
   const { board, loads, rules, clock, random, metrics, log } = options
   const running = new Set<Running>()
+  const pace = createItemPace()
+
+  function rankOf (owned: OwnedJob, progress: ItemProgress): number {
+    return rankItem(owned.dueAt, pace.leftMs(progress.lastEventId ?? 0), clock.now())
+  }
 
   function readyItems (table: RouteTable): Ready[] {
     const now = clock.now()
@@ -94,7 +101,7 @@
         const route = table.find(owned.record().host, owned.item(itemId)?.path ?? '')
         const service = route === undefined ? undefined : pickService(route, random())
         if (route === undefined || service === undefined) continue
-        ready.push({ job: owned.id, dueAt: owned.dueAt, owned, itemId, progress, service, route })
+        ready.push({ job: owned.id, dueAt: rankOf(owned, progress), owned, itemId, progress, service, route })
       }
     }
     return ready
@@ -147,9 +154,11 @@
       dueInMs: Math.round(owned.dueAt - clock.now())
     }, 'item started')
     const entry: Running = {
-      job: owned.id, dueAt: owned.dueAt, target: target.id, hasStarted: false, stop, done: Promise.resolve()
+      job: owned.id, dueAt: ready.dueAt, target: target.id, hasStarted: false, stop, done: Promise.resolve(), ready
     }
     running.add(entry)
+    const firstEvent = progress.lastEventId ?? 0
+    let startedAt: number | undefined
     entry.done = runItem({
       item,
       host: owned.record().host,
@@ -160,10 +169,15 @@
       exchange: options.exchange,
       clock,
       log,
-      onStarted: () => { entry.hasStarted = true },
+      onStarted: () => {
+        entry.hasStarted = true
+        startedAt = clock.now()
+      },
       signal: stop.signal
     }).then((end) => {
       running.delete(entry)
+      if (startedAt !== undefined) pace.noteRun((progress.lastEventId ?? 0) - firstEvent, clock.now() - startedAt)
+      if (end.type === 'completed') pace.noteFinished(progress.lastEventId ?? 0)
       if (speaksAgainst(end)) loads.noteFailure(target.id, `item.${end.type}`)
       progress.target = undefined
       progress.interrupt = undefined
@@ -200,6 +214,7 @@
 
   function yieldItems (targetId: string, count: number): void {
     const there = [...running].filter((entry) => entry.target === targetId && !entry.stop.signal.aborted)
+    for (const entry of there) entry.dueAt = rankOf(entry.ready.owned, entry.ready.progress)
     for (const entry of chooseYields(there, count)) {
       metrics.count('items.yielded')
       entry.stop.abort()
