--- a/packages/pimentoplank/src/relay/decisions/testing/replay.ts
+++ b/packages/pimentoplank/src/relay/decisions/testing/replay.ts
@@ -193,7 +193,11 @@
     const held = [...target.queue, ...target.running]
       .filter((work) => !work.isLive && (holder === undefined || work.instance === holder))
       .map((work) => ({
-        job: work.job!, dueAt: rankItem(work.dueAt, leftOf(work), now), target: target.id, hasStarted: work.startedAt !== undefined, work
+        job: work.job!,
+        dueAt: rankItem(work.dueAt, leftOf(work), now),
+        target: target.id,
+        hasStarted: work.startedAt !== undefined,
+        work
       }))
     for (const { work } of chooseYields(held, count)) interrupt(target, work)
   }
