--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -1,8 +1,7 @@
 /** Puts a relaying instance together. */
-import { create } from '@bufbuild/protobuf'
 import { err, ok, ResultAsync, type Result } from 'neverthrow'
 import {
-  createObjectFeed, createPeerServer, createPeerTransports, createSystemClock, describeCause, MemberStateSchema,
+  createObjectFeed, createPeerServer, createPeerTransports, createSystemClock, describeCause,
   type Clock, type Log, type Metrics, type Peer, type PeeredFeed, type PeerSecurity, type PlatformClient, type Random
 } from '../shared'
 import { createStopper } from '../entry/stopping'
@@ -11,8 +10,9 @@
   CRASH_KEEP_MS, CRASH_LIMIT, DIRECTORY_MAX_AGE_MS, DIRECTORY_OVERSTAY, FEED_TIMINGS, GOSSIP_SETTINGS, JOB_NOTICE_MS,
   PREFERRING_INSTANCES, REMOVAL_GRACE_SHARE, TARGET_CONNECT_TIMEOUT_MS, TARGET_KEEP_IDLE_MS, TICK_MS
 } from './constants'
+import { feedMembersOf } from './feedMembers'
 import { createExchange, createTargetConnections } from './exchange'
-import { startGossip, type Gossip, type OwnLoad, type OwnReport, type PeerView, type Stage } from './gossip'
+import { startGossip, type Gossip, type OwnLoad, type OwnReport, type Stage } from './gossip'
 import {
   createItemRunner, createJobBoard, createJobCalls, createJobCollector, createJobKeeper, createJobService,
   createJobStore, createQuota, handOverJobs, openTokens,
@@ -259,7 +259,7 @@
       instance: self,
       kinds: [protocols.config.kind, protocols.targetEntries.kind],
       seeds: settings.seeds,
-      members: membersOf(gossip),
+      members: feedMembersOf(gossip),
       holdersPerDomain: 1,
       timings: FEED_TIMINGS,
       isPlatformCurrent: true,
@@ -393,28 +393,7 @@
 const STOP_MARGIN_MS = 800
 /** Limit for storing results at a stop, in milliseconds. */
 const FLUSH_ON_STOP_MS = 1000
-/** Time in which peers may be heard after the start, in milliseconds. */
-const FIRST_PEERS_MS = 300
 
 function addressOf ({ host, port }: { host: string, port: number }): string {
   return `${host}:${port}`
 }
-
-/** The feed's view of the peers; what else members tell each other travels by datagrams. */
-function membersOf (gossip: Gossip): Parameters<typeof createObjectFeed>[0]['members'] {
-  const nothing = { state: create(MemberStateSchema, {}), isNews: false }
-  return {
-    peers: () => gossip.peers().filter(({ report }) => report.stage !== 'leaving').map(peerOf),
-    ready: async () => await new Promise((resolve) => { setTimeout(resolve, FIRST_PEERS_MS) }),
-    ask: () => ({ $typeName: 'pimentoplank.v1.MemberAsk', listDigest: '', listAgeMs: 0, signsToken: '' }),
-    answer: () => nothing,
-    merge: () => undefined,
-    mergeSigns: () => undefined,
-    onNews: () => () => undefined,
-    onOwnSigns: () => () => undefined
-  }
-}
-
-function peerOf ({ report }: PeerView): Peer {
-  return { id: report.instance, failureDomain: report.failureDomain, peerAddress: report.peerAddress }
-}
--- a/packages/pimentoplank/src/relay/decisions/placement.ts
+++ b/packages/pimentoplank/src/relay/decisions/placement.ts
@@ -4,6 +4,9 @@
  * Load pattern: steps of live traffic between a third and twice the mean, beside batch work that fills what is free.
  * A step up arrives faster than batch items end, so a request may go to a target whose slots are taken, where a batch
  * item is taken off for it, or where it waits shortly in the target's own queue.
+ *
+ * Load pattern: the same steps in a large fleet, where what others do is seen late. Instances try different targets
+ * first, leave those of other failure domains for what their own can't take, and keep to their share of the queues.
  */
 import type { Random } from '../../shared'
 
