--- a/packages/soak/features/soak.feature
+++ b/packages/soak/features/soak.feature
@@ -7,3 +7,7 @@
   Scenario: Seeds that failed before keep every promise
     When the seeds that failed before are played
     Then no promise was broken
+
+  Scenario: Seeds whose hang-up met a starting process keep every promise
+    When the seeds whose hang-up met a starting process are played
+    Then no promise was broken
--- a/packages/soak/features/soak.steps.ts
+++ b/packages/soak/features/soak.steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { Then, When } from '@cucumber/cucumber'
-import { REGRESSIONS, runSeed, type SeedOutcome } from '../src'
+import { EARLY_HANG_UPS, REGRESSIONS, runSeed, type Regression, type SeedOutcome } from '../src'
 
 interface SoakWorld {
   outcomes: SeedOutcome[]
@@ -15,11 +15,20 @@
   this.outcomes = [await runSeed({ seed, lengthMs: seconds * MS_PER_S, ...SIZE })]
 })
 
-When('the seeds that failed before are played', { timeout: RUN_TIMEOUT_MS }, async function (this: SoakWorld) {
-  this.outcomes = []
-  for (const { seed, seconds } of REGRESSIONS) {
-    this.outcomes.push(await runSeed({ seed, lengthMs: seconds * MS_PER_S, ...SIZE }))
+async function play (regressions: readonly Regression[]): Promise<SeedOutcome[]> {
+  const outcomes: SeedOutcome[] = []
+  for (const { seed, seconds } of regressions) {
+    outcomes.push(await runSeed({ seed, lengthMs: seconds * MS_PER_S, ...SIZE }))
   }
+  return outcomes
+}
+
+When('the seeds that failed before are played', { timeout: RUN_TIMEOUT_MS }, async function (this: SoakWorld) {
+  this.outcomes = await play(REGRESSIONS)
+})
+
+When('the seeds whose hang-up met a starting process are played', { timeout: RUN_TIMEOUT_MS }, async function (this: SoakWorld) {
+  this.outcomes = await play(EARLY_HANG_UPS)
 })
 
 Then('no promise was broken', function (this: SoakWorld) {
--- a/packages/soak/src/regressions.ts
+++ b/packages/soak/src/regressions.ts
@@ -6,6 +6,11 @@
   cause: string
 }
 
+/** Seeds whose hang-up met a starting process, which Node itself ends until the first line of the program runs. */
+export const EARLY_HANG_UPS: readonly Regression[] = [211, 212].map((seed) => (
+  { seed, seconds: 15, cause: 'a hang-up while the program was still loading ended the process' }
+))
+
 const UNSETTLED = 'the owner of a job gave up after its takeover lost an answer, while another instance had acknowledged the job'
 
 export const REGRESSIONS: readonly Regression[] = [
