--- a/packages/soak/features/soak.steps.ts
+++ b/packages/soak/features/soak.steps.ts
@@ -16,11 +16,8 @@
 })
 
 async function play (regressions: readonly Regression[]): Promise<SeedOutcome[]> {
-  const outcomes: SeedOutcome[] = []
-  for (const { seed, seconds } of regressions) {
-    outcomes.push(await runSeed({ seed, lengthMs: seconds * MS_PER_S, ...SIZE }))
-  }
-  return outcomes
+  return await Promise.all(regressions.map(async ({ seed, seconds }) =>
+    await runSeed({ seed, lengthMs: seconds * MS_PER_S, ...SIZE })))
 }
 
 When('the seeds that failed before are played', { timeout: RUN_TIMEOUT_MS }, async function (this: SoakWorld) {
--- a/packages/soak/src/soakFleet.ts
+++ b/packages/soak/src/soakFleet.ts
@@ -52,7 +52,7 @@
   targets: number
   /** Folder for settings and logs. */
   folder: string
-  /** Tells runs on one machine apart. */
+  /** Tells runs of one process apart. */
   run: number
 }
 
@@ -113,7 +113,7 @@
 
   async function addInstance (index: number): Promise<void> {
     const id = `front-${index + 1}`
-    const ip = `127.${100 + options.run % 100}.${1 + Math.floor(options.run / 100) % 250}.${index + 1}`
+    const ip = `127.${100 + process.pid % 100}.${1 + options.run % 250}.${index + 1}`
     const link = await createLink(store.address)
     const seeds = instances.slice(0, 3).map((one) => `${one.ip}:${PORTS.peers}`)
     const zone = FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]!
