Let only instances of a failure domain tell of its targets in the test of digests

The product sends only targets of its own failure domain; the test now does too, with the same bound.

--- a/packages/pimentoplank/src/relay/gossip/largeFleet.steps.ts
+++ b/packages/pimentoplank/src/relay/gossip/largeFleet.steps.ts
@@ -55,6 +55,8 @@
   const gone: string[] = []
 
   function domainUses (): Map<number, TargetUse> {
+    // An instance elsewhere has no use to tell of for a target in failure domain "a".
+    if (!id.startsWith('a')) return new Map()
     const live = (near.get(NEAR_TARGET)?.live ?? 0) + peerUses.usesOf(NEAR_TARGET).live
     return new Map([[NEAR_TARGET, { live, batch: 0 }]])
   }
