--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -1,6 +1,7 @@
 /** Callers of one run: they ask the directory, keep connections, try again after a promise, and note what they saw. */
 import { Agent } from 'node:http'
-import { HOST, jobBody, PATHS, PORTS, readJob, send, type Answer } from 'pimentoplank-platform/testing'
+import { setTimeout as pause } from 'node:timers/promises'
+import { askDirectory, endJob, jobBody, PATHS, readJob, send, type Answer } from 'pimentoplank-platform/testing'
 import type { SoakRandom } from './plan'
 import type { SoakFleet, SoakInstance } from './soakFleet'
 
@@ -45,6 +46,7 @@
 /** Share of jobs that their callers end. */
 const ENDED_SHARE = 0.15
 const LONGEST_JOB = 12
+const HTTP_OK = 200
 const HTTP_ACCEPTED = 202
 const PROMISES = new Set([408, 421, 429, 503])
 
@@ -65,9 +67,7 @@
 
   async function learnAddresses (): Promise<void> {
     const { ip } = fleet.instances[random.below(fleet.instances.length)]!
-    const path = `/pimentoplank/resolution?name=${HOST}&region=r&zone=a`
-    const answer = await within(send({ address: `${ip}:${PORTS.directory}` }, path, { method: 'GET' }), 1000)
-    if (answer?.status === 200) addresses = (JSON.parse(answer.body) as { addresses: string[] }).addresses
+    addresses = await within(askDirectory(ip, 'a'), 1000) ?? addresses
   }
 
   function pickInstance (): SoakInstance | undefined {
@@ -119,9 +119,7 @@
     for (;;) {
       const instance = pickInstance()
       if (instance === undefined || isOver) return
-      const path = `/pimentoplank/lots/${id}`
-      const answer = await within(send(instance, path, { method: 'DELETE' }).catch(() => undefined), 5000)
-      if (answer?.status === 200) {
+      if (await within(endJob(instance, id), 5000) === HTTP_OK) {
         job.endedAt = Date.now()
         return
       }
@@ -182,7 +180,3 @@
 async function within<Value> (work: Promise<Value>, ms: number): Promise<Value | undefined> {
   return await Promise.race([work.catch(() => undefined), pause(ms).then(() => undefined)])
 }
-
-async function pause (ms: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, ms))
-}
--- a/packages/soak/src/inject.ts
+++ b/packages/soak/src/inject.ts
@@ -1,4 +1,5 @@
 /** Puts faults into effect and takes them back. */
+import { setTimeout as pause } from 'node:timers/promises'
 import type { LinkMode } from '@pimentoplank/standins'
 import type { Fault, FaultKind } from './plan'
 import type { SoakFleet, SoakInstance, SoakTarget } from './soakFleet'
@@ -160,7 +161,3 @@
     return { kind: fault.kind, from, to: Date.now() }
   }))
 }
-
-async function pause (ms: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, ms))
-}
--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -1,6 +1,7 @@
 /** Plays one seed from start to end. */
 import { rm } from 'node:fs/promises'
 import path from 'node:path'
+import { setTimeout as pause } from 'node:timers/promises'
 import { PORTS, send } from 'pimentoplank-platform/testing'
 import { startCallers } from './callers'
 import { findBroken } from './checks'
@@ -80,7 +81,3 @@
     return false
   }
 }
-
-async function pause (ms: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, ms))
-}
