Log how the last answer of a request ended

The logs of the incident couldn't tell how a broken-off answer was framed, whether it ended inside an event and how its connection ended. 'try failed', 'request ended' and 'item run broke off' now say so: framing, connection, bytes, events, partialEventBytes. No decision changes.

--- a/packages/pimentoplank/src/relay/exchange/connectionPool.ts
+++ b/packages/pimentoplank/src/relay/exchange/connectionPool.ts
@@ -17,6 +17,8 @@
   dispatch: (options: Dispatcher.DispatchOptions & { mark: SendMark }, handler: Dispatcher.DispatchHandler) => void
   /** Set once the connection is established. */
   socket?: Socket
+  /** True if the end of the connection was read although the target had reset it. */
+  isResetAtEnd: boolean
   /** True if an earlier request was answered on it. */
   isReused: boolean
   /** Idle time before the current request, in milliseconds. */
@@ -74,7 +76,7 @@
       keepAliveTimeout: settings.idleTimeoutMs,
       keepAliveMaxTimeout: settings.idleTimeoutMs,
       connect: (connectOptions, done) => connector(connectOptions, (...result) => {
-        if (result[1] !== null) connection.socket = result[1]
+        if (result[1] !== null) observeSocket(connection, result[1])
         done(...result)
       })
     })
@@ -82,6 +84,7 @@
     const connection: TargetConnection = {
       client,
       dispatch: (request, handler) => { dispatch(request, handler) },
+      isResetAtEnd: false,
       isReused: false,
       idleMs: 0
     }
@@ -91,6 +94,12 @@
     return connection
   }
 
+  function observeSocket (connection: TargetConnection, socket: Socket): void {
+    connection.socket = socket
+    // A reset that arrives together with the last bytes is read as a regular end, but the socket has lost its peer.
+    socket.once('end', () => { connection.isResetAtEnd = socket.remoteAddress === undefined })
+  }
+
   function acquireConnection (address: string): TargetConnection {
     const list = idle.get(address) ?? []
     for (let entry = list.pop(); entry !== undefined; entry = list.pop()) {
--- a/packages/pimentoplank/src/relay/exchange/exchange.ts
+++ b/packages/pimentoplank/src/relay/exchange/exchange.ts
@@ -1,8 +1,8 @@
 /** Sends single requests to targets and reads their responses. */
 import { err, ok, type Result } from 'neverthrow'
 import type { Dispatcher } from 'undici'
-import { describeCause, isConnectFailure, type Clock, type SendMark } from '../../shared'
-import type { AnswerHead, RawHeaders, TargetProtocol, TargetRequest } from '../model'
+import { describeCause, getBodyFraming, isConnectFailure, type BodyFraming, type Clock, type SendMark } from '../../shared'
+import type { AnswerHead, TargetProtocol, TargetRequest } from '../model'
 import type { TargetConnection, TargetConnectionPool } from './connectionPool'
 import { createResponseReceiver, type ResponseReceiver } from './responseReceiver'
 
@@ -36,9 +36,19 @@
   }
 }
 
+/** What is known of the end of a response, for logs. */
+export interface AnswerEnding {
+  framing: BodyFraming
+  /** Number of bytes of the body received so far. */
+  bytes: number
+  /** State of the connection: usable, closed in an orderly way by the target, reset by it, or broken. */
+  connection: 'open' | 'ended' | 'reset' | 'broken'
+}
+
 /** A response whose head has been received. */
 export interface TargetAnswer {
   head: AnswerHead
+  getEnding: () => AnswerEnding
   /** Reads the next bytes of the body; resolves to undefined at its end. */
   read: () => Promise<Result<Uint8Array | undefined, SendFailure>>
   /** Ends the exchange; the connection is returned to the pool only if the body was read to its end. */
@@ -91,7 +101,7 @@
     const { status, headers } = received.value
     const head = protocol.decodeHead(status, headers)
     const answer = createTargetAnswer(
-      head, isFramed(headers), receiver, connection, removeAbortListener, target.address
+      head, getBodyFraming(headers), receiver, connection, removeAbortListener, target.address
     )
     const failure = findHeadFailure(outgoing, head)
     if (failure === undefined) return ok(answer)
@@ -102,19 +112,25 @@
 
   function createTargetAnswer (
     head: AnswerHead,
-    isBodyFramed: boolean,
+    framing: BodyFraming,
     receiver: ResponseReceiver,
     connection: TargetConnection,
     removeAbortListener: () => void,
     address: string
   ): TargetAnswer {
+    const isBodyFramed = framing !== 'connection'
     let isDone = false
+    let bytes = 0
     return {
       head,
+      getEnding: () => ({ framing, bytes, connection: getConnectionState(connection) }),
       read: async () => {
         const next = await receiver.read()
         if (next.isErr()) return err(new SendFailure('broken', true, describeCause(next.error)))
-        if (next.value !== undefined) return ok(next.value)
+        if (next.value !== undefined) {
+          bytes += next.value.length
+          return ok(next.value)
+        }
         // Without framing, only an orderly close of the connection shows that the body is complete.
         if (!isBodyFramed && connection.socket?.readableEnded !== true) {
           return err(new SendFailure('broken', true, 'connection reset before the end of a response without a length'))
@@ -164,11 +180,8 @@
   return undefined
 }
 
-/** True if the headers define where the body ends, by its length or by chunks. */
-function isFramed (headers: RawHeaders): boolean {
-  for (let index = 0; index < headers.length; index += 2) {
-    const name = headers[index]!.toLowerCase()
-    if (name === 'content-length' || name === 'transfer-encoding') return true
-  }
-  return false
+function getConnectionState ({ socket, isResetAtEnd }: TargetConnection): AnswerEnding['connection'] {
+  if (isResetAtEnd) return 'reset'
+  if (socket?.readableEnded === true) return 'ended'
+  return socket?.destroyed === false ? 'open' : 'broken'
 }
--- a/packages/pimentoplank/src/relay/jobs/runItem.ts
+++ b/packages/pimentoplank/src/relay/jobs/runItem.ts
@@ -1,7 +1,7 @@
 /** Runs one item of a batch job at one target. */
 import { err, ok, type Result } from 'neverthrow'
 import type { Clock, Log } from '../../shared'
-import { createEventSplitter, getEventData, SendFailure, type Exchange, type TargetAnswer } from '../exchange'
+import { createEventSplitter, getEventData, SendFailure, type AnswerEnding, type Exchange, type TargetAnswer } from '../exchange'
 import type { CallerRequest, Target } from '../model'
 import type { ItemProgress } from './ownedJob'
 import type { JobItem } from './records'
@@ -74,17 +74,23 @@
     timer.refresh()
     options.onStarted()
     const outcome = await readAnswer(sent.value, progress, () => timer.refresh())
+    const ending = sent.value.getEnding()
     sent.value.close()
     if (outcome.isOk()) return outcome.value
-    if (!options.signal.aborted) logFailure(outcome.error)
+    if (!options.signal.aborted) logFailure(outcome.error, ending)
     return { type: 'interrupted', isBroken: !options.signal.aborted }
   } finally {
     clearTimeout(timer)
   }
 
-  function logFailure (failure: SendFailure): void {
+  function logFailure (failure: SendFailure, ending?: AnswerEnding): void {
     options.log.info({
-      item: item.id, target: target.id, reason: failure.reason, lastEvent: progress.lastEventId, detail: failure.message
+      item: item.id,
+      target: target.id,
+      reason: failure.reason,
+      lastEvent: progress.lastEventId,
+      detail: failure.message,
+      ...ending
     }, 'item run broke off')
   }
 }
--- a/packages/pimentoplank/src/relay/live/relayRequest.ts
+++ b/packages/pimentoplank/src/relay/live/relayRequest.ts
@@ -1,7 +1,9 @@
 /** Relays one live request to a target, and retries it at another where that is safe. */
 import { describeCause, RefusalError, type Clock, type Log, type Metrics } from '../../shared'
 import { isRepeatable, canRetry } from '../decisions'
-import { createEventSplitter, SendFailure, type Exchange, type SendFailureReason, type TargetAnswer } from '../exchange'
+import {
+  createEventSplitter, SendFailure, type AnswerEnding, type Exchange, type SendFailureReason, type TargetAnswer
+} from '../exchange'
 import type { LoadView } from '../load'
 import type { CallerRequest, Route } from '../model'
 import type { CallerReply } from './callerReply'
@@ -49,6 +51,8 @@
   /** Id of the last event that was sent to the caller. */
   lastEventId: number | undefined
   excluded: Set<string>
+  /** How the last response ended; undefined if there was none. */
+  ending?: AnswerEnding & { events: number, partialEventBytes: number }
 }
 
 /** Outcome of one attempt. */
@@ -105,7 +109,8 @@
         target: slot.target.id,
         reason: failure.reason,
         mayHaveRun: failure.mayHaveRun,
-        detail: failure.message
+        detail: failure.message,
+        ...progress.ending
       }, 'try failed')
       progress.excluded.add(slot.target.id)
       if (failure.mayHaveRun) progress.runs += 1
@@ -141,7 +146,7 @@
   function logEnd (outcome: string, fields: object = {}): void {
     const ms = Math.round(clock.now() - arrivedAt)
     metrics.timing('live.total', ms)
-    log.info({ req: request.id, route: route.name, outcome, ms, runs: progress.runs, ...fields }, 'request ended')
+    log.info({ req: request.id, route: route.name, outcome, ms, runs: progress.runs, ...progress.ending, ...fields }, 'request ended')
   }
 }
 
@@ -167,8 +172,10 @@
       if (isMovable) silence.abort()
     }
   })
+  const splitter = createEventSplitter()
   const sentAt = clock.now()
   let events = 0
+  progress.ending = undefined
   deps.log.info({
     req: request.id,
     target: slot.target.id,
@@ -187,6 +194,9 @@
     if (answer.value.head.status < STATUS_SERVER_ERROR) deps.loads.recordSuccess(slot.target.id, sentAt)
     if (answer.value.head.load !== undefined) deps.loads.recordReportedLoad(slot.target.id, answer.value.head.load)
     const end = await forwardAnswer(answer.value)
+    progress.ending = {
+      ...answer.value.getEnding(), events, partialEventBytes: splitter.getRemainder().length
+    }
     answer.value.close()
     return end
   } finally {
@@ -233,7 +243,6 @@
   }
 
   async function forwardEvents (answer: TargetAnswer): Promise<AttemptEnd> {
-    const splitter = createEventSplitter()
     for (;;) {
       const next = await answer.read()
       if (next.isErr()) return toAttemptEnd(next.error)
--- a/packages/pimentoplank/src/shared/targetHttp/index.ts
+++ b/packages/pimentoplank/src/shared/targetHttp/index.ts
@@ -1,3 +1,4 @@
+export { getBodyFraming, type BodyFraming } from './bodyFraming'
 export {
   createTargetAgent, isConnectFailure, markDispatch,
   type SendMark, type TargetAgent, type TargetAgentOptions, type TargetRequest
