--- a/packages/pimentoplank/src/relay/exchange/connectionPool.ts
+++ b/packages/pimentoplank/src/relay/exchange/connectionPool.ts
@@ -76,7 +76,7 @@
       keepAliveTimeout: settings.idleTimeoutMs,
       keepAliveMaxTimeout: settings.idleTimeoutMs,
       connect: (connectOptions, done) => connector(connectOptions, (...result) => {
-        if (result[1] !== null) observeSocket(connection, result[1])
+        if (result[0] === null) observeSocket(connection, result[1])
         done(...result)
       })
     })
