--- a/packages/pimentoplank/src/entry/once/once.feature
+++ b/packages/pimentoplank/src/entry/once/once.feature
@@ -19,6 +19,30 @@
     Then the booking is refused 409 with onceUnknown and outcome unknown
     And the booking ran once
 
+  Scenario Outline: An answer framed by <framing> that breaks off by a <by> is not stored as complete
+    Given the booking service frames answers by <framing> and breaks off the next one by a <by>
+    When a booking is sent to entry 0
+    Then the booking is refused 502 with targetFailed and outcome unknown
+    When the booking is sent again to entry 1
+    Then the booking is refused 409 with onceUnknown and outcome unknown
+    And the booking ran once
+
+    Examples:
+      | framing    | by    |
+      | length     | close |
+      | length     | reset |
+      | chunks     | close |
+      | chunks     | reset |
+      | connection | reset |
+
+  Scenario: An answer that ends with its connection is stored after an orderly close
+    Given the booking service frames answers by connection
+    When a booking is sent to entry 0
+    Then the booking is answered 201
+    When the booking is sent again to entry 1
+    Then the booking gets the first answer again
+    And the booking ran once
+
   Scenario: A booking that is known not to have run may run later
     Given the booking service is not reachable
     When a booking is sent to entry 0
--- a/packages/pimentoplank/src/entry/once/once.steps.ts
+++ b/packages/pimentoplank/src/entry/once/once.steps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
 import { createServiceStandin } from '@pimentoplank/standins'
-import { OBJECT_KINDS } from '../../shared'
+import { OBJECT_KINDS, type BodyFraming } from '../../shared'
 import type { Reply, SendOptions } from '../testing/entryBench'
 import type { EntryWorld } from '../testing/entryBench.steps'
 import { waitUntil } from '../testing/waitUntil'
@@ -34,6 +34,16 @@
   this.bench.services[0]!.setFaults({ dieAfterRun: 1 })
 })
 
+Given('the booking service frames answers by {word}', function (this: OnceWorld, framing: BodyFraming) {
+  this.bench.services[0]!.setFaults({ framing })
+})
+
+Given('the booking service frames answers by {word} and breaks off the next one by a {word}', function (
+  this: OnceWorld, framing: BodyFraming, by: 'close' | 'reset'
+) {
+  this.bench.services[0]!.setFaults({ framing, breakOff: { count: 1, bytes: 12, by } })
+})
+
 Given('the booking service is not reachable', async function (this: OnceWorld) {
   await this.bench.services[0]!.close()
 })
@@ -133,6 +143,14 @@
   assert.equal(listRuns(this), count)
 })
 
+When('the availability is read through entry {int}', async function (this: OnceWorld, entry: number) {
+  this.reply = await this.bench.send('/services/bookings/availability', { entry })
+})
+
+Then('the reply is {word}', function (this: OnceWorld, state: 'broken' | 'complete') {
+  assert.equal(this.reply.broken, state === 'broken', this.reply.text)
+})
+
 Then('the booking is answered {int}', function (this: OnceWorld, status: number) {
   assert.equal(this.reply.status, status, this.reply.text)
 })
--- /dev/null
+++ b/packages/pimentoplank/src/entry/services/brokenAnswers.feature
@@ -0,0 +1,22 @@
+@entryBench
+Feature: Answers of plain services that break off are never delivered as complete
+
+  Scenario Outline: An answer framed by <framing> that breaks off by a <by> stays incomplete
+    Given the entry bench with 1 entry and 1 plain service target
+    And the booking service frames answers by <framing> and breaks off the next one by a <by>
+    When the availability is read through entry 0
+    Then the reply is broken
+
+    Examples:
+      | framing    | by    |
+      | length     | close |
+      | length     | reset |
+      | chunks     | close |
+      | chunks     | reset |
+      | connection | reset |
+
+  Scenario: An answer that ends with its connection is complete after an orderly close
+    Given the entry bench with 1 entry and 1 plain service target
+    And the booking service frames answers by connection
+    When the availability is read through entry 0
+    Then the reply is complete
--- a/packages/pimentoplank/src/entry/testing/entryBench.steps.ts
+++ b/packages/pimentoplank/src/entry/testing/entryBench.steps.ts
@@ -26,7 +26,7 @@
   this.bench = await createEntryBench({ entries, engines })
 })
 
-Given('the entry bench with {int} entries and {int} plain service target(s)', async function (
+Given('the entry bench with {int} entry/entries and {int} plain service target(s)', async function (
   this: EntryWorld, entries: number, services: number
 ) {
   this.bench = await createEntryBench({ entries, services, engines: 0 })
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,7 +1,7 @@
 export * from './engine'
 export * from './platform'
 export * from './service'
-export type { ListenOptions, StandinServer } from './shared'
+export { breakOffResponse, setFraming, type ListenOptions, type StandinServer } from './shared'
 export * from './caller'
 export * from './deployment'
 export * from './link'
--- a/packages/standins/src/service/serviceStandin.ts
+++ b/packages/standins/src/service/serviceStandin.ts
@@ -1,10 +1,13 @@
 /** Stand-in for a plain service, which records its runs by request key. */
+import type { ServerResponse } from 'node:http'
+import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response'
 import { Hono, type Context, type MiddlewareHandler } from 'hono'
-import { createSystemClock, type Clock, type InstanceRecord } from 'pimentoplank/shared'
+import { createSystemClock, type BodyFraming, type Clock, type InstanceRecord } from 'pimentoplank/shared'
 import { v4 as uuid } from 'uuid'
 import { z } from 'zod'
 import {
-  createRestartableServer, dropConnection, neverRespond, registerInstance, deregisterInstance,
+  breakOffResponse, createRestartableServer, dropConnection, neverRespond, registerInstance, deregisterInstance,
+  setFraming,
   type ListenOptions, type StandinEnv, type StandinServer
 } from '../shared'
 
@@ -34,7 +37,18 @@
   /** Responds to every call with this status without running it; 0 switches the fault off. */
   status: z.int().min(0).max(599),
   /** Responds to every call with 503 `leaving` without running it. */
-  leaving: z.boolean()
+  leaving: z.boolean(),
+  /** How responses define the end of their bodies; null for the usual way. */
+  framing: z.enum(['length', 'chunks', 'connection']).nullable(),
+  /** Breaks off responses within their bodies; by default, none. */
+  breakOff: z.strictObject({
+    /** Number of upcoming responses that break off. */
+    count: z.int().min(0),
+    /** Number of bytes of the body that are sent. */
+    bytes: z.int().min(0),
+    /** Closes the connection in an orderly way, or resets it together with the last bytes. */
+    by: z.enum(['close', 'reset'])
+  })
 }).partial()
 export type ServiceFaults = z.infer<typeof serviceFaults>
 
@@ -150,7 +164,28 @@
       c.res = undefined
       c.res = dropConnection(c)
     }
+    if (faults.framing !== undefined && faults.framing !== null) await sendFramed(c, faults.framing, faults.breakOff)
+  }
+}
+
+async function sendFramed (
+  c: Context<StandinEnv>,
+  framing: BodyFraming,
+  breakOff: ServiceFaults['breakOff']
+): Promise<void> {
+  const body = Buffer.from(await c.res.arrayBuffer())
+  const res = c.env.outgoing as ServerResponse
+  setFraming(res, framing, body.length)
+  res.statusCode = c.res.status
+  res.setHeader('Content-Type', 'application/json')
+  c.res = undefined
+  c.res = RESPONSE_ALREADY_SENT
+  if (breakOff === undefined || breakOff.count === 0) {
+    res.end(body)
+    return
   }
+  breakOff.count -= 1
+  breakOffResponse(res, body.subarray(0, breakOff.bytes), breakOff.by)
 }
 
 async function waitWhileHeld (state: ServiceState, when: 'before' | 'after'): Promise<void> {
--- a/packages/standins/src/shared/index.ts
+++ b/packages/standins/src/shared/index.ts
@@ -1,3 +1,4 @@
+export { breakOffResponse, setFraming } from './brokenResponse'
 export {
   createRestartableServer, dropConnection, neverRespond,
   type ListenOptions, type RestartableServer, type StandinEnv, type StandinServer
