Report a reset that arrives with the last bytes of an answer

Callers got 200 with a truncated body that ended regularly; at-most-once calls stored such a body as their answer.

Cause: a body without a length or chunks ends with its connection, and two layers below took a reset for that end. undici completes such a body on ECONNRESET; and where a reset arrives together with the last bytes, libuv reports the end of the stream (POLLHUP after a partial read) and no error at all. The exchange guarded against the first by readableEnded, which is true in the second case; calls of plain services and at-most-once calls had no guard.

Fix: the connector of all HTTP clients turns both into an error of the connection, so that one place decides it for targets, engines, plain services and the platform's store. The guard of the exchange is gone.

--- a/packages/pimentoplank/src/controller/engineControl.ts
+++ b/packages/pimentoplank/src/controller/engineControl.ts
@@ -2,7 +2,7 @@
 import { err, ok, ResultAsync, type Result } from 'neverthrow'
 import { Agent, request } from 'undici'
 import { z } from 'zod'
-import { describeCause, SECOND_MS, type Target } from '../shared'
+import { createConnector, describeCause, SECOND_MS, type Target } from '../shared'
 
 const TIMEOUT_MS = 2 * SECOND_MS
 const HTTP_OK = 200
@@ -77,7 +77,7 @@
 
 /** Creates a client with its own connections. */
 export function createEngineControl (): EngineControl {
-  const agent = new Agent({ connect: { timeout: TIMEOUT_MS } })
+  const agent = new Agent({ connect: createConnector({ timeoutMs: TIMEOUT_MS }) })
 
   async function send (target: Target, path: string, body?: unknown): Promise<Result<EngineResponse, OrderError>> {
     try {
--- a/packages/pimentoplank/src/relay/exchange/connectionPool.ts
+++ b/packages/pimentoplank/src/relay/exchange/connectionPool.ts
@@ -1,7 +1,7 @@
 /** Pool of connections to targets, each of which carries one request at a time. */
 import type { Socket } from 'node:net'
-import { buildConnector, Client, type Dispatcher } from 'undici'
-import { markDispatch, type Clock, type Metrics, type SendMark } from '../../shared'
+import { Client, type Dispatcher } from 'undici'
+import { createConnector, markDispatch, type Clock, type Metrics, type SendMark } from '../../shared'
 
 export interface ConnectionSettings {
   /** Timeout for establishing a connection, in milliseconds. */
@@ -17,8 +17,6 @@
   dispatch: (options: Dispatcher.DispatchOptions & { mark: SendMark }, handler: Dispatcher.DispatchHandler) => void
   /** Set once the connection is established. */
   socket?: Socket
-  /** True if the end of the connection was read although the target had reset it. */
-  isResetAtEnd: boolean
   /** True if an earlier request was answered on it. */
   isReused: boolean
   /** Idle time before the current request, in milliseconds. */
@@ -68,15 +66,15 @@
 
   function openConnection (address: string): TargetConnection {
     metrics.count('targets.connections')
-    const connector = buildConnector({ timeout: settings.connectTimeoutMs, keepAlive: true })
+    const connect = createConnector({ timeoutMs: settings.connectTimeoutMs })
     const client = new Client(`http://${address}`, {
       pipelining: 1,
       headersTimeout: NO_LIMIT,
       bodyTimeout: NO_LIMIT,
       keepAliveTimeout: settings.idleTimeoutMs,
       keepAliveMaxTimeout: settings.idleTimeoutMs,
-      connect: (connectOptions, done) => connector(connectOptions, (...result) => {
-        if (result[0] === null) observeSocket(connection, result[1])
+      connect: (connectOptions, done) => connect(connectOptions, (...result) => {
+        if (result[0] === null) connection.socket = result[1]
         done(...result)
       })
     })
@@ -84,7 +82,6 @@
     const connection: TargetConnection = {
       client,
       dispatch: (request, handler) => { dispatch(request, handler) },
-      isResetAtEnd: false,
       isReused: false,
       idleMs: 0
     }
@@ -94,12 +91,6 @@
     return connection
   }
 
-  function observeSocket (connection: TargetConnection, socket: Socket): void {
-    connection.socket = socket
-    // A reset that arrives together with the last bytes is read as a regular end, but the socket has lost its peer.
-    socket.once('end', () => { connection.isResetAtEnd = socket.remoteAddress === undefined })
-  }
-
   function acquireConnection (address: string): TargetConnection {
     const list = idle.get(address) ?? []
     for (let entry = list.pop(); entry !== undefined; entry = list.pop()) {
--- a/packages/pimentoplank/src/relay/exchange/exchange.ts
+++ b/packages/pimentoplank/src/relay/exchange/exchange.ts
@@ -1,7 +1,9 @@
 /** Sends single requests to targets and reads their responses. */
 import { err, ok, type Result } from 'neverthrow'
 import type { Dispatcher } from 'undici'
-import { describeCause, getBodyFraming, isConnectFailure, type BodyFraming, type Clock, type SendMark } from '../../shared'
+import {
+  ConnectionResetError, describeCause, getBodyFraming, isConnectFailure, type BodyFraming, type Clock, type SendMark
+} from '../../shared'
 import type { AnswerHead, TargetProtocol, TargetRequest } from '../model'
 import type { TargetConnection, TargetConnectionPool } from './connectionPool'
 import { createResponseReceiver, type ResponseReceiver } from './responseReceiver'
@@ -131,10 +133,6 @@
           bytes += next.value.length
           return ok(next.value)
         }
-        // Without framing, only an orderly close of the connection shows that the body is complete.
-        if (!isBodyFramed && connection.socket?.readableEnded !== true) {
-          return err(new SendFailure('broken', true, 'connection reset before the end of a response without a length'))
-        }
         isDone = true
         return ok(undefined)
       },
@@ -180,8 +178,8 @@
   return undefined
 }
 
-function getConnectionState ({ socket, isResetAtEnd }: TargetConnection): AnswerEnding['connection'] {
-  if (isResetAtEnd) return 'reset'
+function getConnectionState ({ socket }: TargetConnection): AnswerEnding['connection'] {
+  if (socket?.errored instanceof ConnectionResetError) return 'reset'
   if (socket?.readableEnded === true) return 'ended'
   return socket?.destroyed === false ? 'open' : 'broken'
 }
--- a/packages/pimentoplank/src/shared/platform/client.ts
+++ b/packages/pimentoplank/src/shared/platform/client.ts
@@ -7,6 +7,7 @@
 import { SECOND_MS } from '../constants'
 import { describeCause } from '../errors'
 import { createInMemoryMetrics, type Metrics } from '../metrics'
+import { createConnector } from '../targetHttp'
 import {
   DEFAULT_DIALECT, type PlatformCall, type PlatformDialect, type PlatformOperation, type PlatformResponse
 } from './dialect'
@@ -120,7 +121,7 @@
   const clock = options.clock ?? createSystemClock()
   const createWriteId = options.createWriteId ?? uuid
   const dialect = options.dialect ?? DEFAULT_DIALECT
-  const agent = new Agent({ connect: { timeout: timeoutMs } })
+  const agent = new Agent({ connect: createConnector({ timeoutMs }) })
   const base = options.url.replace(/\/$/, '')
 
   async function send (call: Call): Promise<Result<HttpResponse, PlatformUnavailable>> {
--- a/packages/pimentoplank/src/shared/targetHttp/index.ts
+++ b/packages/pimentoplank/src/shared/targetHttp/index.ts
@@ -1,4 +1,5 @@
 export { getBodyFraming, type BodyFraming } from './bodyFraming'
+export { ConnectionResetError, createConnector } from './connector'
 export {
   createTargetAgent, isConnectFailure, markDispatch,
   type SendMark, type TargetAgent, type TargetAgentOptions, type TargetRequest
--- a/packages/pimentoplank/src/shared/targetHttp/targetAgent.ts
+++ b/packages/pimentoplank/src/shared/targetHttp/targetAgent.ts
@@ -1,6 +1,7 @@
 /** HTTP connections to targets that record whether any byte of a request was sent. */
 import { Agent, type Dispatcher } from 'undici'
 import { SECOND_MS } from '../constants'
+import { createConnector } from './connector'
 
 const DEFAULT_CONNECT_TIMEOUT_MS = 2 * SECOND_MS
 const NO_LIMIT = 0
@@ -38,7 +39,7 @@
 /** Creates an agent with its own connection pool. It has no response timeout; callers set their own. */
 export function createTargetAgent (options: TargetAgentOptions = {}): TargetAgent {
   const agent = new Agent({
-    connect: { timeout: options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS },
+    connect: createConnector({ timeoutMs: options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS }),
     pipelining: 1,
     headersTimeout: NO_LIMIT,
     bodyTimeout: NO_LIMIT
