Reset the connection of an HTTP/1.0 caller where a response breaks off

To such a caller a response in chunks is sent without them and ends with its connection. Found by reading each place that ends a response; no caller is known to have met it.

Both now use one function, which resets the connection for HTTP/1.0 and closes it otherwise (chunks show the truncation).

--- a/packages/pimentoplank/src/entry/api/responseStream.ts
+++ b/packages/pimentoplank/src/entry/api/responseStream.ts
@@ -1,7 +1,7 @@
 /** Streams a response to a caller with backpressure, and disconnects a caller that stops reading. */
 import type { HttpBindings } from '@hono/node-server'
 import type { Context } from 'hono'
-import type { Clock } from '../../shared'
+import { truncateResponse, type Clock } from '../../shared'
 
 export interface ResponseStreamOptions {
   status: number
@@ -35,7 +35,8 @@
 
   /** Destroys the connection, so that the caller can't take an incomplete response for a complete one. */
   function truncate (controller: ReadableStreamDefaultController): void {
-    getOutgoing(c)?.destroy()
+    const res = getOutgoing(c)
+    if (res !== undefined) truncateResponse(res)
     close()
     controller.close()
   }
--- a/packages/pimentoplank/src/entry/once/once.steps.ts
+++ b/packages/pimentoplank/src/entry/once/once.steps.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
-import { createServiceStandin } from '@pimentoplank/standins'
+import { createServiceStandin, sendHttp10, type Http10Response } from '@pimentoplank/standins'
 import { OBJECT_KINDS, type BodyFraming } from '../../shared'
-import type { Reply, SendOptions } from '../testing/entryBench'
+import { KEY as ACCOUNT_KEY, type Reply, type SendOptions } from '../testing/entryBench'
 import type { EntryWorld } from '../testing/entryBench.steps'
 import { waitUntil } from '../testing/waitUntil'
 
@@ -15,6 +15,7 @@
   first: Reply
   gateId: string
   caller: AbortController
+  http10: Http10Response
 }
 
 async function sendBooking (world: EntryWorld, options: SendOptions = {}): Promise<Reply> {
@@ -147,6 +148,17 @@
   this.reply = await this.bench.send('/services/bookings/availability', { entry })
 })
 
+When('the availability is read through entry {int} over HTTP\\/1.0', async function (this: OnceWorld, entry: number) {
+  this.http10 = await sendHttp10(this.bench.entries[entry]!.address, {
+    method: 'GET', path: '/services/bookings/availability', headers: { Host: 'entry', Authorization: `Bearer ${ACCOUNT_KEY}` }
+  })
+})
+
+Then('the connection of the caller is reset', function (this: OnceWorld) {
+  assert.match(this.http10.text, /200 OK/)
+  assert.ok(this.http10.isReset)
+})
+
 Then('the reply is {word}', function (this: OnceWorld, state: 'broken' | 'complete') {
   assert.equal(this.reply.broken, state === 'broken', this.reply.text)
 })
--- a/packages/pimentoplank/src/entry/services/brokenAnswers.feature
+++ b/packages/pimentoplank/src/entry/services/brokenAnswers.feature
@@ -15,6 +15,12 @@
       | chunks     | reset |
       | connection | reset |
 
+  Scenario: A caller of HTTP/1.0 sees a reset where an answer breaks off
+    Given the entry bench with 1 entry and 1 plain service target
+    And the booking service frames answers by length and breaks off the next one by a close
+    When the availability is read through entry 0 over HTTP/1.0
+    Then the connection of the caller is reset
+
   Scenario: An answer that ends with its connection is complete after an orderly close
     Given the entry bench with 1 entry and 1 plain service target
     And the booking service frames answers by connection
--- a/packages/pimentoplank/src/relay/live/callerReply.ts
+++ b/packages/pimentoplank/src/relay/live/callerReply.ts
@@ -1,6 +1,6 @@
 /** Writes the response to a caller. */
 import type { ServerResponse } from 'node:http'
-import type { RefusalError } from '../../shared'
+import { truncateResponse, type RefusalError } from '../../shared'
 import type { RawHeaders } from '../model'
 
 export interface RefusalAnswer {
@@ -17,8 +17,8 @@
   write: (bytes: Uint8Array) => Promise<void>
   /** Ends a complete response. */
   end: () => void
-  /** Destroys the connection, so that the caller can't take a truncated response for a complete one. */
-  destroy: () => void
+  /** Ends a response that has begun so that the caller can't take it for complete. */
+  truncate: () => void
   refuse: (refusal: RefusalError) => void
   /** Aborts when the caller disconnects before the response is complete. */
   disconnected: AbortSignal
@@ -57,7 +57,7 @@
       })
     },
     end: () => { res.end() },
-    destroy: () => { res.destroy() },
+    truncate: () => truncateResponse(res),
     refuse: (refusal) => {
       const { status, headers, body } = encodeRefusal(refusal)
       begin(status, [...headers, 'Content-Length', String(Buffer.byteLength(body))])
--- a/packages/pimentoplank/src/relay/live/relayRequest.ts
+++ b/packages/pimentoplank/src/relay/live/relayRequest.ts
@@ -139,7 +139,7 @@
       : new RefusalError(refusal.reason, { outcome, detail: refusal.message, cause: refusal })
     metrics.countRefusal(last.reason)
     const cut = reply.hasStarted()
-    if (cut) reply.destroy()
+    if (cut) reply.truncate()
     else reply.refuse(last)
     logEnd('failed', { reason: last.reason, ran: outcome, cut })
   }
@@ -284,6 +284,6 @@
 /** Logs an unexpected error while relaying a request, and refuses the request or cuts its connection. */
 export function handleUnexpectedError (cause: unknown, call: LiveCall, log: Log): void {
   log.error({ req: call.request.id, cause: describeCause(cause) }, 'relay failed')
-  if (call.reply.hasStarted()) call.reply.destroy()
+  if (call.reply.hasStarted()) call.reply.truncate()
   else call.reply.refuse(new RefusalError('targetFailed', { outcome: 'unknown', cause }))
 }
