Don't declare far instances lost before the size of the fleet is known

An instance that had heard one of a large fleet's instances expected the frequent reports of a small fleet and declared it lost between its infrequent ones. A joining instance also waited up to four heartbeats for its first report, since the interval of far reports ran on while there were no far peers.

Now addresses that are known but silent count, when it is decided whether the fleet may be large; and the interval starts with the first far report.

--- a/packages/pimentoplank/src/relay/gossip/gossip.ts
+++ b/packages/pimentoplank/src/relay/gossip/gossip.ts
@@ -171,8 +171,11 @@
   }
 
   function isAlive ({ report, lastReceivedAt }: PeerView, now: number): boolean {
-    const factor = isClose(report.failureDomain) ? 1 : settings.farFactor
-    return now - lastReceivedAt <= getTimings().silentAfterMs * factor
+    // A peer may know of more instances than have been heard here, and report as rarely as in a large fleet.
+    const mayBeLarge = peers.size + candidates.count() > settings.maxClosePeers
+    const { silentAfterMs } = mayBeLarge ? settings.paceOfLargeFleet : settings.pace
+    const isFar = mayBeLarge && report.failureDomain !== instance.failureDomain
+    return now - lastReceivedAt <= silentAfterMs * (isFar ? settings.farFactor : 1)
   }
 
   function removeLostPeers (): void {
@@ -210,9 +213,9 @@
 
   /** Reports to far peers omit the use of targets in this failure domain, which digests contain. */
   function sendFarReports (report: Report): void {
-    farReportedAt = sentAt
     const addresses = getFarAddresses()
     if (addresses.length === 0) return
+    farReportedAt = sentAt
     const bytes = encodeReport({ ...report, uses: options.getFarUses().own }, sentAt)
     addresses.forEach((address) => sendTo(address, bytes))
   }
--- a/packages/pimentoplank/src/relay/gossip/largeFleet.feature
+++ b/packages/pimentoplank/src/relay/gossip/largeFleet.feature
@@ -21,6 +21,12 @@
   Scenario: A far instance with infrequent reports is not declared lost
     Then for 2500 ms no instance is declared lost
 
+  Scenario: An instance that has heard only one of a large fleet does not declare it lost
+    Given an instance "a9" that takes part in a large fleet
+    When "b9" starts that knows the address of "a9" and one that is silent
+    Then "b9" hears "a9" within 1000 ms
+    And for 2500 ms no instance is declared lost
+
   Scenario: Digests of a failure domain are removed with its last instance
     When "a1" has 3 live requests at the target "ta" of its failure domain
     And "b1" sees 3 live requests at "ta" within 2000 ms
--- a/packages/pimentoplank/src/relay/gossip/largeFleet.steps.ts
+++ b/packages/pimentoplank/src/relay/gossip/largeFleet.steps.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict'
+import { createSocket, type Socket } from 'node:dgram'
 import { setTimeout as pause } from 'node:timers/promises'
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { createMetrics, createSilentLog, createSystemClock, hash32 } from '../../shared'
@@ -16,17 +17,18 @@
 
 interface LargeFleetWorld {
   largeFleet?: Map<string, Member>
+  silentPeer?: Socket
 }
 
 const STEP_TIMEOUT_MS = 15_000
 const PACE = { minGapMs: 5, heartbeatMs: 100, silentAfterMs: 400 }
-const SETTINGS = { maxClosePeers: 1, pace: PACE, paceOfLargeFleet: PACE, farFactor: 4, digestMs: 50 }
+const SETTINGS = { pace: PACE, paceOfLargeFleet: PACE, farFactor: 4, digestMs: 50 }
 /** The target in failure domain "a". */
 const NEAR_TARGET = hash32('ta')
 let nextPort = 21_000 + process.pid % 20_000
 
 /** Starts a member; tries the next port if one is in use. */
-async function startMember (id: string, seeds: readonly string[]): Promise<Member> {
+async function startMember (id: string, seeds: readonly string[], maxClosePeers = 1): Promise<Member> {
   const near = new Map<number, TargetUse>()
   const far = new Map<number, TargetUse>()
   const port = nextPort++
@@ -37,7 +39,7 @@
     listen: { host: '127.0.0.1', port },
     peerAddress: address,
     seeds,
-    settings: SETTINGS,
+    settings: { ...SETTINGS, maxClosePeers },
     getOwnReport: () => ({
       stage: 'serving', callerAddress: address, jobs: [], crashes: [], configRevision: 1, openJobs: new Map()
     }),
@@ -49,7 +51,7 @@
     metrics: createMetrics(),
     log: createSilentLog()
   })
-  if (started.isErr()) return await startMember(id, seeds)
+  if (started.isErr()) return await startMember(id, seeds, maxClosePeers)
   const gossip = started.value
   const peerUses = createPeerUses([])
   const lost: string[] = []
@@ -137,6 +139,26 @@
   for (const [id, { lost }] of this.largeFleet!) assert.deepEqual(lost, [], id)
 })
 
+Given('an instance {string} that takes part in a large fleet', async function (this: LargeFleetWorld, id: string) {
+  this.largeFleet!.set(id, await startMember(id, [], 0))
+})
+
+When('{string} starts that knows the address of {string} and one that is silent', async function (
+  this: LargeFleetWorld, id: string, known: string
+) {
+  const silent = createSocket('udp4')
+  await new Promise<void>((resolve) => silent.bind(0, '127.0.0.1', resolve))
+  this.silentPeer = silent
+  const seeds = [getMember(this, known).address, `127.0.0.1:${silent.address().port}`]
+  this.largeFleet!.set(id, await startMember(id, seeds))
+})
+
+Then('{string} hears {string} within {int} ms', async function (this: LargeFleetWorld, id: string, peer: string, ms: number) {
+  const hasHeard = (): boolean => getMember(this, id).gossip.peers().some(({ report }) => report.instance === peer)
+  await waitUntil(hasHeard, ms, () => `${id} has not heard ${peer}`)
+})
+
 After(async function (this: LargeFleetWorld) {
+  this.silentPeer?.close()
   for (const { gossip } of this.largeFleet?.values() ?? []) await gossip.close().catch(() => undefined)
 })
--- a/packages/pimentoplank/src/relay/gossip/peerCandidates.ts
+++ b/packages/pimentoplank/src/relay/gossip/peerCandidates.ts
@@ -4,6 +4,7 @@
 export interface PeerCandidates {
   add: (address: string) => void
   remove: (address: string) => void
+  count: () => number
   /** Returns the addresses that are due for another attempt, and records the attempt. */
   takeDue: () => string[]
   /** Removes addresses that have not answered within the retention period. */
@@ -42,6 +43,7 @@
   return {
     add,
     remove: (address) => { candidates.delete(address) },
+    count: () => candidates.size,
     takeDue: () => {
       const now = clock.now()
       const addresses: string[] = []
