--- a/packages/pimentoplank/src/relay/exchange/exchange.ts
+++ b/packages/pimentoplank/src/relay/exchange/exchange.ts
@@ -38,7 +38,7 @@
   }
 }
 
-/** What is known of the end of a response, for logs. */
+/** What is known of the end of a response. */
 export interface AnswerEnding {
   framing: BodyFraming
   /** Number of bytes of the body received so far. */
@@ -108,7 +108,7 @@
     const failure = findHeadFailure(outgoing, head)
     if (failure === undefined) return ok(answer)
     if (failure.reason === 'spoiled') answer.close()
-    else drain(answer).catch(() => answer.close())
+    else drainAnswer(answer).finally(() => answer.close()).catch(() => undefined)
     return err(failure)
   }
 
@@ -160,13 +160,17 @@
   return connection.isReused && afterMs <= STALE_DETECTION_MS ? 'staleConnection' : 'broken'
 }
 
-/** Reads a refusal to its end, so that its connection can be reused. */
-async function drain (answer: TargetAnswer): Promise<void> {
+/** Reads a response to its end without using its body, so that its connection can be reused. */
+export async function drainAnswer (
+  answer: TargetAnswer,
+  onBytes: () => void = () => undefined
+): Promise<Result<void, SendFailure>> {
   for (;;) {
     const next = await answer.read()
-    if (next.isErr() || next.value === undefined) break
+    if (next.isErr()) return err(next.error)
+    if (next.value === undefined) return ok(undefined)
+    onBytes()
   }
-  answer.close()
 }
 
 function findHeadFailure ({ request, target }: TargetRequest, head: AnswerHead): SendFailure | undefined {
--- a/packages/pimentoplank/src/relay/exchange/index.ts
+++ b/packages/pimentoplank/src/relay/exchange/index.ts
@@ -1,6 +1,6 @@
 export { createTargetConnectionPool, type ConnectionSettings, type TargetConnectionPool } from './connectionPool'
 export {
-  createExchange, SendFailure, type AnswerEnding, type Exchange, type SendFailureReason, type TargetAnswer
+  createExchange, drainAnswer, SendFailure, type AnswerEnding, type Exchange, type SendFailureReason, type TargetAnswer
 } from './exchange'
 export { createEventReader, type EventReader } from './eventReader'
 export { getEventData, type SplitEvent } from './eventSplitter'
--- a/packages/pimentoplank/src/relay/jobs/runItem.ts
+++ b/packages/pimentoplank/src/relay/jobs/runItem.ts
@@ -2,7 +2,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { Clock, Log } from '../../shared'
 import {
-  createEventReader, getEventData, SendFailure,
+  createEventReader, drainAnswer, getEventData, SendFailure,
   type AnswerEnding, type Exchange, type SplitEvent, type TargetAnswer
 } from '../exchange'
 import type { CallerRequest, Target } from '../model'
@@ -107,7 +107,7 @@
   const isSuccess = status >= 200 && status < 300
   if (isSuccess && !isSigned) return err(new SendFailure('spoiled', true, 'unsigned success'))
   if (!isSuccess) {
-    const drained = await drain(answer, onBytes)
+    const drained = await drainAnswer(answer, onBytes)
     if (drained.isErr()) return err(drained.error)
     if (status === STATUS_UNPROCESSABLE) return ok({ type: 'impossible' })
     return ok({ type: status >= STATUS_SERVER_ERROR ? 'failed' : 'refused' })
@@ -125,16 +125,6 @@
   }
 }
 
-/** Reads a response to its end, so that its connection can be reused. */
-async function drain (answer: TargetAnswer, onBytes: () => void): Promise<Result<void, SendFailure>> {
-  for (;;) {
-    const next = await answer.read()
-    if (next.isErr()) return err(next.error)
-    if (next.value === undefined) return ok(undefined)
-    onBytes()
-  }
-}
-
 function applyEvent (event: SplitEvent, progress: ItemProgress): Result<void, SendFailure> {
   const { id } = event
   const last = progress.lastEventId
