Refuse an at-most-once request whose answer breaks off before its first byte

Its caller got a closed connection and no status: the response counted as begun once the head of the target's answer was known, although nothing had been sent.

The response now begins with its first bytes, as it already did for events, so the caller gets 502.

--- a/packages/pimentoplank/src/relay/live/relayRequest.ts
+++ b/packages/pimentoplank/src/relay/live/relayRequest.ts
@@ -6,7 +6,7 @@
   type AnswerEnding, type EventReader, type Exchange, type SendFailureReason, type TargetAnswer
 } from '../exchange'
 import type { LoadView } from '../load'
-import type { CallerRequest, Route } from '../model'
+import type { AnswerHead, CallerRequest, Route } from '../model'
 import type { CallerReply } from './callerReply'
 import type { CrashTracker } from './crashTracker'
 import type { Slot, SlotScheduler } from './slotScheduler'
@@ -226,17 +226,16 @@
     const { head } = answer
     const isBuffered = isRepeatable(route)
     const buffered: Uint8Array[] = []
-    if (!isBuffered) call.reply.begin(head.status, head.headers)
     for (;;) {
       const next = await answer.read()
       if (next.isErr()) return toAttemptEnd(next.error)
       watch.recordBytes()
       if (next.value === undefined) break
       if (isBuffered) buffered.push(next.value)
-      else await call.reply.write(next.value)
+      else await writeBytes(head, next.value)
     }
-    if (isBuffered) call.reply.begin(head.status, head.headers)
-    for (const chunk of buffered) await call.reply.write(chunk)
+    for (const chunk of buffered) await writeBytes(head, chunk)
+    if (!call.reply.hasStarted()) call.reply.begin(head.status, head.headers)
     call.reply.end()
     return { type: 'done' }
   }
@@ -255,7 +254,7 @@
           ))
         }
         events += 1
-        await forwardBytes(answer, event.bytes)
+        await writeEvent(answer, event.bytes)
         progress.lastEventId = event.id ?? progress.lastEventId
       }
     }
@@ -272,11 +271,14 @@
     return id !== undefined && progress.lastEventId !== undefined && id > progress.lastEventId + 1
   }
 
-  async function forwardBytes (answer: TargetAnswer, bytes: Uint8Array): Promise<void> {
-    if (!call.reply.hasStarted()) {
-      deps.metrics.timing('live.firstEvent', clock.now() - call.arrivedAt)
-      call.reply.begin(answer.head.status, answer.head.headers)
-    }
+  async function writeEvent (answer: TargetAnswer, bytes: Uint8Array): Promise<void> {
+    if (!call.reply.hasStarted()) deps.metrics.timing('live.firstEvent', clock.now() - call.arrivedAt)
+    await writeBytes(answer.head, bytes)
+  }
+
+  /** Begins the response with its first bytes, so that a request that fails before them can still be refused. */
+  async function writeBytes (head: AnswerHead, bytes: Uint8Array): Promise<void> {
+    if (!call.reply.hasStarted()) call.reply.begin(head.status, head.headers)
     await call.reply.write(bytes)
   }
 }
