Break off answers of every framing in the soak

Targets frame their answers by length, by chunks or by the end of the connection, in turn, and break them off at the beginning, between or inside events, by a close or a reset. Callers also send plain requests, repeatable and at most once, and a quarter of the requests stay on open connections until the process is gone, whatever the directory says. A crashed target resets its connections; the proxy passes a reset on as one, also with the last bytes.

--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -5,10 +5,12 @@
 import type { SoakRandom } from './plan'
 import type { SoakFleet, SoakInstance } from './soakFleet'
 
+export type LiveKind = 'resumable' | 'once' | 'plain' | 'plainOnce'
+
 /** One attempt of a live request. */
 export interface Attempt {
   id: string
-  kind: 'resumable' | 'once'
+  kind: LiveKind
   instance: SoakInstance
   sentAt: number
   endedAt: number
@@ -43,6 +45,10 @@
 const READ_INTERVAL_MS = 500
 const DEADLINE_MS = 4000
 const MAX_ATTEMPTS = 3
+/** Kinds of live requests, by their frequency. */
+const LIVE_KINDS: readonly LiveKind[] = ['resumable', 'resumable', 'resumable', 'once', 'plain', 'plainOnce']
+/** Share of requests on connections that stay in use after their instance has left the directory. */
+const STICKY_SHARE = 0.25
 /** Share of jobs that their callers end early. */
 const ENDED_SHARE = 0.15
 const MAX_JOB_ITEMS = 12
@@ -75,6 +81,14 @@
     return known[random.nextInt(Math.max(1, known.length))]
   }
 
+  /** Some callers keep using their open connections, whatever the directory says, until the process is gone. */
+  function pickLiveInstance (): SoakInstance | undefined {
+    if (random.nextFloat() >= STICKY_SHARE) return pickInstance()
+    const open = fleet.instances.filter(({ address, child }) =>
+      agents.has(address) && child.exitCode === null && child.signalCode === null)
+    return open[random.nextInt(Math.max(1, open.length))] ?? pickInstance()
+  }
+
   function getAgent ({ address }: SoakInstance): Agent {
     const agent = agents.get(address) ?? new Agent({ keepAlive: true })
     agents.set(address, agent)
@@ -82,10 +96,10 @@
   }
 
   async function sendLiveRequest (): Promise<void> {
-    const kind = random.nextFloat() < 0.8 ? 'resumable' : 'once'
+    const kind = LIVE_KINDS[random.nextInt(LIVE_KINDS.length)]!
     const request = `${run}r${++count}`
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
-      const instance = pickInstance()
+      const instance = pickLiveInstance()
       if (instance === undefined) return
       const id = `${request}a${attempt}`
       const sentAt = Date.now()
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -1,6 +1,6 @@
 /** Checks the requests and runs that callers and targets recorded against the guarantees of the relay. */
 import { eventText, type ReplicaRun } from 'pimentoplank-platform/testing'
-import type { Attempt, SoakJob } from './callers'
+import type { Attempt, LiveKind, SoakJob } from './callers'
 import type { InjectedFault } from './inject'
 import type { SoakFleet } from './soakFleet'
 
@@ -16,6 +16,7 @@
 /** Statuses that guarantee that a request has not run and never will. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503])
 const HTTP_OK = 200
+const AT_MOST_ONCE: ReadonlySet<LiveKind> = new Set(['once', 'plainOnce'])
 /** Bounds given by the settings and the platform's documentation, in milliseconds. */
 const DRAIN_MS = 2000
 const CANCEL_MS = 3000
@@ -50,7 +51,7 @@
   const { id, kind, answer, instance } = attempt
   const problems: string[] = []
   const ran = filterRan(runs).length
-  if (kind === 'once' && ran > 1) problems.push(`once: ${id} ran ${ran} times`)
+  if (AT_MOST_ONCE.has(kind) && ran > 1) problems.push(`once: ${id} ran ${ran} times`)
   if (answer === undefined) {
     const { sentAt, endedAt } = attempt
     const isDisturbed = instance.disturbedAt.some((at) => at >= sentAt - CONTACT_TIMEOUT_MS && at <= endedAt + 1)
--- a/packages/soak/src/inject.ts
+++ b/packages/soak/src/inject.ts
@@ -40,7 +40,11 @@
     () => { faults.isFull = true },
     () => { faults.unsigned = true },
     () => { faults.wrongId = true },
-    () => { faults.breakOff = { events: 3 } },
+    () => { faults.breakOff = { events: 3, partialBytes: 9, by: 'close' } },
+    () => { faults.breakOff = { events: 3, partialBytes: 9, by: 'reset' } },
+    () => { faults.breakOff = { events: 3, by: 'reset' } },
+    () => { faults.breakOff = { events: 0, by: 'reset' } },
+    () => { faults.breakOff = { events: 0, by: 'close' } },
     () => { faults.silentAfter = 3 },
     () => { faults.forgetsAfterMs = 100 },
     () => { faults.extra = 'HTTP/1.1 200 OK\r\nAttempt-Id: another\r\nContent-Length: 3\r\n\r\nbad' }
--- a/packages/soak/src/soakFleet.ts
+++ b/packages/soak/src/soakFleet.ts
@@ -3,6 +3,7 @@
 import { createWriteStream, mkdirSync, writeFileSync } from 'node:fs'
 import path from 'node:path'
 import { createLink, type Link } from '@pimentoplank/standins'
+import type { BodyFraming } from 'pimentoplank/shared'
 import {
   entryOf, PORTS, settingsText, startReplicaStandin, startStoreStandin, usualConfig,
   type ReplicaStandin, type StoreStandin
@@ -61,6 +62,8 @@
 const HEAP_MB = 160
 const RESTART_DELAY_MS = 300
 const FAILURE_DOMAINS = ['a', 'b', 'c']
+/** How responses of targets define the end of their bodies, in turn. */
+const FRAMINGS: readonly BodyFraming[] = ['chunks', 'length', 'connection']
 const TARGET_OPTIONS = { slots: 4, events: 12, eventMs: 20 }
 
 /** Starts a deployment; does not wait until its instances are ready. */
@@ -79,7 +82,8 @@
   }
 
   async function addTarget (): Promise<SoakTarget> {
-    const standin = await startReplicaStandin({ id: `target-${targets.length + 1}`, ...TARGET_OPTIONS })
+    const framing = FRAMINGS[targets.length % FRAMINGS.length]
+    const standin = await startReplicaStandin({ id: `target-${targets.length + 1}`, framing, ...TARGET_OPTIONS })
     const link = await createLink(standin.address)
     const target = { standin, link }
     targets.push(target)
--- a/packages/standins/src/link/link.ts
+++ b/packages/standins/src/link/link.ts
@@ -78,19 +78,27 @@
       from.pause()
       into.once('drain', () => from.resume())
     })
+    let isReset = false
     from.on('end', () => {
+      // A reset that arrives with the last bytes is read as a regular end, but leaves the socket without a peer.
+      isReset ||= from.remoteAddress === undefined
+      if (isReset) {
+        from.destroy()
+        return
+      }
       if (connection.isSilent || (connection.dropsFromUpstream && isFromUpstream)) return
       if (connection.isSlow) setTimeout(() => into.end(), SLOW_MS)
       else into.end()
     })
     sockets.add(from)
-    from.on('error', () => undefined)
+    from.on('error', () => { isReset = true })
     from.on('close', () => {
       sockets.delete(from)
       connections.delete(connection)
       if (connection.isSilent) return
-      if (connection.isSlow) setTimeout(() => into.destroy(), 2 * SLOW_MS)
-      else into.destroy()
+      const end = (): void => { isReset ? into.resetAndDestroy() : into.destroy() }
+      if (connection.isSlow) setTimeout(end, 2 * SLOW_MS)
+      else end()
     })
   }
 
