Keep batch items owed when targets crash under them

Here: the platform path was not affected (test of 'Break off answers of every framing in the soak'). The batch runner of our own interface was: after two crashes under an item it ended it as failed (quarantined), and after three broken-off runs as failed (targetFailed), though the item was sound and targets were free again.

Items that are handed in for later don't crash targets by themselves. Now only failures that a target reports count towards itemTries. A run that broke off is repeated after a pause that doubles up to five minutes; suspects still run one at a time. Crashes under items are recorded as before, and live requests with that content are refused.

'An item that crashes targets ends as failed' asserted the opposite and is replaced: an item that crashes each target must not be given up, must run 10 to 14 times in 20 minutes, and must delay none of the 19 others.

--- a/packages/pimentoplank/features/support/fakeTargets.ts
+++ b/packages/pimentoplank/features/support/fakeTargets.ts
@@ -30,6 +30,10 @@
   runs: FakeRun[]
   /** A request whose content contains this marker crashes its target. */
   crashMarker: string
+  /** Number of crashes after which requests with the marker run like others. */
+  crashesLeft: number
+  /** Time after which a crashed target is back, in milliseconds; by default, never. */
+  restartMs: number
   /** A request whose content contains this marker fails on every run. */
   failMarker: string
   /** Runners whose streams no longer send anything and ignore cancellation. */
@@ -62,8 +66,10 @@
   const runs: FakeRun[] = []
   let isAllowed = true
 
-  function crash (target: string): void {
+  function crash (target: string, clock: Clock): void {
     dead.add(target)
+    fake.crashesLeft -= 1
+    if (fake.restartMs < Infinity) clock.sleep(fake.restartMs).then(() => { dead.delete(target) })
     for (const run of runs) if (run.target === target && run.outcome === 'running') run.outcome = 'crashed'
   }
 
@@ -72,8 +78,8 @@
       await clock.sleep(options.tokenMs)
       if (fake.silent.has(run.runner)) await new Promise(() => undefined)
       if (run.outcome === 'crashed') throw new EngineError('streamCut', { reached: true })
-      if (run.content.includes(fake.crashMarker)) {
-        crash(run.target)
+      if (run.content.includes(fake.crashMarker) && fake.crashesLeft > 0) {
+        crash(run.target, clock)
         throw new EngineError('streamCut', { reached: true })
       }
       if (run.content.includes(fake.failMarker)) {
@@ -148,6 +154,8 @@
     records,
     runs,
     crashMarker: 'CRASH',
+    crashesLeft: Infinity,
+    restartMs: Infinity,
     failMarker: 'FAIL',
     silent: new Set(),
     revoke: () => {
--- a/packages/pimentoplank/src/batch/runItem.ts
+++ b/packages/pimentoplank/src/batch/runItem.ts
@@ -1,7 +1,7 @@
 /** Runs one item, from the request for a slot to the item's outcome. */
 import { err, type Result } from 'neverthrow'
 import {
-  EngineError, hashPrompt, SECOND_MS,
+  EngineError, hashPrompt, MINUTE_MS, SECOND_MS,
   type BatchResult, type ChunkItem, type EngineErrorKind, type EngineEvent, type EngineStream,
   type ModelEntry, type PromptHashes, type RefusalError,
   type ResumePoint, type SlotGrant, type SlotReport, type Target
@@ -15,6 +15,8 @@
 const MIN_SLOT_PAUSE_MS = 100
 const MAX_SLOT_PAUSE_MS = 5 * SECOND_MS
 const MISSING_MODEL_PAUSE_MS = SECOND_MS
+/** Upper bound of the pause after a run that broke off, which doubles with each such run. */
+const MAX_RETRY_PAUSE_MS = 5 * MINUTE_MS
 
 /** State of an item until it has a result. */
 export interface ItemTask {
@@ -23,8 +25,10 @@
   account: string
   requestId: string
   hashes: PromptHashes
-  /** Number of failed runs. */
+  /** Number of runs that the target reported as failed. */
   failedRuns: number
+  /** Number of runs that broke off, for example as the target crashed. */
+  brokenRuns: number
   /** Earliest time of the next attempt, on the runner's clock. */
   notBefore: number
   /** True once any part of the item may have reached a target. */
@@ -52,6 +56,7 @@
     requestId: `${chunk}.${index}`,
     hashes: hashPrompt(String(item.body.model), item.body),
     failedRuns: 0,
+    brokenRuns: 0,
     notBefore: 0,
     isDispatched: false,
     isSuspect: false,
@@ -73,11 +78,8 @@
   task: ItemTask,
   { signal, mayDispatch }: RunItemOptions
 ): Promise<ItemOutcome> {
-  const { config, quarantine, clock, metrics } = context
-  const { item, hashes: { contentHash } } = task
-  if (quarantine.isQuarantined(contentHash)) {
-    return toOutcome(createFailedResult(item, 'quarantined', 'the content crashed the targets that ran it'))
-  }
+  const { config, clock, metrics } = context
+  const { item } = task
   const model = config.current().models.get(String(item.body.model))
   if (model === undefined) return waitForModel(context, task)
 
@@ -240,10 +242,7 @@
   if (error.kind === 'rejected') return toOutcome(createFailedResult(item, 'badRequest', error.message))
   if (error.kind === 'targetLeaving') membership.markLeaving(target.id, 'ownAnswer')
 
-  const crashVerdict = traits.countsAsFailure && await reportCrash(context, task, run)
-  if (crashVerdict === 'quarantined') {
-    return toOutcome(createFailedResult(item, 'quarantined', 'the content crashed the targets that ran it'))
-  }
+  if (traits.mayBeCrash) await reportCrash(context, task, run)
   const isStreamKept = error.kind === 'aborted' && run.streamId !== undefined
   if (item.noRepeat && task.isDispatched && !isStreamKept) {
     return toOutcome(createUnknownResult(item, `its run ended as ${error.kind}`))
@@ -256,10 +255,28 @@
   }
   if (error.kind !== 'aborted') task.excluded = [target.id, ...task.excluded].slice(0, MAX_EXCLUDED)
   task.resume = findResumePoint(run) ?? task.resume
-  task.notBefore = clock.now() + traits.pauseMs
+  if (traits.mayBeCrash && !traits.countsAsFailure) task.brokenRuns++
+  const pauseMs = computeRetryPauseMs(traits.pauseMs, task.brokenRuns)
+  task.notBefore = clock.now() + pauseMs
+  context.log.info({
+    req: task.requestId,
+    target: target.id,
+    reason: error.kind,
+    failedRuns: task.failedRuns,
+    brokenRuns: task.brokenRuns,
+    pauseMs
+  }, 'item run ended early')
   return { type: 'retry' }
 }
 
+/**
+ * Returns the pause before an item runs again, in milliseconds. It grows, since an item stays owed however many targets
+ * crash under it, and might be what crashes them.
+ */
+function computeRetryPauseMs (pauseMs: number, brokenRuns: number): number {
+  return Math.min(pauseMs * 2 ** Math.max(0, brokenRuns - 1), Math.max(pauseMs, MAX_RETRY_PAUSE_MS))
+}
+
 /** Errors after which a run can resume from the tokens received so far. */
 const RESUMABLE_ERRORS: ReadonlySet<EngineErrorKind> = new Set(['aborted', 'streamCut', 'streamSilent'])
 
@@ -270,12 +287,13 @@
   return { streamId, targetId: target.id, tokens: progress.tokens, text: progress.text }
 }
 
+/** Records a crash of the target; live requests with the same content may then be refused. */
 async function reportCrash (
   { engines, quarantine }: RunnerContext,
   task: ItemTask,
   { target, error }: FailedRun
-): Promise<'suspect' | 'quarantined' | false> {
-  if (!error.reached || await engines.probe(target)) return false
+): Promise<void> {
+  if (!error.reached || await engines.probe(target)) return
   task.isSuspect = true
-  return await quarantine.recordCrash(task.hashes.contentHash, target.id)
+  await quarantine.recordCrash(task.hashes.contentHash, target.id)
 }
--- a/packages/pimentoplank/src/batch/runner.feature
+++ b/packages/pimentoplank/src/batch/runner.feature
@@ -32,12 +32,19 @@
     And batch item 7 is "failed" for "targetFailed" after 3 runs
     And the other 19 batch items are "done"
 
-  Scenario: An item that crashes targets ends as failed, and items that run beside it do not
+  Scenario: A sound item under which target after target crashes is run until it is done
     Given a batch fleet with the runners "a"
+    And 8 runs of items with "CRASH" crash their targets, which are back after 2 s
     When 20 batch items are uploaded, of which item 7 contains "CRASH"
-    Then the batch job is "done" within 120 s
-    And batch item 7 is "failed" for "quarantined" after 2 runs
-    And the other 19 batch items are "done"
+    Then the batch job is "done" within 600 s
+    And each of the 20 batch items has 1 result, "done"
+
+  Scenario: An item that crashes each target is kept, runs ever more rarely, and delays no other item
+    Given a batch fleet with the runners "a"
+    And 1000 runs of items with "CRASH" crash their targets, which are back after 2 s
+    When 20 batch items are uploaded, of which item 7 contains "CRASH"
+    Then 19 batch items are "done" within 120 s
+    And within 20 minutes batch item 7 runs at least 10 and at most 14 times, without a result
 
   Scenario: A stopped runner releases its chunks at once
     Given a batch fleet with the runners "a, b"
--- a/packages/pimentoplank/src/batch/runner.steps.ts
+++ b/packages/pimentoplank/src/batch/runner.steps.ts
@@ -12,6 +12,7 @@
 
 const SECOND = 1000
 const MINUTE = 60 * SECOND
+const LONG_STEP_TIMEOUT_MS = 60_000
 
 interface FleetWorld {
   /** Number of runs that had started when a frozen runner thawed. */
@@ -97,6 +98,11 @@
     createFleet(this, names, { settings: { outage: { runMs: seconds * SECOND } } })
   })
 
+Given('{int} runs of items with {string} crash their targets, which are back after {int} s',
+  function (this: FleetWorld, count: number, marker: string, seconds: number) {
+    Object.assign(this.fleet.targets, { crashMarker: marker, crashesLeft: count, restartMs: seconds * SECOND })
+  })
+
 When('{int} batch items are uploaded', async function (this: FleetWorld, count: number) {
   await uploadItems(this, count, {})
 })
@@ -364,6 +370,25 @@
     assert.equal(getRuns(this, index).length, runs)
   })
 
+Then('{int} batch items are {string} within {int} s', { timeout: LONG_STEP_TIMEOUT_MS }, async function (
+  this: FleetWorld, count: number, status: string, seconds: number
+) {
+  await this.fleet.advanceUntil(async () => {
+    const results = [...(await getResultsById(this)).values()]
+    return results.filter((result) => result.status === status).length === count
+  }, seconds * SECOND)
+})
+
+Then('within {int} minutes batch item {int} runs at least {int} and at most {int} times, without a result',
+  { timeout: LONG_STEP_TIMEOUT_MS }, async function (
+    this: FleetWorld, minutes: number, index: number, least: number, most: number
+  ) {
+    await this.fleet.advance(minutes * MINUTE)
+    const count = getRuns(this, index).length
+    assert.ok(count >= least && count <= most, `${count} runs`)
+    assert.equal((await getResultsById(this)).has(`item-${index}`), false)
+  })
+
 Then('the other {int} batch items are {string}', async function (this: FleetWorld, count: number, status: string) {
   const others = [...(await getResultsById(this)).values()].filter((result) => result.status === status)
   assert.equal(others.length, count)
--- a/packages/pimentoplank/src/batch/settings.ts
+++ b/packages/pimentoplank/src/batch/settings.ts
@@ -39,7 +39,8 @@
 export const runnerSettings = z.strictObject({
   parallelism: z.int().min(1).max(1024).default(32).describe('Items waiting for a slot or running at once.'),
   chunksHeld: z.int().min(1).default(4).describe('Largest number of chunks claimed at once.'),
-  itemTries: z.int().min(1).default(3).describe('Failed runs after which the item itself is marked as failed.'),
+  itemTries: z.int().min(1).default(3)
+    .describe('Runs that targets reported as failed after which an item is marked as failed; broken-off runs are not counted.'),
   slotWaitMs: ms.default(5 * SECOND_MS)
     .describe('How long one slot request waits in the queue of the instance that grants the slots.'),
   intentGroup: z.int().min(1).default(16).describe('At-most-once items whose intents are written together.'),
