Break off target streams inside an event in the fault matrix

Every other engine of a deployment sends its streams without a length or chunks, on all paths. Two new faults close or reset the streams of a target inside an event, on the live path (first token, streaming) and the batch path (running).

--- a/packages/faults/features/batch.feature
+++ b/packages/faults/features/batch.feature
@@ -54,6 +54,8 @@
       | silence carrier to platform      | running            |
       | silence target connections       | running            |
       | cut target connections           | running            |
+      | close target streams inside an event | running        |
+      | reset target streams inside an event | running        |
       | target leaves                    | running            |
       | stop carrier                     | running            |
       | stop carrier                     | commit written     |
--- a/packages/faults/features/live.feature
+++ b/packages/faults/features/live.feature
@@ -15,6 +15,7 @@
       | stop carrier                          | streaming   |
       | silence target connections            | first token |
       | kill home                             | queued      |
+      | reset target streams inside an event  | streaming   |
 
     Examples:
       | fault                                 | step        |
@@ -31,6 +32,9 @@
       | cut target connections                | queued      |
       | cut target connections                | first token |
       | cut target connections                | streaming   |
+      | close target streams inside an event  | streaming   |
+      | close target streams inside an event  | first token |
+      | reset target streams inside an event  | first token |
       | target leaves                         | queued      |
       | target leaves                         | first token |
       | target leaves                         | streaming   |
--- a/packages/faults/src/deploy.ts
+++ b/packages/faults/src/deploy.ts
@@ -107,6 +107,7 @@
       await deployment.stop({ graceMs: 0 })
     }
   }
+  await frameEveryOtherEngineByConnection(testbed)
   await runCli(testbed, ['apply'], createInitialNote())
   await waitFor('the model to respond', async () => {
     const answer = await testbed.live.chat({ model: MODEL, prompt: 'ready?', maxTokens: 2 })
@@ -115,6 +116,12 @@
   return testbed
 }
 
+/** Lets every other engine send streams without a length or chunks, which end with their connections. */
+async function frameEveryOtherEngineByConnection ({ engines, target }: FaultTestbed): Promise<void> {
+  await Promise.all(engines.filter((_, index) => index % 2 === 0)
+    .map(async (id) => await target(id).setFaults({ framing: 'connection' })))
+}
+
 /** Creates the initial release note of every scenario. */
 export function createInitialNote (): Partial<ReleaseNote> {
   return {
--- a/packages/faults/src/faultInjectors.ts
+++ b/packages/faults/src/faultInjectors.ts
@@ -8,6 +8,8 @@
 export type FaultInjector = (testbed: FaultTestbed, heldStep: HeldStep) => Promise<Heal>
 export type Heal = () => Promise<void>
 
+/** Number of tokens after which the streams of a target break off; more than those of a stream that is held. */
+const CUT_AFTER_TOKENS = 5
 const NOTHING_TO_HEAL: Heal = async () => undefined
 
 /** Injectors by fault name. */
@@ -27,6 +29,8 @@
   'kill target': killTarget,
   'silence target connections': silenceTarget,
   'cut target connections': cutTarget,
+  'close target streams inside an event': breakOffTargetStreams('close'),
+  'reset target streams inside an event': breakOffTargetStreams('reset'),
   'target leaves': announceTargetLeaving,
   'kill home': killOwner,
   'freeze home': freezeOwner,
@@ -140,6 +144,14 @@
   return async () => { link.setMode('open') }
 }
 
+/** Cuts each stream of the target inside an event after a few more tokens. */
+function breakOffTargetStreams (cutInEventBy: 'close' | 'reset'): FaultInjector {
+  return async (testbed, { target }) => {
+    await testbed.target(target!).setFaults({ cutAfterTokens: CUT_AFTER_TOKENS, cutInEventBy })
+    return async () => { await testbed.target(target!).setFaults({ cutAfterTokens: 0, cutInEventBy: null }) }
+  }
+}
+
 async function announceTargetLeaving (testbed: FaultTestbed, { target }: HeldStep): Promise<Heal> {
   await testbed.target(target!).setFaults({ leaving: true })
   return NOTHING_TO_HEAL
--- a/packages/standins/src/engine/app.ts
+++ b/packages/standins/src/engine/app.ts
@@ -130,7 +130,7 @@
   return create({
     res: c.env.outgoing as ServerResponse,
     isSilent: () => engine.isSilent(socket),
-    getTokenLimit: () => engine.faults.cutAfterTokens ?? 0
+    getFaults: () => engine.faults
   })
 }
 
--- a/packages/standins/src/engine/faults.ts
+++ b/packages/standins/src/engine/faults.ts
@@ -12,6 +12,10 @@
   freezeMs: z.number().min(0),
   /** Closes the connection of each stream after this many tokens; 0 switches the fault off. */
   cutAfterTokens: z.int().min(0),
+  /** How `cutAfterTokens` ends a connection inside the next event; null closes it between two events. */
+  cutInEventBy: z.enum(['close', 'reset']).nullable(),
+  /** How streams define the end of their bodies. */
+  framing: z.enum(['chunks', 'connection']),
   /** Pauses each stream after it has generated this many tokens in its own run; null lets the streams continue. */
   holdAfterTokens: z.int().min(0).nullable(),
   /** New requests are rejected with 429. */
--- a/packages/standins/src/engine/streamWriter.ts
+++ b/packages/standins/src/engine/streamWriter.ts
@@ -1,17 +1,20 @@
 /** Writes a stream to a connection, as server-sent events or as a single JSON body when it ends. */
 import type { ServerResponse } from 'node:http'
+import { breakOffResponse, setFraming } from '../shared'
+import type { EngineFaults } from './faults'
 import type { Stream, StreamEndReason, StreamReader } from './stream'
 import { countTokens } from './answer'
 
 const HTTP_OK = 200
 const MS_PER_SECOND = 1000
+const PARTIAL_EVENT = 'data: {"id":'
 
 export interface WriterOptions {
   res: ServerResponse
   /** True while the connection must not carry any data. */
   isSilent: () => boolean
-  /** Returns the number of tokens after which the connection is closed; 0 for no limit. */
-  getTokenLimit: () => number
+  /** Returns the faults in force, of which those of framing and cut connections apply here. */
+  getFaults: () => EngineFaults
 }
 
 /** Forwards a stream to a connection. */
@@ -21,13 +24,20 @@
 }
 
 /** Creates a writer that sends server-sent events. */
-export function createEventWriter ({ res, isSilent, getTokenLimit: getLimit }: WriterOptions): StreamWriter {
+export function createEventWriter ({ res, isSilent, getFaults }: WriterOptions): StreamWriter {
   let stream: Stream
   let createdS = 0
   let sentTokens = 0
+  let isCut = false
 
   function send (text: string): void {
-    if (!isSilent() && !res.destroyed) res.write(text)
+    if (!isSilent() && !res.destroyed && !isCut) res.write(text)
+  }
+
+  function cut (by?: 'close' | 'reset'): void {
+    isCut = true
+    if (by === undefined) res.destroy()
+    else breakOffResponse(res, PARTIAL_EVENT, by)
   }
 
   return {
@@ -35,6 +45,7 @@
       stream = opened
       createdS = Math.floor(Date.now() / MS_PER_SECOND)
       if (isSilent()) return
+      setFraming(res, getFaults().framing ?? 'chunks')
       res.writeHead(HTTP_OK, {
         'content-type': 'text/event-stream',
         'cache-control': 'no-cache',
@@ -45,10 +56,11 @@
     onToken: (_, text) => {
       send(formatEvent(stream, createdS, text, null))
       sentTokens += 1
-      if (getLimit() > 0 && sentTokens >= getLimit()) res.destroy()
+      const { cutAfterTokens = 0, cutInEventBy } = getFaults()
+      if (cutAfterTokens > 0 && sentTokens >= cutAfterTokens && !isCut) cut(cutInEventBy ?? undefined)
     },
     onEnd: (reason) => {
-      if (isSilent()) return
+      if (isSilent() || isCut) return
       if (reason !== 'done') {
         res.destroy()
         return
--- a/packages/standins/src/shared/brokenResponse.ts
+++ b/packages/standins/src/shared/brokenResponse.ts
@@ -2,8 +2,12 @@
 import type { ServerResponse } from 'node:http'
 import type { BodyFraming } from 'pimentoplank/shared'
 
-/** Sets how a response defines the end of its body; must be called before its head is sent. */
-export function setFraming (res: ServerResponse, framing: BodyFraming, bodyBytes: number): void {
+/**
+ * Sets how a response defines the end of its body; must be called before its head is sent.
+ *
+ * @param bodyBytes - length of the whole body, which only `length` needs
+ */
+export function setFraming (res: ServerResponse, framing: BodyFraming, bodyBytes = 0): void {
   if (framing === 'length') res.setHeader('Content-Length', bodyBytes)
   if (framing === 'connection') res.useChunkedEncodingByDefault = false
 }
