Don't pass on the end of a connection whose bytes the proxy drops

The trace: a one-way link had dropped the last 5 of 12 events of a stream without a length or chunks, and then passed on the close of its upstream as an orderly end, which TCP can't do: the end follows the lost bytes. So the instance was right to take the stream for complete, and the check stays as it is. Until now chunks hid it.

--- a/packages/standins/src/link/link.ts
+++ b/packages/standins/src/link/link.ts
@@ -69,7 +69,7 @@
   function relay (connection: Connection, from: Socket, into: Socket, isFromUpstream: boolean): void {
     from.on('data', (bytes) => {
       byteCount += bytes.length
-      if (connection.isSilent || (connection.dropsFromUpstream && isFromUpstream)) return
+      if (isDropped()) return
       if (connection.isSlow) {
         setTimeout(() => { if (into.writable) into.write(bytes) }, SLOW_MS)
         return
@@ -79,6 +79,7 @@
       into.once('drain', () => from.resume())
     })
     let isReset = false
+    const isDropped = (): boolean => connection.isSilent || (connection.dropsFromUpstream && isFromUpstream)
     from.on('end', () => {
       // A reset that arrives with the last bytes is read as a regular end, but leaves the socket without a peer.
       isReset ||= from.remoteAddress === undefined
@@ -86,7 +87,7 @@
         from.destroy()
         return
       }
-      if (connection.isSilent || (connection.dropsFromUpstream && isFromUpstream)) return
+      if (isDropped()) return
       if (connection.isSlow) setTimeout(() => into.end(), SLOW_MS)
       else into.end()
     })
@@ -95,7 +96,7 @@
     from.on('close', () => {
       sockets.delete(from)
       connections.delete(connection)
-      if (connection.isSilent) return
+      if (isDropped()) return
       const end = (): void => {
         if (isReset) into.resetAndDestroy()
         else into.destroy()
