Keep the soak from closing answers that nothing marks as incomplete

The trace: a plain answer with neither a length nor chunks, whose connection the target closed in an orderly way after 78 bytes (framing=connection, connection=ended). That is the regular end of such a body, so the answer was rightly taken for complete; the check stays. The fault had been meant for chunks, but met a response that had begun without.

Targets without framing now break off by a reset, or by a close at the beginning of or inside an event of a stream.

--- a/packages/soak/src/inject.ts
+++ b/packages/soak/src/inject.ts
@@ -1,12 +1,14 @@
 /** Injects faults into a running deployment and ends them. */
 import { setTimeout as pause } from 'node:timers/promises'
 import type { LinkMode } from '@pimentoplank/standins'
+import { PATHS } from 'pimentoplank-platform/testing'
 import type { Fault, FaultKind } from './plan'
 import type { SoakFleet, SoakInstance, SoakTarget } from './soakFleet'
 
 /** Starts a fault; returns a function that ends it, or undefined where there is nothing to end. */
 type Injector = (fleet: SoakFleet, fault: Fault) => (() => void) | undefined
 
+const STREAM_PATHS = [PATHS.resumable, PATHS.once, PATHS.batch]
 const LINK_MODES: readonly LinkMode[] = ['silent', 'oldSilent', 'oneWay', 'slow', 'cut']
 /** Share of the instances that `killMany` kills. */
 const KILLED_SHARE = 0.6
@@ -34,19 +36,21 @@
   return () => fleet.restart(instance)
 }
 
-function failTarget ({ faults }: SoakTarget['standin'], pick: number): void {
+function failTarget ({ faults, framing }: SoakTarget['standin'], pick: number): void {
+  // Without a length or chunks, an orderly close is the regular end of a plain body, and of a stream between two events.
+  const isUnframed = framing === 'connection'
+  const paths = isUnframed ? STREAM_PATHS : undefined
   const variants: Array<() => void> = [
     () => { faults.status = 500 },
     () => { faults.isFull = true },
     () => { faults.unsigned = true },
     () => { faults.wrongId = true },
-    // Without a length or chunks, nothing would show that a stream broke off between two events.
-    () => Object.assign(faults, { framing: 'chunks', breakOff: { events: 3, by: 'close' } }),
-    () => { faults.breakOff = { events: 3, partialBytes: 9, by: 'close' } },
+    () => { faults.breakOff = { events: 3, by: isUnframed ? 'reset' : 'close' } },
+    () => { faults.breakOff = { events: 3, partialBytes: 9, by: 'close', paths } },
     () => { faults.breakOff = { events: 3, partialBytes: 9, by: 'reset' } },
     () => { faults.breakOff = { events: 3, by: 'reset' } },
     () => { faults.breakOff = { events: 0, by: 'reset' } },
-    () => { faults.breakOff = { events: 0, by: 'close' } },
+    () => { faults.breakOff = { events: 0, by: 'close', paths } },
     () => { faults.silentAfter = 3 },
     () => { faults.forgetsAfterMs = 100 },
     () => { faults.extra = 'HTTP/1.1 200 OK\r\nAttempt-Id: another\r\nContent-Length: 3\r\n\r\nbad' }
