--- a/packages/soak/src/inject.ts
+++ b/packages/soak/src/inject.ts
@@ -37,7 +37,7 @@
 }
 
 function failTarget ({ faults, framing }: SoakTarget['standin'], pick: number): void {
-  // Without a length or chunks, an orderly close is the regular end of a plain body, and of a stream between two events.
+  // Without a length or chunks, an orderly close ends a plain body regularly, and a stream between two events.
   const isUnframed = framing === 'connection'
   const paths = isUnframed ? STREAM_PATHS : undefined
   const variants: Array<() => void> = [
