--- a/packages/soak/src/regressions.ts
+++ b/packages/soak/src/regressions.ts
@@ -7,7 +7,7 @@
 }
 
 /** Seeds in which SIGHUP reached a starting process; before the program's first line runs, it ends the process. */
-export const EARLY_SIGHUPS: readonly Regression[] = [211, 212].map((seed) => (
+export const EARLY_SIGHUPS: readonly Regression[] = [211, 212, 2052].map((seed) => (
   { seed, seconds: 15, cause: 'SIGHUP ended the process while the program was still loading' }
 ))
 
@@ -18,5 +18,7 @@
   { seed: 105, seconds: 15, cause: LOST_TAKEOVER },
   { seed: 106, seconds: 15, cause: LOST_TAKEOVER },
   { seed: 107, seconds: 15, cause: LOST_TAKEOVER },
-  { seed: 1002, seconds: 15, cause: 'an at-most-once answer broke off before its first byte, and its caller got no status' }
+  { seed: 1002, seconds: 15, cause: 'an at-most-once answer broke off before its first byte, and its caller got no status' },
+  { seed: 2009, seconds: 15, cause: 'the proxy dropped bytes of a stream and then passed on its end' },
+  { seed: 2041, seconds: 15, cause: 'a target closed a plain answer in an orderly way that only its connection ended' }
 ]
