--- a/packages/soak/features/soak.steps.ts
+++ b/packages/soak/features/soak.steps.ts
@@ -8,6 +8,7 @@
 
 const RUN_TIMEOUT_MS = 600_000
 const MS_PER_S = 1000
+const MAX_PARALLEL_SEEDS = 4
 /** Deployment size of the recorded seeds; with another size, the same seed gives a different run. */
 const FLEET_OPTIONS = { instances: 5, targets: 8, folder: 'reports/soak' }
 
@@ -16,8 +17,13 @@
 })
 
 async function runRegressions (regressions: readonly Regression[]): Promise<SeedOutcome[]> {
-  return await Promise.all(regressions.map(async ({ seed, seconds }) =>
-    await runSeed({ seed, lengthMs: seconds * MS_PER_S, ...FLEET_OPTIONS })))
+  const outcomes: SeedOutcome[] = []
+  for (let start = 0; start < regressions.length; start += MAX_PARALLEL_SEEDS) {
+    const seeds = regressions.slice(start, start + MAX_PARALLEL_SEEDS)
+    outcomes.push(...await Promise.all(seeds.map(async ({ seed, seconds }) =>
+      await runSeed({ seed, lengthMs: seconds * MS_PER_S, ...FLEET_OPTIONS }))))
+  }
+  return outcomes
 }
 
 When('the seeds that failed before run', { timeout: RUN_TIMEOUT_MS }, async function (this: SoakWorld) {
