Log which prompt parts a request had on which a target broke off

Change: the line 'target broke off as a request began' with content, prompt parts and the number of crashed targets. Decisions are as before.

--- a/packages/pimentoplank/src/relay/callers/relayHandler.ts
+++ b/packages/pimentoplank/src/relay/callers/relayHandler.ts
@@ -4,13 +4,15 @@
 import { RefusalError, type Clock, type Log, type Random } from '../../shared'
 import type { JobApi, JobItem } from '../jobs'
 import { createCallerReply, handleUnexpectedError, relayRequest, type CallerReply, type RefusalAnswer, type RelayDeps } from '../live'
-import type { CallerRequest, Route } from '../model'
+import type { CallerRequest, RawHeaders, Route } from '../model'
 import { pickService, type RouteTable } from '../routing'
 
 /** Codec for requests of callers and the responses to them. */
 export interface CallerProtocol {
   /** Decodes the head of a request; its body is read later. */
   decodeRequest: (req: IncomingMessage) => Result<Omit<CallerRequest, 'body'>, RefusalError>
+  /** Decodes the ids of the parts of a prompt, in order; the last part is the request's own. */
+  decodePromptParts: (headers: RawHeaders) => string[]
   /** Decodes the items of a job from the body of its submission. */
   decodeJob: (body: Uint8Array) => Result<JobItem[], RefusalError>
   encodeRefusal: (refusal: RefusalError) => RefusalAnswer
--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -132,7 +132,9 @@
     settings: { connectTimeoutMs: TARGET_CONNECT_TIMEOUT_MS, idleTimeoutMs: TARGET_IDLE_TIMEOUT_MS }, clock, metrics
   })
   const exchange = createExchange(protocols.targets, connections, clock)
-  const crashes = createCrashTracker({ limit: CRASH_LIMIT, keepMs: CRASH_RETENTION_MS, clock })
+  const crashes = createCrashTracker({
+    limit: CRASH_LIMIT, keepMs: CRASH_RETENTION_MS, decodePromptParts: protocols.callers.decodePromptParts, clock, log
+  })
   const jobRegistry = createJobRegistry({
     self: instance.id, noticeMs: JOB_NOTICE_MS, onNotice: () => gossip.reportNow(), clock
   })
--- a/packages/pimentoplank/src/relay/live/crashTracker.ts
+++ b/packages/pimentoplank/src/relay/live/crashTracker.ts
@@ -1,15 +1,18 @@
 /** Tracks request content on which targets crashed, so that one request can't take down one target after the other. */
 import { LRUCache } from 'lru-cache'
-import { hash32, hash64, type Clock } from '../../shared'
+import { hash32, hash64, type Clock, type Log } from '../../shared'
 import type { CrashRecord } from '../gossip'
-import type { CallerRequest } from '../model'
+import type { CallerRequest, RawHeaders } from '../model'
 
 export interface CrashTrackerOptions {
   /** Number of different targets that must crash on some content before it is refused. */
   limit: number
   /** How long content is refused after its last crash, in milliseconds. */
   keepMs: number
+  /** Decodes the ids of the parts of a prompt, in order, from the headers of its request. */
+  decodePromptParts: (headers: RawHeaders) => string[]
   clock: Clock
+  log: Log
 }
 
 export interface CrashTracker {
@@ -37,7 +40,8 @@
 const MAX_ENTRIES = 5000
 
 /** Creates the crash tracker of an instance. */
-export function createCrashTracker ({ limit, keepMs, clock }: CrashTrackerOptions): CrashTracker {
+export function createCrashTracker (options: CrashTrackerOptions): CrashTracker {
+  const { limit, keepMs, clock, log } = options
   const entries = new LRUCache<bigint, Entry>({ max: MAX_ENTRIES })
 
   function add (content: bigint, targets: readonly number[]): void {
@@ -50,7 +54,17 @@
   }
 
   return {
-    recordCrash: (targetId, request) => add(hashContent(request), [hash32(targetId)]),
+    recordCrash: (targetId, request) => {
+      const content = hashContent(request)
+      add(content, [hash32(targetId)])
+      log.info({
+        req: request.id,
+        target: targetId,
+        content: content.toString(16),
+        promptParts: options.decodePromptParts(request.headers),
+        crashedTargets: entries.get(content)?.targets.size
+      }, 'target broke off as a request began')
+    },
     isRefused: (request) => {
       if (entries.size === 0) return false
       const entry = entries.get(hashContent(request))
