Find the prompt part that crashes targets, and refuse requests with it

Cause: crashes were recorded by the hash of host, path and body. Change: instances report each crash with the prompts that were about to begin there, and which suspected parts they saw answered. A part is found once three targets crashed on it at different moments, with three different prompts, no answer since, and not too many crashes nearby that it doesn't explain (six targets if it was answered before). Only prompts with all parts that the crashed ones had in common are refused. What is found goes to the platform's store for instances that start later, is cleared by an answer, and is probed ever more rarely. Items with such parts wait; those on which targets crash are tried ever more rarely. Tried and left: counting crashes alone found sound parts wherever many targets were lost at once.

--- a/packages/pimentoplank/src/relay/callers/relayHandler.ts
+++ b/packages/pimentoplank/src/relay/callers/relayHandler.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { err, ok, type Result } from 'neverthrow'
 import { RefusalError, type Clock, type Log, type Random } from '../../shared'
+import { isRepeatable } from '../decisions'
 import type { JobApi, JobItem } from '../jobs'
 import { createCallerReply, handleUnexpectedError, relayRequest, type CallerReply, type RefusalAnswer, type RelayDeps } from '../live'
 import type { CallerRequest, RawHeaders, Route } from '../model'
@@ -86,12 +87,17 @@
       reply.refuse(new RefusalError('noTarget', { detail: `route ${route.name} names no service` }))
       return
     }
-    if (live.crashes.isRefused(request)) {
-      log.warn({ req: request.id, route: route.name }, 'request refused: targets crashed on this content')
-      reply.refuse(new RefusalError('quarantined', { outcome: 'failed' }))
+    const isRefused = live.crashes.isRefused(request)
+    const isProbe = isRefused && isRepeatable(route) && live.crashes.mayProbe(request)
+    if (isRefused && !isProbe) {
+      log.info({ req: request.id, route: route.name }, 'request refused: targets crashed on its prompt')
+      live.metrics.countRefusal('quarantined')
+      reply.refuse(new RefusalError('quarantined', { outcome: 'not_run' }))
       return
     }
-    const call = { request, route, service, reply, arrivedAt: clock.now(), isReturning: isCallerRetry(request, route) }
+    const call = {
+      request, route, service, reply, arrivedAt: clock.now(), isReturning: isCallerRetry(request, route), isProbe
+    }
     await relayRequest(call, live).catch((cause: unknown) => handleUnexpectedError(cause, call, log))
   }
 
--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -1,13 +1,13 @@
 /** Creates a relay instance from its components. */
 import { err, ok, ResultAsync, type Result } from 'neverthrow'
 import {
-  createObjectFeed, createPeerServer, createPeerTransports, createSystemClock, describeCause,
+  createObjectFeed, createPeerServer, createPeerTransports, createSystemClock, describeCause, rankByRendezvous,
   type Clock, type Log, type Metrics, type Peer, type PeeredFeed, type PeerSecurity, type PlatformClient, type Random
 } from '../shared'
 import { createShutdownController } from '../entry/stopping'
 import { createDirectory, createRelayHandler, type CallerProtocol, type Directory, type RelayHandler } from './callers'
 import {
-  CRASH_RETENTION_MS, CRASH_LIMIT, DIRECTORY_MAX_AGE_MS, DIRECTORY_STALENESS_FACTOR, FEED_TIMINGS,
+  CRASH_REPORT_DELAY_MS, CRASH_RETENTION_MS, DIRECTORY_MAX_AGE_MS, DIRECTORY_STALENESS_FACTOR, FEED_TIMINGS,
   GOSSIP_SETTINGS, JOB_NOTICE_MS, PREFERRING_INSTANCES, REMOVAL_GRACE_SHARE, TARGET_CONNECT_TIMEOUT_MS,
   TARGET_IDLE_TIMEOUT_MS, TICK_INTERVAL_MS
 } from './constants'
@@ -19,7 +19,7 @@
   createJobStore, createQuota, handOverJobs, getOpenTokens,
   type JobApi
 } from './jobs'
-import { createCrashTracker, createSlotScheduler, createSilenceDetector } from './live'
+import { createCrashingPartsStore, createCrashTracker, createSlotScheduler, createSilenceDetector } from './live'
 import { createLoadView, createPeerUses, createTargetPreference } from './load'
 import type { RelayConfig, Target, TargetProtocol } from './model'
 import { createRouteTable, type RouteTable } from './routing'
@@ -84,6 +84,7 @@
   })
   let table: RouteTable | undefined
   let isClosed = false
+  let reportTimer: NodeJS.Timeout | undefined
 
   const started = await startGossip({
     instance,
@@ -132,8 +133,17 @@
     settings: { connectTimeoutMs: TARGET_CONNECT_TIMEOUT_MS, idleTimeoutMs: TARGET_IDLE_TIMEOUT_MS }, clock, metrics
   })
   const exchange = createExchange(protocols.targets, connections, clock)
+  const crashingPartsStore = createCrashingPartsStore({ platform, keepMs: CRASH_RETENTION_MS, clock, log })
   const crashes = createCrashTracker({
-    limit: CRASH_LIMIT, keepMs: CRASH_RETENTION_MS, decodePromptParts: protocols.callers.decodePromptParts, clock, log
+    keepMs: CRASH_RETENTION_MS,
+    decodePromptParts: protocols.callers.decodePromptParts,
+    isProber: (key) => rankByRendezvous(key, listServingInstances(), (id) => id)[0] === instance.id,
+    onChange: scheduleReport,
+    onFound: (found) => {
+      crashingPartsStore.save(found).catch((cause: unknown) => log.error({ cause: describeCause(cause) }, 'parts that crash targets could not be stored'))
+    },
+    clock,
+    log
   })
   const jobRegistry = createJobRegistry({
     self: instance.id, noticeMs: JOB_NOTICE_MS, onNotice: () => gossip.reportNow(), clock
@@ -143,6 +153,7 @@
     self: instance.id,
     jobRegistry,
     loads,
+    crashes,
     exchange,
     table: () => table,
     peers: gossip.peers,
@@ -240,7 +251,7 @@
   })
   gossip.onReport((report) => {
     for (const { job, ...ownership } of report.jobs) jobRegistry.update(job, ownership)
-    crashes.merge(report.crashes)
+    crashes.merge(report)
     scheduleDispatch()
   })
   gossip.onPeerLost(({ report }) => {
@@ -251,6 +262,10 @@
   const collector = createJobCollector({
     self: instance.id, store, peers: gossip.peers, keepMs: settings.bounds.jobStatusMs, clock, log
   })
+  const closing = new AbortController()
+  crashingPartsStore.load(closing.signal).then(crashes.restore).catch((cause: unknown) => {
+    log.error({ cause: describeCause(cause) }, 'parts that crash targets could not be restored')
+  })
   feed.ready().then(async () => await jobManager.recover()).catch((cause: unknown) => {
     log.error({ cause: describeCause(cause) }, 'jobs could not be recovered from the store')
   })
@@ -310,7 +325,7 @@
       stage: getStage(),
       callerAddress,
       jobs: jobRegistry.getNotices(),
-      crashes: crashes.getNotices(),
+      ...crashes.getReport(),
       configRevision: Math.max(0, feed.revision(protocols.config.kind)),
       openJobs: getOpenTokens(jobRegistry)
     }
@@ -325,6 +340,19 @@
     if (load !== undefined) runner.yieldItems(load.target.id, count)
   }
 
+  /** Reports soon, but not once for each of several changes. */
+  function scheduleReport (): void {
+    reportTimer ??= setTimeout(() => {
+      reportTimer = undefined
+      gossip.reportNow()
+    }, CRASH_REPORT_DELAY_MS)
+  }
+
+  function listServingInstances (): string[] {
+    const serving = gossip.peers().filter(({ report }) => report.stage === 'serving')
+    return [instance.id, ...serving.map(({ report }) => report.instance)]
+  }
+
   let isDispatchScheduled = false
   function scheduleDispatch (): void {
     if (isDispatchScheduled) return
@@ -364,7 +392,9 @@
 
   async function close (): Promise<void> {
     isClosed = true
+    closing.abort()
     clearInterval(periodicTimer)
+    clearTimeout(reportTimer)
     jobManager.close()
     collector.close()
     await feed.close()
--- a/packages/pimentoplank/src/relay/gossip/datagrams.ts
+++ b/packages/pimentoplank/src/relay/gossip/datagrams.ts
@@ -4,7 +4,7 @@
   DatagramSchema, DomainDigestSchema, InstanceReportSchema, InstanceStage, LoadChangeSchema, YieldRequestSchema,
   type Datagram, type LoadChange
 } from '../../shared'
-import type { CrashRecord, JobOwnership, Report, Stage, TargetUse, WaitingItems } from './types'
+import type { JobOwnership, Report, Stage, TargetUse, WaitingItems } from './types'
 
 const STAGE_CODES: Record<Stage, InstanceStage> = {
   starting: InstanceStage.STARTING,
@@ -13,7 +13,7 @@
 }
 const STAGES = new Map(Object.entries(STAGE_CODES).map(([stage, code]) => [code, stage as Stage]))
 
-/** Encodes a full report. Due times are sent relative to `now`, since instances do not share a monotonic clock. */
+/** Encodes a full report. Times are sent relative to `now`, since instances do not share a monotonic clock. */
 export function encodeReport (report: Report, now: number): Uint8Array {
   const message = create(InstanceReportSchema, {
     ...report,
@@ -23,7 +23,11 @@
     waiting: report.waiting.map(({ dueAt, count }) => ({ dueInMs: Math.round(dueAt - now), count })),
     knownPeers: [...report.knownPeers],
     jobs: [...report.jobs],
-    crashes: report.crashes.map(({ content, targets }) => ({ content, targets: [...targets] })),
+    crashes: report.crashes.map(({ target, at, prompts }) => ({
+      target, ageMs: toAgeMs(at, now), prompts: prompts.map(({ id, parts }) => ({ id, parts: [...parts] }))
+    })),
+    crashingParts: report.crashingParts.map(({ parts, at }) => ({ parts: [...parts], ageMs: toAgeMs(at, now) })),
+    answeredParts: report.answeredParts.map(({ part, at }) => ({ part, ageMs: toAgeMs(at, now) })),
     suspects: [...report.suspects],
     configRevision: BigInt(report.configRevision),
     openJobs: [...report.openJobs].map(([job, tokens]) => ({ job, tokens: BigInt(Math.round(tokens)) }))
@@ -31,6 +35,10 @@
   return toBinary(DatagramSchema, create(DatagramSchema, { content: { case: 'report', value: message } }))
 }
 
+function toAgeMs (at: number, now: number): number {
+  return Math.max(0, Math.round(now - at))
+}
+
 /** Encodes the part of a report that changes often. */
 export function encodeLoad (load: LoadUpdate, now: number): Uint8Array {
   const uses = [...load.uses]
@@ -112,7 +120,7 @@
   }
   if (content.case === 'load') return { type: 'load', load: decodeLoad(content.value, now) }
   if (content.case !== 'report') return undefined
-  const { uses, waiting, suspects, jobs, crashes, openJobs, ...rest } = content.value
+  const { uses, waiting, suspects, jobs, openJobs, ...rest } = content.value
   return {
     type: 'report',
     report: {
@@ -129,7 +137,9 @@
       knownPeers: rest.knownPeers,
       jobs: jobs.map(({ job, owner, epoch, ended }): JobOwnership => ({ job, owner, epoch, ended })),
       suspects: new Set(suspects),
-      crashes: crashes.map(({ content, targets }): CrashRecord => ({ content, targets })),
+      crashes: rest.crashes.map(({ target, ageMs, prompts }) => ({ target, at: now - ageMs, prompts })),
+      crashingParts: rest.crashingParts.map(({ parts, ageMs }) => ({ parts, at: now - ageMs })),
+      answeredParts: rest.answeredParts.map(({ part, ageMs }) => ({ part, at: now - ageMs })),
       configRevision: Number(rest.configRevision),
       openJobs: new Map(openJobs.map(({ job, tokens }) => [job, Number(tokens)]))
     }
--- a/packages/pimentoplank/src/relay/gossip/gossip.ts
+++ b/packages/pimentoplank/src/relay/gossip/gossip.ts
@@ -8,10 +8,10 @@
 } from './datagrams'
 import type { GossipTimings, GossipSettings } from './gossipSettings'
 import { createPeerCandidates } from './peerCandidates'
-import type { PeerView, Report } from './types'
+import type { CrashReport, PeerView, Report } from './types'
 
 /** Part of a full report that the instance provides. */
-export type OwnReport = Pick<Report, 'stage' | 'callerAddress' | 'jobs' | 'crashes' | 'configRevision' | 'openJobs'>
+export type OwnReport = Pick<Report, 'stage' | 'callerAddress' | 'jobs' | 'configRevision' | 'openJobs' | keyof CrashReport>
 
 /** Part of a report that changes with each request. */
 export type OwnLoad = Pick<Report, 'uses' | 'waiting' | 'suspects'>
--- a/packages/pimentoplank/src/relay/gossip/index.ts
+++ b/packages/pimentoplank/src/relay/gossip/index.ts
@@ -1,4 +1,6 @@
 export type { DomainUses } from './datagrams'
 export { startGossip, type Gossip, type GossipOptions, type FarUses, type OwnLoad, type OwnReport } from './gossip'
-export type { CrashRecord, JobOwnership, PeerView, Report, Stage, TargetUse, WaitingItems } from './types'
+export type {
+  AnsweredPart, CrashingParts, CrashNotice, CrashReport, JobOwnership, PeerView, Report, Stage, TargetUse, WaitingItems
+} from './types'
 export type { GossipTimings, GossipSettings } from './gossipSettings'
--- a/packages/pimentoplank/src/relay/gossip/largeFleet.steps.ts
+++ b/packages/pimentoplank/src/relay/gossip/largeFleet.steps.ts
@@ -41,7 +41,14 @@
     seeds,
     settings: { ...SETTINGS, maxClosePeers },
     getOwnReport: () => ({
-      stage: 'serving', callerAddress: address, jobs: [], crashes: [], configRevision: 1, openJobs: new Map()
+      stage: 'serving',
+      callerAddress: address,
+      jobs: [],
+      crashes: [],
+      crashingParts: [],
+      answeredParts: [],
+      configRevision: 1,
+      openJobs: new Map()
     }),
     getOwnLoad: () => ({ uses: new Map([...near, ...far]), waiting: [], suspects: new Set() }),
     getFarUses: () => ({ own: far, domain: domainUses() }),
--- a/packages/pimentoplank/src/relay/gossip/types.ts
+++ b/packages/pimentoplank/src/relay/gossip/types.ts
@@ -24,15 +24,38 @@
   ended: boolean
 }
 
-/** Content on which targets crashed. */
-export interface CrashRecord {
-  /** Hash of path and body. */
-  content: bigint
-  /** Hashes of the ids of targets whose connection broke as they began to run it. */
-  targets: readonly number[]
+/** Crash of a target that an instance saw. */
+export interface CrashNotice {
+  /** Hash of the target's id. */
+  target: number
+  /** Time on the local monotonic clock, in milliseconds. */
+  at: number
+  /** Prompts that were about to be answered there, with the hashes of the parts that other prompts may share. */
+  prompts: ReadonlyArray<{ id: bigint, parts: readonly bigint[] }>
 }
 
-export interface Report {
+/** Parts of prompts that crash targets; only prompts with all of them are known to do so. */
+export interface CrashingParts {
+  parts: readonly bigint[]
+  /** When it was found, on the local monotonic clock in milliseconds. */
+  at: number
+}
+
+/** Part of prompts that a target has answered. */
+export interface AnsweredPart {
+  part: bigint
+  /** When the latest answer began, on the local monotonic clock in milliseconds. */
+  at: number
+}
+
+/** What an instance knows of crashes. */
+export interface CrashReport {
+  crashes: readonly CrashNotice[]
+  crashingParts: readonly CrashingParts[]
+  answeredParts: readonly AnsweredPart[]
+}
+
+export interface Report extends CrashReport {
   instance: string
   /** Wall clock time at which the process started, in milliseconds. */
   incarnation: number
@@ -48,7 +71,6 @@
   knownPeers: readonly string[]
   jobs: readonly JobOwnership[]
   suspects: ReadonlySet<number>
-  crashes: readonly CrashRecord[]
   configRevision: number
   /** Tokens of items that have no result yet, by hash of the job's id. */
   openJobs: ReadonlyMap<number, number>
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.ts
@@ -3,13 +3,14 @@
 import { countExcess, chooseStarts, choosePreempted, rankItem, type RunningItem, type WaitingItem } from '../decisions'
 import type { Exchange } from '../exchange'
 import type { PeerView, WaitingItems } from '../gossip'
+import { BEGINNING_EVENTS, type CrashTracker } from '../live'
 import type { LoadView } from '../load'
 import type { Route, Target } from '../model'
 import { pickService, type RouteTable } from '../routing'
 import { createItemTimeEstimator } from './itemTimeEstimator'
 import type { JobRegistry } from './jobRegistry'
 import type { ItemProgress, OwnedJob } from './ownedJob'
-import { runItem, type ItemEnd } from './runItem'
+import { createItemRequest, runItem, type ItemEnd } from './runItem'
 
 export interface ItemRunnerRules {
   /** Share of each service's slots that batch items leave free for live requests. */
@@ -27,6 +28,7 @@
   self: string
   jobRegistry: JobRegistry
   loads: LoadView
+  crashes: Pick<CrashTracker, 'recordCrash' | 'recordPossibleCrash' | 'recordAnswer' | 'hasCrashingParts'>
   exchange: Exchange
   table: () => RouteTable | undefined
   peers: () => readonly PeerView[]
@@ -75,6 +77,8 @@
 const DUE_STEP_MS = 1000
 /** Maximum number of due times in one report. */
 const MAX_DUE_STEPS = 12
+/** The backoff after crashes is doubled up to this many times. */
+const MAX_BACKOFF_DOUBLINGS = 7
 
 /** True when a run ended through a fault of the target rather than of the item or this instance. */
 function isTargetFault (end: ItemEnd): boolean {
@@ -98,9 +102,11 @@
       if (owned.isEnded()) continue
       for (const [itemId, progress] of owned.openItems()) {
         if (progress.target !== undefined || progress.notBefore > now) continue
-        const route = table.findRoute(owned.record().host, owned.findItem(itemId)?.path ?? '')
+        const item = owned.findItem(itemId)
+        const route = table.findRoute(owned.record().host, item?.path ?? '')
         const service = route === undefined ? undefined : pickService(route, random())
-        if (route === undefined || service === undefined) continue
+        if (item === undefined || route === undefined || service === undefined) continue
+        if (options.crashes.hasCrashingParts(item.headers)) continue
         ready.push({ job: owned.id, dueAt: computeRank(owned, progress), owned, itemId, progress, service, route })
       }
     }
@@ -178,6 +184,7 @@
       running.delete(entry)
       if (startedAt !== undefined) pace.recordRun((progress.lastEventId ?? 0) - firstEvent, clock.now() - startedAt)
       if (end.type === 'completed') pace.recordCompletion(progress.lastEventId ?? 0)
+      recordCrashEvidence(ready, target, end, (progress.lastEventId ?? 0) - firstEvent)
       if (isTargetFault(end)) loads.recordFailure(target.id, `item.${end.type}`)
       progress.target = undefined
       progress.interrupt = undefined
@@ -186,6 +193,27 @@
     })
   }
 
+  function recordCrashEvidence (
+    { owned, itemId, progress }: ReadyItem,
+    target: Target,
+    end: ItemEnd,
+    events: number
+  ): void {
+    const { crashes } = options
+    const item = owned.findItem(itemId)!
+    if (events >= BEGINNING_EVENTS || end.type === 'completed') {
+      progress.crashes = 0
+      crashes.recordAnswer(item.headers)
+      return
+    }
+    if (end.type !== 'interrupted') return
+    const request = createItemRequest(item, owned.record().host)
+    if (end.reason === 'staleConnection') crashes.recordPossibleCrash(target.id, request)
+    if (end.reason !== 'broken') return
+    progress.crashes += 1
+    crashes.recordCrash(target.id, request)
+  }
+
   function handleEnd ({ owned, itemId, progress, route }: ReadyItem, target: Target, end: ItemEnd): void {
     metrics.count(`items.${end.type}`)
     log.info({
@@ -202,7 +230,9 @@
       },
       refused: () => { progress.notBefore = now + rules.refusedBackoffMs * (0.5 + random()) },
       interrupted: ({ isBroken }) => {
-        if (isBroken) progress.notBefore = now + rules.refusedBackoffMs * random()
+        // An item on which one target after the other crashes is tried ever more rarely.
+        const factor = 2 ** Math.min(progress.crashes, MAX_BACKOFF_DOUBLINGS)
+        if (isBroken) progress.notBefore = now + rules.refusedBackoffMs * factor * random()
       }
     }
     handlers[end.type](end as never)
--- a/packages/pimentoplank/src/relay/jobs/jobService.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobService.ts
@@ -44,7 +44,8 @@
       new Map(open.map(({ item, lastEvent, text, failures }) => [item, {
         lastEventId: lastEvent > 0 ? lastEvent : undefined,
         data: lastEvent > 0 ? [text] : [],
-        failures
+        failures,
+        crashes: 0
       }])),
       done.map(({ item, completed, text }) => ({ item, completed, text }))
     )
--- a/packages/pimentoplank/src/relay/jobs/ownedJob.ts
+++ b/packages/pimentoplank/src/relay/jobs/ownedJob.ts
@@ -10,6 +10,8 @@
   data: string[]
   /** Number of answers that reported a failed run. */
   failures: number
+  /** Number of runs in a row that broke off before their answer had begun. */
+  crashes: number
   /** Earliest time of the next run, on the monotonic clock. */
   notBefore: number
   /** Target that is running the item. */
@@ -128,5 +130,5 @@
 }
 
 function newProgress (): ItemProgress {
-  return { data: [], failures: 0, notBefore: 0 }
+  return { data: [], failures: 0, crashes: 0, notBefore: 0 }
 }
--- a/packages/pimentoplank/src/relay/jobs/runItem.ts
+++ b/packages/pimentoplank/src/relay/jobs/runItem.ts
@@ -3,7 +3,7 @@
 import type { Clock, Log } from '../../shared'
 import {
   createEventReader, drainAnswer, getEventData, SendFailure,
-  type AnswerEnding, type Exchange, type SplitEvent, type TargetAnswer
+  type AnswerEnding, type Exchange, type SendFailureReason, type SplitEvent, type TargetAnswer
 } from '../exchange'
 import type { CallerRequest, Target } from '../model'
 import type { ItemProgress } from './ownedJob'
@@ -17,14 +17,14 @@
  * - `failed`: the target ran the item and reported a failure
  * - `refused`: the item did not run
  * - `interrupted`: the connection broke or this instance aborted the run; the item can resume from its
- *   progress; `isBroken` is false for an abort
+ *   progress; `isBroken` is false for an abort by this instance, `reason` is `aborted` for a silent target, too
  */
 export type ItemEnd =
   | { type: 'completed', text: string }
   | { type: 'impossible' }
   | { type: 'failed' }
   | { type: 'refused' }
-  | { type: 'interrupted', isBroken: boolean }
+  | { type: 'interrupted', isBroken: boolean, reason: SendFailureReason }
 
 export interface RunItemOptions {
   item: JobItem
@@ -47,20 +47,25 @@
 const STATUS_UNPROCESSABLE = 422
 const STATUS_SERVER_ERROR = 500
 
-/** Runs an item, resuming from its progress; the progress is updated with each event. */
-export async function runItem (options: RunItemOptions): Promise<ItemEnd> {
-  const { item, progress, target, exchange } = options
-  const silence = new AbortController()
-  const signal = AbortSignal.any([options.signal, silence.signal])
-  const timer = setTimeout(() => silence.abort(), options.silenceTimeoutMs)
-  const request: CallerRequest = {
+/** Creates the request as which an item is sent. */
+export function createItemRequest (item: JobItem, host: string): CallerRequest {
+  return {
     id: item.id,
-    host: options.host,
+    host,
     method: 'POST',
     path: item.path,
     headers: item.headers,
     body: Buffer.from(item.body, 'base64')
   }
+}
+
+/** Runs an item, resuming from its progress; the progress is updated with each event. */
+export async function runItem (options: RunItemOptions): Promise<ItemEnd> {
+  const { item, progress, target, exchange } = options
+  const silence = new AbortController()
+  const signal = AbortSignal.any([options.signal, silence.signal])
+  const timer = setTimeout(() => silence.abort(), options.silenceTimeoutMs)
+  const request = createItemRequest(item, options.host)
   try {
     const sent = await exchange.send({
       request,
@@ -70,9 +75,7 @@
     }, signal)
     if (sent.isErr()) {
       if (!options.signal.aborted) logFailure(sent.error)
-      return sent.error.mayHaveRun || options.signal.aborted
-        ? { type: 'interrupted', isBroken: !options.signal.aborted }
-        : { type: 'refused' }
+      return sent.error.mayHaveRun || options.signal.aborted ? interrupt(sent.error) : { type: 'refused' }
     }
     timer.refresh()
     options.onStarted()
@@ -81,11 +84,17 @@
     sent.value.close()
     if (outcome.isOk()) return outcome.value
     if (!options.signal.aborted) logFailure(outcome.error, ending)
-    return { type: 'interrupted', isBroken: !options.signal.aborted }
+    return interrupt(outcome.error)
   } finally {
     clearTimeout(timer)
   }
 
+  function interrupt ({ reason }: SendFailure): ItemEnd {
+    return {
+      type: 'interrupted', isBroken: !options.signal.aborted, reason: signal.aborted ? 'aborted' : reason
+    }
+  }
+
   function logFailure (failure: SendFailure, ending?: AnswerEnding): void {
     options.log.info({
       item: item.id,
--- a/packages/pimentoplank/src/relay/live/crashTracker.ts
+++ b/packages/pimentoplank/src/relay/live/crashTracker.ts
@@ -1,88 +1,260 @@
-/** Tracks request content on which targets crashed, so that one request can't take down one target after the other. */
+/** Tracks crashes of targets, so that no prompt, and no part of prompts, can take down one target after the other. */
 import { LRUCache } from 'lru-cache'
-import { hash32, hash64, type Clock, type Log } from '../../shared'
-import type { CrashRecord } from '../gossip'
+import {
+  findCrashingParts, hash32, hash64, isCrashingPrompt, type Clock, type Log, type TargetCrash
+} from '../../shared'
+import type { AnsweredPart, CrashReport, CrashingParts } from '../gossip'
 import type { CallerRequest, RawHeaders } from '../model'
+import { findDueProbe } from './probeSchedule'
 
 export interface CrashTrackerOptions {
-  /** Number of different targets that must crash on some content before it is refused. */
-  limit: number
-  /** How long content is refused after its last crash, in milliseconds. */
+  /** How long a prompt or part is refused after its last crash, in milliseconds. */
   keepMs: number
-  /** Decodes the ids of the parts of a prompt, in order, from the headers of its request. */
+  /** Decodes the ids of the parts of a prompt, in order; the last part is the request's own. */
   decodePromptParts: (headers: RawHeaders) => string[]
+  /** True if this instance is the one that probes whether a part still crashes targets. */
+  isProber: (key: string) => boolean
+  /** Called when this instance has learned of something that peers should know at once. */
+  onChange: () => void
+  /** Called when this instance finds parts that crash targets. */
+  onFound: (found: CrashingParts) => void
   clock: Clock
   log: Log
 }
 
 export interface CrashTracker {
-  /** Records that a target broke the connection as it began to run a request. */
+  /** Records that a target broke the connection before the answer to a request had begun. */
   recordCrash: (targetId: string, request: CallerRequest) => void
-  /** Returns whether too many targets crashed on the content of a request. */
+  /** Records the same on a pooled connection that may have been stale; counts once the target refuses connections. */
+  recordPossibleCrash: (targetId: string, request: CallerRequest) => void
+  /** Records that a target refuses connections. */
+  recordUnreachable: (targetId: string) => void
+  /** Records that an answer has begun, which clears the parts of its prompt of earlier crashes. */
+  recordAnswer: (headers: RawHeaders) => void
+  /** Returns whether the request would crash its target. */
   isRefused: (request: CallerRequest) => boolean
-  /** Returns recent crashes for gossip. */
-  getNotices: () => CrashRecord[]
-  /** Merges crashes that a peer reported. */
-  merge: (notices: readonly CrashRecord[]) => void
+  /** Returns whether a prompt has parts that crash targets. */
+  hasCrashingParts: (headers: RawHeaders) => boolean
+  /** Lets one request of this instance through when it is time to probe whether its parts still crash targets. */
+  mayProbe: (request: CallerRequest) => boolean
+  /** Returns what peers should know. */
+  getReport: () => CrashReport
+  /** Merges what a peer reported. */
+  merge: (report: CrashReport) => void
+  /** Merges parts that were found before this process started. */
+  restore: (found: readonly CrashingParts[]) => void
 }
 
-interface Entry {
-  /** Hashes of the ids of targets that crashed. */
-  targets: Set<number>
+/** A crash that this instance saw, or that peers reported. */
+interface KnownCrash extends TargetCrash<bigint> {
+  target: number
+  prompts: PromptKeys[]
+  isOwn: boolean
+}
+
+interface PromptKeys {
+  id: bigint
+  parts: readonly bigint[]
+}
+
+interface PossibleCrash {
+  targetId: string
+  request: CallerRequest
   at: number
 }
 
-/** Maximum of notices in one report. */
-const MAX_NOTICES = 16
-/** How long a changed entry is repeated in gossip, in milliseconds. */
+interface Found extends CrashingParts {
+  /** Number of the latest probe of this instance; see `findDueProbe`. */
+  probe: number
+}
+
+/** How long crashes and answers are repeated in reports, in milliseconds. */
 const NOTICE_MS = 3000
-/** Maximum of entries; the least recently used are evicted. */
-const MAX_ENTRIES = 5000
+/** Maximum of crashes and of answered parts in one report. */
+const MAX_NOTICES = 16
+/** Maximum of known crashes; the oldest are dropped. */
+const MAX_CRASHES = 500
+/** Crashes of one target within this time are the same. */
+const SAME_CRASH_MS = 2000
+/** Maximum of prompts that are recorded with one crash. */
+const MAX_PROMPTS = 8
+/** Maximum of parts whose latest answer is remembered; the least recently answered are evicted. */
+const MAX_ANSWERED_PARTS = 10_000
+/** Crashes older than this are no evidence against a part, in milliseconds. */
+const EVIDENCE_MS = 60_000
+/** A process this young does not know yet which parts its peers have answered, in milliseconds. */
+const LEARNING_MS = 3000
 
 /** Creates the crash tracker of an instance. */
 export function createCrashTracker (options: CrashTrackerOptions): CrashTracker {
-  const { limit, keepMs, clock, log } = options
-  const entries = new LRUCache<bigint, Entry>({ max: MAX_ENTRIES })
-
-  function add (content: bigint, targets: readonly number[]): void {
-    const entry = entries.get(content) ?? { targets: new Set<number>(), at: clock.now() }
-    const before = entry.targets.size
-    targets.forEach((target) => entry.targets.add(target))
-    if (entry.targets.size === before) return
-    entry.at = clock.now()
-    entries.set(content, entry)
+  const { keepMs, clock, log } = options
+  const startedAt = clock.now()
+  const answered = new LRUCache<bigint, number>({ max: MAX_ANSWERED_PARTS })
+  const partsByHeaders = new WeakMap<RawHeaders, readonly bigint[]>()
+  const promptIds = new WeakMap<CallerRequest, bigint>()
+  let crashes: KnownCrash[] = []
+  let found: Found[] = []
+  let possibleCrashes: PossibleCrash[] = []
+
+  /** Returns the hashes of the parts that other prompts may share. */
+  function getParts (headers: RawHeaders): readonly bigint[] {
+    let parts = partsByHeaders.get(headers)
+    if (parts === undefined) {
+      parts = [...new Set(options.decodePromptParts(headers).slice(0, -1))].map(hash64)
+      partsByHeaders.set(headers, parts)
+    }
+    return parts
+  }
+
+  function getPromptId (request: CallerRequest): bigint {
+    let id = promptIds.get(request)
+    if (id === undefined) {
+      id = hashPrompt(request)
+      promptIds.set(request, id)
+    }
+    return id
+  }
+
+  function addCrash (target: number, at: number, prompts: readonly PromptKeys[], isOwn: boolean): boolean {
+    let crash = crashes.find((one) => one.target === target && Math.abs(one.at - at) <= SAME_CRASH_MS)
+    if (crash === undefined) {
+      crash = { target, at, prompts: [], isOwn }
+      crashes = [...crashes, crash].slice(-MAX_CRASHES)
+    }
+    const added = prompts
+      .filter(({ id }) => !crash.prompts.some((known) => known.id === id))
+      .slice(0, MAX_PROMPTS - crash.prompts.length)
+    crash.prompts.push(...added)
+    crash.isOwn ||= isOwn
+    return added.length > 0
+  }
+
+  function hasAllParts (parts: readonly bigint[], one: CrashingParts): boolean {
+    return one.parts.every((part) => parts.includes(part))
+  }
+
+  function findCulprits (): void {
+    const now = clock.now()
+    if (now - startedAt < LEARNING_MS) return
+    for (;;) {
+      const unexplained = crashes.filter((crash) => crash.at > now - EVIDENCE_MS &&
+        !found.some((one) => crash.prompts.some(({ parts }) => hasAllParts(parts, one))))
+      const parts = findCrashingParts({ crashes: unexplained, getAnsweredAt: (part) => answered.get(part) })
+      if (parts === undefined || parts.length === 0) return
+      log.warn({ parts: parts.map(toHex), crashes: unexplained.length }, 'prompt parts crash targets')
+      const culprit = { parts, at: now }
+      addFound(culprit)
+      options.onFound(culprit)
+      options.onChange()
+    }
+  }
+
+  /** Parts that were answered since then did not crash their targets. */
+  function addFound ({ parts, at }: CrashingParts): void {
+    const suspects = parts.filter((part) => (answered.get(part) ?? -Infinity) <= at).sort()
+    const isKnown = found.some((one) => one.parts.every((part) => suspects.includes(part)))
+    if (suspects.length > 0 && !isKnown) found.push({ parts: suspects, at, probe: -1 })
+  }
+
+  function markAnswered (part: bigint, at: number): void {
+    if ((answered.get(part) ?? -Infinity) < at) answered.set(part, at)
+    for (const one of found) {
+      if (at <= one.at || !one.parts.includes(part)) continue
+      one.parts = one.parts.filter((other) => other !== part)
+      if (one.parts.length === 0) log.info({ part: toHex(part) }, 'prompt part is answered again')
+    }
+    found = found.filter(({ parts }) => parts.length > 0)
+  }
+
+  function findMatch (headers: RawHeaders): Found | undefined {
+    if (found.length === 0) return undefined
+    const now = clock.now()
+    found = found.filter(({ at }) => now - at <= keepMs)
+    return found.find((one) => hasAllParts(getParts(headers), one))
+  }
+
+  function isPromptRefused (request: CallerRequest): boolean {
+    const since = clock.now() - keepMs
+    if (crashes.some(({ at }) => at < since)) crashes = crashes.filter(({ at }) => at >= since)
+    return crashes.length > 0 && isCrashingPrompt(crashes, getPromptId(request))
+  }
+
+  function recordCrash (targetId: string, request: CallerRequest, at: number): void {
+    const prompt = { id: getPromptId(request), parts: getParts(request.headers) }
+    const isNew = addCrash(hash32(targetId), at, [prompt], true)
+    log.info({
+      req: request.id,
+      target: targetId,
+      prompt: toHex(prompt.id),
+      parts: prompt.parts.map(toHex),
+      crashedTargets: crashes.filter(({ prompts }) => prompts.some(({ id }) => id === prompt.id)).length
+    }, 'target broke off as a request began')
+    if (!isNew) return
+    findCulprits()
+    options.onChange()
   }
 
   return {
-    recordCrash: (targetId, request) => {
-      const content = hashContent(request)
-      add(content, [hash32(targetId)])
-      log.info({
-        req: request.id,
-        target: targetId,
-        content: content.toString(16),
-        promptParts: options.decodePromptParts(request.headers),
-        crashedTargets: entries.get(content)?.targets.size
-      }, 'target broke off as a request began')
+    recordCrash: (targetId, request) => recordCrash(targetId, request, clock.now()),
+    recordPossibleCrash: (targetId, request) => {
+      const now = clock.now()
+      possibleCrashes = possibleCrashes.filter(({ at }) => now - at <= SAME_CRASH_MS)
+      possibleCrashes.push({ targetId, request, at: now })
+    },
+    recordUnreachable: (targetId) => {
+      const since = clock.now() - SAME_CRASH_MS
+      const confirmed = possibleCrashes.filter((one) => one.targetId === targetId && one.at >= since)
+      possibleCrashes = possibleCrashes.filter((one) => one.targetId !== targetId)
+      for (const { request, at } of confirmed) recordCrash(targetId, request, at)
     },
-    isRefused: (request) => {
-      if (entries.size === 0) return false
-      const entry = entries.get(hashContent(request))
-      return entry !== undefined && entry.targets.size >= limit && clock.now() - entry.at <= keepMs
+    recordAnswer: (headers) => {
+      const now = clock.now()
+      for (const part of getParts(headers)) markAnswered(part, now)
     },
-    getNotices: () => {
+    isRefused: (request) => findMatch(request.headers) !== undefined || isPromptRefused(request),
+    hasCrashingParts: (headers) => findMatch(headers) !== undefined,
+    mayProbe: (request) => {
+      const match = findMatch(request.headers)
+      if (match === undefined || isPromptRefused(request)) return false
+      const due = findDueProbe(clock.now() - match.at, match.probe)
+      if (due === undefined || !options.isProber(match.parts.map(toHex).join())) return false
+      match.probe = due
+      log.info({ req: request.id, parts: match.parts.map(toHex), probe: due }, 'probing whether parts still crash targets')
+      return true
+    },
+    getReport: () => {
       const since = clock.now() - NOTICE_MS
-      return [...entries.entries()]
-        .filter(([, { at }]) => at >= since)
-        .sort(([, a], [, b]) => b.targets.size - a.targets.size)
-        .slice(0, MAX_NOTICES)
-        .map(([content, { targets }]) => ({ content, targets: [...targets] }))
+      const recent = crashes.filter(({ at, isOwn }) => isOwn && at >= since).slice(-MAX_NOTICES)
+      const suspects = new Set([
+        ...crashes.filter(({ at }) => at >= since).flatMap(({ prompts }) => prompts.flatMap(({ parts }) => parts)),
+        ...found.flatMap(({ parts }) => parts)
+      ])
+      const answers = [...suspects].flatMap((part): AnsweredPart[] => {
+        const at = answered.get(part)
+        return at === undefined ? [] : [{ part, at }]
+      })
+      return {
+        crashes: recent.map(({ target, at, prompts }) => ({ target, at, prompts })),
+        crashingParts: found.slice(-MAX_NOTICES).map(({ parts, at }) => ({ parts, at })),
+        answeredParts: answers.sort((a, b) => b.at - a.at).slice(0, MAX_NOTICES)
+      }
+    },
+    merge: (report) => {
+      for (const { part, at } of report.answeredParts) markAnswered(part, at)
+      report.crashingParts.forEach(addFound)
+      let isNew = false
+      for (const { target, at, prompts } of report.crashes) isNew = addCrash(target, at, prompts, false) || isNew
+      if (isNew) findCulprits()
     },
-    merge: (notices) => notices.forEach(({ content, targets }) => add(content, targets))
+    restore: (parts) => parts.forEach(addFound)
   }
 }
 
 /** Hashes what a resent request has in common with the first: host, path and body; its id differs. */
-function hashContent (request: CallerRequest): bigint {
+function hashPrompt (request: CallerRequest): bigint {
   return hash64(`${request.host} ${request.path} ${Buffer.from(request.body).toString('base64')}`)
 }
+
+function toHex (hash: bigint): string {
+  return hash.toString(16)
+}
--- a/packages/pimentoplank/src/relay/live/index.ts
+++ b/packages/pimentoplank/src/relay/live/index.ts
@@ -1,5 +1,6 @@
 export { createCallerReply, type CallerReply, type CallerReplyOptions, type RefusalAnswer } from './callerReply'
+export { createCrashingPartsStore, type CrashingPartsStore, type CrashingPartsStoreOptions } from './crashingPartsStore'
 export { createCrashTracker, type CrashTracker } from './crashTracker'
-export { handleUnexpectedError, relayRequest, type LiveCall, type RelayDeps, type RelayRules } from './relayRequest'
+export { BEGINNING_EVENTS, handleUnexpectedError, relayRequest, type LiveCall, type RelayDeps, type RelayRules } from './relayRequest'
 export { createSlotScheduler, type Slot, type SlotQuery, type SlotScheduler } from './slotScheduler'
 export { createSilenceDetector, type SilenceDetector } from './silenceDetector'
--- a/packages/pimentoplank/src/relay/live/relayRequest.ts
+++ b/packages/pimentoplank/src/relay/live/relayRequest.ts
@@ -20,6 +20,8 @@
   arrivedAt: number
   /** True when the caller was refused before and retries. */
   isReturning: boolean
+  /** True for a request that tests whether the parts of its prompt still crash targets; it is not retried. */
+  isProbe: boolean
   reply: CallerReply
 }
 
@@ -65,7 +67,7 @@
 
 const STATUS_SERVER_ERROR = 500
 /** A request that crashes its target does so as it begins to run, before this many events. */
-const BEGINNING_EVENTS = 2
+export const BEGINNING_EVENTS = 2
 /** Failures that count against the target itself. */
 const TARGET_FAULTS: ReadonlySet<SendFailureReason> = new Set(['connectFailed', 'refused', 'broken', 'spoiled'])
 /** Used for requests without a deadline: the longest delay that Node's timers accept, in milliseconds. */
@@ -100,6 +102,12 @@
       }
       if (acquired.isErr()) return failRequest(acquired.error)
       const slot = acquired.value
+      // Targets may have crashed on such a request while this one waited or ran elsewhere.
+      const isFirstTry = progress.runs + progress.refusals === 0
+      if (!(call.isProbe && isFirstTry) && deps.crashes.isRefused(request)) {
+        slot.release()
+        return failRequest(new RefusalError('quarantined', { outcome: progress.runs > 0 ? 'failed' : 'not_run' }))
+      }
       const end = await attemptTarget(call, slot, progress, endAt, ended, deps)
       slot.release()
       if (end.type === 'done') return logEnd('done')
@@ -205,11 +213,18 @@
   function toAttemptEnd (failure: SendFailure): AttemptEnd {
     if (call.reply.disconnected.aborted) return { type: 'gone' }
     if (silence.signal.aborted) return failed('broken', 'the target sent no bytes within its timeout')
-    if (failure.reason === 'broken' && events < BEGINNING_EVENTS) deps.crashes.recordCrash(slot.target.id, request)
+    recordCrashEvidence(failure)
     if (TARGET_FAULTS.has(failure.reason)) deps.loads.recordFailure(slot.target.id, failure.reason)
     return { type: 'failed', failure }
   }
 
+  function recordCrashEvidence ({ reason }: SendFailure): void {
+    const { crashes } = deps
+    if (reason === 'connectFailed') crashes.recordUnreachable(slot.target.id)
+    if (reason === 'staleConnection') crashes.recordPossibleCrash(slot.target.id, request)
+    if (reason === 'broken' && events < BEGINNING_EVENTS) crashes.recordCrash(slot.target.id, request)
+  }
+
   async function forwardAnswer (answer: TargetAnswer, reader: EventReader): Promise<AttemptEnd> {
     const { head } = answer
     const isSuccess = head.status >= 200 && head.status < 300
@@ -234,6 +249,7 @@
       if (isBuffered) buffered.push(next.value)
       else await writeBytes(head, next.value)
     }
+    deps.crashes.recordAnswer(request.headers)
     for (const chunk of buffered) await writeBytes(head, chunk)
     if (!call.reply.hasStarted()) call.reply.begin(head.status, head.headers)
     call.reply.end()
@@ -254,6 +270,7 @@
           ))
         }
         events += 1
+        if (events === BEGINNING_EVENTS) deps.crashes.recordAnswer(request.headers)
         await writeEvent(answer, event.bytes)
         progress.lastEventId = event.id ?? progress.lastEventId
       }
--- a/packages/pimentoplank/src/shared/quarantine/index.ts
+++ b/packages/pimentoplank/src/shared/quarantine/index.ts
@@ -1,2 +1,3 @@
 export * from './types'
+export { findCrashingParts, isCrashingPrompt, type CrashedPrompt, type CrashEvidence, type TargetCrash } from './crashAttribution'
 export { createQuarantine, type QuarantineOptions } from './quarantine'
