--- a/packages/pimentoplank/src/entry/live/quarantine.feature
+++ b/packages/pimentoplank/src/entry/live/quarantine.feature
@@ -51,3 +51,12 @@
     When a request with prompt "good 1" is sent to entry 0
     Then that request is answered completely
     And the platform of the entry bench holds no crash record
+
+  Scenario: Requests that share a message on which engines crash are refused, although no two are alike
+    Given the entry bench with 2 entries and 9 engines
+    And the entry bench's engines crash on POISON
+    When chats with the message "POISON" and a question of their own are sent 8 times, to each entry in turn
+    Then the last of them is refused with 422 quarantined
+    And at most 5 engines of the entry bench are dead
+    When a chat with the message "good" and a question of its own is sent to entry 0
+    Then that chat is answered completely
--- a/packages/pimentoplank/src/entry/live/quarantine.steps.ts
+++ b/packages/pimentoplank/src/entry/live/quarantine.steps.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict'
+import { setTimeout as pause } from 'node:timers/promises'
 import { Given, Then, When } from '@cucumber/cucumber'
 import { computeAnswer, type EngineStandin } from '@pimentoplank/standins'
 import { request } from 'undici'
@@ -8,6 +9,8 @@
 import { waitUntil } from '../testing/waitUntil'
 
 const TOKENS = 12
+/** Crashes within 100 ms count as one. */
+const CRASH_PAUSE_MS = 120
 
 interface QuarantineWorld extends EntryWorld {
   concurrent: Array<{ prompt: string, reply: Promise<Reply> }>
@@ -24,6 +27,44 @@
   return await bench.send('/v1/completions', { entry, method: 'POST', body })
 }
 
+const COMMON_MESSAGE = { role: 'system', content: 'You answer travellers.' }
+
+async function sendChat ({ bench }: EntryWorld, message: string, question: string, entry: number): Promise<Reply> {
+  const messages = [COMMON_MESSAGE, { role: 'user', content: message }, { role: 'user', content: question }]
+  const body = { model: MODEL, messages, max_tokens: TOKENS }
+  return await bench.send('/v1/chat/completions', { entry, method: 'POST', body })
+}
+
+When('chats with the message {string} and a question of their own are sent {int} times, to each entry in turn', async function (
+  this: QuarantineWorld, message: string, count: number
+) {
+  for (let index = 0; index < count; index++) {
+    this.reply = await sendChat(this, message, `question ${index}`, index % 2)
+    // Engines do not crash at the same moment.
+    await pause(CRASH_PAUSE_MS)
+  }
+})
+
+When('a chat with the message {string} and a question of its own is sent to entry {int}', async function (
+  this: QuarantineWorld, message: string, entry: number
+) {
+  this.reply = await sendChat(this, message, 'another question', entry)
+})
+
+Then('that chat is answered completely', function (this: QuarantineWorld) {
+  assert.equal(this.reply.status, 200, this.reply.text)
+  assert.equal(this.reply.json.choices[0].finish_reason, 'length')
+})
+
+Then('the last of them is refused with {int} {word}', function (this: QuarantineWorld, status: number, reason: string) {
+  assert.deepEqual([this.reply.status, this.reply.json.reason], [status, reason], this.reply.text)
+})
+
+Then('at most {int} engines of the entry bench are dead', async function (this: QuarantineWorld, most: number) {
+  const dead = (await findDeadEngines(this)).length
+  assert.ok(dead <= most, `${dead} engines are dead`)
+})
+
 Given('the entry bench\'s engines crash on {word}', function (this: QuarantineWorld, marker: string) {
   for (const engine of this.bench.engines) engine.setFaults({ crashOn: marker })
 })
