Find crashing prompt parts in the entry processes and batch runners, too

Callers saw: requests that share a message on which engines crash ended all engines, one after the other. Besides, three crashes within 5 s were taken for a loss of another cause and held against nothing, which is just what such requests look like. Change: each crash is stored with the prompts that were about to begin; the same attribution as on the platform decides. Parts are the messages of a chat or the lines of a text, but the last. What is found is stored for all instances and cleared by an answer. Items with such parts wait.

--- a/packages/pimentoplank/features/support/fakeTargets.ts
+++ b/packages/pimentoplank/features/support/fakeTargets.ts
@@ -170,6 +170,8 @@
       trackRun: () => () => undefined,
       findTargetsWithSuspects: () => [],
       isQuarantined: (hash) => (crashes.get(hash)?.size ?? 0) >= 2,
+      hasCrashingParts: () => false,
+      recordAnswer: () => undefined,
       recordCrash: async (hash, target) => {
         const died = crashes.get(hash) ?? new Set()
         crashes.set(hash, died.add(target))
--- a/packages/pimentoplank/src/batch/runItem.ts
+++ b/packages/pimentoplank/src/batch/runItem.ts
@@ -15,6 +15,10 @@
 const MIN_SLOT_PAUSE_MS = 100
 const MAX_SLOT_PAUSE_MS = 5 * SECOND_MS
 const MISSING_MODEL_PAUSE_MS = SECOND_MS
+/** Pause of an item while a part of its prompt is known to crash targets. */
+const CRASHING_PART_PAUSE_MS = 5 * SECOND_MS
+/** An item that crashes its target does so as its answer begins, before this many tokens. */
+const BEGINNING_TOKENS = 2
 /** Upper bound of the pause after a run that broke off, which doubles with each such run. */
 const MAX_RETRY_PAUSE_MS = 5 * MINUTE_MS
 
@@ -86,6 +90,11 @@
   if (isPinned(task) && context.membership.target(task.resume?.targetId ?? '') === undefined) {
     return toOutcome(createUnknownResult(item, 'the target that ran it is gone'))
   }
+  if (context.quarantine.hasCrashingParts(task.hashes.partHashes)) {
+    task.notBefore = clock.now() + CRASHING_PART_PAUSE_MS
+    metrics.count('batch.crashingParts')
+    return { type: 'parked' }
+  }
   const granted = await acquireSlot(context, task, model, signal)
   if (granted.isErr()) {
     const pauseMs = Math.max(MIN_SLOT_PAUSE_MS, Math.min(granted.error.retryAfterMs ?? 0, MAX_SLOT_PAUSE_MS))
@@ -180,6 +189,7 @@
     }
     const stream = started.value
     const end = await readStream(stream, progress, stopSignal, clock.now)
+    if (hasBegun(task, progress)) quarantine.recordAnswer(task.hashes.partHashes)
     if (end.isOk()) {
       report = { result: 'done', ...computeTimings(progress, startedAt) }
       return toOutcome(createDoneResult(item, requestId, progress.text, end.value))
@@ -193,6 +203,11 @@
   }
 }
 
+/** True when the current run has delivered the first tokens. */
+function hasBegun ({ resume }: ItemTask, { tokens }: Progress): boolean {
+  return tokens - (resume?.tokens ?? 0) >= BEGINNING_TOKENS
+}
+
 type StreamEnd = Result<Extract<EngineEvent, { type: 'end' }>, EngineError>
 
 /** Reads a stream until it ends, fails or is stopped. */
@@ -291,9 +306,10 @@
 async function reportCrash (
   { engines, quarantine }: RunnerContext,
   task: ItemTask,
-  { target, error }: FailedRun
+  { target, error, progress }: FailedRun
 ): Promise<void> {
   if (!error.reached || await engines.probe(target)) return
   task.isSuspect = true
-  await quarantine.recordCrash(task.hashes.contentHash, target.id)
+  const { contentHash, partHashes } = task.hashes
+  await quarantine.recordCrash(contentHash, target.id, hasBegun(task, progress) ? [] : partHashes)
 }
--- a/packages/pimentoplank/src/entry/live/liveJob.ts
+++ b/packages/pimentoplank/src/entry/live/liveJob.ts
@@ -20,6 +20,8 @@
   prefixHash: bigint
   /** Hash of the content, by which the quarantine identifies it. */
   contentHash: string
+  /** Hashes of the parts of the prompt that other prompts may share. */
+  partHashes: readonly string[]
   /** False for at-most-once work. */
   repeatable: boolean
   /** Called once the first slot is acquired, before anything is sent to a target; an error prevents the dispatch. */
@@ -28,6 +30,9 @@
   signal?: AbortSignal
 }
 
+/** A request that crashes its target does so as its answer begins, before this many tokens. */
+export const BEGINNING_TOKENS = 2
+
 /** A running job. It delivers each token once and in order, even when several targets contribute to the answer. */
 export interface LiveRun {
   /** Returns the next event, or the refusal that ends the job. */
--- a/packages/pimentoplank/src/entry/live/liveRun.ts
+++ b/packages/pimentoplank/src/entry/live/liveRun.ts
@@ -6,12 +6,16 @@
   type SlotGrant, type SlotReport
 } from '../../shared'
 import { createAttemptTimer, type AttemptTimer } from './attemptTimer'
-import { FAILURE_OUTCOMES, RETRY_REASONS, getWorseOutcome, type LiveDeps, type LiveJob, type LiveRun } from './liveJob'
+import {
+  BEGINNING_TOKENS, FAILURE_OUTCOMES, RETRY_REASONS, getWorseOutcome, type LiveDeps, type LiveJob, type LiveRun
+} from './liveJob'
 
 /** Execution of the job on one target. */
 interface Attempt {
   grant: SlotGrant
   stream: EngineStream
+  /** Number of tokens received on this target. */
+  tokens: number
   timer: AttemptTimer
   /** Informs the quarantine that the content no longer runs on this target. */
   markEnded: () => void
@@ -60,7 +64,7 @@
 
   async function openAttempt (): Promise<Result<Attempt, RefusalError>> {
     for (;;) {
-      if (deps.quarantine.isQuarantined(job.contentHash)) return err(createRefusal('quarantined'))
+      if (deps.quarantine.isQuarantined(job.contentHash, job.partHashes)) return err(createRefusal('quarantined'))
       const grant = await acquire()
       if (grant.isErr()) return err(grant.error)
       const allowed = await allowDispatch()
@@ -135,7 +139,7 @@
       requestId: job.requestId, kind: job.kind, body: job.body, resume, attachOnly: !job.repeatable
     }, { signal, firstTokenTimeoutMs })
     if (started.isErr() && !started.error.reached) markEnded()
-    return started.map((stream) => ({ grant, stream, timer, markEnded }))
+    return started.map((stream) => ({ grant, stream, tokens: 0, timer, markEnded }))
   }
 
   /**
@@ -151,6 +155,8 @@
   function handleEvent (current: Attempt, event: EngineEvent): EngineEvent {
     if (event.type === 'token') {
       tokens += 1
+      current.tokens += 1
+      if (current.tokens === BEGINNING_TOKENS) deps.quarantine.recordAnswer(job.partHashes)
       text += event.text
       attemptsLeft = deps.maxAttempts
       current.timer.recordToken()
@@ -190,7 +196,9 @@
 
   async function handleCrash (broken: Attempt): Promise<RefusalError | undefined> {
     const { target } = broken.grant
-    const verdict = deps.quarantine.recordCrash(job.contentHash, target.id)
+    const verdict = deps.quarantine.recordCrash(
+      job.contentHash, target.id, broken.tokens < BEGINNING_TOKENS ? job.partHashes : []
+    )
     release(broken, 'crashed')
     crashes += 1
     if (await verdict === 'quarantined') return createRefusal('quarantined')
@@ -209,7 +217,7 @@
     const markEnded = deps.quarantine.trackRun(job.contentHash, grant.target.id)
     if (cause.kind === 'streamCut' && !(await engine.probe(grant.target))) {
       const timer = createAttemptTimer(clock, metrics, false)
-      return await handleCrash({ grant, stream: NO_STREAM, timer, markEnded })
+      return await handleCrash({ grant, stream: NO_STREAM, tokens: 0, timer, markEnded })
     }
     markEnded()
     grant.release({ result: cause.reached ? 'failed' : 'notRun' })
--- a/packages/pimentoplank/src/entry/live/quarantine.steps.ts
+++ b/packages/pimentoplank/src/entry/live/quarantine.steps.ts
@@ -40,6 +40,7 @@
 ) {
   for (let index = 0; index < count; index++) {
     this.reply = await sendChat(this, message, `question ${index}`, index % 2)
+    await removeDeadEngines(this)
     // Engines do not crash at the same moment.
     await pause(CRASH_PAUSE_MS)
   }
@@ -121,13 +122,17 @@
   }, () => false)
 }
 
-async function findDeadEngines ({ bench }: EntryWorld): Promise<EngineStandin[]> {
+async function findDeadEngines ({ bench }: Pick<EntryWorld, 'bench'>): Promise<EngineStandin[]> {
   const alive = await Promise.all(bench.engines.map(isAlive))
   return bench.engines.filter((_, index) => !alive[index])
 }
 
+async function removeDeadEngines ({ bench }: Pick<EntryWorld, 'bench'>): Promise<void> {
+  for (const engine of await findDeadEngines({ bench })) bench.membership.markLeaving(engine.getInstanceRecord().id, 'list')
+}
+
 When('the dead engines of the entry bench are removed from the list', async function (this: QuarantineWorld) {
-  for (const engine of await findDeadEngines(this)) this.bench.membership.markLeaving(engine.getInstanceRecord().id, 'list')
+  await removeDeadEngines(this)
 })
 
 Then('{int} engines of the entry bench are dead', async function (this: QuarantineWorld, count: number) {
--- a/packages/pimentoplank/src/shared/quarantine/quarantine.ts
+++ b/packages/pimentoplank/src/shared/quarantine/quarantine.ts
@@ -7,6 +7,7 @@
 import type { Metrics } from '../metrics'
 import { OBJECT_KINDS } from '../objects'
 import { PlatformConflict, type PlatformClient, type StoredObject } from '../platform'
+import { createPartQuarantine } from './partQuarantine'
 import { shouldQuarantine, mergeRecords, quarantineRecord, type CrashRecord, type QuarantineRecord } from './record'
 import type { CrashVerdict, Quarantine } from './types'
 
@@ -25,7 +26,7 @@
 const MAX_LOCAL_RECORDS = 10_000
 
 export interface QuarantineOptions {
-  platform: Pick<PlatformClient, 'put'>
+  platform: Pick<PlatformClient, 'put' | 'remove'>
   feed: Pick<ObjectFeed, 'objects' | 'offer'>
   clock: Clock
   metrics: Metrics
@@ -50,6 +51,7 @@
   const keepMs = options.keepMs ?? DEFAULT_KEEP_MS
   const massWindowMs = options.massWindowMs ?? DEFAULT_MASS_WINDOW_MS
   const massTargets = options.massTargets ?? DEFAULT_MASS_TARGETS
+  const partQuarantine = createPartQuarantine({ platform, feed, clock, metrics, log, keepMs })
   const local = new LRUCache<string, QuarantineRecord>({ max: MAX_LOCAL_RECORDS })
   const running = new Map<string, Set<string>>()
   const targetCrashes = new Map<string, TargetCrash>()
@@ -62,9 +64,9 @@
     return known !== undefined && known.expiresAt > clock.wallTime() ? known : undefined
   }
 
-  function isQuarantined (contentHash: string): boolean {
+  function isQuarantined (contentHash: string, parts: readonly string[] = []): boolean {
     const record = getRecord(contentHash)
-    return record !== undefined && shouldQuarantine(record)
+    return (record !== undefined && shouldQuarantine(record)) || partQuarantine.hasCrashingParts(parts)
   }
 
   function startRun (contentHash: string, targetId: string): () => void {
@@ -105,18 +107,27 @@
     return recent.length >= massTargets
   }
 
-  async function handleCrash (contentHash: string, targetId: string): Promise<CrashVerdict> {
+  async function handleCrash (
+    contentHash: string,
+    targetId: string,
+    parts: readonly string[] = []
+  ): Promise<CrashVerdict> {
     const crash = getCrash(targetId)
+    // The platform may be down; the decision of this instance does not depend on it.
+    const partRecorded = withTimeLimit(
+      clock, MAX_RECORD_WAIT_MS, partQuarantine.recordCrash({ id: contentHash, parts }, targetId)
+    )
     if (isMassFailure()) {
       metrics.count('quarantine.massLoss')
-      return isQuarantined(contentHash) ? 'quarantined' : 'suspect'
+      await partRecorded
+      return isQuarantined(contentHash, parts) ? 'quarantined' : 'suspect'
     }
     const alone = [...crash.suspects].every((content) => content === contentHash)
     const record = recordLocally(contentHash, { target: targetId, alone })
-    // The platform may be down; the decision of this instance does not depend on it.
     const stored = await withTimeLimit(clock, MAX_RECORD_WAIT_MS, store(contentHash, record))
     if (stored === TIMED_OUT) metrics.count('quarantine.undecided')
-    const verdict = isQuarantined(contentHash) ? 'quarantined' : 'suspect'
+    await partRecorded
+    const verdict = isQuarantined(contentHash, parts) ? 'quarantined' : 'suspect'
     metrics.count(`quarantine.${verdict}`)
     log.warn({ contentHash, target: targetId, verdict }, 'target crashed while it ran a request')
     return verdict
@@ -151,7 +162,12 @@
   }
 
   return {
-    isQuarantined, trackRun: startRun, findTargetsWithSuspects: findConflictingTargets, recordCrash: handleCrash
+    isQuarantined,
+    hasCrashingParts: partQuarantine.hasCrashingParts,
+    recordAnswer: partQuarantine.recordAnswer,
+    trackRun: startRun,
+    findTargetsWithSuspects: findConflictingTargets,
+    recordCrash: handleCrash
   }
 }
 
--- a/packages/pimentoplank/src/shared/quarantine/types.ts
+++ b/packages/pimentoplank/src/shared/quarantine/types.ts
@@ -4,8 +4,16 @@
 export type CrashVerdict = 'suspect' | 'quarantined'
 
 export interface Quarantine {
-  /** True when the content must not run any more. */
-  isQuarantined: (contentHash: string) => boolean
+  /**
+   * True when the content, or a part of its prompt, must not run any more.
+   *
+   * @param parts - hashes of the parts that other prompts may share
+   */
+  isQuarantined: (contentHash: string, parts?: readonly string[]) => boolean
+  /** True when the prompt has parts that crash targets. */
+  hasCrashingParts: (parts: readonly string[]) => boolean
+  /** Records that an answer has begun, which clears the parts of its prompt of earlier crashes. */
+  recordAnswer: (parts: readonly string[]) => void
   /**
    * Tracks a run of content on a target, so that a crash can be attributed when other content runs there too.
    *
@@ -17,7 +25,8 @@
   /**
    * Records that a target crashed while it ran the content.
    *
+   * @param parts - hashes of the parts that other prompts may share; none if the answer had begun
    * @returns `quarantined` when the crashes recorded by all instances suffice to stop the content
    */
-  recordCrash: (contentHash: string, targetId: string) => Promise<CrashVerdict>
+  recordCrash: (contentHash: string, targetId: string, parts?: readonly string[]) => Promise<CrashVerdict>
 }
