Keep the limits that targets name, summed over all instances

Callers saw nothing; targets in need got far more requests than they had said they take. Cause: nothing read Server-Limit; the header's name stood nowhere in the source, so that targets were chosen by free slots alone. Change: each answer of a target tells whether it names a limit, and instances report it to each other. A limit is shared by as many instances as can send 0.8 requests a second each, those in the target's failure domain first, the rest by rendezvous hash. Each saves up to 1.5 requests, of which a live request needs 1 and a batch item all, so that live requests come first. Live requests, items and retries all take from it. Others leave the target out; what finds no room elsewhere is refused at once, and waiting counts on no more than the limit.

--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -20,7 +20,7 @@
   type JobApi
 } from './jobs'
 import { createCrashingPartsStore, createCrashTracker, createSlotScheduler, createSilenceDetector } from './live'
-import { createLoadView, createPeerUses, createTargetPreference } from './load'
+import { createLoadView, createPeerUses, createTargetLimits, createTargetPreference } from './load'
 import type { RelayConfig, Target, TargetProtocol } from './model'
 import { createRouteTable, type RouteTable } from './routing'
 import { RELAY_RULES } from './rules'
@@ -116,6 +116,18 @@
   gossip.onReport((report, before) => peerUses.replaceReport(before, report))
   gossip.onDigest(peerUses.replaceDigest)
   gossip.onPeerLost(({ report }) => peerUses.replaceReport(report, undefined))
+  const limits = createTargetLimits({
+    self: instance.id,
+    listInstances: () => [
+      { id: instance.id, failureDomain: instance.failureDomain },
+      // Instances that leave still send the requests that they have accepted.
+      ...gossip.peers().filter(({ report }) => report.stage !== 'starting')
+        .map(({ report }) => ({ id: report.instance, failureDomain: report.failureDomain }))
+    ],
+    onChange: scheduleReport,
+    clock,
+    log
+  })
   const loads = createLoadView({
     targets,
     peerUses,
@@ -124,6 +136,7 @@
     isPreferred: createTargetPreference({
       self: instance, gossip, preferringInstances: PREFERRING_INSTANCES, clock
     }),
+    limits,
     rules: RELAY_RULES.suspicion,
     clock,
     metrics,
@@ -132,7 +145,10 @@
   const connections = createTargetConnectionPool({
     settings: { connectTimeoutMs: TARGET_CONNECT_TIMEOUT_MS, idleTimeoutMs: TARGET_IDLE_TIMEOUT_MS }, clock, metrics
   })
-  const exchange = createExchange(protocols.targets, connections, clock)
+  const exchange = createExchange(protocols.targets, connections, clock, ({ id }, head) => {
+    // Only a signed answer is known to be whole, so that the absence of a limit says something.
+    if (head.limitPerSecond !== undefined || head.isSigned) limits.recordAnswer(id, head.limitPerSecond)
+  })
   const crashingPartsStore = createCrashingPartsStore({ platform, keepMs: CRASH_RETENTION_MS, clock, log })
   const crashes = createCrashTracker({
     keepMs: CRASH_RETENTION_MS,
@@ -252,6 +268,7 @@
   gossip.onReport((report) => {
     for (const { job, ...ownership } of report.jobs) jobRegistry.update(job, ownership)
     crashes.merge(report)
+    limits.merge(report.limits)
     scheduleDispatch()
   })
   gossip.onPeerLost(({ report }) => {
@@ -326,6 +343,7 @@
       callerAddress,
       jobs: jobRegistry.getNotices(),
       ...crashes.getReport(),
+      limits: limits.getNotices(),
       configRevision: Math.max(0, feed.revision(protocols.config.kind)),
       openJobs: getOpenTokens(jobRegistry)
     }
--- a/packages/pimentoplank/src/relay/decisions/batchScheduling.ts
+++ b/packages/pimentoplank/src/relay/decisions/batchScheduling.ts
@@ -4,6 +4,7 @@
  * Load pattern: idle capacity lasts for seconds. Between two steps of live traffic batch items fill the free slots,
  * earliest due time first over all instances; at a step up the items that are due last are preempted first.
  */
+import { BATCH_ALLOWANCE } from './limitShare'
 
 export interface WaitingItem {
   job: string
@@ -35,6 +36,8 @@
   isSuspect: boolean
   /** False when its load is about a second old. */
   isFresh: boolean
+  /** Requests that this instance may send now; infinite unless the target has named a limit. */
+  allowance: number
 }
 
 export interface BatchScheduleInput<Item extends WaitingItem> {
@@ -56,7 +59,7 @@
 export function chooseStarts<Item extends WaitingItem> (input: BatchScheduleInput<Item>): Array<BatchStart<Item>> {
   const free = new Map(input.targets
     .filter((target) => !target.isSuspect)
-    .map((target) => [target.id, { near: target.isNear, count: countFreeSlots(target) }]))
+    .map((target) => [target.id, { near: target.isNear, count: countPossibleStarts(target) }]))
   const total = [...free.values()].reduce((sum, { count }) => sum + Math.max(0, count), 0)
   const budget = total - input.liveReserve
   const starts: Array<BatchStart<Item>> = []
@@ -80,6 +83,13 @@
   return slots - live - batch - (isFresh ? 0 : STALE_MARGIN)
 }
 
+/** Each request to a target with a limit uses up its allowance. */
+function countPossibleStarts (target: BatchCandidate): number {
+  const free = countFreeSlots(target)
+  if (target.allowance === Infinity) return free
+  return target.allowance >= BATCH_ALLOWANCE ? Math.min(1, free) : 0
+}
+
 /** Preference for targets in the same failure domain, in free slots; traffic between failure domains costs money. */
 const NEAR_PREFERENCE = 2
 
--- a/packages/pimentoplank/src/relay/decisions/index.ts
+++ b/packages/pimentoplank/src/relay/decisions/index.ts
@@ -10,4 +10,5 @@
 } from './batchScheduling'
 export { isRepeatable, canRetry, type RetryState, type TryFailure } from './retries'
 export { isClearlyUnderLimit, countWaitingTokens, type CountedJob } from './quota'
+export { BATCH_ALLOWANCE, computeLimitShare, LIVE_ALLOWANCE, refillAllowance, type Allowance, type LimitShareInput } from './limitShare'
 export { computeSuspicion, type FailureRecord, type Suspicion, type SuspicionRules } from './suspicion'
--- a/packages/pimentoplank/src/relay/decisions/placement.ts
+++ b/packages/pimentoplank/src/relay/decisions/placement.ts
@@ -9,6 +9,7 @@
  * different targets, use other failure domains only for overflow, and limit themselves to their share of the queues.
  */
 import type { Random } from '../../shared'
+import { LIVE_ALLOWANCE } from './limitShare'
 
 /** Capacity, load and health of one target. */
 export interface PlacementCandidate {
@@ -27,6 +28,8 @@
   isFresh: boolean
   /** True when this instance tries it before others. */
   isPreferred: boolean
+  /** Requests that this instance may send now; infinite unless the target has named a limit. */
+  allowance: number
 }
 
 export interface PlacementRules {
@@ -66,11 +69,13 @@
  * like trusted ones.
  */
 export function choosePlacement (input: PlacementInput, rules: PlacementRules, random: Random): Placement {
-  const trusted = input.candidates.filter((candidate) => !candidate.isSuspect)
-  if (trusted.length === 0) return chooseAmong(input.candidates, input, rules, random)
+  const candidates = input.candidates.filter(({ allowance }) => allowance >= LIVE_ALLOWANCE)
+  if (candidates.length === 0) return { type: 'wait' }
+  const trusted = candidates.filter((candidate) => !candidate.isSuspect)
+  if (trusted.length === 0) return chooseAmong(candidates, input, rules, random)
   const placement = chooseAmong(trusted, input, rules, random)
   if (placement.type !== 'wait' || !input.isRepeatable) return placement
-  const probeable = input.candidates.filter((one) => one.isSuspect && one.live < MAX_PROBES && countFreeSlots(one) > 0)
+  const probeable = candidates.filter((one) => one.isSuspect && one.live < MAX_PROBES && countFreeSlots(one) > 0)
   return probeable.length === 0
     ? placement
     : { type: 'free', id: pickWeighted(narrowToPreferred(probeable), countFreeSlots, random).id }
--- a/packages/pimentoplank/src/relay/decisions/testing/simulation.ts
+++ b/packages/pimentoplank/src/relay/decisions/testing/simulation.ts
@@ -136,6 +136,7 @@
       isNear: true,
       isSuspect: false,
       isFresh: true,
+      allowance: Infinity,
       isPreferred: isPreferred(instance, id)
     }))
   }
--- a/packages/pimentoplank/src/relay/exchange/exchange.ts
+++ b/packages/pimentoplank/src/relay/exchange/exchange.ts
@@ -4,7 +4,7 @@
 import {
   ConnectionResetError, describeCause, getBodyFraming, isConnectFailure, type BodyFraming, type Clock, type SendMark
 } from '../../shared'
-import type { AnswerHead, TargetProtocol, TargetRequest } from '../model'
+import type { AnswerHead, Target, TargetProtocol, TargetRequest } from '../model'
 import type { TargetConnection, TargetConnectionPool } from './connectionPool'
 import { createResponseReceiver, type ResponseReceiver } from './responseReceiver'
 
@@ -68,8 +68,17 @@
   connections: TargetConnectionPool
 }
 
-/** Creates the client through which an instance sends requests to targets. */
-export function createExchange (protocol: TargetProtocol, connections: TargetConnectionPool, clock: Clock): Exchange {
+/**
+ * Creates the client through which an instance sends requests to targets.
+ *
+ * @param onHead - called with the head of each answer of the target that was asked
+ */
+export function createExchange (
+  protocol: TargetProtocol,
+  connections: TargetConnectionPool,
+  clock: Clock,
+  onHead: (target: Target, head: AnswerHead) => void
+): Exchange {
   async function send (outgoing: TargetRequest, signal: AbortSignal): Promise<Result<TargetAnswer, SendFailure>> {
     const { request, target } = outgoing
     if (signal.aborted) return err(new SendFailure('aborted', false, 'request aborted before it was sent'))
@@ -106,6 +115,7 @@
       head, getBodyFraming(headers), receiver, connection, removeAbortListener, target.address
     )
     const failure = findHeadFailure(outgoing, head)
+    if (failure === undefined || failure.reason === 'refused') onHead(target, head)
     if (failure === undefined) return ok(answer)
     if (failure.reason === 'spoiled') answer.close()
     else drainAnswer(answer).finally(() => answer.close()).catch(() => undefined)
--- a/packages/pimentoplank/src/relay/gossip/datagrams.ts
+++ b/packages/pimentoplank/src/relay/gossip/datagrams.ts
@@ -27,6 +27,7 @@
       target, ageMs: toAgeMs(at, now), prompts: prompts.map(({ id, parts }) => ({ id, parts: [...parts] }))
     })),
     crashingParts: report.crashingParts.map(({ parts, at }) => ({ parts: [...parts], ageMs: toAgeMs(at, now) })),
+    targetLimits: report.limits.map(({ target, perSecond, at }) => ({ target, perSecond, ageMs: toAgeMs(at, now) })),
     answeredParts: report.answeredParts.map(({ part, at }) => ({ part, ageMs: toAgeMs(at, now) })),
     suspects: [...report.suspects],
     configRevision: BigInt(report.configRevision),
@@ -139,6 +140,7 @@
       suspects: new Set(suspects),
       crashes: rest.crashes.map(({ target, ageMs, prompts }) => ({ target, at: now - ageMs, prompts })),
       crashingParts: rest.crashingParts.map(({ parts, ageMs }) => ({ parts, at: now - ageMs })),
+      limits: rest.targetLimits.map(({ target, perSecond, ageMs }) => ({ target, perSecond, at: now - ageMs })),
       answeredParts: rest.answeredParts.map(({ part, ageMs }) => ({ part, at: now - ageMs })),
       configRevision: Number(rest.configRevision),
       openJobs: new Map(openJobs.map(({ job, tokens }) => [job, Number(tokens)]))
--- a/packages/pimentoplank/src/relay/gossip/gossip.ts
+++ b/packages/pimentoplank/src/relay/gossip/gossip.ts
@@ -11,7 +11,9 @@
 import type { CrashReport, PeerView, Report } from './types'
 
 /** Part of a full report that the instance provides. */
-export type OwnReport = Pick<Report, 'stage' | 'callerAddress' | 'jobs' | 'configRevision' | 'openJobs' | keyof CrashReport>
+export type OwnReport = Pick<
+  Report, 'stage' | 'callerAddress' | 'jobs' | 'configRevision' | 'openJobs' | 'limits' | keyof CrashReport
+>
 
 /** Part of a report that changes with each request. */
 export type OwnLoad = Pick<Report, 'uses' | 'waiting' | 'suspects'>
--- a/packages/pimentoplank/src/relay/gossip/largeFleet.steps.ts
+++ b/packages/pimentoplank/src/relay/gossip/largeFleet.steps.ts
@@ -47,6 +47,7 @@
       crashes: [],
       crashingParts: [],
       answeredParts: [],
+      limits: [],
       configRevision: 1,
       openJobs: new Map()
     }),
--- a/packages/pimentoplank/src/relay/gossip/types.ts
+++ b/packages/pimentoplank/src/relay/gossip/types.ts
@@ -55,6 +55,16 @@
   answeredParts: readonly AnsweredPart[]
 }
 
+/** Latest answer of a target about its limit. */
+export interface LimitNotice {
+  /** Hash of the target's id. */
+  target: number
+  /** Requests a second from all instances together; undefined when it names no limit any more. */
+  perSecond: number | undefined
+  /** When the target answered, on the local monotonic clock in milliseconds. */
+  at: number
+}
+
 export interface Report extends CrashReport {
   instance: string
   /** Wall clock time at which the process started, in milliseconds. */
@@ -71,6 +81,7 @@
   knownPeers: readonly string[]
   jobs: readonly JobOwnership[]
   suspects: ReadonlySet<number>
+  limits: readonly LimitNotice[]
   configRevision: number
   /** Tokens of items that have no result yet, by hash of the job's id. */
   openJobs: ReadonlyMap<number, number>
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.ts
@@ -128,14 +128,15 @@
     const all = loads.getLoads(service)
     const slots = all.reduce((sum, { target }) => sum + target.slots, 0)
     const starts = chooseStarts({
-      targets: all.map(({ target, live, batch, isSuspect, isFresh }) => ({
+      targets: all.map(({ target, live, batch, isSuspect, isFresh, allowance }) => ({
         id: target.id,
         slots: target.slots,
         live,
         batch,
         isNear: target.failureDomain === options.failureDomain,
         isSuspect,
-        isFresh
+        isFresh,
+        allowance
       })),
       own,
       others,
--- a/packages/pimentoplank/src/relay/live/slotScheduler.ts
+++ b/packages/pimentoplank/src/relay/live/slotScheduler.ts
@@ -64,6 +64,7 @@
 const FIRST_RUN_ESTIMATE_MS = 1000
 /** Weight of a new run time in the exponential moving average. */
 const RUN_MEAN_WEIGHT = 0.1
+const MS_PER_S = 1000
 
 /** Creates the slot scheduler of an instance. */
 export function createSlotScheduler (options: SlotSchedulerOptions): SlotScheduler {
@@ -92,7 +93,8 @@
         isNear: load.target.failureDomain === options.failureDomain,
         isSuspect: load.isSuspect,
         isFresh: load.isFresh,
-        isPreferred: load.isPreferred
+        isPreferred: load.isPreferred,
+        allowance: load.allowance
       })),
       targetLatencyMs: ask.route.targetLatencyMs,
       instances: options.countSharers(),
@@ -144,7 +146,7 @@
     if (slot !== undefined) return ok(slot)
     const all = findCandidates(ask)
     const admission = decideAdmission({
-      slots: all.reduce((sum, { target }) => sum + target.slots, 0),
+      slots: all.reduce((sum, load) => sum + countUsableSlots(load, estimateRunMs(ask.service)), 0),
       queueLength: queue.length,
       meanRunMs: estimateRunMs(ask.service),
       remainingMs: ask.endAt - clock.now(),
@@ -163,6 +165,11 @@
     return await enqueue(ask)
   }
 
+  /** A target with a limit runs no more requests at once than the limit lets in during one run. */
+  function countUsableSlots ({ target, limitPerSecond = Infinity }: TargetLoad, runMs: number): number {
+    return Math.min(target.slots, limitPerSecond * runMs / MS_PER_S)
+  }
+
   async function enqueue (ask: SlotQuery): Promise<Result<Slot, RefusalError>> {
     if (ask.signal.aborted) return err(new RefusalError('timeout'))
     return await new Promise((resolve) => {
--- a/packages/pimentoplank/src/relay/load/loadView.ts
+++ b/packages/pimentoplank/src/relay/load/loadView.ts
@@ -6,6 +6,7 @@
 import type { ReportedLoad, Target } from '../model'
 import type { TargetDirectory } from '../targets'
 import type { PeerUses } from './peerUses'
+import type { TargetLimits } from './targetLimits'
 
 export type WorkClass = 'live' | 'batch'
 
@@ -27,6 +28,10 @@
   isFresh: boolean
   /** True when this instance tries the target before others. */
   isPreferred: boolean
+  /** Requests that this instance may send now; infinite unless the target has named a limit. */
+  allowance: number
+  /** Limit that the target has named, in requests a second from all instances together. */
+  limitPerSecond?: number
 }
 
 export interface LoadViewOptions {
@@ -38,6 +43,7 @@
   isClose: (failureDomain: string) => boolean
   /** True when this instance tries the target before others. */
   isPreferred: (target: Target) => boolean
+  limits: Pick<TargetLimits, 'getAllowance' | 'getLimit' | 'take'>
   rules: SuspicionRules
   clock: Clock
   metrics: Metrics
@@ -143,7 +149,9 @@
       ownBatch: ownUse?.batch ?? 0,
       isSuspect: isOwnSuspect(target.id) || peerUses.isSuspect(key),
       isFresh: options.isClose(target.failureDomain),
-      isPreferred: options.isPreferred(target)
+      isPreferred: options.isPreferred(target),
+      allowance: options.limits.getAllowance(target),
+      limitPerSecond: options.limits.getLimit(target.id)
     }
   }
 
@@ -171,7 +179,10 @@
       for (const target of targets.all()) if (getKey(target.id) === key) return computeLoad(target)
       return undefined
     },
-    begin: (id, work) => changeOwnUse(id, work, 1),
+    begin: (id, work) => {
+      options.limits.take(id)
+      changeOwnUse(id, work, 1)
+    },
     end: (id, work) => changeOwnUse(id, work, -1),
     recordFailure: suspectTarget,
     recordSuccess: (id, sentAt) => {
--- a/packages/pimentoplank/src/relay/model/types.ts
+++ b/packages/pimentoplank/src/relay/model/types.ts
@@ -138,6 +138,8 @@
   /** True when the response carries a signature that shows it comes from a target. */
   isSigned: boolean
   load?: ReportedLoad
+  /** Requests a second that the target takes from all instances together; undefined when it names no limit. */
+  limitPerSecond?: number
 }
 
 /** Encoding of requests to targets and decoding of their responses. */
