--- a/packages/pimentoplank/src/relay/decisions/limitShare.steps.ts
+++ b/packages/pimentoplank/src/relay/decisions/limitShare.steps.ts
@@ -50,7 +50,7 @@
     perSecond: world.perSecond, target: TARGET, self: instance.id, instances: listKnown(world, instance, now)
   })
   instance.allowance = refillAllowance(instance.allowance, share, now)
-  return share === 0 ? 0 : instance.allowance.saved
+  return instance.allowance.saved
 }
 
 function send (world: LimitShareWorld, instance: Instance, now: number): void {
--- a/packages/pimentoplank/src/relay/decisions/limitShare.ts
+++ b/packages/pimentoplank/src/relay/decisions/limitShare.ts
@@ -16,8 +16,12 @@
   instances: ReadonlyArray<{ id: string, failureDomain: string }>
 }
 
-/** A limit is shared by so few instances that each may send at least this many requests a second. */
-const MIN_SHARE_PER_SECOND = 0.8
+/** Requests that an instance may save up. */
+const MAX_SAVED = 1.5
+/** Together, instances may save up what the limit lets in during this time, in seconds, */
+const SAVED_S = 2
+/** and this many requests more. */
+const SAVED_EXTRA = 3
 
 /**
  * Computes the requests a second that this instance may send. Instances in the target's failure domain come first;
@@ -28,16 +32,19 @@
 export function computeLimitShare ({ perSecond, target, self, instances }: LimitShareInput): number {
   const ranked = rankByRendezvous(target.id, instances, ({ id }) => id)
     .sort((a, b) => rankDomain(a, target) - rankDomain(b, target))
-  const count = Math.min(ranked.length, Math.max(1, Math.floor(perSecond / MIN_SHARE_PER_SECOND)))
+  const count = Math.min(ranked.length, countSharers(perSecond))
   return ranked.slice(0, count).some(({ id }) => id === self) ? perSecond / count : 0
 }
 
+/** Bounds the instances that share a limit, so that all of them may send what they have saved up at the same time. */
+function countSharers (perSecond: number): number {
+  return Math.max(1, Math.floor((SAVED_S * perSecond + SAVED_EXTRA) / MAX_SAVED))
+}
+
 function rankDomain (instance: { failureDomain: string }, target: { failureDomain: string }): number {
   return instance.failureDomain === target.failureDomain ? 0 : 1
 }
 
-/** Requests that may be saved up. */
-const MAX_SAVED = 1.5
 /** Saved requests that a live request needs. */
 export const LIVE_ALLOWANCE = 1
 /** Saved requests that a batch item needs, so that live requests come first. */
@@ -52,8 +59,9 @@
 
 const MS_PER_S = 1000
 
-/** Updates an allowance to the present; it grows by the share. */
+/** Updates an allowance to the present; it grows by the share, and is lost without one. */
 export function refillAllowance (before: Allowance, sharePerSecond: number, now: number): Allowance {
+  if (sharePerSecond === 0) return { saved: 0, at: now }
   const grown = before.saved + sharePerSecond * (now - before.at) / MS_PER_S
   return { saved: Math.min(MAX_SAVED, grown), at: now }
 }
--- a/packages/pimentoplank/src/relay/load/targetLimits.ts
+++ b/packages/pimentoplank/src/relay/load/targetLimits.ts
@@ -94,7 +94,7 @@
       if (entry?.perSecond === undefined) return Infinity
       const share = getShare(target, entry.perSecond, entry)
       entry.allowance = refillAllowance(entry.allowance, share, clock.now())
-      return share === 0 ? 0 : entry.allowance.saved
+      return entry.allowance.saved
     },
     take: (targetId) => {
       const entry = known.get(hash32(targetId))
