Bound what targets may send without end in a head or a body

Callers saw: a body without end that is read but not used held its connection for good; items of a job never ended; a plain response was buffered until the memory was used up. Cause: bytes were taken for progress, and nothing bounded events, unused bodies or buffered ones. Change: an event has at most 256 KiB, an unused body 64 KiB and 1 s, a plain response is buffered up to 1 MiB and then passed on as it comes, 16 informational heads may precede an answer. Only new events count as a sign of life. Engines of our own interface and the error responses of plain services have the same bounds.

--- a/packages/pimentoplank/src/entry/services/serviceCall.ts
+++ b/packages/pimentoplank/src/entry/services/serviceCall.ts
@@ -2,7 +2,7 @@
 import { err, ok, type Result, type ResultAsync } from 'neverthrow'
 import type { Dispatcher } from 'undici'
 import {
-  describeCause, RefusalError, TIMED_OUT, withTimeLimit,
+  describeCause, readLimitedBody, RefusalError, TIMED_OUT, withTimeLimit,
   type Clock, type MembershipView, type Metrics, type Outcome, type RetryReason, type ServiceEntry, type SlotClient,
   type SlotGrant, type SlotReport, type TargetAgent
 } from '../../shared'
@@ -147,7 +147,11 @@
       return err({ reason: 'streamSilent', reached: mark.sent, detail: 'the target did not answer in time' })
     }
     if (res.statusCode !== HTTP_UNAVAILABLE) return ok(createResponse(res, res.body[Symbol.asyncIterator](), close))
-    const bytes = new Uint8Array(await res.body.arrayBuffer())
+    const bytes = await readLimitedBody(res.body, deps.clock)
+    if (bytes === undefined) {
+      timer.abort()
+      return err({ reason: 'streamCut', reached: true, detail: 'the error response broke off or had no end' })
+    }
     if (!isLeavingError(bytes)) return ok(createResponse(res, [bytes].values(), close))
     timer.abort()
     return err({ reason: 'targetLeaving', reached: false, detail: 'the target is leaving' })
--- a/packages/pimentoplank/src/relay/exchange/eventReader.ts
+++ b/packages/pimentoplank/src/relay/exchange/eventReader.ts
@@ -1,8 +1,12 @@
 /** Reads the events of a response and decides whether the stream is complete. */
 import { err, ok, type Result } from 'neverthrow'
+import { KIB_BYTES } from '../../shared'
 import { createEventSplitter, type SplitEvent } from './eventSplitter'
 import { SendFailure, type TargetAnswer } from './exchange'
 
+/** Maximum size of one event, in bytes; larger ones are taken for bytes without end. */
+const MAX_EVENT_BYTES = 256 * KIB_BYTES
+
 export interface EventReader {
   /** Reads the next events; resolves to undefined at the end of a complete stream. */
   read: () => Promise<Result<SplitEvent[] | undefined, SendFailure>>
@@ -29,7 +33,8 @@
       if (next.value !== undefined) {
         const complete = splitter.push(next.value)
         events += complete.length
-        return ok(complete)
+        if (splitter.getRemainder().length <= MAX_EVENT_BYTES) return ok(complete)
+        return err(new SendFailure('spoiled', true, `an event is larger than ${MAX_EVENT_BYTES} bytes`))
       }
       const truncation = findTruncation()
       return truncation === undefined ? ok(undefined) : err(new SendFailure('broken', true, truncation))
--- a/packages/pimentoplank/src/relay/exchange/exchange.ts
+++ b/packages/pimentoplank/src/relay/exchange/exchange.ts
@@ -2,7 +2,8 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { Dispatcher } from 'undici'
 import {
-  ConnectionResetError, describeCause, getBodyFraming, isConnectFailure, type BodyFraming, type Clock, type SendMark
+  ConnectionResetError, describeCause, getBodyFraming, isConnectFailure, KIB_BYTES, SECOND_MS,
+  type BodyFraming, type Clock, type SendMark
 } from '../../shared'
 import type { AnswerHead, Target, TargetProtocol, TargetRequest } from '../model'
 import type { TargetConnection, TargetConnectionPool } from './connectionPool'
@@ -148,8 +149,12 @@
       },
       close: () => {
         removeAbortListener()
-        if (isDone && isBodyFramed) connections.release(address, connection)
-        else connections.destroy(connection)
+        if (isDone && isBodyFramed) {
+          connections.release(address, connection)
+          return
+        }
+        connections.destroy(connection)
+        receiver.fail(new Error('answer closed before its end'))
       }
     }
   }
@@ -170,16 +175,24 @@
   return connection.isReused && afterMs <= STALE_DETECTION_MS ? 'staleConnection' : 'broken'
 }
 
-/** Reads a response to its end without using its body, so that its connection can be reused. */
-export async function drainAnswer (
-  answer: TargetAnswer,
-  onBytes: () => void = () => undefined
-): Promise<Result<void, SendFailure>> {
-  for (;;) {
-    const next = await answer.read()
-    if (next.isErr()) return err(next.error)
-    if (next.value === undefined) return ok(undefined)
-    onBytes()
+/** Limits on a body that is read without being used; one that exceeds them may have no end. */
+const MAX_DRAIN_BYTES = 64 * KIB_BYTES
+const MAX_DRAIN_MS = SECOND_MS
+
+/** Reads a response to its end without using its body, so that its connection can be reused; gives up on a long one. */
+export async function drainAnswer (answer: TargetAnswer): Promise<Result<void, SendFailure>> {
+  const timer = setTimeout(() => answer.close(), MAX_DRAIN_MS)
+  try {
+    for (;;) {
+      const next = await answer.read()
+      if (next.isErr()) return err(next.error)
+      if (next.value === undefined) return ok(undefined)
+      if (answer.getEnding().bytes > MAX_DRAIN_BYTES) {
+        return err(new SendFailure('spoiled', true, `an unused body is larger than ${MAX_DRAIN_BYTES} bytes`))
+      }
+    }
+  } finally {
+    clearTimeout(timer)
   }
 }
 
--- a/packages/pimentoplank/src/relay/exchange/responseReceiver.ts
+++ b/packages/pimentoplank/src/relay/exchange/responseReceiver.ts
@@ -22,6 +22,8 @@
 const MAX_BUFFERED_CHUNKS = 64
 /** Responses with a lower status are informational and precede the final one. */
 const FIRST_FINAL_STATUS = 200
+/** Maximum number of informational responses before the final one. */
+const MAX_INFORMATIONAL = 16
 
 /** Creates the receiver of one response. */
 export function createResponseReceiver (): ResponseReceiver {
@@ -29,6 +31,7 @@
   let head: ResponseHead | undefined
   let failure: Error | undefined
   let isEnded = false
+  let informational = 0
   let isPaused = false
   let controller: Dispatcher.DispatchController | undefined
   let wake = (): void => undefined
@@ -46,7 +49,11 @@
     handler: {
       onRequestStart: () => undefined,
       onResponseStart: (ctl, status) => {
-        if (status < FIRST_FINAL_STATUS) return
+        if (status < FIRST_FINAL_STATUS) {
+          informational += 1
+          if (informational > MAX_INFORMATIONAL) ctl.abort(new Error('too many informational responses'))
+          return
+        }
         controller = ctl
         head = { status, headers: (ctl.rawHeaders as Buffer[] | undefined)?.map(String) ?? [] }
         wake()
--- a/packages/pimentoplank/src/relay/jobs/runItem.ts
+++ b/packages/pimentoplank/src/relay/jobs/runItem.ts
@@ -110,13 +110,13 @@
 async function readAnswer (
   answer: TargetAnswer,
   progress: ItemProgress,
-  onBytes: () => void
+  onProgress: () => void
 ): Promise<Result<ItemEnd, SendFailure>> {
   const { status, isSigned } = answer.head
   const isSuccess = status >= 200 && status < 300
   if (isSuccess && !isSigned) return err(new SendFailure('spoiled', true, 'unsigned success'))
   if (!isSuccess) {
-    const drained = await drainAnswer(answer, onBytes)
+    const drained = await drainAnswer(answer)
     if (drained.isErr()) return err(drained.error)
     if (status === STATUS_UNPROCESSABLE) return ok({ type: 'impossible' })
     return ok({ type: status >= STATUS_SERVER_ERROR ? 'failed' : 'refused' })
@@ -126,11 +126,13 @@
     const next = await reader.read()
     if (next.isErr()) return err(next.error)
     if (next.value === undefined) return ok({ type: 'completed', text: progress.data.join('\n') })
-    onBytes()
+    const before = progress.lastEventId
     for (const event of next.value) {
       const applied = applyEvent(event, progress)
       if (applied.isErr()) return err(applied.error)
     }
+    // Bytes alone are no progress; they may have no end.
+    if (progress.lastEventId !== before) onProgress()
   }
 }
 
--- a/packages/pimentoplank/src/relay/live/relayRequest.ts
+++ b/packages/pimentoplank/src/relay/live/relayRequest.ts
@@ -1,5 +1,5 @@
 /** Relays one live request to a target, and retries it at another where that is safe. */
-import { describeCause, RefusalError, type Clock, type Log, type Metrics } from '../../shared'
+import { describeCause, MIB_BYTES, RefusalError, type Clock, type Log, type Metrics } from '../../shared'
 import { isRepeatable, canRetry } from '../decisions'
 import {
   createEventReader, SendFailure,
@@ -70,6 +70,8 @@
 export const BEGINNING_EVENTS = 2
 /** Failures that count against the target itself. */
 const TARGET_FAULTS: ReadonlySet<SendFailureReason> = new Set(['connectFailed', 'refused', 'broken', 'spoiled'])
+/** Maximum size of a plain response that is buffered, so that it can be retried, in bytes. */
+const MAX_BUFFERED_BYTES = MIB_BYTES
 /** Used for requests without a deadline: the longest delay that Node's timers accept, in milliseconds. */
 const MAX_TIMER_MS = 2 ** 31 - 1
 
@@ -239,15 +241,20 @@
 
   async function forwardBody (answer: TargetAnswer): Promise<AttemptEnd> {
     const { head } = answer
-    const isBuffered = isRepeatable(route)
     const buffered: Uint8Array[] = []
+    let isBuffered = isRepeatable(route)
     for (;;) {
       const next = await answer.read()
       if (next.isErr()) return toAttemptEnd(next.error)
       watch.recordBytes()
       if (next.value === undefined) break
-      if (isBuffered) buffered.push(next.value)
-      else await writeBytes(head, next.value)
+      if (!isBuffered) await writeBytes(head, next.value)
+      else buffered.push(next.value)
+      // A long body is passed on as it comes; it is not worth the memory that a retry would need.
+      if (isBuffered && answer.getEnding().bytes > MAX_BUFFERED_BYTES) {
+        isBuffered = false
+        for (const chunk of buffered.splice(0)) await writeBytes(head, chunk)
+      }
     }
     deps.crashes.recordAnswer(request.headers)
     for (const chunk of buffered) await writeBytes(head, chunk)
@@ -261,7 +268,6 @@
       const next = await reader.read()
       if (next.isErr()) return toAttemptEnd(next.error)
       if (next.value === undefined) break
-      watch.recordBytes()
       for (const event of next.value) {
         if (isRepeat(event.id)) continue
         if (isGap(event.id)) {
@@ -269,6 +275,8 @@
             'spoiled', true, `event gap: got event ${event.id} after event ${progress.lastEventId}`
           ))
         }
+        // Bytes without new events are no sign of life; they may have no end.
+        watch.recordBytes()
         events += 1
         if (events === BEGINNING_EVENTS) deps.crashes.recordAnswer(request.headers)
         await writeEvent(answer, event.bytes)
--- a/packages/pimentoplank/src/shared/engine/client.ts
+++ b/packages/pimentoplank/src/shared/engine/client.ts
@@ -6,7 +6,7 @@
 import { SECOND_MS } from '../constants'
 import { describeCause } from '../errors'
 import type { Target } from '../membership'
-import { createTargetAgent, type SendMark } from '../targetHttp'
+import { createTargetAgent, readLimitedBody, type SendMark } from '../targetHttp'
 import { createEngineStream } from './engineStream'
 import {
   EngineError, type EngineClient, type EngineErrorKind, type EngineRequest, type EngineStartOptions, type EngineStream,
@@ -102,7 +102,7 @@
         connection.abort()
         return err(new EngineError('streamSilent', { reached: mark.sent, detail: 'no answer in time' }))
       }
-      if (res.statusCode !== HTTP_OK) return err(await readErrorResponse(res))
+      if (res.statusCode !== HTTP_OK) return err(await readErrorResponse(res, clock))
       const streamId = getHeader(res, STREAM_ID_HEADER)
       return ok(createEngineStream({
         body: res.body,
@@ -178,9 +178,9 @@
   return new EngineError('streamCut', { reached: true, detail, cause })
 }
 
-async function readErrorResponse (res: Dispatcher.ResponseData): Promise<EngineError> {
+async function readErrorResponse (res: Dispatcher.ResponseData, clock: Clock): Promise<EngineError> {
   const status = res.statusCode
-  const parsed = errorBody.safeParse(await res.body.json().catch(() => undefined))
+  const parsed = errorBody.safeParse(parseJson(await readLimitedBody(res.body, clock)))
   const error = parsed.success ? parsed.data.error : undefined
   const kind = REFUSAL_KINDS[error?.code ?? '']
   const detail = error?.message ?? error?.code ?? `status ${status}`
@@ -188,6 +188,14 @@
   return new EngineError(status < HTTP_SERVER_ERROR ? 'rejected' : 'targetError', { reached: true, status, detail })
 }
 
+function parseJson (bytes: Uint8Array | undefined): unknown {
+  try {
+    return JSON.parse(new TextDecoder().decode(bytes))
+  } catch {
+    return undefined
+  }
+}
+
 function getHeader (res: Dispatcher.ResponseData, name: string): string {
   const value = res.headers[name]
   return Array.isArray(value) ? value[0] ?? '' : value ?? ''
--- a/packages/pimentoplank/src/shared/engine/engine.feature
+++ b/packages/pimentoplank/src/shared/engine/engine.feature
@@ -17,4 +17,6 @@
       | breaks off before its head                | 0      | streamCut     | true    |
       | says that it leaves                       | 0      | targetLeaving | false   |
       | fails                                     | 0      | targetError   | true    |
+      | sends bytes without end and without events | 0     | targetError   | true    |
+      | fails with a body without end             | 0      | targetError   | true    |
       | does not listen                           | 0      | connectFailed | false   |
--- a/packages/pimentoplank/src/shared/engine/engine.steps.ts
+++ b/packages/pimentoplank/src/shared/engine/engine.steps.ts
@@ -20,6 +20,16 @@
   res.write(text, () => setImmediate(() => res.destroy()))
 }
 
+/** Writes as fast as the connection takes it, until it is closed. */
+function writeEndlessly (res: ServerResponse, text: string): void {
+  const block = text.repeat(1000)
+  const write = (): void => {
+    while (!res.destroyed && res.write(block));
+    if (!res.destroyed) res.once('drain', write)
+  }
+  write()
+}
+
 const BEHAVIORS: Record<string, (res: ServerResponse) => void> = {
   'ends with a reason and the mark': (res) => { res.end(TOKENS + FINISH_REASON + DONE) },
   'ends in order without the mark': (res) => { res.end(TOKENS + FINISH_REASON) },
@@ -29,6 +39,8 @@
   'never answers': () => undefined,
   'breaks off before its head': (res) => { res.destroy() },
   'says that it leaves': (res) => { res.writeHead(503).end('{"error":{"code":"leaving"}}') },
+  'sends bytes without end and without events': (res) => writeEndlessly(res, 'data: noise\n'),
+  'fails with a body without end': (res) => writeEndlessly(res.writeHead(500), 'noise'),
   fails: (res) => { res.writeHead(500).end('{}') },
   'does not listen': () => undefined
 }
--- a/packages/pimentoplank/src/shared/engine/engineStream.ts
+++ b/packages/pimentoplank/src/shared/engine/engineStream.ts
@@ -2,6 +2,7 @@
 import { err, ok, ResultAsync, type Result } from 'neverthrow'
 import type { Dispatcher } from 'undici'
 import { TIMED_OUT, withTimeLimit, type Clock } from '../clock'
+import { KIB_BYTES } from '../constants'
 import { describeCause } from '../errors'
 import { createEventReader } from './eventReader'
 import { EngineError, type EngineEvent, type EngineStream } from './types'
@@ -22,6 +23,9 @@
   cancelOnEngine: () => Promise<void>
 }
 
+/** Maximum number of bytes without an event; more are taken for bytes without end. */
+const MAX_EVENT_BYTES = 256 * KIB_BYTES
+
 type ReadResult = IteratorResult<Buffer, undefined>
 
 /** Creates a reader for a stream whose response headers have arrived. */
@@ -33,6 +37,7 @@
   let timeoutMs = options.firstTokenTimeoutMs
   let failure: EngineError | undefined
   let ended = false
+  let bytesSinceEvent = 0
 
   async function next (): Promise<Result<EngineEvent, EngineError>> {
     for (;;) {
@@ -43,6 +48,10 @@
       const read = await readChunk()
       if (read instanceof EngineError) return fail(read)
       if (read.done === true) return fail(new EngineError('streamCut', { reached: true, detail: 'the stream broke off' }))
+      bytesSinceEvent += read.value.length
+      if (bytesSinceEvent > MAX_EVENT_BYTES) {
+        return fail(new EngineError('targetError', { reached: true, detail: `no event in ${MAX_EVENT_BYTES} bytes` }))
+      }
       reader.feed(decoder.decode(read.value, { stream: true }))
     }
   }
@@ -60,6 +69,7 @@
 
   function deliver (event: EngineEvent): Result<EngineEvent, EngineError> {
     timeoutMs = options.tokenGapTimeoutMs
+    bytesSinceEvent = 0
     if (event.type !== 'end') return ok(event)
     ended = true
     // Reads the body to its end, so that the connection can be reused.
--- a/packages/pimentoplank/src/shared/targetHttp/index.ts
+++ b/packages/pimentoplank/src/shared/targetHttp/index.ts
@@ -1,5 +1,6 @@
 export { getBodyFraming, type BodyFraming } from './bodyFraming'
 export { ConnectionResetError, createConnector } from './connector'
+export { readLimitedBody } from './readLimitedBody'
 export {
   createTargetAgent, isConnectFailure, markDispatch,
   type SendMark, type TargetAgent, type TargetAgentOptions, type TargetRequest
