--- a/packages/pimentoplank/src/relay/jobs/itemRunner.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.ts
@@ -77,8 +77,10 @@
 const DUE_STEP_MS = 1000
 /** Maximum number of due times in one report. */
 const MAX_DUE_STEPS = 12
-/** The backoff after crashes is doubled up to this many times. */
-const MAX_BACKOFF_DOUBLINGS = 7
+/** Crashes after which an item is tried again as soon as after other broken runs. */
+const QUICK_CRASHES = 4
+/** With more crashes the backoff is doubled up to this many times. */
+const MAX_BACKOFF_DOUBLINGS = 5
 
 /** True when a run ended through a fault of the target rather than of the item or this instance. */
 function isTargetFault (end: ItemEnd): boolean {
@@ -232,7 +234,7 @@
       refused: () => { progress.notBefore = now + rules.refusedBackoffMs * (0.5 + random()) },
       interrupted: ({ isBroken }) => {
         // An item on which one target after the other crashes is tried ever more rarely.
-        const factor = 2 ** Math.min(progress.crashes, MAX_BACKOFF_DOUBLINGS)
+        const factor = 2 ** Math.min(Math.max(0, progress.crashes - QUICK_CRASHES), MAX_BACKOFF_DOUBLINGS)
         if (isBroken) progress.notBefore = now + rules.refusedBackoffMs * factor * random()
       }
     }
