Refuse requests on kept connections of an instance that is about to end

Callers saw: a request that arrived on a kept connection in the last moments of a planned stop was passed on and then cut. Cause: once the shutdown is in its last stage, in which new requests are refused, the relay accepted them all the same; only the entry processes of our own interface refused. Change: in that stage the relay answers 503, not run, with a time to come back, after it has read the body.

--- a/packages/pimentoplank/src/relay/callers/relayHandler.ts
+++ b/packages/pimentoplank/src/relay/callers/relayHandler.ts
@@ -27,6 +27,8 @@
   live: RelayDeps
   jobs: JobApi
   isLeaving: () => boolean
+  /** True while no new requests are accepted, since they might not end before the process does. */
+  isClosed: () => boolean
   /** Counts a request as in flight; returns the function that ends it. */
   trackRequest: () => () => void
   clock: Clock
@@ -73,6 +75,8 @@
     if (table === undefined) return err(new RefusalError('starting', { retryAfterMs: STARTING_RETRY_AFTER_MS }))
     const body = await readBody(req, table.limits.maxBodyBytes)
     if (body.isErr()) return err(body.error)
+    // Refused only now, since closing a connection with unread bytes would reset it.
+    if (options.isClosed()) return err(new RefusalError('addressMoved', { retryAfterMs: MOVED_RETRY_AFTER_MS }))
     // A newer configuration may have been applied while the body was read.
     const route = (options.getRouteTable() ?? table).findRoute(head.value.host, head.value.path)
     if (route === undefined) {
@@ -126,6 +130,8 @@
   return handle
 }
 
+/** Retry hint for callers of an instance that is about to end, in milliseconds. */
+const MOVED_RETRY_AFTER_MS = 50
 /** Retry hint for callers of an instance that has no configuration yet, in milliseconds. */
 const STARTING_RETRY_AFTER_MS = 300
 
--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -240,6 +240,7 @@
     },
     jobs,
     isLeaving: () => shutdown.getStage() !== 'serving',
+    isClosed: () => shutdown.getStage() === 'closed',
     trackRequest: shutdown.trackRequest,
     clock,
     random,
