Teach the soak the new troubles of targets

Requests with a part on which targets crash, limits that targets name and bytes without end, each for 9 s in half of the runs, with checks of what may reach the targets.

--- a/packages/soak/features/soak.steps.ts
+++ b/packages/soak/features/soak.steps.ts
@@ -13,15 +13,15 @@
 const FLEET_OPTIONS = { instances: 5, targets: 8, folder: 'reports/soak' }
 
 When('seed {int} runs for {int} s', { timeout: RUN_TIMEOUT_MS }, async function (this: SoakWorld, seed: number, seconds: number) {
-  this.outcomes = [await runSeed({ seed, lengthMs: seconds * MS_PER_S, ...FLEET_OPTIONS })]
+  this.outcomes = [await runSeed({ seed, lengthMs: seconds * MS_PER_S, withLongFaults: true, ...FLEET_OPTIONS })]
 })
 
 async function runRegressions (regressions: readonly Regression[]): Promise<SeedOutcome[]> {
   const outcomes: SeedOutcome[] = []
   for (let start = 0; start < regressions.length; start += MAX_PARALLEL_SEEDS) {
     const seeds = regressions.slice(start, start + MAX_PARALLEL_SEEDS)
-    outcomes.push(...await Promise.all(seeds.map(async ({ seed, seconds }) =>
-      await runSeed({ seed, lengthMs: seconds * MS_PER_S, ...FLEET_OPTIONS }))))
+    outcomes.push(...await Promise.all(seeds.map(async ({ seed, seconds, withLongFaults = false }) =>
+      await runSeed({ seed, lengthMs: seconds * MS_PER_S, withLongFaults, ...FLEET_OPTIONS }))))
   }
   return outcomes
 }
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -42,6 +42,8 @@
 
 const LIVE_INTERVAL_MS = 25
 const JOB_INTERVAL_MS = 900
+const CRASHING_INTERVAL_MS = 150
+const SESSIONS = 20
 const READ_INTERVAL_MS = 500
 const DEADLINE_MS = 4000
 const MAX_ATTEMPTS = 3
@@ -104,7 +106,7 @@
       const id = `${request}a${attempt}`
       const sentAt = Date.now()
       const sent = send(instance, `${PATHS[kind]}${request}`, {
-        id, deadlineMs: DEADLINE_MS, agent: attempt === 0 ? getAgent(instance) : undefined
+        id, deadlineMs: DEADLINE_MS, headers: createPrompt(id), agent: attempt === 0 ? getAgent(instance) : undefined
       }).catch(() => undefined)
       const answer = await withTimeout(sent, DEADLINE_MS + 1500)
       attempts.push({ id, kind, instance, sentAt, endedAt: Date.now(), answer })
@@ -161,7 +163,24 @@
     if (job !== undefined) await readResults(job)
   }
 
+  /** Prompts of sound requests share parts with those that crash targets. */
+  function createPrompt (id: string, crashingPart?: string): Record<string, string> {
+    const parts = ['common', crashingPart, `session${random.nextInt(SESSIONS)}`, id].filter((part) => part !== undefined)
+    return { 'Prompt-Prefix': parts.map((part) => `${part}:50`).join(',') }
+  }
+
+  async function sendCrashingRequest (): Promise<void> {
+    const instance = pickInstance()
+    if (fleet.crashingPart === undefined || instance === undefined) return
+    const id = `${run}x${++count}`
+    const sent = send(instance, `${PATHS.resumable}${id}`, {
+      id, body: id, deadlineMs: DEADLINE_MS, headers: createPrompt(id, fleet.crashingPart)
+    }).catch(() => undefined)
+    await withTimeout(sent, DEADLINE_MS)
+  }
+
   const timers = [
+    setInterval(() => track(sendCrashingRequest()), CRASHING_INTERVAL_MS),
     setInterval(() => track(sendLiveRequest()), LIVE_INTERVAL_MS),
     setInterval(() => track(submitJob()), JOB_INTERVAL_MS),
     setInterval(() => track(readRandomJob()), READ_INTERVAL_MS),
@@ -173,7 +192,7 @@
     attempts,
     jobs,
     finish: async () => {
-      timers.slice(0, 3).forEach(clearInterval)
+      timers.slice(0, 4).forEach(clearInterval)
       while (pending.size > 0) await Promise.all(pending)
       isFinished = true
     },
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -21,6 +21,7 @@
 const DRAIN_MS = 2000
 const CANCEL_MS = 3000
 const CONTACT_TIMEOUT_MS = 3000
+const MS_PER_S = 1000
 /** Minimum share of requests that get a complete response after recovery. */
 const MIN_RECOVERED_SHARE = 0.9
 /** Faults that may delay the propagation of a change at the store. */
@@ -39,6 +40,9 @@
     ...seen.attempts.flatMap((attempt) => checkAttempt(attempt, runs.get(attempt.id) ?? [])),
     ...seen.jobs.flatMap((job) => checkJob(job, runs)),
     ...checkRemovedTargets(seen),
+    ...checkCrashingPart(seen),
+    ...checkLimits(seen),
+    ...checkEndless(seen),
     ...checkRecovery(seen)
   ]
 }
@@ -107,6 +111,52 @@
   })
 }
 
+/** Faults of instances; after them an instance is excused for `CONTACT_TIMEOUT_MS`. */
+const INSTANCE_FAULTS: ReadonlySet<string> = new Set(['stop', 'kill', 'killMany', 'freeze', 'hangUp'])
+/** Crashes after which a part must be found, and requests with it that may reach targets later. */
+const GRACE_CRASHES = 5
+const MAX_LATE_REQUESTS = 3
+const LIMIT_WINDOW_MS = 4000
+/** Part of a named limit, and number of requests, by which it may be exceeded. */
+const LIMIT_TOLERANCE = { factor: 1.5, extra: 5 }
+
+function isInstanceDisturbed (faults: readonly InjectedFault[], from: number, to: number): boolean {
+  return faults.some((fault) =>
+    INSTANCE_FAULTS.has(fault.kind) && fault.from <= to && fault.to >= from - CONTACT_TIMEOUT_MS)
+}
+
+/** Once a part has crashed targets several times, requests with it must not reach targets any more. */
+function checkCrashingPart ({ fleet, faults }: Observations): string[] {
+  const runs = fleet.targets.flatMap(({ standin }) => standin.runs)
+    .filter(({ headers }) => String(headers['prompt-prefix']).includes(',bad'))
+    .sort((a, b) => a.at - b.at)
+  const fifth = runs.filter(({ ran }) => ran)[GRACE_CRASHES - 1]
+  if (fifth === undefined) return []
+  const late = runs.filter(({ at }) => at > fifth.at + CONTACT_TIMEOUT_MS && !isInstanceDisturbed(faults, at, at))
+  return late.length <= MAX_LATE_REQUESTS ? [] : [`crashing part: ${late.length} requests with it reached targets too late`]
+}
+
+function checkLimits ({ fleet, faults }: Observations): string[] {
+  return fleet.targets.flatMap(({ standin: { id, runs } }) => {
+    const named = runs.filter(({ limitPerSecond }) => limitPerSecond !== undefined)
+    const since = (named[0]?.at ?? Infinity) + CONTACT_TIMEOUT_MS
+    const limited = named.filter(({ at }) => at >= since)
+    const exceeding = limited.filter(({ at: from, limitPerSecond }) => {
+      const to = from + LIMIT_WINDOW_MS
+      const count = limited.filter(({ at }) => at >= from && at < to).length
+      const most = LIMIT_TOLERANCE.factor * limitPerSecond! * LIMIT_WINDOW_MS / MS_PER_S + LIMIT_TOLERANCE.extra
+      return count > most && !isInstanceDisturbed(faults, from, to)
+    })
+    return exceeding.length === 0 ? [] : [`limit: ${id} got more than it takes, from ${exceeding[0]!.at} on`]
+  })
+}
+
+/** Connections on which bytes come without end must be closed. */
+function checkEndless ({ fleet }: Observations): string[] {
+  return fleet.targets.flatMap(({ standin }) =>
+    standin.getEndless() === 0 ? [] : [`endless: ${standin.getEndless()} connections of ${standin.id} are still open`])
+}
+
 function checkRecovery ({ attempts, recoveredAt }: Observations): string[] {
   const after = attempts.filter(({ sentAt }) => sentAt >= recoveredAt)
   const whole = after.filter(({ answer }) => answer?.status === HTTP_OK && answer.isWhole).length
--- a/packages/soak/src/inject.ts
+++ b/packages/soak/src/inject.ts
@@ -1,7 +1,7 @@
 /** Injects faults into a running deployment and ends them. */
 import { setTimeout as pause } from 'node:timers/promises'
 import type { LinkMode } from '@pimentoplank/standins'
-import { PATHS } from 'pimentoplank-platform/testing'
+import { PATHS, type EndlessBytes } from 'pimentoplank-platform/testing'
 import type { Fault, FaultKind } from './plan'
 import type { SoakFleet, SoakInstance, SoakTarget } from './soakFleet'
 
@@ -10,6 +10,15 @@
 
 const STREAM_PATHS = [PATHS.resumable, PATHS.once, PATHS.batch]
 const LINK_MODES: readonly LinkMode[] = ['silent', 'oldSilent', 'oneWay', 'slow', 'cut']
+/** Limits of targets, in requests a second. */
+const MIN_LIMIT = 2
+const LIMIT_RANGE = 4
+const ENDLESS_BYTES: readonly EndlessBytes[] = [
+  { first: '', repeated: 'noise' },
+  { first: 'HTTP/1.1 200 OK\r\n', repeated: 'X-Noise: noise\r\n' },
+  { first: 'HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Signature: s\r\n\r\n', repeated: 'noise' },
+  { first: 'HTTP/1.1 503 Busy\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\n\r\n', repeated: 'noise' }
+]
 /** Share of the instances that `killMany` kills. */
 const KILLED_SHARE = 0.6
 
@@ -137,8 +146,11 @@
     if (target === undefined) return undefined
     failTarget(target.standin, pick)
     return () => {
+      const { crashingPart, limitPerSecond, endless } = target.standin.faults
       const { faults } = target.standin
       for (const name of Object.keys(faults) as Array<keyof typeof faults>) faults[name] = undefined
+      // Long faults end by themselves.
+      Object.assign(faults, { crashingPart, limitPerSecond, endless })
     }
   },
   targetLink: (fleet, { pick }) => {
@@ -147,6 +159,22 @@
     target.link.setMode(LINK_MODES[pick % LINK_MODES.length]!)
     return () => target.link.setMode('open')
   },
+  crashingPart: (fleet, { pick }) => {
+    fleet.crashingPart = `bad${pick}`
+    for (const { standin } of fleet.getUsableTargets()) standin.faults.crashingPart = fleet.crashingPart
+    return () => { fleet.crashingPart = undefined }
+  },
+  targetLimit: (fleet, { pick }) => {
+    const limited = fleet.getUsableTargets().filter((_, index) => index % 2 === pick % 2)
+    for (const { standin } of limited) standin.faults.limitPerSecond = MIN_LIMIT + pick % LIMIT_RANGE
+    return () => { for (const { standin } of limited) standin.faults.limitPerSecond = undefined }
+  },
+  targetEndless: (fleet, { pick }) => {
+    const target = pickTarget(fleet, pick)
+    if (target === undefined) return undefined
+    target.standin.faults.endless = pickItem(ENDLESS_BYTES, pick)
+    return () => { target.standin.faults.endless = undefined }
+  },
   configuration: (fleet) => {
     fleet.publishConfig()
     return undefined
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -22,7 +22,7 @@
     let failed = 0
     async function work (): Promise<void> {
       for (let next = left.shift(); next !== undefined; next = left.shift()) {
-        const outcome = await runSeed({ seed: next, lengthMs: seconds * MS_PER_S, ...rest })
+        const outcome = await runSeed({ seed: next, lengthMs: seconds * MS_PER_S, withLongFaults: true, ...rest })
         if (outcome.broken.length > 0) failed += 1
         process.stdout.write(`${JSON.stringify(outcome)}\n`)
       }
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -8,7 +8,10 @@
   'storeBusy', 'storeSilent', 'storeLosesAnswers', 'storeForgets', 'storeLink',
   'targetCrash', 'targetLeaves', 'targetFails', 'targetLink', 'configuration'
 ] as const
-export type FaultKind = typeof FAULT_KINDS[number]
+
+/** Faults of targets that last for seconds; drawn apart, so that the other faults of a seed stay the same. */
+export const LONG_FAULT_KINDS = ['crashingPart', 'targetLimit', 'targetEndless'] as const
+export type FaultKind = typeof FAULT_KINDS[number] | typeof LONG_FAULT_KINDS[number]
 
 export interface Fault {
   kind: FaultKind
@@ -40,6 +43,16 @@
 const MAX_DURATION_MS = 3500
 const MIN_DURATION_MS = 300
 const PICK_RANGE = 1_000_000
+/** Probability of each long fault. */
+const LONG_FAULT_SHARE = 0.5
+const LONG_FAULT_MS = 9000
+
+/** Generates the long faults of a run, which start in its first half. */
+export function generateLongFaults (random: SoakRandom, lengthMs: number): Fault[] {
+  return LONG_FAULT_KINDS.filter(() => random.nextFloat() < LONG_FAULT_SHARE).map((kind) => ({
+    kind, atMs: Math.round(random.nextFloat() * lengthMs / 2), forMs: LONG_FAULT_MS, pick: random.nextInt(PICK_RANGE)
+  }))
+}
 
 /** Generates faults that start within `lengthMs` milliseconds, at exponentially distributed intervals. */
 export function generateFaults (random: SoakRandom, lengthMs: number): Fault[] {
--- a/packages/soak/src/regressions.ts
+++ b/packages/soak/src/regressions.ts
@@ -4,6 +4,8 @@
   seed: number
   seconds: number
   cause: string
+  /** True for seeds that failed with the long faults of targets. */
+  withLongFaults?: boolean
 }
 
 /** Seeds in which SIGHUP reached a starting process; before the program's first line runs, it ends the process. */
--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -6,7 +6,7 @@
 import { startCallers } from './callers'
 import { findViolations } from './checks'
 import { injectFaults } from './inject'
-import { createSoakRandom, generateFaults } from './plan'
+import { createSoakRandom, generateFaults, generateLongFaults } from './plan'
 import { startSoakFleet, type SoakFleet } from './soakFleet'
 
 export interface SeedOptions {
@@ -15,6 +15,8 @@
   lengthMs: number
   instances: number
   targets: number
+  /** Adds the long faults of targets. */
+  withLongFaults: boolean
   /** Folder for logs; those of a seed without violations are removed. */
   folder: string
 }
@@ -29,6 +31,8 @@
 }
 
 const HTTP_OK = 200
+/** Added to the seed for the generator of the long faults. */
+const LONG_FAULT_SEED = 1_000_003
 const START_TIMEOUT_MS = 15_000
 /** Time within which the deployment must recover after the last fault, in milliseconds. */
 const RECOVERY_MS = 6000
@@ -43,6 +47,7 @@
   const folder = path.join(options.folder, `seed-${seed}`)
   const random = createSoakRandom(seed)
   const plan = generateFaults(random, lengthMs)
+  if (options.withLongFaults) plan.push(...generateLongFaults(createSoakRandom(seed + LONG_FAULT_SEED), lengthMs))
   const fleet = await startSoakFleet({ instances: options.instances, targets: options.targets, folder, run: seed })
   try {
     await waitUntilReady(fleet)
--- a/packages/soak/src/soakFleet.ts
+++ b/packages/soak/src/soakFleet.ts
@@ -35,6 +35,8 @@
 
 export interface SoakFleet {
   store: StoreStandin
+  /** Prompt part on which targets crash now; callers then send requests with it. */
+  crashingPart?: string
   instances: SoakInstance[]
   /** All targets ever started, in order of their start; removed ones stay listed. */
   targets: SoakTarget[]
@@ -61,6 +63,8 @@
 const PROGRAM = path.resolve('target/pimentoplank-entry.mjs')
 const HEAP_MB = 160
 const RESTART_DELAY_MS = 300
+/** Time until a target that a request has crashed is replaced, in milliseconds. */
+const CRASHED_MS = 1500
 const FAILURE_DOMAINS = ['a', 'b', 'c']
 /** How responses of targets define the end of their bodies, in turn. */
 const FRAMINGS: readonly BodyFraming[] = ['chunks', 'length', 'connection']
@@ -83,14 +87,26 @@
 
   async function addTarget (): Promise<SoakTarget> {
     const framing = FRAMINGS[targets.length % FRAMINGS.length]
-    const standin = await startReplicaStandin({ id: `target-${targets.length + 1}`, framing, ...TARGET_OPTIONS })
+    const standin = await startReplicaStandin({
+      id: `target-${targets.length + 1}`,
+      framing,
+      ...TARGET_OPTIONS,
+      onCrash: () => { setTimeout(() => replaceTarget(target), CRASHED_MS) }
+    })
+    standin.faults.crashingPart = fleet.crashingPart
     const link = await createLink(standin.address)
-    const target = { standin, link }
+    const target: SoakTarget = { standin, link }
     targets.push(target)
     store.write('servers', standin.id, { ...entryOf(standin), address: link.address })
     return target
   }
 
+  function replaceTarget (target: SoakTarget): void {
+    if (isClosed) return
+    fleet.removeTarget(target)
+    addTarget().catch(() => undefined)
+  }
+
   function launch (instance: SoakInstance): ChildProcess {
     const file = path.join(options.folder, `${instance.id}.toml`)
     const log = createWriteStream(path.join(options.folder, `${instance.id}.log`), { flags: 'a' })
@@ -129,34 +145,39 @@
     instances.push(instance)
   }
 
-  configure()
-  for (let index = 0; index < options.targets; index++) await addTarget()
-  for (let index = 0; index < options.instances; index++) await addInstance(index)
-
-  return {
+  const fleet: SoakFleet = {
     store,
     instances,
     targets,
     getUsableTargets: () => targets.filter(({ leftAt }) => leftAt === undefined),
     addTarget,
     removeTarget: (target) => {
+      if (target.leftAt !== undefined) return
       store.remove('servers', target.standin.id)
       target.leftAt = Date.now()
     },
     restart,
     publishConfig: configure,
-    close: async () => {
-      isClosed = true
-      for (const { child } of instances) {
-        child.kill('SIGCONT')
-        child.kill('SIGKILL')
-      }
-      await Promise.all(targets.map(async ({ standin, link }) => {
-        await standin.crash()
-        await link.close()
-      }))
-      await Promise.all(instances.map(async ({ store: link }) => await link.close()))
-      await store.close()
+    close
+  }
+
+  configure()
+  for (let index = 0; index < options.targets; index++) await addTarget()
+  for (let index = 0; index < options.instances; index++) await addInstance(index)
+
+  return fleet
+
+  async function close (): Promise<void> {
+    isClosed = true
+    for (const { child } of instances) {
+      child.kill('SIGCONT')
+      child.kill('SIGKILL')
     }
+    await Promise.all(targets.map(async ({ standin, link }) => {
+      await standin.crash()
+      await link.close()
+    }))
+    await Promise.all(instances.map(async ({ store: link }) => await link.close()))
+    await store.close()
   }
 }
