Keep one state of a job whose repeat is accepted during its takeover

Cause: the owner could not store the job ('mayExist'), and checked in the background whether it was stored. While that takeover waited for the store, the caller's repeat was accepted and opened the job; the takeover then opened it once more. Items finished in the first state, whose results are not stored as it is no longer registered; and while its store operation slept, none was begun for the second, as operations were kept by the job's id. Change: the takeover continues the state that was opened meanwhile; store operations are kept by state.

--- a/packages/pimentoplank/src/relay/jobs/jobManager.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.ts
@@ -79,8 +79,8 @@
 export function createJobManager (options: JobManagerOptions): JobManager {
   const { self, jobRegistry: registry, store, rules, clock, random, metrics, log } = options
   const closing = new AbortController()
-  /** Store operations in progress, by job. */
-  const storing = new Map<string, Promise<void>>()
+  /** Store operations in progress. */
+  const storing = new Map<OwnedJob, Promise<void>>()
   const finishedAt = new Map<string, number>()
   const adopting = new Set<string>()
 
@@ -114,9 +114,9 @@
 
   function storePending (job: OwnedJob): void {
     if (job.pendingResults().length === 0) return
-    if (!storing.has(job.id)) {
-      const task = storeResults(job).finally(() => storing.delete(job.id))
-      storing.set(job.id, task)
+    if (!storing.has(job)) {
+      const task = storeResults(job).finally(() => storing.delete(job))
+      storing.set(job, task)
     }
   }
 
@@ -249,6 +249,13 @@
       if (segment.value === undefined) break
       segments.push(segment.value)
     }
+    const accepted = registry.get(id)
+    if (accepted !== undefined) {
+      // The caller's repeat was accepted meanwhile, and items of the job may run already.
+      accepted.setStored(taken.value)
+      registry.update(id, { owner: self, epoch: taken.value.record.epoch, ended: accepted.isEnded() })
+      return ok(accepted)
+    }
     log.info({
       job: id, from: record.owner, epoch: taken.value.record.epoch, segments: segments.length
     }, 'job taken over')
