--- a/packages/pimentoplank/src/relay/constants.ts
+++ b/packages/pimentoplank/src/relay/constants.ts
@@ -25,8 +25,8 @@
 export const TARGET_CONNECT_TIMEOUT_MS = 250
 /** Idle connections to targets are closed after this time, in milliseconds. */
 export const TARGET_IDLE_TIMEOUT_MS = 3000
-/** Delay of a report on a crash, in which further crashes are collected, in milliseconds. */
-export const CRASH_REPORT_DELAY_MS = 50
+/** Delay of a report on crashes or limits, in which further changes are collected, in milliseconds. */
+export const URGENT_REPORT_DELAY_MS = 50
 /** How long prompts and parts of prompts that crash targets are refused, in milliseconds. */
 export const CRASH_RETENTION_MS = 600_000
 /** Time that callers may cache an answer of the directory, in milliseconds; shutdown waits three times as long. */
--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -7,7 +7,7 @@
 import { createShutdownController } from '../entry/stopping'
 import { createDirectory, createRelayHandler, type CallerProtocol, type Directory, type RelayHandler } from './callers'
 import {
-  CRASH_REPORT_DELAY_MS, CRASH_RETENTION_MS, DIRECTORY_MAX_AGE_MS, DIRECTORY_STALENESS_FACTOR, FEED_TIMINGS,
+  URGENT_REPORT_DELAY_MS, CRASH_RETENTION_MS, DIRECTORY_MAX_AGE_MS, DIRECTORY_STALENESS_FACTOR, FEED_TIMINGS,
   GOSSIP_SETTINGS, JOB_NOTICE_MS, PREFERRING_INSTANCES, REMOVAL_GRACE_SHARE, TARGET_CONNECT_TIMEOUT_MS,
   TARGET_IDLE_TIMEOUT_MS, TICK_INTERVAL_MS
 } from './constants'
@@ -364,7 +364,7 @@
     reportTimer ??= setTimeout(() => {
       reportTimer = undefined
       gossip.reportNow()
-    }, CRASH_REPORT_DELAY_MS)
+    }, URGENT_REPORT_DELAY_MS)
   }
 
   function listServingInstances (): string[] {
--- a/packages/pimentoplank/src/relay/live/probeSchedule.ts
+++ b/packages/pimentoplank/src/relay/live/probeSchedule.ts
@@ -1,5 +1,5 @@
 /**
- * Probing: when a refused kind of request may try a target again, so that a wrong refusal ends.
+ * Probes: when a refused kind of request may try a target again, so that a wrong refusal ends.
  *
  * The schedule depends only on the time since the refusal began, so that an instance that takes over the probing
  * continues it.
