--- a/packages/soak/src/inject.ts
+++ b/packages/soak/src/inject.ts
@@ -17,7 +17,7 @@
   { first: '', repeated: 'noise' },
   { first: 'HTTP/1.1 200 OK\r\n', repeated: 'X-Noise: noise\r\n' },
   { first: 'HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nResponse-Signature: s\r\n\r\n', repeated: 'noise' },
-  { first: 'HTTP/1.1 503 Busy\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\n\r\n', repeated: 'noise' }
+  { first: 'HTTP/1.1 503 Busy\r\nAttempt-Id: {id}\r\nNot-Executed: 1\r\n\r\n', repeated: 'noise', isNotRun: true }
 ]
 /** Share of the instances that `killMany` kills. */
 const KILLED_SHARE = 0.6
