Store parts anew that crash targets again after their record has expired

Callers saw: nothing yet; found while reading the code. Cause: a record was only ever created. Once it had expired, parts that were found again met the old record, the conflict was taken for a peer's fresh record, and instances that started later removed the old one and knew of no crashing part. Change: on a conflict the stored record is read, and replaced where it has expired.

--- a/packages/pimentoplank/src/relay/live/crashingPartsStore.ts
+++ b/packages/pimentoplank/src/relay/live/crashingPartsStore.ts
@@ -34,6 +34,8 @@
 
 /** Pause between two tries to read the records, in milliseconds. */
 const LOAD_RETRY_MS = SECOND_MS
+/** Attempts to replace an expired record that other instances write or remove at the same time. */
+const MAX_SAVE_ATTEMPTS = 3
 
 /** Creates the store of an instance. */
 export function createCrashingPartsStore (options: CrashingPartsStoreOptions): CrashingPartsStore {
@@ -41,14 +43,28 @@
 
   async function save ({ parts }: CrashingParts): Promise<void> {
     const digits = parts.map((part) => part.toString(16))
+    const name = digits.join('-')
     const record = { parts: digits, foundAt: clock.wallTime() }
-    const stored = await platform.put(CRASHING_PARTS_KIND, digits.join('-'), record, { ifRevision: 0 })
-    // A peer may have found and stored the same parts.
-    if (stored.isErr() && !(stored.error instanceof PlatformConflict)) {
-      log.warn({ parts: digits, cause: describeCause(stored.error) }, 'parts that crash targets could not be stored')
+    let ifRevision = 0
+    for (let attempt = 1; ; attempt++) {
+      const stored = await platform.put(CRASHING_PARTS_KIND, name, record, { ifRevision })
+      if (stored.isOk()) return
+      const current = stored.error instanceof PlatformConflict ? stored.error.current : undefined
+      // A peer may have found and stored the same parts.
+      if (isCurrentRecord(current?.value)) return
+      if (current === undefined || attempt >= MAX_SAVE_ATTEMPTS) {
+        log.warn({ parts: digits, cause: describeCause(stored.error) }, 'parts that crash targets could not be stored')
+        return
+      }
+      ifRevision = current?.revision ?? 0
     }
   }
 
+  function isCurrentRecord (value: unknown): boolean {
+    const record = crashingPartsRecord.safeParse(value)
+    return record.success && clock.wallTime() - record.data.foundAt <= keepMs
+  }
+
   async function removeRecord (name: string): Promise<void> {
     const removed = await platform.remove(CRASHING_PARTS_KIND, name)
     if (removed.isErr()) log.warn({ name, cause: describeCause(removed.error) }, 'old record could not be removed')
