End the refusal of prompt parts also on the instance that found them

Callers saw: nothing yet; found by a new scenario for probes. With our own interface, parts that had been found wrongly, and were answered since on another instance, were refused on until an hour was over by the instance that had found them. Cause: what an instance had found stayed in its own list, beside the record at the platform that another instance removes. Change: the own list holds only what could not be stored. Result: the scenario failed before (refused on one of two instances) and passes.

--- a/packages/pimentoplank/src/shared/quarantine/partQuarantine.ts
+++ b/packages/pimentoplank/src/shared/quarantine/partQuarantine.ts
@@ -56,6 +56,7 @@
   const { platform, feed, clock, metrics, log, keepMs } = options
   const answeredAt = new LRUCache<string, number>({ max: MAX_ANSWERED_PARTS })
   const ownCrashes = new Map<string, CrashObject>()
+  /** What this instance found and could not store yet. */
   const ownFound = new Map<string, FoundObject>()
 
   function listCrashes (): Array<TargetCrash<string>> {
@@ -127,8 +128,13 @@
   async function storeFound (name: string, record: FoundObject): Promise<void> {
     const ifRevision = feed.objects(OBJECT_KINDS.quarantine).get(name)?.revision ?? 0
     const put = await platform.put(OBJECT_KINDS.quarantine, name, record, { ifRevision })
-    if (put.isOk()) feed.offer(put.value)
-    else log.warn({ name, cause: describeCause(put.error) }, 'parts that crash targets could not be stored')
+    if (put.isErr()) {
+      log.warn({ name, cause: describeCause(put.error) }, 'parts that crash targets could not be stored')
+      return
+    }
+    feed.offer(put.value)
+    // From now on the stored record counts, which another instance may remove.
+    ownFound.delete(name)
   }
 
   /** Tells the other instances that a part was answered after it had been found. */
--- a/packages/pimentoplank/src/shared/quarantine/quarantine.feature
+++ b/packages/pimentoplank/src/shared/quarantine/quarantine.feature
@@ -41,6 +41,13 @@
     Then content bad is quarantined on both crash instances
     And content good is only suspect
 
+  Scenario: An answer on one instance ends the refusal on the one that found the parts, too
+    Given prompts with the parts a and b of their own crash 3 targets, 1 s apart
+    Then prompts with the parts a and b are refused on both crash instances
+    When 1 s pass for the crash quarantine
+    And the answer to a prompt with the parts a and b begins on crash instance 1
+    Then prompts with the parts a and b are answered on both crash instances
+
   Scenario: A record expires
     Given target t1 crashes with content bad on crash instance 0
     And target t2 crashes with content bad on crash instance 0
--- a/packages/pimentoplank/src/shared/quarantine/quarantine.steps.ts
+++ b/packages/pimentoplank/src/shared/quarantine/quarantine.steps.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict'
+import { setTimeout as pause } from 'node:timers/promises'
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { createPlatformStandin, type PlatformStandin } from '@pimentoplank/standins'
 import { createQuarantine, type Quarantine } from '.'
@@ -7,6 +8,9 @@
 import { createInMemoryMetrics } from '../metrics'
 import { createPlatformClient, type PlatformClient } from '../platform'
 
+/** Limit on the wait until the platform has removed a record. */
+const CLEAR_TIMEOUT_MS = 3000
+
 interface QuarantineWorld {
   platform: PlatformStandin
   client: PlatformClient
@@ -77,6 +81,32 @@
   assert.equal(this.instances[index]!.isQuarantined(content), true)
 })
 
+Given('prompts with the parts {word} and {word} of their own crash {int} targets, {int} s apart', async function (
+  this: QuarantineWorld, first: string, second: string, count: number, pauseS: number
+) {
+  for (let index = 0; index < count; index++) {
+    this.passedMs += pauseS * 1000
+    await this.instances[index % 2]!.recordCrash(`prompt-${index}`, `target-${index}`, [first, second])
+  }
+})
+
+Then('prompts with the parts {word} and {word} are {word} on both crash instances', function (
+  this: QuarantineWorld, first: string, second: string, outcome: 'refused' | 'answered'
+) {
+  const isRefused = outcome === 'refused'
+  const found = this.instances.map((instance) => instance.isQuarantined('another prompt', [first, second]))
+  assert.deepEqual(found, [isRefused, isRefused])
+})
+
+When('the answer to a prompt with the parts {word} and {word} begins on crash instance {int}', async function (
+  this: QuarantineWorld, first: string, second: string, index: number
+) {
+  this.instances[index]!.recordAnswer([first, second])
+  const until = Date.now() + CLEAR_TIMEOUT_MS
+  const isRefused = (): boolean => this.instances.some((one) => one.isQuarantined('another prompt', [first, second]))
+  while (isRefused() && Date.now() < until) await pause(1)
+})
+
 After({ tags: '@crashQuarantine' }, async function (this: Partial<QuarantineWorld>) {
   await this.client?.close()
   await this.platform?.close()
