Probe whether refused prompt parts still crash targets, in our own interface, too

With our own interface a wrong refusal lasted an hour unless a request with another mix of parts was answered. Cause: only the deployed path had probes. Change: a repeatable live request claims the probe that is due by a conditional write of the found record, so that one request of all instances runs, after 8 s, 40 s, 200 s and so on. Content that crashes targets itself never probes. The schedule is shared with the deployed path (moved, unchanged). Result: four scenarios; without probes nothing ends the refusal.

--- a/packages/pimentoplank/features/support/fakeTargets.ts
+++ b/packages/pimentoplank/features/support/fakeTargets.ts
@@ -171,6 +171,7 @@
       findTargetsWithSuspects: () => [],
       isQuarantined: (hash) => (crashes.get(hash)?.size ?? 0) >= 2,
       hasCrashingParts: () => false,
+      claimProbe: async () => false,
       recordAnswer: () => undefined,
       recordCrash: async (hash, target) => {
         const died = crashes.get(hash) ?? new Set()
--- a/packages/pimentoplank/src/entry/live/liveRun.ts
+++ b/packages/pimentoplank/src/entry/live/liveRun.ts
@@ -39,6 +39,8 @@
   let dispatchAllowed = job.beforeDispatch === undefined
   let attemptsLeft = deps.maxAttempts
   let crashes = 0
+  /** True if the request tests whether its quarantined parts still crash targets. */
+  let isProbe = false
   let outcome: Outcome = 'not_run'
   let tokens = 0
   let text = ''
@@ -64,7 +66,7 @@
 
   async function openAttempt (): Promise<Result<Attempt, RefusalError>> {
     for (;;) {
-      if (deps.quarantine.isQuarantined(job.contentHash, job.partHashes)) return err(createRefusal('quarantined'))
+      if (await isRefusedByQuarantine()) return err(createRefusal('quarantined'))
       const grant = await acquire()
       if (grant.isErr()) return err(grant.error)
       const allowed = await allowDispatch()
@@ -79,6 +81,12 @@
     }
   }
 
+  async function isRefusedByQuarantine (): Promise<boolean> {
+    if (isProbe || !deps.quarantine.isQuarantined(job.contentHash, job.partHashes)) return false
+    isProbe = job.repeatable && await deps.quarantine.claimProbe(job.contentHash, job.partHashes)
+    return !isProbe
+  }
+
   async function acquire (): Promise<Result<SlotGrant, RefusalError>> {
     const startedAt = clock.now()
     const grant = await acquireAwayFromSuspects()
--- a/packages/pimentoplank/src/entry/live/quarantine.feature
+++ b/packages/pimentoplank/src/entry/live/quarantine.feature
@@ -60,3 +60,5 @@
     And at most 5 engines of the entry bench are dead
     When a chat with the message "good" and a question of its own is sent to entry 0
     Then that chat is answered completely
+    When the entry bench's engines crash no more
+    Then chats with the message "POISON" are soon answered at each entry
--- a/packages/pimentoplank/src/entry/live/quarantine.steps.ts
+++ b/packages/pimentoplank/src/entry/live/quarantine.steps.ts
@@ -11,6 +11,9 @@
 const TOKENS = 12
 /** Crashes within 100 ms count as one. */
 const CRASH_PAUSE_MS = 120
+const PROBE_PAUSE_MS = 200
+/** Limit on the wait for the first probe of a refusal. */
+const PROBE_TIMEOUT_MS = 30_000
 
 interface QuarantineWorld extends EntryWorld {
   concurrent: Array<{ prompt: string, reply: Promise<Reply> }>
@@ -70,6 +73,23 @@
   for (const engine of this.bench.engines) engine.setFaults({ crashOn: marker })
 })
 
+When('the entry bench\'s engines crash no more', function (this: QuarantineWorld) {
+  for (const engine of this.bench.engines) engine.setFaults({ crashOn: null })
+})
+
+Then('chats with the message {string} are soon answered at each entry', { timeout: PROBE_TIMEOUT_MS }, async function (
+  this: QuarantineWorld, message: string
+) {
+  for (const entry of [0, 1]) {
+    for (let index = 0; ; index++) {
+      const reply = await sendChat(this, message, `later question ${index}`, entry)
+      if (reply.status === 200) break
+      assert.equal(reply.json.reason, 'quarantined', reply.text)
+      await pause(PROBE_PAUSE_MS)
+    }
+  }
+})
+
 Given('the entry bench\'s engines hold streams after {int} tokens', function (this: QuarantineWorld, tokens: number) {
   for (const engine of this.bench.engines) engine.setFaults({ holdAfterTokens: tokens })
 })
--- a/packages/pimentoplank/src/relay/live/crashTracker.ts
+++ b/packages/pimentoplank/src/relay/live/crashTracker.ts
@@ -1,11 +1,10 @@
 /** Tracks crashes of targets, so that no prompt, and no part of prompts, can take down one target after the other. */
 import { LRUCache } from 'lru-cache'
 import {
-  findCrashingParts, hash32, hash64, isCrashingPrompt, type Clock, type Log, type TargetCrash
+  findCrashingParts, findDueProbe, hash32, hash64, isCrashingPrompt, type Clock, type Log, type TargetCrash
 } from '../../shared'
 import type { AnsweredPart, CrashReport, CrashingParts } from '../gossip'
 import type { CallerRequest, RawHeaders } from '../model'
-import { findDueProbe } from './probeSchedule'
 
 export interface CrashTrackerOptions {
   /** How long a prompt or part is refused after its last crash, in milliseconds. */
--- a/packages/pimentoplank/src/shared/quarantine/partQuarantine.ts
+++ b/packages/pimentoplank/src/shared/quarantine/partQuarantine.ts
@@ -11,6 +11,7 @@
 import { OBJECT_KINDS } from '../objects'
 import { PlatformConflict, type PlatformClient, type StoredObject } from '../platform'
 import { findCrashingParts, type CrashedPrompt, type TargetCrash } from './crashAttribution'
+import { findDueProbe } from './probeSchedule'
 
 export interface PartQuarantineOptions {
   platform: Pick<PlatformClient, 'put' | 'remove'>
@@ -25,6 +26,11 @@
 export interface PartQuarantine {
   /** True when the prompt has parts that crash targets. */
   hasCrashingParts: (parts: readonly string[]) => boolean
+  /**
+   * Claims the probe that is due for the parts of a prompt. The claim is a conditional write to the platform, so that
+   * one request of all instances gets it; none does while the platform does not respond.
+   */
+  claimProbe: (parts: readonly string[]) => Promise<boolean>
   /** Records that an answer has begun, which clears the parts of its prompt of earlier crashes. */
   recordAnswer: (parts: readonly string[]) => void
   /** Records that a target crashed before its answer to the prompt had begun. */
@@ -39,7 +45,12 @@
 })
 type CrashObject = z.infer<typeof crashObject>
 
-const foundObject = z.object({ parts: z.array(z.string()).min(1), foundAt: z.number() })
+const foundObject = z.object({
+  parts: z.array(z.string()).min(1),
+  foundAt: z.number(),
+  /** Number of the latest probe that was claimed; -1 if none was. See `findDueProbe`. */
+  probe: z.number().default(-1)
+})
 type FoundObject = z.infer<typeof foundObject>
 
 /** Names begin with these, which tells the objects from the records of whole prompts in the same kind. */
@@ -119,7 +130,7 @@
       metrics.count('quarantine.parts')
       log.warn({ parts, crashes: unexplained.length }, 'prompt parts crash targets')
       const name = `${FOUND_PREFIX}${hashHex(parts.join())}`
-      const record: FoundObject = { parts, foundAt: clock.wallTime() }
+      const record: FoundObject = { parts, foundAt: clock.wallTime(), probe: -1 }
       ownFound.set(name, record)
       await storeFound(name, record)
     }
@@ -137,6 +148,30 @@
     ownFound.delete(name)
   }
 
+  async function claimProbe (parts: readonly string[]): Promise<boolean> {
+    const now = clock.wallTime()
+    const matches = [...feed.objects(OBJECT_KINDS.quarantine).values()].flatMap(({ name, revision, value }) => {
+      const stored = name.startsWith(FOUND_PREFIX) ? foundObject.safeParse(value) : undefined
+      const isInForce = stored?.success === true && now - stored.data.foundAt <= keepMs
+      return isInForce && hasAll(parts, stored.data.parts) ? [{ name, revision, record: stored.data }] : []
+    })
+    // A probe of one record would be refused, or crash its target, because of another.
+    const [match] = matches
+    if (match === undefined || matches.length > 1) return false
+    const { name, revision, record } = match
+    const probe = findDueProbe(now - record.foundAt, record.probe)
+    if (probe === undefined) return false
+    const put = await platform.put(OBJECT_KINDS.quarantine, name, { ...record, probe }, { ifRevision: revision })
+    if (put.isErr()) {
+      // Most often another instance has claimed it.
+      log.info({ name, probe, cause: describeCause(put.error) }, 'probe not claimed')
+      return false
+    }
+    feed.offer(put.value)
+    log.info({ parts: record.parts, probe }, 'probing whether parts still crash targets')
+    return true
+  }
+
   /** Tells the other instances that a part was answered after it had been found. */
   async function clearFound (part: string, now: number): Promise<void> {
     for (const [name, { parts, foundAt }] of ownFound) {
@@ -149,13 +184,14 @@
       const removed = await platform.remove(OBJECT_KINDS.quarantine, name)
       if (removed.isErr()) log.warn({ name, cause: describeCause(removed.error) }, 'cleared parts could not be removed')
       else if (parts.length > 0) {
-        await storeFound(`${FOUND_PREFIX}${hashHex(parts.join())}`, { parts, foundAt: stored.data.foundAt })
+        await storeFound(`${FOUND_PREFIX}${hashHex(parts.join())}`, { ...stored.data, parts })
       }
     }
   }
 
   return {
     hasCrashingParts: (parts) => listFound().some((one) => hasAll(parts, one)),
+    claimProbe,
     recordAnswer: (parts) => {
       const now = clock.wallTime()
       for (const part of parts) {
--- a/packages/pimentoplank/src/shared/quarantine/quarantine.feature
+++ b/packages/pimentoplank/src/shared/quarantine/quarantine.feature
@@ -48,6 +48,33 @@
     And the answer to a prompt with the parts a and b begins on crash instance 1
     Then prompts with the parts a and b are answered on both crash instances
 
+  Scenario: One request of all instances probes whether a part still crashes targets, at growing intervals
+    Given prompts with the parts a and b of their own crash 3 targets, 1 s apart
+    Then prompts with the parts a and b are refused on both crash instances
+    When 7 s pass for the crash quarantine
+    Then no request with the parts a and b may probe
+    When 2 s pass for the crash quarantine
+    Then one of 10 requests with the parts a and b may probe
+    When 20 s pass for the crash quarantine
+    Then no request with the parts a and b may probe
+    When 20 s pass for the crash quarantine
+    Then one of 10 requests with the parts a and b may probe
+
+  Scenario: A probe that is answered ends the refusal on both instances
+    Given prompts with the parts a and b of their own crash 3 targets, 1 s apart
+    When 9 s pass for the crash quarantine
+    And one of 10 requests with the parts a and b may probe
+    And the answer to a prompt with the parts a and b begins on crash instance 1
+    Then prompts with the parts a and b are answered on both crash instances
+
+  Scenario: Content that crashes targets itself never probes
+    Given prompts with the parts a and b of their own crash 3 targets, 1 s apart
+    And 6 s pass for the crash quarantine
+    And target t1 crashes with content bad on crash instance 0
+    And target t2 crashes with content bad on crash instance 0
+    When 9 s pass for the crash quarantine
+    Then content bad with the parts a and b may not probe
+
   Scenario: A record expires
     Given target t1 crashes with content bad on crash instance 0
     And target t2 crashes with content bad on crash instance 0
--- a/packages/pimentoplank/src/shared/quarantine/quarantine.steps.ts
+++ b/packages/pimentoplank/src/shared/quarantine/quarantine.steps.ts
@@ -98,6 +98,30 @@
   assert.deepEqual(found, [isRefused, isRefused])
 })
 
+async function countProbes ({ instances }: QuarantineWorld, parts: string[], requests: number): Promise<number> {
+  const claims = Array.from({ length: requests }, async (_, index) =>
+    await instances[index % 2]!.claimProbe(`probing prompt ${index}`, parts))
+  return (await Promise.all(claims)).filter(Boolean).length
+}
+
+Then('no request with the parts {word} and {word} may probe', async function (
+  this: QuarantineWorld, first: string, second: string
+) {
+  assert.equal(await countProbes(this, [first, second], 2), 0)
+})
+
+Then('one of {int} requests with the parts {word} and {word} may probe', async function (
+  this: QuarantineWorld, requests: number, first: string, second: string
+) {
+  assert.equal(await countProbes(this, [first, second], requests), 1)
+})
+
+Then('content {word} with the parts {word} and {word} may not probe', async function (
+  this: QuarantineWorld, content: string, first: string, second: string
+) {
+  assert.equal(await this.instances[0]!.claimProbe(content, [first, second]), false)
+})
+
 When('the answer to a prompt with the parts {word} and {word} begins on crash instance {int}', async function (
   this: QuarantineWorld, first: string, second: string, index: number
 ) {
--- a/packages/pimentoplank/src/shared/quarantine/quarantine.ts
+++ b/packages/pimentoplank/src/shared/quarantine/quarantine.ts
@@ -69,6 +69,10 @@
     return (record !== undefined && shouldQuarantine(record)) || partQuarantine.hasCrashingParts(parts)
   }
 
+  async function claimProbe (contentHash: string, parts: readonly string[]): Promise<boolean> {
+    return !isQuarantined(contentHash) && await partQuarantine.claimProbe(parts)
+  }
+
   function startRun (contentHash: string, targetId: string): () => void {
     const contents = running.get(targetId) ?? new Set()
     contents.add(contentHash)
@@ -164,6 +168,7 @@
   return {
     isQuarantined,
     hasCrashingParts: partQuarantine.hasCrashingParts,
+    claimProbe,
     recordAnswer: partQuarantine.recordAnswer,
     trackRun: startRun,
     findTargetsWithSuspects: findConflictingTargets,
--- a/packages/pimentoplank/src/shared/quarantine/types.ts
+++ b/packages/pimentoplank/src/shared/quarantine/types.ts
@@ -12,6 +12,12 @@
   isQuarantined: (contentHash: string, parts?: readonly string[]) => boolean
   /** True when the prompt has parts that crash targets. */
   hasCrashingParts: (parts: readonly string[]) => boolean
+  /**
+   * Claims the probe that is due for parts of the prompt, so that a wrong refusal ends before its time.
+   *
+   * @returns true for the one request of all instances that may run although its parts are quarantined
+   */
+  claimProbe: (contentHash: string, parts: readonly string[]) => Promise<boolean>
   /** Records that an answer has begun, which clears the parts of its prompt of earlier crashes. */
   recordAnswer: (parts: readonly string[]) => void
   /**
