Repeat the errors of failed scenarios at the end of a test run

Change: the summary prints the first lines of each error below its scenario. Result: seen with a scenario that was made to fail for it; the count of passed and failed is as before.

--- a/scripts/scenarios.mjs
+++ b/scripts/scenarios.mjs
@@ -5,7 +5,7 @@
  * Lists the scenarios that ran.
  *
  * @param {string} file - path of the message file
- * @returns {Array<{ uri: string, name: string, ok: boolean }>}
+ * @returns {Array<{ uri: string, name: string, ok: boolean, message?: string }>} message: of the first failed step
  */
 export function readScenarios (file) {
   const pickles = new Map()
@@ -18,9 +18,9 @@
     if (message.testCaseStarted) runs.set(message.testCaseStarted.id, message.testCaseStarted.testCaseId)
     if (message.testStepFinished) recordStep(results, runs, message.testStepFinished)
   }
-  return [...results].map(([testCase, ok]) => {
+  return [...results].map(([testCase, result]) => {
     const { uri, name } = pickles.get(cases.get(testCase))
-    return { uri, name, ok }
+    return { uri, name, ...result }
   })
 }
 
@@ -31,6 +31,7 @@
 
 function recordStep (results, runs, step) {
   const testCase = runs.get(step.testCaseStartedId)
-  const before = results.get(testCase) ?? true
-  results.set(testCase, before && step.testStepResult.status === 'PASSED')
+  const before = results.get(testCase) ?? { ok: true }
+  const { status, message } = step.testStepResult
+  results.set(testCase, before.ok && status !== 'PASSED' ? { ok: false, message } : before)
 }
--- a/scripts/summary.mjs
+++ b/scripts/summary.mjs
@@ -5,6 +5,7 @@
 const [file, runnerStatus = '0'] = process.argv.slice(2)
 const KNOWN_RED_FILE = 'KNOWN-RED.txt'
 const TEST_PREFIX = 'test: '
+const MAX_ERROR_LINES = 12
 
 function readKnownRed () {
   if (!existsSync(KNOWN_RED_FILE)) return new Set()
@@ -13,6 +14,13 @@
   return new Set(tests.map((line) => line.slice(TEST_PREFIX.length).trim()))
 }
 
+/** Returns the first lines of an error, without its stack. */
+function describeError (message = 'no message') {
+  const lines = message.split('\n').filter((line) => line.trim() !== '')
+  const stackAt = lines.findIndex((line) => /^\s+at /.test(line))
+  return lines.slice(0, Math.min(stackAt < 0 ? lines.length : stackAt, MAX_ERROR_LINES))
+}
+
 const scenarios = readScenarios(file)
 const knownRed = readKnownRed()
 const isKnown = ({ uri, name }) => knownRed.has(`${uri}: ${name}`)
@@ -21,6 +29,8 @@
 
 for (const scenario of failed) {
   console.log(`${isKnown(scenario) ? 'known red' : 'FAILED'}: ${scenario.uri}: ${scenario.name}`)
+  // Repeated here, since the report of the test runner may be too far up in a log that is cut.
+  for (const line of describeError(scenario.message)) console.log(`  ${line}`)
 }
 const runnerBroke = Number(runnerStatus) !== 0 && failed.length === 0
 if (runnerBroke) console.log(`FAILED: the test runner ended with status ${runnerStatus}`)
