Give up a silent run only for a slot that is held elsewhere

What callers saw: a begun stream ended without its last events, beside a change of the configuration, although its target was sound and went on a second later.

Cause: the run was given up as soon as its target had sent nothing for 0.6 of the target gap. The same happened after a target had broken off, and after all other targets had refused a run that had moved.

Change: while a target is silent, the request waits for a free slot elsewhere and keeps its run; the first byte ends the wait, and silence is noticed again later. A request that a target has run is not refused while a target is registered: it waits before new requests, may use the slots held back from late ones, and asks targets that refused it again after a pause. relayRequest is split into the loop over targets, one attempt, and the search for a slot.

--- a/packages/pimentoplank/src/relay/decisions/admission.ts
+++ b/packages/pimentoplank/src/relay/decisions/admission.ts
@@ -26,6 +26,8 @@
   remainingMs: number
   /** True when the caller retries after a refusal. */
   isReturning: boolean
+  /** True when a target has run the request; a refusal would discard its answer so far. */
+  isContinuation: boolean
 }
 
 export type Admission =
@@ -37,7 +39,10 @@
 /** Jitter: retry delays lie between this share of the longest delay and all of it, so that retries don't coincide. */
 const MIN_RETRY_SHARE = 0.4
 
-/** Decides on a request that can't meet its latency target: all slots are in use and all target queues are too long. */
+/**
+ * Decides on a request that can't meet its latency target: all slots are in use and all target queues are too long. A
+ * request that has run waits for as long as its caller does.
+ */
 export function decideAdmission (input: AdmissionInput, rules: AdmissionRules, random: Random): Admission {
   const { slots, remainingMs } = input
   const spread = MIN_RETRY_SHARE + (1 - MIN_RETRY_SHARE) * random()
@@ -48,21 +53,28 @@
     }
   }
   const expectedMs = (input.queueLength + 1) * input.meanRunMs / slots
-  const mayWait = input.isReturning && expectedMs <= Math.min(rules.maxReturningWaitMs, remainingMs)
-  return mayWait ? { type: 'wait', expectedMs } : { type: 'refuse', reason: 'queueFull', expectedMs, retryAfterMs }
+  const isShort = input.isReturning && expectedMs <= Math.min(rules.maxReturningWaitMs, remainingMs)
+  return input.isContinuation || isShort ? { type: 'wait', expectedMs } : { type: 'refuse', reason: 'queueFull', expectedMs, retryAfterMs }
 }
 
 export interface WaitingRequest {
-  ask: { arrivedAt: number, endAt: number, isReturning: boolean, route: { priority: number, targetLatencyMs: number } }
+  ask: {
+    arrivedAt: number
+    endAt: number
+    isReturning: boolean
+    isContinuation: boolean
+    route: { priority: number, targetLatencyMs: number }
+  }
 }
 
 /**
- * Orders waiting requests: by priority, then those that can still meet their latency target before those that can't,
- * then by deadline.
+ * Orders waiting requests: by priority, then those that have run before new ones, then those that can still meet their
+ * latency target before those that can't, then by deadline.
  */
 export function orderWaiting<Waiting extends WaitingRequest> (waiting: readonly Waiting[], now: number): Waiting[] {
   return [...waiting].sort((a, b) =>
     a.ask.route.priority - b.ask.route.priority ||
+    Number(b.ask.isContinuation) - Number(a.ask.isContinuation) ||
     Number(isLate(a, now)) - Number(isLate(b, now)) ||
     a.ask.endAt - b.ask.endAt)
 }
--- a/packages/pimentoplank/src/relay/decisions/placement.ts
+++ b/packages/pimentoplank/src/relay/decisions/placement.ts
@@ -51,6 +51,8 @@
   mayQueue: boolean
   /** True when the request may run again elsewhere, so that a failure at a suspect target costs little. */
   isRepeatable: boolean
+  /** True when a target has run the request; the reserve for requests that are not late doesn't hold it back. */
+  isContinuation: boolean
 }
 
 export type Placement =
@@ -108,9 +110,9 @@
   rules: PlacementRules,
   random: Random
 ): Placement {
-  const { mayQueue } = input
+  const { mayQueue, isContinuation } = input
   const free = pool.filter((one) => countFreeSlots(one) > 0)
-  if (!mayQueue && !hasSurplus(pool, rules)) return { type: 'wait' }
+  if (!mayQueue && !isContinuation && !hasSurplus(pool, rules)) return { type: 'wait' }
   if (free.length > 0) return { type: 'free', id: pickWeighted(narrowToPreferred(free), countFreeSlots, random).id }
   const yielding = pool.filter((one) => one.batch > 0 && one.live < one.slots)
   if (yielding.length > 0) {
--- a/packages/pimentoplank/src/relay/decisions/retries.ts
+++ b/packages/pimentoplank/src/relay/decisions/retries.ts
@@ -2,7 +2,8 @@
  * Retry policy: whether a request is sent to another target after a failure.
  *
  * Load pattern: targets that crash, hang, refuse requests or return corrupt responses under load. Retries are bounded
- * by the route's limit and the deadline, so that a failure never multiplies the load.
+ * by the route's limit and the deadline, so that a failure never multiplies the load. A request that has run is refused
+ * by full targets without losing what it has been answered: it tries again for as long as its caller waits.
  */
 import type { Route } from '../model'
 
@@ -20,7 +21,7 @@
   leftMs: number
 }
 
-/** Number of tries without a run up to which a request is still retried. */
+/** Number of tries without a run up to which a request that never ran is still retried. */
 const MAX_REFUSALS = 4
 /** Minimum remaining time for another try, in milliseconds. */
 const MIN_TRY_MS = 30
@@ -28,7 +29,7 @@
 /** True when the request may be sent to another target. */
 export function canRetry (route: Route, failure: TryFailure, state: RetryState): boolean {
   if (state.leftMs < MIN_TRY_MS) return false
-  if (!failure.mayHaveRun) return state.refusals <= MAX_REFUSALS
+  if (!failure.mayHaveRun) return state.runs > 0 || state.refusals <= MAX_REFUSALS
   return isRepeatable(route) && state.runs < route.maxAttempts
 }
 
--- a/packages/pimentoplank/src/relay/decisions/testing/simulation.ts
+++ b/packages/pimentoplank/src/relay/decisions/testing/simulation.ts
@@ -175,7 +175,8 @@
       instances: pattern.instances,
       meanRunMs: pattern.liveRunMs,
       mayQueue,
-      isRepeatable: true
+      isRepeatable: true,
+      isContinuation: false
     }, RELAY_RULES.live, random)
     if (placement.type === 'wait') return false
     if (placement.type === 'yield') preempt(placement.id, 1)
@@ -235,7 +236,8 @@
       queueLength: waiting.filter((one) => one.live.instance === live.instance).length,
       meanRunMs: pattern.liveRunMs,
       remainingMs: LIVE_TIMEOUT_MS,
-      isReturning: live.isReturning
+      isReturning: live.isReturning,
+      isContinuation: false
     }, RELAY_RULES.live, random)
     if (admission.type === 'wait') {
       waiting.push({ live, ask: toAsk(live) })
@@ -253,7 +255,8 @@
 
   function toAsk (live: Live): Waiting['ask'] {
     const route = { priority: 0, targetLatencyMs: TARGET_LATENCY_MS }
-    return { arrivedAt: live.at, endAt: live.at + LIVE_TIMEOUT_MS, isReturning: live.isReturning, route }
+    const endAt = live.at + LIVE_TIMEOUT_MS
+    return { arrivedAt: live.at, endAt, isReturning: live.isReturning, isContinuation: false, route }
   }
 
   function startItems (instance: number): void {
--- /dev/null
+++ b/packages/pimentoplank/src/relay/live/attemptTarget.ts
@@ -0,0 +1,202 @@
+/** Sends a live request to one target and forwards the answer to its caller. */
+import { MIB_BYTES } from '../../shared'
+import { isRepeatable } from '../decisions'
+import { createEventReader, SendFailure, type EventReader, type SendFailureReason, type TargetAnswer } from '../exchange'
+import type { AnswerHead } from '../model'
+import type { LiveCall, Progress, RelayDeps } from './liveCall'
+import type { Slot, SlotQuery } from './slotScheduler'
+import { createSlotSearch } from './slotSearch'
+
+/** Outcome of one attempt. */
+export type AttemptEnd =
+  | { type: 'done' }
+  | { type: 'gone' }
+  /** `nextSlot` is held if the run was given up for another target. */
+  | { type: 'failed', failure: SendFailure, nextSlot?: Slot }
+
+export interface AttemptOptions {
+  call: LiveCall
+  slot: Slot
+  progress: Progress
+  /** Deadline of the request, on the monotonic clock. */
+  endAt: number
+  /** Aborts at the deadline, and when the caller disconnects. */
+  ended: AbortSignal
+  /** Creates the query with which the request is placed at another target. */
+  createQuery: (signal: AbortSignal) => SlotQuery
+}
+
+function failed (reason: SendFailureReason, detail: string): AttemptEnd {
+  return { type: 'failed', failure: new SendFailure(reason, true, detail) }
+}
+
+const STATUS_SERVER_ERROR = 500
+/** A request that crashes its target does so as it begins to run, before this many events. */
+export const BEGINNING_EVENTS = 2
+/** Failures that count against the target itself. */
+const TARGET_FAULTS: ReadonlySet<SendFailureReason> = new Set(['connectFailed', 'refused', 'broken', 'spoiled'])
+/** Maximum size of a plain response that is buffered, so that it can be retried, in bytes. */
+const MAX_BUFFERED_BYTES = MIB_BYTES
+
+/** Sends a request to the target of a slot; resolves when its run there has ended. */
+export async function attemptTarget (options: AttemptOptions, deps: RelayDeps): Promise<AttemptEnd> {
+  const { call, slot, progress, endAt, ended } = options
+  const { request, route } = call
+  const { clock, silenceDetector } = deps
+  const search = createSlotSearch({
+    slotScheduler: deps.slotScheduler,
+    targetId: slot.target.id,
+    createQuery: options.createQuery,
+    mayMove: () => !deps.crashes.isRefused(request),
+    ended,
+    log: deps.log
+  })
+  const canMove = isRepeatable(route) && progress.runs + 1 < route.maxAttempts
+  const isMovable = route.kind === 'stream' && canMove
+  const watch = silenceDetector.watch(slot.target.id, {
+    firstMs: route.targetLatencyMs *
+      ((isMovable ? deps.rules.firstEventShare : 1) + (slot.placement === 'queue' ? 1 : 0)),
+    gapMs: route.targetGapMs * (isMovable ? deps.rules.gapShare : 1),
+    onSilent: (isCertain) => {
+      if (isCertain) deps.loads.recordFailure(slot.target.id, 'silent')
+      if (isMovable) search.start()
+    }
+  })
+  const sentAt = clock.now()
+  let events = 0
+  progress.ending = undefined
+  deps.log.info({
+    req: request.id,
+    target: slot.target.id,
+    placement: slot.placement,
+    ...slot.load,
+    waitedMs: Math.round(clock.now() - call.arrivedAt)
+  }, 'sent')
+  try {
+    return await exchangeWithTarget()
+  } finally {
+    watch.stop()
+    search.stop()
+    search.takeSlot()?.release()
+  }
+
+  async function exchangeWithTarget (): Promise<AttemptEnd> {
+    const answer = await deps.exchange.send({
+      request,
+      target: slot.target,
+      deadlineMs: Math.max(1, Math.round(endAt - clock.now())),
+      lastEventId: progress.lastEventId
+    }, AbortSignal.any([ended, search.found]))
+    if (answer.isErr()) return toAttemptEnd(answer.error)
+    if (answer.value.head.status < STATUS_SERVER_ERROR) deps.loads.recordSuccess(slot.target.id, sentAt)
+    if (answer.value.head.load !== undefined) deps.loads.recordReportedLoad(slot.target.id, answer.value.head.load)
+    const reader = createEventReader(answer.value)
+    const end = await forwardAnswer(answer.value, reader)
+    progress.ending = { ...answer.value.getEnding(), ...reader.getCounts() }
+    answer.value.close()
+    return end
+  }
+
+  function recordBytes (): void {
+    watch.recordBytes()
+    search.stop()
+  }
+
+  function toAttemptEnd (failure: SendFailure): AttemptEnd {
+    if (call.reply.disconnected.aborted) return { type: 'gone' }
+    if (search.found.aborted) {
+      const cause = new SendFailure('broken', true, 'the target sent no bytes within its timeout')
+      return { type: 'failed', failure: cause, nextSlot: search.takeSlot() }
+    }
+    recordCrashEvidence(failure)
+    if (TARGET_FAULTS.has(failure.reason)) deps.loads.recordFailure(slot.target.id, failure.reason)
+    return { type: 'failed', failure }
+  }
+
+  function recordCrashEvidence ({ reason }: SendFailure): void {
+    const { crashes } = deps
+    if (reason === 'connectFailed') crashes.recordUnreachable(slot.target.id)
+    if (reason === 'staleConnection') crashes.recordPossibleCrash(slot.target.id, request)
+    if (reason === 'broken' && events < BEGINNING_EVENTS) crashes.recordCrash(slot.target.id, request)
+  }
+
+  async function forwardAnswer (answer: TargetAnswer, reader: EventReader): Promise<AttemptEnd> {
+    const { head } = answer
+    const isSuccess = head.status >= 200 && head.status < 300
+    if (isSuccess && !head.isSigned) return toAttemptEnd(new SendFailure('spoiled', true, 'unsigned success'))
+    if (head.status >= STATUS_SERVER_ERROR) {
+      deps.loads.recordFailure(slot.target.id, 'serverError')
+      if (canMove) return failed('broken', `the target answered with status ${head.status}`)
+    }
+    if (!isSuccess && call.reply.hasStarted()) return failed('broken', `the target answered with status ${head.status}`)
+    return route.kind === 'stream' && isSuccess ? await forwardEvents(answer, reader) : await forwardBody(answer)
+  }
+
+  async function forwardBody (answer: TargetAnswer): Promise<AttemptEnd> {
+    const { head } = answer
+    const buffered: Uint8Array[] = []
+    let isBuffered = isRepeatable(route)
+    for (;;) {
+      const next = await answer.read()
+      if (next.isErr()) return toAttemptEnd(next.error)
+      recordBytes()
+      if (next.value === undefined) break
+      if (!isBuffered) await writeBytes(head, next.value)
+      else buffered.push(next.value)
+      // A long body is passed on as it comes; it is not worth the memory that a retry would need.
+      if (isBuffered && answer.getEnding().bytes > MAX_BUFFERED_BYTES) {
+        isBuffered = false
+        for (const chunk of buffered.splice(0)) await writeBytes(head, chunk)
+      }
+    }
+    deps.crashes.recordAnswer(request.headers)
+    for (const chunk of buffered) await writeBytes(head, chunk)
+    if (!call.reply.hasStarted()) call.reply.begin(head.status, head.headers)
+    call.reply.end()
+    return { type: 'done' }
+  }
+
+  async function forwardEvents (answer: TargetAnswer, reader: EventReader): Promise<AttemptEnd> {
+    for (;;) {
+      const next = await reader.read()
+      if (next.isErr()) return toAttemptEnd(next.error)
+      if (next.value === undefined) break
+      for (const event of next.value) {
+        if (isRepeat(event.id)) continue
+        if (isGap(event.id)) {
+          return toAttemptEnd(new SendFailure(
+            'spoiled', true, `event gap: got event ${event.id} after event ${progress.lastEventId}`
+          ))
+        }
+        // Bytes without new events are no sign of life; they may have no end.
+        recordBytes()
+        events += 1
+        if (events === BEGINNING_EVENTS) deps.crashes.recordAnswer(request.headers)
+        await writeEvent(answer, event.bytes)
+        progress.lastEventId = event.id ?? progress.lastEventId
+      }
+    }
+    if (!call.reply.hasStarted()) call.reply.begin(answer.head.status, answer.head.headers)
+    call.reply.end()
+    return { type: 'done' }
+  }
+
+  function isRepeat (id: number | undefined): boolean {
+    return id !== undefined && progress.lastEventId !== undefined && id <= progress.lastEventId
+  }
+
+  function isGap (id: number | undefined): boolean {
+    return id !== undefined && progress.lastEventId !== undefined && id > progress.lastEventId + 1
+  }
+
+  async function writeEvent (answer: TargetAnswer, bytes: Uint8Array): Promise<void> {
+    if (!call.reply.hasStarted()) deps.metrics.timing('live.firstEvent', clock.now() - call.arrivedAt)
+    await writeBytes(answer.head, bytes)
+  }
+
+  /** Begins the response with its first bytes, so that a request that fails before them can still be refused. */
+  async function writeBytes (head: AnswerHead, bytes: Uint8Array): Promise<void> {
+    if (!call.reply.hasStarted()) call.reply.begin(head.status, head.headers)
+    await call.reply.write(bytes)
+  }
+}
--- a/packages/pimentoplank/src/relay/live/silenceDetector.feature
+++ b/packages/pimentoplank/src/relay/live/silenceDetector.feature
@@ -19,3 +19,7 @@
   Scenario: The silence of a stream that has begun is certain
     When a request gets bytes and then exceeds the timeout between bytes
     Then the target is reported as silent for certain
+
+  Scenario: A target that goes on after its silence and falls silent again is reported again
+    When a request is reported as silent, gets bytes and exceeds the timeout again
+    Then the target is reported as silent for certain
--- a/packages/pimentoplank/src/relay/live/silenceDetector.steps.ts
+++ b/packages/pimentoplank/src/relay/live/silenceDetector.steps.ts
@@ -37,6 +37,21 @@
   await waitUntilSilent(this, (watch) => watch.recordBytes())
 })
 
+When('a request is reported as silent, gets bytes and exceeds the timeout again', async function (this: ActivityWorld) {
+  let reports = 0
+  this.isCertain = await new Promise((resolve) => {
+    const watch = this.detector.watch(TARGET, {
+      firstMs: FIRST_MS,
+      gapMs: GAP_MS,
+      onSilent: (isCertain) => {
+        reports += 1
+        if (reports === 1) setImmediate(() => watch.recordBytes())
+        else resolve(isCertain)
+      }
+    })
+  })
+})
+
 Then('the target is reported as silent for certain', function (this: ActivityWorld) {
   assert.equal(this.isCertain, true)
 })
--- a/packages/pimentoplank/src/relay/live/silenceDetector.ts
+++ b/packages/pimentoplank/src/relay/live/silenceDetector.ts
@@ -8,7 +8,7 @@
   /** Timeout between later bytes, in milliseconds. */
   gapMs: number
   /**
-   * Called once when the target exceeds a timeout.
+   * Called when the target exceeds a timeout, and again if it does so after further bytes.
    *
    * @param isCertain - false when the request may merely be queued at the target
    */
@@ -22,7 +22,7 @@
 }
 
 export interface SilenceDetector {
-  /** Watches one request at a target; reports silence at most once. */
+  /** Watches one request at a target. */
   watch: (targetId: string, limits: SilenceLimits) => SilenceWatch
 }
 
@@ -50,7 +50,8 @@
   function watch (targetId: string, limits: SilenceLimits): SilenceWatch {
     const startedAt = clock.now()
     let ownBytesAt: number | undefined
-    let timer = setTimeout(check, limits.firstMs)
+    let isStopped = false
+    let timer: NodeJS.Timeout | undefined = setTimeout(check, limits.firstMs)
 
     function getSilence (): { since: number, limitMs: number } {
       if (ownBytesAt !== undefined) return { since: ownBytesAt, limitMs: limits.gapMs }
@@ -60,8 +61,8 @@
     function check (): void {
       const { since, limitMs } = getSilence()
       const leftMs = since + limitMs - clock.now()
+      timer = leftMs > 0 ? setTimeout(check, leftMs) : undefined
       if (leftMs <= 0) limits.onSilent(ownBytesAt !== undefined || isSecondSilence(targetId))
-      else timer = setTimeout(check, leftMs)
     }
 
     return {
@@ -69,8 +70,13 @@
         const now = clock.now()
         lastBytesAt.set(targetId, now)
         ownBytesAt = now
+        // The target was reported as silent and has gone on.
+        if (!isStopped) timer ??= setTimeout(check, limits.gapMs)
       },
-      stop: () => clearTimeout(timer)
+      stop: () => {
+        isStopped = true
+        clearTimeout(timer)
+      }
     }
   }
 
--- a/packages/pimentoplank/src/relay/live/slotScheduler.ts
+++ b/packages/pimentoplank/src/relay/live/slotScheduler.ts
@@ -27,6 +27,10 @@
   isReturning: boolean
   /** True when the request may run again at another target. */
   isRepeatable: boolean
+  /** True when a target has run the request; it waits for a slot rather than being refused. */
+  isContinuation: boolean
+  /** True when the request must not wait in the queue of a target. */
+  needsFreeSlot?: boolean
   /** Ids of targets that must not be used. */
   excluded: ReadonlySet<string>
   signal: AbortSignal
@@ -99,8 +103,9 @@
       targetLatencyMs: ask.route.targetLatencyMs,
       instances: options.countSharers(),
       meanRunMs: estimateRunMs(ask.service),
-      mayQueue,
-      isRepeatable: ask.isRepeatable
+      mayQueue: ask.needsFreeSlot !== true && (mayQueue || ask.isContinuation),
+      isRepeatable: ask.isRepeatable,
+      isContinuation: ask.isContinuation
     }, rules, random)
     if (placement.type === 'wait') return undefined
     const chosen = all.find(({ target }) => target.id === placement.id)!
@@ -150,7 +155,8 @@
       queueLength: queue.length,
       meanRunMs: estimateRunMs(ask.service),
       remainingMs: ask.endAt - clock.now(),
-      isReturning: ask.isReturning
+      isReturning: ask.isReturning,
+      isContinuation: ask.isContinuation
     }, rules, random)
     if (admission.type === 'refuse') {
       log.info({
