--- a/packages/pimentoplank/src/relay/model/types.ts
+++ b/packages/pimentoplank/src/relay/model/types.ts
@@ -85,6 +85,8 @@
   /** IP number and port. */
   address: string
   failureDomain: string
+  /** Version of its software; tells nothing of the weights, and versions have no order. */
+  version: string
   /** Requests that it runs concurrently. */
   slots: number
   state: TargetState
@@ -105,6 +107,8 @@
   deadlineMs?: number
   /** Id of the last event of this stream that the caller received. */
   lastEventId?: number
+  /** Id of the attempt that brought the first event of the stream that the caller takes up. */
+  resumes?: string
 }
 
 /** Caller request as it is sent to one target. */
