Remember at which software version each stream runs, and tell peers

A stream that has delivered events fits only the software version that began it, but a caller may take it up at any instance, also once the one that began it is gone. Instances that have not heard can be asked by a call. The target directory remembers which versions each service has had, and says when a target returns at another version under its id: runs that were placed there within the second before it are in doubt.

A write to the platform's store for each stream was weighed: its rate is shared by all instances.

--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -25,6 +25,7 @@
 import { createRouteTable, type RouteTable } from './routing'
 import { RELAY_RULES } from './rules'
 import type { RelaySettings } from './settings'
+import { createStreamService, createStreamVersions } from './streams'
 import { createTargetDirectory } from './targets'
 
 /** Codecs for the formats that a deployment's platform, callers and targets use. */
@@ -86,6 +87,7 @@
   let isClosed = false
   let reportTimer: NodeJS.Timeout | undefined
 
+  const streamVersions = createStreamVersions({ clock, log })
   const started = await startGossip({
     instance,
     incarnation: clock.wallTime(),
@@ -112,6 +114,10 @@
     clock,
     log
   })
+  targets.onVersionChange((id) => {
+    streamVersions.recordVersionChange(id)
+    scheduleReport()
+  })
   const peerUses = createPeerUses(gossip.peers())
   gossip.onReport((report, before) => peerUses.replaceReport(before, report))
   gossip.onDigest(peerUses.replaceDigest)
@@ -247,12 +253,14 @@
     log
   })
   const jobRoutes = createJobService({ jobRegistry, jobManager, jobApi: jobs })
+  const streamRoutes = createStreamService({ streamVersions, clock })
   const peerServer = await createPeerServer({
     ...settings.listen.peers,
     security,
     routes: (router) => {
       feed.routes(router)
       jobRoutes(router)
+      streamRoutes(router)
     }
   })
   if (peerServer.isErr()) {
@@ -270,6 +278,7 @@
     for (const { job, ...ownership } of report.jobs) jobRegistry.update(job, ownership)
     crashes.merge(report)
     limits.merge(report.limits)
+    streamVersions.merge(report.streams, 'heard')
     scheduleDispatch()
   })
   gossip.onPeerLost(({ report }) => {
@@ -351,7 +360,12 @@
   }
 
   function getOwnLoad (): OwnLoad {
-    return { uses: loads.getOwnUses(), waiting: runner.getWaiting(), suspects: loads.getOwnSuspects() }
+    return {
+      uses: loads.getOwnUses(),
+      waiting: runner.getWaiting(),
+      suspects: loads.getOwnSuspects(),
+      streams: streamVersions.getNotices()
+    }
   }
 
   function yieldItemsByKey (key: number, count: number): void {
--- a/packages/pimentoplank/src/relay/decisions/index.ts
+++ b/packages/pimentoplank/src/relay/decisions/index.ts
@@ -12,3 +12,7 @@
 export { isClearlyUnderLimit, countWaitingTokens, type CountedJob } from './quota'
 export { BATCH_ALLOWANCE, computeLimitShare, LIVE_ALLOWANCE, refillAllowance, type Allowance, type LimitShareInput } from './limitShare'
 export { computeSuspicion, type FailureRecord, type Suspicion, type SuspicionRules } from './suspicion'
+export {
+  BROKEN_OFF_MS, findOnlyVersion, isVersionDoubtful, listResumeCandidates, VERSION_DOUBT_MS,
+  type ResumeCandidate, type ResumeInput, type VersionHistory
+} from './streamVersions'
--- a/packages/pimentoplank/src/relay/gossip/datagrams.ts
+++ b/packages/pimentoplank/src/relay/gossip/datagrams.ts
@@ -2,9 +2,9 @@
 import { create, fromBinary, toBinary } from '@bufbuild/protobuf'
 import {
   DatagramSchema, DomainDigestSchema, InstanceReportSchema, InstanceStage, LoadChangeSchema, YieldRequestSchema,
-  type Datagram, type LoadChange
+  type Datagram, type LoadChange, type StreamNotice as StreamNoticeMessage
 } from '../../shared'
-import type { JobOwnership, Report, Stage, TargetUse, WaitingItems } from './types'
+import type { JobOwnership, Report, Stage, StreamNotice, TargetUse, WaitingItems } from './types'
 
 const STAGE_CODES: Record<Stage, InstanceStage> = {
   starting: InstanceStage.STARTING,
@@ -30,12 +30,34 @@
     targetLimits: report.limits.map(({ target, perSecond, at }) => ({ target, perSecond, ageMs: toAgeMs(at, now) })),
     answeredParts: report.answeredParts.map(({ part, at }) => ({ part, ageMs: toAgeMs(at, now) })),
     suspects: [...report.suspects],
+    streams: encodeStreams(report.streams, now),
     configRevision: BigInt(report.configRevision),
     openJobs: [...report.openJobs].map(([job, tokens]) => ({ job, tokens: BigInt(Math.round(tokens)) }))
   })
   return toBinary(DatagramSchema, create(DatagramSchema, { content: { case: 'report', value: message } }))
 }
 
+/** Groups the attempts by version, so that each version is sent once. */
+function encodeStreams (
+  streams: readonly StreamNotice[],
+  now: number
+): Array<{ version: string, attempts: bigint[], keepMs: number[] }> {
+  const groups = new Map<string, { version: string, attempts: bigint[], keepMs: number[] }>()
+  for (const { attempt, version = '', keepUntil } of streams) {
+    const group = groups.get(version) ?? { version, attempts: [], keepMs: [] }
+    group.attempts.push(attempt)
+    group.keepMs.push(Math.max(0, Math.round(keepUntil - now)))
+    groups.set(version, group)
+  }
+  return [...groups.values()]
+}
+
+function decodeStreams (notices: readonly StreamNoticeMessage[], now: number): StreamNotice[] {
+  return notices.flatMap(({ version, attempts, keepMs }) => attempts.map((attempt, index) => ({
+    attempt, version: version === '' ? undefined : version, keepUntil: now + (keepMs[index] ?? 0)
+  })))
+}
+
 function toAgeMs (at: number, now: number): number {
   return Math.max(0, Math.round(now - at))
 }
@@ -51,7 +73,8 @@
     live: uses.map(([, { live }]) => live),
     batch: uses.map(([, { batch }]) => batch),
     waiting: load.waiting.map(({ dueAt, count }) => ({ dueInMs: Math.round(dueAt - now), count })),
-    suspects: [...load.suspects]
+    suspects: [...load.suspects],
+    streams: encodeStreams(load.streams, now)
   })
   return toBinary(DatagramSchema, create(DatagramSchema, { content: { case: 'load', value: message } }))
 }
@@ -97,6 +120,7 @@
   uses: ReadonlyMap<number, TargetUse>
   waiting: readonly WaitingItems[]
   suspects: ReadonlySet<number>
+  streams: readonly StreamNotice[]
 }
 
 export type DatagramContent =
@@ -141,6 +165,7 @@
       crashes: rest.crashes.map(({ target, ageMs, prompts }) => ({ target, at: now - ageMs, prompts })),
       crashingParts: rest.crashingParts.map(({ parts, ageMs }) => ({ parts, at: now - ageMs })),
       limits: rest.targetLimits.map(({ target, perSecond, ageMs }) => ({ target, perSecond, at: now - ageMs })),
+      streams: decodeStreams(rest.streams, now),
       answeredParts: rest.answeredParts.map(({ part, ageMs }) => ({ part, at: now - ageMs })),
       configRevision: Number(rest.configRevision),
       openJobs: new Map(openJobs.map(({ job, tokens }) => [job, Number(tokens)]))
@@ -149,14 +174,15 @@
 }
 
 function decodeLoad (change: LoadChange, now: number): LoadUpdate {
-  const { instance, incarnation, sequence, targets, live, batch, waiting, suspects } = change
+  const { instance, incarnation, sequence, targets, live, batch, waiting, suspects, streams } = change
   return {
     instance,
     incarnation,
     sequence,
     uses: decodeUses(targets, live, batch),
     waiting: waiting.map(({ dueInMs, count }) => ({ dueAt: now + dueInMs, count })),
-    suspects: new Set(suspects)
+    suspects: new Set(suspects),
+    streams: decodeStreams(streams, now)
   }
 }
 
--- a/packages/pimentoplank/src/relay/gossip/gossip.ts
+++ b/packages/pimentoplank/src/relay/gossip/gossip.ts
@@ -16,7 +16,7 @@
 >
 
 /** Part of a report that changes with each request. */
-export type OwnLoad = Pick<Report, 'uses' | 'waiting' | 'suspects'>
+export type OwnLoad = Pick<Report, 'uses' | 'waiting' | 'suspects' | 'streams'>
 
 /** Use of targets as reported to instances of other failure domains. */
 export interface FarUses {
@@ -141,8 +141,8 @@
     const report = id === undefined ? undefined : peers.get(id)?.report
     if (id === undefined || report === undefined) return
     if (getLowBits(report.incarnation) !== load.incarnation || load.sequence <= report.sequence) return
-    const { sequence, uses, waiting, suspects } = load
-    const next = { ...report, sequence, uses, waiting, suspects }
+    const { sequence, uses, waiting, suspects, streams } = load
+    const next = { ...report, sequence, uses, waiting, suspects, streams }
     peers.set(id, { report: next, lastReceivedAt: clock.now() })
     reportListeners.forEach((listener) => listener(next, report))
   }
--- a/packages/pimentoplank/src/relay/gossip/index.ts
+++ b/packages/pimentoplank/src/relay/gossip/index.ts
@@ -1,7 +1,7 @@
-export type { DomainUses } from './datagrams'
+export { decodeDatagram, encodeLoad, type DomainUses } from './datagrams'
 export { startGossip, type Gossip, type GossipOptions, type FarUses, type OwnLoad, type OwnReport } from './gossip'
 export type {
-  AnsweredPart, CrashingParts, CrashNotice, CrashReport, JobOwnership, LimitNotice, PeerView, Report, Stage, TargetUse,
-  WaitingItems
+  AnsweredPart, CrashingParts, CrashNotice, CrashReport, JobOwnership, LimitNotice, PeerView, Report, Stage,
+  StreamNotice, TargetUse, WaitingItems
 } from './types'
 export type { GossipTimings, GossipSettings } from './gossipSettings'
--- a/packages/pimentoplank/src/relay/gossip/largeFleet.steps.ts
+++ b/packages/pimentoplank/src/relay/gossip/largeFleet.steps.ts
@@ -51,7 +51,7 @@
       configRevision: 1,
       openJobs: new Map()
     }),
-    getOwnLoad: () => ({ uses: new Map([...near, ...far]), waiting: [], suspects: new Set() }),
+    getOwnLoad: () => ({ uses: new Map([...near, ...far]), waiting: [], suspects: new Set(), streams: [] }),
     getFarUses: () => ({ own: far, domain: domainUses() }),
     onYield: () => undefined,
     clock: createSystemClock(),
--- a/packages/pimentoplank/src/relay/gossip/types.ts
+++ b/packages/pimentoplank/src/relay/gossip/types.ts
@@ -65,6 +65,16 @@
   at: number
 }
 
+/** Placement of a stream that an instance tells its peers. */
+export interface StreamNotice {
+  /** Hash of the attempt's id. */
+  attempt: bigint
+  /** Software version of the target; undefined when it is not known for certain. */
+  version: string | undefined
+  /** When the caller's deadline passes, on the local monotonic clock in milliseconds. */
+  keepUntil: number
+}
+
 export interface Report extends CrashReport {
   instance: string
   /** Wall clock time at which the process started, in milliseconds. */
@@ -82,6 +92,8 @@
   jobs: readonly JobOwnership[]
   suspects: ReadonlySet<number>
   limits: readonly LimitNotice[]
+  /** Streams that were placed a short while ago. */
+  streams: readonly StreamNotice[]
   configRevision: number
   /** Tokens of items that have no result yet, by hash of the job's id. */
   openJobs: ReadonlyMap<number, number>
--- /dev/null
+++ b/packages/pimentoplank/src/relay/streams/index.ts
@@ -0,0 +1,3 @@
+export { createStreamService } from './streamService'
+export { createStreamVersionFinder, type StreamVersionFinder } from './streamVersionFinder'
+export { createStreamVersions, type KnownStream, type StreamVersions } from './streamVersions'
--- /dev/null
+++ b/packages/pimentoplank/src/relay/streams/streamVersionFinder.ts
@@ -0,0 +1,105 @@
+/** Finds the software version of a stream that a caller takes up. */
+import { createClient } from '@connectrpc/connect'
+import { err, ok, type Result } from 'neverthrow'
+import {
+  describeCause, hash64, rankByRendezvous, RefusalError, StreamService,
+  type Clock, type Log, type Metrics, type PeerTransports
+} from '../../shared'
+import { findOnlyVersion, type VersionHistory } from '../decisions'
+import type { PeerView, StreamNotice } from '../gossip'
+import type { CallerRequest, Route } from '../model'
+import type { StreamVersions } from './streamVersions'
+
+export interface StreamVersionFinderOptions {
+  streamVersions: StreamVersions
+  peers: () => readonly PeerView[]
+  transports: PeerTransports
+  /** Returns the software versions that a service has had. */
+  getVersionHistory: (service: string) => VersionHistory
+  clock: Clock
+  metrics: Metrics
+  log: Log
+}
+
+export interface StreamVersionFinder {
+  /** Finds the version of the stream that a request takes up; a refusal if it can't be found out. */
+  find: (request: CallerRequest, route: Route, service: string) => Promise<Result<string, RefusalError>>
+}
+
+/** Instances that are asked in each failure domain. */
+const ASKED_PER_DOMAIN = 2
+/** Timeout for asking peers, in milliseconds. */
+const ASK_TIMEOUT_MS = 150
+/** Retry hint for callers whose stream is not known, in milliseconds. */
+const UNKNOWN_RETRY_AFTER_MS = 100
+
+interface Found {
+  version: string | undefined
+  source: string
+  ageMs?: number
+}
+
+/** Creates the finder of an instance. */
+export function createStreamVersionFinder (options: StreamVersionFinderOptions): StreamVersionFinder {
+  const { streamVersions, transports, clock, metrics, log } = options
+
+  async function find (request: CallerRequest, route: Route, service: string): Promise<Result<string, RefusalError>> {
+    const attempt = request.resumes ?? request.id
+    const found = await lookUp(hash64(attempt), request, route, service)
+    const isBound = found.version !== undefined
+    metrics.count(`streams.${isBound ? found.source : 'unknown'}`)
+    log.info({
+      req: request.id, attempt, lastEvent: request.lastEventId, ...found, outcome: isBound ? 'bound' : 'refused'
+    }, 'stream taken up')
+    return found.version === undefined
+      ? err(new RefusalError('streamVersionUnknown', { retryAfterMs: UNKNOWN_RETRY_AFTER_MS }))
+      : ok(found.version)
+  }
+
+  async function lookUp (key: bigint, request: CallerRequest, route: Route, service: string): Promise<Found> {
+    if (streamVersions.find(key) === undefined) {
+      const notice = await askPeers(key, request.id)
+      if (notice !== undefined) streamVersions.merge([notice], 'peer')
+    }
+    const known = streamVersions.find(key)
+    if (known !== undefined) {
+      return { version: known.version, source: known.source, ageMs: Math.round(clock.now() - known.at) }
+    }
+    const maxStreamMs = Math.max(route.timeoutMs, streamVersions.getLongestKeepMs())
+    const version = findOnlyVersion(options.getVersionHistory(service), maxStreamMs, clock.now())
+    return { version, source: version === undefined ? 'none' : 'onlyVersion' }
+  }
+
+  async function askPeers (key: bigint, requestId: string): Promise<StreamNotice | undefined> {
+    const answers = chooseAsked(key).map(async (peer) => {
+      const notice = await askPeer(peer, key, requestId)
+      // A rejected promise lets the others decide which answer is the first.
+      if (notice === undefined) throw new Error('the peer does not know the stream')
+      return notice
+    })
+    return await Promise.any(answers).catch(() => undefined)
+  }
+
+  function chooseAsked (key: bigint): PeerView[] {
+    const peers = options.peers().filter(({ report }) => report.stage !== 'starting')
+    const domains = new Set(peers.map(({ report }) => report.failureDomain))
+    return [...domains].flatMap((domain) => {
+      const members = peers.filter(({ report }) => report.failureDomain === domain)
+      return rankByRendezvous(String(key), members, ({ report }) => report.instance).slice(0, ASKED_PER_DOMAIN)
+    })
+  }
+
+  async function askPeer ({ report }: PeerView, key: bigint, requestId: string): Promise<StreamNotice | undefined> {
+    try {
+      const client = createClient(StreamService, transports.get(report.peerAddress))
+      const { known, version, keepMs } = await client.findVersion({ attempt: key }, { timeoutMs: ASK_TIMEOUT_MS })
+      if (!known) return undefined
+      return { attempt: key, version: version === '' ? undefined : version, keepUntil: clock.now() + keepMs }
+    } catch (cause) {
+      log.info({ req: requestId, peer: report.instance, cause: describeCause(cause) }, 'peer could not be asked for the version of a stream')
+      return undefined
+    }
+  }
+
+  return { find }
+}
--- /dev/null
+++ b/packages/pimentoplank/src/relay/streams/streamVersions.steps.ts
@@ -0,0 +1,84 @@
+import assert from 'node:assert/strict'
+import { Then, When } from '@cucumber/cucumber'
+import { createSilentLog, hash64, type Clock } from '../../shared'
+import { decodeDatagram, encodeLoad } from '../gossip'
+import type { Target } from '../model'
+import { createStreamVersions, type StreamVersions } from '.'
+
+interface StreamsWorld {
+  now: number
+  streamVersions?: StreamVersions
+}
+
+const KEEP_MS = 10_000
+const TARGET: Omit<Target, 'version'> = {
+  id: 't1', service: 's', address: '127.0.0.1:1', failureDomain: 'a', slots: 4, state: 'ready'
+}
+const EMPTY_LOAD = {
+  instance: 1, incarnation: 1, sequence: 1, uses: new Map(), waiting: [], suspects: new Set<number>()
+}
+
+function getStreams (world: StreamsWorld): StreamVersions {
+  world.now ??= 0
+  world.streamVersions ??= createRegistry(world)
+  return world.streamVersions
+}
+
+function createRegistry (world: StreamsWorld): StreamVersions {
+  const clock = { now: () => world.now } as unknown as Clock
+  return createStreamVersions({ clock, log: createSilentLog() })
+}
+
+function encodeNotices (world: StreamsWorld): Uint8Array {
+  return encodeLoad({ ...EMPTY_LOAD, streams: getStreams(world).getNotices() }, world.now)
+}
+
+When('attempt {string} is placed at a target of version {string}', function (
+  this: StreamsWorld, attempt: string, version: string
+) {
+  getStreams(this).recordPlacement(attempt, { ...TARGET, version }, (this.now ?? 0) + KEEP_MS)
+})
+
+When('{int} ms pass for the streams', function (this: StreamsWorld, ms: number) {
+  this.now += ms
+})
+
+When('the target is registered with another version', function (this: StreamsWorld) {
+  getStreams(this).recordVersionChange(TARGET.id)
+})
+
+When('{int} attempts are placed at once', function (this: StreamsWorld, count: number) {
+  const streams = getStreams(this)
+  for (let index = 0; index < count; index++) {
+    streams.recordPlacement(`r${index}`, { ...TARGET, version: `v${index % 2}` }, KEEP_MS)
+  }
+})
+
+Then('a peer that hears of it knows version {string} of {string}', function (
+  this: StreamsWorld, version: string, attempt: string
+) {
+  const received = decodeDatagram(encodeNotices(this), this.now)
+  assert.ok(received?.type === 'load')
+  const peer = createRegistry(this)
+  peer.merge(received.load.streams, 'heard')
+  const known = peer.find(hash64(attempt))
+  assert.ok(known !== undefined)
+  assert.equal(known.version ?? 'none', version)
+  assert.equal(known.source, 'heard')
+})
+
+Then('version {string} of {string} is known here', function (this: StreamsWorld, version: string, attempt: string) {
+  assert.equal(getStreams(this).find(hash64(attempt))?.version, version)
+})
+
+Then('nothing of {string} is known here', function (this: StreamsWorld, attempt: string) {
+  assert.equal(getStreams(this).find(hash64(attempt)), undefined)
+})
+
+Then('nothing is told to peers', function (this: StreamsWorld) {
+  assert.deepEqual(getStreams(this).getNotices(), [])
+})
+
+Then('the load update has at most {int} bytes', function (this: StreamsWorld, most: number) {
+  assert.ok(encodeNotices(this).length <= most)
+})
--- a/packages/pimentoplank/src/relay/targets/targetDirectory.ts
+++ b/packages/pimentoplank/src/relay/targets/targetDirectory.ts
@@ -1,6 +1,8 @@
 /** Service discovery: tracks the targets that are registered in the platform's object store. */
 import type { Clock, Log, ObjectFeed, WatchEvent } from '../../shared'
+import type { VersionHistory } from '../decisions'
 import type { Target } from '../model'
+import { createVersionTracker } from './versionHistory'
 
 export interface TargetDirectoryOptions {
   feed: Pick<ObjectFeed, 'objects' | 'subscribe'>
@@ -30,6 +32,10 @@
   all: () => Iterable<Target>
   /** Calls the listener after each change of a registration. */
   onChange: (listener: () => void) => void
+  /** Returns the software versions that a service has had. */
+  getVersionHistory: (service: string) => VersionHistory
+  /** Calls the listener with the id of a target that is now registered with another software version than before. */
+  onVersionChange: (listener: (id: string) => void) => void
 }
 
 interface RemovedTarget {
@@ -48,7 +54,9 @@
   const { feed, kind, decode, removalGraceMs, clock, log } = options
   const targets = new Map<string, Target>()
   const removed = new Map<string, RemovedTarget>()
+  const versions = createVersionTracker(clock)
   const listeners: Array<() => void> = []
+  const versionListeners: Array<(id: string) => void> = []
 
   function apply (event: WatchEvent): void {
     const before = targets.get(event.name)
@@ -60,6 +68,10 @@
       targets.set(event.name, after)
       removed.delete(event.name)
     }
+    if (versions.record(before, after)) {
+      log.info({ target: event.name, version: after?.version, revision: event.revision }, 'target has another version')
+      versionListeners.forEach((listener) => listener(event.name))
+    }
     if (before?.state !== after?.state) {
       log.info({
         target: event.name, from: before?.state, to: after?.state ?? 'gone', revision: event.revision
@@ -101,6 +113,8 @@
       return target !== undefined && getUsableTargets(target.service).includes(target)
     },
     all: () => targets.values(),
-    onChange: (listener) => { listeners.push(listener) }
+    onChange: (listener) => { listeners.push(listener) },
+    getVersionHistory: versions.getHistory,
+    onVersionChange: (listener) => { versionListeners.push(listener) }
   }
 }
--- a/packages/pimentoplank/src/shared/reasons/reasons.ts
+++ b/packages/pimentoplank/src/shared/reasons/reasons.ts
@@ -31,6 +31,7 @@
   queueFull: { status: 503, title: 'Too many requests are waiting', retryable: true },
   retryBudget: { status: 503, title: 'The request failed and the retry budget is spent', retryable: true },
   starting: { status: 503, title: 'This instance has no configuration yet', retryable: true },
+  streamVersionUnknown: { status: 503, title: 'Where the stream may go on is not known', retryable: true },
   targetFailed: { status: 502, title: 'The target failed while it ran the request', retryable: true },
   timeout: { status: 504, title: 'The deadline passed before the answer was complete', retryable: true },
   unauthorized: { status: 401, title: 'The account key is missing or unknown', retryable: false },
