Let a begun stream go on only at the software version that began it

Cause: placement knew nothing of versions; a run went on wherever a slot was free.

A request that has delivered events now gets targets of its version only. Within one answer this is the version of the target at which it was placed; a caller's later attempt is looked up by the id of the attempt that brought the first event (Resumes, else its own): in what this instance placed or heard of, then at two peers of each failure domain (150 ms), and where nobody knows, the only version that the service has had for longer than a stream can last. Otherwise it is refused at once (streamVersionUnknown), and so it is where no target of its version is left.

Such a request counts as begun: it waits for a slot and is not refused as queueFull. Targets that failed it are used again where its version has no others. New requests leave free slots at its version to it while it waits. It prefers targets whose runs haven't broken off in the last 500 ms, for such a target may be back at another version before its entry shows it. A run that was placed less than a second before its target's entry changes the version is in doubt and goes nowhere. While a target is silent, no slot is held for a run at another version than that of its events.

--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -25,7 +25,7 @@
 import { createRouteTable, type RouteTable } from './routing'
 import { RELAY_RULES } from './rules'
 import type { RelaySettings } from './settings'
-import { createStreamService, createStreamVersions } from './streams'
+import { createStreamService, createStreamVersionFinder, createStreamVersions } from './streams'
 import { createTargetDirectory } from './targets'
 
 /** Codecs for the formats that a deployment's platform, callers and targets use. */
@@ -238,6 +238,16 @@
       exchange,
       loads,
       silenceDetector: createSilenceDetector(clock),
+      streamVersions,
+      streamVersionFinder: createStreamVersionFinder({
+        streamVersions,
+        peers: gossip.peers,
+        transports,
+        getVersionHistory: targets.getVersionHistory,
+        clock,
+        metrics,
+        log
+      }),
       crashes,
       rules: RELAY_RULES.live,
       clock,
--- a/packages/pimentoplank/src/relay/decisions/retries.ts
+++ b/packages/pimentoplank/src/relay/decisions/retries.ts
@@ -15,6 +15,8 @@
 export interface RetryState {
   /** Number of targets that may have run the request so far. */
   runs: number
+  /** True when a target has run it, for this attempt of the caller or an earlier one. */
+  hasBegun: boolean
   /** Number of tries in which the request certainly did not run. */
   refusals: number
   /** Time left until the caller's deadline or the route's timeout, in milliseconds. */
@@ -29,7 +31,7 @@
 /** True when the request may be sent to another target. */
 export function canRetry (route: Route, failure: TryFailure, state: RetryState): boolean {
   if (state.leftMs < MIN_TRY_MS) return false
-  if (!failure.mayHaveRun) return state.runs > 0 || state.refusals <= MAX_REFUSALS
+  if (!failure.mayHaveRun) return state.hasBegun || state.refusals <= MAX_REFUSALS
   return isRepeatable(route) && state.runs < route.maxAttempts
 }
 
--- a/packages/pimentoplank/src/relay/decisions/streamVersions.steps.ts
+++ b/packages/pimentoplank/src/relay/decisions/streamVersions.steps.ts
@@ -58,7 +58,7 @@
 When('a stream of version {word} that failed at {string} looks for a target', function (
   this: VersionsWorld, version: string, failed: string
 ) {
-  this.search = { version, excluded: new Set([failed]), since: NOW, now: NOW }
+  this.search = { version, excluded: new Set([failed]), reusable: new Set([failed]), since: NOW, now: NOW }
 })
 
 When('{int} ms pass in which runs there break off again and again', function (this: VersionsWorld, ms: number) {
--- a/packages/pimentoplank/src/relay/decisions/streamVersions.ts
+++ b/packages/pimentoplank/src/relay/decisions/streamVersions.ts
@@ -51,6 +51,8 @@
   version: string
   /** Targets that have failed the request before. */
   excluded: ReadonlySet<string>
+  /** Those of them that may be used again where there are no others. */
+  reusable?: ReadonlySet<string>
   /** When the request began to look for a target, on the monotonic clock in milliseconds. */
   since: number
   now: number
@@ -65,11 +67,11 @@
  */
 export function listResumeCandidates<Candidate extends ResumeCandidate> (
   candidates: readonly Candidate[],
-  { version, excluded, since, now }: ResumeInput
+  { version, excluded, reusable, since, now }: ResumeInput
 ): Candidate[] {
   const matching = candidates.filter((one) => one.version === version)
   const fresh = matching.filter(({ id }) => !excluded.has(id))
-  const pool = fresh.length > 0 ? fresh : matching
+  const pool = fresh.length > 0 ? fresh : matching.filter(({ id }) => reusable?.has(id) === true)
   if (now - since >= BROKEN_OFF_MS) return pool
   return pool.filter(({ brokeOffAt = -Infinity }) => now - brokeOffAt >= BROKEN_OFF_MS)
 }
--- a/packages/pimentoplank/src/relay/live/attemptTarget.ts
+++ b/packages/pimentoplank/src/relay/live/attemptTarget.ts
@@ -1,5 +1,6 @@
 /** Sends a live request to one target and forwards the answer to its caller. */
-import { MIB_BYTES } from '../../shared'
+import type { Result } from 'neverthrow'
+import { MIB_BYTES, type RefusalError } from '../../shared'
 import { isRepeatable } from '../decisions'
 import { createEventReader, SendFailure, type EventReader, type SendFailureReason, type TargetAnswer } from '../exchange'
 import type { AnswerHead } from '../model'
@@ -23,7 +24,7 @@
   /** Aborts at the deadline, and when the caller disconnects. */
   ended: AbortSignal
   /** Creates the query with which the request is placed at another target. */
-  createQuery: (signal: AbortSignal) => SlotQuery
+  createQuery: (signal: AbortSignal) => Result<SlotQuery, RefusalError>
 }
 
 function failed (reason: SendFailureReason, detail: string): AttemptEnd {
@@ -35,6 +36,8 @@
 export const BEGINNING_EVENTS = 2
 /** Failures that count against the target itself. */
 const TARGET_FAULTS: ReadonlySet<SendFailureReason> = new Set(['connectFailed', 'refused', 'broken', 'spoiled'])
+/** Failures after which the target may have been restarted. */
+const BREAK_OFFS: ReadonlySet<SendFailureReason> = new Set(['connectFailed', 'staleConnection', 'broken'])
 /** Maximum size of a plain response that is buffered, so that it can be retried, in bytes. */
 const MAX_BUFFERED_BYTES = MIB_BYTES
 
@@ -109,6 +112,7 @@
       return { type: 'failed', failure: cause, nextSlot: search.takeSlot() }
     }
     recordCrashEvidence(failure)
+    if (BREAK_OFFS.has(failure.reason)) deps.loads.recordBreakOff(slot.target.id)
     if (TARGET_FAULTS.has(failure.reason)) deps.loads.recordFailure(slot.target.id, failure.reason)
     return { type: 'failed', failure }
   }
--- a/packages/pimentoplank/src/relay/live/liveCall.ts
+++ b/packages/pimentoplank/src/relay/live/liveCall.ts
@@ -3,6 +3,7 @@
 import type { AnswerEnding, Exchange } from '../exchange'
 import type { LoadView } from '../load'
 import type { CallerRequest, Route } from '../model'
+import type { StreamVersionFinder, StreamVersions } from '../streams'
 import type { CallerReply } from './callerReply'
 import type { CrashTracker } from './crashTracker'
 import type { SilenceDetector } from './silenceDetector'
@@ -36,6 +37,8 @@
   exchange: Exchange
   loads: LoadView
   silenceDetector: SilenceDetector
+  streamVersions: Pick<StreamVersions, 'recordPlacement'>
+  streamVersionFinder: StreamVersionFinder
   crashes: CrashTracker
   rules: RelayRules
   clock: Clock
@@ -49,6 +52,8 @@
   refusals: number
   /** Id of the last event that was sent to the caller. */
   lastEventId: number | undefined
+  /** Software version of the targets at which the request goes on; undefined while it may run at any. */
+  version?: string
   /** Targets that may have run the request. */
   excluded: Set<string>
   /** Targets that have refused the request since the last pause. */
--- a/packages/pimentoplank/src/relay/live/relayRequest.ts
+++ b/packages/pimentoplank/src/relay/live/relayRequest.ts
@@ -1,5 +1,5 @@
 /** Relays one live request to a target, and retries it at another where that is safe. */
-import { ok, type Result } from 'neverthrow'
+import { err, ok, type Result } from 'neverthrow'
 import { describeCause, RefusalError, type Log } from '../../shared'
 import { canRetry, isRepeatable } from '../decisions'
 import type { SendFailure } from '../exchange'
@@ -23,10 +23,24 @@
   const progress: Progress = {
     runs: 0, refusals: 0, lastEventId: request.lastEventId, excluded: new Set(), refusedBy: new Set()
   }
+  const isResumable = route.kind === 'stream' && route.isResumable
+  const isTakenUp = isResumable && request.lastEventId !== undefined
   let heldSlot: Slot | undefined
 
   try {
+    if (isTakenUp) {
+      const version = await deps.streamVersionFinder.find(request, route, call.service)
+      if (version.isErr()) return failRequest(version.error)
+      progress.version = version.value
+    }
     for (;;) {
+      const version = findVersion()
+      if (version.isErr()) return failRequest(version.error)
+      progress.version = version.value
+      if (heldSlot !== undefined && !mayGoOnAt(heldSlot)) {
+        heldSlot.release()
+        heldSlot = undefined
+      }
       const acquired = heldSlot === undefined ? await acquireSlot() : ok<Slot, RefusalError>(heldSlot)
       heldSlot = undefined
       if (reply.disconnected.aborted) {
@@ -41,6 +55,10 @@
         slot.release()
         return failRequest(new RefusalError('quarantined', { outcome: progress.runs > 0 ? 'failed' : 'not_run' }))
       }
+      if (isResumable && progress.version === undefined) {
+        const keepUntil = arrivedAt + (request.deadlineMs ?? route.timeoutMs)
+        deps.streamVersions.recordPlacement(request.id, slot.target, keepUntil)
+      }
       const end = await attemptTarget({ call, slot, progress, endAt, ended, createQuery }, deps)
       slot.release()
       if (end.type === 'done') return logEnd('done')
@@ -60,7 +78,7 @@
       else progress.refusals += 1
       const failedTargets = failure.mayHaveRun ? progress.excluded : progress.refusedBy
       failedTargets.add(slot.target.id)
-      const state = { ...progress, leftMs: endAt - clock.now() }
+      const state = { ...progress, hasBegun: hasBegun(), leftMs: endAt - clock.now() }
       if (over.signal.aborted || !canRetry(route, failure, state)) {
         return failRequest(toRefusal(failure, over.signal.aborted))
       }
@@ -71,8 +89,23 @@
     heldSlot?.release()
   }
 
-  function createQuery (signal: AbortSignal): SlotQuery {
-    return {
+  /** Once the caller has events of a stream, it goes on only at the version that wrote them. */
+  function findVersion (): Result<string | undefined, RefusalError> {
+    const isBound = isResumable && progress.lastEventId !== undefined
+    if (!isBound || progress.version !== undefined) return ok(progress.version)
+    return deps.streamVersionFinder.findOwn(request)
+  }
+
+  function mayGoOnAt ({ target }: Slot): boolean {
+    return progress.version === undefined || target.version === progress.version
+  }
+
+  function hasBegun (): boolean {
+    return progress.runs > 0 || isTakenUp
+  }
+
+  function createQuery (signal: AbortSignal): Result<SlotQuery, RefusalError> {
+    return findVersion().map((version) => ({
       requestId: request.id,
       route,
       service: call.service,
@@ -80,17 +113,21 @@
       endAt,
       isReturning: call.isReturning,
       isRepeatable: isRepeatable(route),
-      isContinuation: progress.runs > 0,
+      isContinuation: hasBegun(),
+      version,
       excluded: new Set([...progress.excluded, ...progress.refusedBy]),
+      reusable: new Set([...progress.excluded].filter((id) => !progress.refusedBy.has(id))),
       signal
-    }
+    }))
   }
 
   /** Acquires a slot; where all targets have refused a request that has run, they are asked again. */
   async function acquireSlot (): Promise<Result<Slot, RefusalError>> {
     for (;;) {
-      const acquired = await deps.slotScheduler.acquire(createQuery(ended))
-      const mayAskAgain = progress.runs > 0 && progress.refusedBy.size > 0 && !ended.aborted
+      const query = createQuery(ended)
+      if (query.isErr()) return err(query.error)
+      const acquired = await deps.slotScheduler.acquire(query.value)
+      const mayAskAgain = hasBegun() && progress.refusedBy.size > 0 && !ended.aborted
       if (acquired.isOk() || acquired.error.reason !== 'noTarget' || !mayAskAgain) return acquired
       progress.refusedBy.clear()
       await clock.sleep(REFUSED_PAUSE_MS, ended)
--- a/packages/pimentoplank/src/relay/live/slotScheduler.ts
+++ b/packages/pimentoplank/src/relay/live/slotScheduler.ts
@@ -1,7 +1,9 @@
 /** Schedules live requests on targets: at once where a slot is free, otherwise in queue order as slots become free. */
 import { err, ok, type Result } from 'neverthrow'
 import { RefusalError, type Clock, type Log, type Metrics, type Random } from '../../shared'
-import { choosePlacement, decideAdmission, orderWaiting, type AdmissionRules, type PlacementRules } from '../decisions'
+import {
+  choosePlacement, decideAdmission, listResumeCandidates, orderWaiting, type AdmissionRules, type PlacementRules
+} from '../decisions'
 import type { Gossip } from '../gossip'
 import type { LoadView, TargetLoad } from '../load'
 import type { Route, Target } from '../model'
@@ -31,8 +33,12 @@
   isContinuation: boolean
   /** True when the request must not wait in the queue of a target. */
   needsFreeSlot?: boolean
+  /** Software version of the targets at which the request may go on; undefined for a request that has not begun. */
+  version?: string
   /** Ids of targets that must not be used. */
   excluded: ReadonlySet<string>
+  /** Ids of excluded targets that may be used where the version has no others. */
+  reusable?: ReadonlySet<string>
   signal: AbortSignal
 }
 
@@ -69,6 +75,7 @@
 /** Weight of a new run time in the exponential moving average. */
 const RUN_MEAN_WEIGHT = 0.1
 const MS_PER_S = 1000
+const NO_VERSIONS: ReadonlySet<string | undefined> = new Set()
 
 /** Creates the slot scheduler of an instance. */
 export function createSlotScheduler (options: SlotSchedulerOptions): SlotScheduler {
@@ -76,16 +83,36 @@
   let queue: Waiting[] = []
   const meanRunMs = new Map<string, number>()
 
-  function findCandidates (ask: SlotQuery): TargetLoad[] {
-    return loads.getLoads(ask.service).filter(({ target }) => !ask.excluded.has(target.id))
+  /** Lists the targets of a query, which was made at the time `since` on the monotonic clock. */
+  function findCandidates (ask: SlotQuery, since: number): TargetLoad[] {
+    const all = loads.getLoads(ask.service)
+    const { version, excluded, reusable } = ask
+    if (version === undefined) return all.filter(({ target }) => !excluded.has(target.id))
+    const candidates = all.map((load) => ({ load, ...load.target, brokeOffAt: load.brokeOffAt }))
+    return listResumeCandidates(candidates, { version, excluded, reusable, since, now: clock.now() })
+      .map(({ load }) => load)
+  }
+
+  /** Versions at which requests of a service wait to go on; new ones leave the slots there to them. */
+  function getAwaitedVersions (service: string): Set<string | undefined> {
+    const waiting = queue.filter(({ ask }) => ask.service === service && ask.needsFreeSlot !== true)
+    return new Set(waiting.map(({ ask }) => ask.version))
+  }
+
+  /** Refuses a request that can't go on, however long it waits. */
+  function refuseWithoutVersion (ask: SlotQuery): RefusalError | undefined {
+    if (ask.version === undefined || findCandidates(ask, -Infinity).length > 0) return undefined
+    log.info({ req: ask.requestId, reason: 'noTarget', version: ask.version }, 'no target of its version takes the request')
+    return new RefusalError('noTarget')
   }
 
   function estimateRunMs (service: string): number {
     return meanRunMs.get(service) ?? FIRST_RUN_ESTIMATE_MS
   }
 
-  function tryPlace (ask: SlotQuery, mayQueue: boolean): Slot | undefined {
-    const all = findCandidates(ask)
+  function tryPlace (ask: SlotQuery, mayQueue: boolean, since: number): Slot | undefined {
+    const awaited = ask.version === undefined ? getAwaitedVersions(ask.service) : NO_VERSIONS
+    const all = findCandidates(ask, since).filter(({ target }) => !awaited.has(target.version))
     const placement = choosePlacement({
       candidates: all.map((load) => ({
         id: load.target.id,
@@ -147,9 +174,13 @@
   }
 
   async function acquire (ask: SlotQuery): Promise<Result<Slot, RefusalError>> {
-    const slot = tryPlace(ask, true)
+    const refusal = refuseWithoutVersion(ask)
+    if (refusal !== undefined) return err(refusal)
+    const now = clock.now()
+    const slot = tryPlace(ask, true, now)
     if (slot !== undefined) return ok(slot)
-    const all = findCandidates(ask)
+    if (ask.version !== undefined) return await enqueue(ask)
+    const all = findCandidates(ask, now)
     const admission = decideAdmission({
       slots: all.reduce((sum, load) => sum + countUsableSlots(load, estimateRunMs(ask.service)), 0),
       queueLength: queue.length,
@@ -198,7 +229,13 @@
   function assignFreeSlots (): void {
     if (queue.length === 0) return
     for (const entry of orderWaiting(queue, clock.now())) {
-      const slot = tryPlace(entry.ask, false)
+      const { ask, since } = entry
+      const refusal = refuseWithoutVersion(ask)
+      if (refusal !== undefined) {
+        entry.settle(err(refusal))
+        continue
+      }
+      const slot = tryPlace(ask, false, since)
       if (slot !== undefined) entry.settle(ok(slot))
     }
     metrics.gauge('slots.waiting', queue.length)
--- a/packages/pimentoplank/src/relay/live/slotSearch.ts
+++ b/packages/pimentoplank/src/relay/live/slotSearch.ts
@@ -1,5 +1,6 @@
 /** Searches for a slot at another target while the target of a run is silent. */
-import { describeCause, type Log } from '../../shared'
+import type { Result } from 'neverthrow'
+import { describeCause, type Log, type RefusalError } from '../../shared'
 import type { Slot, SlotQuery, SlotScheduler } from './slotScheduler'
 
 export interface SlotSearchOptions {
@@ -7,7 +8,7 @@
   /** Id of the silent target. */
   targetId: string
   /** Creates the query with which the request is placed. */
-  createQuery: (signal: AbortSignal) => SlotQuery
+  createQuery: (signal: AbortSignal) => Result<SlotQuery, RefusalError>
   /** False when the request must not be sent to another target any more. */
   mayMove: () => boolean
   /** Aborts when the request has ended. */
@@ -37,10 +38,19 @@
   let slot: Slot | undefined
 
   async function acquire (signal: AbortSignal): Promise<void> {
-    const query = options.createQuery(signal)
+    const created = options.createQuery(signal)
+    if (created.isErr()) {
+      log.info({ target: targetId, reason: created.error.reason }, 'request stays at its silent target')
+      return
+    }
+    const query = created.value
     log.info({ req: query.requestId, target: targetId }, 'target is silent: looking for a free slot elsewhere')
     const acquired = await options.slotScheduler.acquire({
-      ...query, excluded: new Set([...query.excluded, targetId]), isContinuation: true, needsFreeSlot: true
+      ...query,
+      excluded: new Set([...query.excluded, targetId]),
+      reusable: undefined,
+      isContinuation: true,
+      needsFreeSlot: true
     })
     if (acquired.isErr()) {
       if (!signal.aborted) log.info({ req: query.requestId, target: targetId, reason: acquired.error.reason }, 'request stays at its silent target')
--- a/packages/pimentoplank/src/relay/streams/streamVersionFinder.ts
+++ b/packages/pimentoplank/src/relay/streams/streamVersionFinder.ts
@@ -8,7 +8,7 @@
 import { findOnlyVersion, type VersionHistory } from '../decisions'
 import type { PeerView, StreamNotice } from '../gossip'
 import type { CallerRequest, Route } from '../model'
-import type { StreamVersions } from './streamVersions'
+import type { KnownStream, StreamVersions } from './streamVersions'
 
 export interface StreamVersionFinderOptions {
   streamVersions: StreamVersions
@@ -24,6 +24,8 @@
 export interface StreamVersionFinder {
   /** Finds the version of the stream that a request takes up; a refusal if it can't be found out. */
   find: (request: CallerRequest, route: Route, service: string) => Promise<Result<string, RefusalError>>
+  /** Finds the version of a stream that this instance has begun; a refusal if it is in doubt. */
+  findOwn: (request: CallerRequest) => Result<string, RefusalError>
 }
 
 /** Instances that are asked in each failure domain. */
@@ -45,12 +47,24 @@
 
   async function find (request: CallerRequest, route: Route, service: string): Promise<Result<string, RefusalError>> {
     const attempt = request.resumes ?? request.id
-    const found = await lookUp(hash64(attempt), request, route, service)
+    return conclude(request, attempt, await lookUp(hash64(attempt), request, route, service))
+  }
+
+  function findOwn (request: CallerRequest): Result<string, RefusalError> {
+    return conclude(request, request.id, describeKnown(streamVersions.find(hash64(request.id))))
+  }
+
+  function describeKnown (known: KnownStream | undefined): Found {
+    if (known === undefined) return { version: undefined, source: 'none' }
+    return { version: known.version, source: known.source, ageMs: Math.round(clock.now() - known.at) }
+  }
+
+  function conclude (request: CallerRequest, attempt: string, found: Found): Result<string, RefusalError> {
     const isBound = found.version !== undefined
     metrics.count(`streams.${isBound ? found.source : 'unknown'}`)
     log.info({
       req: request.id, attempt, lastEvent: request.lastEventId, ...found, outcome: isBound ? 'bound' : 'refused'
-    }, 'stream taken up')
+    }, 'version of a begun stream')
     return found.version === undefined
       ? err(new RefusalError('streamVersionUnknown', { retryAfterMs: UNKNOWN_RETRY_AFTER_MS }))
       : ok(found.version)
@@ -62,9 +76,7 @@
       if (notice !== undefined) streamVersions.merge([notice], 'peer')
     }
     const known = streamVersions.find(key)
-    if (known !== undefined) {
-      return { version: known.version, source: known.source, ageMs: Math.round(clock.now() - known.at) }
-    }
+    if (known !== undefined) return describeKnown(known)
     const maxStreamMs = Math.max(route.timeoutMs, streamVersions.getLongestKeepMs())
     const version = findOnlyVersion(options.getVersionHistory(service), maxStreamMs, clock.now())
     return { version, source: version === undefined ? 'none' : 'onlyVersion' }
@@ -101,5 +113,5 @@
     }
   }
 
-  return { find }
+  return { find, findOwn }
 }
