Repeat placements of streams in load updates for 250 ms only

Load updates leave up to a hundred times a second and told each placement for a second, so that every peer decoded and merged it up to a hundred times. Full reports, which leave every 300 ms (800 ms in a large fleet), now repeat it for a second instead. The effect on processor time was not measured.

--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -364,6 +364,7 @@
       jobs: jobRegistry.getNotices(),
       ...crashes.getReport(),
       limits: limits.getNotices(),
+      streams: streamVersions.getNotices(),
       configRevision: Math.max(0, feed.revision(protocols.config.kind)),
       openJobs: getOpenTokens(jobRegistry)
     }
@@ -374,7 +375,7 @@
       uses: loads.getOwnUses(),
       waiting: runner.getWaiting(),
       suspects: loads.getOwnSuspects(),
-      streams: streamVersions.getNotices()
+      streams: streamVersions.getLatestNotices()
     }
   }
 
--- a/packages/pimentoplank/src/relay/gossip/gossip.ts
+++ b/packages/pimentoplank/src/relay/gossip/gossip.ts
@@ -12,7 +12,7 @@
 
 /** Part of a full report that the instance provides. */
 export type OwnReport = Pick<
-  Report, 'stage' | 'callerAddress' | 'jobs' | 'configRevision' | 'openJobs' | 'limits' | keyof CrashReport
+  Report, 'stage' | 'callerAddress' | 'jobs' | 'configRevision' | 'openJobs' | 'limits' | 'streams' | keyof CrashReport
 >
 
 /** Part of a report that changes with each request. */
@@ -263,8 +263,9 @@
 
   function createOwnReport (): Report {
     return {
-      ...options.getOwnReport(),
       ...options.getOwnLoad(),
+      // Its streams go back further than those of load updates.
+      ...options.getOwnReport(),
       peerAddress: options.peerAddress,
       instance: instance.id,
       failureDomain: instance.failureDomain,
--- a/packages/pimentoplank/src/relay/gossip/largeFleet.steps.ts
+++ b/packages/pimentoplank/src/relay/gossip/largeFleet.steps.ts
@@ -48,6 +48,7 @@
       crashingParts: [],
       answeredParts: [],
       limits: [],
+      streams: [],
       configRevision: 1,
       openJobs: new Map()
     }),
--- a/packages/pimentoplank/src/relay/streams/streamVersions.feature
+++ b/packages/pimentoplank/src/relay/streams/streamVersions.feature
@@ -20,8 +20,10 @@
 
   Scenario: Placements are told for a second and known until the caller's deadline
     When attempt "r1" is placed at a target of version "v1"
-    And 1500 ms pass for the streams
-    Then nothing is told to peers
+    And 900 ms pass for the streams
+    Then full reports tell 1 stream, load updates 0
+    When 600 ms pass for the streams
+    Then full reports tell 0 streams, load updates 0
     And version "v1" of "r1" is known here
     When 9000 ms pass for the streams
     Then nothing of "r1" is known here
@@ -29,3 +31,4 @@
   Scenario: A report of many placements stays small
     When 5000 attempts are placed at once
     Then the load update has at most 1400 bytes
+    And full reports tell 64 streams, load updates 64
--- a/packages/pimentoplank/src/relay/streams/streamVersions.steps.ts
+++ b/packages/pimentoplank/src/relay/streams/streamVersions.steps.ts
@@ -30,7 +30,7 @@
 }
 
 function encodeNotices (world: StreamsWorld): Uint8Array {
-  return encodeLoad({ ...EMPTY_LOAD, streams: getStreams(world).getNotices() }, world.now)
+  return encodeLoad({ ...EMPTY_LOAD, streams: getStreams(world).getLatestNotices() }, world.now)
 }
 
 When('attempt {string} is placed at a target of version {string}', function (
@@ -75,8 +75,11 @@
   assert.equal(getStreams(this).find(hash64(attempt)), undefined)
 })
 
-Then('nothing is told to peers', function (this: StreamsWorld) {
-  assert.deepEqual(getStreams(this).getNotices(), [])
+Then('full reports tell {int} stream(s), load updates {int}', function (
+  this: StreamsWorld, inReports: number, inUpdates: number
+) {
+  const streams = getStreams(this)
+  assert.deepEqual([streams.getNotices().length, streams.getLatestNotices().length], [inReports, inUpdates])
 })
 
 Then('the load update has at most {int} bytes', function (this: StreamsWorld, most: number) {
--- a/packages/pimentoplank/src/relay/streams/streamVersions.ts
+++ b/packages/pimentoplank/src/relay/streams/streamVersions.ts
@@ -34,7 +34,9 @@
   find: (attempt: bigint) => KnownStream | undefined
   /** Merges what peers have told. */
   merge: (notices: readonly StreamNotice[], source: 'heard' | 'peer') => void
-  /** Returns what peers should know. */
+  /** Returns what load updates tell peers: the latest placements. */
+  getLatestNotices: () => StreamNotice[]
+  /** Returns what full reports tell peers, which are rarer and go back further. */
   getNotices: () => StreamNotice[]
   /** Returns the longest time from a placement to the caller's deadline that was heard of, in milliseconds. */
   getLongestKeepMs: () => number
@@ -48,7 +50,9 @@
   at: number
 }
 
-/** For how long reports repeat where a stream was placed, in milliseconds. */
+/** For how long load updates repeat where a stream was placed, in milliseconds. */
+const LATEST_NOTICE_MS = 250
+/** For how long full reports do, in milliseconds; longer than their interval. */
 const NOTICE_MS = 1000
 /** Maximum of streams in one report, so that it fits into one packet. */
 const MAX_NOTICES = 64
@@ -115,13 +119,22 @@
     }
   }
 
-  function getNotices (): StreamNotice[] {
+  function getNotices (maxAgeMs: number): StreamNotice[] {
     prune()
-    return [...recent.keys()].slice(-MAX_NOTICES).flatMap((attempt) => {
+    const since = clock.now() - maxAgeMs
+    return [...recent].filter(([, { at }]) => at >= since).slice(-MAX_NOTICES).flatMap(([attempt]) => {
       const stream = find(attempt)
       return stream === undefined ? [] : [{ attempt, version: stream.version, keepUntil: stream.keepUntil }]
     })
   }
 
-  return { recordPlacement, find, merge, getNotices, getLongestKeepMs: () => longestKeepMs, recordVersionChange }
+  return {
+    recordPlacement,
+    find,
+    merge,
+    getLatestNotices: () => getNotices(LATEST_NOTICE_MS),
+    getNotices: () => getNotices(NOTICE_MS),
+    getLongestKeepMs: () => longestKeepMs,
+    recordVersionChange
+  }
 }
