--- /dev/null
+++ b/packages/pimentoplank/src/relay/streams/streamVersionFinder.feature
@@ -0,0 +1,27 @@
+Feature: Finding the version of a stream that a caller takes up
+
+  Scenario: In a large fleet, two peers of each failure domain are asked
+    Given 4 peers in each of 3 failure domains, of which those in "b" know version "v1" of "r1"
+    When a caller takes up stream "r1"
+    Then it is bound to version "v1"
+    And 2 peers of each failure domain were asked
+
+  Scenario: Peers that don't answer hold up neither the answer of another nor a refusal
+    Given 4 peers in each of 3 failure domains, of which those in "b" know version "v1" of "r1"
+    And the peers in "a" and "c" don't answer
+    When a caller takes up stream "r1"
+    Then it is bound to version "v1"
+    When a caller takes up stream "r2"
+    Then it is refused as "streamVersionUnknown"
+
+  Scenario: A stream whose version is in doubt is refused, although only one version serves now
+    Given 1 peer in each of 1 failure domain, of which those in "a" know version "" of "r1"
+    And only version "v2" has served for long
+    When a caller takes up stream "r1"
+    Then it is refused as "streamVersionUnknown"
+
+  Scenario: A stream of which nobody knows is bound to the only version that has served for long
+    Given 1 peer in each of 1 failure domain, of which those in "b" know version "v1" of "r1"
+    And only version "v2" has served for long
+    When a caller takes up stream "r2"
+    Then it is bound to version "v2"
