Keep the run of an item at a silent target until another has room

A run without an event for 1500 ms was aborted before another slot was held. Where no other target had room, or none existed, the item started again at the same target a moment later: work thrown away, and an item whose first event takes longer than that was never completed, as each run was aborted in turn.

Now a silent run goes on. It moves only when the scheduler finds room for it at a target where no run of this instance is silent; that slot is held before the run is given up. A run without an event for 10 s is aborted in any case, as its connection counts as dead. The timeout doubles with each move without an event, so that a slow beginning does not pass from target to target. A silent run does not move within a service that its route no longer names. New items prefer targets that are not silent.

--- a/packages/pimentoplank/src/relay/decisions/batchScheduling.ts
+++ b/packages/pimentoplank/src/relay/decisions/batchScheduling.ts
@@ -10,6 +10,8 @@
   job: string
   /** Rank of the item: its due time on the monotonic clock, or a later time; see `rankItem`. */
   dueAt: number
+  /** Ids of targets on which the item must not start. */
+  excluded?: ReadonlySet<string>
 }
 
 /** Added to the rank of an item that can't finish when due, in milliseconds; longer than jobs usually have. */
@@ -36,6 +38,8 @@
   isSuspect: boolean
   /** False when its load is about a second old. */
   isFresh: boolean
+  /** True while items that run there get no events. */
+  isSilent?: boolean
   /** Requests that this instance may send now; infinite unless the target has named a limit. */
   allowance: number
 }
@@ -59,7 +63,7 @@
 export function chooseStarts<Item extends WaitingItem> (input: BatchScheduleInput<Item>): Array<BatchStart<Item>> {
   const free = new Map(input.targets
     .filter((target) => !target.isSuspect)
-    .map((target) => [target.id, { near: target.isNear, count: countPossibleStarts(target) }]))
+    .map((target): [string, Room] => [target.id, { target, count: countPossibleStarts(target) }]))
   const total = [...free.values()].reduce((sum, { count }) => sum + Math.max(0, count), 0)
   const budget = total - input.liveReserve
   const starts: Array<BatchStart<Item>> = []
@@ -68,8 +72,8 @@
     // Items of other instances with an earlier due time have precedence.
     const ahead = input.others.reduce((sum, { dueAt, count }) => sum + (dueAt < item.dueAt ? count : 0), 0)
     if (budget - starts.length - ahead <= 0) break
-    const target = findTargetWithMostRoom(free)
-    if (target === undefined) break
+    const target = findTargetWithMostRoom(free, item.excluded)
+    if (target === undefined) continue
     free.get(target)!.count -= 1
     starts.push({ item, target })
   }
@@ -93,12 +97,21 @@
 /** Preference for targets in the same failure domain, in free slots; traffic between failure domains costs money. */
 const NEAR_PREFERENCE = 2
 
-function findTargetWithMostRoom (free: ReadonlyMap<string, { near: boolean, count: number }>): string | undefined {
-  let best: { id: string, room: number } | undefined
-  for (const [id, { near, count }] of free) {
-    if (count <= 0) continue
-    const room = count + (near ? NEAR_PREFERENCE : 0)
-    if (best === undefined || room > best.room) best = { id, room }
+interface Room {
+  target: BatchCandidate
+  /** Number of items that may still start there. */
+  count: number
+}
+
+/** Silent targets come last, as an item that starts there may get no event either. */
+function findTargetWithMostRoom (free: ReadonlyMap<string, Room>, excluded?: ReadonlySet<string>): string | undefined {
+  let best: { id: string, room: number, isSilent: boolean } | undefined
+  for (const [id, { target, count }] of free) {
+    if (count <= 0 || excluded?.has(id) === true) continue
+    const room = count + (target.isNear ? NEAR_PREFERENCE : 0)
+    const isSilent = target.isSilent === true
+    const isBetter = best === undefined || (isSilent === best.isSilent ? room > best.room : best.isSilent)
+    if (isBetter) best = { id, room, isSilent }
   }
   return best?.id
 }
--- /dev/null
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.feature
@@ -0,0 +1,55 @@
+Feature: Runs of items
+
+  Scenario: A silent run whose connection is dead is given up after the longer bound
+    Given an item runner with a job of 1 item and a target "a" with 1 slot
+    When the runner looks for items to start
+    And target "a" sends events 1 to 2
+    And 9 s pass for the item runner
+    Then the item ran 1 times
+    When 2 s pass for the item runner
+    And the runner looks for items to start
+    Then the item ran 2 times, the last time at "a" after event 2
+
+  Scenario: A silent run goes on until another target has room
+    Given an item runner with a job of 1 item and a target "a" with 1 slot
+    And a target "b" with 0 slots
+    When the runner looks for items to start
+    And target "a" sends events 1 to 2
+    And 4 s pass for the item runner
+    Then the item ran 1 times
+    When target "b" gets 1 slot
+    And the runner looks for items to start
+    Then the item ran 2 times, the last time at "b" after event 2
+    And target "a" has 0 items and target "b" has 1
+
+  Scenario: A silent target that goes on keeps its item
+    Given an item runner with a job of 1 item and a target "a" with 1 slot
+    And a target "b" with 0 slots
+    When the runner looks for items to start
+    And target "a" sends events 1 to 2
+    And 4 s pass for the item runner
+    And target "a" sends events 3 to 3
+    And target "b" gets 1 slot
+    And the runner looks for items to start
+    Then the item ran 1 times
+
+  Scenario: An item is not moved within a service that its route no longer names
+    Given an item runner with a job of 1 item and a target "a" with 1 slot
+    And a target "b" with 0 slots
+    When the runner looks for items to start
+    And target "a" sends events 1 to 2
+    And the route names another service
+    And target "b" gets 1 slot
+    And 4 s pass for the item runner
+    Then the item ran 1 times
+
+  Scenario: An item whose job ends while it moves does not run again, and the held slot is free
+    Given an item runner with a job of 1 item and a target "a" with 1 slot
+    And a target "b" with 0 slots
+    When the runner looks for items to start
+    And target "a" sends events 1 to 2
+    And 4 s pass for the item runner
+    And target "b" gets 1 slot
+    And the runner looks for items to start and the job is ended in the same moment
+    Then the item ran 1 times
+    And target "a" has 0 items and target "b" has 0
--- /dev/null
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
@@ -0,0 +1,221 @@
+import assert from 'node:assert/strict'
+import { After, Given, Then, When } from '@cucumber/cucumber'
+import { err, ok, type Result } from 'neverthrow'
+import { createManualClock, type ManualClock } from '../../../features/support/manualClock'
+import { createInMemoryMetrics, createSilentLog } from '../../shared'
+import { SendFailure, type Exchange, type TargetAnswer } from '../exchange'
+import type { LoadView, TargetLoad } from '../load'
+import type { Route, Target, TargetRequest } from '../model'
+import { createRouteTable, type RouteTable } from '../routing'
+import { RELAY_RULES } from '../rules'
+import { createItemRunner, createJobRegistry, type ItemRunner } from '.'
+import { createOwnedJob, type OwnedJob } from './ownedJob'
+
+type Chunk = Result<Uint8Array | undefined, SendFailure>
+
+/** A run that reached a target. */
+interface SentRun extends TargetRequest {
+  push: (chunk: Chunk) => void
+}
+
+interface RunnerWorld {
+  clock: ManualClock
+  runner: ItemRunner
+  job: OwnedJob
+  table: RouteTable
+  loads: Map<string, TargetLoad>
+  sent: SentRun[]
+}
+
+const SELF = 'instance-1'
+const SERVICE = 'assistant'
+const TURNS = 10
+const DUE_MS = 60_000
+
+After(async function (this: Partial<RunnerWorld>) {
+  await this.runner?.stopAll?.()
+})
+
+async function settle (): Promise<void> {
+  for (let turn = 0; turn < TURNS; turn++) await new Promise((resolve) => setImmediate(resolve))
+}
+
+function createTable (service: string): RouteTable {
+  const route: Route = {
+    name: 'batch',
+    host: 'h',
+    pathPrefix: '/x/',
+    kind: 'batch',
+    services: [{ service, weight: 1 }],
+    timeoutMs: 1000,
+    targetLatencyMs: 1000,
+    targetGapMs: 1000,
+    priority: 0,
+    maxAttempts: 3,
+    isResumable: true
+  }
+  const limits = { maxBodyBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs: 1000 }
+  return createRouteTable({ version: 1, routes: [route], services: new Map(), limits })
+}
+
+function createJob (count: number, now: () => number): OwnedJob {
+  const items = Array.from({ length: count }, (_, index) => (
+    { id: `item-${index}`, path: `/x/${index}`, headers: [], body: '', tokens: 1 }
+  ))
+  const record = {
+    route: 'batch',
+    host: 'h',
+    owner: SELF,
+    epoch: 1,
+    submittedAt: 0,
+    total: count,
+    inputParts: 1,
+    tokens: count,
+    ended: false,
+    finished: false
+  }
+  return createOwnedJob({
+    id: 'job', stored: { record, revision: 1 }, items, dueAt: DUE_MS, expiresAt: DUE_MS, now
+  })
+}
+
+function addTarget ({ loads }: RunnerWorld, id: string, slots: number): void {
+  const target: Target = { id, service: SERVICE, address: id, failureDomain: 'a', slots, state: 'ready' }
+  loads.set(id, {
+    target,
+    key: loads.size,
+    live: 0,
+    batch: 0,
+    ownLive: 0,
+    ownBatch: 0,
+    isSuspect: false,
+    isFresh: true,
+    isPreferred: false,
+    allowance: Infinity
+  })
+}
+
+function createFakeLoads (world: RunnerWorld): LoadView {
+  const loads: Partial<LoadView> = {
+    getLoads: (service) => [...world.loads.values()].filter(({ target }) => target.service === service),
+    getLoad: (id) => world.loads.get(id),
+    begin: (id) => { world.loads.get(id)!.batch += 1 },
+    end: (id) => { world.loads.get(id)!.batch -= 1 },
+    recordFailure: () => undefined
+  }
+  return loads as LoadView
+}
+
+/** Answers each request with events that the scenario sends. */
+function createFakeExchange (world: RunnerWorld): Exchange {
+  async function send (outgoing: TargetRequest, signal: AbortSignal): Promise<Result<TargetAnswer, SendFailure>> {
+    const chunks: Chunk[] = []
+    let wake = (): void => undefined
+    const push = (chunk: Chunk): void => {
+      chunks.push(chunk)
+      wake()
+    }
+    signal.addEventListener('abort', () => push(err(new SendFailure('broken', true, 'aborted'))))
+    world.sent.push({ ...outgoing, push })
+    return ok({
+      head: { status: 200, headers: [], isNotRun: false, isOtherTarget: false, isSigned: true },
+      getEnding: () => ({ framing: 'chunks' as const, bytes: 0, connection: 'open' as const }),
+      read: async () => {
+        while (chunks.length === 0) await new Promise<void>((resolve) => { wake = resolve })
+        return chunks.shift()!
+      },
+      close: () => undefined
+    })
+  }
+  return { send, connections: {} as unknown as Exchange['connections'] }
+}
+
+Given('an item runner with a job of {int} item(s) and a target {string} with {int} slot(s)', function (
+  this: RunnerWorld, count: number, id: string, slots: number
+) {
+  this.clock = createManualClock()
+  this.table = createTable(SERVICE)
+  this.loads = new Map()
+  this.sent = []
+  addTarget(this, id, slots)
+  const { clock } = this
+  const jobRegistry = createJobRegistry({ self: SELF, noticeMs: 0, onNotice: () => undefined, clock })
+  this.job = createJob(count, () => clock.now())
+  jobRegistry.add(this.job)
+  this.runner = createItemRunner({
+    self: SELF,
+    jobRegistry,
+    loads: createFakeLoads(this),
+    crashes: {
+      recordCrash: () => undefined,
+      recordPossibleCrash: () => undefined,
+      recordAnswer: () => undefined,
+      hasCrashingParts: () => false
+    },
+    exchange: createFakeExchange(this),
+    table: () => this.table,
+    peers: () => [],
+    failureDomain: 'a',
+    rules: RELAY_RULES.items,
+    isPaused: () => false,
+    onFinished: () => undefined,
+    clock,
+    random: () => 0.5,
+    metrics: createInMemoryMetrics(),
+    log: createSilentLog()
+  })
+})
+
+Given('a target {string} with {int} slot(s)', function (this: RunnerWorld, id: string, slots: number) {
+  addTarget(this, id, slots)
+})
+
+When('target {string} gets {int} slot(s)', function (this: RunnerWorld, id: string, slots: number) {
+  const load = this.loads.get(id)!
+  load.target = { ...load.target, slots }
+})
+
+When('the route names another service', function (this: RunnerWorld) {
+  this.table = createTable('another')
+})
+
+When('the runner looks for items to start', async function (this: RunnerWorld) {
+  this.runner.dispatch()
+  await settle()
+})
+
+When('the runner looks for items to start and the job is ended in the same moment', async function (this: RunnerWorld) {
+  this.runner.dispatch()
+  this.job.markEnded()
+  await settle()
+})
+
+When('target {string} sends events {int} to {int}', async function (this: RunnerWorld, id: string, first: number, last: number) {
+  const run = this.sent.findLast(({ target }) => target.id === id)!
+  for (let event = first; event <= last; event++) run.push(ok(Buffer.from(`id: ${event}\ndata: ${id}${event}\n\n`)))
+  await settle()
+})
+
+When('{int} s pass for the item runner', async function (this: RunnerWorld, seconds: number) {
+  await this.clock.advance(seconds * 1000)
+  await settle()
+})
+
+Then('the item ran {int} times', function (this: RunnerWorld, count: number) {
+  assert.equal(this.sent.length, count)
+})
+
+Then('the item ran {int} times, the last time at {string} after event {int}', function (
+  this: RunnerWorld, count: number, id: string, event: number
+) {
+  assert.equal(this.sent.length, count)
+  assert.equal(this.sent.at(-1)!.target.id, id)
+  assert.equal(this.sent.at(-1)!.lastEventId, event)
+})
+
+Then('target {string} has {int} items and target {string} has {int}', function (
+  this: RunnerWorld, first: string, firstCount: number, second: string, secondCount: number
+) {
+  assert.equal(this.loads.get(first)!.batch, firstCount)
+  assert.equal(this.loads.get(second)!.batch, secondCount)
+})
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.ts
@@ -10,7 +10,7 @@
 import { createItemTimeEstimator } from './itemTimeEstimator'
 import type { JobRegistry } from './jobRegistry'
 import type { ItemProgress, OwnedJob } from './ownedJob'
-import { createItemRequest, runItem, type ItemEnd } from './runItem'
+import { createItemRequest, runItem, SILENT_TARGET, type ItemEnd } from './runItem'
 
 export interface ItemRunnerRules {
   /** Share of each service's slots that batch items leave free for live requests. */
@@ -19,8 +19,10 @@
   refusedBackoffMs: number
   /** Backoff before a failed item is retried, in milliseconds. */
   failedBackoffMs: number
-  /** Time without bytes from the target after which a run is aborted, in milliseconds. */
+  /** Time without an event after which a run moves to another target that has room, in milliseconds. */
   silenceTimeoutMs: number
+  /** Time without an event after which a run is aborted in any case, in milliseconds. */
+  maxSilenceMs: number
 }
 
 export interface ItemRunnerOptions {
@@ -67,10 +69,19 @@
   route: Route
 }
 
+/** A waiting item, or one whose run at a silent target may move. */
+interface StartableItem extends ReadyItem {
+  run?: ActiveRun
+}
+
 interface ActiveRun extends RunningItem {
   stop: AbortController
   done: Promise<void>
   ready: ReadyItem
+  /** True while the target sends no events. */
+  isSilent: boolean
+  /** Target on which a slot is held for the item while its run at a silent target ends. */
+  next?: Target
 }
 
 /** Due times are rounded up to this step in gossip reports, in milliseconds, so that a report stays small. */
@@ -118,7 +129,7 @@
   function startReadyItems (): void {
     const table = options.table()
     if (table === undefined || options.isPaused()) return
-    const ready = findReadyItems(table)
+    const ready: StartableItem[] = [...findReadyItems(table), ...findSilentItems(table)]
     if (ready.length === 0) return
     const others = options.peers().flatMap(({ report }) => report.waiting)
     for (const service of new Set(ready.map((item) => item.service))) {
@@ -126,9 +137,22 @@
     }
   }
 
-  function startItems (service: string, own: ReadyItem[], others: readonly WaitingItems[]): void {
+  /** Lists the items whose run moves once another target of a service that the route still names has room. */
+  function findSilentItems (table: RouteTable): StartableItem[] {
+    const silent = [...running].filter(({ isSilent, stop }) => isSilent && !stop.signal.aborted)
+    const excluded = new Set(silent.map(({ target }) => target))
+    return silent.flatMap((run) => {
+      const { owned, itemId, progress, service } = run.ready
+      const route = table.findRoute(owned.record().host, owned.findItem(itemId)?.path ?? '')
+      if (route?.services.some((one) => one.service === service && one.weight > 0) !== true) return []
+      return [{ ...run.ready, route, dueAt: computeRank(owned, progress), excluded, run }]
+    })
+  }
+
+  function startItems (service: string, own: StartableItem[], others: readonly WaitingItems[]): void {
     const all = loads.getLoads(service)
     const slots = all.reduce((sum, { target }) => sum + target.slots, 0)
+    const silent = new Set([...running].filter(({ isSilent }) => isSilent).map(({ target }) => target))
     const starts = chooseStarts({
       targets: all.map(({ target, live, batch, isSuspect, isFresh, allowance }) => ({
         id: target.id,
@@ -138,6 +162,7 @@
         isNear: target.failureDomain === options.failureDomain,
         isSuspect,
         isFresh,
+        isSilent: silent.has(target.id),
         allowance
       })),
       own,
@@ -145,16 +170,36 @@
       liveReserve: Math.round(slots * rules.liveReserveShare)
     })
     const targets = new Map(all.map(({ target }) => [target.id, target]))
-    for (const { item, target } of starts) start(item, targets.get(target)!)
+    for (const { item, target } of starts) {
+      if (item.run === undefined) {
+        loads.begin(target, 'batch')
+        start(item, targets.get(target)!)
+      } else {
+        moveRun(item.run, targets.get(target)!)
+      }
+    }
   }
 
+  /** Gives up a run at a silent target; the item goes on in a slot that is held for it. */
+  function moveRun (run: ActiveRun, next: Target): void {
+    const { owned, itemId, progress } = run.ready
+    log.info({
+      job: owned.id, item: itemId, from: run.target, to: next.id, lastEvent: progress.lastEventId
+    }, 'item moves from a silent target')
+    metrics.count('items.moved')
+    loads.begin(next.id, 'batch')
+    run.next = next
+    progress.silences += 1
+    run.stop.abort(SILENT_TARGET)
+  }
+
+  /** Starts an item in a slot that was counted already. */
   function start (ready: ReadyItem, target: Target): void {
     const { owned, itemId, progress } = ready
     const item = owned.findItem(itemId)!
     const stop = new AbortController()
     progress.target = target.id
     progress.interrupt = () => stop.abort()
-    loads.begin(target.id, 'batch')
     log.info({
       job: owned.id,
       item: itemId,
@@ -163,7 +208,14 @@
       dueInMs: Math.round(owned.dueAt - clock.now())
     }, 'item started')
     const entry: ActiveRun = {
-      job: owned.id, dueAt: ready.dueAt, target: target.id, hasStarted: false, stop, done: Promise.resolve(), ready
+      job: owned.id,
+      dueAt: ready.dueAt,
+      target: target.id,
+      hasStarted: false,
+      stop,
+      done: Promise.resolve(),
+      ready,
+      isSilent: false
     }
     running.add(entry)
     const firstEvent = progress.lastEventId ?? 0
@@ -174,7 +226,9 @@
       progress,
       target,
       remainingMs: owned.expiresAt - clock.now(),
-      silenceTimeoutMs: rules.silenceTimeoutMs,
+      // A target that takes long before its first event would be left again and again for others that take as long.
+      silenceTimeoutMs: rules.silenceTimeoutMs * 2 ** progress.silences,
+      maxSilenceMs: rules.maxSilenceMs,
       exchange: options.exchange,
       clock,
       log,
@@ -182,6 +236,11 @@
         entry.hasStarted = true
         startedAt = clock.now()
       },
+      onSilent: () => {
+        entry.isSilent = true
+        startReadyItems()
+      },
+      onResumed: () => { entry.isSilent = false },
       signal: stop.signal
     }).then((end) => {
       running.delete(entry)
@@ -192,7 +251,8 @@
       progress.target = undefined
       progress.interrupt = undefined
       loads.end(target.id, 'batch')
-      handleEnd(ready, target, end)
+      if ((progress.lastEventId ?? 0) > firstEvent) progress.silences = 0
+      handleEnd(entry, target, end)
     })
   }
 
@@ -217,7 +277,8 @@
     crashes.recordCrash(target.id, request)
   }
 
-  function handleEnd ({ owned, itemId, progress, route }: ReadyItem, target: Target, end: ItemEnd): void {
+  function handleEnd ({ ready, next }: ActiveRun, target: Target, end: ItemEnd): void {
+    const { owned, itemId, progress, route } = ready
     metrics.count(`items.${end.type}`)
     log.info({
       job: owned.id, item: itemId, target: target.id, end: end.type, lastEvent: progress.lastEventId
@@ -239,6 +300,11 @@
       }
     }
     handlers[end.type](end as never)
+    if (next !== undefined) {
+      const mayGoOn = owned.openItems().has(itemId) && !owned.isEnded() && !options.isPaused()
+      if (end.type === 'interrupted' && mayGoOn) start(ready, next)
+      else loads.end(next.id, 'batch')
+    }
     startReadyItems()
   }
 
--- a/packages/pimentoplank/src/relay/jobs/jobService.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobService.ts
@@ -45,7 +45,8 @@
         lastEventId: lastEvent > 0 ? lastEvent : undefined,
         data: lastEvent > 0 ? [text] : [],
         failures,
-        crashes: 0
+        crashes: 0,
+        silences: 0
       }])),
       done.map(({ item, completed, text }) => ({ item, completed, text }))
     )
--- a/packages/pimentoplank/src/relay/jobs/ownedJob.ts
+++ b/packages/pimentoplank/src/relay/jobs/ownedJob.ts
@@ -12,6 +12,8 @@
   failures: number
   /** Number of runs in a row that broke off before their answer had begun. */
   crashes: number
+  /** Number of runs in a row that were given up because their target was silent. */
+  silences: number
   /** Earliest time of the next run, on the monotonic clock. */
   notBefore: number
   /** Target that is running the item. */
@@ -130,5 +132,5 @@
 }
 
 function newProgress (): ItemProgress {
-  return { data: [], failures: 0, crashes: 0, notBefore: 0 }
+  return { data: [], failures: 0, crashes: 0, silences: 0, notBefore: 0 }
 }
--- a/packages/pimentoplank/src/relay/jobs/runItem.ts
+++ b/packages/pimentoplank/src/relay/jobs/runItem.ts
@@ -8,6 +8,7 @@
 import type { CallerRequest, Target } from '../model'
 import type { ItemProgress } from './ownedJob'
 import type { JobItem } from './records'
+import { startSilenceWatch } from './silenceWatch'
 
 /**
  * Result of one run of an item.
@@ -33,17 +34,26 @@
   target: Target
   /** Remaining time until the item expires, in milliseconds. */
   remainingMs: number
-  /** Time without bytes from the target after which the run is aborted, in milliseconds. */
+  /** Time without an event after which the target counts as silent, in milliseconds. */
   silenceTimeoutMs: number
+  /** Time without an event after which the connection counts as dead and the run is aborted, in milliseconds. */
+  maxSilenceMs: number
   exchange: Exchange
   clock: Clock
   log: Log
   /** Called when the target has accepted the item and its answer begins. */
   onStarted: () => void
-  /** Aborts the run. */
+  /** Called when the target has become silent. */
+  onSilent: () => void
+  /** Called when a silent target goes on. */
+  onResumed: () => void
+  /** Aborts the run; with the reason `SILENT_TARGET` the abort counts as a fault of the target. */
   signal: AbortSignal
 }
 
+/** Reason of an abort for which the item moves from a silent target to another one. */
+export const SILENT_TARGET = 'silentTarget'
+
 const STATUS_UNPROCESSABLE = 422
 const STATUS_SERVER_ERROR = 500
 
@@ -62,9 +72,16 @@
 /** Runs an item, resuming from its progress; the progress is updated with each event. */
 export async function runItem (options: RunItemOptions): Promise<ItemEnd> {
   const { item, progress, target, exchange } = options
-  const silence = new AbortController()
-  const signal = AbortSignal.any([options.signal, silence.signal])
-  const timer = setTimeout(() => silence.abort(), options.silenceTimeoutMs)
+  const dead = new AbortController()
+  const signal = AbortSignal.any([options.signal, dead.signal])
+  const watch = startSilenceWatch({
+    silentMs: options.silenceTimeoutMs,
+    deadMs: options.maxSilenceMs,
+    onSilent: options.onSilent,
+    onResumed: options.onResumed,
+    onDead: () => dead.abort(),
+    clock: options.clock
+  })
   const request = createItemRequest(item, options.host)
   try {
     const sent = await exchange.send({
@@ -74,25 +91,27 @@
       lastEventId: progress.lastEventId
     }, signal)
     if (sent.isErr()) {
-      if (!options.signal.aborted) logFailure(sent.error)
+      if (!isOwnAbort()) logFailure(sent.error)
       return sent.error.mayHaveRun || options.signal.aborted ? interrupt(sent.error) : { type: 'refused' }
     }
-    timer.refresh()
+    watch.recordProgress()
     options.onStarted()
-    const outcome = await readAnswer(sent.value, progress, () => timer.refresh())
+    const outcome = await readAnswer(sent.value, progress, watch.recordProgress)
     const ending = sent.value.getEnding()
     sent.value.close()
     if (outcome.isOk()) return outcome.value
-    if (!options.signal.aborted) logFailure(outcome.error, ending)
+    if (!isOwnAbort()) logFailure(outcome.error, ending)
     return interrupt(outcome.error)
   } finally {
-    clearTimeout(timer)
+    watch.stop()
+  }
+
+  function isOwnAbort (): boolean {
+    return options.signal.aborted && options.signal.reason !== SILENT_TARGET
   }
 
   function interrupt ({ reason }: SendFailure): ItemEnd {
-    return {
-      type: 'interrupted', isBroken: !options.signal.aborted, reason: signal.aborted ? 'aborted' : reason
-    }
+    return { type: 'interrupted', isBroken: !isOwnAbort(), reason: signal.aborted ? 'aborted' : reason }
   }
 
   function logFailure (failure: SendFailure, ending?: AnswerEnding): void {
--- a/packages/pimentoplank/src/relay/rules.ts
+++ b/packages/pimentoplank/src/relay/rules.ts
@@ -18,7 +18,8 @@
   liveReserveShare: 0.04,
   refusedBackoffMs: 100,
   failedBackoffMs: 200,
-  silenceTimeoutMs: 1500
+  silenceTimeoutMs: 1500,
+  maxSilenceMs: 10_000
 }
 
 /** Storage of results and takeover of jobs. */
