Find out the times of a job once its route is back

A target that rejects such a deadline never runs them.

platform/features/routeChanges.feature: the scenario on the takeover failed before on that deadline and passes now. The one on items that run while their route is dropped and comes back passed before, too.

--- a/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
@@ -75,7 +75,7 @@
     finished: false
   }
   return createOwnedJob({
-    id: 'job', stored: { record, revision: 1 }, items, dueAt: DUE_MS, expiresAt: DUE_MS, now
+    id: 'job', stored: { record, revision: 1 }, items, getTimes: () => ({ dueAt: DUE_MS, expiresAt: DUE_MS }), now
   })
 }
 
--- a/packages/pimentoplank/src/relay/jobs/jobManager.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.ts
@@ -8,6 +8,7 @@
 import type { RouteTable } from '../routing'
 import type { JobRegistry } from './jobRegistry'
 import type { JobStore, StoredJob } from './jobStore'
+import { createJobTimes } from './jobTimes'
 import { createOwnedJob, type ItemProgress, type OwnedJob } from './ownedJob'
 import type { ItemResult, JobItem, JobRecord } from './records'
 
@@ -94,17 +95,12 @@
   })
 
   function open (id: string, stored: StoredJob, items: readonly JobItem[], segments: ItemResult[][] = []): OwnedJob {
-    const { record } = stored
-    const batchRules = options.table()?.findRouteByName(record.route)?.batch
-    const ageMs = Math.max(0, clock.wallTime() - record.submittedAt)
-    const target = batchRules?.completionTargetMs ?? 0
     const job = createOwnedJob({
       id,
       stored,
       items,
       segments,
-      dueAt: clock.now() + target - Math.min(ageMs, target),
-      expiresAt: clock.now() + Math.max(0, (batchRules?.retentionMs ?? Infinity) - ageMs),
+      getTimes: createJobTimes({ record: stored.record, table: options.table, clock }),
       now: () => clock.now()
     })
     registry.add(job)
--- a/packages/pimentoplank/src/relay/jobs/ownedJob.ts
+++ b/packages/pimentoplank/src/relay/jobs/ownedJob.ts
@@ -1,6 +1,7 @@
 /** In-memory state of a batch job that this instance owns: finished, stored and running items. */
 import type { ItemResult, JobItem, JobRecord } from './records'
 import type { StoredJob } from './jobStore'
+import type { JobTimes } from './jobTimes'
 
 /** Progress of an item that has no result yet. */
 export interface ItemProgress {
@@ -31,9 +32,9 @@
   isEnded: () => boolean
   markEnded: () => void
   /** When results are due, on the monotonic clock. */
-  dueAt: number
-  /** When items without a result expire, on the monotonic clock. */
-  expiresAt: number
+  readonly dueAt: number
+  /** When items without a result expire, on the monotonic clock; infinite while the route is not known. */
+  readonly expiresAt: number
   findItem: (id: string) => JobItem | undefined
   /** Items without a result, with their progress. */
   openItems: () => ReadonlyMap<string, ItemProgress>
@@ -61,8 +62,7 @@
   items: readonly JobItem[]
   /** Segments stored before, in order. */
   segments?: ReadonlyArray<readonly ItemResult[]>
-  dueAt: number
-  expiresAt: number
+  getTimes: () => JobTimes
   now: () => number
 }
 
@@ -103,8 +103,8 @@
     setStored: (next) => { current = next },
     isEnded: () => isMarkedEnded || current.record.ended,
     markEnded: () => { isMarkedEnded = true },
-    dueAt: options.dueAt,
-    expiresAt: options.expiresAt,
+    get dueAt () { return options.getTimes().dueAt },
+    get expiresAt () { return options.getTimes().expiresAt },
     findItem: (name) => items.get(name),
     openItems: () => open,
     finishItem: (result) => {
--- a/packages/pimentoplank/src/relay/jobs/runItem.ts
+++ b/packages/pimentoplank/src/relay/jobs/runItem.ts
@@ -32,7 +32,7 @@
   host: string
   progress: ItemProgress
   target: Target
-  /** Remaining time until the item expires, in milliseconds. */
+  /** Remaining time until the item expires, in milliseconds; infinite while that is not known. */
   remainingMs: number
   /** Time without an event after which the target counts as silent, in milliseconds. */
   silenceTimeoutMs: number
@@ -87,7 +87,7 @@
     const sent = await exchange.send({
       request,
       target,
-      deadlineMs: Math.max(1, Math.round(options.remainingMs)),
+      deadlineMs: options.remainingMs === Infinity ? undefined : Math.max(1, Math.round(options.remainingMs)),
       lastEventId: progress.lastEventId
     }, signal)
     if (sent.isErr()) {
