Don't replace the progress of items that run when their job is handed over

While a hand-over waited for the store, a repeat by the caller could be accepted, so that items of the job ran already. The progress handed over then replaced theirs in the middle of a run, and the text went on with the events of another run. It is now taken only for items that do not run and have no text yet.

--- a/packages/pimentoplank/src/relay/jobs/jobManager.feature
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.feature
@@ -9,3 +9,11 @@
     And the other items of the job are finished
     And 10 s pass for the job manager
     Then the store has the results of all 4 items, each once
+
+  Scenario: Progress that a peer hands over does not replace that of items which run here already
+    Given a job manager whose store holds a job of 2 items with this instance as its owner
+    When a peer hands the job over with event 5 of both items, and the store is slow
+    And the caller's repeat of the job is accepted
+    And the first item of the job runs and has event 2
+    And the store updates the record
+    Then the items of the job have events 2 and 5
--- a/packages/pimentoplank/src/relay/jobs/jobManager.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.steps.ts
@@ -4,6 +4,7 @@
 import { ok, ResultAsync } from 'neverthrow'
 import { createManualClock, type ManualClock } from '../../../features/support/manualClock'
 import { createInMemoryMetrics, createSilentLog } from '../../shared'
+import { createRouteTable, type RouteTable } from '../routing'
 import { RELAY_RULES } from '../rules'
 import { createJobManager, createJobRegistry, type JobManager, type JobRegistry } from '.'
 import type { JobStore, StoredJob } from './jobStore'
@@ -18,6 +19,7 @@
   results: ItemResult[]
   updateRecord: () => void
   takeover: Promise<boolean>
+  table?: RouteTable
 }
 
 const JOB = 'job'
@@ -70,7 +72,7 @@
     self: SELF,
     jobRegistry: this.jobRegistry,
     store: store as JobStore,
-    table: () => undefined,
+    table: () => this.table,
     peers: () => [],
     isLeaving: () => false,
     onItemsReady: () => undefined,
@@ -88,6 +90,66 @@
   await settle()
 })
 
+Given('the job was submitted {int} s ago by the wall clock, on a route with a retention of {int} s', async function (
+  this: ManagerWorld, ageS: number, retentionS: number
+) {
+  await this.clock.advance(ageS * 1000)
+  this.stored = { ...this.stored, record: { ...this.stored.record, submittedAt: this.clock.wallTime() - ageS * 1000 } }
+  this.table = createRouteTable({
+    version: 1,
+    routes: [{
+      name: 'batch',
+      host: 'h',
+      pathPrefix: '/',
+      kind: 'batch',
+      services: [],
+      timeoutMs: 1000,
+      targetLatencyMs: 1000,
+      targetGapMs: 1000,
+      priority: 0,
+      maxAttempts: 3,
+      isResumable: true,
+      batch: { completionTargetMs: 10_000, retentionMs: retentionS * 1000, maxWaitingTokens: 0 }
+    }],
+    services: new Map(),
+    limits: { maxBodyBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs: 1000 }
+  })
+})
+
+When('the job is taken over', async function (this: ManagerWorld) {
+  this.updateRecord()
+  assert.equal(await this.manager.takeOver(JOB), true)
+})
+
+When('the job manager ticks after {int} s', async function (this: ManagerWorld, seconds: number) {
+  await this.clock.advance(seconds * 1000)
+  this.manager.tick()
+})
+
+Then('{int} items of the job are open', function (this: ManagerWorld, count: number) {
+  assert.equal(this.jobRegistry.get(JOB)!.openItems().size, count)
+})
+
+When('a peer hands the job over with event {int} of both items, and the store is slow', async function (
+  this: ManagerWorld, event: number
+) {
+  this.takeover = this.manager.takeOver(JOB, new Map(this.items.map(({ id }) => (
+    [id, { lastEventId: event, data: ['handed over'], failures: 0, crashes: 0 }]
+  ))))
+  await settle()
+})
+
+When('the first item of the job runs and has event {int}', function (this: ManagerWorld, event: number) {
+  const progress = this.jobRegistry.get(JOB)!.openItems().get(this.items[0]!.id)!
+  Object.assign(progress, { target: 'a', lastEventId: event, data: ['own'] })
+})
+
+Then('the items of the job have events {int} and {int}', function (this: ManagerWorld, first: number, second: number) {
+  const progress = [...this.jobRegistry.get(JOB)!.openItems().values()]
+  assert.deepEqual(progress.map(({ lastEventId }) => lastEventId), [first, second])
+  this.manager.close()
+})
+
 When('the caller\'s repeat of the job is accepted', function (this: ManagerWorld) {
   this.manager.openJob(JOB, this.stored, this.items)
 })
--- a/packages/pimentoplank/src/relay/jobs/jobManager.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.ts
@@ -213,7 +213,11 @@
       const job = taken.value
       if (job === undefined) return true
       for (const result of results) job.finishItem(result)
-      for (const [item, known] of progress ?? []) Object.assign(job.openItems().get(item) ?? {}, known)
+      for (const [item, known] of progress ?? []) {
+        const own = job.openItems().get(item)
+        // Items may run here already if the caller's repeat was accepted meanwhile.
+        if (own !== undefined && own.target === undefined && own.lastEventId === undefined) Object.assign(own, known)
+      }
       storePending(job)
       options.onItemsReady()
       return true
