Count the retention of a job from when its owner opened it

The age of a job was the difference of the owner's wall clock and that of the instance that accepted it. An owner whose clock was ahead, or had been stepped, listed open items as failed before their retention was over, at the first tick after a takeover. The retention now counts on the monotonic clock of the owner. The price: after a takeover, an item that can't be completed expires later, as its retention begins again. The due time, which only ranks items, still counts from the submission.

The new scenario of jobManager.feature failed before (0 of 2 items open 1 s after a takeover with a clock that is 90 s ahead of the submission, 60 s retention) and passes now.

--- a/packages/pimentoplank/src/relay/jobs/jobManager.feature
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.feature
@@ -10,6 +10,15 @@
     And 10 s pass for the job manager
     Then the store has the results of all 4 items, each once
 
+  Scenario: A job taken over by an instance whose wall clock is ahead is not expired early
+    Given a job manager whose store holds a job of 2 items with this instance as its owner
+    And the job was submitted 90 s ago by the wall clock, on a route with a retention of 60 s
+    When the job is taken over
+    And the job manager ticks after 1 s
+    Then 2 items of the job are open
+    When the job manager ticks after 60 s
+    Then 0 items of the job are open
+
   Scenario: Progress that a peer hands over does not replace that of items which run here already
     Given a job manager whose store holds a job of 2 items with this instance as its owner
     When a peer hands the job over with event 5 of both items, and the store is slow
--- a/packages/pimentoplank/src/relay/jobs/jobTimes.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobTimes.ts
@@ -30,7 +30,8 @@
     if (times === undefined && rules !== undefined) {
       times = {
         dueAt: openedAt + Math.max(0, rules.completionTargetMs - ageMs),
-        expiresAt: openedAt + Math.max(0, rules.retentionMs - ageMs)
+        // The wall clocks of instances differ, and no item may expire early.
+        expiresAt: openedAt + rules.retentionMs
       }
     }
     return times ?? { dueAt: openedAt, expiresAt: Infinity }
