Let items go on only at targets of the software version that began them

Targets of several software versions may serve one service, and what two versions write does not fit together. An item whose run broke off went on at any target, so that texts held events of two versions: after resets, after a hand-over to a peer, and at a target that had come back under its id at another version.

The version of a target is now decoded and kept beside the text of an item, also in a hand-over. The next run goes only to targets of that version. The scheduler gives items that can't choose their target precedence within their version; an item of a crowded version blocks neither others here nor, as gossip tells the version of waiting items, on other instances. When no usable target of that version is left, or it stays full while others are idle, the item begins anew: text and last event are dropped, its failures stay as they are. A text handed over without its version is dropped, too.

--- a/packages/pimentoplank/src/relay/decisions/batchScheduling.ts
+++ b/packages/pimentoplank/src/relay/decisions/batchScheduling.ts
@@ -10,6 +10,8 @@
   job: string
   /** Rank of the item: its due time on the monotonic clock, or a later time; see `rankItem`. */
   dueAt: number
+  /** Software version of the targets at which the item must go on; undefined for any. */
+  version?: string
   /** Ids of targets on which the item must not start. */
   excluded?: ReadonlySet<string>
 }
@@ -30,6 +32,7 @@
 /** Capacity and load of one target. */
 export interface BatchCandidate {
   id: string
+  version: string
   slots: number
   live: number
   batch: number
@@ -49,7 +52,7 @@
   /** Waiting items of this instance, in any order. */
   own: readonly Item[]
   /** Waiting items of other instances. */
-  others: ReadonlyArray<{ dueAt: number, count: number }>
+  others: ReadonlyArray<{ dueAt: number, count: number, version?: string }>
   /** Slots reserved for live requests, summed over all targets. */
   liveReserve: number
 }
@@ -61,25 +64,63 @@
 
 /** Chooses the items of this instance that start now, and their targets. */
 export function chooseStarts<Item extends WaitingItem> (input: BatchScheduleInput<Item>): Array<BatchStart<Item>> {
-  const free = new Map(input.targets
-    .filter((target) => !target.isSuspect)
-    .map((target): [string, Room] => [target.id, { target, count: countPossibleStarts(target) }]))
-  const total = [...free.values()].reduce((sum, { count }) => sum + Math.max(0, count), 0)
-  const budget = total - input.liveReserve
+  const rooms = createRooms(input.targets)
+  const budget = rooms.reduce((sum, { count }) => sum + count, 0) - input.liveReserve
   const starts: Array<BatchStart<Item>> = []
-  if (budget <= 0) return starts
+  /** Items that may start anywhere; they get their targets after those that can't choose. */
+  const flexible: Item[] = []
   for (const item of [...input.own].sort((a, b) => a.dueAt - b.dueAt)) {
     // Items of other instances with an earlier due time have precedence.
-    const ahead = input.others.reduce((sum, { dueAt, count }) => sum + (dueAt < item.dueAt ? count : 0), 0)
-    if (budget - starts.length - ahead <= 0) break
-    const target = findTargetWithMostRoom(free, item.excluded)
-    if (target === undefined) continue
-    free.get(target)!.count -= 1
-    starts.push({ item, target })
+    const ahead = countAhead(input.others.filter(({ dueAt }) => dueAt < item.dueAt), input.targets)
+    if (budget - starts.length - flexible.length - ahead.all <= 0) break
+    if (item.version === undefined && item.excluded === undefined) {
+      flexible.push(item)
+      continue
+    }
+    const sameVersion = rooms.filter(({ target }) => item.version === undefined || target.version === item.version)
+    const left = sameVersion.reduce((sum, { count }) => sum + count, 0)
+    if (item.version !== undefined && left <= (ahead.byVersion.get(item.version) ?? 0)) continue
+    const room = findMostRoom(sameVersion, item.excluded)
+    if (room === undefined) continue
+    room.count -= 1
+    starts.push({ item, target: room.target.id })
+  }
+  for (const item of flexible) {
+    const room = findMostRoom(rooms)
+    if (room === undefined) break
+    room.count -= 1
+    starts.push({ item, target: room.target.id })
   }
   return starts
 }
 
+/** Counts items of other instances that can start; those of a crowded version don't block the rest. */
+function countAhead (
+  others: BatchScheduleInput<WaitingItem>['others'],
+  targets: readonly BatchCandidate[]
+): { all: number, byVersion: Map<string, number> } {
+  const byVersion = new Map<string, number>()
+  let all = 0
+  for (const { count, version } of others) {
+    if (version === undefined) all += count
+    else byVersion.set(version, (byVersion.get(version) ?? 0) + count)
+  }
+  for (const [version, count] of byVersion) {
+    all += Math.min(count, countRoom(targets.filter((target) => target.version === version)))
+  }
+  return { all, byVersion }
+}
+
+/** Counts the items that may start at targets now. */
+export function countRoom (targets: readonly BatchCandidate[]): number {
+  return createRooms(targets).reduce((sum, { count }) => sum + count, 0)
+}
+
+function createRooms (targets: readonly BatchCandidate[]): Room[] {
+  return targets.filter(({ isSuspect }) => !isSuspect)
+    .map((target) => ({ target, count: Math.max(0, countPossibleStarts(target)) }))
+}
+
 /** Slots of a target that may have been occupied since its load was last reported. */
 const STALE_MARGIN = 2
 
@@ -104,16 +145,23 @@
 }
 
 /** Silent targets come last, as an item that starts there may get no event either. */
-function findTargetWithMostRoom (free: ReadonlyMap<string, Room>, excluded?: ReadonlySet<string>): string | undefined {
-  let best: { id: string, room: number, isSilent: boolean } | undefined
-  for (const [id, { target, count }] of free) {
-    if (count <= 0 || excluded?.has(id) === true) continue
-    const room = count + (target.isNear ? NEAR_PREFERENCE : 0)
-    const isSilent = target.isSilent === true
-    const isBetter = best === undefined || (isSilent === best.isSilent ? room > best.room : best.isSilent)
-    if (isBetter) best = { id, room, isSilent }
+function findMostRoom (rooms: readonly Room[], excluded?: ReadonlySet<string>): Room | undefined {
+  let best: Room | undefined
+  for (const room of rooms) {
+    if (room.count <= 0 || excluded?.has(room.target.id) === true) continue
+    if (best === undefined || isBetter(room, best)) best = room
   }
-  return best?.id
+  return best
+}
+
+function isBetter (room: Room, best: Room): boolean {
+  const isSilent = room.target.isSilent === true
+  if (isSilent !== (best.target.isSilent === true)) return !isSilent
+  return getPreference(room) > getPreference(best)
+}
+
+function getPreference ({ target, count }: Room): number {
+  return count + (target.isNear ? NEAR_PREFERENCE : 0)
 }
 
 export interface RunningItem extends WaitingItem {
--- a/packages/pimentoplank/src/relay/decisions/index.ts
+++ b/packages/pimentoplank/src/relay/decisions/index.ts
@@ -5,9 +5,12 @@
   choosePlacement, type Placement, type PlacementCandidate, type PlacementInput, type PlacementRules
 } from './placement'
 export {
-  countExcess, chooseStarts, choosePreempted, rankItem,
+  countExcess, countRoom, chooseStarts, choosePreempted, rankItem,
   type BatchCandidate, type BatchScheduleInput, type BatchStart, type ExcessInput, type RunningItem, type WaitingItem
 } from './batchScheduling'
+export {
+  decideItemVersion, type ItemVersionDecision, type ItemVersionInput, type ItemVersionRules
+} from './itemVersions'
 export { isRepeatable, canRetry, type RetryState, type TryFailure } from './retries'
 export { isClearlyUnderLimit, countWaitingTokens, type CountedJob } from './quota'
 export { BATCH_ALLOWANCE, computeLimitShare, LIVE_ALLOWANCE, refillAllowance, type Allowance, type LimitShareInput } from './limitShare'
--- a/packages/pimentoplank/src/relay/decisions/patterns.steps.ts
+++ b/packages/pimentoplank/src/relay/decisions/patterns.steps.ts
@@ -109,7 +109,9 @@
 })
 
 Then('the item due in {int} ms starts', function (this: PatternWorld, due: number) {
-  const target = { id: 't', slots: 1, live: 0, batch: 0, isNear: true, isSuspect: false, isFresh: true, allowance: Infinity }
+  const target = {
+    id: 't', version: 'v1', slots: 1, live: 0, batch: 0, isNear: true, isSuspect: false, isFresh: true, allowance: Infinity
+  }
   const [start] = chooseStarts({ targets: [target], own: this.ranked, others: [], liveReserve: 0 })
   assert.equal(start?.item.job, String(due))
 })
--- a/packages/pimentoplank/src/relay/decisions/testing/simulation.ts
+++ b/packages/pimentoplank/src/relay/decisions/testing/simulation.ts
@@ -263,7 +263,7 @@
     if (own.length === 0) return
     const all = listCandidates(instance)
     const starts = chooseStarts({
-      targets: all,
+      targets: all.map((one) => ({ ...one, version: 'v1' })),
       own,
       others: ready.filter((item) => item.instance !== instance).map(({ dueAt }) => ({ dueAt, count: 1 })),
       liveReserve: Math.round(all.length * pattern.slots * RELAY_RULES.items.liveReserveShare)
--- a/packages/pimentoplank/src/relay/gossip/datagrams.ts
+++ b/packages/pimentoplank/src/relay/gossip/datagrams.ts
@@ -20,7 +20,7 @@
     incarnation: BigInt(report.incarnation),
     stage: STAGE_CODES[report.stage],
     uses: [...report.uses].map(([target, { live, batch }]) => ({ target, live, batch })),
-    waiting: report.waiting.map(({ dueAt, count }) => ({ dueInMs: Math.round(dueAt - now), count })),
+    waiting: encodeWaiting(report.waiting, now),
     knownPeers: [...report.knownPeers],
     jobs: [...report.jobs],
     crashes: report.crashes.map(({ target, at, prompts }) => ({
@@ -36,6 +36,22 @@
   return toBinary(DatagramSchema, create(DatagramSchema, { content: { case: 'report', value: message } }))
 }
 
+function encodeWaiting (
+  waiting: readonly WaitingItems[],
+  now: number
+): Array<{ dueInMs: number, count: number, version: number }> {
+  return waiting.map(({ dueAt, count, version = 0 }) => ({ dueInMs: Math.round(dueAt - now), count, version }))
+}
+
+function decodeWaiting (
+  waiting: ReadonlyArray<{ dueInMs: number, count: number, version: number }>,
+  now: number
+): WaitingItems[] {
+  return waiting.map(({ dueInMs, count, version }) => (
+    { dueAt: now + dueInMs, count, version: version === 0 ? undefined : version }
+  ))
+}
+
 function toAgeMs (at: number, now: number): number {
   return Math.max(0, Math.round(now - at))
 }
@@ -50,7 +66,7 @@
     targets: uses.map(([target]) => target),
     live: uses.map(([, { live }]) => live),
     batch: uses.map(([, { batch }]) => batch),
-    waiting: load.waiting.map(({ dueAt, count }) => ({ dueInMs: Math.round(dueAt - now), count })),
+    waiting: encodeWaiting(load.waiting, now),
     suspects: [...load.suspects]
   })
   return toBinary(DatagramSchema, create(DatagramSchema, { content: { case: 'load', value: message } }))
@@ -134,7 +150,7 @@
       failureDomain: rest.failureDomain,
       region: rest.region,
       uses: new Map(uses.map(({ target, live, batch }): [number, TargetUse] => [target, { live, batch }])),
-      waiting: waiting.map(({ dueInMs, count }) => ({ dueAt: now + dueInMs, count })),
+      waiting: decodeWaiting(waiting, now),
       knownPeers: rest.knownPeers,
       jobs: jobs.map(({ job, owner, epoch, ended }): JobOwnership => ({ job, owner, epoch, ended })),
       suspects: new Set(suspects),
@@ -155,7 +171,7 @@
     incarnation,
     sequence,
     uses: decodeUses(targets, live, batch),
-    waiting: waiting.map(({ dueInMs, count }) => ({ dueAt: now + dueInMs, count })),
+    waiting: decodeWaiting(waiting, now),
     suspects: new Set(suspects)
   }
 }
--- a/packages/pimentoplank/src/relay/gossip/types.ts
+++ b/packages/pimentoplank/src/relay/gossip/types.ts
@@ -14,6 +14,8 @@
   /** Due time on the local monotonic clock, in milliseconds. */
   dueAt: number
   count: number
+  /** Hash of the software version at which they must go on; undefined for any. */
+  version?: number
 }
 
 /** Ownership of a batch job. */
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.feature
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.feature
@@ -53,3 +53,62 @@
     And the runner looks for items to start and the job is ended in the same moment
     Then the item ran 1 times
     And target "a" has 0 items and target "b" has 0
+
+  Scenario: An item whose version is gone begins anew, which is no failed run
+    Given an item runner with a job of 1 item and a target "a" with 1 slot
+    And the first item has failed once
+    When the runner looks for items to start
+    And target "a" sends events 1 to 2
+    And target "a" is gone and target "b" of version "v2" has 1 slot
+    And the run at "a" breaks off
+    And 1 s pass for the item runner
+    And the runner looks for items to start
+    Then the item ran 2 times, the last time at "b" from its beginning
+    And the first item has failed 1 times
+
+  Scenario: An item whose target came back under its id at another version begins anew
+    Given an item runner with a job of 1 item and a target "a" with 1 slot
+    When the runner looks for items to start
+    And target "a" sends events 1 to 2
+    And target "a" has version "v2"
+    And the run at "a" breaks off
+    And 1 s pass for the item runner
+    And the runner looks for items to start
+    Then the item ran 2 times, the last time at "a" from its beginning
+
+  Scenario: An item without any target keeps its text until one of its version is back
+    Given an item runner with a job of 1 item and a target "a" with 1 slot
+    When the runner looks for items to start
+    And target "a" sends events 1 to 2
+    And target "a" is gone
+    And the run at "a" breaks off
+    And 9 s pass for the item runner
+    And the runner looks for items to start
+    And target "a" is back
+    And the runner looks for items to start
+    Then the item ran 2 times, the last time at "a" after event 2
+
+  Scenario: An item waits for its version for a bounded time while other targets are idle
+    Given an item runner with a job of 1 item and a target "a" with 1 slot
+    And a target "b" of version "v2" with 1 slot
+    When the runner looks for items to start
+    And target "a" sends events 1 to 2
+    And target "a" is full of live requests
+    And the run at "a" breaks off
+    And 1 s pass for the item runner
+    And the runner looks for items to start
+    And 2 s pass for the item runner
+    And the runner looks for items to start
+    Then the item ran 1 times
+    When 1 s pass for the item runner
+    And the runner looks for items to start
+    Then the item ran 2 times, the last time at "b" from its beginning
+
+  Scenario: A silent run with text does not move to another version
+    Given an item runner with a job of 1 item and a target "a" with 1 slot
+    When the runner looks for items to start
+    And target "a" sends events 1 to 2
+    And a target "b" of version "v2" with 1 slot
+    And 4 s pass for the item runner
+    And the runner looks for items to start
+    Then the item ran 1 times
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
@@ -24,6 +24,8 @@
   job: OwnedJob
   table: RouteTable
   loads: Map<string, TargetLoad>
+  /** Ids of targets that are not registered any more. */
+  gone: Set<string>
   sent: SentRun[]
 }
 
@@ -79,8 +81,8 @@
   })
 }
 
-function addTarget ({ loads }: RunnerWorld, id: string, slots: number): void {
-  const target: Target = { id, service: SERVICE, address: id, failureDomain: 'a', slots, state: 'ready' }
+function addTarget ({ loads }: RunnerWorld, id: string, slots: number, version = 'v1'): void {
+  const target: Target = { id, service: SERVICE, address: id, failureDomain: 'a', version, slots, state: 'ready' }
   loads.set(id, {
     target,
     key: loads.size,
@@ -97,7 +99,8 @@
 
 function createFakeLoads (world: RunnerWorld): LoadView {
   const loads: Partial<LoadView> = {
-    getLoads: (service) => [...world.loads.values()].filter(({ target }) => target.service === service),
+    getLoads: (service) => [...world.loads.values()]
+      .filter(({ target }) => target.service === service && !world.gone.has(target.id)),
     getLoad: (id) => world.loads.get(id),
     begin: (id) => { world.loads.get(id)!.batch += 1 },
     end: (id) => { world.loads.get(id)!.batch -= 1 },
@@ -137,6 +140,7 @@
   this.table = createTable(SERVICE)
   this.loads = new Map()
   this.sent = []
+  this.gone = new Set()
   addTarget(this, id, slots)
   const { clock } = this
   const jobRegistry = createJobRegistry({ self: SELF, noticeMs: 0, onNotice: () => undefined, clock })
@@ -219,3 +223,55 @@
   assert.equal(this.loads.get(first)!.batch, firstCount)
   assert.equal(this.loads.get(second)!.batch, secondCount)
 })
+
+Given('a target {string} of version {string} with {int} slot(s)', function (
+  this: RunnerWorld, id: string, version: string, slots: number
+) {
+  addTarget(this, id, slots, version)
+})
+
+Given('the first item has failed once', function (this: RunnerWorld) {
+  this.job.openItems().get('item-0')!.failures = 1
+})
+
+Then('the first item has failed {int} times', function (this: RunnerWorld, count: number) {
+  assert.equal(this.job.openItems().get('item-0')!.failures, count)
+})
+
+When('the run at {string} breaks off', async function (this: RunnerWorld, id: string) {
+  this.sent.findLast(({ target }) => target.id === id)!.push(err(new SendFailure('broken', true, 'reset')))
+  await settle()
+})
+
+When('target {string} has version {string}', function (this: RunnerWorld, id: string, version: string) {
+  const load = this.loads.get(id)!
+  load.target = { ...load.target, version }
+})
+
+When('target {string} is full of live requests', function (this: RunnerWorld, id: string) {
+  const load = this.loads.get(id)!
+  load.live = load.target.slots
+})
+
+When('target {string} is gone', function (this: RunnerWorld, id: string) {
+  this.gone.add(id)
+})
+
+When('target {string} is back', function (this: RunnerWorld, id: string) {
+  this.gone.delete(id)
+})
+
+When('target {string} is gone and target {string} of version {string} has {int} slot(s)', function (
+  this: RunnerWorld, gone: string, id: string, version: string, slots: number
+) {
+  this.gone.add(gone)
+  addTarget(this, id, slots, version)
+})
+
+Then('the item ran {int} times, the last time at {string} from its beginning', function (
+  this: RunnerWorld, count: number, id: string
+) {
+  assert.equal(this.sent.length, count)
+  assert.equal(this.sent.at(-1)!.target.id, id)
+  assert.equal(this.sent.at(-1)!.lastEventId, undefined)
+})
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.ts
@@ -1,18 +1,23 @@
 /** Runs items of owned jobs in slots that live requests leave free. */
-import type { Clock, Log, Metrics, Random } from '../../shared'
-import { countExcess, chooseStarts, choosePreempted, rankItem, type RunningItem, type WaitingItem } from '../decisions'
+import { hash32, type Clock, type Log, type Metrics, type Random } from '../../shared'
+import {
+  countExcess, chooseStarts, choosePreempted,
+  type BatchCandidate, type ItemVersionRules, type RunningItem
+} from '../decisions'
 import type { Exchange } from '../exchange'
 import type { PeerView, WaitingItems } from '../gossip'
 import { BEGINNING_EVENTS, type CrashTracker } from '../live'
-import type { LoadView } from '../load'
-import type { Route, Target } from '../model'
-import { pickService, type RouteTable } from '../routing'
+import type { LoadView, TargetLoad } from '../load'
+import type { Target } from '../model'
+import type { RouteTable } from '../routing'
+import { dropBlockedText } from './blockedText'
 import { createItemTimeEstimator } from './itemTimeEstimator'
 import type { JobRegistry } from './jobRegistry'
-import type { ItemProgress, OwnedJob } from './ownedJob'
+import type { OwnedJob } from './ownedJob'
+import { createReadyItemFinder, findNeededVersion, summarizeReadyItems, type ReadyItem } from './readyItems'
 import { createItemRequest, runItem, SILENT_TARGET, type ItemEnd } from './runItem'
 
-export interface ItemRunnerRules {
+export interface ItemRunnerRules extends ItemVersionRules {
   /** Share of each service's slots that batch items leave free for live requests. */
   liveReserveShare: number
   /** Mean backoff before a refused item is retried, in milliseconds. */
@@ -61,14 +66,6 @@
   getWaiting: () => WaitingItems[]
 }
 
-interface ReadyItem extends WaitingItem {
-  owned: OwnedJob
-  itemId: string
-  progress: ItemProgress
-  service: string
-  route: Route
-}
-
 /** A waiting item, or one whose run at a silent target may move. */
 interface StartableItem extends ReadyItem {
   run?: ActiveRun
@@ -84,10 +81,6 @@
   next?: Target
 }
 
-/** Due times are rounded up to this step in gossip reports, in milliseconds, so that a report stays small. */
-const DUE_STEP_MS = 1000
-/** Maximum number of due times in one report. */
-const MAX_DUE_STEPS = 12
 /** Crashes after which an item is tried again as soon as after other broken runs. */
 const QUICK_CRASHES = 4
 /** With more crashes the backoff is doubled up to this many times. */
@@ -103,33 +96,12 @@
   const { jobRegistry: registry, loads, rules, clock, random, metrics, log } = options
   const running = new Set<ActiveRun>()
   const pace = createItemTimeEstimator()
-
-  function computeRank (owned: OwnedJob, progress: ItemProgress): number {
-    return rankItem(owned.dueAt, pace.estimateRemainingMs(progress.lastEventId ?? 0), clock.now())
-  }
-
-  function findReadyItems (table: RouteTable): ReadyItem[] {
-    const now = clock.now()
-    const ready: ReadyItem[] = []
-    for (const owned of registry.owned()) {
-      if (owned.isEnded()) continue
-      for (const [itemId, progress] of owned.openItems()) {
-        if (progress.target !== undefined || progress.notBefore > now) continue
-        const item = owned.findItem(itemId)
-        const route = table.findRoute(owned.record().host, item?.path ?? '')
-        const service = route === undefined ? undefined : pickService(route, random())
-        if (item === undefined || route === undefined || service === undefined) continue
-        if (options.crashes.hasCrashingParts(item.headers)) continue
-        ready.push({ job: owned.id, dueAt: computeRank(owned, progress), owned, itemId, progress, service, route })
-      }
-    }
-    return ready
-  }
+  const finder = createReadyItemFinder({ jobRegistry: registry, crashes: options.crashes, pace, clock, random })
 
   function startReadyItems (): void {
     const table = options.table()
     if (table === undefined || options.isPaused()) return
-    const ready: StartableItem[] = [...findReadyItems(table), ...findSilentItems(table)]
+    const ready: StartableItem[] = [...finder.find(table), ...findSilentItems(table)]
     if (ready.length === 0) return
     const others = options.peers().flatMap(({ report }) => report.waiting)
     for (const service of new Set(ready.map((item) => item.service))) {
@@ -145,29 +117,30 @@
       const { owned, itemId, progress, service } = run.ready
       const route = table.findRoute(owned.record().host, owned.findItem(itemId)?.path ?? '')
       if (route?.services.some((one) => one.service === service && one.weight > 0) !== true) return []
-      return [{ ...run.ready, route, dueAt: computeRank(owned, progress), excluded, run }]
+      const dueAt = finder.computeRank(owned, progress)
+      return [{ ...run.ready, route, dueAt, version: findNeededVersion(progress), excluded, run }]
     })
   }
 
   function startItems (service: string, own: StartableItem[], others: readonly WaitingItems[]): void {
     const all = loads.getLoads(service)
-    const slots = all.reduce((sum, { target }) => sum + target.slots, 0)
     const silent = new Set([...running].filter(({ isSilent }) => isSilent).map(({ target }) => target))
+    const candidates = all.map((load) => toCandidate(load, silent))
+    const slots = all.reduce((sum, { target }) => sum + target.slots, 0)
+    const liveReserve = Math.round(slots * rules.liveReserveShare)
+    for (const item of own) {
+      if (item.run !== undefined || !dropBlockedText(item, { ...options, candidates, liveReserve, pace })) continue
+      item.version = undefined
+      item.dueAt = finder.computeRank(item.owned, item.progress)
+    }
+    const versions = new Map(candidates.map(({ version }) => [hash32(version), version]))
     const starts = chooseStarts({
-      targets: all.map(({ target, live, batch, isSuspect, isFresh, allowance }) => ({
-        id: target.id,
-        slots: target.slots,
-        live,
-        batch,
-        isNear: target.failureDomain === options.failureDomain,
-        isSuspect,
-        isFresh,
-        isSilent: silent.has(target.id),
-        allowance
-      })),
+      targets: candidates,
       own,
-      others,
-      liveReserve: Math.round(slots * rules.liveReserveShare)
+      // Items that need a version which is not here can't start here either.
+      others: others.filter(({ version }) => version === undefined || versions.has(version))
+        .map(({ dueAt, count, version }) => ({ dueAt, count, version: versions.get(version ?? 0) })),
+      liveReserve
     })
     const targets = new Map(all.map(({ target }) => [target.id, target]))
     for (const { item, target } of starts) {
@@ -180,6 +153,24 @@
     }
   }
 
+  function toCandidate (
+    { target, live, batch, isSuspect, isFresh, allowance }: TargetLoad,
+    silent: ReadonlySet<string>
+  ): BatchCandidate {
+    return {
+      id: target.id,
+      version: target.version,
+      slots: target.slots,
+      live,
+      batch,
+      isNear: target.failureDomain === options.failureDomain,
+      isSuspect,
+      isFresh,
+      isSilent: silent.has(target.id),
+      allowance
+    }
+  }
+
   /** Gives up a run at a silent target; the item goes on in a slot that is held for it. */
   function moveRun (run: ActiveRun, next: Target): void {
     const { owned, itemId, progress } = run.ready
@@ -199,11 +190,14 @@
     const item = owned.findItem(itemId)!
     const stop = new AbortController()
     progress.target = target.id
+    progress.readySince = undefined
+    progress.version = target.version
     progress.interrupt = () => stop.abort()
     log.info({
       job: owned.id,
       item: itemId,
       target: target.id,
+      version: target.version,
       lastEvent: progress.lastEventId,
       dueInMs: Math.round(owned.dueAt - clock.now())
     }, 'item started')
@@ -301,7 +295,9 @@
     }
     handlers[end.type](end as never)
     if (next !== undefined) {
-      const mayGoOn = owned.openItems().has(itemId) && !owned.isEnded() && !options.isPaused()
+      const version = findNeededVersion(progress) ?? next.version
+      const mayGoOn = version === next.version && owned.openItems().has(itemId) && !owned.isEnded() &&
+        !options.isPaused()
       if (end.type === 'interrupted' && mayGoOn) start(ready, next)
       else loads.end(next.id, 'batch')
     }
@@ -315,7 +311,7 @@
 
   function yieldItems (targetId: string, count: number): void {
     const candidates = [...running].filter((entry) => entry.target === targetId && !entry.stop.signal.aborted)
-    for (const entry of candidates) entry.dueAt = computeRank(entry.ready.owned, entry.ready.progress)
+    for (const entry of candidates) entry.dueAt = finder.computeRank(entry.ready.owned, entry.ready.progress)
     for (const entry of choosePreempted(candidates, count)) {
       metrics.count('items.yielded')
       entry.stop.abort()
@@ -355,13 +351,7 @@
     getWaiting: () => {
       const table = options.table()
       if (table === undefined) return []
-      const steps = new Map<number, number>()
-      for (const { dueAt } of findReadyItems(table)) {
-        const step = Math.ceil(dueAt / DUE_STEP_MS)
-        steps.set(step, (steps.get(step) ?? 0) + 1)
-      }
-      return [...steps].sort(([a], [b]) => a - b).slice(0, MAX_DUE_STEPS)
-        .map(([step, count]) => ({ dueAt: step * DUE_STEP_MS, count }))
+      return summarizeReadyItems(finder.find(table))
     }
   }
 }
--- a/packages/pimentoplank/src/relay/jobs/jobManager.feature
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.feature
@@ -26,3 +26,8 @@
     And the first item of the job runs and has event 2
     And the store updates the record
     Then the items of the job have events 2 and 5
+
+  Scenario: A text that a peer hands over without its version is dropped, the failures of its item are kept
+    Given a job manager whose store holds a job of 2 items with this instance as its owner
+    When a peer hands the job over with event 5 of both items, only the second with its version, and 1 failure each
+    Then the items of the job have no event and event 5, and 1 failure each
--- a/packages/pimentoplank/src/relay/jobs/jobManager.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.steps.ts
@@ -1,12 +1,15 @@
 import assert from 'node:assert/strict'
 import { setImmediate as nextTurn } from 'node:timers/promises'
+import { createClient, createRouterTransport } from '@connectrpc/connect'
 import { Given, Then, When } from '@cucumber/cucumber'
 import { ok, ResultAsync } from 'neverthrow'
 import { createManualClock, type ManualClock } from '../../../features/support/manualClock'
-import { createInMemoryMetrics, createSilentLog } from '../../shared'
+import { createInMemoryMetrics, createSilentLog, JobService } from '../../shared'
 import { createRouteTable, type RouteTable } from '../routing'
 import { RELAY_RULES } from '../rules'
-import { createJobManager, createJobRegistry, type JobManager, type JobRegistry } from '.'
+import {
+  createJobManager, createJobRegistry, createJobService, type JobApi, type JobManager, type JobRegistry
+} from '.'
 import type { JobStore, StoredJob } from './jobStore'
 import type { ItemResult, JobItem } from './records'
 
@@ -188,3 +191,29 @@
   assert.equal(new Set(this.results.map(({ item }) => item)).size, count)
   this.manager.close()
 })
+
+When('a peer hands the job over with event {int} of both items, only the second with its version, and {int} failure each', async function (
+  this: ManagerWorld, event: number, failures: number
+) {
+  const transport = createRouterTransport(createJobService({
+    jobRegistry: this.jobRegistry, jobManager: this.manager, jobApi: {} as unknown as JobApi
+  }))
+  this.updateRecord()
+  const { taken } = await createClient(JobService, transport).handOver({
+    job: JOB,
+    epoch: 1,
+    progress: this.items.map(({ id }, index) => (
+      { item: id, lastEvent: event, text: 'text', failures, version: index === 0 ? '' : 'v2' }
+    ))
+  })
+  assert.equal(taken, true)
+})
+
+Then('the items of the job have no event and event {int}, and {int} failure each', function (
+  this: ManagerWorld, event: number, failures: number
+) {
+  const [first, second] = [...this.jobRegistry.get(JOB)!.openItems().values()]
+  assert.deepEqual([first!.lastEventId, first!.data, first!.failures], [undefined, [], failures])
+  assert.deepEqual([second!.lastEventId, second!.version, second!.failures], [event, 'v2', failures])
+  this.manager.close()
+})
--- a/packages/pimentoplank/src/relay/jobs/jobService.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobService.ts
@@ -41,12 +41,10 @@
     const done = req.progress.filter(({ finished }) => finished)
     const taken = await manager.takeOver(
       req.job,
-      new Map(open.map(({ item, lastEvent, text, failures }) => [item, {
-        lastEventId: lastEvent > 0 ? lastEvent : undefined,
-        data: lastEvent > 0 ? [text] : [],
-        failures,
-        crashes: 0,
-        silences: 0
+      new Map(open.map(({ item, lastEvent, text, version, failures }) => [item, {
+        // Without its version a text can't go on.
+        ...(lastEvent > 0 && version !== '' ? { lastEventId: lastEvent, data: [text], version } : {}),
+        failures
       }])),
       done.map(({ item, completed, text }) => ({ item, completed, text }))
     )
--- a/packages/pimentoplank/src/relay/jobs/ownedJob.ts
+++ b/packages/pimentoplank/src/relay/jobs/ownedJob.ts
@@ -9,6 +9,10 @@
   lastEventId?: number
   /** Data of the events received so far. */
   data: string[]
+  /** Software version of the target that wrote `data`. */
+  version?: string
+  /** Since when the item has been ready to run, on the monotonic clock; undefined while it runs. */
+  readySince?: number
   /** Number of answers that reported a failed run. */
   failures: number
   /** Number of runs in a row that broke off before their answer had begun. */
--- a/packages/pimentoplank/src/relay/model/types.ts
+++ b/packages/pimentoplank/src/relay/model/types.ts
@@ -85,6 +85,8 @@
   /** IP number and port. */
   address: string
   failureDomain: string
+  /** Version of its software; what two versions write does not fit together. */
+  version: string
   /** Requests that it runs concurrently. */
   slots: number
   state: TargetState
--- a/packages/pimentoplank/src/relay/rules.ts
+++ b/packages/pimentoplank/src/relay/rules.ts
@@ -19,7 +19,8 @@
   refusedBackoffMs: 100,
   failedBackoffMs: 200,
   silenceTimeoutMs: 1500,
-  maxSilenceMs: 10_000
+  maxSilenceMs: 10_000,
+  maxVersionWaitMs: 3000
 }
 
 /** Storage of results and takeover of jobs. */
