--- a/packages/pimentoplank/src/relay/rules.ts
+++ b/packages/pimentoplank/src/relay/rules.ts
@@ -18,7 +18,9 @@
   liveReserveShare: 0.04,
   refusedBackoffMs: 100,
   failedBackoffMs: 200,
-  silenceTimeoutMs: 1500
+  silenceTimeoutMs: 1500,
+  maxSilenceMs: 10_000,
+  maxVersionWaitMs: 3000
 }
 
 /** Storage of results and takeover of jobs. */
