Let the engine stand-in fall silent for a while after some tokens

The fault `silence: {afterTokens, ms}` suspends all work of the engine whenever a run has generated so many tokens, and lets it go on afterwards. `freezeMs` starts at the time of the call and can't be tied to the progress of a stream.

--- a/packages/standins/src/engine/engine.feature
+++ b/packages/standins/src/engine/engine.feature
@@ -67,6 +67,14 @@
     Then stream 1 of the engine stand-in has sent nothing
     And the engine stand-in returns the complete answer to "routes" in one body
 
+  Scenario: An engine falls silent after a number of tokens and goes on
+    Given an engine stand-in with 1 slots
+    And the engine stand-in falls silent for 1000 ms after 3 tokens
+    When the engine stand-in gets the prompt "routes" for 6 tokens
+    And 900 ms pass for the engine stand-in
+    Then the engine stand-in generated 3 tokens for "routes"
+    And stream 1 of the engine stand-in is complete
+
   Scenario Outline: Requests are refused before anything runs
     Given an engine stand-in with 1 slots
     And the engine stand-in is "<state>"
--- a/packages/standins/src/engine/engine.steps.ts
+++ b/packages/standins/src/engine/engine.steps.ts
@@ -66,6 +66,11 @@
     this.engine.setFaults({ cutAfterTokens })
   })
 
+Given('the engine stand-in falls silent for {int} ms after {int} tokens',
+  function (this: EngineWorld, ms: number, afterTokens: number) {
+    this.engine.setFaults({ silence: { afterTokens, ms } })
+  })
+
 Given('the engine stand-in is {string}', function (this: EngineWorld, state: string) {
   this.engine.setFaults({ busy: state === 'busy', leaving: state === 'leaving', failOn: state === 'failing' ? 'a' : null })
 })
--- a/packages/standins/src/engine/engineStandin.ts
+++ b/packages/standins/src/engine/engineStandin.ts
@@ -74,6 +74,9 @@
     shouldCrash: (prompt) => typeof faults.crashOn === 'string' && prompt.includes(faults.crashOn),
     onCrash: resolved.onCrash ?? crash,
     getPauseAfterTokens: () => faults.holdAfterTokens ?? null,
+    onToken: (ownTokens) => {
+      if (ownTokens === faults.silence?.afterTokens) freeze(faults.silence.ms)
+    },
     onLoadChange: (running, waiting) => reporter.record({ slots, running, waiting, cachedPrefixes: cache.getSize() })
   })
   const models = createModelRegistry({ ...resolved, isModelInUse: scheduler.isModelInUse })
@@ -83,10 +86,12 @@
     stepTimings.tokenMs = changes.tokenMs ?? stepTimings.tokenMs
     stepTimings.firstTokenMs = changes.firstTokenMs ?? stepTimings.firstTokenMs
     if (changes.silentStreams === true) for (const socket of server.getSockets()) silentSockets.add(socket)
-    if (changes.freezeMs !== undefined) {
-      frozenUntil = clock.now() + changes.freezeMs
-      scheduler.freezeUntil(frozenUntil)
-    }
+    if (changes.freezeMs !== undefined) freeze(changes.freezeMs)
+  }
+
+  function freeze (ms: number): void {
+    frozenUntil = clock.now() + ms
+    scheduler.freezeUntil(frozenUntil)
   }
 
   function readState (): EngineState {
--- a/packages/standins/src/engine/faults.ts
+++ b/packages/standins/src/engine/faults.ts
@@ -10,6 +10,8 @@
   silentStreams: z.union([z.boolean(), z.literal('all')]),
   /** Suspends all work of the engine for this long, in milliseconds. */
   freezeMs: z.number().min(0),
+  /** Suspends all work of the engine for `ms` milliseconds whenever a run has generated `afterTokens` tokens. */
+  silence: z.strictObject({ afterTokens: z.int().min(1), ms: z.number().min(0) }).nullable(),
   /** Closes the connection of each stream after this many tokens; 0 switches the fault off. */
   cutAfterTokens: z.int().min(0),
   /** How `cutAfterTokens` ends a connection inside the next event; null closes it between two events. */
--- a/packages/standins/src/engine/scheduler.ts
+++ b/packages/standins/src/engine/scheduler.ts
@@ -30,6 +30,8 @@
   onCrash: () => unknown
   /** Returns the number of tokens generated in its own run after which a stream pauses; null for no limit. */
   getPauseAfterTokens: () => number | null
+  /** Called with the number of tokens that a run has generated, after each of them. */
+  onToken: (ownTokens: number) => void
   /** Called when the number of running or waiting streams may have changed. */
   onLoadChange: (running: number, waiting: number) => void
 }
@@ -152,6 +154,7 @@
       stream.tokens += 1
       stream.run!.tokens = stream.tokens
       for (const reader of [...stream.readers]) reader.onToken(index, text)
+      options.onToken(stream.tokens - stream.req.receivedTokens)
     }
     if (stream.tokens >= stream.req.maxTokens) endStream(stream, 'done')
   }
