Let streams that have begun wait for a slot instead of being refused

A live stream that had to move to another target asked for its slot like a new request. The owner of the slots refused it when the queue was full, or when the expected wait was beyond the deadline, and the stream was cut.

A slot request now says whether its stream has delivered tokens (`begun`). The owner queues such a request beyond the bound of its queue, doesn't evict it, and refuses it for time only once its deadline has passed.

--- a/packages/pimentoplank/src/entry/slots/admission.feature
+++ b/packages/pimentoplank/src/entry/slots/admission.feature
@@ -98,6 +98,30 @@
     When the slot clock advances 2600 ms
     Then 1 live request of slot holder "b" is refused as "deadlineUnreachable"
 
+  Scenario: A begun stream waits in a full queue and is not evicted from it
+    Given a slot rig of 1 owner and 1 target with 1 slot and scheduler settings
+      | maxWaiting   | 2 |
+      | runShare     | 0 |
+      | initialRunMs | 1 |
+    When slot holder "a" asks for 3 live slots
+    And slot holder "b" asks for 2 live slots with 30000 ms left for a begun stream
+    Then slot holder "b" waits for 2 live slots
+    And slot holder "a" waits for 2 live slots
+    When slot holder "c" asks for 1 live slot as account "small"
+    Then slot holder "b" waits for 2 live slots
+    And 1 live request of slot holder "a" is refused as "queueFull"
+
+  Scenario: A begun stream waits until its deadline, however long the queue is expected to take
+    Given a slot rig of 1 owner and 1 target with 2 slots
+    When live work of 2000 ms has been measured by slot holder "a" 4 times
+    And slot holder "a" asks for 6 live slots with 60000 ms left
+    And slot holder "b" asks for 1 live slot with 2500 ms left for a begun stream
+    Then slot holder "b" waits for 1 live slot
+    When the slot clock advances 2400 ms
+    Then slot holder "b" waits for 1 live slot
+    When slot holder "a" releases 2 live slots
+    Then slot holder "b" holds 1 live slot
+
   Scenario: A repeated release changes nothing
     Given a slot rig of 1 owner and 1 target with 2 slots
     When slot holder "a" asks for 2 live slots
--- a/packages/pimentoplank/src/entry/slots/fairQueue.ts
+++ b/packages/pimentoplank/src/entry/slots/fairQueue.ts
@@ -30,9 +30,9 @@
   isAboveFairShare: (item: Item) => boolean
   /**
    * Returns the item to evict to make room for this one: the last one of the account with the most waiting for its
-   * weight; undefined when that is the item's own account.
+   * weight; undefined when that is the item's own account, or when it has no item that may be evicted.
    */
-  findEvictable: (item: Item) => Item | undefined
+  findEvictable: (item: Item, mayEvict: (item: Item) => boolean) => Item | undefined
 }
 
 interface AccountQueue<Item> {
@@ -116,12 +116,12 @@
       const virtual = active.get(item.account)?.virtual ?? idleVirtualTimes.get(item.account) ?? floor
       return virtual > floor + DEADLINE_SLACK
     },
-    findEvictable: (item) => {
+    findEvictable: (item, mayEvict) => {
       const longest = [...active.values()]
         .reduce((best, queue) => queue.items.length / queue.weight > best.items.length / best.weight ? queue : best)
       const ownSize = (active.get(item.account)?.items.length ?? 0) + 1
       if (ownSize / item.weight >= longest.items.length / longest.weight) return undefined
-      return longest.items.at(-1)
+      return longest.items.findLast(mayEvict)
     }
   }
 }
--- a/packages/pimentoplank/src/entry/slots/slotScheduler.ts
+++ b/packages/pimentoplank/src/entry/slots/slotScheduler.ts
@@ -160,7 +160,8 @@
       account: req.account,
       weight: req.weight > 0 ? req.weight : 1,
       deadlineAt: clock.now() + req.deadlineMs,
-      ignoreEjection: req.ignoreEjection
+      ignoreEjection: req.ignoreEjection,
+      begun: req.begun
     })
   }
 
--- a/packages/pimentoplank/src/entry/slots/slots.steps.ts
+++ b/packages/pimentoplank/src/entry/slots/slots.steps.ts
@@ -64,6 +64,12 @@
   await requestSlots(this, holder, count, { workClass: 'live', excluded: others })
 })
 
+When('slot holder {string} asks for {int} live slot(s) with {int} ms left for a begun stream', async function (
+  this: SlotsWorld, holder: string, count: number, deadlineMs: number
+) {
+  await requestSlots(this, holder, count, { workClass: 'live', deadlineMs, begun: true })
+})
+
 When('slot holder {string} asks for {int} live slot(s) and cancels', async function (
   this: SlotsWorld, holder: string, count: number
 ) {
--- a/packages/pimentoplank/src/entry/slots/targetScheduler.ts
+++ b/packages/pimentoplank/src/entry/slots/targetScheduler.ts
@@ -24,6 +24,8 @@
   /** On the owner's monotonic clock, in milliseconds. */
   deadlineAt: number
   ignoreEjection: boolean
+  /** True for a stream that has delivered tokens; it waits until its deadline rather than being refused for load. */
+  begun: boolean
 }
 
 export interface ReleaseReport {
@@ -128,7 +130,7 @@
   /** Whether the ticket can't meet its deadline, with the estimated wait multiplied by a safety margin. */
   function isDeadlineUnreachable (ticket: Ticket, margin: number): boolean {
     const wait = ticket.batch ? 0 : margin * estimateWaitMs(live.countAhead(ticket))
-    const needed = wait === 0 ? 0 : wait + runTimes.meanRunMs() * settings.runShare
+    const needed = wait === 0 || ticket.begun ? 0 : wait + runTimes.meanRunMs() * settings.runShare
     return clock.now() + needed >= ticket.deadlineAt
   }
 
@@ -189,8 +191,8 @@
   function makeQueueRoom (ticket: Ticket): boolean {
     const queue = getQueue(ticket)
     const bound = ticket.batch ? settings.maxWaitingBatch : settings.maxWaiting
-    if (queue.size() < bound || (!ticket.batch && grants.size < getCapacity())) return true
-    const candidate = queue.findEvictable(ticket)
+    if (ticket.begun || queue.size() < bound || (!ticket.batch && grants.size < getCapacity())) return true
+    const candidate = queue.findEvictable(ticket, (other) => !other.begun)
     if (candidate === undefined) return false
     refuseQueued(candidate, SlotRefusalReason.QUEUE_FULL)
     return true
--- a/packages/pimentoplank/src/shared/slots/ownerStream.ts
+++ b/packages/pimentoplank/src/shared/slots/ownerStream.ts
@@ -220,7 +220,8 @@
     account: request.req.account,
     weight: request.req.weight === 1 ? 0 : request.req.weight,
     deadlineMs: Math.min(MAX_DEADLINE_MS, Math.max(1, Math.ceil(request.deadlineMs))),
-    ignoreEjection: request.ignoreEjection
+    ignoreEjection: request.ignoreEjection,
+    begun: request.req.begun
   }
 }
 
--- a/packages/pimentoplank/src/shared/slots/types.ts
+++ b/packages/pimentoplank/src/shared/slots/types.ts
@@ -20,6 +20,8 @@
   prefixHash: bigint
   /** Ids of targets that this request has already failed on. */
   excluded: readonly string[]
+  /** True for a stream that has delivered tokens; it waits for its slot until the deadline. */
+  begun?: boolean
   /** Id of the target to try first, such as the one that stores a resume point. */
   preferred?: string
 }
