Give up silent streams only once a slot elsewhere is held

What callers saw: an answer that had begun ended with an error event while its target was sound. A stream without a token for tokenGapTimeoutMs was probed and reconnected once for a short time, and otherwise cancelled, and its slot was returned before another one was held. The move was then admitted like a new request, and refused as queueFull, deadlineUnreachable, noTarget or retryBudget. With a spent retry budget, even the new connection to the running stream was not made. At-most-once items of jobs ended as unknown after the same silence; other items were given up and asked for a slot anew.

Change: - A silent stream stays open. Meanwhile new connections to it are tried, and then a slot on another target is sought. What comes first decides: the stream goes on, or the slot is held and the stream moves there. Live requests and batch items share this (waitOutSilence). - A stream that has delivered tokens asks for a slot until its deadline while a target is left. The retry budget doesn't end it, refusals of targets don't count as its attempts, and targets that were busy or silent are tried again once no other is left. - At-most-once streams wait for their silent target until the deadline, at-most-once items for five minutes.

With default settings a silence below 2 s was not acted on before either; it takes a longer one, a shorter tokenGapTimeoutMs, or a spent budget to see the fault.

--- a/packages/pimentoplank/features/support/fakeTargets.ts
+++ b/packages/pimentoplank/features/support/fakeTargets.ts
@@ -36,6 +36,10 @@
   restartMs: number
   /** A request whose content contains this marker fails on every run. */
   failMarker: string
+  /** A request whose content contains this marker falls silent after two tokens, and then goes on. */
+  silentMarker: string
+  /** Length of that silence, in milliseconds. */
+  silenceMs: number
   /** Runners whose streams no longer send anything and ignore cancellation. */
   silent: Set<string>
   /** Revokes every slot and refuses new ones until `allow` is called. */
@@ -64,6 +68,7 @@
   const granted = new Set<AbortController>()
   const crashes = new Map<string, Set<string>>()
   const runs: FakeRun[] = []
+  const silentStreams = new Set<string>()
   let isAllowed = true
 
   function crash (target: string, clock: Clock): void {
@@ -74,8 +79,18 @@
   }
 
   function createStream (run: FakeRun, clock: Clock): EngineStream {
+    const streamId = `stream-${runs.length}`
+    let silentUntil = 0
     async function produce (): Promise<EngineEvent> {
       await clock.sleep(options.tokenMs)
+      if (run.content.includes(fake.silentMarker) && !run.isResumed && run.tokens === 2 && silentUntil === 0) {
+        silentUntil = clock.now() + fake.silenceMs
+      }
+      if (clock.now() < silentUntil) {
+        silentStreams.add(streamId)
+        throw new EngineError('streamSilent', { reached: true })
+      }
+      silentStreams.delete(streamId)
       if (fake.silent.has(run.runner)) await new Promise(() => undefined)
       if (run.outcome === 'crashed') throw new EngineError('streamCut', { reached: true })
       if (run.content.includes(fake.crashMarker) && fake.crashesLeft > 0) {
@@ -93,9 +108,11 @@
       return { type: 'token', index: run.tokens++, text: `${run.tokens} ` }
     }
     return {
-      streamId: `stream-${runs.length}`,
+      streamId,
       next: () => ResultAsync.fromPromise(produce(), (cause) => cause as EngineError),
+      disconnect: () => undefined,
       cancel: async () => {
+        silentStreams.delete(streamId)
         if (fake.silent.has(run.runner)) await new Promise(() => undefined)
         if (run.outcome === 'running') run.outcome = 'cancelled'
       }
@@ -105,6 +122,7 @@
   function engines (runner: string, clock: Clock): EngineClient {
     return {
       start: (target: Target, req: EngineRequest) => {
+        if (silentStreams.has(req.resume?.streamId ?? '')) return errAsync(new EngineError('streamSilent', { reached: true }))
         if (dead.has(target.id)) return errAsync(new EngineError('connectFailed', { reached: false }))
         const content = JSON.stringify(req.body.messages)
         const resumedAt = req.resume?.tokens ?? 0
@@ -157,6 +175,8 @@
     crashesLeft: Infinity,
     restartMs: Infinity,
     failMarker: 'FAIL',
+    silentMarker: 'SILENT',
+    silenceMs: 10_000,
     silent: new Set(),
     revoke: () => {
       isAllowed = false
--- a/packages/pimentoplank/src/batch/activeChunk.ts
+++ b/packages/pimentoplank/src/batch/activeChunk.ts
@@ -3,7 +3,8 @@
 import type { RunnerContext } from './context'
 import { createUnknownResult } from './itemResult'
 import { createCheckpointWriter, type ChunkEnd, type CommitOutcome } from './checkpointWriter'
-import { createItemTask, runItem, type ItemOutcome, type ItemTask } from './runItem'
+import { createItemTask, type ItemTask } from './itemTask'
+import { runItem, type ItemOutcome } from './runItem'
 
 /** Backoff before a failed commit is retried, in milliseconds. */
 const COMMIT_RETRY_MS = 1000
--- a/packages/pimentoplank/src/batch/dispatcher.ts
+++ b/packages/pimentoplank/src/batch/dispatcher.ts
@@ -1,7 +1,7 @@
 /** Dispatches items of all claimed chunks, up to the runner's parallelism. */
 import { createWakeup, type Clock } from '../shared'
 import type { ActiveChunk } from './activeChunk'
-import type { ItemTask } from './runItem'
+import type { ItemTask } from './itemTask'
 
 /** Bounds of the sleep while no item is ready, in milliseconds. */
 const MAX_IDLE_MS = 1000
--- /dev/null
+++ b/packages/pimentoplank/src/batch/itemSlot.ts
@@ -0,0 +1,46 @@
+/** Acquires the slots of items. */
+import type { Result } from 'neverthrow'
+import { SECOND_MS, type ModelEntry, type RefusalError, type SlotGrant } from '../shared'
+import type { RunnerContext } from './context'
+import { isPinned, type ItemTask } from './itemTask'
+
+/** Bounds of the pause after a refused request for a slot, in milliseconds. */
+export const MIN_SLOT_PAUSE_MS = 100
+const MAX_SLOT_PAUSE_MS = 5 * SECOND_MS
+
+/** Returns the pause after a refused request for a slot, in milliseconds. */
+export function computeSlotPauseMs ({ retryAfterMs }: RefusalError): number {
+  return Math.max(MIN_SLOT_PAUSE_MS, Math.min(retryAfterMs ?? 0, MAX_SLOT_PAUSE_MS))
+}
+
+/**
+ * Acquires a slot for an item.
+ *
+ * @param without - ids of further targets that the item must not get
+ */
+export async function acquireSlot (
+  { config, membership, quarantine, slots, settings }: RunnerContext,
+  task: ItemTask,
+  model: ModelEntry,
+  signal: AbortSignal,
+  without: readonly string[] = []
+): Promise<Result<SlotGrant, RefusalError>> {
+  const { hashes, resume } = task
+  const others = membership.targets(model.service).map(({ id }) => id).filter((id) => id !== resume?.targetId)
+  task.isWaiting = true
+  const granted = await slots.acquire({
+    service: model.service,
+    model: model.name,
+    workClass: 'batch',
+    account: task.account,
+    weight: config.current().accounts.get(task.account)?.weight ?? 1,
+    deadlineMs: settings.slotWaitMs,
+    prefixHash: hashes.prefixHash,
+    excluded: isPinned(task)
+      ? others
+      : [...without, ...task.excluded, ...quarantine.findTargetsWithSuspects(hashes.contentHash)],
+    preferred: resume?.targetId
+  }, { signal })
+  task.isWaiting = false
+  return granted
+}
--- a/packages/pimentoplank/src/batch/runItem.ts
+++ b/packages/pimentoplank/src/batch/runItem.ts
@@ -1,19 +1,19 @@
 /** Runs one item, from the request for a slot to the item's outcome. */
 import { err, type Result } from 'neverthrow'
 import {
-  EngineError, hashPrompt, MINUTE_MS, SECOND_MS,
-  type BatchResult, type ChunkItem, type EngineErrorKind, type EngineEvent, type EngineStream,
-  type ModelEntry, type PromptHashes, type RefusalError,
-  type ResumePoint, type SlotGrant, type SlotReport, type Target
+  EngineError, MINUTE_MS, SECOND_MS,
+  type BatchResult, type EngineErrorKind, type EngineEvent, type EngineRequest, type ResumePoint, type SlotGrant,
+  type SlotReport, type Target
 } from '../shared'
+import type { RunnerContext } from './context'
 import { ENGINE_ERROR_TRAITS } from './engineErrors'
 import { createDoneResult, createFailedResult, createUnknownResult } from './itemResult'
-import type { RunnerContext } from './context'
+import { waitForItem } from './itemSilence'
+import { acquireSlot, computeSlotPauseMs, MIN_SLOT_PAUSE_MS } from './itemSlot'
+import { getKind, isPinned, type ItemRun, type ItemTask, type Progress } from './itemTask'
 
 /** Most recently failed targets that the next run of an item avoids. */
 const MAX_EXCLUDED = 2
-const MIN_SLOT_PAUSE_MS = 100
-const MAX_SLOT_PAUSE_MS = 5 * SECOND_MS
 const MISSING_MODEL_PAUSE_MS = SECOND_MS
 /** Pause of an item while a part of its prompt is known to crash targets. */
 const CRASHING_PART_PAUSE_MS = 5 * SECOND_MS
@@ -22,53 +22,9 @@
 /** Upper bound of the pause after a run that broke off, which doubles with each such run. */
 const MAX_RETRY_PAUSE_MS = 5 * MINUTE_MS
 
-/** State of an item until it has a result. */
-export interface ItemTask {
-  index: number
-  item: ChunkItem
-  account: string
-  requestId: string
-  hashes: PromptHashes
-  /** Number of runs that the target reported as failed. */
-  failedRuns: number
-  /** Number of runs that broke off, for example as the target crashed. */
-  brokenRuns: number
-  /** Earliest time of the next attempt, on the runner's clock. */
-  notBefore: number
-  /** True once any part of the item may have reached a target. */
-  isDispatched: boolean
-  /** True after a target crashed while running it; at most one such item runs at a time. */
-  isSuspect: boolean
-  /** True while the item waits for a slot. */
-  isWaiting: boolean
-  /** Ids of targets that the next run avoids. */
-  excluded: string[]
-  resume?: ResumePoint
-  /** Time at which the item's model was first missing from the configuration. */
-  modelMissingSince?: number
-}
-
 /** `retry`: try again, not before `notBefore`; `parked`: no slot was available. */
 export type ItemOutcome = { type: 'result', result: BatchResult } | { type: 'retry' } | { type: 'parked' }
 
-/** Creates the initial task of an item. */
-export function createItemTask (chunk: string, account: string, index: number, item: ChunkItem): ItemTask {
-  return {
-    index,
-    item,
-    account,
-    requestId: `${chunk}.${index}`,
-    hashes: hashPrompt(String(item.body.model), item.body),
-    failedRuns: 0,
-    brokenRuns: 0,
-    notBefore: 0,
-    isDispatched: false,
-    isSuspect: false,
-    isWaiting: false,
-    excluded: []
-  }
-}
-
 export interface RunItemOptions {
   /** Aborts when processing of the chunk ends; a running stream is then cancelled on the engine. */
   signal: AbortSignal
@@ -97,8 +53,7 @@
   }
   const granted = await acquireSlot(context, task, model, signal)
   if (granted.isErr()) {
-    const pauseMs = Math.max(MIN_SLOT_PAUSE_MS, Math.min(granted.error.retryAfterMs ?? 0, MAX_SLOT_PAUSE_MS))
-    task.notBefore = clock.now() + pauseMs
+    task.notBefore = clock.now() + computeSlotPauseMs(granted.error)
     metrics.count(`batch.slots.refused.${granted.error.reason}`)
     return { type: 'parked' }
   }
@@ -111,42 +66,13 @@
     task.notBefore = clock.now() + MIN_SLOT_PAUSE_MS
     return { type: 'retry' }
   }
-  return await runOnSlot(context, task, grant, signal)
+  return await runOnSlot(context, task, grant, { signal, mayDispatch })
 }
 
 function toOutcome (result: BatchResult): ItemOutcome {
   return { type: 'result', result }
 }
 
-/** A dispatched at-most-once item may only resume on the target that ran it, where it continues the same run. */
-function isPinned (task: ItemTask): boolean {
-  return task.item.noRepeat && task.isDispatched
-}
-
-async function acquireSlot (
-  { config, membership, quarantine, slots, settings }: RunnerContext,
-  task: ItemTask,
-  model: ModelEntry,
-  signal: AbortSignal
-): Promise<Result<SlotGrant, RefusalError>> {
-  const { hashes, resume } = task
-  const others = membership.targets(model.service).map(({ id }) => id).filter((id) => id !== resume?.targetId)
-  task.isWaiting = true
-  const granted = await slots.acquire({
-    service: model.service,
-    model: model.name,
-    workClass: 'batch',
-    account: task.account,
-    weight: config.current().accounts.get(task.account)?.weight ?? 1,
-    deadlineMs: settings.slotWaitMs,
-    prefixHash: hashes.prefixHash,
-    excluded: isPinned(task) ? others : [...task.excluded, ...quarantine.findTargetsWithSuspects(hashes.contentHash)],
-    preferred: resume?.targetId
-  }, { signal })
-  task.isWaiting = false
-  return granted
-}
-
 function waitForModel ({ clock, settings }: RunnerContext, task: ItemTask): ItemOutcome {
   const now = clock.now()
   task.modelMissingSince ??= now
@@ -157,18 +83,11 @@
   )
 }
 
-interface Progress {
-  text: string
-  tokens: number
-  firstTokenAt?: number
-  lastTokenAt?: number
-}
-
 async function runOnSlot (
   context: RunnerContext,
   task: ItemTask,
   grant: SlotGrant,
-  signal: AbortSignal
+  { signal, mayDispatch }: RunItemOptions
 ): Promise<ItemOutcome> {
   const { engines, quarantine, clock } = context
   const { target } = grant
@@ -178,29 +97,39 @@
   const startedAt = clock.now()
   const progress: Progress = { text: resume?.text ?? '', tokens: resume?.tokens ?? 0 }
   let report: SlotReport = { result: 'failed' }
+  let moved: SlotGrant | undefined
   task.isDispatched = true
   const endRun = quarantine.trackRun(task.hashes.contentHash, target.id)
   try {
-    const kind = item.endpoint === '/v1/completions' ? 'completion' : 'chat'
-    const started = await engines.start(target, { requestId, kind, body: item.body, resume }, { signal: stopSignal })
+    const req: EngineRequest = { requestId, kind: getKind(item), body: item.body, resume }
+    const started = await engines.start(target, req, { signal: stopSignal })
     if (started.isErr()) {
       report = { result: ENGINE_ERROR_TRAITS[started.error.kind].report }
       return await handleRunError(context, task, { target, error: started.error, progress })
     }
-    const stream = started.value
-    const end = await readStream(stream, progress, stopSignal, clock.now)
+    const run: ItemRun = { context, task, target, progress, stream: started.value, stopSignal }
+    const end = await readStream(run)
+    const { stream } = run
     if (hasBegun(task, progress)) quarantine.recordAnswer(task.hashes.partHashes)
     if (end.isOk()) {
       report = { result: 'done', ...computeTimings(progress, startedAt) }
       return toOutcome(createDoneResult(item, requestId, progress.text, end.value))
     }
     if (end.error.kind === 'aborted') await stream.cancel()
+    if (end.error.kind === 'streamSilent') stream.cancel().catch(() => undefined)
     report = { result: ENGINE_ERROR_TRAITS[end.error.kind].report }
-    return await handleRunError(context, task, { target, error: end.error, progress, streamId: stream.streamId })
+    moved = run.replacement
+    const failure = { target, error: end.error, progress, streamId: stream.streamId }
+    const outcome = await handleRunError(context, task, failure)
+    if (moved === undefined || outcome.type === 'result') return outcome
   } finally {
     endRun()
     grant.release(report)
   }
+  const mayMove = !signal.aborted && !moved.revoked.aborted && await mayDispatch()
+  if (mayMove) return await runOnSlot(context, task, moved, { signal, mayDispatch })
+  moved.release({ result: 'revoked' })
+  return { type: 'retry' }
 }
 
 /** True when the current run has delivered the first tokens. */
@@ -210,20 +139,19 @@
 
 type StreamEnd = Result<Extract<EngineEvent, { type: 'end' }>, EngineError>
 
-/** Reads a stream until it ends, fails or is stopped. */
-async function readStream (
-  stream: EngineStream,
-  progress: Progress,
-  stopSignal: AbortSignal,
-  now: () => number
-): Promise<StreamEnd> {
+/** Reads a stream until it ends, fails or is stopped; a silent one until it goes on or is given up. */
+async function readStream (run: ItemRun): Promise<StreamEnd> {
+  const { progress, stopSignal } = run
+  const { now } = run.context.clock
   const stopped = new Promise<StreamEnd>((resolve) => {
     const resolveAborted = (): void => resolve(err(new EngineError('aborted', { reached: true })))
     if (stopSignal.aborted) resolveAborted()
     else stopSignal.addEventListener('abort', resolveAborted, { once: true })
   })
   for (;;) {
-    const event = await Promise.race([stream.next(), stopped])
+    const read = await Promise.race([run.stream.next(), stopped])
+    const isSilent = read.isErr() && read.error.kind === 'streamSilent'
+    const event = isSilent ? await Promise.race([waitForItem(run), stopped]) : read
     if (event.isErr()) return event as StreamEnd
     if (event.value.type === 'end') return event as StreamEnd
     progress.text += event.value.text
--- a/packages/pimentoplank/src/batch/runner.feature
+++ b/packages/pimentoplank/src/batch/runner.feature
@@ -46,6 +46,30 @@
     Then 19 batch items are "done" within 120 s
     And within 20 minutes batch item 7 runs at least 10 and at most 14 times, without a result
 
+  Scenario: An at-most-once item is not given up while its target is silent
+    Given a batch fleet with the runners "a"
+    When 10 at-most-once batch items are uploaded, of which item 3 contains "SILENT"
+    Then the batch job is "done" within 60 s
+    And each of the 10 batch items has 1 result, "done"
+    And no batch item ran twice
+
+  Scenario: An item is given up at a silent target only once a slot elsewhere is granted
+    Given a batch fleet with the runners "a"
+    When 10 batch items are uploaded, of which item 3 contains "SILENT"
+    And the batch runner "a" runs items
+    And each batch slot takes 30 s to be granted
+    Then the batch job is "done" within 200 s
+    And no batch run was cancelled or resumed
+    And each of the 10 batch items has 1 result, "done"
+
+  Scenario: An item leaves a target that stays silent, and goes on elsewhere where it stopped
+    Given a batch fleet with the runners "a"
+    And targets are silent for 600 s under items with "SILENT"
+    When 10 batch items are uploaded, of which item 3 contains "SILENT"
+    Then the batch job is "done" within 60 s
+    And resumed batch runs continued after the tokens already received
+    And each of the 10 batch items has 1 result, "done"
+
   Scenario: A stopped runner releases its chunks at once
     Given a batch fleet with the runners "a, b"
     When 40 batch items are uploaded
--- a/packages/pimentoplank/src/batch/runner.steps.ts
+++ b/packages/pimentoplank/src/batch/runner.steps.ts
@@ -103,6 +103,12 @@
     Object.assign(this.fleet.targets, { crashMarker: marker, crashesLeft: count, restartMs: seconds * SECOND })
   })
 
+Given('targets are silent for {int} s under items with {string}', function (
+  this: FleetWorld, seconds: number, marker: string
+) {
+  Object.assign(this.fleet.targets, { silentMarker: marker, silenceMs: seconds * SECOND })
+})
+
 When('{int} batch items are uploaded', async function (this: FleetWorld, count: number) {
   await uploadItems(this, count, {})
 })
--- a/packages/pimentoplank/src/entry/live/live.steps.ts
+++ b/packages/pimentoplank/src/entry/live/live.steps.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
+import type { RefusalReason } from '../../shared'
 import { computeAnswer } from '@pimentoplank/standins'
 import { MODEL, readEvents, type SendOptions } from '../testing/entryBench'
 import type { EntryWorld } from '../testing/entryBench.steps'
@@ -35,6 +36,29 @@
   await ENGINE_FAULTS[fault]!(this, Number(index))
 })
 
+Given('engine {int} of the entry falls silent for {int} ms after {int} tokens', function (
+  this: EntryWorld, index: number, ms: number, afterTokens: number
+) {
+  this.bench.engines[index]!.setFaults({ silence: { afterTokens, ms } })
+})
+
+Given('the entry gets one slot, and then refusals as {word}', function (this: EntryWorld, reason: RefusalReason) {
+  this.bench.slots.refuseAfterNextGrant(reason)
+})
+
+Given('the entry gets one slot, and then {int} refusals as {word}', function (
+  this: EntryWorld, count: number, reason: RefusalReason
+) {
+  this.bench.slots.refuseAfterNextGrant(reason, count)
+})
+
+When('every connection to engine {int} goes silent after {int} tokens', async function (
+  this: EntryWorld, index: number, tokens: number
+) {
+  await waitForTokens(this, index, tokens)
+  this.bench.engines[index]!.setFaults({ silentStreams: 'all' })
+})
+
 When('the entry gets a {word} request for {int} tokens', function (this: EntryWorld, kind: string, tokens: number) {
   startRequest(this, kind, tokens, false)
 })
--- a/packages/pimentoplank/src/entry/live/liveRun.ts
+++ b/packages/pimentoplank/src/entry/live/liveRun.ts
@@ -1,14 +1,16 @@
 /** Runs a live job: acquires a slot, reads the stream, and fails over to another target when one fails. */
 import { err, ok, ResultAsync, type Result } from 'neverthrow'
 import {
-  RefusalError,
-  type EngineError, type EngineErrorKind, type EngineEvent, type EngineStream, type Outcome, type ResumePoint,
+  RefusalError, waitOutSilence,
+  type EngineError, type EngineErrorKind, type EngineEvent, type EngineRequest, type EngineStream, type Outcome,
+  type ResumePoint,
   type SlotGrant, type SlotReport
 } from '../../shared'
 import { createAttemptTimer, type AttemptTimer } from './attemptTimer'
 import {
   BEGINNING_TOKENS, FAILURE_OUTCOMES, RETRY_REASONS, getWorseOutcome, type LiveDeps, type LiveJob, type LiveRun
 } from './liveJob'
+import { createSlotSearch } from './slotSearch'
 
 /** Execution of the job on one target. */
 interface Attempt {
@@ -29,12 +31,12 @@
 
 /** Starts a job; nothing is sent before the first call of `next`. */
 export function createLiveRun (job: LiveJob, deps: LiveDeps): LiveRun {
-  const { clock, engine, metrics, slots } = deps
+  const { clock, engine, log, metrics } = deps
   const deadlineAt = clock.now() + job.timeoutMs
   const deadline = new AbortController()
   const finished = new AbortController()
   const signal = job.signal === undefined ? deadline.signal : AbortSignal.any([deadline.signal, job.signal])
-  const excluded: string[] = []
+  const search = createSlotSearch({ job, deps, deadlineAt })
   let attempt: Attempt | undefined
   let dispatchAllowed = job.beforeDispatch === undefined
   let attemptsLeft = deps.maxAttempts
@@ -44,6 +46,8 @@
   let outcome: Outcome = 'not_run'
   let tokens = 0
   let text = ''
+  /** Slot that is held already for the next attempt. */
+  let nextGrant: SlotGrant | undefined
 
   deps.budget.recordRequest(job.service)
   clock.sleep(job.timeoutMs, finished.signal).then(() => {
@@ -57,17 +61,70 @@
         if (opened.isErr()) return await endWithRefusal(opened.error)
         attempt = opened.value
       }
-      const event = await attempt.stream.next()
+      const event = await readEvent(attempt)
+      if (event === undefined) continue
       if (event.isOk()) return ok(handleEvent(attempt, event.value))
       const finalRefusal = await recover(attempt, event.error)
       if (finalRefusal !== undefined) return await endWithRefusal(finalRefusal)
     }
   }
 
+  /** Reads the next event; undefined when the stream was silent and a slot is held on another target. */
+  async function readEvent (current: Attempt): Promise<Result<EngineEvent, EngineError> | undefined> {
+    const event = await current.stream.next()
+    if (event.isOk() || event.error.kind !== 'streamSilent') return event
+    const targetId = current.grant.target.id
+    const end = await waitOutSilence<SlotGrant>({
+      stream: current.stream,
+      clock,
+      attach: async (stopped) => await attachTo(current, stopped),
+      findReplacement: async (stopped) => await acquireElsewhere(targetId, AbortSignal.any([signal, stopped])),
+      release: (grant) => grant.release({ result: 'revoked' })
+    })
+    const isOwn = end.type === 'event' && end.stream === current.stream
+    const next = end.type === 'replaced' ? end.replacement.target.id : targetId
+    log.info({ req: job.requestId, target: targetId, tokens, next, reconnected: !isOwn }, 'silence of a stream ended')
+    if (isOwn) return end.event
+    metrics.countRetry('streamSilent')
+    if (end.type === 'event') {
+      current.stream.disconnect()
+      current.stream = end.stream
+      return end.event
+    }
+    outcome = getWorseOutcome(outcome, FAILURE_OUTCOMES.streamSilent)
+    attemptsLeft -= 1
+    giveUp(current, 'streamSilent')
+    attempt = undefined
+    nextGrant = end.replacement
+    return undefined
+  }
+
+  /** Opens a second connection to a silent stream. */
+  async function attachTo (current: Attempt, stopped: AbortSignal): Promise<EngineStream | undefined> {
+    if (current.stream.streamId === '') return undefined
+    const started = await engine.start(current.grant.target, createEngineRequest(getResumePoint(current)), {
+      signal: AbortSignal.any([signal, stopped]), firstTokenTimeoutMs: deps.attachTimeoutMs
+    })
+    return started.unwrapOr(undefined)
+  }
+
+  /** Acquires a slot for a stream that is silent on a target; undefined when it must stay there. */
+  async function acquireElsewhere (targetId: string, stopped: AbortSignal): Promise<SlotGrant | undefined> {
+    if (!job.repeatable || attemptsLeft <= 1) return undefined
+    if (tokens === 0 && !deps.budget.tryTakeRetry(job.service)) return undefined
+    const grant = await (tokens > 0 ? search.acquireToContinue(stopped, targetId) : search.acquire(stopped, targetId))
+    return grant.unwrapOr(undefined)
+  }
+
   async function openAttempt (): Promise<Result<Attempt, RefusalError>> {
     for (;;) {
-      if (await isRefusedByQuarantine()) return err(createRefusal('quarantined'))
-      const grant = await acquire()
+      const held = nextGrant
+      nextGrant = undefined
+      if (await isRefusedByQuarantine()) {
+        held?.release({ result: 'revoked' })
+        return err(createRefusal('quarantined'))
+      }
+      const grant = held === undefined ? await acquire() : ok<SlotGrant, RefusalError>(held)
       if (grant.isErr()) return err(grant.error)
       const allowed = await allowDispatch()
       if (allowed.isErr()) {
@@ -89,7 +146,7 @@
 
   async function acquire (): Promise<Result<SlotGrant, RefusalError>> {
     const startedAt = clock.now()
-    const grant = await acquireAwayFromSuspects()
+    const grant = await (tokens > 0 ? search.acquireToContinue(signal) : search.acquire(signal))
     metrics.timing('live.slotWait', clock.now() - startedAt)
     if (grant.isOk()) return grant
     if (signal.aborted) return err(createStopRefusal())
@@ -100,35 +157,6 @@
     return err(new RefusalError(reason, { detail: message, outcome, retryAfterMs, cause: grant.error }))
   }
 
-  /** Acquires a slot on a target without other suspect content, or on any target if there is none. */
-  async function acquireAwayFromSuspects (): Promise<Result<SlotGrant, RefusalError>> {
-    const unusable = [...excluded, ...findTargetsWithoutModel()]
-    const suspects = deps.quarantine.findTargetsWithSuspects(job.contentHash)
-    const grant = await acquireExcluding([...unusable, ...suspects])
-    const isFallbackNeeded = suspects.length > 0 && grant.isErr() && grant.error.reason === 'noTarget'
-    return isFallbackNeeded ? await acquireExcluding(unusable) : grant
-  }
-
-  async function acquireExcluding (unusable: readonly string[]): Promise<Result<SlotGrant, RefusalError>> {
-    return await slots.acquire({
-      service: job.service,
-      model: job.model,
-      workClass: 'live',
-      account: job.account,
-      weight: job.weight,
-      deadlineMs: Math.max(0, deadlineAt - clock.now()),
-      prefixHash: job.prefixHash,
-      excluded: unusable
-    }, { signal })
-  }
-
-  /** Returns the targets that have not loaded the model; none when its placement is not known from the controller. */
-  function findTargetsWithoutModel (): string[] {
-    const serving = deps.targetsServing?.(job.model)
-    if (serving === undefined || serving.size === 0) return []
-    return deps.membership.targets(job.service).map((target) => target.id).filter((id) => !serving.has(id))
-  }
-
   async function allowDispatch (): Promise<Result<void, RefusalError>> {
     if (dispatchAllowed || job.beforeDispatch === undefined) return ok(undefined)
     const allowed = await job.beforeDispatch()
@@ -143,13 +171,15 @@
   ): Promise<Result<Attempt, EngineError>> {
     const timer = createAttemptTimer(clock, metrics, tokens === 0)
     const markEnded = deps.quarantine.trackRun(job.contentHash, grant.target.id)
-    const started = await engine.start(grant.target, {
-      requestId: job.requestId, kind: job.kind, body: job.body, resume, attachOnly: !job.repeatable
-    }, { signal, firstTokenTimeoutMs })
+    const started = await engine.start(grant.target, createEngineRequest(resume), { signal, firstTokenTimeoutMs })
     if (started.isErr() && !started.error.reached) markEnded()
     return started.map((stream) => ({ grant, stream, tokens: 0, timer, markEnded }))
   }
 
+  function createEngineRequest (resume: ResumePoint | undefined): EngineRequest {
+    return { requestId: job.requestId, kind: job.kind, body: job.body, resume, attachOnly: !job.repeatable }
+  }
+
   /**
    * Returns the point from which to resume, if any token has been received.
    *
@@ -184,22 +214,29 @@
       return createStopRefusal()
     }
     const isAlive = await deps.engine.probe(broken.grant.target)
-    if (isAlive && await resumeOnSameTarget(broken, cause)) return undefined
     if (!isAlive && cause.kind === 'streamCut') return await handleCrash(broken)
-    // The abandoned stream must not keep running beside the one that replaces it.
-    broken.stream.cancel().catch(() => undefined)
-    release(broken, 'failed')
-    return retryOrRefuse(broken.grant.target.id, cause)
+    const resumed = isAlive ? await resumeOnSameTarget(broken, cause) : err(cause)
+    if (resumed.isOk()) return undefined
+    giveUp(broken, resumed.error.kind)
+    return retryOrRefuse(cause)
+  }
+
+  /** Ends a stream that another one replaces and must not run beside. */
+  function giveUp (abandoned: Attempt, cause: EngineErrorKind): void {
+    abandoned.stream.cancel().catch(() => undefined)
+    release(abandoned, 'failed')
+    search.exclude(abandoned.grant.target.id, cause)
   }
 
   /** Opens a new connection to the stream, which still runs on the same target. */
-  async function resumeOnSameTarget (broken: Attempt, cause: EngineError): Promise<boolean> {
-    if (attemptsLeft <= 1 || broken.stream.streamId === '' || !spendRetry(cause)) return false
+  async function resumeOnSameTarget (broken: Attempt, cause: EngineError): Promise<Result<void, EngineError>> {
+    if (attemptsLeft <= 1 || broken.stream.streamId === '' || !spendRetry(cause)) return err(cause)
     attemptsLeft -= 1
     const started = await startStream(broken.grant, getResumePoint(broken), deps.attachTimeoutMs)
-    if (started.isErr()) return false
-    attempt = { ...started.value, timer: broken.timer }
-    return true
+    return started.map((resumed) => {
+      attempt = { ...resumed, timer: broken.timer }
+      return undefined
+    })
   }
 
   async function handleCrash (broken: Attempt): Promise<RefusalError | undefined> {
@@ -211,7 +248,8 @@
     crashes += 1
     if (await verdict === 'quarantined') return createRefusal('quarantined')
     if (crashes >= MAX_CRASHES) return createRefusal('targetFailed')
-    return retryOrRefuse(target.id, undefined)
+    search.exclude(target.id, undefined)
+    return retryOrRefuse(undefined)
   }
 
   /** Handles a failed start on a target; returns the refusal that ends the job, or undefined to retry elsewhere. */
@@ -230,20 +268,22 @@
     markEnded()
     grant.release({ result: cause.reached ? 'failed' : 'notRun' })
     if (cause.kind === 'rejected') return new RefusalError('badRequest', { detail: cause.message, outcome, cause })
-    return retryOrRefuse(grant.target.id, cause)
+    search.exclude(grant.target.id, cause.kind)
+    return retryOrRefuse(cause)
   }
 
-  function retryOrRefuse (targetId: string, cause: EngineError | undefined): RefusalError | undefined {
-    excluded.push(targetId)
+  function retryOrRefuse (cause: EngineError | undefined): RefusalError | undefined {
     const hasNotRun = outcome === 'not_run'
-    attemptsLeft -= 1
+    // A stream that has begun is not cut by targets that refuse it before they run it.
+    if (tokens === 0 || cause?.reached !== false) attemptsLeft -= 1
     if ((!job.repeatable && !hasNotRun) || attemptsLeft <= 0) return createFailureRefusal(cause)
     return spendRetry(cause) ? undefined : createRefusal('retryBudget', cause)
   }
 
   function spendRetry (cause: EngineError | undefined): boolean {
     const isFree = cause !== undefined && UNBUDGETED_RETRIES.has(cause.kind)
-    if (!isFree && !deps.budget.tryTakeRetry(job.service)) return false
+    // A stream that has begun takes from the budget what is left, and goes on without.
+    if (!isFree && !deps.budget.tryTakeRetry(job.service) && tokens === 0) return false
     metrics.countRetry(RETRY_REASONS[cause?.kind ?? 'streamCut'] ?? 'targetError')
     return true
   }
@@ -287,6 +327,7 @@
 /** Placeholder for the stream when the start failed before the response head arrived. */
 const NO_STREAM: EngineStream = {
   streamId: '',
+  disconnect: () => undefined,
   next: () => { throw new Error('cannot read events: the stream was never started') },
   cancel: async () => undefined
 }
--- a/packages/pimentoplank/src/entry/testing/entryBench.ts
+++ b/packages/pimentoplank/src/entry/testing/entryBench.ts
@@ -7,7 +7,8 @@
 import {
   configEntry, createPlatformClient, createSilentLog, createSnapshot, createStaticConfig, createStaticMembership,
   createMetrics, RefusalError,
-  type InstanceRecord, type MembershipView, type Metrics, type ObjectFeed, type SlotClient, type SlotReport
+  type InstanceRecord, type MembershipView, type Metrics, type ObjectFeed, type RefusalReason,
+  type SlotClient, type SlotReport
 } from '../../shared'
 import { hashKey } from '../api'
 import { createEntry, type Entry } from '../createEntry'
@@ -75,20 +76,29 @@
   reports: Array<SlotReport & { target: string }>
   /** Returns the number of slots that are granted and not yet released. */
   getHeldCount: () => number
+  /** Refuses requests for slots after the next grant: the given number of them, or all. */
+  refuseAfterNextGrant: (reason: RefusalReason, count?: number) => void
 }
 
 /** Creates a slot client that always grants the first target, in order of id, that is not excluded. */
 function createFakeSlots (membership: MembershipView): FakeSlots {
   const reports: FakeSlots['reports'] = []
   let heldCount = 0
+  let refusal: { reason: RefusalReason, left: number, isActive: boolean } | undefined
   return {
     reports,
     getHeldCount: () => heldCount,
+    refuseAfterNextGrant: (reason, count = Infinity) => { refusal = { reason, left: count, isActive: false } },
     acquire: ({ service, excluded }) => {
+      if (refusal?.isActive === true && refusal.left > 0) {
+        refusal.left -= 1
+        return errAsync(new RefusalError(refusal.reason, { retryAfterMs: 1 }))
+      }
       const target = [...membership.targets(service)].sort((a, b) => a.id < b.id ? -1 : 1)
         .find(({ id }) => !excluded.includes(id))
       if (target === undefined) return errAsync(new RefusalError('noTarget'))
       heldCount += 1
+      if (refusal !== undefined) refusal.isActive = true
       let isReleased = false
       return okAsync({
         target,
--- a/packages/pimentoplank/src/shared/engine/engineStream.ts
+++ b/packages/pimentoplank/src/shared/engine/engineStream.ts
@@ -38,6 +38,7 @@
   let failure: EngineError | undefined
   let ended = false
   let bytesSinceEvent = 0
+  let pendingRead: Promise<ReadResult> | undefined
 
   async function next (): Promise<Result<EngineEvent, EngineError>> {
     for (;;) {
@@ -46,7 +47,7 @@
       if (event instanceof EngineError) return fail(event)
       if (event !== undefined) return deliver(event)
       const read = await readChunk()
-      if (read instanceof EngineError) return fail(read)
+      if (read instanceof EngineError) return read.kind === 'streamSilent' ? err(read) : fail(read)
       if (read.done === true) return fail(new EngineError('streamCut', { reached: true, detail: 'the stream broke off' }))
       bytesSinceEvent += read.value.length
       if (bytesSinceEvent > MAX_EVENT_BYTES) {
@@ -58,9 +59,17 @@
 
   async function readChunk (): Promise<ReadResult | EngineError> {
     try {
-      const read = await withTimeLimit(clock, timeoutMs, chunks.next())
-      if (read !== TIMED_OUT) return read
-      return new EngineError('streamSilent', { reached: true, detail: `no event for ${Math.round(timeoutMs)} ms` })
+      pendingRead ??= chunks.next()
+      const read = await withTimeLimit(clock, timeoutMs, pendingRead)
+      if (read !== TIMED_OUT) {
+        pendingRead = undefined
+        return read
+      }
+      // The pending read goes on, also when nobody calls again.
+      pendingRead.catch(() => undefined)
+      const detail = `no event for ${Math.round(timeoutMs)} ms`
+      timeoutMs = options.tokenGapTimeoutMs
+      return new EngineError('streamSilent', { reached: true, detail })
     } catch (cause) {
       if (signal?.aborted === true) return new EngineError('aborted', { reached: true, cause })
       return new EngineError('streamCut', { reached: true, detail: describeCause(cause), cause })
@@ -86,6 +95,10 @@
   return {
     streamId: options.streamId,
     next: () => new ResultAsync(next()),
+    disconnect: () => {
+      failure ??= new EngineError('aborted', { reached: true })
+      options.disconnect()
+    },
     cancel: async () => {
       if (ended) return
       ended = true
--- a/packages/pimentoplank/src/shared/engine/index.ts
+++ b/packages/pimentoplank/src/shared/engine/index.ts
@@ -1,2 +1,3 @@
+export * from './silence'
 export * from './types'
 export { createEngineClient, type EngineClientOptions } from './client'
--- a/packages/pimentoplank/src/shared/engine/types.ts
+++ b/packages/pimentoplank/src/shared/engine/types.ts
@@ -38,8 +38,13 @@
 /** A running stream. Reading it never throws: a broken stream ends with an `EngineError` as the result. */
 export interface EngineStream {
   streamId: string
-  /** Resolves with the next event, or with the error that ended the stream. */
+  /**
+   * Resolves with the next event, or with the error that ended the stream. After `streamSilent`, the stream stays
+   * open, and the next call waits again.
+   */
   next: () => ResultAsync<EngineEvent, EngineError>
+  /** Closes the connection; the engine keeps the stream running for a short time. */
+  disconnect: () => void
   /** Cancels the stream on the engine and frees its slot; the engine keeps the state to resume it for a while. */
   cancel: () => Promise<void>
 }
