Run items again at targets on which they failed, when no other is left

What callers saw: a job that never ended. An item avoids the last two targets on which a run of it ended early, and this list only changes with the next run. In a service of one or two targets, all of them could be on it, so that each request for a slot was refused as noTarget and the item was parked for good.

The list is now ignored while it leaves no target. The new scenario of runner.feature (one target, one broken run) failed before and passes now, with the other scenarios of batch.

--- a/packages/pimentoplank/src/batch/itemSlot.ts
+++ b/packages/pimentoplank/src/batch/itemSlot.ts
@@ -14,7 +14,7 @@
 }
 
 /**
- * Acquires a slot for an item.
+ * Acquires a slot for an item, on a target on which it failed lately only if no other is left.
  *
  * @param without - ids of further targets that the item must not get
  */
@@ -26,7 +26,10 @@
   without: readonly string[] = []
 ): Promise<Result<SlotGrant, RefusalError>> {
   const { hashes, resume } = task
-  const others = membership.targets(model.service).map(({ id }) => id).filter((id) => id !== resume?.targetId)
+  const targetIds = membership.targets(model.service).map(({ id }) => id)
+  const others = targetIds.filter((id) => id !== resume?.targetId)
+  const isOtherLeft = targetIds.some((id) => !without.includes(id) && !task.excluded.includes(id))
+  const avoided = isOtherLeft ? task.excluded : []
   task.isWaiting = true
   const granted = await slots.acquire({
     service: model.service,
@@ -38,7 +41,7 @@
     prefixHash: hashes.prefixHash,
     excluded: isPinned(task)
       ? others
-      : [...without, ...task.excluded, ...quarantine.findTargetsWithSuspects(hashes.contentHash)],
+      : [...without, ...avoided, ...quarantine.findTargetsWithSuspects(hashes.contentHash)],
     preferred: resume?.targetId
   }, { signal })
   task.isWaiting = false
--- a/packages/pimentoplank/src/batch/runner.feature
+++ b/packages/pimentoplank/src/batch/runner.feature
@@ -39,6 +39,13 @@
     Then the batch job is "done" within 600 s
     And each of the 20 batch items has 1 result, "done"
 
+  Scenario: An item runs again at the only target, although its run broke off there
+    Given a batch fleet with the runners "a" and 1 target
+    And 1 runs of items with "CRASH" crash their targets, which are back after 2 s
+    When 10 batch items are uploaded, of which item 7 contains "CRASH"
+    Then the batch job is "done" within 120 s
+    And each of the 10 batch items has 1 result, "done"
+
   Scenario: An item that crashes each target is kept, runs ever more rarely, and delays no other item
     Given a batch fleet with the runners "a"
     And 1000 runs of items with "CRASH" crash their targets, which are back after 2 s
--- a/packages/pimentoplank/src/batch/runner.steps.ts
+++ b/packages/pimentoplank/src/batch/runner.steps.ts
@@ -84,6 +84,12 @@
   createFleet(this, names, { settings: { commit: { everyMs: SECOND } } })
 })
 
+Given('a batch fleet with the runners {string} and {int} target(s)', function (
+  this: FleetWorld, names: string, targets: number
+) {
+  createFleet(this, names, { targets: { targets }, settings: { commit: { everyMs: SECOND } } })
+})
+
 Given('a batch fleet without runners', function (this: FleetWorld) {
   createFleet(this, '')
 })
