Add the software version to the list entries of targets

Targets of several versions of their software may serve side by side. Nothing in our own interface told them apart: `version` in orders and `models[].version` are versions of models.

List entries may state `softwareVersion`, which instances pass on to each other; entries without it count as one version. An engine may state its version in the head of a stream, too (`X-Software-Version`). The engine stand-in does both (`--software-version`), and can be restarted at another version.

--- a/packages/pimentoplank/src/shared/membership/memberNotices.feature
+++ b/packages/pimentoplank/src/shared/membership/memberNotices.feature
@@ -36,3 +36,7 @@
     When its process 8 says that it is there
     And its process 7 says that it leaves
     Then the member gets new work
+
+  Scenario: The software version of a target reaches the peers
+    When its list entry with software version "2" is sent to a peer
+    Then the peer knows its software version "2"
--- a/packages/pimentoplank/src/shared/membership/memberNotices.steps.ts
+++ b/packages/pimentoplank/src/shared/membership/memberNotices.steps.ts
@@ -1,7 +1,10 @@
 import assert from 'node:assert/strict'
+import { fromBinary, toBinary } from '@bufbuild/protobuf'
 import { Given, Then, When } from '@cucumber/cucumber'
 import { createManualClock, type ManualClock } from '../../../features/support/manualClock'
 import type { InstanceRecord } from '../platform'
+import { MemberSchema } from '../rpc'
+import { decodeMembers, encodeMember } from './codec'
 import { createNoticeTable, NOTICE_TTL_MS, type NoticeTable } from './memberNotices'
 
 const SECOND = 1000
@@ -65,3 +68,12 @@
 Then(/^the member gets (no new work|new work)$/, function (this: NoticesWorld, what: string) {
   assert.equal(this.table.isLeaving(this.member), what === 'no new work')
 })
+
+When('its list entry with software version {string} is sent to a peer', function (this: NoticesWorld, version: string) {
+  const sent = toBinary(MemberSchema, encodeMember({ ...this.member, softwareVersion: version }))
+  this.member = decodeMembers([fromBinary(MemberSchema, sent)])[0]!
+})
+
+Then('the peer knows its software version {string}', function (this: NoticesWorld, version: string) {
+  assert.equal(this.member.softwareVersion, version)
+})
--- a/packages/pimentoplank/src/shared/platform/schemas.ts
+++ b/packages/pimentoplank/src/shared/platform/schemas.ts
@@ -60,7 +60,12 @@
   region: z.string(),
   state: z.enum(['live', 'leaving']),
   /** True for a target that rejects orders with an outdated fencing number. */
-  checksFencing: z.boolean().optional()
+  checksFencing: z.boolean().optional(),
+  /**
+   * Version of the software that a target runs, not of its models. Targets of several versions can't continue each
+   * other's streams; those without one count as one version.
+   */
+  softwareVersion: z.string().min(1).optional()
 })
 export type InstanceRecord = z.infer<typeof instanceRecord>
 
--- a/packages/standins/src/engine/app.ts
+++ b/packages/standins/src/engine/app.ts
@@ -130,7 +130,8 @@
   return create({
     res: c.env.outgoing as ServerResponse,
     isSilent: () => engine.isSilent(socket),
-    getFaults: () => engine.faults
+    getFaults: () => engine.faults,
+    getSoftwareVersion: engine.getSoftwareVersion
   })
 }
 
--- a/packages/standins/src/engine/engineStandin.ts
+++ b/packages/standins/src/engine/engineStandin.ts
@@ -21,6 +21,8 @@
   /** Closes every connection and stops listening, as if the process had crashed. */
   crash: () => Promise<void>
   setFaults: (faults: EngineFaults) => void
+  /** Replaces the version of the software, as an update between a crash and a restart does. */
+  setSoftwareVersion: (version: string | undefined) => void
   getRuns: () => EngineRun[]
   getOrders: () => ReceivedOrder[]
   applyOrder: (req: EngineOrder) => OrderOutcome
@@ -45,6 +47,7 @@
   setFaults: (faults: EngineFaults) => void
   /** True when the connection must not carry any more data. */
   isSilent: (socket: Socket) => boolean
+  getSoftwareVersion: () => string | undefined
   /** Resolves as soon as the engine is not frozen. */
   waitUntilThawed: () => Promise<void>
 }
@@ -65,6 +68,7 @@
   const cache = createPrefixCache(clock, resolved)
   const reporter = createLoadReporter(clock, slots)
   let frozenUntil = 0
+  let { softwareVersion } = resolved
 
   const scheduler = createScheduler({
     ...resolved,
@@ -108,6 +112,7 @@
     getLoadReport: () => reporter.getReport(faults.loadLagMs ?? resolved.loadLagMs),
     setFaults,
     isSilent: (socket) => silentSockets.has(socket) || faults.silentStreams === 'all',
+    getSoftwareVersion: () => softwareVersion,
     waitUntilThawed: async () => {
       while (clock.now() < frozenUntil) await clock.sleep(frozenUntil - clock.now())
     }
@@ -122,7 +127,8 @@
       failureDomain: resolved.failureDomain,
       region: resolved.region,
       state: 'live',
-      checksFencing: resolved.checksFencing
+      checksFencing: resolved.checksFencing,
+      softwareVersion
     }
   }
 
@@ -150,6 +156,7 @@
     close,
     crash,
     setFaults,
+    setSoftwareVersion: (version) => { softwareVersion = version },
     getRuns: runs.getRuns,
     getOrders: models.getOrders,
     applyOrder: models.applyOrder,
--- a/packages/standins/src/engine/main.ts
+++ b/packages/standins/src/engine/main.ts
@@ -30,6 +30,9 @@
     loadLagMs: option({ type: optional(number), long: 'load-lag-ms', description: 'Age of the load report.' }),
     failOn: option({ type: optional(string), long: 'fail-on', description: 'Marker of prompts rejected with 500.' }),
     checksFencing: flag({ long: 'checks-fencing', description: 'Reject orders with an outdated fencing token.' }),
+    softwareVersion: option({
+      type: optional(string), long: 'software-version', description: 'Version of the engine software.'
+    }),
     preloaded: multioption({ type: array(string), long: 'preloaded', description: 'Model that is ready at start.' })
   },
   handler: async ({ failOn, ...options }) => {
--- a/packages/standins/src/engine/options.ts
+++ b/packages/standins/src/engine/options.ts
@@ -35,6 +35,8 @@
   keepStreamsMs?: number
   /** Whether orders with an outdated fencing token are rejected. */
   checksFencing?: boolean
+  /** Version of the engine's software, in its list entry and in the headers of its streams; absent by default. */
+  softwareVersion?: string
   /** Models that are ready at start, as `name` or `name@version`. */
   preloaded?: readonly string[]
   /** Called when a marked prompt crashes the engine. By default every connection is closed and listening stops. */
@@ -42,8 +44,8 @@
 }
 
 export type ResolvedEngineStandinOptions =
-  Required<Omit<EngineStandinOptions, 'platform' | 'onCrash' | 'host' | 'port'>> &
-  Pick<EngineStandinOptions, 'platform' | 'onCrash'>
+  Required<Omit<EngineStandinOptions, 'platform' | 'onCrash' | 'softwareVersion' | 'host' | 'port'>> &
+  Pick<EngineStandinOptions, 'platform' | 'onCrash' | 'softwareVersion'>
 
 /** Fills in the default values. */
 export function resolveEngineOptions (options: EngineStandinOptions): ResolvedEngineStandinOptions {
@@ -67,6 +69,7 @@
     keepStreamsMs: options.keepStreamsMs ?? 30 * SECOND_MS,
     checksFencing: options.checksFencing ?? false,
     preloaded: options.preloaded ?? [],
-    onCrash: options.onCrash
+    onCrash: options.onCrash,
+    softwareVersion: options.softwareVersion
   }
 }
--- a/packages/standins/src/engine/streamWriter.ts
+++ b/packages/standins/src/engine/streamWriter.ts
@@ -15,6 +15,7 @@
   isSilent: () => boolean
   /** Returns the faults in force, of which those of framing and cut connections apply here. */
   getFaults: () => EngineFaults
+  getSoftwareVersion: () => string | undefined
 }
 
 /** Forwards a stream to a connection. */
@@ -24,7 +25,7 @@
 }
 
 /** Creates a writer that sends server-sent events. */
-export function createEventWriter ({ res, isSilent, getFaults }: WriterOptions): StreamWriter {
+export function createEventWriter ({ res, isSilent, getFaults, getSoftwareVersion }: WriterOptions): StreamWriter {
   let stream: Stream
   let createdS = 0
   let sentTokens = 0
@@ -46,7 +47,9 @@
       createdS = Math.floor(Date.now() / MS_PER_SECOND)
       if (isSilent()) return
       setFraming(res, getFaults().framing ?? 'chunks')
+      const version = getSoftwareVersion()
       res.writeHead(HTTP_OK, {
+        ...(version === undefined ? {} : { 'x-software-version': version }),
         'content-type': 'text/event-stream',
         'cache-control': 'no-cache',
         'x-stream-id': stream.id
