Continue streams and items only at the software version that began them

What callers saw: answers and results with text from targets of two software versions, which doesn't fit together. A stream that had to move went on at any target of the service, or at its own target after that had come back at another version; so did items of jobs.

Change: - The version of a run is the one that the head of its stream states, else the listed one as the run began. It is kept beside the text (ResumePoint.softwareVersion). - Live streams with tokens and items with text get slots only at targets of that version. It is checked again when the slot is granted, before a stream is resumed on its own target, and against the head of the continued stream, since the list may lag (`otherVersion`). - No target of the version left: a live stream ends at once with an error event; an item begins anew without its text, which counts as no failed run; a dispatched at-most-once item is unknown. - Requests and items that have no text yet may run at any version.

Progress of items isn't part of checkpoints: a taken-over chunk begins its open items anew, so no hand-over can mix versions. There are no callers that take up a stream in this interface.

--- a/packages/pimentoplank/features/support/fakeTargets.ts
+++ b/packages/pimentoplank/features/support/fakeTargets.ts
@@ -9,6 +9,8 @@
   requestId: string
   content: string
   target: string
+  /** Software version of the target when the run started. */
+  version: string | undefined
   runner: string
   /** True when the run resumes a stream that was cancelled or cut. */
   isResumed: boolean
@@ -130,6 +132,7 @@
           requestId: req.requestId,
           content,
           target: target.id,
+          version: records.find(({ id }) => id === target.id)?.softwareVersion,
           runner,
           isResumed: req.resume !== undefined,
           resumedAt,
--- a/packages/pimentoplank/src/batch/engineErrors.ts
+++ b/packages/pimentoplank/src/batch/engineErrors.ts
@@ -40,5 +40,6 @@
   targetError: createFailedTraits('targetError'),
   streamCut: createBrokenTraits('streamCut'),
   streamSilent: createBrokenTraits('streamSilent'),
+  otherVersion: createNotRunTraits('otherVersion'),
   aborted: { retry: 'slotRevoked', countsAsFailure: false, mayBeCrash: false, report: 'revoked', pauseMs: 0 }
 }
--- a/packages/pimentoplank/src/batch/itemSlot.ts
+++ b/packages/pimentoplank/src/batch/itemSlot.ts
@@ -3,6 +3,7 @@
 import { SECOND_MS, type ModelEntry, type RefusalError, type SlotGrant } from '../shared'
 import type { RunnerContext } from './context'
 import { isPinned, type ItemTask } from './itemTask'
+import { findUnfitTargets, type BegunText } from './itemVersion'
 
 /** Bounds of the pause after a refused request for a slot, in milliseconds. */
 export const MIN_SLOT_PAUSE_MS = 100
@@ -16,19 +17,21 @@
 /**
  * Acquires a slot for an item, on a target on which it failed lately only if no other is left.
  *
- * @param without - ids of further targets that the item must not get
+ * @param without - id of a target that the item must not get
+ * @param begun - text that the item continues; by default, that of its resume point
  */
 export async function acquireSlot (
   { config, membership, quarantine, slots, settings }: RunnerContext,
   task: ItemTask,
   model: ModelEntry,
   signal: AbortSignal,
-  without: readonly string[] = []
+  { without, begun = task.resume }: { without?: string, begun?: BegunText } = {}
 ): Promise<Result<SlotGrant, RefusalError>> {
   const { hashes, resume } = task
   const targetIds = membership.targets(model.service).map(({ id }) => id)
   const others = targetIds.filter((id) => id !== resume?.targetId)
-  const isOtherLeft = targetIds.some((id) => !without.includes(id) && !task.excluded.includes(id))
+  const unfit = [...findUnfitTargets(membership, model.service, begun), ...(without === undefined ? [] : [without])]
+  const isOtherLeft = targetIds.some((id) => !unfit.includes(id) && !task.excluded.includes(id))
   const avoided = isOtherLeft ? task.excluded : []
   task.isWaiting = true
   const granted = await slots.acquire({
@@ -41,7 +44,7 @@
     prefixHash: hashes.prefixHash,
     excluded: isPinned(task)
       ? others
-      : [...without, ...avoided, ...quarantine.findTargetsWithSuspects(hashes.contentHash)],
+      : [...unfit, ...avoided, ...quarantine.findTargetsWithSuspects(hashes.contentHash)],
     preferred: resume?.targetId
   }, { signal })
   task.isWaiting = false
--- a/packages/pimentoplank/src/batch/itemTask.ts
+++ b/packages/pimentoplank/src/batch/itemTask.ts
@@ -1,6 +1,7 @@
 /** State of an item and of its runs. */
 import {
-  hashPrompt, type ChunkItem, type EngineStream, type PromptHashes, type ResumePoint, type SlotGrant, type Target
+  hashPrompt,
+  type ChunkItem, type EngineStream, type PromptHashes, type ResumePoint, type RunVersion, type SlotGrant, type Target
 } from '../shared'
 import type { RunnerContext } from './context'
 
@@ -54,6 +55,8 @@
   tokens: number
   firstTokenAt?: number
   lastTokenAt?: number
+  /** Software version that has generated the text. */
+  version: RunVersion
 }
 
 /** An item while it runs on a target. */
@@ -63,6 +66,8 @@
   target: Target
   progress: Progress
   stream: EngineStream
+  /** Software version of the target. */
+  version: RunVersion
   stopSignal: AbortSignal
   /** Slot on another target, held when the stream is given up as silent. */
   replacement?: SlotGrant
@@ -77,3 +82,9 @@
 export function getKind (item: ChunkItem): 'chat' | 'completion' {
   return item.endpoint === '/v1/completions' ? 'completion' : 'chat'
 }
+
+/** Returns the point from which the item can go on. */
+export function toResumePoint (streamId: string, target: Target, progress: Progress): ResumePoint {
+  const { tokens, text, version } = progress
+  return { streamId, targetId: target.id, tokens, text, softwareVersion: version }
+}
--- a/packages/pimentoplank/src/batch/runItem.ts
+++ b/packages/pimentoplank/src/batch/runItem.ts
@@ -1,7 +1,7 @@
 /** Runs one item, from the request for a slot to the item's outcome. */
 import { err, type Result } from 'neverthrow'
 import {
-  EngineError, MINUTE_MS, SECOND_MS,
+  EngineError, findRunVersion, MINUTE_MS, SECOND_MS,
   type BatchResult, type EngineErrorKind, type EngineEvent, type EngineRequest, type ResumePoint, type SlotGrant,
   type SlotReport, type Target
 } from '../shared'
@@ -10,7 +10,8 @@
 import { createDoneResult, createFailedResult, createUnknownResult } from './itemResult'
 import { waitForItem } from './itemSilence'
 import { acquireSlot, computeSlotPauseMs, MIN_SLOT_PAUSE_MS } from './itemSlot'
-import { getKind, isPinned, type ItemRun, type ItemTask, type Progress } from './itemTask'
+import { findUnfitTargets, isFitTarget, isFitTargetLeft } from './itemVersion'
+import { getKind, isPinned, toResumePoint, type ItemRun, type ItemTask, type Progress } from './itemTask'
 
 /** Most recently failed targets that the next run of an item avoids. */
 const MAX_EXCLUDED = 2
@@ -38,14 +39,19 @@
   task: ItemTask,
   { signal, mayDispatch }: RunItemOptions
 ): Promise<ItemOutcome> {
-  const { config, clock, metrics } = context
+  const { config, clock, membership, metrics } = context
   const { item } = task
   const model = config.current().models.get(String(item.body.model))
   if (model === undefined) return waitForModel(context, task)
 
-  if (isPinned(task) && context.membership.target(task.resume?.targetId ?? '') === undefined) {
-    return toOutcome(createUnknownResult(item, 'the target that ran it is gone'))
+  if (isPinned(task)) {
+    const target = membership.target(task.resume?.targetId ?? '')
+    if (target === undefined) return toOutcome(createUnknownResult(item, 'the target that ran it is gone'))
+    if (!isFitTarget(membership, target, task.resume)) {
+      return toOutcome(createUnknownResult(item, 'the target that ran it has another software version now'))
+    }
   }
+  if (!isFitTargetLeft(membership, model.service, task.resume)) beginAnew(context, task)
   if (context.quarantine.hasCrashingParts(task.hashes.partHashes)) {
     task.notBefore = clock.now() + CRASHING_PART_PAUSE_MS
     metrics.count('batch.crashingParts')
@@ -59,9 +65,11 @@
   }
   const grant = granted.value
   const isOtherTarget = isPinned(task) && task.resume?.targetId !== grant.target.id
+  // The target may have been replaced by one of another version during the wait.
+  const isUnfit = !isFitTarget(membership, grant.target, task.resume)
   // A process that was suspended while it waited may have lost the chunk without having learned of it yet.
   const isHeld = await mayDispatch()
-  if (signal.aborted || isOtherTarget || !isHeld) {
+  if (signal.aborted || isOtherTarget || isUnfit || !isHeld) {
     grant.release({ result: 'notRun' })
     task.notBefore = clock.now() + MIN_SLOT_PAUSE_MS
     return { type: 'retry' }
@@ -69,6 +77,14 @@
   return await runOnSlot(context, task, grant, { signal, mayDispatch })
 }
 
+/** Drops the text of an item that no target of its software version is left to continue. */
+function beginAnew ({ log, metrics }: RunnerContext, task: ItemTask): void {
+  const { tokens, softwareVersion: version } = task.resume ?? {}
+  log.info({ req: task.requestId, tokens, version }, 'item begins anew: no target of its version is left')
+  metrics.count('batch.items.begunAnew')
+  task.resume = undefined
+}
+
 function toOutcome (result: BatchResult): ItemOutcome {
   return { type: 'result', result }
 }
@@ -95,7 +111,7 @@
   // The engine may have finished the stream just before it is cancelled; resuming it would then run its tail twice.
   const stopSignal = item.noRepeat ? signal : AbortSignal.any([signal, grant.revoked])
   const startedAt = clock.now()
-  const progress: Progress = { text: resume?.text ?? '', tokens: resume?.tokens ?? 0 }
+  const progress: Progress = { text: resume?.text ?? '', tokens: resume?.tokens ?? 0, version: resume?.softwareVersion ?? {} }
   let report: SlotReport = { result: 'failed' }
   let moved: SlotGrant | undefined
   task.isDispatched = true
@@ -107,7 +123,8 @@
       report = { result: ENGINE_ERROR_TRAITS[started.error.kind].report }
       return await handleRunError(context, task, { target, error: started.error, progress })
     }
-    const run: ItemRun = { context, task, target, progress, stream: started.value, stopSignal }
+    const version = findRunVersion(context.membership, target, started.value)
+    const run: ItemRun = { context, task, target, progress, version, stream: started.value, stopSignal }
     const end = await readStream(run)
     const { stream } = run
     if (hasBegun(task, progress)) quarantine.recordAnswer(task.hashes.partHashes)
@@ -154,6 +171,7 @@
     const event = isSilent ? await Promise.race([waitForItem(run), stopped]) : read
     if (event.isErr()) return event as StreamEnd
     if (event.value.type === 'end') return event as StreamEnd
+    if (progress.tokens === 0) progress.version = run.version
     progress.text += event.value.text
     progress.tokens = event.value.index + 1
     progress.firstTokenAt ??= now()
@@ -174,6 +192,13 @@
   streamId?: string
 }
 
+/** Whether a target can continue the item's text that is not one of those on which it failed lately. */
+function isOtherFitTargetLeft ({ config, membership }: RunnerContext, task: ItemTask): boolean {
+  const service = config.current().models.get(String(task.item.body.model))?.service ?? ''
+  const unfit = [...findUnfitTargets(membership, service, task.resume), ...task.excluded]
+  return membership.targets(service).some(({ id }) => !unfit.includes(id))
+}
+
 /** Decides whether an item whose run failed or never started is retried, and updates its task. */
 async function handleRunError (context: RunnerContext, task: ItemTask, run: FailedRun): Promise<ItemOutcome> {
   const { clock, metrics, membership, settings } = context
@@ -198,6 +223,8 @@
   }
   if (error.kind !== 'aborted') task.excluded = [target.id, ...task.excluded].slice(0, MAX_EXCLUDED)
   task.resume = findResumePoint(run) ?? task.resume
+  // The list may lag behind the target; its own answer decides when no other target is left.
+  if (error.kind === 'otherVersion' && !isOtherFitTargetLeft(context, task)) beginAnew(context, task)
   if (traits.mayBeCrash && !traits.countsAsFailure) task.brokenRuns++
   const pauseMs = computeRetryPauseMs(traits.pauseMs, task.brokenRuns)
   task.notBefore = clock.now() + pauseMs
@@ -227,7 +254,7 @@
   if (streamId === undefined || !RESUMABLE_ERRORS.has(error.kind)) return undefined
   // A stream that failed before its first token has nothing to resume; the engine keeps the state of a cancelled one.
   if (error.kind !== 'aborted' && progress.tokens === 0) return undefined
-  return { streamId, targetId: target.id, tokens: progress.tokens, text: progress.text }
+  return toResumePoint(streamId, target, progress)
 }
 
 /** Records a crash of the target; live requests with the same content may then be refused. */
--- a/packages/pimentoplank/src/batch/runner.feature
+++ b/packages/pimentoplank/src/batch/runner.feature
@@ -77,6 +77,36 @@
     And resumed batch runs continued after the tokens already received
     And each of the 10 batch items has 1 result, "done"
 
+  Scenario: An item leaves a silent target for one of the same software version
+    Given a batch fleet with the runners "a" and targets of the software versions "1, 2, 1"
+    And targets are silent for 600 s under items with "SILENT"
+    When 10 batch items are uploaded, of which item 3 contains "SILENT"
+    Then the batch job is "done" within 60 s
+    And no batch item went on at another software version, and 1 or more went on
+
+  Scenario: An item whose target is back at another software version goes on at one of its own
+    Given a batch fleet with the runners "a" and targets of the software versions "1, 2, 1"
+    When 6 batch items are uploaded
+    And batch items are running with some tokens
+    And every batch slot is revoked
+    And batch target 0 is back at software version 2
+    And batch slots are granted again
+    Then the batch job is "done" within 60 s
+    And no batch item went on at another software version, and 1 or more went on
+    And each of the 6 batch items has 1 result, "done"
+
+  Scenario: Items begin anew when no target of their software version is left
+    Given a batch fleet with the runners "a" and targets of the software versions "1, 2"
+    When 4 batch items are uploaded
+    And batch items are running with some tokens
+    And every batch slot is revoked
+    And batch target 0 is back at software version 2
+    And batch slots are granted again
+    Then the batch job is "done" within 60 s
+    And no batch item went on at another software version, and 0 or more went on
+    And batch item 0 was begun 2 times
+    And each of the 4 batch items has 1 result, "done"
+
   Scenario: A stopped runner releases its chunks at once
     Given a batch fleet with the runners "a, b"
     When 40 batch items are uploaded
--- a/packages/pimentoplank/src/batch/runner.steps.ts
+++ b/packages/pimentoplank/src/batch/runner.steps.ts
@@ -90,6 +90,37 @@
   createFleet(this, names, { targets: { targets }, settings: { commit: { everyMs: SECOND } } })
 })
 
+Given('a batch fleet with the runners {string} and targets of the software versions {string}', function (
+  this: FleetWorld, names: string, versions: string
+) {
+  const list = versions.split(', ')
+  createFleet(this, names, { targets: { targets: list.length }, settings: { commit: { everyMs: SECOND } } })
+  for (const [index, record] of this.fleet.targets.records.entries()) record.softwareVersion = list[index]
+})
+
+When('batch target {int} is back at software version {word}', function (
+  this: FleetWorld, index: number, version: string
+) {
+  this.fleet.targets.records[index]!.softwareVersion = version
+})
+
+Then('no batch item went on at another software version, and {int} or more went on', function (
+  this: FleetWorld, count: number
+) {
+  const { runs } = this.fleet.targets
+  const continued = runs.filter(({ resumedAt }) => resumedAt > 0)
+  assert.ok(continued.length >= count, `${continued.length} runs continued`)
+  for (const run of continued) {
+    const earlier = runs.slice(0, runs.indexOf(run)).findLast(({ requestId }) => requestId === run.requestId)
+    assert.equal(run.version, earlier?.version, `${run.requestId} on ${run.target}`)
+  }
+})
+
+Then('batch item {int} was begun {int} times', function (this: FleetWorld, index: number, count: number) {
+  const runs = this.fleet.targets.runs.filter(({ content }) => content.includes(`roster ${index} `))
+  assert.equal(runs.filter(({ resumedAt }) => resumedAt === 0).length, count)
+})
+
 Given('a batch fleet without runners', function (this: FleetWorld) {
   createFleet(this, '')
 })
--- a/packages/pimentoplank/src/entry/live/live.steps.ts
+++ b/packages/pimentoplank/src/entry/live/live.steps.ts
@@ -93,6 +93,39 @@
   await this.bench.engines[index]!.crash()
 })
 
+async function restartAtVersion (world: EntryWorld, index: number, version: string, tokens: number): Promise<void> {
+  const engine = world.bench.engines[index]!
+  await waitForTokens(world, index, tokens)
+  await engine.crash()
+  engine.setSoftwareVersion(version)
+  await engine.start()
+}
+
+When('engine {int} of the entry restarts at software version {word} after {int} tokens', async function (
+  this: EntryWorld, index: number, version: string, tokens: number
+) {
+  await restartAtVersion(this, index, version, tokens)
+  this.bench.membership.set(this.bench.engines.map((engine) => engine.getInstanceRecord()))
+})
+
+When('engine {int} of the entry restarts at software version {word} after {int} tokens, and the list lags', async function (
+  this: EntryWorld, index: number, version: string, tokens: number
+) {
+  await restartAtVersion(this, index, version, tokens)
+})
+
+Then('engine {int} continued the entry\'s stream', function (this: EntryWorld, index: number) {
+  assert.ok(this.bench.engines[index]!.getRuns().some((run) => run.from > 0 && run.outcome === 'done'))
+})
+
+Then('no engine of software version {word} continued the entry\'s stream', function (
+  this: EntryWorld, version: string
+) {
+  const engines = this.bench.engines.filter((engine) => engine.getInstanceRecord().softwareVersion === version)
+  assert.ok(engines.length > 0)
+  assert.deepEqual(engines.flatMap((engine) => engine.getRuns()).filter((run) => run.from > 0), [])
+})
+
 When(
   'the entry gets a streamed chat request for {int} tokens whose caller disconnects after {int} tokens',
   async function (this: EntryWorld, tokens: number, read: number) {
--- a/packages/pimentoplank/src/entry/live/liveJob.ts
+++ b/packages/pimentoplank/src/entry/live/liveJob.ts
@@ -66,7 +66,8 @@
   modelNotLoaded: 'modelNotLoaded',
   targetError: 'targetError',
   streamCut: 'streamCut',
-  streamSilent: 'streamSilent'
+  streamSilent: 'streamSilent',
+  otherVersion: 'otherVersion'
 }
 
 /** Outcome of a failed dispatch that reached its target, by the error. */
@@ -79,6 +80,7 @@
   targetError: 'failed',
   streamCut: 'failed',
   streamSilent: 'unknown',
+  otherVersion: 'failed',
   aborted: 'unknown'
 }
 
--- a/packages/pimentoplank/src/entry/live/liveRun.ts
+++ b/packages/pimentoplank/src/entry/live/liveRun.ts
@@ -1,9 +1,9 @@
 /** Runs a live job: acquires a slot, reads the stream, and fails over to another target when one fails. */
 import { err, ok, ResultAsync, type Result } from 'neverthrow'
 import {
-  RefusalError, waitOutSilence,
+  canContinueOn, findRunVersion, RefusalError, waitOutSilence,
   type EngineError, type EngineErrorKind, type EngineEvent, type EngineRequest, type EngineStream, type Outcome,
-  type ResumePoint,
+  type ResumePoint, type RunVersion,
   type SlotGrant, type SlotReport
 } from '../../shared'
 import { createAttemptTimer, type AttemptTimer } from './attemptTimer'
@@ -16,6 +16,8 @@
 interface Attempt {
   grant: SlotGrant
   stream: EngineStream
+  /** Software version of the target. */
+  version: RunVersion
   /** Number of tokens received on this target. */
   tokens: number
   timer: AttemptTimer
@@ -46,6 +48,8 @@
   let outcome: Outcome = 'not_run'
   let tokens = 0
   let text = ''
+  /** Software version that has generated the text. */
+  let version: RunVersion = {}
   /** Slot that is held already for the next attempt. */
   let nextGrant: SlotGrant | undefined
 
@@ -89,6 +93,7 @@
     if (end.type === 'event') {
       current.stream.disconnect()
       current.stream = end.stream
+      current.version = findRunVersion(deps.membership, current.grant.target, end.stream)
       return end.event
     }
     outcome = getWorseOutcome(outcome, FAILURE_OUTCOMES.streamSilent)
@@ -101,7 +106,7 @@
 
   /** Opens a second connection to a silent stream. */
   async function attachTo (current: Attempt, stopped: AbortSignal): Promise<EngineStream | undefined> {
-    if (current.stream.streamId === '') return undefined
+    if (current.stream.streamId === '' || !mayStay(current)) return undefined
     const started = await engine.start(current.grant.target, createEngineRequest(getResumePoint(current)), {
       signal: AbortSignal.any([signal, stopped]), firstTokenTimeoutMs: deps.attachTimeoutMs
     })
@@ -112,7 +117,9 @@
   async function acquireElsewhere (targetId: string, stopped: AbortSignal): Promise<SlotGrant | undefined> {
     if (!job.repeatable || attemptsLeft <= 1) return undefined
     if (tokens === 0 && !deps.budget.tryTakeRetry(job.service)) return undefined
-    const grant = await (tokens > 0 ? search.acquireToContinue(stopped, targetId) : search.acquire(stopped, targetId))
+    const grant = await (tokens > 0
+      ? search.acquireToContinue(stopped, { version, without: targetId })
+      : search.acquire(stopped, targetId))
     return grant.unwrapOr(undefined)
   }
 
@@ -146,7 +153,7 @@
 
   async function acquire (): Promise<Result<SlotGrant, RefusalError>> {
     const startedAt = clock.now()
-    const grant = await (tokens > 0 ? search.acquireToContinue(signal) : search.acquire(signal))
+    const grant = await (tokens > 0 ? search.acquireToContinue(signal, { version }) : search.acquire(signal))
     metrics.timing('live.slotWait', clock.now() - startedAt)
     if (grant.isOk()) return grant
     if (signal.aborted) return err(createStopRefusal())
@@ -157,6 +164,11 @@
     return err(new RefusalError(reason, { detail: message, outcome, retryAfterMs, cause: grant.error }))
   }
 
+  /** Whether the target, as listed now, runs the software version that began the stream. */
+  function mayStay ({ grant }: Attempt): boolean {
+    return tokens === 0 || canContinueOn(deps.membership, grant.target, version)
+  }
+
   async function allowDispatch (): Promise<Result<void, RefusalError>> {
     if (dispatchAllowed || job.beforeDispatch === undefined) return ok(undefined)
     const allowed = await job.beforeDispatch()
@@ -173,7 +185,9 @@
     const markEnded = deps.quarantine.trackRun(job.contentHash, grant.target.id)
     const started = await engine.start(grant.target, createEngineRequest(resume), { signal, firstTokenTimeoutMs })
     if (started.isErr() && !started.error.reached) markEnded()
-    return started.map((stream) => ({ grant, stream, tokens: 0, timer, markEnded }))
+    return started.map((stream) => (
+      { grant, stream, version: findRunVersion(deps.membership, grant.target, stream), tokens: 0, timer, markEnded }
+    ))
   }
 
   function createEngineRequest (resume: ResumePoint | undefined): EngineRequest {
@@ -186,12 +200,14 @@
    * @param from - the attempt whose stream still runs; absent when another target continues from the text so far
    */
   function getResumePoint (from?: Attempt): ResumePoint | undefined {
-    if (from !== undefined) return { streamId: from.stream.streamId, targetId: from.grant.target.id, tokens, text }
-    return tokens === 0 ? undefined : { streamId: '', targetId: '', tokens, text }
+    const point = { tokens, text, softwareVersion: version }
+    if (from !== undefined) return { ...point, streamId: from.stream.streamId, targetId: from.grant.target.id }
+    return tokens === 0 ? undefined : { ...point, streamId: '', targetId: '' }
   }
 
   function handleEvent (current: Attempt, event: EngineEvent): EngineEvent {
     if (event.type === 'token') {
+      if (tokens === 0) version = current.version
       tokens += 1
       current.tokens += 1
       if (current.tokens === BEGINNING_TOKENS) deps.quarantine.recordAnswer(job.partHashes)
@@ -215,7 +231,7 @@
     }
     const isAlive = await deps.engine.probe(broken.grant.target)
     if (!isAlive && cause.kind === 'streamCut') return await handleCrash(broken)
-    const resumed = isAlive ? await resumeOnSameTarget(broken, cause) : err(cause)
+    const resumed = isAlive && mayStay(broken) ? await resumeOnSameTarget(broken, cause) : err(cause)
     if (resumed.isOk()) return undefined
     giveUp(broken, resumed.error.kind)
     return retryOrRefuse(cause)
@@ -263,7 +279,7 @@
     const markEnded = deps.quarantine.trackRun(job.contentHash, grant.target.id)
     if (cause.kind === 'streamCut' && !(await engine.probe(grant.target))) {
       const timer = createAttemptTimer(clock, metrics, false)
-      return await handleCrash({ grant, stream: NO_STREAM, tokens: 0, timer, markEnded })
+      return await handleCrash({ grant, stream: NO_STREAM, version: {}, tokens: 0, timer, markEnded })
     }
     markEnded()
     grant.release({ result: cause.reached ? 'failed' : 'notRun' })
--- a/packages/pimentoplank/src/entry/live/slotSearch.ts
+++ b/packages/pimentoplank/src/entry/live/slotSearch.ts
@@ -1,6 +1,9 @@
 /** Search for the slots of one live job, away from the targets on which it has failed. */
 import type { Result } from 'neverthrow'
-import type { EngineErrorKind, RefusalError, SlotGrant } from '../../shared'
+import {
+  canContinueOn, findOtherVersions,
+  type EngineErrorKind, type RefusalError, type RunVersion, type SlotGrant
+} from '../../shared'
 import type { LiveDeps, LiveJob } from './liveJob'
 
 /** Bounds of the pause before a stream that has begun asks for a slot again, in milliseconds. */
@@ -25,11 +28,14 @@
    */
   acquire: (signal: AbortSignal, without?: string) => Promise<Result<SlotGrant, RefusalError>>
   /**
-   * Asks for a slot for a stream that has begun, again and again while a target is left.
+   * Asks for a slot for a stream that has begun, again and again while a target of its software version is left.
    *
    * @param without - id of a target that the stream still runs on; while it does, the search does not end
    */
-  acquireToContinue: (signal: AbortSignal, without?: string) => Promise<Result<SlotGrant, RefusalError>>
+  acquireToContinue: (
+    signal: AbortSignal,
+    stream: { version: RunVersion, without?: string }
+  ) => Promise<Result<SlotGrant, RefusalError>>
   /** Keeps the job away from a target on which it has failed. */
   exclude: (targetId: string, cause: EngineErrorKind | undefined) => void
 }
@@ -87,8 +93,8 @@
   }
 
   /** Returns whether a target is left, if need be one of those that were postponed. */
-  function hasTargetLeft (without: string | undefined): boolean {
-    const unusable = findUnusable(without)
+  function hasTargetLeft (findUnfit: () => string[]): boolean {
+    const unusable = findUnfit()
     if (membership.targets(job.service).some(({ id }) => !unusable.includes(id))) return true
     const hasPostponed = postponed.size > 0
     postponed.clear()
@@ -97,12 +103,24 @@
 
   async function acquireToContinue (
     signal: AbortSignal,
-    without?: string
+    { version, without }: { version: RunVersion, without?: string }
   ): Promise<Result<SlotGrant, RefusalError>> {
+    const findUnfit = (): string[] => [
+      ...findUnusable(without), ...findOtherVersions(membership, job.service, version)
+    ]
     for (;;) {
-      const grant = await acquireAwayFromSuspects(findUnusable(without), true, signal)
-      if (grant.isOk() || signal.aborted) return grant
-      if (!hasTargetLeft(without) && without === undefined) return grant
+      const grant = await acquireAwayFromSuspects(findUnfit(), true, signal)
+      if (signal.aborted) return grant
+      if (grant.isOk()) {
+        if (canContinueOn(membership, grant.value.target, version)) return grant
+        // The target has been replaced by one of another version during the wait.
+        grant.value.release({ result: 'revoked' })
+        continue
+      }
+      if (!hasTargetLeft(findUnfit) && without === undefined) {
+        log.info({ req: job.requestId, version, reason: grant.error.reason }, 'begun stream has no target left')
+        return grant
+      }
       const { reason, retryAfterMs } = grant.error
       const pauseMs = computePauseMs(retryAfterMs)
       log.debug({ req: job.requestId, reason, pauseMs }, 'begun stream waits for a slot')
--- a/packages/pimentoplank/src/entry/testing/entryBench.steps.ts
+++ b/packages/pimentoplank/src/entry/testing/entryBench.steps.ts
@@ -14,6 +14,12 @@
   this.bench = await createEntryBench({ engines })
 })
 
+Given('the entry bench with engines of the software versions {string}', async function (
+  this: EntryWorld, versions: string
+) {
+  this.bench = await createEntryBench({ versions: versions.split(', ') })
+})
+
 Given('the entry bench with {int} engine(s) and settings {word}', async function (
   this: EntryWorld, engines: number, settings: string
 ) {
--- a/packages/pimentoplank/src/entry/testing/entryBench.ts
+++ b/packages/pimentoplank/src/entry/testing/entryBench.ts
@@ -28,6 +28,8 @@
 
 export interface EntryBenchOptions {
   engines?: number
+  /** Software versions of the engines, by index. */
+  versions?: readonly string[]
   services?: number
   entries?: number
   /** Overrides the settings of every entry instance. */
@@ -127,9 +129,10 @@
 export async function createEntryBench (options: EntryBenchOptions = {}): Promise<EntryBench> {
   const platform = createPlatformStandin()
   const platformUrl = (await platform.start()).url
-  const engines = await Promise.all(createRange(options.engines ?? 2).map(async (index) => {
+  const engines = await Promise.all(createRange(options.versions?.length ?? options.engines ?? 2).map(async (index) => {
     const engine = createEngineStandin({
       id: `engine-${index}`,
+      softwareVersion: options.versions?.[index],
       preloaded: [MODEL],
       tokenMs: 2,
       firstTokenMs: 1,
--- a/packages/pimentoplank/src/shared/engine/client.ts
+++ b/packages/pimentoplank/src/shared/engine/client.ts
@@ -8,6 +8,7 @@
 import type { Target } from '../membership'
 import { createTargetAgent, readLimitedBody, type SendMark } from '../targetHttp'
 import { createEngineStream } from './engineStream'
+import { isStatedVersion } from './softwareVersion'
 import {
   EngineError, type EngineClient, type EngineErrorKind, type EngineRequest, type EngineStartOptions, type EngineStream,
   type ResumePoint
@@ -20,6 +21,7 @@
 const HTTP_NOT_FOUND = 404
 const HTTP_SERVER_ERROR = 500
 const STREAM_ID_HEADER = 'x-stream-id'
+const SOFTWARE_VERSION_HEADER = 'x-software-version'
 const PROBE_PATH = '/v1/load'
 const PATHS = { chat: '/v1/chat/completions', completion: '/v1/completions' } as const
 
@@ -67,16 +69,16 @@
   ): Promise<Result<EngineStream, EngineError>> {
     const { resume } = req
     if (resume?.targetId === target.id) {
-      const attached = await open(target, req.requestId, createAttachCall(resume), startOptions)
+      const attached = await open(target, req, createAttachCall(resume), startOptions)
       const isUnknownStream = attached.isErr() && attached.error.status === HTTP_NOT_FOUND
       if (!isUnknownStream || req.attachOnly === true) return attached
     }
-    return await open(target, req.requestId, createRunCall(target, req), startOptions)
+    return await open(target, req, createRunCall(target, req), startOptions)
   }
 
   async function open (
     target: Target,
-    requestId: string,
+    { requestId, resume }: EngineRequest,
     call: Call,
     startOptions: EngineStartOptions
   ): Promise<Result<EngineStream, EngineError>> {
@@ -104,9 +106,16 @@
       }
       if (res.statusCode !== HTTP_OK) return err(await readErrorResponse(res, clock))
       const streamId = getHeader(res, STREAM_ID_HEADER)
+      const softwareVersion = getHeader(res, SOFTWARE_VERSION_HEADER) || undefined
+      if (resume !== undefined && resume.tokens > 0 && !isStatedVersion(resume.softwareVersion, softwareVersion)) {
+        connection.abort()
+        cancelStream(target, streamId).catch(() => undefined)
+        return err(new EngineError('otherVersion', { reached: true, detail: `software version ${softwareVersion}` }))
+      }
       return ok(createEngineStream({
         body: res.body,
         streamId,
+        softwareVersion,
         firstIndex: call.firstIndex,
         clock,
         firstTokenTimeoutMs: firstTokenTimeoutMs - (clock.now() - startedAt),
--- a/packages/pimentoplank/src/shared/engine/engineStream.ts
+++ b/packages/pimentoplank/src/shared/engine/engineStream.ts
@@ -10,6 +10,7 @@
 export interface EngineStreamOptions {
   body: Dispatcher.ResponseData['body']
   streamId: string
+  softwareVersion?: string
   /** Index of the first token that the stream carries. */
   firstIndex: number
   clock: Clock
@@ -94,6 +95,7 @@
 
   return {
     streamId: options.streamId,
+    softwareVersion: options.softwareVersion,
     next: () => new ResultAsync(next()),
     disconnect: () => {
       failure ??= new EngineError('aborted', { reached: true })
--- a/packages/pimentoplank/src/shared/engine/types.ts
+++ b/packages/pimentoplank/src/shared/engine/types.ts
@@ -1,6 +1,7 @@
 /** Types of the client of model engines. */
 import type { ResultAsync } from 'neverthrow'
 import type { Target } from '../membership'
+import type { RunVersion } from './softwareVersion'
 
 /** A position from which an engine can resume a stream. */
 export interface ResumePoint {
@@ -12,6 +13,8 @@
   tokens: number
   /** Text received so far, which another engine continues. */
   text: string
+  /** Version of the software that generated the text. */
+  softwareVersion: RunVersion
 }
 
 export interface EngineRequest {
@@ -38,6 +41,8 @@
 /** A running stream. Reading it never throws: a broken stream ends with an `EngineError` as the result. */
 export interface EngineStream {
   streamId: string
+  /** Version of the engine's software, if its answer states one. */
+  softwareVersion?: string
   /**
    * Resolves with the next event, or with the error that ended the stream. After `streamSilent`, the stream stays
    * open, and the next call waits again.
@@ -51,7 +56,7 @@
 
 export const ENGINE_ERROR_KINDS = [
   'connectFailed', 'targetLeaving', 'targetBusy', 'modelNotLoaded', 'rejected', 'targetError', 'streamCut',
-  'streamSilent', 'aborted'
+  'streamSilent', 'otherVersion', 'aborted'
 ] as const
 export type EngineErrorKind = typeof ENGINE_ERROR_KINDS[number]
 
--- a/packages/pimentoplank/src/shared/reasons/reasons.ts
+++ b/packages/pimentoplank/src/shared/reasons/reasons.ts
@@ -45,6 +45,7 @@
   connectFailed: 'No connection to the target was established; nothing ran.',
   homeLost: 'The owner, the instance that grants the slots of the target, did not respond.',
   modelNotLoaded: 'The target has not loaded the model; nothing ran.',
+  otherVersion: 'The target runs another software version than the one that began the stream.',
   peerUnavailable: 'A peer instance did not respond.',
   platformConflict: 'Another writer changed the object first.',
   platformUnavailable: 'The platform service did not respond.',
