--- a/packages/pimentoplank/src/entry/live/live.steps.ts
+++ b/packages/pimentoplank/src/entry/live/live.steps.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
+import type { RefusalReason } from '../../shared'
 import { computeAnswer } from '@pimentoplank/standins'
 import { MODEL, readEvents, type SendOptions } from '../testing/entryBench'
 import type { EntryWorld } from '../testing/entryBench.steps'
@@ -35,6 +36,29 @@
   await ENGINE_FAULTS[fault]!(this, Number(index))
 })
 
+Given('engine {int} of the entry falls silent for {int} ms after {int} tokens', function (
+  this: EntryWorld, index: number, ms: number, afterTokens: number
+) {
+  this.bench.engines[index]!.setFaults({ silence: { afterTokens, ms } })
+})
+
+Given('the entry gets one slot, and then refusals as {word}', function (this: EntryWorld, reason: RefusalReason) {
+  this.bench.slots.refuseAfterNextGrant(reason)
+})
+
+Given('the entry gets one slot, and then {int} refusals as {word}', function (
+  this: EntryWorld, count: number, reason: RefusalReason
+) {
+  this.bench.slots.refuseAfterNextGrant(reason, count)
+})
+
+When('every connection to engine {int} goes silent after {int} tokens', async function (
+  this: EntryWorld, index: number, tokens: number
+) {
+  await waitForTokens(this, index, tokens)
+  this.bench.engines[index]!.setFaults({ silentStreams: 'all' })
+})
+
 When('the entry gets a {word} request for {int} tokens', function (this: EntryWorld, kind: string, tokens: number) {
   startRequest(this, kind, tokens, false)
 })
@@ -69,6 +93,39 @@
   await this.bench.engines[index]!.crash()
 })
 
+async function restartAtVersion (world: EntryWorld, index: number, version: string, tokens: number): Promise<void> {
+  const engine = world.bench.engines[index]!
+  await waitForTokens(world, index, tokens)
+  await engine.crash()
+  engine.setSoftwareVersion(version)
+  await engine.start()
+}
+
+When('engine {int} of the entry restarts at software version {word} after {int} tokens', async function (
+  this: EntryWorld, index: number, version: string, tokens: number
+) {
+  await restartAtVersion(this, index, version, tokens)
+  this.bench.membership.set(this.bench.engines.map((engine) => engine.getInstanceRecord()))
+})
+
+When('engine {int} of the entry restarts at software version {word} after {int} tokens, and the list lags', async function (
+  this: EntryWorld, index: number, version: string, tokens: number
+) {
+  await restartAtVersion(this, index, version, tokens)
+})
+
+Then('engine {int} continued the entry\'s stream', function (this: EntryWorld, index: number) {
+  assert.ok(this.bench.engines[index]!.getRuns().some((run) => run.from > 0 && run.outcome === 'done'))
+})
+
+Then('no engine of software version {word} continued the entry\'s stream', function (
+  this: EntryWorld, version: string
+) {
+  const engines = this.bench.engines.filter((engine) => engine.getInstanceRecord().softwareVersion === version)
+  assert.ok(engines.length > 0)
+  assert.deepEqual(engines.flatMap((engine) => engine.getRuns()).filter((run) => run.from > 0), [])
+})
+
 When(
   'the entry gets a streamed chat request for {int} tokens whose caller disconnects after {int} tokens',
   async function (this: EntryWorld, tokens: number, read: number) {
--- a/packages/standins/src/engine/engineStandin.ts
+++ b/packages/standins/src/engine/engineStandin.ts
@@ -21,6 +21,8 @@
   /** Closes every connection and stops listening, as if the process had crashed. */
   crash: () => Promise<void>
   setFaults: (faults: EngineFaults) => void
+  /** Replaces the version of the software, as an update between a crash and a restart does. */
+  setSoftwareVersion: (version: string | undefined) => void
   getRuns: () => EngineRun[]
   getOrders: () => ReceivedOrder[]
   applyOrder: (req: EngineOrder) => OrderOutcome
@@ -45,6 +47,7 @@
   setFaults: (faults: EngineFaults) => void
   /** True when the connection must not carry any more data. */
   isSilent: (socket: Socket) => boolean
+  getSoftwareVersion: () => string | undefined
   /** Resolves as soon as the engine is not frozen. */
   waitUntilThawed: () => Promise<void>
 }
@@ -65,6 +68,7 @@
   const cache = createPrefixCache(clock, resolved)
   const reporter = createLoadReporter(clock, slots)
   let frozenUntil = 0
+  let { softwareVersion } = resolved
 
   const scheduler = createScheduler({
     ...resolved,
@@ -74,6 +78,9 @@
     shouldCrash: (prompt) => typeof faults.crashOn === 'string' && prompt.includes(faults.crashOn),
     onCrash: resolved.onCrash ?? crash,
     getPauseAfterTokens: () => faults.holdAfterTokens ?? null,
+    onToken: (ownTokens) => {
+      if (ownTokens === faults.silence?.afterTokens) freeze(faults.silence.ms)
+    },
     onLoadChange: (running, waiting) => reporter.record({ slots, running, waiting, cachedPrefixes: cache.getSize() })
   })
   const models = createModelRegistry({ ...resolved, isModelInUse: scheduler.isModelInUse })
@@ -83,10 +90,12 @@
     stepTimings.tokenMs = changes.tokenMs ?? stepTimings.tokenMs
     stepTimings.firstTokenMs = changes.firstTokenMs ?? stepTimings.firstTokenMs
     if (changes.silentStreams === true) for (const socket of server.getSockets()) silentSockets.add(socket)
-    if (changes.freezeMs !== undefined) {
-      frozenUntil = clock.now() + changes.freezeMs
-      scheduler.freezeUntil(frozenUntil)
-    }
+    if (changes.freezeMs !== undefined) freeze(changes.freezeMs)
+  }
+
+  function freeze (ms: number): void {
+    frozenUntil = clock.now() + ms
+    scheduler.freezeUntil(frozenUntil)
   }
 
   function readState (): EngineState {
@@ -103,6 +112,7 @@
     getLoadReport: () => reporter.getReport(faults.loadLagMs ?? resolved.loadLagMs),
     setFaults,
     isSilent: (socket) => silentSockets.has(socket) || faults.silentStreams === 'all',
+    getSoftwareVersion: () => softwareVersion,
     waitUntilThawed: async () => {
       while (clock.now() < frozenUntil) await clock.sleep(frozenUntil - clock.now())
     }
@@ -117,7 +127,8 @@
       failureDomain: resolved.failureDomain,
       region: resolved.region,
       state: 'live',
-      checksFencing: resolved.checksFencing
+      checksFencing: resolved.checksFencing,
+      softwareVersion
     }
   }
 
@@ -145,6 +156,7 @@
     close,
     crash,
     setFaults,
+    setSoftwareVersion: (version) => { softwareVersion = version },
     getRuns: runs.getRuns,
     getOrders: models.getOrders,
     applyOrder: models.applyOrder,
