Soak: pauses and software versions of targets, and callers who take streams up

Sound targets pause for about a second, and targets of two versions serve side by side: some are replaced, some come back under their id and address. Callers take up streams that broke off or that they left, at another instance. Three checks are new: streams and items keep to one version (order), streams that can go on do (lost), and no answer is cut while its target merely pauses (silence).

--- a/packages/soak/features/soak.steps.ts
+++ b/packages/soak/features/soak.steps.ts
@@ -12,16 +12,19 @@
 /** Deployment size of the recorded seeds; with another size, the same seed gives a different run. */
 const FLEET_OPTIONS = { instances: 5, targets: 8, folder: 'reports/soak' }
 
-When('seed {int} runs for {int} s', { timeout: RUN_TIMEOUT_MS }, async function (this: SoakWorld, seed: number, seconds: number) {
-  this.outcomes = [await runSeed({ seed, lengthMs: seconds * MS_PER_S, withLongFaults: true, ...FLEET_OPTIONS })]
+When('seed {int} runs for {int} s', { timeout: RUN_TIMEOUT_MS }, async function (
+  this: SoakWorld, seed: number, seconds: number
+) {
+  const lengthMs = seconds * MS_PER_S
+  this.outcomes = [await runSeed({ seed, lengthMs, withLongFaults: true, withVersionFaults: true, ...FLEET_OPTIONS })]
 })
 
 async function runRegressions (regressions: readonly Regression[]): Promise<SeedOutcome[]> {
   const outcomes: SeedOutcome[] = []
   for (let start = 0; start < regressions.length; start += MAX_PARALLEL_SEEDS) {
     const seeds = regressions.slice(start, start + MAX_PARALLEL_SEEDS)
-    outcomes.push(...await Promise.all(seeds.map(async ({ seed, seconds, withLongFaults = false }) =>
-      await runSeed({ seed, lengthMs: seconds * MS_PER_S, withLongFaults, ...FLEET_OPTIONS }))))
+    outcomes.push(...await Promise.all(seeds.map(async ({ seed, seconds, withLongFaults = false, withVersionFaults = false }) =>
+      await runSeed({ seed, lengthMs: seconds * MS_PER_S, withLongFaults, withVersionFaults, ...FLEET_OPTIONS }))))
   }
   return outcomes
 }
@@ -30,7 +33,9 @@
   this.outcomes = await runRegressions(REGRESSIONS)
 })
 
-When('the seeds whose hang-up met a starting process run', { timeout: RUN_TIMEOUT_MS }, async function (this: SoakWorld) {
+When('the seeds whose hang-up met a starting process run', { timeout: RUN_TIMEOUT_MS }, async function (
+  this: SoakWorld
+) {
   this.outcomes = await runRegressions(EARLY_SIGHUPS)
 })
 
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -1,23 +1,11 @@
 /** Callers of one run: they query the directory, reuse connections, retry refused requests and record responses. */
 import { Agent } from 'node:http'
 import { setTimeout as pause } from 'node:timers/promises'
-import { askDirectory, endJob, jobBody, PATHS, readJob, send, type Answer } from 'pimentoplank-platform/testing'
+import { askDirectory, endJob, jobBody, PATHS, readJob, send } from 'pimentoplank-platform/testing'
+import { DEADLINE_MS, HTTP_OK, sendLiveRequest, withTimeout, type Attempt, type LiveKind } from './liveRequests'
 import type { SoakRandom } from './plan'
 import type { SoakFleet, SoakInstance } from './soakFleet'
 
-export type LiveKind = 'resumable' | 'once' | 'plain' | 'plainOnce'
-
-/** One attempt of a live request. */
-export interface Attempt {
-  id: string
-  kind: LiveKind
-  instance: SoakInstance
-  sentAt: number
-  endedAt: number
-  /** Undefined when the connection ended without a response. */
-  answer?: Answer
-}
-
 export interface SoakJob {
   id: string
   items: number
@@ -45,18 +33,18 @@
 const CRASHING_INTERVAL_MS = 150
 const SESSIONS = 20
 const READ_INTERVAL_MS = 500
-const DEADLINE_MS = 4000
-const MAX_ATTEMPTS = 3
+const MAX_SUBMISSIONS = 6
 /** Kinds of live requests, by their frequency. */
 const LIVE_KINDS: readonly LiveKind[] = ['resumable', 'resumable', 'resumable', 'once', 'plain', 'plainOnce']
 /** Share of requests on connections that stay in use after their instance has left the directory. */
 const STICKY_SHARE = 0.25
+/** Share of streams that their callers leave after a few events, and take up at another instance. */
+const LEFT_SHARE = 0.2
+const MAX_LEFT_EVENTS = 6
 /** Share of jobs that their callers end early. */
 const ENDED_SHARE = 0.15
 const MAX_JOB_ITEMS = 12
-const HTTP_OK = 200
 const HTTP_ACCEPTED = 202
-const NOT_RUN_STATUSES = new Set([408, 421, 429, 503])
 
 /** Starts the callers. */
 export function startCallers (fleet: SoakFleet, random: SoakRandom, run: string): Callers {
@@ -78,8 +66,8 @@
     addresses = await withTimeout(askDirectory(ip, 'a'), 1000) ?? addresses
   }
 
-  function pickInstance (): SoakInstance | undefined {
-    const known = fleet.instances.filter(({ address }) => addresses.includes(address))
+  function pickInstance (except?: SoakInstance): SoakInstance | undefined {
+    const known = fleet.instances.filter((one) => one !== except && addresses.includes(one.address))
     return known[random.nextInt(Math.max(1, known.length))]
   }
 
@@ -97,22 +85,18 @@
     return agent
   }
 
-  async function sendLiveRequest (): Promise<void> {
+  async function sendRequest (): Promise<void> {
     const kind = LIVE_KINDS[random.nextInt(LIVE_KINDS.length)]!
-    const request = `${run}r${++count}`
-    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
-      const instance = pickLiveInstance()
-      if (instance === undefined) return
-      const id = `${request}a${attempt}`
-      const sentAt = Date.now()
-      const sent = send(instance, `${PATHS[kind]}${request}`, {
-        id, deadlineMs: DEADLINE_MS, headers: createPrompt(id), agent: attempt === 0 ? getAgent(instance) : undefined
-      }).catch(() => undefined)
-      const answer = await withTimeout(sent, DEADLINE_MS + 1500)
-      attempts.push({ id, kind, instance, sentAt, endedAt: Date.now(), answer })
-      if (answer === undefined || !NOT_RUN_STATUSES.has(answer.status)) return
-      await pause(Math.min(1000, Number(answer.headers['retry-after'] ?? 0.1) * 1000))
-    }
+    const isLeft = kind === 'resumable' && random.nextFloat() < LEFT_SHARE
+    await sendLiveRequest({
+      id: `${run}r${++count}`,
+      kind,
+      leavesAfter: isLeft ? 1 + random.nextInt(MAX_LEFT_EVENTS) : undefined,
+      createPrompt,
+      pickInstance: pickLiveInstance,
+      pickOther: (last) => pickInstance(last) ?? last,
+      getAgent
+    }, (attempt) => attempts.push(attempt))
   }
 
   async function submitJob (): Promise<void> {
@@ -121,7 +105,7 @@
     const job: SoakJob = { id, items, statuses: [], firstResults: [], violations: [], isWhole: false }
     jobs.push(job)
     const shouldEnd = random.nextFloat() < ENDED_SHARE
-    for (let attempt = 0; attempt < MAX_ATTEMPTS * 2 && job.acceptedAt === undefined; attempt++) {
+    for (let attempt = 0; attempt < MAX_SUBMISSIONS && job.acceptedAt === undefined; attempt++) {
       const instance = pickInstance()
       if (instance === undefined) break
       const body = jobBody(id, job.items)
@@ -181,7 +165,7 @@
 
   const timers = [
     setInterval(() => track(sendCrashingRequest()), CRASHING_INTERVAL_MS),
-    setInterval(() => track(sendLiveRequest()), LIVE_INTERVAL_MS),
+    setInterval(() => track(sendRequest()), LIVE_INTERVAL_MS),
     setInterval(() => track(submitJob()), JOB_INTERVAL_MS),
     setInterval(() => track(readRandomJob()), READ_INTERVAL_MS),
     setInterval(() => { refreshAddresses().catch(() => undefined) }, 1000)
@@ -209,7 +193,3 @@
     }
   }
 }
-
-async function withTimeout<Value> (work: Promise<Value>, ms: number): Promise<Value | undefined> {
-  return await Promise.race([work.catch(() => undefined), pause(ms).then(() => undefined)])
-}
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -1,8 +1,10 @@
 /** Checks the requests and runs that callers and targets recorded against the guarantees of the relay. */
 import { eventText, type ReplicaRun } from 'pimentoplank-platform/testing'
-import type { Attempt, LiveKind, SoakJob } from './callers'
+import type { SoakJob } from './callers'
 import type { InjectedFault } from './inject'
+import { HTTP_OK, NOT_RUN_STATUSES, type Attempt, type LiveKind } from './liveRequests'
 import type { SoakFleet } from './soakFleet'
+import { EVENTS_PER_RESPONSE, findStreamViolations } from './streamChecks'
 
 export interface Observations {
   fleet: SoakFleet
@@ -13,9 +15,6 @@
   recoveredAt: number
 }
 
-/** Statuses that guarantee that a request has not run and never will. */
-const NOT_RUN_STATUSES = new Set([408, 421, 429, 503])
-const HTTP_OK = 200
 const AT_MOST_ONCE: ReadonlySet<LiveKind> = new Set(['once', 'plainOnce'])
 /** Bounds given by the settings and the platform's documentation, in milliseconds. */
 const DRAIN_MS = 2000
@@ -24,10 +23,12 @@
 const MS_PER_S = 1000
 /** Minimum share of requests that get a complete response after recovery. */
 const MIN_RECOVERED_SHARE = 0.9
-/** Faults that may delay the propagation of a change at the store. */
-const DELAYING_FAULTS: ReadonlySet<string> = new Set([
-  'storeBusy', 'storeSilent', 'storeLosesAnswers', 'storeForgets', 'storeLink', 'kill', 'killMany', 'freeze', 'stop'
+/** Faults of the store, or of an instance's connection to it. */
+const STORE_FAULTS: ReadonlySet<string> = new Set([
+  'storeBusy', 'storeSilent', 'storeLosesAnswers', 'storeForgets', 'storeLink'
 ])
+/** Faults that may delay the propagation of a change at the store. */
+const DELAYING_FAULTS: ReadonlySet<string> = new Set([...STORE_FAULTS, 'kill', 'killMany', 'freeze', 'stop'])
 
 /** Checks every guarantee; returns a description of each violation. */
 export function findViolations (seen: Observations): string[] {
@@ -39,6 +40,12 @@
     ...seen.fleet.instances.flatMap(({ crashes }) => crashes),
     ...seen.attempts.flatMap((attempt) => checkAttempt(attempt, runs.get(attempt.id) ?? [])),
     ...seen.jobs.flatMap((job) => checkJob(job, runs)),
+    ...findStreamViolations({
+      targets: seen.fleet.targets,
+      attempts: seen.attempts,
+      items: seen.jobs.flatMap(getItems),
+      storeFaults: seen.faults.filter(({ kind }) => STORE_FAULTS.has(kind))
+    }),
     ...checkRemovedTargets(seen),
     ...checkCrashingPart(seen),
     ...checkLimits(seen),
@@ -47,6 +54,12 @@
   ]
 }
 
+function getItems ({ firstResults }: SoakJob): Array<{ id: string, events: number }> {
+  return firstResults.map((text) => JSON.parse(text) as { id: string, state: string, text: string })
+    .filter(({ state }) => state === 'completed')
+    .map(({ id, text }) => ({ id, events: text.split('\n').length }))
+}
+
 function filterRan (runs: readonly ReplicaRun[]): ReplicaRun[] {
   return runs.filter(({ ran }) => ran)
 }
@@ -64,8 +77,6 @@
   }
   if (NOT_RUN_STATUSES.has(answer.status) && ran > 0) problems.push(`not run: ${id} got ${answer.status} but ran`)
   if (answer.status !== HTTP_OK || !answer.isWhole) return problems
-  const data = answer.body.split('\n').filter((line) => line.startsWith('data: ')).map((line) => line.slice(6))
-  if (!isCompleteText(id, data)) problems.push(`whole: ${id} got ${data.length} events: ${data.join(' ')}`)
   if (answer.headers['response-signature'] === undefined) problems.push(`proof: ${id} got no Response-Signature`)
   return problems
 }
@@ -74,9 +85,6 @@
   return data.length === EVENTS_PER_RESPONSE && data.every((text, index) => text === eventText(id, index + 1))
 }
 
-/** Number of events in each response of the run's targets. */
-const EVENTS_PER_RESPONSE = 12
-
 function checkJob (job: SoakJob, runs: ReadonlyMap<string, ReplicaRun[]>): string[] {
   const problems = job.violations.map((fault) => `job ${job.id}: ${fault}`)
   const itemIds = Array.from({ length: job.items }, (_, index) => `${job.id}i${index}`)
@@ -158,7 +166,7 @@
 }
 
 function checkRecovery ({ attempts, recoveredAt }: Observations): string[] {
-  const after = attempts.filter(({ sentAt }) => sentAt >= recoveredAt)
+  const after = attempts.filter(({ sentAt, hasLeft }) => sentAt >= recoveredAt && !hasLeft)
   const whole = after.filter(({ answer }) => answer?.status === HTTP_OK && answer.isWhole).length
   return whole >= after.length * MIN_RECOVERED_SHARE ? [] : [`recovery: ${whole} of ${after.length} requests completed`]
 }
--- a/packages/soak/src/inject.ts
+++ b/packages/soak/src/inject.ts
@@ -4,6 +4,7 @@
 import { PATHS, type EndlessBytes } from 'pimentoplank-platform/testing'
 import type { Fault, FaultKind } from './plan'
 import type { SoakFleet, SoakInstance, SoakTarget } from './soakFleet'
+import { disturb, injectPauses, injectVersions } from './versionFaults'
 
 /** Starts a fault; returns a function that ends it, or undefined where there is nothing to end. */
 type Injector = (fleet: SoakFleet, fault: Fault) => (() => void) | undefined
@@ -41,6 +42,7 @@
 function killInstance (fleet: SoakFleet, instance: SoakInstance): () => void {
   instance.isHeld = true
   instance.disturbedAt.push(Date.now())
+  instance.touchedAt.push(Date.now())
   instance.child.kill('SIGKILL')
   return () => fleet.restart(instance)
 }
@@ -81,6 +83,7 @@
     const instance = pickInstance(fleet, pick)
     if (instance === undefined) return undefined
     instance.stoppedAt = Date.now()
+    instance.touchedAt.push(instance.stoppedAt)
     instance.child.kill('SIGTERM')
     return undefined
   },
@@ -102,15 +105,19 @@
     if (instance === undefined) return undefined
     instance.isHeld = true
     instance.disturbedAt.push(Date.now())
+    instance.touchedAt.push(Date.now())
     instance.child.kill('SIGSTOP')
     return () => {
       instance.isHeld = false
       instance.disturbedAt.push(Date.now())
+      instance.touchedAt.push(Date.now())
       instance.child.kill('SIGCONT')
     }
   },
   hangUp: (fleet, { pick }) => {
-    pickInstance(fleet, pick)?.child.kill('SIGHUP')
+    const instance = pickInstance(fleet, pick)
+    instance?.touchedAt.push(Date.now())
+    instance?.child.kill('SIGHUP')
     return undefined
   },
   storeBusy: createStoreInjector('busy'),
@@ -128,53 +135,71 @@
   targetCrash: (fleet, { pick }) => {
     const target = pickTarget(fleet, pick)
     if (target === undefined) return undefined
+    disturb(target)
     target.standin.crash().catch(() => undefined)
     // The entry of a crashed target expires some time after its last heartbeat.
     return () => {
       fleet.removeTarget(target)
-      fleet.addTarget().catch(() => undefined)
+      fleet.addTarget(target.standin.version).catch(() => undefined)
     }
   },
   targetLeaves: (fleet, { pick }) => {
     const target = pickTarget(fleet, pick)
     if (target === undefined) return undefined
     fleet.removeTarget(target)
-    return () => { fleet.addTarget().catch(() => undefined) }
+    return () => { fleet.addTarget(target.standin.version).catch(() => undefined) }
   },
   targetFails: (fleet, { pick }) => {
     const target = pickTarget(fleet, pick)
     if (target === undefined) return undefined
     failTarget(target.standin, pick)
+    const endDisturbance = disturb(target)
     return () => {
-      const { crashingPart, limitPerSecond, endless } = target.standin.faults
+      endDisturbance()
+      const { crashingPart, limitPerSecond, endless, pause } = target.standin.faults
       const { faults } = target.standin
       for (const name of Object.keys(faults) as Array<keyof typeof faults>) faults[name] = undefined
       // Long faults end by themselves.
-      Object.assign(faults, { crashingPart, limitPerSecond, endless })
+      Object.assign(faults, { crashingPart, limitPerSecond, endless, pause })
     }
   },
   targetLink: (fleet, { pick }) => {
     const target = pickTarget(fleet, pick)
     if (target === undefined) return undefined
     target.link.setMode(LINK_MODES[pick % LINK_MODES.length]!)
-    return () => target.link.setMode('open')
+    const endDisturbance = disturb(target)
+    return () => {
+      endDisturbance()
+      target.link.setMode('open')
+    }
   },
   crashingPart: (fleet, { pick }) => {
     fleet.crashingPart = `bad${pick}`
     for (const { standin } of fleet.getUsableTargets()) standin.faults.crashingPart = fleet.crashingPart
+    fleet.getUsableTargets().forEach(disturb)
     return () => { fleet.crashingPart = undefined }
   },
   targetLimit: (fleet, { pick }) => {
     const limited = fleet.getUsableTargets().filter((_, index) => index % 2 === pick % 2)
     for (const { standin } of limited) standin.faults.limitPerSecond = MIN_LIMIT + pick % LIMIT_RANGE
-    return () => { for (const { standin } of limited) standin.faults.limitPerSecond = undefined }
+    const ends = limited.map(disturb)
+    return () => {
+      ends.forEach((end) => end())
+      for (const { standin } of limited) standin.faults.limitPerSecond = undefined
+    }
   },
   targetEndless: (fleet, { pick }) => {
     const target = pickTarget(fleet, pick)
     if (target === undefined) return undefined
     target.standin.faults.endless = pickItem(ENDLESS_BYTES, pick)
-    return () => { target.standin.faults.endless = undefined }
+    const endDisturbance = disturb(target)
+    return () => {
+      endDisturbance()
+      target.standin.faults.endless = undefined
+    }
   },
+  targetPauses: injectPauses,
+  targetVersions: injectVersions,
   configuration: (fleet) => {
     fleet.publishConfig()
     return undefined
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -22,7 +22,8 @@
     let failed = 0
     async function work (): Promise<void> {
       for (let next = left.shift(); next !== undefined; next = left.shift()) {
-        const outcome = await runSeed({ seed: next, lengthMs: seconds * MS_PER_S, withLongFaults: true, ...rest })
+        const lengthMs = seconds * MS_PER_S
+        const outcome = await runSeed({ seed: next, lengthMs, withLongFaults: true, withVersionFaults: true, ...rest })
         if (outcome.broken.length > 0) failed += 1
         process.stdout.write(`${JSON.stringify(outcome)}\n`)
       }
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -11,7 +11,10 @@
 
 /** Faults of targets that last for seconds; drawn apart, so that the other faults of a seed stay the same. */
 export const LONG_FAULT_KINDS = ['crashingPart', 'targetLimit', 'targetEndless'] as const
-export type FaultKind = typeof FAULT_KINDS[number] | typeof LONG_FAULT_KINDS[number]
+/** Sound targets that pause, and targets of several software versions; drawn apart as well. */
+export const VERSION_FAULT_KINDS = ['targetPauses', 'targetVersions'] as const
+type LongFaultKind = typeof LONG_FAULT_KINDS[number] | typeof VERSION_FAULT_KINDS[number]
+export type FaultKind = typeof FAULT_KINDS[number] | LongFaultKind
 
 export interface Fault {
   kind: FaultKind
@@ -48,8 +51,10 @@
 const LONG_FAULT_MS = 9000
 
 /** Generates the long faults of a run, which start in its first half. */
-export function generateLongFaults (random: SoakRandom, lengthMs: number): Fault[] {
-  return LONG_FAULT_KINDS.filter(() => random.nextFloat() < LONG_FAULT_SHARE).map((kind) => ({
+export function generateLongFaults (
+  random: SoakRandom, lengthMs: number, kinds: readonly LongFaultKind[] = LONG_FAULT_KINDS
+): Fault[] {
+  return kinds.filter(() => random.nextFloat() < LONG_FAULT_SHARE).map((kind) => ({
     kind, atMs: Math.round(random.nextFloat() * lengthMs / 2), forMs: LONG_FAULT_MS, pick: random.nextInt(PICK_RANGE)
   }))
 }
--- a/packages/soak/src/regressions.ts
+++ b/packages/soak/src/regressions.ts
@@ -6,6 +6,8 @@
   cause: string
   /** True for seeds that failed with the long faults of targets. */
   withLongFaults?: boolean
+  /** True for seeds that failed with pauses and versions of targets. */
+  withVersionFaults?: boolean
 }
 
 /** Seeds in which SIGHUP reached a starting process; before the program's first line runs, it ends the process. */
--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -6,7 +6,7 @@
 import { startCallers } from './callers'
 import { findViolations } from './checks'
 import { injectFaults } from './inject'
-import { createSoakRandom, generateFaults, generateLongFaults } from './plan'
+import { createSoakRandom, generateFaults, generateLongFaults, VERSION_FAULT_KINDS } from './plan'
 import { startSoakFleet, type SoakFleet } from './soakFleet'
 
 export interface SeedOptions {
@@ -17,6 +17,8 @@
   targets: number
   /** Adds the long faults of targets. */
   withLongFaults: boolean
+  /** Adds pauses of sound targets, and targets of several software versions. */
+  withVersionFaults: boolean
   /** Folder for logs; those of a seed without violations are removed. */
   folder: string
 }
@@ -31,8 +33,9 @@
 }
 
 const HTTP_OK = 200
-/** Added to the seed for the generator of the long faults. */
+/** Added to the seed for the generators of the long faults. */
 const LONG_FAULT_SEED = 1_000_003
+const VERSION_FAULT_SEED = 2_000_003
 const START_TIMEOUT_MS = 15_000
 /** Time within which the deployment must recover after the last fault, in milliseconds. */
 const RECOVERY_MS = 6000
@@ -48,6 +51,9 @@
   const random = createSoakRandom(seed)
   const plan = generateFaults(random, lengthMs)
   if (options.withLongFaults) plan.push(...generateLongFaults(createSoakRandom(seed + LONG_FAULT_SEED), lengthMs))
+  if (options.withVersionFaults) {
+    plan.push(...generateLongFaults(createSoakRandom(seed + VERSION_FAULT_SEED), lengthMs, VERSION_FAULT_KINDS))
+  }
   const fleet = await startSoakFleet({ instances: options.instances, targets: options.targets, folder, run: seed })
   try {
     await waitUntilReady(fleet)
--- a/packages/soak/src/soakFleet.ts
+++ b/packages/soak/src/soakFleet.ts
@@ -6,9 +6,15 @@
 import type { BodyFraming } from 'pimentoplank/shared'
 import {
   entryOf, PORTS, settingsText, startReplicaStandin, startStoreStandin, usualConfig,
-  type ReplicaStandin, type StoreStandin
+  type ReplicaOptions, type ReplicaStandin, type StoreStandin
 } from 'pimentoplank-platform/testing'
 
+/** Period in wall clock milliseconds. */
+export interface Span {
+  from: number
+  to: number
+}
+
 export interface SoakInstance {
   id: string
   ip: string
@@ -22,6 +28,8 @@
   isHeld: boolean
   /** Times at which it was killed, frozen or resumed, as wall clock time in milliseconds. */
   disturbedAt: number[]
+  /** Times at which it was started or got any signal, as wall clock time in milliseconds. */
+  touchedAt: number[]
   /** Descriptions of process exits that no fault caused. */
   crashes: string[]
 }
@@ -29,6 +37,9 @@
 export interface SoakTarget {
   standin: ReplicaStandin
   link: Link
+  startedAt: number
+  /** Periods of faults other than pauses; those that last end with `Infinity`. */
+  disturbed: Span[]
   /** Time at which the target was removed from the store. */
   leftAt?: number
 }
@@ -41,7 +52,9 @@
   /** All targets ever started, in order of their start; removed ones stay listed. */
   targets: SoakTarget[]
   getUsableTargets: () => SoakTarget[]
-  addTarget: () => Promise<SoakTarget>
+  addTarget: (version?: string) => Promise<SoakTarget>
+  /** Crashes a target and starts it at once under its id and address, at another software version. */
+  restartTarget: (target: SoakTarget, version: string) => Promise<void>
   /** Removes a target from the store. */
   removeTarget: (target: SoakTarget) => void
   restart: (instance: SoakInstance) => void
@@ -85,17 +98,27 @@
     store.write('config', 'main', config)
   }
 
-  async function addTarget (): Promise<SoakTarget> {
+  async function addTarget (version?: string): Promise<SoakTarget> {
     const framing = FRAMINGS[targets.length % FRAMINGS.length]
+    return await startTarget({ id: `target-${targets.length + 1}`, framing, version })
+  }
+
+  async function restartTarget (target: SoakTarget, version: string): Promise<void> {
+    const { standin: { id, framing, address, crash }, link } = target
+    target.leftAt = Date.now()
+    await crash()
+    await startTarget({ id, framing, version, port: Number(address.replace(/.*:/, '')) }, link)
+  }
+
+  async function startTarget (identity: ReplicaOptions, givenLink?: Link): Promise<SoakTarget> {
     const standin = await startReplicaStandin({
-      id: `target-${targets.length + 1}`,
-      framing,
       ...TARGET_OPTIONS,
+      ...identity,
       onCrash: () => { setTimeout(() => replaceTarget(target), CRASHED_MS) }
     })
     standin.faults.crashingPart = fleet.crashingPart
-    const link = await createLink(standin.address)
-    const target: SoakTarget = { standin, link }
+    const link = givenLink ?? await createLink(standin.address)
+    const target: SoakTarget = { standin, link, startedAt: Date.now(), disturbed: [] }
     targets.push(target)
     store.write('servers', standin.id, { ...entryOf(standin), address: link.address })
     return target
@@ -104,7 +127,7 @@
   function replaceTarget (target: SoakTarget): void {
     if (isClosed) return
     fleet.removeTarget(target)
-    addTarget().catch(() => undefined)
+    addTarget(target.standin.version).catch(() => undefined)
   }
 
   function launch (instance: SoakInstance): ChildProcess {
@@ -113,6 +136,7 @@
     const child = spawn(process.execPath, [`--max-old-space-size=${HEAP_MB}`, PROGRAM], {
       env: { PATH: process.env.PATH, PIMENTOPLANK_SETTINGS: file }, stdio: ['ignore', 'pipe', 'pipe']
     })
+    instance.touchedAt.push(Date.now())
     child.stdout.pipe(log, { end: false })
     child.stderr.pipe(log, { end: false })
     child.once('exit', (code, signal) => {
@@ -139,7 +163,7 @@
     const zone = FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]!
     writeFileSync(path.join(options.folder, `${id}.toml`), settingsText({ id, ip, seeds, zone, store: link.address }))
     const instance: SoakInstance = {
-      id, ip, address: `${ip}:${PORTS.callers}`, store: link, child: undefined as never, isHeld: false, disturbedAt: [], crashes: []
+      id, ip, address: `${ip}:${PORTS.callers}`, store: link, child: undefined as never, isHeld: false, disturbedAt: [], touchedAt: [], crashes: []
     }
     instance.child = launch(instance)
     instances.push(instance)
@@ -151,6 +175,7 @@
     targets,
     getUsableTargets: () => targets.filter(({ leftAt }) => leftAt === undefined),
     addTarget,
+    restartTarget,
     removeTarget: (target) => {
       if (target.leftAt !== undefined) return
       store.remove('servers', target.standin.id)
