Soak: draw pauses and versions evenly over neighbouring seeds

The first numbers that the generator draws are much the same for neighbouring seeds: none of the seeds 1 to 40 had a pause. The seed is now multiplied first. The outcome of a seed names the streams taken up and the runs that paused.

--- a/packages/soak/features/soak.steps.ts
+++ b/packages/soak/features/soak.steps.ts
@@ -23,8 +23,9 @@
   const outcomes: SeedOutcome[] = []
   for (let start = 0; start < regressions.length; start += MAX_PARALLEL_SEEDS) {
     const seeds = regressions.slice(start, start + MAX_PARALLEL_SEEDS)
-    outcomes.push(...await Promise.all(seeds.map(async ({ seed, seconds, withLongFaults = false, withVersionFaults = false }) =>
-      await runSeed({ seed, lengthMs: seconds * MS_PER_S, withLongFaults, withVersionFaults, ...FLEET_OPTIONS }))))
+    outcomes.push(...await Promise.all(seeds.map(async ({ seed, seconds, ...faults }) => await runSeed({
+      seed, lengthMs: seconds * MS_PER_S, withLongFaults: false, withVersionFaults: false, ...faults, ...FLEET_OPTIONS
+    }))))
   }
   return outcomes
 }
--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -28,14 +28,19 @@
   faults: number
   requests: number
   whole: number
+  /** Number of attempts that took up a stream. */
+  resumed: number
+  /** Number of runs in which a target paused. */
+  paused: number
   jobs: number
   broken: string[]
 }
 
 const HTTP_OK = 200
-/** Added to the seed for the generators of the long faults. */
+/** Added to the seed for the generator of the long faults. */
 const LONG_FAULT_SEED = 1_000_003
-const VERSION_FAULT_SEED = 2_000_003
+/** Multiplied with the seed for pauses and versions; the first numbers of neighbouring seeds are much the same. */
+const VERSION_FAULT_FACTOR = 0x9e3779b1
 const START_TIMEOUT_MS = 15_000
 /** Time within which the deployment must recover after the last fault, in milliseconds. */
 const RECOVERY_MS = 6000
@@ -52,7 +57,8 @@
   const plan = generateFaults(random, lengthMs)
   if (options.withLongFaults) plan.push(...generateLongFaults(createSoakRandom(seed + LONG_FAULT_SEED), lengthMs))
   if (options.withVersionFaults) {
-    plan.push(...generateLongFaults(createSoakRandom(seed + VERSION_FAULT_SEED), lengthMs, VERSION_FAULT_KINDS))
+    const versionRandom = createSoakRandom(Math.imul(seed, VERSION_FAULT_FACTOR))
+    plan.push(...generateLongFaults(versionRandom, lengthMs, VERSION_FAULT_KINDS))
   }
   const fleet = await startSoakFleet({ instances: options.instances, targets: options.targets, folder, run: seed })
   try {
@@ -67,8 +73,10 @@
     const { attempts, jobs } = callers
     const broken = findViolations({ fleet, attempts, jobs, faults, recoveredAt })
     const whole = attempts.filter(({ answer }) => answer?.status === HTTP_OK && answer.isWhole).length
+    const resumed = attempts.filter(({ from }) => from > 0).length
+    const paused = fleet.targets.flatMap(({ standin }) => standin.runs).filter((one) => one.paused !== undefined).length
     if (broken.length === 0) await rm(folder, { recursive: true, force: true })
-    return { seed, faults: faults.length, requests: attempts.length, whole, jobs: jobs.length, broken }
+    return { seed, faults: faults.length, requests: attempts.length, whole, resumed, paused, jobs: jobs.length, broken }
   } finally {
     await fleet.close()
   }
