--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -25,6 +25,7 @@
 import { createRouteTable, type RouteTable } from './routing'
 import { RELAY_RULES } from './rules'
 import type { RelaySettings } from './settings'
+import { createStreamService, createStreamVersionFinder, createStreamVersions } from './streams'
 import { createTargetDirectory } from './targets'
 
 /** Codecs for the formats that a deployment's platform, callers and targets use. */
@@ -86,6 +87,7 @@
   let isClosed = false
   let reportTimer: NodeJS.Timeout | undefined
 
+  const streamVersions = createStreamVersions({ clock, log })
   const started = await startGossip({
     instance,
     incarnation: clock.wallTime(),
@@ -112,6 +114,10 @@
     clock,
     log
   })
+  targets.onVersionChange((id) => {
+    streamVersions.recordVersionChange(id)
+    scheduleReport()
+  })
   const peerUses = createPeerUses(gossip.peers())
   gossip.onReport((report, before) => peerUses.replaceReport(before, report))
   gossip.onDigest(peerUses.replaceDigest)
@@ -232,6 +238,16 @@
       exchange,
       loads,
       silenceDetector: createSilenceDetector(clock),
+      streamVersions,
+      streamVersionFinder: createStreamVersionFinder({
+        streamVersions,
+        peers: gossip.peers,
+        transports,
+        getVersionHistory: targets.getVersionHistory,
+        clock,
+        metrics,
+        log
+      }),
       crashes,
       rules: RELAY_RULES.live,
       clock,
@@ -247,12 +263,14 @@
     log
   })
   const jobRoutes = createJobService({ jobRegistry, jobManager, jobApi: jobs })
+  const streamRoutes = createStreamService({ streamVersions, clock })
   const peerServer = await createPeerServer({
     ...settings.listen.peers,
     security,
     routes: (router) => {
       feed.routes(router)
       jobRoutes(router)
+      streamRoutes(router)
     }
   })
   if (peerServer.isErr()) {
@@ -270,6 +288,7 @@
     for (const { job, ...ownership } of report.jobs) jobRegistry.update(job, ownership)
     crashes.merge(report)
     limits.merge(report.limits)
+    streamVersions.merge(report.streams, 'heard')
     scheduleDispatch()
   })
   gossip.onPeerLost(({ report }) => {
@@ -345,13 +364,19 @@
       jobs: jobRegistry.getNotices(),
       ...crashes.getReport(),
       limits: limits.getNotices(),
+      streams: streamVersions.getNotices(),
       configRevision: Math.max(0, feed.revision(protocols.config.kind)),
       openJobs: getOpenTokens(jobRegistry)
     }
   }
 
   function getOwnLoad (): OwnLoad {
-    return { uses: loads.getOwnUses(), waiting: runner.getWaiting(), suspects: loads.getOwnSuspects() }
+    return {
+      uses: loads.getOwnUses(),
+      waiting: runner.getWaiting(),
+      suspects: loads.getOwnSuspects(),
+      streams: streamVersions.getLatestNotices()
+    }
   }
 
   function yieldItemsByKey (key: number, count: number): void {
--- a/packages/pimentoplank/src/relay/model/types.ts
+++ b/packages/pimentoplank/src/relay/model/types.ts
@@ -85,7 +85,10 @@
   /** IP number and port. */
   address: string
   failureDomain: string
-  /** Version of its software; what two versions write does not fit together. */
+  /**
+   * Version of its software; tells nothing of the weights, and versions have no order. What two versions write does
+   * not fit together.
+   */
   version: string
   /** Requests that it runs concurrently. */
   slots: number
@@ -107,6 +110,8 @@
   deadlineMs?: number
   /** Id of the last event of this stream that the caller received. */
   lastEventId?: number
+  /** Id of the attempt that brought the first event of the stream that the caller takes up. */
+  resumes?: string
 }
 
 /** Caller request as it is sent to one target. */
