--- a/packages/pimentoplank/src/relay/live/silenceDetector.feature
+++ b/packages/pimentoplank/src/relay/live/silenceDetector.feature
@@ -23,3 +23,8 @@
   Scenario: A target that goes on after its silence and falls silent again is reported again
     When a request is reported as silent, gets bytes and exceeds the timeout again
     Then the target is reported as silent for certain
+
+  Scenario: A busy event loop is not taken for the silence of a target
+    Given a target in another thread that sends bytes every 5 ms
+    When this instance is busy for 100 ms between its bytes
+    Then the target is not reported as silent
--- a/packages/pimentoplank/src/relay/live/silenceDetector.steps.ts
+++ b/packages/pimentoplank/src/relay/live/silenceDetector.steps.ts
@@ -1,11 +1,16 @@
 import assert from 'node:assert/strict'
-import { Before, Then, When } from '@cucumber/cucumber'
+import { once } from 'node:events'
+import { connect, type Socket } from 'node:net'
+import { Worker } from 'node:worker_threads'
+import { After, Before, Given, Then, When } from '@cucumber/cucumber'
 import { createSystemClock } from '../../shared'
 import { createSilenceDetector, type SilenceWatch, type SilenceDetector } from './silenceDetector'
 
 interface ActivityWorld {
   detector: SilenceDetector
   isCertain?: boolean
+  worker?: Worker
+  socket?: Socket
 }
 
 const TARGET = 'target-1'
@@ -59,3 +64,39 @@
 Then('the target is reported as possibly silent', function (this: ActivityWorld) {
   assert.equal(this.isCertain, false)
 })
+
+Given('a target in another thread that sends bytes every {int} ms', async function (this: ActivityWorld, ms: number) {
+  this.worker = new Worker(`
+    const { parentPort } = require('node:worker_threads')
+    const server = require('node:net').createServer((socket) => {
+      const timer = setInterval(() => socket.write('x'), ${ms})
+      socket.on('error', () => undefined).on('close', () => clearInterval(timer))
+    }).listen(0, '127.0.0.1', () => parentPort.postMessage(server.address().port))
+  `, { eval: true })
+  const [port] = await once(this.worker, 'message') as [number]
+  this.socket = connect(port, '127.0.0.1')
+  await once(this.socket, 'data')
+})
+
+When('this instance is busy for {int} ms between its bytes', async function (this: ActivityWorld, ms: number) {
+  const { socket } = this
+  const watch = this.detector.watch(TARGET, {
+    firstMs: FIRST_MS, gapMs: GAP_MS, onSilent: (isCertain) => { this.isCertain = isCertain }
+  })
+  await once(socket!, 'data')
+  watch.recordBytes()
+  socket!.on('data', () => watch.recordBytes())
+  const until = performance.now() + ms
+  while (performance.now() < until);
+  await once(socket!, 'data')
+  watch.stop()
+})
+
+Then('the target is not reported as silent', function (this: ActivityWorld) {
+  assert.equal(this.isCertain, undefined)
+})
+
+After(async function (this: ActivityWorld) {
+  this.socket?.destroy()
+  await this.worker?.terminate()
+})
