--- a/packages/pimentoplank/src/relay/jobs/ownedJob.ts
+++ b/packages/pimentoplank/src/relay/jobs/ownedJob.ts
@@ -1,6 +1,7 @@
 /** In-memory state of a batch job that this instance owns: finished, stored and running items. */
 import type { ItemResult, JobItem, JobRecord } from './records'
 import type { StoredJob } from './jobStore'
+import type { JobTimes } from './jobTimes'
 
 /** Progress of an item that has no result yet. */
 export interface ItemProgress {
@@ -8,10 +9,16 @@
   lastEventId?: number
   /** Data of the events received so far. */
   data: string[]
+  /** Software version of the target that wrote `data`. */
+  version?: string
+  /** Since when the item has been ready to run, on the monotonic clock; undefined while it runs. */
+  readySince?: number
   /** Number of answers that reported a failed run. */
   failures: number
   /** Number of runs in a row that broke off before their answer had begun. */
   crashes: number
+  /** Number of runs in a row that were given up because their target was silent. */
+  silences: number
   /** Earliest time of the next run, on the monotonic clock. */
   notBefore: number
   /** Target that is running the item. */
@@ -29,9 +36,9 @@
   isEnded: () => boolean
   markEnded: () => void
   /** When results are due, on the monotonic clock. */
-  dueAt: number
-  /** When items without a result expire, on the monotonic clock. */
-  expiresAt: number
+  readonly dueAt: number
+  /** When items without a result expire, on the monotonic clock; infinite while the route is not known. */
+  readonly expiresAt: number
   findItem: (id: string) => JobItem | undefined
   /** Items without a result, with their progress. */
   openItems: () => ReadonlyMap<string, ItemProgress>
@@ -59,8 +66,7 @@
   items: readonly JobItem[]
   /** Segments stored before, in order. */
   segments?: ReadonlyArray<readonly ItemResult[]>
-  dueAt: number
-  expiresAt: number
+  getTimes: () => JobTimes
   now: () => number
 }
 
@@ -101,8 +107,8 @@
     setStored: (next) => { current = next },
     isEnded: () => isMarkedEnded || current.record.ended,
     markEnded: () => { isMarkedEnded = true },
-    dueAt: options.dueAt,
-    expiresAt: options.expiresAt,
+    get dueAt () { return options.getTimes().dueAt },
+    get expiresAt () { return options.getTimes().expiresAt },
     findItem: (name) => items.get(name),
     openItems: () => open,
     finishItem: (result) => {
@@ -130,5 +136,5 @@
 }
 
 function newProgress (): ItemProgress {
-  return { data: [], failures: 0, crashes: 0, notBefore: 0 }
+  return { data: [], failures: 0, crashes: 0, silences: 0, notBefore: 0 }
 }
--- a/packages/pimentoplank/src/relay/model/types.ts
+++ b/packages/pimentoplank/src/relay/model/types.ts
@@ -85,7 +85,10 @@
   /** IP number and port. */
   address: string
   failureDomain: string
-  /** Version of its software; tells nothing of the weights, and versions have no order. */
+  /**
+   * Version of its software; tells nothing of the weights, and versions have no order. What two versions write does
+   * not fit together.
+   */
   version: string
   /** Requests that it runs concurrently. */
   slots: number
--- a/packages/pimentoplank/src/shared/engine/types.ts
+++ b/packages/pimentoplank/src/shared/engine/types.ts
@@ -1,6 +1,7 @@
 /** Types of the client of model engines. */
 import type { ResultAsync } from 'neverthrow'
 import type { Target } from '../membership'
+import type { RunVersion } from './softwareVersion'
 
 /** A position from which an engine can resume a stream. */
 export interface ResumePoint {
@@ -12,6 +13,8 @@
   tokens: number
   /** Text received so far, which another engine continues. */
   text: string
+  /** Version of the software that generated the text. */
+  softwareVersion: RunVersion
 }
 
 export interface EngineRequest {
@@ -38,15 +41,22 @@
 /** A running stream. Reading it never throws: a broken stream ends with an `EngineError` as the result. */
 export interface EngineStream {
   streamId: string
-  /** Resolves with the next event, or with the error that ended the stream. */
+  /** Version of the engine's software, if its answer states one. */
+  softwareVersion?: string
+  /**
+   * Resolves with the next event, or with the error that ended the stream. After `streamSilent`, the stream stays
+   * open, and the next call waits again.
+   */
   next: () => ResultAsync<EngineEvent, EngineError>
+  /** Closes the connection; the engine keeps the stream running for a short time. */
+  disconnect: () => void
   /** Cancels the stream on the engine and frees its slot; the engine keeps the state to resume it for a while. */
   cancel: () => Promise<void>
 }
 
 export const ENGINE_ERROR_KINDS = [
   'connectFailed', 'targetLeaving', 'targetBusy', 'modelNotLoaded', 'rejected', 'targetError', 'streamCut',
-  'streamSilent', 'aborted'
+  'streamSilent', 'otherVersion', 'aborted'
 ] as const
 export type EngineErrorKind = typeof ENGINE_ERROR_KINDS[number]
 
