Ask targets that refused a begun stream again before the one that cut it

A stream whose replica broke off while all others of its version refused it went back to the replica that had cut it, was cut again and had used up the route's tries.

--- a/packages/pimentoplank/src/relay/live/relayRequest.ts
+++ b/packages/pimentoplank/src/relay/live/relayRequest.ts
@@ -116,7 +116,8 @@
       isContinuation: hasBegun(),
       version,
       excluded: new Set([...progress.excluded, ...progress.refusedBy]),
-      reusable: new Set([...progress.excluded].filter((id) => !progress.refusedBy.has(id))),
+      // Targets that have merely refused the request are asked again first.
+      reusable: progress.refusedBy.size === 0 ? progress.excluded : undefined,
       signal
     }))
   }
