--- a/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
@@ -93,6 +93,7 @@
     isSuspect: false,
     isFresh: true,
     isPreferred: false,
+    brokeOffAt: undefined,
     allowance: Infinity
   })
 }
