Go back to a target that was given up for its silence when the other one fails

Callers would have seen a begun stream cut although its sound target had gone on: a held slot is only our own count, so the target to which a silent run moved may refuse it, leave or be gone. A search that found no other target listed for a moment gave up for good.

Targets that were given up only for their silence are used again where there are no others; those that broke the run off are used again only where the software version has no others at all. The search is repeated while the target is silent. No move starts in the last 30 ms, and a slot that was held but not used no longer counts as a run of 0 ms in the mean run time.

--- a/packages/pimentoplank/src/relay/decisions/index.ts
+++ b/packages/pimentoplank/src/relay/decisions/index.ts
@@ -11,7 +11,7 @@
 export {
   decideItemVersion, type ItemVersionDecision, type ItemVersionInput, type ItemVersionRules
 } from './itemVersions'
-export { isRepeatable, canRetry, type RetryState, type TryFailure } from './retries'
+export { MIN_TRY_MS, isRepeatable, canRetry, type RetryState, type TryFailure } from './retries'
 export { isClearlyUnderLimit, countWaitingTokens, type CountedJob } from './quota'
 export { BATCH_ALLOWANCE, computeLimitShare, LIVE_ALLOWANCE, refillAllowance, type Allowance, type LimitShareInput } from './limitShare'
 export { computeSuspicion, type FailureRecord, type Suspicion, type SuspicionRules } from './suspicion'
--- a/packages/pimentoplank/src/relay/decisions/retries.ts
+++ b/packages/pimentoplank/src/relay/decisions/retries.ts
@@ -26,7 +26,7 @@
 /** Number of tries without a run up to which a request that never ran is still retried. */
 const MAX_REFUSALS = 4
 /** Minimum remaining time for another try, in milliseconds. */
-const MIN_TRY_MS = 30
+export const MIN_TRY_MS = 30
 
 /** True when the request may be sent to another target. */
 export function canRetry (route: Route, failure: TryFailure, state: RetryState): boolean {
--- a/packages/pimentoplank/src/relay/decisions/streamVersions.ts
+++ b/packages/pimentoplank/src/relay/decisions/streamVersions.ts
@@ -70,8 +70,8 @@
   { version, excluded, reusable, since, now }: ResumeInput
 ): Candidate[] {
   const matching = candidates.filter((one) => one.version === version)
-  const fresh = matching.filter(({ id }) => !excluded.has(id))
-  const pool = fresh.length > 0 ? fresh : matching.filter(({ id }) => reusable?.has(id) === true)
+  const hasOnlyFailed = matching.every(({ id }) => reusable?.has(id) === true)
+  const pool = hasOnlyFailed ? matching : matching.filter(({ id }) => !excluded.has(id))
   if (now - since >= BROKEN_OFF_MS) return pool
   return pool.filter(({ brokeOffAt = -Infinity }) => now - brokeOffAt >= BROKEN_OFF_MS)
 }
--- a/packages/pimentoplank/src/relay/live/attemptTarget.ts
+++ b/packages/pimentoplank/src/relay/live/attemptTarget.ts
@@ -1,7 +1,7 @@
 /** Sends a live request to one target and forwards the answer to its caller. */
 import type { Result } from 'neverthrow'
 import { MIB_BYTES, type RefusalError } from '../../shared'
-import { isRepeatable } from '../decisions'
+import { isRepeatable, MIN_TRY_MS } from '../decisions'
 import { createEventReader, SendFailure, type EventReader, type SendFailureReason, type TargetAnswer } from '../exchange'
 import type { AnswerHead } from '../model'
 import type { LiveCall, Progress, RelayDeps } from './liveCall'
@@ -12,8 +12,14 @@
 export type AttemptEnd =
   | { type: 'done' }
   | { type: 'gone' }
-  /** `nextSlot` is held if the run was given up for another target. */
-  | { type: 'failed', failure: SendFailure, nextSlot?: Slot }
+  | FailedAttempt
+
+export interface FailedAttempt {
+  type: 'failed'
+  failure: SendFailure
+  /** Held if the run was given up for another target. */
+  nextSlot?: Slot
+}
 
 export interface AttemptOptions {
   call: LiveCall
@@ -50,7 +56,8 @@
     slotScheduler: deps.slotScheduler,
     targetId: slot.target.id,
     createQuery: options.createQuery,
-    mayMove: () => !deps.crashes.isRefused(request),
+    mayMove: () => endAt - clock.now() >= MIN_TRY_MS && !deps.crashes.isRefused(request),
+    clock,
     ended,
     log: deps.log
   })
@@ -80,7 +87,7 @@
   } finally {
     watch.stop()
     search.stop()
-    search.takeSlot()?.release()
+    search.takeSlot()?.discard()
   }
 
   async function exchangeWithTarget (): Promise<AttemptEnd> {
--- a/packages/pimentoplank/src/relay/live/liveCall.ts
+++ b/packages/pimentoplank/src/relay/live/liveCall.ts
@@ -56,6 +56,8 @@
   version?: string
   /** Targets that may have run the request. */
   excluded: Set<string>
+  /** Targets that were given up only for their silence; used again where there are no others. */
+  silentTargets: Set<string>
   /** Targets that have refused the request since the last pause. */
   refusedBy: Set<string>
   /** How the last response ended; undefined if there was none. */
--- a/packages/pimentoplank/src/relay/live/relayRequest.ts
+++ b/packages/pimentoplank/src/relay/live/relayRequest.ts
@@ -3,7 +3,7 @@
 import { describeCause, RefusalError, type Log } from '../../shared'
 import { canRetry, isRepeatable } from '../decisions'
 import type { SendFailure } from '../exchange'
-import { attemptTarget } from './attemptTarget'
+import { attemptTarget, type FailedAttempt } from './attemptTarget'
 import type { LiveCall, Progress, RelayDeps } from './liveCall'
 import type { Slot, SlotQuery } from './slotScheduler'
 
@@ -21,7 +21,12 @@
   const timer = setTimeout(() => over.abort(), Math.max(0, endAt - clock.now()))
   const ended = AbortSignal.any([over.signal, reply.disconnected])
   const progress: Progress = {
-    runs: 0, refusals: 0, lastEventId: request.lastEventId, excluded: new Set(), refusedBy: new Set()
+    runs: 0,
+    refusals: 0,
+    lastEventId: request.lastEventId,
+    excluded: new Set(),
+    silentTargets: new Set(),
+    refusedBy: new Set()
   }
   const isResumable = route.kind === 'stream' && route.isResumable
   const isTakenUp = isResumable && request.lastEventId !== undefined
@@ -38,13 +43,13 @@
       if (version.isErr()) return failRequest(version.error)
       progress.version = version.value
       if (heldSlot !== undefined && !mayGoOnAt(heldSlot)) {
-        heldSlot.release()
+        heldSlot.discard()
         heldSlot = undefined
       }
       const acquired = heldSlot === undefined ? await acquireSlot() : ok<Slot, RefusalError>(heldSlot)
       heldSlot = undefined
       if (reply.disconnected.aborted) {
-        if (acquired.isOk()) acquired.value.release()
+        if (acquired.isOk()) acquired.value.discard()
         return logEnd('callerGone')
       }
       if (acquired.isErr()) return failRequest(acquired.error)
@@ -52,7 +57,7 @@
       // Targets may have crashed on such a request while this one waited or ran elsewhere.
       const isFirstTry = progress.runs + progress.refusals === 0
       if (!(call.isProbe && isFirstTry) && deps.crashes.isRefused(request)) {
-        slot.release()
+        slot.discard()
         return failRequest(new RefusalError('quarantined', { outcome: progress.runs > 0 ? 'failed' : 'not_run' }))
       }
       if (isResumable && progress.version === undefined) {
@@ -76,8 +81,7 @@
       }, 'try failed')
       if (failure.mayHaveRun) progress.runs += 1
       else progress.refusals += 1
-      const failedTargets = failure.mayHaveRun ? progress.excluded : progress.refusedBy
-      failedTargets.add(slot.target.id)
+      getFailedTargets(end).add(slot.target.id)
       const state = { ...progress, hasBegun: hasBegun(), leftMs: endAt - clock.now() }
       if (over.signal.aborted || !canRetry(route, failure, state)) {
         return failRequest(toRefusal(failure, over.signal.aborted))
@@ -86,7 +90,12 @@
     }
   } finally {
     clearTimeout(timer)
-    heldSlot?.release()
+    heldSlot?.discard()
+  }
+
+  function getFailedTargets ({ failure, nextSlot }: FailedAttempt): Set<string> {
+    if (nextSlot !== undefined) return progress.silentTargets
+    return failure.mayHaveRun ? progress.excluded : progress.refusedBy
   }
 
   /** Once the caller has events of a stream, it goes on only at the version that wrote them. */
@@ -115,22 +124,24 @@
       isRepeatable: isRepeatable(route),
       isContinuation: hasBegun(),
       version,
-      excluded: new Set([...progress.excluded, ...progress.refusedBy]),
+      excluded: new Set([...progress.excluded, ...progress.silentTargets, ...progress.refusedBy]),
       reusable: new Set([...progress.excluded].filter((id) => !progress.refusedBy.has(id))),
       signal
     }))
   }
 
-  /** Acquires a slot; where all targets have refused a request that has run, they are asked again. */
+  /** Acquires a slot; a request that has run goes back to targets that were silent or have refused it. */
   async function acquireSlot (): Promise<Result<Slot, RefusalError>> {
     for (;;) {
       const query = createQuery(ended)
       if (query.isErr()) return err(query.error)
       const acquired = await deps.slotScheduler.acquire(query.value)
-      const mayAskAgain = hasBegun() && progress.refusedBy.size > 0 && !ended.aborted
-      if (acquired.isOk() || acquired.error.reason !== 'noTarget' || !mayAskAgain) return acquired
-      progress.refusedBy.clear()
-      await clock.sleep(REFUSED_PAUSE_MS, ended)
+      if (acquired.isOk() || acquired.error.reason !== 'noTarget' || !hasBegun() || ended.aborted) return acquired
+      // A target that was left for its silence may have gone on since.
+      const [again] = [progress.silentTargets, progress.refusedBy].filter(({ size }) => size > 0)
+      if (again === undefined) return acquired
+      if (again === progress.refusedBy) await clock.sleep(REFUSED_PAUSE_MS, ended)
+      again.clear()
     }
   }
 
--- a/packages/pimentoplank/src/relay/live/slotScheduler.ts
+++ b/packages/pimentoplank/src/relay/live/slotScheduler.ts
@@ -15,7 +15,10 @@
   placement: string
   /** Load of the target when it was chosen, as known to this instance. */
   load: { live: number, batch: number, slots: number }
+  /** Ends the use of the slot by a request. */
   release: () => void
+  /** Gives the slot back unused. */
+  discard: () => void
 }
 
 export interface SlotQuery {
@@ -154,17 +157,21 @@
     let isHeld = true
     loads.begin(target.id, 'live')
     metrics.count(`slots.${placement}`)
+    const discard = (): void => {
+      if (!isHeld) return
+      isHeld = false
+      loads.end(target.id, 'live')
+      assignFreeSlots()
+    }
     return {
       target,
       placement,
       load: { live, batch, slots: target.slots },
       release: () => {
-        if (!isHeld) return
-        isHeld = false
-        recordRun(ask.service, clock.now() - startedAt)
-        loads.end(target.id, 'live')
-        assignFreeSlots()
-      }
+        if (isHeld) recordRun(ask.service, clock.now() - startedAt)
+        discard()
+      },
+      discard
     }
   }
 
--- a/packages/pimentoplank/src/relay/live/slotSearch.ts
+++ b/packages/pimentoplank/src/relay/live/slotSearch.ts
@@ -1,6 +1,6 @@
 /** Searches for a slot at another target while the target of a run is silent. */
-import type { Result } from 'neverthrow'
-import { describeCause, type Log, type RefusalError } from '../../shared'
+import { err, type Result } from 'neverthrow'
+import { describeCause, type Clock, type Log, type RefusalError } from '../../shared'
 import type { Slot, SlotQuery, SlotScheduler } from './slotScheduler'
 
 export interface SlotSearchOptions {
@@ -13,6 +13,7 @@
   mayMove: () => boolean
   /** Aborts when the request has ended. */
   ended: AbortSignal
+  clock: Clock
   log: Log
 }
 
@@ -27,48 +28,55 @@
   takeSlot: () => Slot | undefined
 }
 
+/** Pause before the search is repeated where no other target is registered, in milliseconds. */
+const SEARCH_PAUSE_MS = 100
+
 /**
  * Creates the search. A silent target may be sound and go on, so its run is given up only in exchange for a slot: where
  * all other targets are full, the request stays.
  */
 export function createSlotSearch (options: SlotSearchOptions): SlotSearch {
-  const { targetId, ended, log } = options
+  const { targetId, ended, clock, log } = options
   const found = new AbortController()
   let waiting: AbortController | undefined
   let slot: Slot | undefined
 
-  async function acquire (signal: AbortSignal): Promise<void> {
-    const created = options.createQuery(signal)
-    if (created.isErr()) {
-      log.info({ target: targetId, reason: created.error.reason }, 'request stays at its silent target')
-      return
+  async function search (signal: AbortSignal): Promise<void> {
+    let acquired = await acquire(signal)
+    if (acquired.isErr() && !signal.aborted) {
+      log.info({ target: targetId, reason: acquired.error.reason }, 'request stays at its silent target')
     }
-    const query = created.value
-    log.info({ req: query.requestId, target: targetId }, 'target is silent: looking for a free slot elsewhere')
-    const acquired = await options.slotScheduler.acquire({
-      ...query,
-      excluded: new Set([...query.excluded, targetId]),
-      reusable: undefined,
-      isContinuation: true,
-      needsFreeSlot: true
-    })
-    if (acquired.isErr()) {
-      if (!signal.aborted) log.info({ req: query.requestId, target: targetId, reason: acquired.error.reason }, 'request stays at its silent target')
-      return
+    while (acquired.isErr() && !signal.aborted) {
+      await clock.sleep(SEARCH_PAUSE_MS, signal)
+      acquired = await acquire(signal)
     }
+    if (acquired.isErr()) return
     if (signal.aborted || !options.mayMove()) {
-      acquired.value.release()
+      acquired.value.discard()
       return
     }
     slot = acquired.value
     found.abort()
   }
 
+  async function acquire (signal: AbortSignal): Promise<Result<Slot, RefusalError>> {
+    const query = options.createQuery(signal)
+    if (query.isErr()) return err(query.error)
+    log.info({ req: query.value.requestId, target: targetId }, 'target is silent: looking for a free slot elsewhere')
+    return await options.slotScheduler.acquire({
+      ...query.value,
+      excluded: new Set([...query.value.excluded, targetId]),
+      reusable: undefined,
+      isContinuation: true,
+      needsFreeSlot: true
+    })
+  }
+
   return {
     found: found.signal,
     start: () => {
       waiting = new AbortController()
-      acquire(AbortSignal.any([ended, waiting.signal])).catch((cause: unknown) => {
+      search(AbortSignal.any([ended, waiting.signal])).catch((cause: unknown) => {
         log.error({ target: targetId, cause: describeCause(cause) }, 'search for another target failed')
       })
     },
