Count the pause of a target once, and end its exclusion when it goes on

New requests were refused as queueFull with waiting 0 and an expected wait of 3 ms while most slots were free: each run that a sound target kept waiting recorded a failure, so one pause of a second under four runs excluded the target for 4 s and more, at all instances. The silence of a target now counts once until it sends bytes, which end the exclusion. Two things were taken for silence that are none: a caller that reads slowly, during which nothing is read from the target, and a busy process, whose timers run before the bytes that have arrived are read.

--- a/packages/pimentoplank/src/relay/live/attemptTarget.ts
+++ b/packages/pimentoplank/src/relay/live/attemptTarget.ts
@@ -67,12 +67,18 @@
     firstMs: route.targetLatencyMs *
       ((isMovable ? deps.rules.firstEventShare : 1) + (slot.placement === 'queue' ? 1 : 0)),
     gapMs: route.targetGapMs * (isMovable ? deps.rules.gapShare : 1),
-    onSilent: (isCertain) => {
-      if (isCertain) deps.loads.recordFailure(slot.target.id, 'silent')
+    onSilent: ({ isCertain, isNew }) => {
+      // A sound target may be silent for a moment, which counts once, however many requests run there.
+      if (isCertain && isNew) {
+        deps.loads.recordFailure(slot.target.id, 'silent')
+        silentSince = clock.now()
+      }
       if (isMovable) search.start()
     }
   })
   const sentAt = clock.now()
+  /** When this request reported the target as silent; undefined once the target has gone on. */
+  let silentSince: number | undefined
   let events = 0
   progress.ending = undefined
   deps.log.info({
@@ -110,6 +116,9 @@
   function recordBytes (): void {
     watch.recordBytes()
     search.stop()
+    if (silentSince === undefined) return
+    deps.loads.recordSuccess(slot.target.id, silentSince)
+    silentSince = undefined
   }
 
   function toAttemptEnd (failure: SendFailure): AttemptEnd {
@@ -208,6 +217,9 @@
   /** Begins the response with its first bytes, so that a request that fails before them can still be refused. */
   async function writeBytes (head: AnswerHead, bytes: Uint8Array): Promise<void> {
     if (!call.reply.hasStarted()) call.reply.begin(head.status, head.headers)
+    // Nothing is read from the target while the caller takes no more bytes.
+    watch.hold()
     await call.reply.write(bytes)
+    watch.recordBytes()
   }
 }
--- a/packages/pimentoplank/src/relay/live/silenceDetector.steps.ts
+++ b/packages/pimentoplank/src/relay/live/silenceDetector.steps.ts
@@ -23,7 +23,9 @@
 
 async function waitUntilSilent (world: ActivityWorld, prepare?: (watch: SilenceWatch) => void): Promise<void> {
   world.isCertain = await new Promise((resolve) => {
-    const watch = world.detector.watch(TARGET, { firstMs: FIRST_MS, gapMs: GAP_MS, onSilent: resolve })
+    const watch = world.detector.watch(TARGET, {
+      firstMs: FIRST_MS, gapMs: GAP_MS, onSilent: ({ isCertain }) => resolve(isCertain)
+    })
     prepare?.(watch)
   })
 }
@@ -48,7 +50,7 @@
     const watch = this.detector.watch(TARGET, {
       firstMs: FIRST_MS,
       gapMs: GAP_MS,
-      onSilent: (isCertain) => {
+      onSilent: ({ isCertain }) => {
         reports += 1
         if (reports === 1) setImmediate(() => watch.recordBytes())
         else resolve(isCertain)
@@ -81,7 +83,7 @@
 When('this instance is busy for {int} ms between its bytes', async function (this: ActivityWorld, ms: number) {
   const { socket } = this
   const watch = this.detector.watch(TARGET, {
-    firstMs: FIRST_MS, gapMs: GAP_MS, onSilent: (isCertain) => { this.isCertain = isCertain }
+    firstMs: FIRST_MS, gapMs: GAP_MS, onSilent: ({ isCertain }) => { this.isCertain = isCertain }
   })
   await once(socket!, 'data')
   watch.recordBytes()
--- a/packages/pimentoplank/src/relay/live/silenceDetector.ts
+++ b/packages/pimentoplank/src/relay/live/silenceDetector.ts
@@ -10,14 +10,23 @@
   /**
    * Called when the target exceeds a timeout, and again if it does so after further bytes.
    *
-   * @param isCertain - false when the request may merely be queued at the target
+   * @param silence - what is known of the silence
    */
-  onSilent: (isCertain: boolean) => void
+  onSilent: (silence: Silence) => void
+}
+
+export interface Silence {
+  /** False when the request may merely be queued at the target. */
+  isCertain: boolean
+  /** True when no other request has reported it since the target last sent bytes. */
+  isNew: boolean
 }
 
 export interface SilenceWatch {
   /** Records that bytes of the answer arrived. */
   recordBytes: () => void
+  /** Pauses the watch while nothing is read from the target, until the next bytes are recorded. */
+  hold: () => void
   stop: () => void
 }
 
@@ -39,6 +48,8 @@
 export function createSilenceDetector (clock: Clock): SilenceDetector {
   const lastBytesAt = new LRUCache<string, number>({ max: MAX_TARGETS })
   const lastSilentAt = new LRUCache<string, number>({ max: MAX_TARGETS })
+  /** Targets whose certain silence has been reported since they last sent bytes. */
+  const reported = new LRUCache<string, true>({ max: MAX_TARGETS })
 
   function isSecondSilence (targetId: string): boolean {
     const now = clock.now()
@@ -51,6 +62,7 @@
     const startedAt = clock.now()
     let ownBytesAt: number | undefined
     let isStopped = false
+    let isHeld = false
     let timer: NodeJS.Timeout | undefined = setTimeout(check, limits.firstMs)
 
     function getSilence (): { since: number, limitMs: number } {
@@ -58,21 +70,41 @@
       return { since: Math.max(startedAt, lastBytesAt.get(targetId) ?? 0), limitMs: limits.firstMs }
     }
 
-    function check (): void {
+    function getTimeLeft (): number {
       const { since, limitMs } = getSilence()
-      const leftMs = since + limitMs - clock.now()
-      timer = leftMs > 0 ? setTimeout(check, leftMs) : undefined
-      if (leftMs <= 0) limits.onSilent(ownBytesAt !== undefined || isSecondSilence(targetId))
+      return since + limitMs - clock.now()
+    }
+
+    function check (): void {
+      // On a busy process, bytes that have arrived are read only after the timers.
+      if (getTimeLeft() <= 0 && !isHeld) setImmediate(confirm)
+      else timer = setTimeout(check, Math.max(1, isHeld ? limits.gapMs : getTimeLeft()))
+    }
+
+    function confirm (): void {
+      if (isStopped) return
+      timer = undefined
+      if (getTimeLeft() > 0 || isHeld) {
+        check()
+        return
+      }
+      const isCertain = ownBytesAt !== undefined || isSecondSilence(targetId)
+      const isNew = !reported.has(targetId)
+      if (isCertain) reported.set(targetId, true)
+      limits.onSilent({ isCertain, isNew })
     }
 
     return {
       recordBytes: () => {
         const now = clock.now()
         lastBytesAt.set(targetId, now)
+        reported.delete(targetId)
         ownBytesAt = now
+        isHeld = false
         // The target was reported as silent and has gone on.
         if (!isStopped) timer ??= setTimeout(check, limits.gapMs)
       },
+      hold: () => { isHeld = true },
       stop: () => {
         isStopped = true
         clearTimeout(timer)
