--- a/packages/soak/src/streamChecks.ts
+++ b/packages/soak/src/streamChecks.ts
@@ -169,7 +169,7 @@
       return leftAt > endedAt && !disturbed.some((span) => overlaps(span, { from: run.at - CONTACT_MS, to: endedAt }))
     })
     return hasTimeLeft && !isTouched && isSoundRun
-      ? [`silence: ${id} was cut after ${endedAt - sentAt} ms, ${silent.paused!.events} events into a pause`]
+      ? [`silence: ${id} was cut after ${endedAt - sentAt} ms, in a pause after ${silent.paused!.events} events`]
       : []
   })
 }
