Soak: callers send more while targets pause

With most slots free, a run that is given up in a pause always found another one. Callers now send twice as many live requests meanwhile. They also leave streams without an abort signal, whose error ended the program when it met the end of an answer.

--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -29,6 +29,8 @@
 }
 
 const LIVE_INTERVAL_MS = 25
+/** Number of live requests that callers send at once while they are busy. */
+const BUSY_FACTOR = 2
 const JOB_INTERVAL_MS = 900
 const CRASHING_INTERVAL_MS = 150
 const SESSIONS = 20
@@ -165,7 +167,9 @@
 
   const timers = [
     setInterval(() => track(sendCrashingRequest()), CRASHING_INTERVAL_MS),
-    setInterval(() => track(sendRequest()), LIVE_INTERVAL_MS),
+    setInterval(() => {
+      for (let index = 0; index < (fleet.isBusy ? BUSY_FACTOR : 1); index++) track(sendRequest())
+    }, LIVE_INTERVAL_MS),
     setInterval(() => track(submitJob()), JOB_INTERVAL_MS),
     setInterval(() => track(readRandomJob()), READ_INTERVAL_MS),
     setInterval(() => { refreshAddresses().catch(() => undefined) }, 1000)
--- a/packages/soak/src/liveRequests.ts
+++ b/packages/soak/src/liveRequests.ts
@@ -90,7 +90,7 @@
   { count, instance, from, resumes }: { count: number, instance: SoakInstance, from: number, resumes?: string }
 ): Promise<Attempt> {
   const id = `${request}a${count}`
-  const leaving = new AbortController()
+  let hasLeft = false
   const sentAt = Date.now()
   const sent = send(instance, `${PATHS[kind]}${request}`, {
     id,
@@ -99,15 +99,13 @@
       ...createPrompt(id), ...(resumes === undefined ? {} : { 'Last-Event-Id': String(from), Resumes: resumes })
     },
     agent: count === 0 ? getAgent(instance) : undefined,
-    signal: leaving.signal,
-    onBody: (body) => {
-      if (from === 0 && leavesAfter !== undefined && readEvents(body).length >= leavesAfter) leaving.abort()
+    shouldLeave: (body) => {
+      hasLeft = from === 0 && leavesAfter !== undefined && readEvents(body).length >= leavesAfter
+      return hasLeft
     }
   }).catch(() => undefined)
   const answer = await withTimeout(sent, ANSWER_TIMEOUT_MS)
-  return {
-    id, request, kind, instance, from, sentAt, endedAt: Date.now(), hasLeft: leaving.signal.aborted, answer
-  }
+  return { id, request, kind, instance, from, sentAt, endedAt: Date.now(), hasLeft, answer }
 }
 
 /** Resolves to undefined after the timeout, in milliseconds. */
--- a/packages/soak/src/soakFleet.ts
+++ b/packages/soak/src/soakFleet.ts
@@ -48,6 +48,8 @@
   store: StoreStandin
   /** Prompt part on which targets crash now; callers then send requests with it. */
   crashingPart?: string
+  /** True while callers send more live requests than usual. */
+  isBusy: boolean
   instances: SoakInstance[]
   /** All targets ever started, in order of their start; removed ones stay listed. */
   targets: SoakTarget[]
@@ -171,6 +173,7 @@
 
   const fleet: SoakFleet = {
     store,
+    isBusy: false,
     instances,
     targets,
     getUsableTargets: () => targets.filter(({ leftAt }) => leftAt === undefined),
--- a/packages/soak/src/versionFaults.ts
+++ b/packages/soak/src/versionFaults.ts
@@ -21,7 +21,7 @@
   return () => { span.to = Date.now() }
 }
 
-/** Lets half of the targets fall silent for about a second within their responses. */
+/** Lets half of the targets fall silent for about a second within their responses, while callers send more. */
 export function injectPauses (fleet: SoakFleet, { pick }: Fault): () => void {
   const usable = fleet.getUsableTargets()
   const paused = usable.filter((_, index) => (index + pick) % usable.length < usable.length * PAUSED_SHARE)
@@ -34,7 +34,11 @@
     faults.pause = pause
     return pause
   })
-  return () => { for (const pause of pauses) pause.remaining = 0 }
+  fleet.isBusy = true
+  return () => {
+    fleet.isBusy = false
+    for (const pause of pauses) pause.remaining = 0
+  }
 }
 
 /**
