Soak: name both causes of cut answers in the kept seeds

Seed 14: 5 of 5 answers cut in a pause were refused as queueFull. Seed 18: 2 of 6 were; 4 were sent on to a target that had crashed, which reset them, and had no attempt left.

--- a/packages/soak/src/regressions.ts
+++ b/packages/soak/src/regressions.ts
@@ -26,7 +26,8 @@
   { seed: 2, cause: MIXED_VERSIONS, ...withEveryFault },
   { seed: 8, cause: MIXED_VERSIONS, ...withEveryFault },
   { seed: 9, cause: CUT_PAUSE, ...withEveryFault },
-  { seed: 18, cause: CUT_PAUSE, ...withEveryFault }
+  { seed: 14, cause: CUT_PAUSE, ...withEveryFault },
+  { seed: 18, cause: `${CUT_PAUSE}, or sent to a target that had just crashed`, ...withEveryFault }
 ]
 
 export const REGRESSIONS: readonly Regression[] = [
