--- a/packages/pimentoplank/src/relay/live/attemptTarget.ts
+++ b/packages/pimentoplank/src/relay/live/attemptTarget.ts
@@ -1,7 +1,7 @@
 /** Sends a live request to one target and forwards the answer to its caller. */
 import type { Result } from 'neverthrow'
 import { MIB_BYTES, type RefusalError } from '../../shared'
-import { isRepeatable } from '../decisions'
+import { isRepeatable, MIN_TRY_MS } from '../decisions'
 import { createEventReader, SendFailure, type EventReader, type SendFailureReason, type TargetAnswer } from '../exchange'
 import type { AnswerHead } from '../model'
 import type { LiveCall, Progress, RelayDeps } from './liveCall'
@@ -12,8 +12,14 @@
 export type AttemptEnd =
   | { type: 'done' }
   | { type: 'gone' }
-  /** `nextSlot` is held if the run was given up for another target. */
-  | { type: 'failed', failure: SendFailure, nextSlot?: Slot }
+  | FailedAttempt
+
+export interface FailedAttempt {
+  type: 'failed'
+  failure: SendFailure
+  /** Held if the run was given up for another target. */
+  nextSlot?: Slot
+}
 
 export interface AttemptOptions {
   call: LiveCall
@@ -50,7 +56,8 @@
     slotScheduler: deps.slotScheduler,
     targetId: slot.target.id,
     createQuery: options.createQuery,
-    mayMove: () => !deps.crashes.isRefused(request),
+    mayMove: () => endAt - clock.now() >= MIN_TRY_MS && !deps.crashes.isRefused(request),
+    clock,
     ended,
     log: deps.log
   })
@@ -60,12 +67,18 @@
     firstMs: route.targetLatencyMs *
       ((isMovable ? deps.rules.firstEventShare : 1) + (slot.placement === 'queue' ? 1 : 0)),
     gapMs: route.targetGapMs * (isMovable ? deps.rules.gapShare : 1),
-    onSilent: (isCertain) => {
-      if (isCertain) deps.loads.recordFailure(slot.target.id, 'silent')
+    onSilent: ({ isCertain, isNew }) => {
+      // A sound target may be silent for a moment, which counts once, however many requests run there.
+      if (isCertain && isNew) {
+        deps.loads.recordFailure(slot.target.id, 'silent')
+        silentSince = clock.now()
+      }
       if (isMovable) search.start()
     }
   })
   const sentAt = clock.now()
+  /** When this request reported the target as silent; undefined once the target has gone on. */
+  let silentSince: number | undefined
   let events = 0
   progress.ending = undefined
   deps.log.info({
@@ -80,7 +93,7 @@
   } finally {
     watch.stop()
     search.stop()
-    search.takeSlot()?.release()
+    search.takeSlot()?.discard()
   }
 
   async function exchangeWithTarget (): Promise<AttemptEnd> {
@@ -103,6 +116,9 @@
   function recordBytes (): void {
     watch.recordBytes()
     search.stop()
+    if (silentSince === undefined) return
+    deps.loads.recordSuccess(slot.target.id, silentSince)
+    silentSince = undefined
   }
 
   function toAttemptEnd (failure: SendFailure): AttemptEnd {
@@ -201,6 +217,9 @@
   /** Begins the response with its first bytes, so that a request that fails before them can still be refused. */
   async function writeBytes (head: AnswerHead, bytes: Uint8Array): Promise<void> {
     if (!call.reply.hasStarted()) call.reply.begin(head.status, head.headers)
+    // Nothing is read from the target while the caller takes no more bytes.
+    watch.hold()
     await call.reply.write(bytes)
+    watch.recordBytes()
   }
 }
