Don't retry a long plain answer that has begun

Two answers were joined into one that looked complete: 5,242,880 bytes for a body of 3 MiB, status 200, or bytes after an answer with a length. A plain answer over 1 MiB is passed on as it comes; when it broke off, the request was retried and the second answer appended. It is now cut, so that the caller can't take it for complete.

--- a/packages/pimentoplank/src/relay/decisions/retries.ts
+++ b/packages/pimentoplank/src/relay/decisions/retries.ts
@@ -19,6 +19,8 @@
   hasBegun: boolean
   /** Number of tries in which the request certainly did not run. */
   refusals: number
+  /** True when the caller has got the beginning of a plain answer, which no other answer can continue. */
+  isAnswerBegun: boolean
   /** Time left until the caller's deadline or the route's timeout, in milliseconds. */
   leftMs: number
 }
@@ -30,7 +32,7 @@
 
 /** True when the request may be sent to another target. */
 export function canRetry (route: Route, failure: TryFailure, state: RetryState): boolean {
-  if (state.leftMs < MIN_TRY_MS) return false
+  if (state.leftMs < MIN_TRY_MS || state.isAnswerBegun) return false
   if (!failure.mayHaveRun) return state.hasBegun || state.refusals <= MAX_REFUSALS
   return isRepeatable(route) && state.runs < route.maxAttempts
 }
--- a/packages/pimentoplank/src/relay/live/relayRequest.ts
+++ b/packages/pimentoplank/src/relay/live/relayRequest.ts
@@ -82,7 +82,8 @@
       if (failure.mayHaveRun) progress.runs += 1
       else progress.refusals += 1
       getFailedTargets(end).add(slot.target.id)
-      const state = { ...progress, hasBegun: hasBegun(), leftMs: endAt - clock.now() }
+      const isAnswerBegun = route.kind !== 'stream' && reply.hasStarted()
+      const state = { ...progress, hasBegun: hasBegun(), isAnswerBegun, leftMs: endAt - clock.now() }
       if (over.signal.aborted || !canRetry(route, failure, state)) {
         return failRequest(toRefusal(failure, over.signal.aborted))
       }
