Don't refuse new requests while a stream waits for targets of the only version

A stream whose targets have all just broken off waits up to 500 ms for them. Meanwhile new requests got no slot at its version, so that where a service has one version only all of them were refused although slots were free.

--- a/packages/pimentoplank/src/relay/live/slotScheduler.feature
+++ b/packages/pimentoplank/src/relay/live/slotScheduler.feature
@@ -17,6 +17,12 @@
     When 500 ms pass at the scheduler
     Then the stream gets the slot of "a"
 
+  Scenario: New requests use the only version while a stream waits for a target that may have been restarted
+    Given targets "a v1" and "b v1" with 1 slot each, which are all in use
+    When a stream of version "v1" that failed at "a" a moment ago waits for a slot
+    And the slot of "a" becomes free
+    Then a new request gets a slot
+
   Scenario: A begun stream is refused once no target of its version is left
     Given targets "a v1" and "b v2" with 1 slot each, which are all in use
     When a stream of version "v1" waits for a slot
--- a/packages/pimentoplank/src/relay/live/slotScheduler.steps.ts
+++ b/packages/pimentoplank/src/relay/live/slotScheduler.steps.ts
@@ -160,6 +160,11 @@
   assert.equal(getTarget(this, 'stream'), undefined)
 })
 
+Then('a new request gets a slot', async function (this: SchedulerWorld) {
+  await ask(this, 'new', { isReturning: false })
+  assert.notEqual(getTarget(this, 'new'), undefined)
+})
+
 Then('the stream is refused as {string}', function (this: SchedulerWorld, reason: string) {
   assert.equal(this.acquired.get('stream')?._unsafeUnwrapErr().reason, reason)
 })
--- a/packages/pimentoplank/src/relay/live/slotScheduler.ts
+++ b/packages/pimentoplank/src/relay/live/slotScheduler.ts
@@ -96,10 +96,16 @@
       .map(({ load }) => load)
   }
 
-  /** Versions at which requests of a service wait to go on; new ones leave the slots there to them. */
-  function getAwaitedVersions (service: string): Set<string | undefined> {
-    const waiting = queue.filter(({ ask }) => ask.service === service && ask.needsFreeSlot !== true)
-    return new Set(waiting.map(({ ask }) => ask.version))
+  /**
+   * Versions at which requests of a service wait to go on; new ones leave the slots there to them. None where there is
+   * only one version: a slot that is free there is one that those requests can't use.
+   */
+  function getAwaitedVersions (service: string): ReadonlySet<string | undefined> {
+    const bound = queue.filter(({ ask }) =>
+      ask.service === service && ask.version !== undefined && ask.needsFreeSlot !== true)
+    if (bound.length === 0) return NO_VERSIONS
+    const isMixed = new Set(loads.getLoads(service).map(({ target }) => target.version)).size > 1
+    return isMixed ? new Set(bound.map(({ ask }) => ask.version)) : NO_VERSIONS
   }
 
   /** Refuses a request that can't go on, however long it waits. */
