Hold neither hang-ups of callers nor invalid requests against targets

What callers saw: requests refused as noTarget while the targets were sound. A slot whose caller had disconnected was released as `notRun` (live) or `failed` (plain services), and so was that of a request that the engine had rejected as invalid. Owners count both results as failures of the target, and eject it after three in a row.

Such slots, and those that were granted and not used, are now released as `revoked`, which says nothing about the target. A target on which the deadline passed, or that broke off its answer, still counts as failed.

A scenario of slots/failures.feature records that `notRun` ejects a target and `revoked` doesn't. Not covered by a test: a caller that disconnects within the body of a plain answer.

--- a/packages/pimentoplank/src/batch/engineErrors.ts
+++ b/packages/pimentoplank/src/batch/engineErrors.ts
@@ -36,7 +36,7 @@
   targetLeaving: createNotRunTraits('targetLeaving'),
   targetBusy: createNotRunTraits('targetBusy'),
   modelNotLoaded: createNotRunTraits('modelNotLoaded'),
-  rejected: createFailedTraits('targetError'),
+  rejected: { ...createFailedTraits('targetError'), report: 'revoked' },
   targetError: createFailedTraits('targetError'),
   streamCut: createBrokenTraits('streamCut'),
   streamSilent: createBrokenTraits('streamSilent'),
--- a/packages/pimentoplank/src/batch/runItem.ts
+++ b/packages/pimentoplank/src/batch/runItem.ts
@@ -70,7 +70,7 @@
   // A process that was suspended while it waited may have lost the chunk without having learned of it yet.
   const isHeld = await mayDispatch()
   if (signal.aborted || isOtherTarget || isUnfit || !isHeld) {
-    grant.release({ result: 'notRun' })
+    grant.release({ result: 'revoked' })
     task.notBefore = clock.now() + MIN_SLOT_PAUSE_MS
     return { type: 'retry' }
   }
--- a/packages/pimentoplank/src/entry/live/live.feature
+++ b/packages/pimentoplank/src/entry/live/live.feature
@@ -77,6 +77,13 @@
     When the entry gets a streamed chat request for 4000 tokens whose caller disconnects after 5 tokens
     Then engine 0 of the entry has stopped every stream
     And the entry holds no slot any more
+    And the entry holds nothing against engine 0
+
+  Scenario: A request that the target rejects as invalid is not held against the target
+    Given the entry bench with 1 engine
+    When the entry gets a chat request that the engine rejects as invalid
+    Then the entry answers 400 with reason badRequest and outcome not_run
+    And the entry holds nothing against engine 0
 
   Scenario: The entry stops retrying when the budget is spent
     Given the entry bench with 2 engines and settings {"retries":{"budgetRatio":0,"budgetReserve":0}}
--- a/packages/pimentoplank/src/entry/live/live.steps.ts
+++ b/packages/pimentoplank/src/entry/live/live.steps.ts
@@ -75,6 +75,16 @@
   startRequest(this, kind, tokens, false, { headers: { [name]: value } })
 })
 
+When('the entry gets a chat request that the engine rejects as invalid', function (this: EntryWorld) {
+  const body = { model: MODEL, messages: [{ role: 'user', content: [{ type: 'picture' }] }] }
+  startRequest(this, 'chat', 1, false, { body })
+})
+
+Then('the entry holds nothing against engine {int}', function (this: EntryWorld, index: number) {
+  const reports = this.bench.slots.reports.filter(({ target }) => target === `engine-${index}`)
+  assert.deepEqual(reports.map(({ result }) => result), ['revoked'])
+})
+
 async function waitForTokens ({ bench }: EntryWorld, index: number, tokens: number): Promise<void> {
   await waitUntil(() => bench.engines[index]!.getRuns().some((run) => run.tokens >= tokens))
 }
--- a/packages/pimentoplank/src/entry/live/liveRun.ts
+++ b/packages/pimentoplank/src/entry/live/liveRun.ts
@@ -135,7 +135,7 @@
       if (grant.isErr()) return err(grant.error)
       const allowed = await allowDispatch()
       if (allowed.isErr()) {
-        grant.value.release({ result: 'notRun' })
+        grant.value.release({ result: 'revoked' })
         return err(allowed.error)
       }
       const started = await startStream(grant.value, getResumePoint())
@@ -273,7 +273,7 @@
     if (cause.reached) outcome = getWorseOutcome(outcome, FAILURE_OUTCOMES[cause.kind])
     if (cause.kind === 'targetLeaving') deps.membership.markLeaving(grant.target.id, 'ownAnswer')
     if (signal.aborted) {
-      grant.release({ result: cause.reached ? 'failed' : 'notRun' })
+      grant.release({ result: deadline.signal.aborted && cause.reached ? 'failed' : 'revoked' })
       return createStopRefusal()
     }
     const markEnded = deps.quarantine.trackRun(job.contentHash, grant.target.id)
@@ -282,8 +282,11 @@
       return await handleCrash({ grant, stream: NO_STREAM, version: {}, tokens: 0, timer, markEnded })
     }
     markEnded()
+    if (cause.kind === 'rejected') {
+      grant.release({ result: 'revoked' })
+      return new RefusalError('badRequest', { detail: cause.message, outcome, cause })
+    }
     grant.release({ result: cause.reached ? 'failed' : 'notRun' })
-    if (cause.kind === 'rejected') return new RefusalError('badRequest', { detail: cause.message, outcome, cause })
     search.exclude(grant.target.id, cause.kind)
     return retryOrRefuse(cause)
   }
@@ -333,7 +336,7 @@
     attempt = undefined
     if (current === undefined) return
     // A disconnect of the caller is no failure of the target.
-    release(current, deadline.signal.aborted ? 'failed' : 'notRun')
+    release(current, deadline.signal.aborted ? 'failed' : 'revoked')
     await current.stream.cancel()
   }
 
--- a/packages/pimentoplank/src/entry/services/brokenAnswers.feature
+++ b/packages/pimentoplank/src/entry/services/brokenAnswers.feature
@@ -26,3 +26,15 @@
     And the booking service frames answers by connection
     When the availability is read through entry 0
     Then the reply is complete
+
+  Scenario: A caller that disconnects before its answer is not held against the target
+    Given the entry bench with 1 entry and 1 plain service target
+    And the booking service is silent
+    When the availability is read through entry 0 by a caller that disconnects
+    Then the booking service's slot was released as revoked
+
+  Scenario: An answer that breaks off is held against the target
+    Given the entry bench with 1 entry and 1 plain service target
+    And the booking service frames answers by length and breaks off the next one by a close
+    When the availability is read through entry 0
+    Then the booking service's slot was released as failed
--- a/packages/pimentoplank/src/entry/services/brokenAnswers.steps.ts
+++ b/packages/pimentoplank/src/entry/services/brokenAnswers.steps.ts
@@ -4,6 +4,7 @@
 import type { BodyFraming } from '../../shared'
 import { KEY } from '../testing/entryBench'
 import type { EntryWorld } from '../testing/entryBench.steps'
+import { waitUntil } from '../testing/waitUntil'
 
 const PATH = '/services/bookings/availability'
 
@@ -39,3 +40,22 @@
 Then('the reply is {word}', function (this: BrokenAnswersWorld, state: 'broken' | 'complete') {
   assert.equal(this.reply.broken, state === 'broken', this.reply.text)
 })
+
+Given('the booking service is silent', function (this: BrokenAnswersWorld) {
+  this.bench.services[0]!.setFaults({ silent: true })
+})
+
+When('the availability is read through entry {int} by a caller that disconnects', async function (
+  this: BrokenAnswersWorld, entry: number
+) {
+  const disconnect = new AbortController()
+  const reply = this.bench.send(PATH, { entry, signal: disconnect.signal })
+  await waitUntil(() => this.bench.slots.getHeldCount() === 1)
+  disconnect.abort()
+  await assert.rejects(reply)
+})
+
+Then('the booking service\'s slot was released as {word}', async function (this: BrokenAnswersWorld, result: string) {
+  await waitUntil(() => this.bench.slots.reports.length === 1)
+  assert.equal(this.bench.slots.reports[0]!.result, result)
+})
--- a/packages/pimentoplank/src/entry/services/serviceCall.ts
+++ b/packages/pimentoplank/src/entry/services/serviceCall.ts
@@ -73,7 +73,7 @@
     if (!isDispatchAllowed && call.beforeDispatch !== undefined) {
       const allowed = await call.beforeDispatch()
       if (allowed.isErr()) {
-        grant.value.release({ result: 'notRun' })
+        grant.value.release({ result: 'revoked' })
         return err(allowed.error)
       }
       isDispatchAllowed = true
@@ -82,7 +82,9 @@
     if (res.isOk()) return ok(res.value)
 
     const { reason, reached, detail } = res.error
-    grant.value.release({ result: reached ? 'failed' : 'notRun' })
+    // A disconnect of the caller is no failure of the target.
+    const isGivenUp = call.signal?.aborted === true
+    grant.value.release({ result: isGivenUp ? 'revoked' : reached ? 'failed' : 'notRun' })
     // A call that reached its target but got no response may have run to completion.
     if (reached) outcome = 'unknown'
     excluded.push(grant.value.target.id)
--- a/packages/pimentoplank/src/entry/services/serviceRoutes.ts
+++ b/packages/pimentoplank/src/entry/services/serviceRoutes.ts
@@ -103,6 +103,7 @@
   deps: ServiceRouteDeps
 ): Response {
   let isComplete = false
+  let isBroken = false
   return streamResponse(c, {
     status: res.status,
     headers: toResponseHeaders(res.headers),
@@ -112,6 +113,7 @@
         isComplete = done === true
         return value
       } catch {
+        isBroken = true
         deps.metrics.count('services.cutAnswers')
         return TRUNCATED
       }
@@ -119,7 +121,9 @@
     clock: deps.clock,
     stallTimeoutMs: deps.settings.streams.callerStallTimeoutMs,
     onClose: () => {
-      res.close(isComplete ? 'done' : 'failed')
+      // A caller that disconnects is no failure of the target.
+      if (isBroken) res.close('failed')
+      else res.close(isComplete ? 'done' : 'revoked')
       release()
     }
   })
--- a/packages/pimentoplank/src/entry/slots/failures.feature
+++ b/packages/pimentoplank/src/entry/slots/failures.feature
@@ -103,6 +103,17 @@
     And slot holder "a" asks for 2 live slots preferring target 0
     Then slot holder "a" holds 2 live slots on target 0
 
+  Scenario Outline: Work that ends as <result> <effect> its target
+    Given a slot rig of 1 owner and 2 targets with 4 slots
+    When work on target 0 ends as <result> 3 times for slot holder "a"
+    And slot holder "a" asks for 2 live slots preferring target 0
+    Then slot holder "a" holds <slots> live slots on target 0
+
+    Examples:
+      | result  | effect         | slots |
+      | notRun  | ejects         | 0     |
+      | revoked | does not eject | 2     |
+
   Scenario: Targets are never ejected all at once
     Given a slot rig of 1 owner and 2 targets with 4 slots
     When work on target 0 fails 3 times for slot holder "a"
--- a/packages/pimentoplank/src/entry/slots/slots.steps.ts
+++ b/packages/pimentoplank/src/entry/slots/slots.steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { After, Given, Then, When, type DataTable } from '@cucumber/cucumber'
-import { slotSchedulerSettings, type WorkClass } from '../../shared'
+import { slotSchedulerSettings, type SlotReport, type WorkClass } from '../../shared'
 import {
   requestSlot, findCalls, requestSlots, getStats, isHeld, isOn, isWaiting, release, releaseSome, runLive, startRig,
   type SlotsWorld
@@ -134,13 +134,25 @@
 When('work on target {int} fails {int} times for slot holder {string}', async function (
   this: SlotsWorld, index: number, times: number, holder: string
 ) {
+  await endWork(this, index, times, holder, 'failed')
+})
+
+When('work on target {int} ends as {word} {int} times for slot holder {string}', async function (
+  this: SlotsWorld, index: number, result: SlotReport['result'], times: number, holder: string
+) {
+  await endWork(this, index, times, holder, result)
+})
+
+async function endWork (
+  world: SlotsWorld, index: number, times: number, holder: string, result: SlotReport['result']
+): Promise<void> {
   for (let count = 0; count < times; count += 1) {
-    await requestSlots(this, holder, 1, { workClass: 'live', preferred: `target-${index}` })
-    const held = findCalls(this, holder, 'live').filter(isOn(index))
+    await requestSlots(world, holder, 1, { workClass: 'live', preferred: `target-${index}` })
+    const held = findCalls(world, holder, 'live').filter(isOn(index))
     assert.equal(held.length, 1)
-    await release(this, held, { result: 'failed' })
+    await release(world, held, { result })
   }
-})
+}
 
 When('the slot clock advances {int} ms', async function (this: SlotsWorld, ms: number) {
   await this.slotRig.clock.advance(ms)
--- a/packages/pimentoplank/src/shared/slots/types.ts
+++ b/packages/pimentoplank/src/shared/slots/types.ts
@@ -28,6 +28,14 @@
 
 /** Outcome of the work on a slot; the owner adapts the target's concurrency limit to it. */
 export interface SlotReport {
+  /**
+   * How the work ended.
+   *
+   * - `done`: it is complete
+   * - `failed`, `crashed`: the target failed while it ran
+   * - `notRun`: the target could not be reached, or refused work for its own sake
+   * - `revoked`: it was ended for a reason that says nothing about the target
+   */
   result: 'done' | 'failed' | 'notRun' | 'revoked' | 'crashed'
   firstTokenMs?: number
   /** Mean time between tokens, in milliseconds. */
