Let begun streams wait for targets that restart or load their model

What callers saw: a begun stream was cut although a target of its service came back at once. One refused connection, or one answer that the model isn't loaded, excluded a target for the rest of the request, and with the last target excluded the stream was refused.

Both now count like a busy target: it is tried again once no other is left, while it is listed. Owners eject a target that can't be reached, so the tries stay few.

--- a/packages/pimentoplank/src/entry/live/begunStreams.feature
+++ b/packages/pimentoplank/src/entry/live/begunStreams.feature
@@ -50,3 +50,11 @@
     When the entry gets a streamed chat request for 40 tokens
     And engine 0 of the entry dies after 5 tokens
     Then the entry streams the complete text of 40 tokens, each once, with the closing event
+
+  Scenario: A stream waits for the last target of its service while that restarts
+    Given the entry bench with 2 engines
+    And the entry bench makes engine 1 refuse connections
+    When the entry gets a streamed chat request for 40 tokens
+    And engine 0 of the entry dies after 5 tokens
+    And engine 1 of the entry starts again once the entry has failed to connect to it
+    Then the entry streams the complete text of 40 tokens, each once, with the closing event
--- a/packages/pimentoplank/src/entry/live/live.steps.ts
+++ b/packages/pimentoplank/src/entry/live/live.steps.ts
@@ -96,6 +96,13 @@
   this.bench.engines[index]!.setFaults({ silentStreams: true })
 })
 
+When('engine {int} of the entry starts again once the entry has failed to connect to it', async function (
+  this: EntryWorld, index: number
+) {
+  await waitUntil(() => (this.bench.metrics[0]!.snapshot().counters['retries.connectFailed'] ?? 0) > 0)
+  await this.bench.engines[index]!.start()
+})
+
 When('engine {int} of the entry dies after {int} tokens', async function (
   this: EntryWorld, index: number, tokens: number
 ) {
--- a/packages/pimentoplank/src/entry/live/slotSearch.ts
+++ b/packages/pimentoplank/src/entry/live/slotSearch.ts
@@ -11,7 +11,9 @@
 const MAX_PAUSE_MS = 250
 
 /** Failures after which a target is tried again once no other is left. */
-const TEMPORARY_FAILURES: ReadonlySet<EngineErrorKind> = new Set(['targetBusy', 'streamSilent'])
+const TEMPORARY_FAILURES: ReadonlySet<EngineErrorKind> = new Set([
+  'connectFailed', 'modelNotLoaded', 'targetBusy', 'streamSilent'
+])
 
 export interface SlotSearchOptions {
   job: LiveJob
