--- a/packages/pimentoplank/src/entry/settings.ts
+++ b/packages/pimentoplank/src/entry/settings.ts
@@ -25,9 +25,9 @@
 
 export const streamSettings = z.strictObject({
   firstTokenTimeoutMs: durationMs.default(10 * SECOND_MS)
-    .describe('Time without the first token after which a stream is abandoned, in milliseconds.'),
+    .describe('Time without the first token after which another connection or target is sought for a stream, in milliseconds.'),
   tokenGapTimeoutMs: durationMs.default(2 * SECOND_MS)
-    .describe('Time without a further token after which a connection is abandoned, in milliseconds.'),
+    .describe('Time without a further token after which another connection or target is sought, in milliseconds.'),
   callerStallTimeoutMs: durationMs.default(20 * SECOND_MS)
     .describe('How long a caller may leave a response unread before its connection is closed, in milliseconds.')
 })
