--- a/packages/pimentoplank/src/relay/jobs/itemRunner.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.ts
@@ -232,6 +232,9 @@
       },
       onSilent: () => {
         entry.isSilent = true
+        log.info({
+          job: owned.id, item: itemId, target: target.id, lastEvent: progress.lastEventId
+        }, 'item run is silent')
         startReadyItems()
       },
       onResumed: () => { entry.isSilent = false },
