Bound the wait of items for a crowded software version

An item waited for its version from the end of its run on, also while no other target had room.

Now only the time counts for which targets of other versions have room. The item begins anew after 3 s, after the time that its lost text takes to write, or at the last moment at which it is done when due, whichever comes first.

The new load pattern removes three of four targets of a version.

--- a/packages/pimentoplank/src/relay/decisions/itemVersions.ts
+++ b/packages/pimentoplank/src/relay/decisions/itemVersions.ts
@@ -19,7 +19,7 @@
   hasRoom: boolean
   /** True when a target of another version has room that live requests don't need. */
   hasOtherRoom: boolean
-  /** Time for which the item has been ready, in milliseconds. */
+  /** Time for which the item has waited while targets of other versions had room, in milliseconds. */
   waitedMs: number
   /** Time until the item is due, in milliseconds; negative when it is late. */
   dueInMs: number
--- a/packages/pimentoplank/src/relay/decisions/patterns.feature
+++ b/packages/pimentoplank/src/relay/decisions/patterns.feature
@@ -21,6 +21,13 @@
       | a large fleet whose steps do not fit      | 0.82 | 0.80  | 0.90 |
       | instances that see each other late        | 0.60 | 0.95  | 0.95 |
 
+  Scenario: Items wait for a crowded software version for a bounded time
+    Given the load pattern "most targets of the older version gone"
+    When it is simulated with seeds 1 to 3
+    Then at least 0.95 of the batch items are finished when due
+    And no item waits longer than 3100 ms for its version while other targets have room
+    And at most 0.1 of the batch items begin anew
+
   Scenario: Under overload, items that can still finish when due start first
     Given one free slot and two items: one due in 1000 ms that needs 4000 ms, one due in 6000 ms that needs 4000 ms
     Then the item due in 6000 ms starts
--- a/packages/pimentoplank/src/relay/decisions/patterns.steps.ts
+++ b/packages/pimentoplank/src/relay/decisions/patterns.steps.ts
@@ -46,6 +46,13 @@
     ...BASE_PATTERN, livePerSecond: (ms) => createSteps(35)(ms) * (ms >= 8000 && ms < 12_000 ? 2 : 1)
   },
   'a third of the targets gone': { ...BASE_PATTERN, targetsAt: (ms) => ms >= 8000 && ms < 14_000 ? 5 : 8 },
+  'most targets of the older version gone': {
+    ...BASE_PATTERN,
+    versionOf: (target) => target >= 1 && target <= 4 ? 'v2' : 'v1',
+    targetsAt: (ms) => ms < 8000 ? 8 : 5,
+    livePerSecond: createSteps(8),
+    jobs: [...createJobs(0.2), { atMs: 5000, items: 45 }]
+  },
   'many jobs at once': {
     ...BASE_PATTERN, jobs: [...createJobs(0.3), ...Array.from({ length: 6 }, () => ({ atMs: 6000, items: 10 }))]
   },
@@ -91,6 +98,15 @@
   assert.ok(share >= least, `${share} of the batch items were finished when due`)
 })
 
+Then('no item waits longer than {int} ms for its version while other targets have room', function (this: PatternWorld, most: number) {
+  for (const { longestVersionWaitMs } of this.outcomes) assert.ok(longestVersionWaitMs <= most, `${longestVersionWaitMs} ms`)
+})
+
+Then('at most {float} of the batch items begin anew', function (this: PatternWorld, most: number) {
+  const share = mean(this, ({ begunAnew, items }) => begunAnew / items)
+  assert.ok(share <= most, `${share} of the batch items began anew`)
+})
+
 Then('every refusal comes within {int} ms', function (this: PatternWorld, most: number) {
   for (const { slowestRefusalMs } of this.outcomes) assert.ok(slowestRefusalMs <= most, `took ${slowestRefusalMs} ms`)
 })
--- a/packages/pimentoplank/src/relay/decisions/testing/simulation.ts
+++ b/packages/pimentoplank/src/relay/decisions/testing/simulation.ts
@@ -4,8 +4,8 @@
  * arrival.
  */
 import {
-  countExcess, chooseStarts, choosePreempted, choosePlacement, decideAdmission, orderWaiting, rankItem,
-  type PlacementCandidate
+  countExcess, countRoom, chooseStarts, choosePreempted, choosePlacement, decideAdmission, decideItemVersion,
+  orderWaiting, rankItem, type BatchCandidate, type PlacementCandidate
 } from '..'
 import { rankByRendezvous, type Random } from '../../../shared'
 import { RELAY_RULES } from '../../rules'
@@ -30,6 +30,8 @@
   preferringInstances?: number
   /** Number of available targets at a given time; all by default. */
   targetsAt?: (ms: number) => number
+  /** Software version of each target; the same for all by default. */
+  versionOf?: (target: number) => string
 }
 
 export interface Outcome {
@@ -45,6 +47,10 @@
   items: number
   /** Share of batch items that were finished when due. */
   itemsOnTime: number
+  /** Number of batch items that began anew at another software version. */
+  begunAnew: number
+  /** Longest time for which an item waited for its version while other targets had room, in milliseconds. */
+  longestVersionWaitMs: number
   /** Number of batch runs that were interrupted. */
   interrupted: number
   /** Share of slot time that was used. */
@@ -66,7 +72,12 @@
   job: string
   dueAt: number
   leftMs: number
+  wholeMs: number
   instance: number
+  /** Version of the target that ran the item last. */
+  version?: string
+  /** Since when targets of other versions have had room while the item waits. */
+  blockedSince?: number
   work?: SimulatedWork
 }
 
@@ -109,6 +120,8 @@
     slowestRefusalMs: 0,
     items: 0,
     itemsOnTime: 0,
+    begunAnew: 0,
+    longestVersionWaitMs: 0,
     interrupted: 0,
     utilization: 0,
     bounds: computeBounds(pattern),
@@ -128,6 +141,10 @@
     return preferences.get(target)!.includes(String(instance))
   }
 
+  function getVersion (target: string): string {
+    return pattern.versionOf?.(targets.findIndex(({ id }) => id === target)) ?? 'v1'
+  }
+
   function listCandidates (instance: number): PlacementCandidate[] {
     return getAvailableTargets().map(({ id }) => ({
       id,
@@ -212,6 +229,7 @@
     if (work.startedAt !== undefined) {
       outcome.interrupted += 1
       item.leftMs += RESUME_MS - (now - work.startedAt)
+      item.version = getVersion(target.id)
     }
     item.work = undefined
     removeWork(target, work)
@@ -257,23 +275,51 @@
   }
 
   function startItems (instance: number): void {
-    const ready = items.filter((item) => item.work === undefined && item.leftMs > 0)
-      .map((item) => ({ ...item, dueAt: rankItem(item.dueAt, item.leftMs, now), item }))
+    const waiting = items.filter((item) => item.work === undefined && item.leftMs > 0)
+    const all = listCandidates(instance).map((one) => ({ ...one, version: getVersion(one.id) }))
+    const liveReserve = Math.round(all.length * pattern.slots * RELAY_RULES.items.liveReserveShare)
+    for (const item of waiting) if (item.instance === instance) dropBlockedWork(item, all, liveReserve)
+    const ready = waiting.map((item) => ({ ...item, dueAt: rankItem(item.dueAt, item.leftMs, now), item }))
     const own = ready.filter((item) => item.instance === instance)
     if (own.length === 0) return
-    const all = listCandidates(instance)
     const starts = chooseStarts({
-      targets: all.map((one) => ({ ...one, version: 'v1' })),
+      targets: all,
       own,
-      others: ready.filter((item) => item.instance !== instance).map(({ dueAt }) => ({ dueAt, count: 1 })),
-      liveReserve: Math.round(all.length * pattern.slots * RELAY_RULES.items.liveReserveShare)
+      others: ready.filter((item) => item.instance !== instance)
+        .map(({ dueAt, version }) => ({ dueAt, version, count: 1 })),
+      liveReserve
     })
     for (const { item: { item }, target } of starts) {
+      item.blockedSince = undefined
       item.work = { isLive: false, instance, runMs: item.leftMs, job: item.job, dueAt: item.dueAt }
       enqueue(target, item.work)
     }
   }
 
+  /** Lets an item begin anew if its version is gone or crowded. */
+  function dropBlockedWork (item: Item, all: readonly BatchCandidate[], liveReserve: number): void {
+    if (item.version === undefined) return
+    const same = all.filter(({ version }) => version === item.version)
+    const others = all.filter(({ version }) => version !== item.version)
+    const hasRoom = countRoom(same) > 0
+    const hasOtherRoom = countRoom(others) > liveReserve
+    item.blockedSince = hasOtherRoom ? item.blockedSince ?? now : undefined
+    outcome.longestVersionWaitMs = Math.max(outcome.longestVersionWaitMs, now - (item.blockedSince ?? now))
+    const decision = decideItemVersion({
+      sameVersion: same.length,
+      otherVersions: others.length,
+      hasRoom,
+      hasOtherRoom,
+      waitedMs: now - (item.blockedSince ?? now),
+      dueInMs: item.dueAt - now,
+      wholeMs: pattern.batchRunMs,
+      restMs: Math.min(pattern.batchRunMs, item.leftMs)
+    }, RELAY_RULES.items)
+    if (decision.type === 'goOn') return
+    outcome.begunAnew += 1
+    Object.assign(item, { version: undefined, blockedSince: undefined, leftMs: item.wholeMs })
+  }
+
   function finishWork (): void {
     for (const target of getAvailableTargets()) {
       for (const work of [...target.running]) {
@@ -309,7 +355,8 @@
       const instance = jobCount % pattern.instances
       const name = `job${jobCount++}`
       for (let index = 0; index < job.items; index++) {
-        items.push({ job: name, dueAt: now + ITEMS_DUE_MS, leftMs: drawRunTime(pattern.batchRunMs, random), instance })
+        const wholeMs = drawRunTime(pattern.batchRunMs, random)
+        items.push({ job: name, dueAt: now + ITEMS_DUE_MS, leftMs: wholeMs, wholeMs, instance })
       }
     }
   }
--- a/packages/pimentoplank/src/relay/jobs/blockedText.ts
+++ b/packages/pimentoplank/src/relay/jobs/blockedText.ts
@@ -23,17 +23,21 @@
 export function dropBlockedText (item: ReadyItem, options: BlockedTextOptions): boolean {
   const { candidates, liveReserve, pace, rules, clock, metrics, log } = options
   const { owned, itemId, progress } = item
-  const { lastEventId, version, readySince } = progress
+  const { lastEventId, version } = progress
   if (lastEventId === undefined) return false
   const now = clock.now()
   const same = candidates.filter((target) => target.version === version)
   const others = candidates.filter((target) => target.version !== version)
-  const waitedMs = now - (readySince ?? now)
+  const hasRoom = countRoom(same) > 0
+  const hasOtherRoom = countRoom(others) > liveReserve
+  // Room at the version that others get ends no wait.
+  progress.blockedSince = hasOtherRoom ? progress.blockedSince ?? now : undefined
+  const waitedMs = now - (progress.blockedSince ?? now)
   const decision = decideItemVersion({
     sameVersion: same.length,
     otherVersions: others.length,
-    hasRoom: countRoom(same) > 0,
-    hasOtherRoom: countRoom(others) > liveReserve,
+    hasRoom,
+    hasOtherRoom,
     waitedMs,
     dueInMs: owned.dueAt - now,
     wholeMs: pace.estimateRemainingMs(0),
@@ -49,6 +53,6 @@
     waitedMs: Math.round(waitedMs)
   }, 'item begins anew')
   metrics.count(`items.begunAnew.${decision.reason}`)
-  Object.assign(progress, { lastEventId: undefined, data: [], version: undefined })
+  Object.assign(progress, { lastEventId: undefined, data: [], version: undefined, blockedSince: undefined })
   return true
 }
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.ts
@@ -190,7 +190,7 @@
     const item = owned.findItem(itemId)!
     const stop = new AbortController()
     progress.target = target.id
-    progress.readySince = undefined
+    progress.blockedSince = undefined
     progress.version = target.version
     progress.interrupt = () => stop.abort()
     log.info({
--- a/packages/pimentoplank/src/relay/jobs/ownedJob.ts
+++ b/packages/pimentoplank/src/relay/jobs/ownedJob.ts
@@ -11,8 +11,8 @@
   data: string[]
   /** Software version of the target that wrote `data`. */
   version?: string
-  /** Since when the item has been ready to run, on the monotonic clock; undefined while it runs. */
-  readySince?: number
+  /** Since when targets of other versions have had room for the waiting item, on the monotonic clock. */
+  blockedSince?: number
   /** Number of answers that reported a failed run. */
   failures: number
   /** Number of runs in a row that broke off before their answer had begun. */
--- a/packages/pimentoplank/src/relay/jobs/readyItems.ts
+++ b/packages/pimentoplank/src/relay/jobs/readyItems.ts
@@ -51,7 +51,6 @@
         const service = route === undefined ? undefined : pickService(route, random())
         if (item === undefined || route === undefined || service === undefined) continue
         if (options.crashes.hasCrashingParts(item.headers)) continue
-        progress.readySince ??= now
         ready.push({
           job: owned.id,
           dueAt: computeRank(owned, progress),
