Keep items with text at the service that began them

The service of an item was picked anew, by the weights of its route, for each run and at each look for items to start. On a route with several services, a text went on at another service than the one that wrote it; since items keep to their version, it could also be dropped because the service of that pick had no target of the version.

An item with text now stays at its service while the route names it. It begins anew when the route no longer does, or when that service has no usable target and another one of the route has. A hand-over tells the service, too.

Two scenarios of itemRunner.feature failed before (the run went on at the other service, after event 2 in place of from its beginning) and pass now.

--- a/packages/pimentoplank/src/relay/jobs/blockedText.ts
+++ b/packages/pimentoplank/src/relay/jobs/blockedText.ts
@@ -1,12 +1,16 @@
 /** Drops the text of items that no target can go on with. */
 import type { Clock, Log, Metrics } from '../../shared'
-import { countRoom, decideItemVersion, type BatchCandidate, type ItemVersionRules } from '../decisions'
+import {
+  countRoom, decideItemVersion, type BatchCandidate, type ItemVersionDecision, type ItemVersionRules
+} from '../decisions'
 import type { ItemTimeEstimator } from './itemTimeEstimator'
 import type { ReadyItem } from './readyItems'
 
 export interface BlockedTextOptions {
   /** Targets of the item's service. */
   candidates: readonly BatchCandidate[]
+  /** Counts the usable targets of a service. */
+  countTargets: (service: string) => number
   /** Slots reserved for live requests, summed over all targets. */
   liveReserve: number
   pace: ItemTimeEstimator
@@ -21,10 +25,34 @@
  * is no failed run of the item.
  */
 export function dropBlockedText (item: ReadyItem, options: BlockedTextOptions): boolean {
-  const { candidates, liveReserve, pace, rules, clock, metrics, log } = options
   const { owned, itemId, progress } = item
-  const { lastEventId, version } = progress
+  const { lastEventId, version, service, blockedSince } = progress
   if (lastEventId === undefined) return false
+  const decision = service === item.service
+    ? decide(item, lastEventId, options)
+    : { type: 'beginAnew' as const, reason: 'serviceChanged' }
+  if (decision.type === 'goOn') return false
+  const now = options.clock.now()
+  options.log.info({
+    job: owned.id,
+    item: itemId,
+    version,
+    service,
+    lastEvent: lastEventId,
+    reason: decision.reason,
+    waitedMs: Math.round(now - (blockedSince ?? now))
+  }, 'item begins anew')
+  options.metrics.count(`items.begunAnew.${decision.reason}`)
+  Object.assign(progress, {
+    lastEventId: undefined, data: [], version: undefined, service: undefined, blockedSince: undefined
+  })
+  return true
+}
+
+function decide (item: ReadyItem, lastEventId: number, options: BlockedTextOptions): ItemVersionDecision {
+  const { candidates, liveReserve, pace, rules, clock } = options
+  const { owned, progress, route, service } = item
+  const { version } = progress
   const now = clock.now()
   const same = candidates.filter((target) => target.version === version)
   const others = candidates.filter((target) => target.version !== version)
@@ -32,27 +60,17 @@
   const hasOtherRoom = countRoom(others) > liveReserve
   // Room at the version that others get ends no wait.
   progress.blockedSince = hasOtherRoom ? progress.blockedSince ?? now : undefined
-  const waitedMs = now - (progress.blockedSince ?? now)
-  const decision = decideItemVersion({
+  const elsewhere = candidates.length > 0
+    ? []
+    : route.services.filter((one) => one.service !== service && one.weight > 0)
+  return decideItemVersion({
     sameVersion: same.length,
-    otherVersions: others.length,
+    otherVersions: others.length + elsewhere.reduce((sum, one) => sum + options.countTargets(one.service), 0),
     hasRoom,
     hasOtherRoom,
-    waitedMs,
+    waitedMs: now - (progress.blockedSince ?? now),
     dueInMs: owned.dueAt - now,
     wholeMs: pace.estimateRemainingMs(0),
     restMs: pace.estimateRemainingMs(lastEventId)
   }, rules)
-  if (decision.type === 'goOn') return false
-  log.info({
-    job: owned.id,
-    item: itemId,
-    version,
-    lastEvent: lastEventId,
-    reason: decision.reason,
-    waitedMs: Math.round(waitedMs)
-  }, 'item begins anew')
-  metrics.count(`items.begunAnew.${decision.reason}`)
-  Object.assign(progress, { lastEventId: undefined, data: [], version: undefined, blockedSince: undefined })
-  return true
 }
--- a/packages/pimentoplank/src/relay/jobs/handOver.ts
+++ b/packages/pimentoplank/src/relay/jobs/handOver.ts
@@ -36,8 +36,8 @@
 function toHandOverRequest (
   job: OwnedJob
 ): Parameters<ReturnType<typeof createClient<typeof JobService>>['handOver']>[0] {
-  const open = [...job.openItems()].map(([item, { lastEventId, data, version, failures }]) => ({
-    item, lastEvent: lastEventId ?? 0, text: data.join('\n'), version, failures
+  const open = [...job.openItems()].map(([item, { lastEventId, data, version, service, failures }]) => ({
+    item, lastEvent: lastEventId ?? 0, text: data.join('\n'), version, service, failures
   }))
   const done = job.pendingResults().map(({ item, completed, text }) => ({ item, completed, text, finished: true }))
   return { job: job.id, epoch: job.record().epoch, progress: [...open, ...done] }
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.feature
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.feature
@@ -112,3 +112,38 @@
     And 4 s pass for the item runner
     And the runner looks for items to start
     Then the item ran 1 times
+
+  Scenario: An item with text stays at its service while its route names that beside another one
+    Given an item runner with a job of 1 item and a target "a" with 1 slot
+    And a target "b" of service "another" with 1 slot
+    When the runner looks for items to start
+    And target "a" sends events 1 to 2
+    And the route names "another" with weight 9 beside the first service
+    And the run at "a" breaks off
+    And 1 s pass for the item runner
+    And the runner looks for items to start
+    Then the item ran 2 times, the last time at "a" after event 2
+
+  Scenario: An item with text begins anew when its route names another service in place of its own
+    Given an item runner with a job of 1 item and a target "a" with 1 slot
+    And a target "b" of service "another" with 1 slot
+    When the runner looks for items to start
+    And target "a" sends events 1 to 2
+    And the route names another service
+    And the run at "a" breaks off
+    And 1 s pass for the item runner
+    And the runner looks for items to start
+    Then the item ran 2 times, the last time at "b" from its beginning
+
+  Scenario: An item with text begins anew when its service has no target left and its route names another one
+    Given an item runner with a job of 1 item and a target "a" with 1 slot
+    And a target "b" of service "another" with 1 slot
+    When the runner looks for items to start
+    And target "a" sends events 1 to 2
+    And the route names "another" with weight 9 beside the first service
+    And target "a" is gone
+    And the run at "a" breaks off
+    And 1 s pass for the item runner
+    And the runner looks for items to start
+    And the runner looks for items to start
+    Then the item ran 2 times, the last time at "b" from its beginning
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
@@ -42,13 +42,13 @@
   for (let turn = 0; turn < TURNS; turn++) await new Promise((resolve) => setImmediate(resolve))
 }
 
-function createTable (service: string): RouteTable {
+function createTable (services: Route['services']): RouteTable {
   const route: Route = {
     name: 'batch',
     host: 'h',
     pathPrefix: '/x/',
     kind: 'batch',
-    services: [{ service, weight: 1 }],
+    services,
     timeoutMs: 1000,
     targetLatencyMs: 1000,
     targetGapMs: 1000,
@@ -81,8 +81,10 @@
   })
 }
 
-function addTarget ({ loads }: RunnerWorld, id: string, slots: number, version = 'v1'): void {
-  const target: Target = { id, service: SERVICE, address: id, failureDomain: 'a', version, slots, state: 'ready' }
+function addTarget (
+  { loads }: RunnerWorld, id: string, slots: number, version = 'v1', service = SERVICE
+): void {
+  const target: Target = { id, service, address: id, failureDomain: 'a', version, slots, state: 'ready' }
   loads.set(id, {
     target,
     key: loads.size,
@@ -137,7 +139,7 @@
   this: RunnerWorld, count: number, id: string, slots: number
 ) {
   this.clock = createManualClock()
-  this.table = createTable(SERVICE)
+  this.table = createTable([{ service: SERVICE, weight: 1 }])
   this.loads = new Map()
   this.sent = []
   this.gone = new Set()
@@ -180,7 +182,13 @@
 })
 
 When('the route names another service', function (this: RunnerWorld) {
-  this.table = createTable('another')
+  this.table = createTable([{ service: 'another', weight: 1 }])
+})
+
+When('the route names {string} with weight {int} beside the first service', function (
+  this: RunnerWorld, service: string, weight: number
+) {
+  this.table = createTable([{ service: SERVICE, weight: 1 }, { service, weight }])
 })
 
 When('the runner looks for items to start', async function (this: RunnerWorld) {
@@ -230,6 +238,12 @@
   addTarget(this, id, slots, version)
 })
 
+Given('a target {string} of service {string} with {int} slot(s)', function (
+  this: RunnerWorld, id: string, service: string, slots: number
+) {
+  addTarget(this, id, slots, 'v1', service)
+})
+
 Given('the first item has failed once', function (this: RunnerWorld) {
   this.job.openItems().get('item-0')!.failures = 1
 })
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.ts
@@ -129,7 +129,9 @@
     const slots = all.reduce((sum, { target }) => sum + target.slots, 0)
     const liveReserve = Math.round(slots * rules.liveReserveShare)
     for (const item of own) {
-      if (item.run !== undefined || !dropBlockedText(item, { ...options, candidates, liveReserve, pace })) continue
+      const countTargets = (name: string): number => loads.getLoads(name).length
+      const blockedText = { ...options, candidates, countTargets, liveReserve, pace }
+      if (item.run !== undefined || !dropBlockedText(item, blockedText)) continue
       item.version = undefined
       item.dueAt = finder.computeRank(item.owned, item.progress)
     }
@@ -192,6 +194,7 @@
     progress.target = target.id
     progress.blockedSince = undefined
     progress.version = target.version
+    progress.service = target.service
     progress.interrupt = () => stop.abort()
     log.info({
       job: owned.id,
--- a/packages/pimentoplank/src/relay/jobs/jobManager.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.steps.ts
@@ -203,7 +203,7 @@
     job: JOB,
     epoch: 1,
     progress: this.items.map(({ id }, index) => (
-      { item: id, lastEvent: event, text: 'text', failures, version: index === 0 ? '' : 'v2' }
+      { item: id, lastEvent: event, text: 'text', failures, version: index === 0 ? '' : 'v2', service: 's' }
     ))
   })
   assert.equal(taken, true)
@@ -214,6 +214,7 @@
 ) {
   const [first, second] = [...this.jobRegistry.get(JOB)!.openItems().values()]
   assert.deepEqual([first!.lastEventId, first!.data, first!.failures], [undefined, [], failures])
-  assert.deepEqual([second!.lastEventId, second!.version, second!.failures], [event, 'v2', failures])
+  assert.deepEqual([second!.lastEventId, second!.version, second!.service], [event, 'v2', 's'])
+  assert.equal(second!.failures, failures)
   this.manager.close()
 })
--- a/packages/pimentoplank/src/relay/jobs/jobService.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobService.ts
@@ -41,9 +41,9 @@
     const done = req.progress.filter(({ finished }) => finished)
     const taken = await manager.takeOver(
       req.job,
-      new Map(open.map(({ item, lastEvent, text, version, failures }) => [item, {
+      new Map(open.map(({ item, lastEvent, text, version, service, failures }) => [item, {
         // Without its version a text can't go on.
-        ...(lastEvent > 0 && version !== '' ? { lastEventId: lastEvent, data: [text], version } : {}),
+        ...(lastEvent > 0 && version !== '' ? { lastEventId: lastEvent, data: [text], version, service } : {}),
         failures
       }])),
       done.map(({ item, completed, text }) => ({ item, completed, text }))
--- a/packages/pimentoplank/src/relay/jobs/ownedJob.ts
+++ b/packages/pimentoplank/src/relay/jobs/ownedJob.ts
@@ -11,6 +11,8 @@
   data: string[]
   /** Software version of the target that wrote `data`. */
   version?: string
+  /** Service of that target. */
+  service?: string
   /** Since when targets of other versions have had room for the waiting item, on the monotonic clock. */
   blockedSince?: number
   /** Number of answers that reported a failed run. */
--- a/packages/pimentoplank/src/relay/jobs/readyItems.ts
+++ b/packages/pimentoplank/src/relay/jobs/readyItems.ts
@@ -48,7 +48,7 @@
         if (progress.target !== undefined || progress.notBefore > now) continue
         const item = owned.findItem(itemId)
         const route = table.findRoute(owned.record().host, item?.path ?? '')
-        const service = route === undefined ? undefined : pickService(route, random())
+        const service = route === undefined ? undefined : chooseService(route, progress, random())
         if (item === undefined || route === undefined || service === undefined) continue
         if (options.crashes.hasCrashingParts(item.headers)) continue
         ready.push({
@@ -69,6 +69,12 @@
   return { find: findReadyItems, computeRank }
 }
 
+/** An item with text stays at its service, which may be one of several on the route. */
+function chooseService (route: Route, { lastEventId, service }: ItemProgress, fraction: number): string | undefined {
+  const isNamed = route.services.some((one) => one.service === service && one.weight > 0)
+  return lastEventId !== undefined && isNamed ? service : pickService(route, fraction)
+}
+
 /** Returns the software version at which an item must go on; undefined for an item without text. */
 export function findNeededVersion ({ lastEventId, version }: ItemProgress): string | undefined {
   return lastEventId === undefined ? undefined : version
