--- a/packages/pimentoplank/src/entry/live/live.steps.ts
+++ b/packages/pimentoplank/src/entry/live/live.steps.ts
@@ -75,6 +75,16 @@
   startRequest(this, kind, tokens, false, { headers: { [name]: value } })
 })
 
+When('the entry gets a chat request that the engine rejects as invalid', function (this: EntryWorld) {
+  const body = { model: MODEL, messages: [{ role: 'user', content: [{ type: 'picture' }] }] }
+  startRequest(this, 'chat', 1, false, { body })
+})
+
+Then('the entry holds nothing against engine {int}', function (this: EntryWorld, index: number) {
+  const reports = this.bench.slots.reports.filter(({ target }) => target === `engine-${index}`)
+  assert.deepEqual(reports.map(({ result }) => result), ['revoked'])
+})
+
 async function waitForTokens ({ bench }: EntryWorld, index: number, tokens: number): Promise<void> {
   await waitUntil(() => bench.engines[index]!.getRuns().some((run) => run.tokens >= tokens))
 }
@@ -86,6 +96,13 @@
   this.bench.engines[index]!.setFaults({ silentStreams: true })
 })
 
+When('engine {int} of the entry starts again once the entry has failed to connect to it', async function (
+  this: EntryWorld, index: number
+) {
+  await waitUntil(() => (this.bench.metrics[0]!.snapshot().counters['retries.connectFailed'] ?? 0) > 0)
+  await this.bench.engines[index]!.start()
+})
+
 When('engine {int} of the entry dies after {int} tokens', async function (
   this: EntryWorld, index: number, tokens: number
 ) {
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.ts
@@ -129,7 +129,9 @@
     const slots = all.reduce((sum, { target }) => sum + target.slots, 0)
     const liveReserve = Math.round(slots * rules.liveReserveShare)
     for (const item of own) {
-      if (item.run !== undefined || !dropBlockedText(item, { ...options, candidates, liveReserve, pace })) continue
+      const countTargets = (name: string): number => loads.getLoads(name).length
+      const blockedText = { ...options, candidates, countTargets, liveReserve, pace }
+      if (item.run !== undefined || !dropBlockedText(item, blockedText)) continue
       item.version = undefined
       item.dueAt = finder.computeRank(item.owned, item.progress)
     }
@@ -190,8 +192,9 @@
     const item = owned.findItem(itemId)!
     const stop = new AbortController()
     progress.target = target.id
-    progress.readySince = undefined
+    progress.blockedSince = undefined
     progress.version = target.version
+    progress.service = target.service
     progress.interrupt = () => stop.abort()
     log.info({
       job: owned.id,
@@ -232,6 +235,9 @@
       },
       onSilent: () => {
         entry.isSilent = true
+        log.info({
+          job: owned.id, item: itemId, target: target.id, lastEvent: progress.lastEventId
+        }, 'item run is silent')
         startReadyItems()
       },
       onResumed: () => { entry.isSilent = false },
