--- a/packages/pimentoplank/src/relay/decisions/retries.ts
+++ b/packages/pimentoplank/src/relay/decisions/retries.ts
@@ -19,6 +19,8 @@
   hasBegun: boolean
   /** Number of tries in which the request certainly did not run. */
   refusals: number
+  /** True when a target was given up only for its silence; going back to it adds no further target. */
+  hasSilentTarget: boolean
   /** True when the caller has got the beginning of a plain answer, which no other answer can continue. */
   isAnswerBegun: boolean
   /** Time left until the caller's deadline or the route's timeout, in milliseconds. */
@@ -34,7 +36,7 @@
 export function canRetry (route: Route, failure: TryFailure, state: RetryState): boolean {
   if (state.leftMs < MIN_TRY_MS || state.isAnswerBegun) return false
   if (!failure.mayHaveRun) return state.hasBegun || state.refusals <= MAX_REFUSALS
-  return isRepeatable(route) && state.runs < route.maxAttempts
+  return isRepeatable(route) && (state.runs < route.maxAttempts || state.hasSilentTarget)
 }
 
 /** True when a request of the route may run more than once. */
--- a/packages/pimentoplank/src/relay/live/relayRequest.ts
+++ b/packages/pimentoplank/src/relay/live/relayRequest.ts
@@ -81,9 +81,11 @@
       }, 'try failed')
       if (failure.mayHaveRun) progress.runs += 1
       else progress.refusals += 1
+      if (failure.mayHaveRun) progress.silentTargets.delete(slot.target.id)
       getFailedTargets(end).add(slot.target.id)
       const isAnswerBegun = route.kind !== 'stream' && reply.hasStarted()
-      const state = { ...progress, hasBegun: hasBegun(), isAnswerBegun, leftMs: endAt - clock.now() }
+      const hasSilentTarget = progress.silentTargets.size > 0
+      const state = { ...progress, hasBegun: hasBegun(), hasSilentTarget, isAnswerBegun, leftMs: endAt - clock.now() }
       if (over.signal.aborted || !canRetry(route, failure, state)) {
         return failRequest(toRefusal(failure, over.signal.aborted))
       }
@@ -115,6 +117,9 @@
   }
 
   function createQuery (signal: AbortSignal): Result<SlotQuery, RefusalError> {
+    // With all its attempts used, a request may still go back to a target that has run it.
+    const mustGoBack = progress.runs >= route.maxAttempts
+    const silentTargets = mustGoBack ? [] : progress.silentTargets
     return findVersion().map((version) => ({
       requestId: request.id,
       route,
@@ -125,7 +130,8 @@
       isRepeatable: isRepeatable(route),
       isContinuation: hasBegun(),
       version,
-      excluded: new Set([...progress.excluded, ...progress.silentTargets, ...progress.refusedBy]),
+      excluded: new Set([...progress.excluded, ...silentTargets, ...progress.refusedBy]),
+      only: mustGoBack ? new Set(progress.silentTargets) : undefined,
       // Targets that have merely refused the request or were silent are asked again first.
       reusable: progress.refusedBy.size + progress.silentTargets.size === 0 ? progress.excluded : undefined,
       signal
@@ -140,7 +146,8 @@
       const acquired = await deps.slotScheduler.acquire(query.value)
       if (acquired.isOk() || acquired.error.reason !== 'noTarget' || !hasBegun() || ended.aborted) return acquired
       // A target that was left for its silence may have gone on since.
-      const [again] = [progress.silentTargets, progress.refusedBy].filter(({ size }) => size > 0)
+      const silentTargets = progress.runs < route.maxAttempts ? progress.silentTargets : new Set()
+      const [again] = [silentTargets, progress.refusedBy].filter(({ size }) => size > 0)
       if (again === undefined) return acquired
       if (again === progress.refusedBy) await clock.sleep(REFUSED_PAUSE_MS, ended)
       again.clear()
--- a/packages/pimentoplank/src/relay/live/slotScheduler.ts
+++ b/packages/pimentoplank/src/relay/live/slotScheduler.ts
@@ -40,6 +40,8 @@
   version?: string
   /** Ids of targets that must not be used. */
   excluded: ReadonlySet<string>
+  /** Ids of the only targets that may be used; any if it is not set. */
+  only?: ReadonlySet<string>
   /** Ids of excluded targets that may be used where the version has no others. */
   reusable?: ReadonlySet<string>
   signal: AbortSignal
@@ -88,7 +90,8 @@
 
   /** Lists the targets of a query, which was made at the time `since` on the monotonic clock. */
   function findCandidates (ask: SlotQuery, since: number): TargetLoad[] {
-    const all = loads.getLoads(ask.service)
+    const { only } = ask
+    const all = loads.getLoads(ask.service).filter(({ target }) => only === undefined || only.has(target.id))
     const { version, excluded, reusable } = ask
     if (version === undefined) return all.filter(({ target }) => !excluded.has(target.id))
     const candidates = all.map((load) => ({ load, ...load.target, brokeOffAt: load.brokeOffAt }))
