--- a/packages/soak/features/soak.feature
+++ b/packages/soak/features/soak.feature
@@ -12,6 +12,10 @@
     When the seeds that cut streams or mixed versions run
     Then no guarantee was violated
 
+  Scenario: Seeds in which entries of targets were out of date keep every promise
+    When the seeds in which entries of targets were out of date run
+    Then no guarantee was violated
+
   Scenario: Seeds whose hang-up met a starting process keep every promise
     When the seeds whose hang-up met a starting process run
     Then no guarantee was violated
--- a/packages/soak/features/soak.steps.ts
+++ b/packages/soak/features/soak.steps.ts
@@ -1,6 +1,9 @@
 import assert from 'node:assert/strict'
 import { Then, When } from '@cucumber/cucumber'
-import { EARLY_SIGHUPS, REGRESSIONS, STREAM_REGRESSIONS, runSeed, type Regression, type SeedOutcome } from '../src'
+import {
+  EARLY_SIGHUPS, OLD_ENTRY_REGRESSIONS, REGRESSIONS, runSeed, STREAM_REGRESSIONS,
+  type Regression, type SeedOutcome
+} from '../src'
 
 interface SoakWorld {
   outcomes: SeedOutcome[]
@@ -40,6 +43,12 @@
   this.outcomes = await runRegressions(STREAM_REGRESSIONS)
 })
 
+When('the seeds in which entries of targets were out of date run', { timeout: RUN_TIMEOUT_MS }, async function (
+  this: SoakWorld
+) {
+  this.outcomes = await runRegressions(OLD_ENTRY_REGRESSIONS)
+})
+
 When('the seeds whose hang-up met a starting process run', { timeout: RUN_TIMEOUT_MS }, async function (
   this: SoakWorld
 ) {
--- a/packages/soak/src/regressions.ts
+++ b/packages/soak/src/regressions.ts
@@ -30,6 +30,11 @@
   { seed: 18, cause: `${CUT_PAUSE}, or sent to a target that had just crashed`, ...withEveryFault }
 ]
 
+const OLD_ENTRY = 'a target came back under its id at another version while the store could not be reached'
+
+/** Seeds in which instances placed streams by an entry that was older than its target. */
+export const OLD_ENTRY_REGRESSIONS: readonly Regression[] = [{ seed: 7026, cause: OLD_ENTRY, ...withEveryFault }]
+
 export const REGRESSIONS: readonly Regression[] = [
   { seed: 101, seconds: 15, cause: LOST_TAKEOVER },
   { seed: 105, seconds: 15, cause: LOST_TAKEOVER },
