--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -87,7 +87,7 @@
   let isClosed = false
   let reportTimer: NodeJS.Timeout | undefined
 
-  const streamVersions = createStreamVersions({ clock, log })
+  const streamVersions = createStreamVersions({ getTarget: (id) => targets.get(id), clock, log })
   const started = await startGossip({
     instance,
     incarnation: clock.wallTime(),
@@ -114,9 +114,8 @@
     clock,
     log
   })
-  targets.onVersionChange((id) => {
-    streamVersions.recordVersionChange(id)
-    scheduleReport()
+  targets.onProcessChange((target) => {
+    if (streamVersions.resolve(target)) scheduleReport()
   })
   const peerUses = createPeerUses(gossip.peers())
   gossip.onReport((report, before) => peerUses.replaceReport(before, report))
@@ -151,9 +150,17 @@
   const connections = createTargetConnectionPool({
     settings: { connectTimeoutMs: TARGET_CONNECT_TIMEOUT_MS, idleTimeoutMs: TARGET_IDLE_TIMEOUT_MS }, clock, metrics
   })
-  const exchange = createExchange(protocols.targets, connections, clock, ({ id }, head) => {
-    // Only a signed answer is known to be whole, so that the absence of a limit says something.
-    if (head.limitPerSecond !== undefined || head.isSigned) limits.recordAnswer(id, head.limitPerSecond)
+  const exchange = createExchange({
+    protocol: protocols.targets,
+    connections,
+    onHead: ({ id }, head) => {
+      // Only a signed answer is known to be whole, so that the absence of a limit says something.
+      if (head.limitPerSecond !== undefined || head.isSigned) limits.recordAnswer(id, head.limitPerSecond)
+    },
+    onOtherProcess: loads.recordOutdated,
+    clock,
+    metrics,
+    log
   })
   const crashingPartsStore = createCrashingPartsStore({ platform, keepMs: CRASH_RETENTION_MS, clock, log })
   const crashes = createCrashTracker({
@@ -243,7 +250,10 @@
         streamVersions,
         peers: gossip.peers,
         transports,
-        getVersionHistory: targets.getVersionHistory,
+        getVersionHistory: (service) => ({
+          ...targets.getVersionHistory(service),
+          hasOutdatedEntries: loads.getLoads(service).some(({ isOutdated }) => isOutdated)
+        }),
         clock,
         metrics,
         log
--- a/packages/pimentoplank/src/relay/decisions/streamVersions.feature
+++ b/packages/pimentoplank/src/relay/decisions/streamVersions.feature
@@ -14,15 +14,24 @@
       | at an instance that has just started         | 1        | v1 now          | unknown |
       | after the last target of its version is gone | 5        | v1 2 ago        | v1      |
 
-  Scenario Outline: A target that changes its version <case>
-    When a run was placed <placed> ms before the target's entry showed another version
-    Then the version of the run is <certainty>
+  Scenario: A stream of which nothing is known, while an entry is out of date
+    Given a service that has been followed for 60 s, with versions last registered v1 now
+    And the entry of one of its targets is out of date
+    When the version of a stream that may have begun 4 s ago is looked for
+    Then it is "unknown"
+
+  Scenario Outline: The version of a stream that was placed at a process <case>
+    Given an entry that describes a process of version v1 that started at <listed>
+    When a stream is placed at the process that started at <found>, and an entry of version v2 and start 70 comes later
+    Then its version is "<at first>" at first and "<later>" later
 
     Examples:
-      | case                                  | placed | certainty |
-      | as its run begins                     | 300    | in doubt  |
-      | long after its run began              | 1500   | certain   |
-      | before its run begins                 | -1     | certain   |
+      | case                                  | listed  | found   | at first | later   |
+      | which the entry describes             | 50      | 50      | v1       | v1      |
+      | which the entry doesn't describe yet  | 50      | 70      | unknown  | v2      |
+      | which no entry ever describes         | 50      | 60      | unknown  | unknown |
+      | which doesn't tell its start          | 50      | unknown | unknown  | unknown |
+      | while entries don't tell it           | unknown | unknown | v1       | v1      |
 
   Scenario: A broken stream goes on at targets of its version only
     Given targets "a v1, b v2, c v1"
@@ -34,14 +43,12 @@
     When a stream of version v1 that failed at "a" looks for a target
     Then it may go on at "a"
 
-  Scenario: A target whose runs have just broken off may be back at another version
-    Given targets "a v1, c v1 broke off 200 ms ago"
+  Scenario: A target whose entry is out of date gets no begun streams
+    Given targets "a v1, c v1 outdated"
     When a stream of version v1 that failed at "none" looks for a target
     Then it may go on at "a"
 
-  Scenario: A stream waits for a target whose runs have just broken off, but not without end
-    Given targets "a v1 broke off 200 ms ago, b v2"
-    When a stream of version v1 that failed at "none" looks for a target
+  Scenario: A stream is not sent to a target whose entry is out of date, even if there is no other
+    Given targets "a v1 outdated, b v2"
+    When a stream of version v1 that failed at "a" looks for a target
     Then it may go on at "none"
-    When 500 ms pass in which runs there break off again and again
-    Then it may go on at "a"
--- a/packages/pimentoplank/src/relay/decisions/streamVersions.steps.ts
+++ b/packages/pimentoplank/src/relay/decisions/streamVersions.steps.ts
@@ -1,14 +1,15 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
 import {
-  findOnlyVersion, isVersionDoubtful, listResumeCandidates,
+  findOnlyVersion, findPlacedVersion, listResumeCandidates,
   type ResumeCandidate, type ResumeInput, type VersionHistory
 } from '.'
 
 interface VersionsWorld {
   history: VersionHistory
   found: string | undefined
-  isDoubtful: boolean
+  listed: { id: string, version: string, startedAt: number | undefined }
+  versions: Array<string | undefined>
   candidates: ResumeCandidate[]
   search: ResumeInput
 }
@@ -24,10 +25,15 @@
     versions: new Map(versions.split(', ').map((entry): [string, number] => {
       const [version, at] = entry.split(' ')
       return [version!, at === 'now' ? Infinity : NOW - Number(at) * MS_PER_S]
-    }))
+    })),
+    hasOutdatedEntries: false
   }
 })
 
+Given('the entry of one of its targets is out of date', function (this: VersionsWorld) {
+  this.history.hasOutdatedEntries = true
+})
+
 When('the version of a stream that may have begun {int} s ago is looked for', function (
   this: VersionsWorld, seconds: number
 ) {
@@ -38,32 +44,42 @@
   assert.equal(this.found ?? 'unknown', version)
 })
 
-When("a run was placed {int} ms before the target's entry showed another version", function (
-  this: VersionsWorld, ms: number
+function parseStart (text: string): number | undefined {
+  return text === 'unknown' ? undefined : Number(text)
+}
+
+Given('an entry that describes a process of version v1 that started at {word}', function (
+  this: VersionsWorld, startedAt: string
+) {
+  this.listed = { id: 't', version: 'v1', startedAt: parseStart(startedAt) }
+})
+
+When('a stream is placed at the process that started at {word}, and an entry of version v2 and start {int} comes later', function (
+  this: VersionsWorld, found: string, laterStart: number
 ) {
-  this.isDoubtful = isVersionDoubtful(NOW - ms, NOW)
+  const placed = { target: 't', startedAt: parseStart(found) }
+  const first = findPlacedVersion(placed, [this.listed, undefined])
+  const next = { id: 't', version: 'v2', startedAt: laterStart }
+  this.versions = [first, first ?? findPlacedVersion(placed, [next])]
 })
 
-Then(/^the version of the run is (in doubt|certain)$/, function (this: VersionsWorld, certainty: string) {
-  assert.equal(this.isDoubtful, certainty === 'in doubt')
+Then('its version is {string} at first and {string} later', function (
+  this: VersionsWorld, first: string, later: string
+) {
+  assert.deepEqual(this.versions.map((version) => version ?? 'unknown'), [first, later])
 })
 
 Given('targets {string}', function (this: VersionsWorld, targets: string) {
   this.candidates = targets.split(', ').map((entry) => {
-    const [id, version, , , ms] = entry.split(' ')
-    return { id: id!, version: version!, brokeOffAt: ms === undefined ? undefined : NOW - Number(ms) }
+    const [id, version, state] = entry.split(' ')
+    return { id: id!, version: version!, isOutdated: state === 'outdated' }
   })
 })
 
 When('a stream of version {word} that failed at {string} looks for a target', function (
   this: VersionsWorld, version: string, failed: string
 ) {
-  this.search = { version, excluded: new Set([failed]), reusable: new Set([failed]), since: NOW, now: NOW }
-})
-
-When('{int} ms pass in which runs there break off again and again', function (this: VersionsWorld, ms: number) {
-  this.search.now += ms
-  for (const candidate of this.candidates) candidate.brokeOffAt = this.search.now
+  this.search = { version, excluded: new Set([failed]), reusable: new Set([failed]) }
 })
 
 Then('it may go on at {string}', function (this: VersionsWorld, ids: string) {
--- a/packages/pimentoplank/src/relay/decisions/streamVersions.ts
+++ b/packages/pimentoplank/src/relay/decisions/streamVersions.ts
@@ -3,8 +3,9 @@
  *
  * Load pattern: targets of several software versions serve side by side, and what two of them write does not fit
  * together. Streams break, callers take them up at other instances, and targets come back at another version under
- * their old id while peers and the platform still list the version before.
+ * their old id while peers and the platform still list the version before, for seconds if the platform is away.
  */
+import type { Target } from '../model'
 
 /** Which software versions a service has had. */
 export interface VersionHistory {
@@ -12,6 +13,8 @@
   followedSince: number
   /** When each version was last registered; infinite while it is. */
   versions: ReadonlyMap<string, number>
+  /** True when the entry of a target of the service is out of date, so that another version may serve. */
+  hasOutdatedEntries: boolean
 }
 
 /**
@@ -22,28 +25,17 @@
  */
 export function findOnlyVersion (history: VersionHistory, maxStreamMs: number, now: number): string | undefined {
   const since = now - maxStreamMs
-  if (history.followedSince > since) return undefined
+  if (history.followedSince > since || history.hasOutdatedEntries) return undefined
   const recent = [...history.versions].filter(([, lastAt]) => lastAt >= since).map(([version]) => version)
   return recent.length === 1 ? recent[0] : undefined
 }
 
-/**
- * A target's entry may be this much older than the process that answers at its address, in milliseconds. A run that was
- * placed within this time before the entry showed another version may have reached either process.
- */
-export const VERSION_DOUBT_MS = 1000
-
-/** True when a change of the target's version leaves open which version a run has reached. */
-export function isVersionDoubtful (placedAt: number, changedAt: number): boolean {
-  return changedAt >= placedAt && changedAt - placedAt < VERSION_DOUBT_MS
-}
-
 /** Target at which a stream may go on. */
 export interface ResumeCandidate {
   id: string
   version: string
-  /** When a run there last broke off, on the monotonic clock in milliseconds; undefined if none did. */
-  brokeOffAt: number | undefined
+  /** True when another process than the listed one answers at its address; the version of that one is not known. */
+  isOutdated: boolean
 }
 
 export interface ResumeInput {
@@ -53,25 +45,33 @@
   excluded: ReadonlySet<string>
   /** Those of them that may be used again where there are no others. */
   reusable?: ReadonlySet<string>
-  /** When the request began to look for a target, on the monotonic clock in milliseconds. */
-  since: number
-  now: number
 }
 
-/** After a run has broken off, the target may be back at another version before its entry shows it, in milliseconds. */
-export const BROKEN_OFF_MS = 500
-
 /**
  * Lists the targets at which a stream may go on, of its version only. Those that have failed it are used again where
- * there are no others. Targets whose runs have just broken off are left out until the request has waited for them.
+ * there are no others.
  */
 export function listResumeCandidates<Candidate extends ResumeCandidate> (
   candidates: readonly Candidate[],
-  { version, excluded, reusable, since, now }: ResumeInput
+  { version, excluded, reusable }: ResumeInput
 ): Candidate[] {
-  const matching = candidates.filter((one) => one.version === version)
+  const matching = candidates.filter((one) => one.version === version && !one.isOutdated)
   const hasOnlyFailed = matching.every(({ id }) => reusable?.has(id) === true)
-  const pool = hasOnlyFailed ? matching : matching.filter(({ id }) => !excluded.has(id))
-  if (now - since >= BROKEN_OFF_MS) return pool
-  return pool.filter(({ brokeOffAt = -Infinity }) => now - brokeOffAt >= BROKEN_OFF_MS)
+  return hasOnlyFailed ? matching : matching.filter(({ id }) => !excluded.has(id))
+}
+
+/** Where a stream was placed. */
+export interface PlacedProcess {
+  /** Id of the target. */
+  target: string
+  /** When the process that got the stream started, by its own clock; undefined if that is not known. */
+  startedAt: number | undefined
+}
+
+/** Returns the version at which a stream runs; undefined unless an entry describes the very process that got it. */
+export function findPlacedVersion (
+  { target, startedAt }: PlacedProcess,
+  entries: ReadonlyArray<Pick<Target, 'id' | 'startedAt' | 'version'> | undefined>
+): string | undefined {
+  return entries.find((entry) => entry?.id === target && entry.startedAt === startedAt)?.version
 }
--- a/packages/pimentoplank/src/relay/exchange/connectionPool.ts
+++ b/packages/pimentoplank/src/relay/exchange/connectionPool.ts
@@ -21,15 +21,21 @@
   isReused: boolean
   /** Idle time before the current request, in milliseconds. */
   idleMs: number
+  /** When the process at its other end started; undefined until it was asked. */
+  processStartedAt?: number
 }
 
 export interface TargetConnectionPool {
   /** Returns an idle connection, or opens a new one. */
   acquire: (address: string) => TargetConnection
+  /** Opens a new connection. */
+  open: (address: string) => TargetConnection
   /** Returns a connection to the pool after its response was read to the end. */
   release: (address: string, connection: TargetConnection) => void
   /** Closes a connection. */
   destroy: (connection: TargetConnection) => void
+  /** True while a connection can carry a request. */
+  isUsable: (connection: TargetConnection) => boolean
   /** Reports that a pooled connection was reset while idle; the idle timeout of all is shortened for a while. */
   reportStale: (connection: TargetConnection) => void
   close: () => void
@@ -97,7 +103,7 @@
       const { connection, since } = entry
       connection.idleMs = clock.now() - since
       const isFresh = connection.idleMs < getIdleTimeoutMs()
-      if (isFresh && connections.has(connection) && connection.socket?.writable === true) {
+      if (isFresh && isUsable(connection)) {
         connection.isReused = true
         return connection
       }
@@ -106,6 +112,10 @@
     return openConnection(address)
   }
 
+  function isUsable (connection: TargetConnection): boolean {
+    return connections.has(connection) && connection.socket?.writable === true
+  }
+
   function closeConnection (connection: TargetConnection): void {
     if (!connections.delete(connection)) return
     connection.client.destroy().catch(() => undefined)
@@ -113,6 +123,7 @@
 
   return {
     acquire: acquireConnection,
+    open: openConnection,
     release: (address, connection) => {
       if (!connections.has(connection)) return
       const list = idle.get(address) ?? []
@@ -120,6 +131,7 @@
       idle.set(address, list)
     },
     destroy: closeConnection,
+    isUsable,
     reportStale: ({ idleMs: observedMs }) => {
       metrics.count('targets.staleConnections')
       if (observedMs < MIN_STALE_IDLE_MS) return
--- a/packages/pimentoplank/src/relay/exchange/exchange.ts
+++ b/packages/pimentoplank/src/relay/exchange/exchange.ts
@@ -3,10 +3,11 @@
 import type { Dispatcher } from 'undici'
 import {
   ConnectionResetError, describeCause, getBodyFraming, isConnectFailure, KIB_BYTES, SECOND_MS,
-  type BodyFraming, type Clock, type SendMark
+  type BodyFraming, type Clock, type Log, type Metrics, type SendMark
 } from '../../shared'
-import type { AnswerHead, Target, TargetProtocol, TargetRequest } from '../model'
+import type { AnswerHead, ProcessNeed, Target, TargetProtocol, TargetRequest } from '../model'
 import type { TargetConnection, TargetConnectionPool } from './connectionPool'
+import { identifyProcess, UnknownProcess } from './identifyProcess'
 import { createResponseReceiver, type ResponseReceiver } from './responseReceiver'
 
 /** Reason for which there is no usable response. */
@@ -17,6 +18,8 @@
   | 'refused'
   /** The address now belongs to another target. */
   | 'otherTarget'
+  /** Another process than the one that the target's entry describes answers, or which one it is can't be found out. */
+  | 'otherProcess'
   /** The connection broke before the end of the response. */
   | 'broken'
   /** A pooled connection turned out to be reset when the request was written to it. */
@@ -64,26 +67,45 @@
    *
    * @param send - the request and its target
    * @param signal - aborts the exchange, also while the body is read
+   * @param need - for requests to which it matters which process of the target gets them
    */
-  send: (send: TargetRequest, signal: AbortSignal) => Promise<Result<TargetAnswer, SendFailure>>
+  send: (
+    send: TargetRequest, signal: AbortSignal, need?: ProcessNeed
+  ) => Promise<Result<TargetAnswer, SendFailure>>
   connections: TargetConnectionPool
 }
 
-/**
- * Creates the client through which an instance sends requests to targets.
- *
- * @param onHead - called with the head of each answer of the target that was asked
- */
-export function createExchange (
-  protocol: TargetProtocol,
-  connections: TargetConnectionPool,
-  clock: Clock,
+export interface ExchangeOptions {
+  protocol: TargetProtocol
+  connections: TargetConnectionPool
+  /** Called with the head of each answer of the target that was asked. */
   onHead: (target: Target, head: AnswerHead) => void
-): Exchange {
-  async function send (outgoing: TargetRequest, signal: AbortSignal): Promise<Result<TargetAnswer, SendFailure>> {
+  /** Called when another process answers at the address of a target than the one that its entry describes. */
+  onOtherProcess: (target: Target, startedAt: number) => void
+  clock: Clock
+  metrics: Metrics
+  log: Log
+}
+
+/** Connections on which a process is asked for its start; those that break or end meanwhile say nothing of it. */
+const MAX_IDENTIFY_ATTEMPTS = 3
+
+/** Creates the client through which an instance sends requests to targets. */
+export function createExchange (options: ExchangeOptions): Exchange {
+  const { protocol, connections, onHead, clock, metrics, log } = options
+
+  async function send (
+    outgoing: TargetRequest, signal: AbortSignal, need?: ProcessNeed
+  ): Promise<Result<TargetAnswer, SendFailure>> {
     const { request, target } = outgoing
     if (signal.aborted) return err(new SendFailure('aborted', false, 'request aborted before it was sent'))
-    const connection = connections.acquire(target.address)
+    const opened = need === undefined ? ok(connections.acquire(target.address)) : await connect(outgoing, need, signal)
+    if (opened.isErr()) return err(opened.error)
+    const connection = opened.value
+    if (signal.aborted) {
+      connections.destroy(connection)
+      return err(new SendFailure('aborted', false, 'request aborted before it was sent'))
+    }
     const mark: SendMark = { sent: false }
     const receiver = createResponseReceiver()
     const abort = (): void => {
@@ -123,6 +145,56 @@
     return err(failure)
   }
 
+  /** Returns a connection to the process that the request needs. */
+  async function connect (
+    { target, request }: TargetRequest, need: ProcessNeed, signal: AbortSignal
+  ): Promise<Result<TargetConnection, SendFailure>> {
+    const { startedAt, address } = target
+    if (startedAt === undefined) {
+      need.onIdentified?.(undefined)
+      return ok(connections.acquire(address))
+    }
+    const opened = await openIdentified(target, signal)
+    if (opened.isErr()) return opened
+    const connection = opened.value
+    const { processStartedAt } = connection
+    const isListed = processStartedAt === startedAt
+    if (!isListed && processStartedAt !== undefined) options.onOtherProcess(target, processStartedAt)
+    if (!isListed) log.info({ req: request.id, target: target.id, listed: startedAt, found: processStartedAt }, 'target is not known to be the listed process')
+    if (!isListed && need.mustBeListed) {
+      if (processStartedAt === undefined) connections.destroy(connection)
+      else connections.release(address, connection)
+      return err(new SendFailure('otherProcess', false, 'the listed process of the target is not known to answer'))
+    }
+    need.onIdentified?.(processStartedAt)
+    return ok(connection)
+  }
+
+  /** Returns a connection whose process was asked for its start; one without it where the process does not tell. */
+  async function openIdentified (
+    { id, address }: Target, signal: AbortSignal
+  ): Promise<Result<TargetConnection, SendFailure>> {
+    for (let attempt = 1; ; attempt++) {
+      const connection = connections.acquire(address)
+      if (connection.processStartedAt !== undefined) return ok(connection)
+      const started = await identifyProcess(connection, protocol.state, () => connections.destroy(connection), signal)
+      metrics.count(started.isOk() ? 'targets.identified' : 'targets.notIdentified')
+      if (started.isOk() && connections.isUsable(connection)) {
+        connection.processStartedAt = started.value
+        return ok(connection)
+      }
+      connections.destroy(connection)
+      if (signal.aborted) return err(new SendFailure('aborted', false, 'request aborted before it was sent'))
+      const isSilent = started.isErr() && started.error instanceof UnknownProcess
+      const mayTryAgain = attempt < MAX_IDENTIFY_ATTEMPTS && !isSilent && (connection.isReused || started.isOk())
+      if (mayTryAgain) continue
+      const detail = started.isErr() ? describeCause(started.error) : 'it closed each connection'
+      if (connection.socket === undefined) return err(new SendFailure('connectFailed', false, detail))
+      log.info({ target: id, detail }, 'target did not tell when its process started')
+      return ok(connections.open(address))
+    }
+  }
+
   function createTargetAnswer (
     head: AnswerHead,
     framing: BodyFraming,
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
@@ -95,7 +95,7 @@
     isSuspect: false,
     isFresh: true,
     isPreferred: false,
-    brokeOffAt: undefined,
+    isOutdated: false,
     allowance: Infinity
   })
 }
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.ts
@@ -88,7 +88,8 @@
 
 /** True when a run ended through a fault of the target rather than of the item or this instance. */
 function isTargetFault (end: ItemEnd): boolean {
-  return end.type === 'refused' || (end.type === 'interrupted' && end.isBroken)
+  if (end.type === 'refused') return end.reason !== 'otherProcess'
+  return end.type === 'interrupted' && end.isBroken
 }
 
 /** Creates the item runner of an instance. */
@@ -123,7 +124,8 @@
   }
 
   function startItems (service: string, own: StartableItem[], others: readonly WaitingItems[]): void {
-    const all = loads.getLoads(service)
+    // The version that an outdated target would write is not known.
+    const all = loads.getLoads(service).filter(({ isOutdated }) => !isOutdated)
     const silent = new Set([...running].filter(({ isSilent }) => isSilent).map(({ target }) => target))
     const candidates = all.map((load) => toCandidate(load, silent))
     const slots = all.reduce((sum, { target }) => sum + target.slots, 0)
--- a/packages/pimentoplank/src/relay/jobs/runItem.ts
+++ b/packages/pimentoplank/src/relay/jobs/runItem.ts
@@ -24,7 +24,7 @@
   | { type: 'completed', text: string }
   | { type: 'impossible' }
   | { type: 'failed' }
-  | { type: 'refused' }
+  | { type: 'refused', reason?: SendFailureReason }
   | { type: 'interrupted', isBroken: boolean, reason: SendFailureReason }
 
 export interface RunItemOptions {
@@ -89,10 +89,11 @@
       target,
       deadlineMs: options.remainingMs === Infinity ? undefined : Math.max(1, Math.round(options.remainingMs)),
       lastEventId: progress.lastEventId
-    }, signal)
+    }, signal, { mustBeListed: true })
     if (sent.isErr()) {
       if (!isOwnAbort()) logFailure(sent.error)
-      return sent.error.mayHaveRun || options.signal.aborted ? interrupt(sent.error) : { type: 'refused' }
+      const { mayHaveRun, reason } = sent.error
+      return mayHaveRun || options.signal.aborted ? interrupt(sent.error) : { type: 'refused', reason }
     }
     watch.recordProgress()
     options.onStarted()
--- a/packages/pimentoplank/src/relay/live/attemptTarget.ts
+++ b/packages/pimentoplank/src/relay/live/attemptTarget.ts
@@ -3,7 +3,7 @@
 import { MIB_BYTES, type RefusalError } from '../../shared'
 import { isRepeatable, MIN_TRY_MS } from '../decisions'
 import { createEventReader, SendFailure, type EventReader, type SendFailureReason, type TargetAnswer } from '../exchange'
-import type { AnswerHead } from '../model'
+import type { AnswerHead, ProcessNeed } from '../model'
 import type { LiveCall, Progress, RelayDeps } from './liveCall'
 import type { Slot, SlotQuery } from './slotScheduler'
 import { createSlotSearch } from './slotSearch'
@@ -42,8 +42,6 @@
 export const BEGINNING_EVENTS = 2
 /** Failures that count against the target itself. */
 const TARGET_FAULTS: ReadonlySet<SendFailureReason> = new Set(['connectFailed', 'refused', 'broken', 'spoiled'])
-/** Failures after which the target may have been restarted. */
-const BREAK_OFFS: ReadonlySet<SendFailureReason> = new Set(['connectFailed', 'staleConnection', 'broken'])
 /** Maximum size of a plain response that is buffered, so that it can be retried, in bytes. */
 const MAX_BUFFERED_BYTES = MIB_BYTES
 
@@ -102,7 +100,7 @@
       target: slot.target,
       deadlineMs: Math.max(1, Math.round(endAt - clock.now())),
       lastEventId: progress.lastEventId
-    }, AbortSignal.any([ended, search.found]))
+    }, AbortSignal.any([ended, search.found]), getProcessNeed())
     if (answer.isErr()) return toAttemptEnd(answer.error)
     if (answer.value.head.status < STATUS_SERVER_ERROR) deps.loads.recordSuccess(slot.target.id, sentAt)
     if (answer.value.head.load !== undefined) deps.loads.recordReportedLoad(slot.target.id, answer.value.head.load)
@@ -113,6 +111,17 @@
     return end
   }
 
+  /** What two versions write doesn't fit together, and the version belongs to the process that gets the stream. */
+  function getProcessNeed (): ProcessNeed | undefined {
+    if (route.kind !== 'stream' || !route.isResumable) return undefined
+    if (progress.version !== undefined) return { mustBeListed: true }
+    const keepUntil = call.arrivedAt + (request.deadlineMs ?? route.timeoutMs)
+    return {
+      mustBeListed: false,
+      onIdentified: (startedAt) => deps.streamVersions.recordPlacement(request.id, slot.target, startedAt, keepUntil)
+    }
+  }
+
   function recordBytes (): void {
     watch.recordBytes()
     search.stop()
@@ -128,7 +137,6 @@
       return { type: 'failed', failure: cause, nextSlot: search.takeSlot() }
     }
     recordCrashEvidence(failure)
-    if (BREAK_OFFS.has(failure.reason)) deps.loads.recordBreakOff(slot.target.id)
     if (TARGET_FAULTS.has(failure.reason)) deps.loads.recordFailure(slot.target.id, failure.reason)
     return { type: 'failed', failure }
   }
--- a/packages/pimentoplank/src/relay/live/relayRequest.ts
+++ b/packages/pimentoplank/src/relay/live/relayRequest.ts
@@ -60,10 +60,6 @@
         slot.discard()
         return failRequest(new RefusalError('quarantined', { outcome: progress.runs > 0 ? 'failed' : 'not_run' }))
       }
-      if (isResumable && progress.version === undefined) {
-        const keepUntil = arrivedAt + (request.deadlineMs ?? route.timeoutMs)
-        deps.streamVersions.recordPlacement(request.id, slot.target, keepUntil)
-      }
       const end = await attemptTarget({ call, slot, progress, endAt, ended, createQuery }, deps)
       slot.release()
       if (end.type === 'done') return logEnd('done')
--- a/packages/pimentoplank/src/relay/live/slotScheduler.feature
+++ b/packages/pimentoplank/src/relay/live/slotScheduler.feature
@@ -11,17 +11,21 @@
 
   Scenario: New requests leave the slots of a version to a stream that waits for it
     Given targets "a v1" and "b v2" with 1 slot each, which are all in use
-    When a stream of version "v1" that failed at "a" a moment ago waits for a slot
-    And the slot of "a" becomes free
+    When a stream of version "v1" waits for a slot
+    And the slot of "a" becomes free, but is not assigned yet
     Then a new request gets no slot
-    When 500 ms pass at the scheduler
+    When free slots are assigned
     Then the stream gets the slot of "a"
 
-  Scenario: New requests use the only version while a stream waits for a target that may have been restarted
+  Scenario: New requests use a target whose entry is out of date while a stream waits for its version
     Given targets "a v1" and "b v1" with 1 slot each, which are all in use
-    When a stream of version "v1" that failed at "a" a moment ago waits for a slot
+    And target "c v2" with 1 slot, which is in use
+    And the entry of "a" is out of date
+    When a stream of version "v1" waits for a slot
     And the slot of "a" becomes free
     Then a new request gets a slot
+    When the slot of "b" becomes free
+    Then the stream gets the slot of "b"
 
   Scenario: A begun stream is refused once no target of its version is left
     Given targets "a v1" and "b v2" with 1 slot each, which are all in use
--- a/packages/pimentoplank/src/relay/live/slotScheduler.steps.ts
+++ b/packages/pimentoplank/src/relay/live/slotScheduler.steps.ts
@@ -26,22 +26,7 @@
 ) {
   this.schedulerNow = 0
   this.acquired = new Map()
-  this.loads = [first, second].map((entry, key) => {
-    const [id, version] = entry.split(' ')
-    return {
-      target: { id: id!, service: 's', address: '127.0.0.1:1', failureDomain: 'a', version: version!, slots: 1, state: 'ready' },
-      key,
-      live: 1,
-      batch: 0,
-      ownLive: 1,
-      ownBatch: 0,
-      isSuspect: false,
-      brokeOffAt: undefined,
-      isFresh: true,
-      isPreferred: true,
-      allowance: Infinity
-    }
-  })
+  this.loads = [first, second].map(createLoad)
   this.scheduler = createSlotScheduler({
     loads: createLoads(this),
     gossip: { askToYield: () => undefined },
@@ -56,6 +41,28 @@
   })
 })
 
+Given('target {string} with 1 slot, which is in use', function (this: SchedulerWorld, entry: string) {
+  this.loads.push(createLoad(entry, this.loads.length))
+})
+
+/** Creates the load of a target, given as its id and version, whose only slot is in use. */
+function createLoad (entry: string, key: number): TargetLoad {
+  const [id, version] = entry.split(' ')
+  return {
+    target: { id: id!, service: 's', address: '127.0.0.1:1', failureDomain: 'a', version: version!, slots: 1, state: 'ready' },
+    key,
+    live: 1,
+    batch: 0,
+    ownLive: 1,
+    ownBatch: 0,
+    isSuspect: false,
+    isOutdated: false,
+    isFresh: true,
+    isPreferred: true,
+    allowance: Infinity
+  }
+}
+
 function createLoads (world: SchedulerWorld): LoadView {
   return {
     getLoads: () => world.loads,
@@ -109,12 +116,12 @@
   assert.equal(this.scheduler.countWaiting(), 1)
 })
 
-When('a stream of version {string} that failed at {string} a moment ago waits for a slot', async function (
-  this: SchedulerWorld, version: string, id: string
-) {
-  getLoad(this, id).brokeOffAt = this.schedulerNow
-  await ask(this, 'stream', { version, excluded: new Set([id]), reusable: new Set([id]) })
-  assert.equal(this.scheduler.countWaiting(), 1)
+Given('the entry of {string} is out of date', function (this: SchedulerWorld, id: string) {
+  getLoad(this, id).isOutdated = true
+})
+
+When('the slot of {string} becomes free, but is not assigned yet', function (this: SchedulerWorld, id: string) {
+  getLoad(this, id).live -= 1
 })
 
 When('the slot of {string} becomes free', async function (this: SchedulerWorld, id: string) {
@@ -123,8 +130,7 @@
   await settle()
 })
 
-When('{int} ms pass at the scheduler', async function (this: SchedulerWorld, ms: number) {
-  this.schedulerNow += ms
+When('free slots are assigned', async function (this: SchedulerWorld) {
   this.scheduler.dispatch()
   await settle()
 })
--- a/packages/pimentoplank/src/relay/live/slotScheduler.ts
+++ b/packages/pimentoplank/src/relay/live/slotScheduler.ts
@@ -88,15 +88,13 @@
   let queue: Waiting[] = []
   const meanRunMs = new Map<string, number>()
 
-  /** Lists the targets of a query, which was made at the time `since` on the monotonic clock. */
-  function findCandidates (ask: SlotQuery, since: number): TargetLoad[] {
+  function findCandidates (ask: SlotQuery): TargetLoad[] {
     const { only } = ask
     const all = loads.getLoads(ask.service).filter(({ target }) => only === undefined || only.has(target.id))
     const { version, excluded, reusable } = ask
     if (version === undefined) return all.filter(({ target }) => !excluded.has(target.id))
-    const candidates = all.map((load) => ({ load, ...load.target, brokeOffAt: load.brokeOffAt }))
-    return listResumeCandidates(candidates, { version, excluded, reusable, since, now: clock.now() })
-      .map(({ load }) => load)
+    const candidates = all.map((load) => ({ load, ...load.target, isOutdated: load.isOutdated }))
+    return listResumeCandidates(candidates, { version, excluded, reusable }).map(({ load }) => load)
   }
 
   /**
@@ -113,7 +111,7 @@
 
   /** Refuses a request that can't go on, however long it waits. */
   function refuseWithoutVersion (ask: SlotQuery): RefusalError | undefined {
-    if (ask.version === undefined || findCandidates(ask, -Infinity).length > 0) return undefined
+    if (ask.version === undefined || findCandidates(ask).length > 0) return undefined
     log.info({ req: ask.requestId, reason: 'noTarget', version: ask.version }, 'no target of its version takes the request')
     return new RefusalError('noTarget')
   }
@@ -122,9 +120,9 @@
     return meanRunMs.get(service) ?? FIRST_RUN_ESTIMATE_MS
   }
 
-  function tryPlace (ask: SlotQuery, mayQueue: boolean, since: number): Slot | undefined {
+  function tryPlace (ask: SlotQuery, mayQueue: boolean): Slot | undefined {
     const awaited = ask.version === undefined ? getAwaitedVersions(ask.service) : NO_VERSIONS
-    const all = findCandidates(ask, since).filter(({ target }) => !awaited.has(target.version))
+    const all = findCandidates(ask).filter(({ target, isOutdated }) => isOutdated || !awaited.has(target.version))
     const placement = choosePlacement({
       candidates: all.map((load) => ({
         id: load.target.id,
@@ -192,11 +190,10 @@
   async function acquire (ask: SlotQuery): Promise<Result<Slot, RefusalError>> {
     const refusal = refuseWithoutVersion(ask)
     if (refusal !== undefined) return err(refusal)
-    const now = clock.now()
-    const slot = tryPlace(ask, true, now)
+    const slot = tryPlace(ask, true)
     if (slot !== undefined) return ok(slot)
     if (ask.version !== undefined) return await enqueue(ask)
-    const all = findCandidates(ask, now)
+    const all = findCandidates(ask)
     const admission = decideAdmission({
       slots: all.reduce((sum, load) => sum + countUsableSlots(load, estimateRunMs(ask.service)), 0),
       queueLength: queue.length,
@@ -245,13 +242,13 @@
   function assignFreeSlots (): void {
     if (queue.length === 0) return
     for (const entry of orderWaiting(queue, clock.now())) {
-      const { ask, since } = entry
+      const { ask } = entry
       const refusal = refuseWithoutVersion(ask)
       if (refusal !== undefined) {
         entry.settle(err(refusal))
         continue
       }
-      const slot = tryPlace(ask, false, since)
+      const slot = tryPlace(ask, false)
       if (slot !== undefined) entry.settle(ok(slot))
     }
     metrics.gauge('slots.waiting', queue.length)
--- a/packages/pimentoplank/src/relay/load/loadView.ts
+++ b/packages/pimentoplank/src/relay/load/loadView.ts
@@ -24,8 +24,8 @@
   ownBatch: number
   /** True while it is excluded because it failed a request of this instance or of a peer. */
   isSuspect: boolean
-  /** When a run there last broke off, as far as is known here, on the monotonic clock in milliseconds. */
-  brokeOffAt: number | undefined
+  /** True when another process than the listed one answers at its address; its entry is out of date. */
+  isOutdated: boolean
   /** True when the load is only milliseconds old; that of other failure domains is about a second old. */
   isFresh: boolean
   /** True when this instance tries the target before others. */
@@ -69,8 +69,8 @@
    * @param reason - cause of the failure, for the log and the metric
    */
   recordFailure: (targetId: string, reason: string) => void
-  /** Records that a target has broken off a run or a connection; it may have been restarted. */
-  recordBreakOff: (targetId: string) => void
+  /** Records that another process than the one that an entry describes answers at the address of the target. */
+  recordOutdated: (target: Target) => void
   /**
    * Records that a target answered, which ends a suspicion that began before the request was sent.
    *
@@ -110,14 +110,13 @@
   /** By hash of the target's id, which is how peers identify targets. */
   const failures = new LRUCache<number, FailureRecord>({ max: MAX_TRACKED_TARGETS })
   const keys = new LRUCache<string, number>({ max: MAX_TRACKED_TARGETS })
-  const breakOffs = new LRUCache<number, number>({ max: MAX_TRACKED_TARGETS })
+  /** Start of the process that the outdated entry of a target describes, by the target's id. */
+  const outdated = new LRUCache<string, number>({ max: MAX_TRACKED_TARGETS })
   const reportedSlots = new Map<string, number>()
   const listeners: Array<() => void> = []
 
   peerUses.onSuspect((key) => {
     failures.set(key, computeSuspicion(failures.get(key), clock.now(), rules).record)
-    // Peers don't tell why they suspect a target.
-    breakOffs.set(key, clock.now())
   })
 
   function getKey (id: string): number {
@@ -157,7 +156,7 @@
       ownLive: ownUse?.live ?? 0,
       ownBatch: ownUse?.batch ?? 0,
       isSuspect: isOwnSuspect(target.id) || peerUses.isSuspect(key),
-      brokeOffAt: breakOffs.get(key),
+      isOutdated: target.startedAt !== undefined && outdated.get(target.id) === target.startedAt,
       isFresh: options.isClose(target.failureDomain),
       isPreferred: options.isPreferred(target),
       allowance: options.limits.getAllowance(target),
@@ -195,7 +194,11 @@
     },
     end: (id, work) => changeOwnUse(id, work, -1),
     recordFailure: suspectTarget,
-    recordBreakOff: (id) => { breakOffs.set(getKey(id), clock.now()) },
+    recordOutdated: ({ id, startedAt }) => {
+      if (startedAt === undefined || outdated.get(id) === startedAt) return
+      outdated.set(id, startedAt)
+      log.info({ target: id, startedAt }, 'entry of the target is out of date')
+    },
     recordSuccess: (id, sentAt) => {
       const suspicion = suspicions.get(id)
       if (suspicion === undefined || suspicion.since > sentAt) return
--- a/packages/pimentoplank/src/relay/model/types.ts
+++ b/packages/pimentoplank/src/relay/model/types.ts
@@ -90,6 +90,11 @@
    * not fit together.
    */
   version: string
+  /**
+   * When its process started, in milliseconds by its own clock. A process that starts again under the same id tells
+   * another time. Undefined where the entry does not tell; then any process at the address counts as the listed one.
+   */
+  startedAt?: number
   /** Requests that it runs concurrently. */
   slots: number
   state: TargetState
@@ -124,6 +129,18 @@
   lastEventId?: number
 }
 
+/** Which process of a target a request may reach. */
+export interface ProcessNeed {
+  /** True when only the process that the target's entry describes may get the request. */
+  mustBeListed: boolean
+  /**
+   * Called before the request is sent.
+   *
+   * @param startedAt - when the process at the address started; undefined if it does not tell
+   */
+  onIdentified?: (startedAt: number | undefined) => void
+}
+
 /** Load that a target reports with its response. */
 export interface ReportedLoad {
   running: number
@@ -155,4 +172,10 @@
   encodeHeaders: (send: TargetRequest) => RawHeaders
   /** Decodes status and headers of a response. */
   decodeHead: (status: number, headers: RawHeaders) => AnswerHead
+  /** Call by which a target tells its state; takes no slot. */
+  state: {
+    path: string
+    /** Decodes when the process started; undefined if the body does not tell. */
+    decodeStartedAt: (body: string) => number | undefined
+  }
 }
--- a/packages/pimentoplank/src/relay/streams/streamVersionFinder.feature
+++ b/packages/pimentoplank/src/relay/streams/streamVersionFinder.feature
@@ -20,6 +20,12 @@
     When a caller takes up stream "r1"
     Then it is refused as "streamVersionUnknown"
 
+  Scenario: A stream of which nobody knows is refused while the entry of a target is out of date
+    Given 1 peer in each of 1 failure domain, of which those in "b" know version "v1" of "r1"
+    And only version "v2" has served for long, but the entry of a target is out of date
+    When a caller takes up stream "r2"
+    Then it is refused as "streamVersionUnknown"
+
   Scenario: A stream of which nobody knows is bound to the only version that has served for long
     Given 1 peer in each of 1 failure domain, of which those in "b" know version "v1" of "r1"
     And only version "v2" has served for long
--- a/packages/pimentoplank/src/relay/streams/streamVersionFinder.steps.ts
+++ b/packages/pimentoplank/src/relay/streams/streamVersionFinder.steps.ts
@@ -26,7 +26,7 @@
 const SECURITY = { sharedKey: '' }
 const STEP_TIMEOUT_MS = 10_000
 const KEEP_MS = 10_000
-const UNKNOWN_HISTORY: VersionHistory = { followedSince: Infinity, versions: new Map() }
+const UNKNOWN_HISTORY: VersionHistory = { followedSince: Infinity, versions: new Map(), hasOutdatedEntries: false }
 
 Given('{int} peer(s) in each of {int} failure domain(s), of which those in {string} know version {string} of {string}', { timeout: STEP_TIMEOUT_MS }, async function (
   this: FinderWorld, count: number, domains: number, knowing: string, version: string, attempt: string
@@ -76,14 +76,24 @@
 })
 
 Given('only version {string} has served for long', function (this: FinderWorld, version: string) {
-  this.history = { followedSince: -Infinity, versions: new Map([[version, Infinity]]) }
+  this.history = createHistory(version, false)
 })
 
+Given('only version {string} has served for long, but the entry of a target is out of date', function (
+  this: FinderWorld, version: string
+) {
+  this.history = createHistory(version, true)
+})
+
+function createHistory (version: string, hasOutdatedEntries: boolean): VersionHistory {
+  return { followedSince: -Infinity, versions: new Map([[version, Infinity]]), hasOutdatedEntries }
+}
+
 When('a caller takes up stream {string}', async function (this: FinderWorld, resumes: string) {
   const clock = createSystemClock()
   this.transports ??= createPeerTransports({ security: SECURITY })
   const finder = createStreamVersionFinder({
-    streamVersions: createStreamVersions({ clock, log: createSilentLog() }),
+    streamVersions: createStreamVersions({ getTarget: () => undefined, clock, log: createSilentLog() }),
     peers: () => this.streamPeers!,
     transports: this.transports,
     getVersionHistory: () => this.history,
--- a/packages/pimentoplank/src/relay/streams/streamVersions.feature
+++ b/packages/pimentoplank/src/relay/streams/streamVersions.feature
@@ -9,14 +9,28 @@
     And attempt "r1" is placed at a target of version "v2"
     Then a peer that hears of it knows version "v2" of "r1"
 
-  Scenario: A target that comes back at another version leaves its latest runs in doubt
+  Scenario: A stream at a process that no entry describes has no version until its entry is known
     When attempt "r1" is placed at a target of version "v1"
-    And 2000 ms pass for the streams
-    And attempt "r2" is placed at a target of version "v1"
-    And 300 ms pass for the streams
-    And the target is registered with another version
+    And attempt "r2" is placed at that target, where a process answers that started at 2000
     Then version "v1" of "r1" is known here
     And a peer that hears of it knows version "none" of "r2"
+    When 3000 ms pass for the streams
+    And the target is registered with version "v2" and start 2000
+    Then version "v1" of "r1" is known here
+    And a peer that hears of it knows version "v2" of "r2"
+
+  Scenario: An entry of a third process tells nothing of a stream at the second one
+    When attempt "r1" is placed at a target of version "v1"
+    And attempt "r2" is placed at that target, where a process answers that started at 2000
+    And the target is registered with version "v3" and start 3000
+    Then a peer that hears of it knows version "none" of "r2"
+
+  Scenario: An entry that was updated while the stream was sent tells its version at once
+    Given the target has been registered with version "v2" and start 2000
+    When attempt "r1" is placed at a target of version "v1"
+    And attempt "r2" is placed at that target, where a process answers that started at 2000
+    Then version "v1" of "r1" is known here
+    And a peer that hears of it knows version "v2" of "r2"
 
   Scenario: Placements are told for a second and known until the caller's deadline
     When attempt "r1" is placed at a target of version "v1"
--- a/packages/pimentoplank/src/relay/streams/streamVersions.steps.ts
+++ b/packages/pimentoplank/src/relay/streams/streamVersions.steps.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict'
-import { Then, When } from '@cucumber/cucumber'
+import { Given, Then, When } from '@cucumber/cucumber'
 import { createSilentLog, hash64, type Clock } from '../../shared'
 import { decodeDatagram, encodeLoad } from '../gossip'
 import type { Target } from '../model'
@@ -8,11 +8,13 @@
 interface StreamsWorld {
   now: number
   streamVersions?: StreamVersions
+  /** Latest entry of the target. */
+  entry?: Target
 }
 
 const KEEP_MS = 10_000
 const TARGET: Omit<Target, 'version'> = {
-  id: 't1', service: 's', address: '127.0.0.1:1', failureDomain: 'a', slots: 4, state: 'ready'
+  id: 't1', service: 's', address: '127.0.0.1:1', failureDomain: 'a', slots: 4, state: 'ready', startedAt: 1000
 }
 const EMPTY_LOAD = {
   instance: 1, incarnation: 1, sequence: 1, uses: new Map(), waiting: [], suspects: new Set<number>()
@@ -26,7 +28,7 @@
 
 function createRegistry (world: StreamsWorld): StreamVersions {
   const clock = { now: () => world.now } as unknown as Clock
-  return createStreamVersions({ clock, log: createSilentLog() })
+  return createStreamVersions({ getTarget: () => world.entry, clock, log: createSilentLog() })
 }
 
 function encodeNotices (world: StreamsWorld): Uint8Array {
@@ -36,21 +38,40 @@
 When('attempt {string} is placed at a target of version {string}', function (
   this: StreamsWorld, attempt: string, version: string
 ) {
-  getStreams(this).recordPlacement(attempt, { ...TARGET, version }, (this.now ?? 0) + KEEP_MS)
+  getStreams(this).recordPlacement(attempt, { ...TARGET, version }, TARGET.startedAt, (this.now ?? 0) + KEEP_MS)
+})
+
+When('attempt {string} is placed at that target, where a process answers that started at {int}', function (
+  this: StreamsWorld, attempt: string, startedAt: number
+) {
+  getStreams(this).recordPlacement(attempt, { ...TARGET, version: 'v1' }, startedAt, this.now + KEEP_MS)
 })
 
 When('{int} ms pass for the streams', function (this: StreamsWorld, ms: number) {
   this.now += ms
 })
 
-When('the target is registered with another version', function (this: StreamsWorld) {
-  getStreams(this).recordVersionChange(TARGET.id)
+function register (world: StreamsWorld, version: string, startedAt: number): void {
+  world.entry = { ...TARGET, version, startedAt }
+  getStreams(world).resolve(world.entry)
+}
+
+Given('the target has been registered with version {string} and start {int}', function (
+  this: StreamsWorld, version: string, startedAt: number
+) {
+  register(this, version, startedAt)
+})
+
+When('the target is registered with version {string} and start {int}', function (
+  this: StreamsWorld, version: string, startedAt: number
+) {
+  register(this, version, startedAt)
 })
 
 When('{int} attempts are placed at once', function (this: StreamsWorld, count: number) {
   const streams = getStreams(this)
   for (let index = 0; index < count; index++) {
-    streams.recordPlacement(`r${index}`, { ...TARGET, version: `v${index % 2}` }, KEEP_MS)
+    streams.recordPlacement(`r${index}`, { ...TARGET, version: `v${index % 2}` }, TARGET.startedAt, KEEP_MS)
   }
 })
 
--- a/packages/pimentoplank/src/relay/streams/streamVersions.ts
+++ b/packages/pimentoplank/src/relay/streams/streamVersions.ts
@@ -1,7 +1,7 @@
 /** Knows at which software version streams run that were placed by this instance, or of which it has heard. */
 import { LRUCache } from 'lru-cache'
 import { hash64, type Clock, type Log } from '../../shared'
-import { isVersionDoubtful, VERSION_DOUBT_MS } from '../decisions'
+import { findPlacedVersion, type PlacedProcess } from '../decisions'
 import type { StreamNotice } from '../gossip'
 import type { Target } from '../model'
 
@@ -19,6 +19,8 @@
 }
 
 export interface StreamVersionsOptions {
+  /** Finds a registered target by its id. */
+  getTarget: (id: string) => Target | undefined
   clock: Clock
   log: Log
 }
@@ -27,9 +29,11 @@
   /**
    * Records that an attempt runs at a target. A later placement replaces an earlier one.
    *
+   * @param target - as its entry described it when the attempt was placed there
+   * @param startedAt - when the process that gets the attempt started, by its own clock; undefined if not known
    * @param keepUntil - when the caller's deadline passes, on the monotonic clock in milliseconds
    */
-  recordPlacement: (attempt: string, target: Target, keepUntil: number) => void
+  recordPlacement: (attempt: string, target: Target, startedAt: number | undefined, keepUntil: number) => void
   /** Finds a stream by the hash of the id of the attempt that brought its first event. */
   find: (attempt: bigint) => KnownStream | undefined
   /** Merges what peers have told. */
@@ -40,14 +44,8 @@
   getNotices: () => StreamNotice[]
   /** Returns the longest time from a placement to the caller's deadline that was heard of, in milliseconds. */
   getLongestKeepMs: () => number
-  /** Drops what is known of runs that were placed at a target a moment before its version changed. */
-  recordVersionChange: (targetId: string) => void
-}
-
-interface Placement {
-  attempt: string
-  target: string
-  at: number
+  /** Finds the version of streams that a process got before its entry was known here; true if there were any. */
+  resolve: (target: Target) => boolean
 }
 
 /** For how long load updates repeat where a stream was placed, in milliseconds. */
@@ -57,12 +55,15 @@
 /** Maximum of streams in one report, so that it fits into one packet. */
 const MAX_NOTICES = 64
 const MAX_STREAMS = 50_000
+const MAX_UNRESOLVED = 1000
 
 /** Creates the registry of an instance. */
-export function createStreamVersions ({ clock, log }: StreamVersionsOptions): StreamVersions {
+export function createStreamVersions ({ getTarget, clock, log }: StreamVersionsOptions): StreamVersions {
   const known = new LRUCache<bigint, KnownStream>({ max: MAX_STREAMS })
-  /** In the order in which they were placed or changed. */
-  const recent = new Map<bigint, Placement>()
+  /** When streams were placed or changed, in that order. */
+  const recent = new Map<bigint, number>()
+  /** Streams at processes that no entry known here describes. */
+  const unresolved = new LRUCache<bigint, PlacedProcess & { attempt: string }>({ max: MAX_UNRESOLVED })
   let longestKeepMs = 0
 
   function remember (attempt: bigint, stream: KnownStream): void {
@@ -75,38 +76,49 @@
     return stream === undefined || stream.keepUntil < clock.now() ? undefined : stream
   }
 
-  function addRecent (key: bigint, placement: Placement): void {
+  function addRecent (key: bigint): void {
     recent.delete(key)
-    recent.set(key, placement)
+    recent.set(key, clock.now())
     prune()
   }
 
   function prune (): void {
-    const since = clock.now() - Math.max(NOTICE_MS, VERSION_DOUBT_MS)
-    for (const [key, { at }] of recent) {
+    const since = clock.now() - NOTICE_MS
+    for (const [key, at] of recent) {
       if (at >= since) return
       recent.delete(key)
     }
   }
 
-  function recordPlacement (attempt: string, target: Target, keepUntil: number): void {
+  function recordPlacement (
+    attempt: string, target: Target, startedAt: number | undefined, keepUntil: number
+  ): void {
     const key = hash64(attempt)
-    const now = clock.now()
-    remember(key, { version: target.version, source: 'own', at: now, keepUntil })
-    addRecent(key, { attempt, target: target.id, at: now })
+    const placed = { attempt, target: target.id, startedAt }
+    const version = findPlacedVersion(placed, [target, getTarget(target.id)])
+    remember(key, { version, source: 'own', at: clock.now(), keepUntil })
+    addRecent(key)
+    unresolved.delete(key)
+    if (version !== undefined) return
+    log.info({ req: attempt, target: target.id, listed: target.startedAt, found: startedAt }, 'version of a new stream is not known')
+    if (startedAt !== undefined) unresolved.set(key, placed)
   }
 
-  function recordVersionChange (targetId: string): void {
-    const now = clock.now()
-    for (const [key, { attempt, target, at }] of [...recent]) {
-      const stream = known.get(key)
-      if (target !== targetId || stream?.version === undefined || !isVersionDoubtful(at, now)) continue
-      known.set(key, { ...stream, version: undefined })
-      addRecent(key, { attempt, target, at: now })
+  function resolve (target: Target): boolean {
+    let hasResolved = false
+    for (const [key, placed] of [...unresolved.entries()]) {
+      const version = findPlacedVersion(placed, [target])
+      const stream = find(key)
+      if (version === undefined || stream === undefined) continue
+      known.set(key, { ...stream, version })
+      unresolved.delete(key)
+      addRecent(key)
+      hasResolved = true
       log.info({
-        req: attempt, target, version: stream.version, ageMs: Math.round(now - at)
-      }, 'stream version is in doubt: the target has changed its version')
+        req: placed.attempt, target: target.id, version, ageMs: Math.round(clock.now() - stream.at)
+      }, 'version of a stream became known')
     }
+    return hasResolved
   }
 
   function merge (notices: readonly StreamNotice[], source: 'heard' | 'peer'): void {
@@ -122,7 +134,7 @@
   function getNotices (maxAgeMs: number): StreamNotice[] {
     prune()
     const since = clock.now() - maxAgeMs
-    return [...recent].filter(([, { at }]) => at >= since).slice(-MAX_NOTICES).flatMap(([attempt]) => {
+    return [...recent].filter(([, at]) => at >= since).slice(-MAX_NOTICES).flatMap(([attempt]) => {
       const stream = find(attempt)
       return stream === undefined ? [] : [{ attempt, version: stream.version, keepUntil: stream.keepUntil }]
     })
@@ -135,6 +147,6 @@
     getLatestNotices: () => getNotices(LATEST_NOTICE_MS),
     getNotices: () => getNotices(NOTICE_MS),
     getLongestKeepMs: () => longestKeepMs,
-    recordVersionChange
+    resolve
   }
 }
--- a/packages/pimentoplank/src/relay/targets/targetDirectory.ts
+++ b/packages/pimentoplank/src/relay/targets/targetDirectory.ts
@@ -1,8 +1,7 @@
 /** Service discovery: tracks the targets that are registered in the platform's object store. */
 import type { Clock, Log, ObjectFeed, WatchEvent } from '../../shared'
-import type { VersionHistory } from '../decisions'
 import type { Target } from '../model'
-import { createVersionTracker } from './versionHistory'
+import { createVersionTracker, type RegisteredVersions } from './versionHistory'
 
 export interface TargetDirectoryOptions {
   feed: Pick<ObjectFeed, 'objects' | 'subscribe'>
@@ -33,9 +32,9 @@
   /** Calls the listener after each change of a registration. */
   onChange: (listener: () => void) => void
   /** Returns the software versions that a service has had. */
-  getVersionHistory: (service: string) => VersionHistory
-  /** Calls the listener with the id of a target that is now registered with another software version than before. */
-  onVersionChange: (listener: (id: string) => void) => void
+  getVersionHistory: (service: string) => RegisteredVersions
+  /** Calls the listener with a target whose entry now describes another process than before. */
+  onProcessChange: (listener: (target: Target) => void) => void
 }
 
 interface RemovedTarget {
@@ -56,7 +55,7 @@
   const removed = new Map<string, RemovedTarget>()
   const versions = createVersionTracker(clock)
   const listeners: Array<() => void> = []
-  const versionListeners: Array<(id: string) => void> = []
+  const processListeners: Array<(target: Target) => void> = []
 
   function apply (event: WatchEvent): void {
     const before = targets.get(event.name)
@@ -70,7 +69,9 @@
     }
     if (versions.record(before, after)) {
       log.info({ target: event.name, version: after?.version, revision: event.revision }, 'target has another version')
-      versionListeners.forEach((listener) => listener(event.name))
+    }
+    if (after !== undefined && after.startedAt !== before?.startedAt) {
+      processListeners.forEach((listener) => listener(after))
     }
     if (before?.state !== after?.state) {
       log.info({
@@ -115,6 +116,6 @@
     all: () => targets.values(),
     onChange: (listener) => { listeners.push(listener) },
     getVersionHistory: versions.getHistory,
-    onVersionChange: (listener) => { versionListeners.push(listener) }
+    onProcessChange: (listener) => { processListeners.push(listener) }
   }
 }
--- a/packages/pimentoplank/src/relay/targets/versionHistory.ts
+++ b/packages/pimentoplank/src/relay/targets/versionHistory.ts
@@ -4,11 +4,14 @@
 import type { VersionHistory } from '../decisions'
 import type { Target } from '../model'
 
+/** Versions by the entries of targets. */
+export type RegisteredVersions = Omit<VersionHistory, 'hasOutdatedEntries'>
+
 export interface VersionTracker {
   /** Records a change of a target; returns true if it has another version than the target of that id before. */
   record: (before: Target | undefined, after: Target | undefined) => boolean
   /** Returns the versions that a service has had. */
-  getHistory: (service: string) => VersionHistory
+  getHistory: (service: string) => RegisteredVersions
 }
 
 const MAX_TARGETS = 10_000
