--- a/packages/soak/src/soakFleet.ts
+++ b/packages/soak/src/soakFleet.ts
@@ -55,8 +55,11 @@
   targets: SoakTarget[]
   getUsableTargets: () => SoakTarget[]
   addTarget: (version?: string) => Promise<SoakTarget>
-  /** Crashes a target and starts it at once under its id and address, at another software version. */
-  restartTarget: (target: SoakTarget, version: string) => Promise<void>
+  /**
+   * Crashes a target and starts it at once under its id and address, at another software version. Its entry follows
+   * after `entryDelayMs` milliseconds; until then the old one stays.
+   */
+  restartTarget: (target: SoakTarget, version: string, entryDelayMs: number) => Promise<void>
   /** Removes a target from the store. */
   removeTarget: (target: SoakTarget) => void
   restart: (instance: SoakInstance) => void
@@ -105,14 +108,17 @@
     return await startTarget({ id: `target-${targets.length + 1}`, framing, version })
   }
 
-  async function restartTarget (target: SoakTarget, version: string): Promise<void> {
+  async function restartTarget (target: SoakTarget, version: string, entryDelayMs: number): Promise<void> {
     const { standin: { id, framing, address, crash }, link } = target
     target.leftAt = Date.now()
     await crash()
-    await startTarget({ id, framing, version, port: Number(address.replace(/.*:/, '')) }, link)
+    await startTarget({ id, framing, version, port: Number(address.replace(/.*:/, '')) }, { link, entryDelayMs })
   }
 
-  async function startTarget (identity: ReplicaOptions, givenLink?: Link): Promise<SoakTarget> {
+  async function startTarget (
+    identity: ReplicaOptions,
+    { link: givenLink, entryDelayMs = 0 }: { link?: Link, entryDelayMs?: number } = {}
+  ): Promise<SoakTarget> {
     const standin = await startReplicaStandin({
       ...TARGET_OPTIONS,
       ...identity,
@@ -122,7 +128,11 @@
     const link = givenLink ?? await createLink(standin.address)
     const target: SoakTarget = { standin, link, startedAt: Date.now(), disturbed: [] }
     targets.push(target)
-    store.write('servers', standin.id, { ...entryOf(standin), address: link.address })
+    const register = (): void => {
+      if (target.leftAt === undefined) store.write('servers', standin.id, { ...entryOf(standin), address: link.address })
+    }
+    if (entryDelayMs > 0) setTimeout(register, entryDelayMs)
+    else register()
     return target
   }
 
--- a/packages/soak/src/versionFaults.ts
+++ b/packages/soak/src/versionFaults.ts
@@ -13,6 +13,8 @@
 const PAUSED_SHARE = 0.5
 const STEP_MS = 1200
 const MIN_TARGETS = 3
+/** Time for which the old entry stays after every second restart, in milliseconds. */
+const ENTRY_DELAY_MS = 1000
 
 /** Records a fault of a target; returns a function that records its end. */
 export function disturb ({ disturbed }: SoakTarget): () => void {
@@ -43,7 +45,8 @@
 
 /**
  * Turns targets of the most frequent version into those of another one, until both are as frequent: in turn by a new
- * target beside the old one, and under the same id and address. Meanwhile, runs are reset.
+ * target beside the old one, and under the same id and address, where the entry may follow later. Meanwhile, runs are
+ * reset.
  */
 export function injectVersions (fleet: SoakFleet, { pick }: Fault): () => void {
   const other = `v${2 + pick}`
@@ -61,7 +64,7 @@
     const olds = usable.filter(({ standin }) => standin.version !== other)
     const target = olds[step++ % Math.max(1, olds.length)]
     if (target === undefined || usable.length < MIN_TARGETS || olds.length <= usable.length / 2) return
-    if (step % 2 === 0) return await fleet.restartTarget(target, other)
+    if (step % 2 === 0) return await fleet.restartTarget(target, other, step % 4 === 0 ? ENTRY_DELAY_MS : 0)
     await fleet.addTarget(other)
     fleet.removeTarget(target)
   }
