Release the slot of an attempt that ends with an exception

Cause: the slot of a live attempt was released after attemptTarget had returned, but not when it threw. It does throw: Node refuses to write a header value with characters beyond Latin-1, and a byte such as 0x80 in the head of a replica's answer becomes one.

What callers saw: 502 for this request, and from then on one slot of that replica less at this instance, for good; with one slot, 503 to every later request although the replica was idle.

Why it works: the release no longer depends on how the attempt ends.

--- a/packages/pimentoplank/src/relay/live/relayRequest.ts
+++ b/packages/pimentoplank/src/relay/live/relayRequest.ts
@@ -64,8 +64,7 @@
         const keepUntil = arrivedAt + (request.deadlineMs ?? route.timeoutMs)
         deps.streamVersions.recordPlacement(request.id, slot.target, keepUntil)
       }
-      const end = await attemptTarget({ call, slot, progress, endAt, ended, createQuery }, deps)
-      slot.release()
+      const end = await attemptTarget({ call, slot, progress, endAt, ended, createQuery }, deps).finally(slot.release)
       if (end.type === 'done') return logEnd('done')
       if (end.type === 'gone') return logEnd('callerGone')
       const { failure } = end
