Pass on the heads of replicas byte for byte

Cause: the header values of a replica's answer were decoded as UTF-8 and written as Latin-1. A byte that is no UTF-8 became a character that Node refuses to write, and the attempt ended with an exception; bytes that are UTF-8 were changed.

What callers saw: 502 in place of a complete, signed answer.

Evidence: the new scenario got 502 for an answer with the byte 0x80 in a header.

Why it works: values are decoded as Latin-1, as Node does with those of callers, so that each byte is one character in both directions.

--- a/packages/pimentoplank/src/relay/exchange/responseReceiver.ts
+++ b/packages/pimentoplank/src/relay/exchange/responseReceiver.ts
@@ -55,7 +55,8 @@
           return
         }
         controller = ctl
-        head = { status, headers: (ctl.rawHeaders as Buffer[] | undefined)?.map(String) ?? [] }
+        // Bytes beyond ASCII have to stay as they are; other characters than those of Latin-1 could not be written.
+        head = { status, headers: (ctl.rawHeaders as Buffer[] | undefined)?.map((bytes) => bytes.toString('latin1')) ?? [] }
         wake()
       },
       onResponseData: (_ctl, chunk) => {
