Answer the requests that are left when an instance has to end

Cause: at the end of its grace period, an instance closed all connections of callers. Requests that had no answer yet, waiting for a slot, for a replica or for the head of its answer, were taken for requests whose caller had left.

Why it works: the relay first ends all requests as at their deadline, which refuses them with 502, or with 503 where they have certainly not run, and closes connections only then. Answers that have begun are cut as before.

--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -83,6 +83,7 @@
     clock,
     log
   })
+  const requestsEnd = new AbortController()
   let table: RouteTable | undefined
   let isClosed = false
   let reportTimer: NodeJS.Timeout | undefined
@@ -249,6 +250,7 @@
         log
       }),
       crashes,
+      closing: requestsEnd.signal,
       rules: RELAY_RULES.live,
       clock,
       metrics,
@@ -461,6 +463,9 @@
     applySettings,
     stop: async () => {
       await shutdown.stop()
+      requestsEnd.abort()
+      // The refusals have to be written before the connections of callers are closed.
+      await new Promise((resolve) => setImmediate(resolve))
       await close()
     },
     close
--- a/packages/pimentoplank/src/relay/live/liveCall.ts
+++ b/packages/pimentoplank/src/relay/live/liveCall.ts
@@ -40,6 +40,8 @@
   streamVersions: Pick<StreamVersions, 'recordPlacement'>
   streamVersionFinder: StreamVersionFinder
   crashes: CrashTracker
+  /** Aborts when this instance has to end; requests that are left are refused, or cut if their answer has begun. */
+  closing: AbortSignal
   rules: RelayRules
   clock: Clock
   metrics: Metrics
--- a/packages/pimentoplank/src/relay/live/relayRequest.ts
+++ b/packages/pimentoplank/src/relay/live/relayRequest.ts
@@ -18,7 +18,9 @@
   const { clock, log, metrics } = deps
   const endAt = arrivedAt + Math.min(request.deadlineMs ?? MAX_TIMER_MS, route.timeoutMs)
   const over = new AbortController()
-  const timer = setTimeout(() => over.abort(), Math.max(0, endAt - clock.now()))
+  const end = (): void => over.abort()
+  const timer = setTimeout(end, Math.max(0, endAt - clock.now()))
+  deps.closing.addEventListener('abort', end)
   const ended = AbortSignal.any([over.signal, reply.disconnected])
   const progress: Progress = {
     runs: 0,
@@ -64,11 +66,12 @@
         const keepUntil = arrivedAt + (request.deadlineMs ?? route.timeoutMs)
         deps.streamVersions.recordPlacement(request.id, slot.target, keepUntil)
       }
-      const end = await attemptTarget({ call, slot, progress, endAt, ended, createQuery }, deps).finally(slot.release)
-      if (end.type === 'done') return logEnd('done')
-      if (end.type === 'gone') return logEnd('callerGone')
-      const { failure } = end
-      heldSlot = end.nextSlot
+      const attempt = await attemptTarget({ call, slot, progress, endAt, ended, createQuery }, deps)
+        .finally(slot.release)
+      if (attempt.type === 'done') return logEnd('done')
+      if (attempt.type === 'gone') return logEnd('callerGone')
+      const { failure } = attempt
+      heldSlot = attempt.nextSlot
       log.info({
         req: request.id,
         target: slot.target.id,
@@ -81,7 +84,7 @@
       if (failure.mayHaveRun) progress.runs += 1
       else progress.refusals += 1
       if (failure.mayHaveRun) progress.silentTargets.delete(slot.target.id)
-      getFailedTargets(end).add(slot.target.id)
+      getFailedTargets(attempt).add(slot.target.id)
       const isAnswerBegun = route.kind !== 'stream' && reply.hasStarted()
       const hasSilentTarget = progress.silentTargets.size > 0
       const state = { ...progress, hasBegun: hasBegun(), hasSilentTarget, isAnswerBegun, leftMs: endAt - clock.now() }
@@ -92,6 +95,7 @@
     }
   } finally {
     clearTimeout(timer)
+    deps.closing.removeEventListener('abort', end)
     heldSlot?.discard()
   }
 
@@ -161,9 +165,10 @@
 
   function failRequest (refusal: RefusalError): void {
     const outcome = progress.runs > 0 ? 'failed' : refusal.outcome
-    const last = outcome === refusal.outcome
+    const reason = deps.closing.aborted ? 'addressMoved' : refusal.reason
+    const last = outcome === refusal.outcome && reason === refusal.reason
       ? refusal
-      : new RefusalError(refusal.reason, { outcome, detail: refusal.message, cause: refusal })
+      : new RefusalError(reason, { outcome, detail: refusal.message, cause: refusal })
     metrics.countRefusal(last.reason)
     const cut = reply.hasStarted()
     if (cut) reply.truncate()
