Let a shutdown wait for calls of the system's own API

Cause: only relayed requests and submitted jobs counted as in flight. A read of results that waits for one was cut as soon as the last of these had ended, 4 s after SIGTERM at the earliest.

Evidence: a read with Wait-Time 1000, sent 3.7 s after SIGTERM, ended with "socket hang up" after 0.3 s.

Why it works: such calls now count as in flight until they are answered, within the grace period as before.

--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -52,6 +52,8 @@
   handle: RelayHandler
   directory: Directory
   jobs: JobApi
+  /** Counts a call of a caller as in flight, so that a shutdown waits for it; returns the function that ends it. */
+  trackRequest: () => () => void
   /** True while this instance accepts requests of callers. */
   isReady: () => boolean
   table: () => RouteTable | undefined
@@ -458,6 +460,7 @@
       maxAgeMs: settings.bounds.directoryMaxAgeMs
     }),
     jobs,
+    trackRequest: shutdown.trackRequest,
     isReady: () => getStage() === 'serving',
     table: () => table,
     applySettings,
