End a request at its time though its caller reads nothing

Cause: while a caller took no more bytes, the relay waited for the connection to drain or to close, but not for the end of the request's time.

What callers saw: nothing; at the instance, the request and its slot were held past deadline and route timeout, until the caller read on or its connection was found dead.

Why it works: the wait ends with the request. The exchange has been closed by then, so the next read fails and the answer is cut as after any timeout; an answer that was read to its end is still written.

--- a/packages/pimentoplank/src/relay/live/attemptTarget.ts
+++ b/packages/pimentoplank/src/relay/live/attemptTarget.ts
@@ -219,7 +219,7 @@
     if (!call.reply.hasStarted()) call.reply.begin(head.status, head.headers)
     // Nothing is read from the target while the caller takes no more bytes.
     watch.hold()
-    await call.reply.write(bytes)
+    await call.reply.write(bytes, ended)
     watch.recordBytes()
   }
 }
--- a/packages/pimentoplank/src/relay/live/callerReply.ts
+++ b/packages/pimentoplank/src/relay/live/callerReply.ts
@@ -13,8 +13,12 @@
   /** True once the head has been sent. */
   hasStarted: () => boolean
   begin: (status: number, headers: RawHeaders) => void
-  /** Writes bytes; resolves when the connection can take more, or the caller has disconnected. */
-  write: (bytes: Uint8Array) => Promise<void>
+  /**
+   * Writes bytes; resolves when the connection can take more, or the caller has disconnected.
+   *
+   * @param ended - ends the wait early
+   */
+  write: (bytes: Uint8Array, ended?: AbortSignal) => Promise<void>
   /** Ends a complete response. */
   end: () => void
   /** Ends a response that has begun so that the caller can't take it for complete. */
@@ -44,16 +48,18 @@
   return {
     hasStarted: () => res.headersSent,
     begin,
-    write: async (bytes) => {
-      if (res.write(bytes) || gone.signal.aborted) return
+    write: async (bytes, ended) => {
+      if (res.write(bytes) || gone.signal.aborted || ended?.aborted === true) return
       await new Promise<void>((resolve) => {
         const resume = (): void => {
           res.off('drain', resume)
           gone.signal.removeEventListener('abort', resume)
+          ended?.removeEventListener('abort', resume)
           resolve()
         }
         res.on('drain', resume)
         gone.signal.addEventListener('abort', resume)
+        ended?.addEventListener('abort', resume)
       })
     },
     end: () => { res.end() },
