Leave out a target that stays silent, not only once

Cause: since a silence counts once for all requests that it keeps waiting, a target was reported until it sent bytes again. One that hangs never does: it was left out once, for 0.5 s, and then got requests like any other.

What callers saw: each request that was placed there waited for 0.6 of its latency or gap target before it moved; those that may run once only, until their deadline.

Why it works: a request that was sent after the report has tried the target anew, so its silence counts again. Requests that wait together still report one silence, as the third scenario holds (it passed before).

--- a/packages/pimentoplank/src/relay/live/silenceDetector.feature
+++ b/packages/pimentoplank/src/relay/live/silenceDetector.feature
@@ -24,6 +24,14 @@
     When a request is reported as silent, gets bytes and exceeds the timeout again
     Then the target is reported as silent for certain
 
+  Scenario: Requests that a target keeps waiting at the same time report one silence
+    When 4 requests get bytes and then exceed the timeout between bytes together
+    Then the target's silence is new in 1 report
+
+  Scenario: A target that stays silent is reported anew by requests that were sent to it after the report
+    When 4 requests exceed the timeout for their first bytes one after the other
+    Then the target's silence is new in 3 reports
+
   Scenario: A busy event loop is not taken for the silence of a target
     Given a target in another thread that sends bytes every 5 ms
     When this instance is busy for 100 ms between its bytes
--- a/packages/pimentoplank/src/relay/live/silenceDetector.steps.ts
+++ b/packages/pimentoplank/src/relay/live/silenceDetector.steps.ts
@@ -4,11 +4,12 @@
 import { Worker } from 'node:worker_threads'
 import { After, Before, Given, Then, When } from '@cucumber/cucumber'
 import { createSystemClock } from '../../shared'
-import { createSilenceDetector, type SilenceWatch, type SilenceDetector } from './silenceDetector'
+import { createSilenceDetector, type Silence, type SilenceWatch, type SilenceDetector } from './silenceDetector'
 
 interface ActivityWorld {
   detector: SilenceDetector
   isCertain?: boolean
+  silences: Silence[]
   worker?: Worker
   socket?: Socket
 }
@@ -59,6 +60,32 @@
   })
 })
 
+async function reportSilence (world: ActivityWorld, prepare?: (watch: SilenceWatch) => void): Promise<Silence> {
+  return await new Promise((resolve) => {
+    const watch = world.detector.watch(TARGET, { firstMs: FIRST_MS, gapMs: GAP_MS, onSilent: resolve })
+    prepare?.(watch)
+  })
+}
+
+When('{int} requests get bytes and then exceed the timeout between bytes together', async function (
+  this: ActivityWorld, count: number
+) {
+  this.silences = await Promise.all(Array.from(
+    { length: count }, async () => await reportSilence(this, (watch) => watch.recordBytes())
+  ))
+})
+
+When('{int} requests exceed the timeout for their first bytes one after the other', async function (
+  this: ActivityWorld, count: number
+) {
+  this.silences = []
+  for (let index = 0; index < count; index++) this.silences.push(await reportSilence(this))
+})
+
+Then('the target\'s silence is new in {int} report(s)', function (this: ActivityWorld, count: number) {
+  assert.equal(this.silences.filter(({ isCertain, isNew }) => isCertain && isNew).length, count)
+})
+
 Then('the target is reported as silent for certain', function (this: ActivityWorld) {
   assert.equal(this.isCertain, true)
 })
--- a/packages/pimentoplank/src/relay/live/silenceDetector.ts
+++ b/packages/pimentoplank/src/relay/live/silenceDetector.ts
@@ -18,7 +18,7 @@
 export interface Silence {
   /** False when the request may merely be queued at the target. */
   isCertain: boolean
-  /** True when no other request has reported it since the target last sent bytes. */
+  /** True when no other request has reported it since the target last sent bytes, or since this one was sent. */
   isNew: boolean
 }
 
@@ -48,8 +48,8 @@
 export function createSilenceDetector (clock: Clock): SilenceDetector {
   const lastBytesAt = new LRUCache<string, number>({ max: MAX_TARGETS })
   const lastSilentAt = new LRUCache<string, number>({ max: MAX_TARGETS })
-  /** Targets whose certain silence has been reported since they last sent bytes. */
-  const reported = new LRUCache<string, true>({ max: MAX_TARGETS })
+  /** When the certain silence of targets was last reported; none for those that have sent bytes since. */
+  const reportedAt = new LRUCache<string, number>({ max: MAX_TARGETS })
 
   function isSecondSilence (targetId: string): boolean {
     const now = clock.now()
@@ -89,8 +89,9 @@
         return
       }
       const isCertain = ownBytesAt !== undefined || isSecondSilence(targetId)
-      const isNew = !reported.has(targetId)
-      if (isCertain) reported.set(targetId, true)
+      // A request that was sent after the report has tried the target anew.
+      const isNew = startedAt > (reportedAt.get(targetId) ?? -Infinity)
+      if (isCertain && isNew) reportedAt.set(targetId, clock.now())
       limits.onSilent({ isCertain, isNew })
     }
 
@@ -98,7 +99,7 @@
       recordBytes: () => {
         const now = clock.now()
         lastBytesAt.set(targetId, now)
-        reported.delete(targetId)
+        reportedAt.delete(targetId)
         ownBytesAt = now
         isHeld = false
         // The target was reported as silent and has gone on.
