--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -52,6 +52,8 @@
   handle: RelayHandler
   directory: Directory
   jobs: JobApi
+  /** Counts a call of a caller as in flight, so that a shutdown waits for it; returns the function that ends it. */
+  trackRequest: () => () => void
   /** True while this instance accepts requests of callers. */
   isReady: () => boolean
   table: () => RouteTable | undefined
@@ -83,6 +85,7 @@
     clock,
     log
   })
+  const requestsEnd = new AbortController()
   let table: RouteTable | undefined
   let isClosed = false
   let reportTimer: NodeJS.Timeout | undefined
@@ -259,6 +262,7 @@
         log
       }),
       crashes,
+      closing: requestsEnd.signal,
       rules: RELAY_RULES.live,
       clock,
       metrics,
@@ -466,11 +470,15 @@
       maxAgeMs: settings.bounds.directoryMaxAgeMs
     }),
     jobs,
+    trackRequest: shutdown.trackRequest,
     isReady: () => getStage() === 'serving',
     table: () => table,
     applySettings,
     stop: async () => {
       await shutdown.stop()
+      requestsEnd.abort()
+      // The refusals have to be written before the connections of callers are closed.
+      await new Promise((resolve) => setImmediate(resolve))
       await close()
     },
     close
