Count a pause of a target under several items as one failure

A target that was silent for 3 s under n items was left out for as long as n failures in a row ask for, at all instances: each run that moved, or whose connection was given up as dead, recorded a failure.

--- a/packages/pimentoplank/src/relay/jobs/itemRunner.feature
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.feature
@@ -22,6 +22,24 @@
     Then the item ran 2 times, the last time at "b" after event 2
     And target "a" has 0 items and target "b" has 1
 
+  Scenario: A pause of a target under several items counts as one failure of the target
+    Given an item runner with a job of 3 items and a target "a" with 3 slots
+    And a target "b" with 0 slots
+    When the runner looks for items to start
+    And 4 s pass for the item runner
+    And target "b" gets 3 slots
+    And the runner looks for items to start
+    Then the item ran 6 times, the last time at "b" before its first event
+    And target "a" has failed 1 time
+
+  Scenario: A target that is silent again counts as failed again
+    Given an item runner with a job of 1 item and a target "a" with 1 slot
+    When the runner looks for items to start
+    And 11 s pass for the item runner
+    And the runner looks for items to start
+    And 11 s pass for the item runner
+    Then target "a" has failed 2 times
+
   Scenario: A silent target that goes on keeps its item
     Given an item runner with a job of 1 item and a target "a" with 1 slot
     And a target "b" with 0 slots
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
@@ -24,6 +24,8 @@
   job: OwnedJob
   table: RouteTable
   loads: Map<string, TargetLoad>
+  /** Number of failures recorded of each target. */
+  failures: Map<string, number>
   /** Ids of targets that are not registered any more. */
   gone: Set<string>
   sent: SentRun[]
@@ -107,7 +109,7 @@
     getLoad: (id) => world.loads.get(id),
     begin: (id) => { world.loads.get(id)!.batch += 1 },
     end: (id) => { world.loads.get(id)!.batch -= 1 },
-    recordFailure: () => undefined
+    recordFailure: (id) => { world.failures.set(id, (world.failures.get(id) ?? 0) + 1) }
   }
   return loads as LoadView
 }
@@ -143,6 +145,7 @@
   this.table = createTable([{ service: SERVICE, weight: 1 }])
   this.loads = new Map()
   this.sent = []
+  this.failures = new Map()
   this.gone = new Set()
   addTarget(this, id, slots)
   const { clock } = this
@@ -226,6 +229,18 @@
   assert.equal(this.sent.at(-1)!.lastEventId, event)
 })
 
+Then('the item ran {int} times, the last time at {string} before its first event', function (
+  this: RunnerWorld, count: number, id: string
+) {
+  assert.equal(this.sent.length, count)
+  assert.equal(this.sent.at(-1)!.target.id, id)
+  assert.equal(this.sent.at(-1)!.lastEventId, undefined)
+})
+
+Then('target {string} has failed {int} time(s)', function (this: RunnerWorld, id: string, count: number) {
+  assert.equal(this.failures.get(id) ?? 0, count)
+})
+
 Then('target {string} has {int} items and target {string} has {int}', function (
   this: RunnerWorld, first: string, firstCount: number, second: string, secondCount: number
 ) {
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.ts
@@ -1,4 +1,5 @@
 /** Runs items of owned jobs in slots that live requests leave free. */
+import { LRUCache } from 'lru-cache'
 import { hash32, type Clock, type Log, type Metrics, type Random } from '../../shared'
 import {
   countExcess, chooseStarts, choosePreempted,
@@ -72,6 +73,8 @@
 }
 
 interface ActiveRun extends RunningItem {
+  /** On the monotonic clock, in milliseconds. */
+  sentAt: number
   stop: AbortController
   done: Promise<void>
   ready: ReadyItem
@@ -85,6 +88,7 @@
 const QUICK_CRASHES = 4
 /** With more crashes the backoff is doubled up to this many times. */
 const MAX_BACKOFF_DOUBLINGS = 5
+const MAX_SILENT_TARGETS = 10_000
 
 /** True when a run ended through a fault of the target rather than of the item or this instance. */
 function isTargetFault (end: ItemEnd): boolean {
@@ -96,6 +100,8 @@
 export function createItemRunner (options: ItemRunnerOptions): ItemRunner {
   const { jobRegistry: registry, loads, rules, clock, random, metrics, log } = options
   const running = new Set<ActiveRun>()
+  /** When the silence of a target was last recorded as its failure. */
+  const silenceRecordedAt = new LRUCache<string, number>({ max: MAX_SILENT_TARGETS })
   const pace = createItemTimeEstimator()
   const finder = createReadyItemFinder({ jobRegistry: registry, crashes: options.crashes, pace, clock, random })
 
@@ -210,6 +216,7 @@
       job: owned.id,
       dueAt: ready.dueAt,
       target: target.id,
+      sentAt: clock.now(),
       hasStarted: false,
       stop,
       done: Promise.resolve(),
@@ -249,7 +256,7 @@
       if (startedAt !== undefined) pace.recordRun((progress.lastEventId ?? 0) - firstEvent, clock.now() - startedAt)
       if (end.type === 'completed') pace.recordCompletion(progress.lastEventId ?? 0)
       recordCrashEvidence(ready, target, end, (progress.lastEventId ?? 0) - firstEvent)
-      if (isTargetFault(end)) loads.recordFailure(target.id, `item.${end.type}`)
+      if (isTargetFault(end)) recordTargetFailure(entry, end)
       progress.target = undefined
       progress.interrupt = undefined
       loads.end(target.id, 'batch')
@@ -258,6 +265,15 @@
     })
   }
 
+  /** A silence under several items counts once; a run that was sent after it has tried the target anew. */
+  function recordTargetFailure ({ target, sentAt }: ActiveRun, end: ItemEnd): void {
+    if (end.type === 'interrupted' && end.reason === 'aborted') {
+      if (sentAt <= (silenceRecordedAt.get(target) ?? -Infinity)) return
+      silenceRecordedAt.set(target, clock.now())
+    }
+    loads.recordFailure(target, `item.${end.type}`)
+  }
+
   function recordCrashEvidence (
     { owned, itemId, progress }: ReadyItem,
     target: Target,
