Give each replica stand-in a loopback address of its own

Cause: a stand-in that crashed freed its port of 127.0.0.1 and listened on it again after some 100 ms; another socket had taken it meanwhile. The sources of all outgoing connections of the machine are at 127.0.0.1, and take their ports from the same range.

Ruled out: processes of standins that restart take a new port and register it; links keep their ports. Taking ports outside the range of outgoing connections would leave clashes between the stand-ins of several runs.

While it is down, connections are refused as before.

--- a/packages/soak/src/soakFleet.ts
+++ b/packages/soak/src/soakFleet.ts
@@ -109,7 +109,7 @@
     const { standin: { id, framing, address, crash }, link } = target
     target.leftAt = Date.now()
     await crash()
-    await startTarget({ id, framing, version, port: Number(address.replace(/.*:/, '')) }, link)
+    await startTarget({ id, framing, version, address }, link)
   }
 
   async function startTarget (identity: ReplicaOptions, givenLink?: Link): Promise<SoakTarget> {
