Let the quarantine's scenarios wait for the calls to the platform

Cause: two scenarios failed now and then, since one instance still refused parts that the other had answered. The step looked every millisecond for a moment at which no instance refuses, and went on. There is such a moment between the removal of a record and the writes that follow it; if the next step came after them, it failed.

Ruled out: load as the cause. The records of a alone and of b alone were left: recordAnswer clears both parts side by side, each removes the record of both (a second removal succeeds as well) and stores the other part.

Change: the step waits until the calls to the platform that the answer led to have ended, and fails if there are none.

--- a/packages/pimentoplank/src/shared/quarantine/quarantine.steps.ts
+++ b/packages/pimentoplank/src/shared/quarantine/quarantine.steps.ts
@@ -1,20 +1,20 @@
 import assert from 'node:assert/strict'
-import { setTimeout as pause } from 'node:timers/promises'
+import { setImmediate as turn } from 'node:timers/promises'
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { createPlatformStandin, type PlatformStandin } from '@pimentoplank/standins'
+import type { ResultAsync } from 'neverthrow'
 import { createQuarantine, type Quarantine } from '.'
 import { createSystemClock, type Clock } from '../clock'
 import { createSilentLog } from '../logging'
 import { createInMemoryMetrics } from '../metrics'
 import { createPlatformClient, type PlatformClient } from '../platform'
 
-/** Limit on the wait until the platform has removed a record. */
-const CLEAR_TIMEOUT_MS = 3000
-
 interface QuarantineWorld {
   platform: PlatformStandin
   client: PlatformClient
   instances: Quarantine[]
+  /** Calls of the instances to the platform that have not ended. */
+  platformCalls: Set<Promise<void>>
   /** Time set by the steps, in milliseconds. */
   passedMs: number
 }
@@ -24,10 +24,14 @@
   this.platform = createPlatformStandin()
   const { url } = await this.platform.start()
   this.client = createPlatformClient({ url })
+  this.platformCalls = new Set()
   const { sleep } = createSystemClock()
   const clock: Clock = { now: () => this.passedMs, wallTime: () => this.passedMs, sleep }
   this.instances = Array.from({ length: count }, () => createQuarantine({
-    platform: this.client,
+    platform: {
+      put: (...args) => track(this, this.client.put(...args)),
+      remove: (...args) => track(this, this.client.remove(...args))
+    },
     feed: {
       objects: (kind) => new Map(this.platform.readAll(kind).map((object) => [object.name, object])),
       offer: () => undefined
@@ -38,6 +42,22 @@
   }))
 })
 
+function track<Value, Failure> (
+  { platformCalls }: QuarantineWorld, call: ResultAsync<Value, Failure>
+): ResultAsync<Value, Failure> {
+  const ended = Promise.resolve(call).then(() => { platformCalls.delete(ended) })
+  platformCalls.add(ended)
+  return call
+}
+
+/** Waits until all calls to the platform have ended, and those that they led to. */
+async function waitForPlatform ({ platformCalls }: QuarantineWorld): Promise<void> {
+  while (platformCalls.size > 0) {
+    await Promise.all(platformCalls)
+    await turn()
+  }
+}
+
 async function crash (quarantine: Quarantine, content: string, target: string): Promise<void> {
   const end = quarantine.trackRun(content, target)
   await quarantine.recordCrash(content, target)
@@ -126,9 +146,8 @@
   this: QuarantineWorld, first: string, second: string, index: number
 ) {
   this.instances[index]!.recordAnswer([first, second])
-  const until = Date.now() + CLEAR_TIMEOUT_MS
-  const isRefused = (): boolean => this.instances.some((one) => one.isQuarantined('another prompt', [first, second]))
-  while (isRefused() && Date.now() < until) await pause(1)
+  assert.ok(this.platformCalls.size > 0, 'the answer led to no call to the platform')
+  await waitForPlatform(this)
 })
 
 After({ tags: '@crashQuarantine' }, async function (this: Partial<QuarantineWorld>) {
