--- a/packages/soak/src/soakFleet.ts
+++ b/packages/soak/src/soakFleet.ts
@@ -112,7 +112,7 @@
     const { standin: { id, framing, address, crash }, link } = target
     target.leftAt = Date.now()
     await crash()
-    await startTarget({ id, framing, version, port: Number(address.replace(/.*:/, '')) }, { link, entryDelayMs })
+    await startTarget({ id, framing, version, address }, { link, entryDelayMs })
   }
 
   async function startTarget (
