Clear all prompt parts of an answer in one pass

In our own interface, an answer to a prompt of parts a and b that had been found to crash targets left requests with either part refused on another instance, wider than before.

Cause: recordAnswer cleared the parts side by side. Each pass removed the record of both, the second one in vain but without an error, and then stored the other part alone, so that the records of a and of b stayed. Load is ruled out: once the step waits for the calls to the platform to end, the two scenarios fail in 4 of 4 runs; before, it polled for any moment without a refusal.

--- a/packages/pimentoplank/src/shared/quarantine/partQuarantine.ts
+++ b/packages/pimentoplank/src/shared/quarantine/partQuarantine.ts
@@ -172,15 +172,16 @@
     return true
   }
 
-  /** Tells the other instances that a part was answered after it had been found. */
-  async function clearFound (part: string, now: number): Promise<void> {
+  /** Tells the other instances that parts were answered after they had been found. */
+  async function clearFound (answered: readonly string[], now: number): Promise<void> {
     for (const [name, { parts, foundAt }] of ownFound) {
-      if (parts.includes(part) && foundAt < now) ownFound.delete(name)
+      if (foundAt < now && parts.some((part) => answered.includes(part))) ownFound.delete(name)
     }
     for (const { name, value } of [...feed.objects(OBJECT_KINDS.quarantine).values()]) {
       const stored = name.startsWith(FOUND_PREFIX) ? foundObject.safeParse(value) : undefined
-      if (stored?.success !== true || !stored.data.parts.includes(part) || stored.data.foundAt >= now) continue
-      const parts = stored.data.parts.filter((other) => other !== part)
+      if (stored?.success !== true || stored.data.foundAt >= now) continue
+      const parts = stored.data.parts.filter((part) => !answered.includes(part))
+      if (parts.length === stored.data.parts.length) continue
       const removed = await platform.remove(OBJECT_KINDS.quarantine, name)
       if (removed.isErr()) log.warn({ name, cause: describeCause(removed.error) }, 'cleared parts could not be removed')
       else if (parts.length > 0) {
@@ -194,12 +195,10 @@
     claimProbe,
     recordAnswer: (parts) => {
       const now = clock.wallTime()
-      for (const part of parts) {
-        answeredAt.set(part, now)
-        clearFound(part, now).catch((cause: unknown) => {
-          log.error({ cause: describeCause(cause) }, 'part could not be cleared')
-        })
-      }
+      for (const part of parts) answeredAt.set(part, now)
+      clearFound(parts, now).catch((cause: unknown) => {
+        log.error({ cause: describeCause(cause) }, 'parts could not be cleared')
+      })
     },
     recordCrash: async (prompt, targetId) => {
       if (prompt.parts.length === 0) return
