Keep a silent run while its content is quarantined

Callers saw a begun stream end with the error "quarantined" although its target was sound, only silent for a while, and would have gone on.

Cause: a silent run was given up for a slot held elsewhere, and only then was the quarantine checked, which refused to send the stream there.

Why it works: the search checks the quarantine before it asks for a slot and once it has one, so that a run is given up only for a slot that may be used. It goes on looking, since a quarantine may end (third scenario). A silent stream claims no probe for a move: a probe may crash its target, and staying costs nothing. This holds before the first token too: such a request stays at its target instead of being refused with 422.

--- a/packages/pimentoplank/src/entry/live/begunStreams.feature
+++ b/packages/pimentoplank/src/entry/live/begunStreams.feature
@@ -58,3 +58,29 @@
     And engine 0 of the entry dies after 5 tokens
     And engine 1 of the entry starts again once the entry has failed to connect to it
     Then the entry streams the complete text of 40 tokens, each once, with the closing event
+
+  Scenario: A stream at a silent target is not cut because its prompt is quarantined meanwhile
+    Given the entry bench with 2 engines and settings {"streams":{"tokenGapTimeoutMs":50}}
+    And engine 0 of the entry falls silent for 1500 ms after 5 tokens
+    When the prompt "shared line", "own question" is streamed, and its first line is quarantined 0 ms after 5 tokens
+    Then the stream of that prompt is complete
+    And the entry's engines ran 1 request
+    And the entry holds no slot any more
+
+  Scenario: A stream at a silent target is not cut because its prompt is quarantined while it waits for a slot
+    Given the entry bench with 2 engines and settings {"streams":{"tokenGapTimeoutMs":50}}
+    And engine 0 of the entry falls silent for 2500 ms after 5 tokens
+    And the entry gets one slot, and then 30 refusals as queueFull
+    When the prompt "shared line", "own question" is streamed, and its first line is quarantined 300 ms after 5 tokens
+    Then the stream of that prompt is complete
+    And the entry's engines ran 1 request
+    And the entry holds no slot any more
+
+  Scenario: A stream leaves its silent target once its prompt is quarantined no more
+    Given the entry bench with 2 engines and settings {"streams":{"tokenGapTimeoutMs":50}}
+    And engine 0 of the entry falls silent for 1500 ms after 5 tokens
+    When the prompt "shared line", "own question" is streamed, and its first line is quarantined 0 ms after 5 tokens
+    And 1000 ms later, every connection to engine 0 is silent and that line is quarantined no more
+    Then the stream of that prompt is complete
+    And engine 1 continued the entry's stream
+    And the entry holds no slot any more
--- a/packages/pimentoplank/src/entry/live/liveRun.ts
+++ b/packages/pimentoplank/src/entry/live/liveRun.ts
@@ -28,6 +28,9 @@
 /** Crashes after which a job ends, whether or not its content is quarantined. */
 const MAX_CRASHES = 2
 
+/** Pause of a silent stream before it checks again whether its content is quarantined, in milliseconds. */
+const QUARANTINE_PAUSE_MS = 100
+
 /** Cheap refusals that indicate neither load nor faults, so that their retries need no budget. */
 const UNBUDGETED_RETRIES: ReadonlySet<EngineErrorKind> = new Set(['targetLeaving', 'modelNotLoaded'])
 
@@ -117,20 +120,28 @@
   async function acquireElsewhere (targetId: string, stopped: AbortSignal): Promise<SlotGrant | undefined> {
     if (!job.repeatable || attemptsLeft <= 1) return undefined
     if (tokens === 0 && !deps.budget.tryTakeRetry(job.service)) return undefined
-    const grant = await (tokens > 0
-      ? search.acquireToContinue(stopped, { version, without: targetId })
-      : search.acquire(stopped, targetId))
-    return grant.unwrapOr(undefined)
+    while (!stopped.aborted) {
+      // Given up while it is quarantined, the stream would be refused elsewhere.
+      if (isQuarantined()) {
+        await clock.sleep(QUARANTINE_PAUSE_MS, stopped)
+        continue
+      }
+      const grant = await (tokens > 0
+        ? search.acquireToContinue(stopped, { version, without: targetId })
+        : search.acquire(stopped, targetId))
+      if (grant.isErr()) return undefined
+      if (!isQuarantined()) return grant.value
+      grant.value.release({ result: 'revoked' })
+    }
+    return undefined
   }
 
   async function openAttempt (): Promise<Result<Attempt, RefusalError>> {
     for (;;) {
       const held = nextGrant
       nextGrant = undefined
-      if (await isRefusedByQuarantine()) {
-        held?.release({ result: 'revoked' })
-        return err(createRefusal('quarantined'))
-      }
+      // A held slot was acquired while the content was not quarantined.
+      if (held === undefined && await isRefusedByQuarantine()) return err(createRefusal('quarantined'))
       const grant = held === undefined ? await acquire() : ok<SlotGrant, RefusalError>(held)
       if (grant.isErr()) return err(grant.error)
       const allowed = await allowDispatch()
@@ -145,8 +156,12 @@
     }
   }
 
+  function isQuarantined (): boolean {
+    return !isProbe && deps.quarantine.isQuarantined(job.contentHash, job.partHashes)
+  }
+
   async function isRefusedByQuarantine (): Promise<boolean> {
-    if (isProbe || !deps.quarantine.isQuarantined(job.contentHash, job.partHashes)) return false
+    if (!isQuarantined()) return false
     isProbe = job.repeatable && await deps.quarantine.claimProbe(job.contentHash, job.partHashes)
     return !isProbe
   }
--- a/packages/pimentoplank/src/entry/live/quarantine.steps.ts
+++ b/packages/pimentoplank/src/entry/live/quarantine.steps.ts
@@ -3,8 +3,8 @@
 import { Given, Then, When } from '@cucumber/cucumber'
 import { computeAnswer, type EngineStandin } from '@pimentoplank/standins'
 import { request } from 'undici'
-import { OBJECT_KINDS } from '../../shared'
-import { createEntryBench, MODEL, type Reply } from '../testing/entryBench'
+import { hashPrompt, OBJECT_KINDS } from '../../shared'
+import { createEntryBench, MODEL, readEvents, type Reply } from '../testing/entryBench'
 import type { EntryWorld } from '../testing/entryBench.steps'
 import { waitUntil } from '../testing/waitUntil'
 
@@ -162,3 +162,36 @@
 Then('the platform of the entry bench holds no crash record', function (this: QuarantineWorld) {
   assert.deepEqual(this.bench.platform.readAll(OBJECT_KINDS.quarantine), [])
 })
+
+/** Writes what an instance stores once it has found that a line of the prompt crashes targets. */
+function setFirstLineFoundAt ({ bench, prompt }: EntryWorld, foundAt: number): void {
+  const [part] = hashPrompt(MODEL, { prompt }).partHashes
+  assert.ok(part !== undefined)
+  bench.platform.putObject(OBJECT_KINDS.quarantine, 'parts-test', { parts: [part], foundAt, probe: -1 })
+}
+
+When('the prompt {string}, {string} is streamed, and its first line is quarantined {int} ms after {int} tokens', async function (
+  this: QuarantineWorld, first: string, second: string, ms: number, tokens: number
+) {
+  this.prompt = `${first}\n${second}`
+  const body = { model: MODEL, prompt: this.prompt, max_tokens: TOKENS, stream: true }
+  this.pending = this.bench.send('/v1/completions', { method: 'POST', body })
+  this.pending.catch(() => undefined)
+  await waitUntil(() => this.bench.engines[0]!.getRuns().some((run) => run.tokens >= tokens))
+  await pause(ms)
+  setFirstLineFoundAt(this, Date.now())
+})
+
+When('{int} ms later, every connection to engine {int} is silent and that line is quarantined no more', async function (
+  this: QuarantineWorld, ms: number, index: number
+) {
+  this.bench.engines[index]!.setFaults({ silentStreams: 'all' })
+  await pause(ms)
+  assert.ok(this.bench.engines.slice(index + 1).every((engine) => engine.getRuns().length === 0))
+  setFirstLineFoundAt(this, 0)
+})
+
+Then('the stream of that prompt is complete', async function (this: QuarantineWorld) {
+  const events = readEvents((await this.pending).text)
+  assert.deepEqual(events, { text: computeAnswer(this.prompt, TOKENS), tokens: TOKENS, done: true, error: undefined })
+})
