Let a begun stream go back to a target it left for its silence

Callers saw a begun stream cut although its first target was sound, only silent for a while: the run was given up for a slot elsewhere, the other target failed, and that was the last of retries.maxAttempts.

Cause: the move and the failure elsewhere each took an attempt. With none left the stream was cut, without asking the target that had never failed.

Why it works: once the attempts are used, a stream with tokens may still use the targets that it left for their silence, and no others. One that fails there is struck off, so each adds at most one run; one that refuses the stream before it runs is asked again, as by other begun streams. Requests without a token end as before when their attempts are used.

--- a/packages/pimentoplank/src/entry/live/begunStreams.feature
+++ b/packages/pimentoplank/src/entry/live/begunStreams.feature
@@ -84,3 +84,26 @@
     Then the stream of that prompt is complete
     And engine 1 continued the entry's stream
     And the entry holds no slot any more
+
+  Scenario Outline: A stream whose attempts are used goes back to the target it left for its silence, where the other <fault>
+    Given the entry bench with 2 engines and settings {"streams":{"tokenGapTimeoutMs":50,"firstTokenTimeoutMs":2000},"retries":{"maxAttempts":2}}
+    And engine 0 of the entry falls silent for 1500 ms after 5 tokens
+    And engine 1 of the entry <fault> every request
+    When the entry gets a streamed chat request for 9 tokens
+    Then the entry streams the complete text of 9 tokens, each once, with the closing event
+    And engine 0 continued the entry's stream
+    And the entry holds no slot any more
+
+    Examples:
+      | fault        |
+      | fails        |
+      | crashes on   |
+      | never begins |
+
+  Scenario: A stream that went back to its silent target goes to no further one
+    Given the entry bench with 3 engines and settings {"streams":{"tokenGapTimeoutMs":50,"firstTokenTimeoutMs":2000},"retries":{"maxAttempts":2}}
+    And engine 0 of the entry falls silent for 1500 ms after 5 tokens
+    And engine 1 of the entry fails every request
+    When the entry gets a streamed chat request for 9 tokens
+    Then the entry streams the complete text of 9 tokens, each once, with the closing event
+    And engine 2 of the entry ran nothing
--- a/packages/pimentoplank/src/entry/live/live.steps.ts
+++ b/packages/pimentoplank/src/entry/live/live.steps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
 import type { RefusalReason } from '../../shared'
-import { computeAnswer } from '@pimentoplank/standins'
+import { computeAnswer, type EngineFaults } from '@pimentoplank/standins'
 import { MODEL, readEvents, type SendOptions } from '../testing/entryBench'
 import type { EntryWorld } from '../testing/entryBench.steps'
 import { waitUntil } from '../testing/waitUntil'
@@ -42,6 +42,18 @@
   this.bench.engines[index]!.setFaults({ silence: { afterTokens, ms } })
 })
 
+const REQUEST_FAULTS: Record<string, EngineFaults> = {
+  fails: { failOn: PROMPT },
+  'crashes on': { crashOn: PROMPT },
+  'never begins': { silentStreams: 'all' }
+}
+
+Given(/^engine (\d+) of the entry (fails|crashes on|never begins) every request$/, function (
+  this: EntryWorld, index: string, fault: string
+) {
+  this.bench.engines[Number(index)]!.setFaults(REQUEST_FAULTS[fault]!)
+})
+
 Given('the entry gets one slot, and then refusals as {word}', function (this: EntryWorld, reason: RefusalReason) {
   this.bench.slots.refuseAfterNextGrant(reason)
 })
@@ -182,6 +194,10 @@
   assert.equal(this.bench.engines[index]!.getRuns().length, 1)
 })
 
+Then('engine {int} of the entry ran nothing', function (this: EntryWorld, index: number) {
+  assert.deepEqual(this.bench.engines[index]!.getRuns(), [])
+})
+
 Then('engine {int} of the entry has stopped every stream', async function (this: EntryWorld, index: number) {
   await this.pending?.catch(() => undefined)
   await waitUntil(() => this.bench.engines[index]!.getRuns().every((run) => run.outcome === 'cancelled'))
--- a/packages/pimentoplank/src/entry/live/liveRun.ts
+++ b/packages/pimentoplank/src/entry/live/liveRun.ts
@@ -101,7 +101,8 @@
     }
     outcome = getWorseOutcome(outcome, FAILURE_OUTCOMES.streamSilent)
     attemptsLeft -= 1
-    giveUp(current, 'streamSilent')
+    giveUp(current)
+    search.leaveSilent(targetId)
     attempt = undefined
     nextGrant = end.replacement
     return undefined
@@ -168,7 +169,9 @@
 
   async function acquire (): Promise<Result<SlotGrant, RefusalError>> {
     const startedAt = clock.now()
-    const grant = await (tokens > 0 ? search.acquireToContinue(signal, { version }) : search.acquire(signal))
+    const grant = await (tokens > 0
+      ? search.acquireToContinue(signal, { version, mustGoBack: attemptsLeft <= 0 })
+      : search.acquire(signal))
     metrics.timing('live.slotWait', clock.now() - startedAt)
     if (grant.isOk()) return grant
     if (signal.aborted) return err(createStopRefusal())
@@ -248,15 +251,15 @@
     if (!isAlive && cause.kind === 'streamCut') return await handleCrash(broken)
     const resumed = isAlive && mayStay(broken) ? await resumeOnSameTarget(broken, cause) : err(cause)
     if (resumed.isOk()) return undefined
-    giveUp(broken, resumed.error.kind)
+    giveUp(broken)
+    search.exclude(broken.grant.target.id, resumed.error.kind)
     return retryOrRefuse(cause)
   }
 
   /** Ends a stream that another one replaces and must not run beside. */
-  function giveUp (abandoned: Attempt, cause: EngineErrorKind): void {
+  function giveUp (abandoned: Attempt): void {
     abandoned.stream.cancel().catch(() => undefined)
     release(abandoned, 'failed')
-    search.exclude(abandoned.grant.target.id, cause)
   }
 
   /** Opens a new connection to the stream, which still runs on the same target. */
@@ -310,7 +313,9 @@
     const hasNotRun = outcome === 'not_run'
     // A stream that has begun is not cut by targets that refuse it before they run it.
     if (tokens === 0 || cause?.reached !== false) attemptsLeft -= 1
-    if ((!job.repeatable && !hasNotRun) || attemptsLeft <= 0) return createFailureRefusal(cause)
+    // With its attempts used, a stream that has begun may still go back to a target that it left for its silence.
+    const isLast = attemptsLeft <= 0 && !(tokens > 0 && search.hasSilentTarget())
+    if ((!job.repeatable && !hasNotRun) || isLast) return createFailureRefusal(cause)
     return spendRetry(cause) ? undefined : createRefusal('retryBudget', cause)
   }
 
--- a/packages/pimentoplank/src/entry/live/slotSearch.ts
+++ b/packages/pimentoplank/src/entry/live/slotSearch.ts
@@ -32,14 +32,19 @@
   /**
    * Asks for a slot for a stream that has begun, again and again while a target of its software version is left.
    *
-   * @param without - id of a target that the stream still runs on; while it does, the search does not end
+   * @param stream.without - id of a target that the stream still runs on; while it does, the search does not end
+   * @param stream.mustGoBack - true when only targets that it has left for their silence may be used
    */
   acquireToContinue: (
     signal: AbortSignal,
-    stream: { version: RunVersion, without?: string }
+    stream: { version: RunVersion, without?: string, mustGoBack?: boolean }
   ) => Promise<Result<SlotGrant, RefusalError>>
   /** Keeps the job away from a target on which it has failed. */
   exclude: (targetId: string, cause: EngineErrorKind | undefined) => void
+  /** Keeps the job away from a target that it has left only for its silence, and that may be sound. */
+  leaveSilent: (targetId: string) => void
+  /** Returns whether a target that the job has left for its silence has not failed since. */
+  hasSilentTarget: () => boolean
 }
 
 /** Returns the pause before a stream that has begun asks for a slot again, in milliseconds. */
@@ -52,6 +57,8 @@
   const excluded = new Set<string>()
   /** Targets to be tried again once no other is left. */
   const postponed = new Set<string>()
+  /** Targets that were left for their silence and have not failed since. */
+  const silentTargets = new Set<string>()
 
   /** Returns the targets that have not loaded the model; none when its placement is not known from the controller. */
   function findTargetsWithoutModel (): string[] {
@@ -105,17 +112,21 @@
 
   async function acquireToContinue (
     signal: AbortSignal,
-    { version, without }: { version: RunVersion, without?: string }
+    { version, without, mustGoBack = false }: { version: RunVersion, without?: string, mustGoBack?: boolean }
   ): Promise<Result<SlotGrant, RefusalError>> {
+    const mayUse = (targetId: string): boolean => !mustGoBack || silentTargets.has(targetId)
     const findUnfit = (): string[] => [
-      ...findUnusable(without), ...findOtherVersions(membership, job.service, version)
+      ...findUnusable(without),
+      ...findOtherVersions(membership, job.service, version),
+      ...membership.targets(job.service).map(({ id }) => id).filter((id) => !mayUse(id))
     ]
     for (;;) {
       const grant = await acquireAwayFromSuspects(findUnfit(), true, signal)
       if (signal.aborted) return grant
       if (grant.isOk()) {
-        if (canContinueOn(membership, grant.value.target, version)) return grant
-        // The target has been replaced by one of another version during the wait.
+        const { target } = grant.value
+        if (mayUse(target.id) && canContinueOn(membership, target, version)) return grant
+        // During the wait, the target has joined or has been replaced by one of another version.
         grant.value.release({ result: 'revoked' })
         continue
       }
@@ -134,8 +145,16 @@
     acquire: async (signal, without) => await acquireAwayFromSuspects(findUnusable(without), false, signal),
     acquireToContinue,
     exclude: (targetId, cause) => {
-      if (cause !== undefined && TEMPORARY_FAILURES.has(cause)) postponed.add(targetId)
+      const isTemporary = cause !== undefined && TEMPORARY_FAILURES.has(cause)
+      if (isTemporary) postponed.add(targetId)
       else excluded.add(targetId)
-    }
+      // A target that has refused the job before it ran is not at fault, so that it may be asked again.
+      if (!isTemporary || cause === 'streamSilent') silentTargets.delete(targetId)
+    },
+    leaveSilent: (targetId) => {
+      postponed.add(targetId)
+      silentTargets.add(targetId)
+    },
+    hasSilentTarget: () => silentTargets.size > 0
   }
 }
