--- a/packages/pimentoplank/src/entry/live/liveRun.ts
+++ b/packages/pimentoplank/src/entry/live/liveRun.ts
@@ -28,6 +28,9 @@
 /** Crashes after which a job ends, whether or not its content is quarantined. */
 const MAX_CRASHES = 2
 
+/** Pause of a silent stream before it checks again whether its content is quarantined, in milliseconds. */
+const QUARANTINE_PAUSE_MS = 100
+
 /** Cheap refusals that indicate neither load nor faults, so that their retries need no budget. */
 const UNBUDGETED_RETRIES: ReadonlySet<EngineErrorKind> = new Set(['targetLeaving', 'modelNotLoaded'])
 
@@ -98,7 +101,8 @@
     }
     outcome = getWorseOutcome(outcome, FAILURE_OUTCOMES.streamSilent)
     attemptsLeft -= 1
-    giveUp(current, 'streamSilent')
+    giveUp(current)
+    search.leaveSilent(targetId)
     attempt = undefined
     nextGrant = end.replacement
     return undefined
@@ -117,20 +121,28 @@
   async function acquireElsewhere (targetId: string, stopped: AbortSignal): Promise<SlotGrant | undefined> {
     if (!job.repeatable || attemptsLeft <= 1) return undefined
     if (tokens === 0 && !deps.budget.tryTakeRetry(job.service)) return undefined
-    const grant = await (tokens > 0
-      ? search.acquireToContinue(stopped, { version, without: targetId })
-      : search.acquire(stopped, targetId))
-    return grant.unwrapOr(undefined)
+    while (!stopped.aborted) {
+      // Given up while it is quarantined, the stream would be refused elsewhere.
+      if (isQuarantined()) {
+        await clock.sleep(QUARANTINE_PAUSE_MS, stopped)
+        continue
+      }
+      const grant = await (tokens > 0
+        ? search.acquireToContinue(stopped, { version, without: targetId })
+        : search.acquire(stopped, targetId))
+      if (grant.isErr()) return undefined
+      if (!isQuarantined()) return grant.value
+      grant.value.release({ result: 'revoked' })
+    }
+    return undefined
   }
 
   async function openAttempt (): Promise<Result<Attempt, RefusalError>> {
     for (;;) {
       const held = nextGrant
       nextGrant = undefined
-      if (await isRefusedByQuarantine()) {
-        held?.release({ result: 'revoked' })
-        return err(createRefusal('quarantined'))
-      }
+      // A held slot was acquired while the content was not quarantined.
+      if (held === undefined && await isRefusedByQuarantine()) return err(createRefusal('quarantined'))
       const grant = held === undefined ? await acquire() : ok<SlotGrant, RefusalError>(held)
       if (grant.isErr()) return err(grant.error)
       const allowed = await allowDispatch()
@@ -145,15 +157,21 @@
     }
   }
 
+  function isQuarantined (): boolean {
+    return !isProbe && deps.quarantine.isQuarantined(job.contentHash, job.partHashes)
+  }
+
   async function isRefusedByQuarantine (): Promise<boolean> {
-    if (isProbe || !deps.quarantine.isQuarantined(job.contentHash, job.partHashes)) return false
+    if (!isQuarantined()) return false
     isProbe = job.repeatable && await deps.quarantine.claimProbe(job.contentHash, job.partHashes)
     return !isProbe
   }
 
   async function acquire (): Promise<Result<SlotGrant, RefusalError>> {
     const startedAt = clock.now()
-    const grant = await (tokens > 0 ? search.acquireToContinue(signal, { version }) : search.acquire(signal))
+    const grant = await (tokens > 0
+      ? search.acquireToContinue(signal, { version, mustGoBack: attemptsLeft <= 0 })
+      : search.acquire(signal))
     metrics.timing('live.slotWait', clock.now() - startedAt)
     if (grant.isOk()) return grant
     if (signal.aborted) return err(createStopRefusal())
@@ -233,15 +251,15 @@
     if (!isAlive && cause.kind === 'streamCut') return await handleCrash(broken)
     const resumed = isAlive && mayStay(broken) ? await resumeOnSameTarget(broken, cause) : err(cause)
     if (resumed.isOk()) return undefined
-    giveUp(broken, resumed.error.kind)
+    giveUp(broken)
+    search.exclude(broken.grant.target.id, resumed.error.kind)
     return retryOrRefuse(cause)
   }
 
   /** Ends a stream that another one replaces and must not run beside. */
-  function giveUp (abandoned: Attempt, cause: EngineErrorKind): void {
+  function giveUp (abandoned: Attempt): void {
     abandoned.stream.cancel().catch(() => undefined)
     release(abandoned, 'failed')
-    search.exclude(abandoned.grant.target.id, cause)
   }
 
   /** Opens a new connection to the stream, which still runs on the same target. */
@@ -295,7 +313,9 @@
     const hasNotRun = outcome === 'not_run'
     // A stream that has begun is not cut by targets that refuse it before they run it.
     if (tokens === 0 || cause?.reached !== false) attemptsLeft -= 1
-    if ((!job.repeatable && !hasNotRun) || attemptsLeft <= 0) return createFailureRefusal(cause)
+    // With its attempts used, a stream that has begun may still go back to a target that it left for its silence.
+    const isLast = attemptsLeft <= 0 && !(tokens > 0 && search.hasSilentTarget())
+    if ((!job.repeatable && !hasNotRun) || isLast) return createFailureRefusal(cause)
     return spendRetry(cause) ? undefined : createRefusal('retryBudget', cause)
   }
 
