Send nothing new to targets that say in their answers that they leave

Cause: a replica that leaves says so in all its answers (`Server-Leaving: 1`), which was decoded nowhere. A replica whose entry stays `ready` got requests for as long as its entry stood, later than the drain bound after its answer.

Change: `AnswerHead.isLeaving`; the directory remembers by process (hash of the id, start of the process) which targets leave. Such a process is no candidate for plain requests, streams that go on and items, whatever its entry says or whether it lapses and comes back; an entry with a later start under the id is another process. Refusals and the answer to a call for its state tell it, too. Full reports tell peers, at once and to those that start later. Where no other target is left, requests (not items) are still passed on for half of the drain bound, so that they can be answered within it; then callers are refused with a time to return. The same holds for targets whose entries say that they leave.

Ruled out: the other stack. Its engines and services have no such header; their refusal `leaving` is decoded already and leaves the target out.

--- a/packages/pimentoplank/src/relay/constants.ts
+++ b/packages/pimentoplank/src/relay/constants.ts
@@ -17,6 +17,8 @@
 export const PREFERRING_INSTANCES = 3
 /** The directory answers with local instances only if at least this many serve in the failure domain of the caller. */
 export const MIN_LOCAL_INSTANCES = 4
+/** Share of the drain bound during which targets that leave are used where no others are left; they answer until it. */
+export const LEAVING_GRACE_SHARE = 0.5
 /** Interval of periodic work, in milliseconds. */
 export const TICK_INTERVAL_MS = 100
 /** Share of the drain bound during which targets whose entries disappeared together are still used. */
--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -8,8 +8,8 @@
 import { createDirectory, createRelayHandler, type CallerProtocol, type Directory, type RelayHandler } from './callers'
 import {
   URGENT_REPORT_DELAY_MS, CRASH_RETENTION_MS, DIRECTORY_MAX_AGE_MS, DIRECTORY_STALENESS_FACTOR, FEED_TIMINGS,
-  GOSSIP_SETTINGS, JOB_NOTICE_MS, PREFERRING_INSTANCES, REMOVAL_GRACE_SHARE, TARGET_CONNECT_TIMEOUT_MS,
-  TARGET_IDLE_TIMEOUT_MS, TICK_INTERVAL_MS
+  GOSSIP_SETTINGS, JOB_NOTICE_MS, LEAVING_GRACE_SHARE, PREFERRING_INSTANCES, REMOVAL_GRACE_SHARE,
+  TARGET_CONNECT_TIMEOUT_MS, TARGET_IDLE_TIMEOUT_MS, TICK_INTERVAL_MS
 } from './constants'
 import { createFeedMembers } from './feedMembers'
 import { createExchange, createTargetConnectionPool } from './exchange'
@@ -114,6 +114,7 @@
     feed,
     ...protocols.targetEntries,
     removalGraceMs: settings.bounds.drainMs * REMOVAL_GRACE_SHARE,
+    leavingGraceMs: settings.bounds.drainMs * LEAVING_GRACE_SHARE,
     clock,
     log
   })
@@ -156,7 +157,8 @@
   const exchange = createExchange({
     protocol: protocols.targets,
     connections,
-    onHead: ({ id }, head) => {
+    onHead: ({ id, startedAt }, head, processStartedAt) => {
+      if (head.isLeaving) recordLeaving(id, startedAt, processStartedAt)
       // Only a signed answer is known to be whole, so that the absence of a limit says something.
       if (head.limitPerSecond !== undefined || head.isSigned) limits.recordAnswer(id, head.limitPerSecond)
     },
@@ -302,6 +304,7 @@
     for (const { job, ...ownership } of report.jobs) jobRegistry.update(job, ownership)
     crashes.merge(report)
     limits.merge(report.limits)
+    targets.mergeLeaving(report.leaving)
     streamVersions.merge(report.streams, 'heard')
     scheduleDispatch()
   })
@@ -379,6 +382,7 @@
       ...crashes.getReport(),
       limits: limits.getNotices(),
       streams: streamVersions.getNotices(),
+      leaving: targets.getLeavingNotices(),
       configRevision: Math.max(0, feed.revision(protocols.config.kind)),
       openJobs: getOpenTokens(jobRegistry)
     }
@@ -393,6 +397,12 @@
     }
   }
 
+  /** A process that was asked may be another one than that of the entry, which then is out of date. */
+  function recordLeaving (id: string, listed: number | undefined, found: number | undefined): void {
+    const isNew = [...new Set([listed, found ?? listed])].map((startedAt) => targets.recordLeaving(id, startedAt))
+    if (isNew.includes(true)) scheduleReport()
+  }
+
   function yieldItemsByKey (key: number, count: number): void {
     const load = loads.getLoadByKey(key)
     if (load !== undefined) runner.yieldItems(load.target.id, count)
--- a/packages/pimentoplank/src/relay/exchange/exchange.ts
+++ b/packages/pimentoplank/src/relay/exchange/exchange.ts
@@ -78,8 +78,12 @@
 export interface ExchangeOptions {
   protocol: TargetProtocol
   connections: TargetConnectionPool
-  /** Called with the head of each answer of the target that was asked. */
-  onHead: (target: Target, head: AnswerHead) => void
+  /**
+   * Called with the head of each answer of the target that was asked.
+   *
+   * @param processStartedAt - when the process that answered started; undefined if it was not asked
+   */
+  onHead: (target: Target, head: AnswerHead, processStartedAt: number | undefined) => void
   /** Called when another process answers at the address of a target than the one that its entry describes. */
   onOtherProcess: (target: Target, startedAt: number) => void
   clock: Clock
@@ -138,7 +142,7 @@
       head, getBodyFraming(headers), receiver, connection, removeAbortListener, target.address
     )
     const failure = findHeadFailure(outgoing, head)
-    if (failure === undefined || failure.reason === 'refused') onHead(target, head)
+    if (failure === undefined || failure.reason === 'refused') onHead(target, head, connection.processStartedAt)
     if (failure === undefined) return ok(answer)
     if (failure.reason === 'spoiled') answer.close()
     else drainAnswer(answer).finally(() => answer.close()).catch(() => undefined)
@@ -172,12 +176,18 @@
 
   /** Returns a connection whose process was asked for its start; one without it where the process does not tell. */
   async function openIdentified (
-    { id, address }: Target, signal: AbortSignal
+    target: Target, signal: AbortSignal
   ): Promise<Result<TargetConnection, SendFailure>> {
+    const { id, address } = target
     for (let attempt = 1; ; attempt++) {
       const connection = connections.acquire(address)
       if (connection.processStartedAt !== undefined) return ok(connection)
-      const started = await identifyProcess(connection, protocol.state, () => connections.destroy(connection), signal)
+      const started = await identifyProcess(connection, {
+        protocol,
+        onHead: (head, startedAt) => onHead(target, head, startedAt),
+        abort: () => connections.destroy(connection),
+        signal
+      })
       metrics.count(started.isOk() ? 'targets.identified' : 'targets.notIdentified')
       if (started.isOk() && connections.isUsable(connection)) {
         connection.processStartedAt = started.value
--- a/packages/pimentoplank/src/relay/exchange/identifyProcess.ts
+++ b/packages/pimentoplank/src/relay/exchange/identifyProcess.ts
@@ -1,7 +1,7 @@
 /** Asks the process at the other end of a connection when it started. */
 import { err, ok, type Result } from 'neverthrow'
 import { KIB_BYTES, SECOND_MS } from '../../shared'
-import type { TargetProtocol } from '../model'
+import type { AnswerHead, TargetProtocol } from '../model'
 import type { TargetConnection } from './connectionPool'
 import { createResponseReceiver } from './responseReceiver'
 
@@ -19,19 +19,26 @@
   }
 }
 
+export interface IdentifyOptions {
+  protocol: Pick<TargetProtocol, 'decodeHead' | 'state'>
+  /** Called with the head of the answer, and when the process started if it tells. */
+  onHead: (head: AnswerHead, startedAt: number | undefined) => void
+  /** Closes the connection. */
+  abort: () => void
+  signal: AbortSignal
+}
+
 /**
  * Asks on a connection that carries no other request.
  *
- * @param abort - closes the connection
  * @returns when the process started, in milliseconds by its own clock; `UnknownProcess` if it does not tell, another
  * error if the connection failed
  */
 export async function identifyProcess (
   connection: TargetConnection,
-  state: TargetProtocol['state'],
-  abort: () => void,
-  signal: AbortSignal
+  { protocol, onHead, abort, signal }: IdentifyOptions
 ): Promise<Result<number, Error>> {
+  const { state } = protocol
   const receiver = createResponseReceiver()
   const stop = (cause: Error): void => {
     abort()
@@ -44,10 +51,12 @@
     connection.dispatch({ method: 'GET', path: state.path, mark: { sent: false } }, receiver.handler)
     const head = await receiver.head()
     if (head.isErr()) return err(head.error)
+    const { status, headers } = head.value
     const body = await readBody(receiver.read)
     if (body.isErr()) return err(body.error)
-    if (head.value.status !== STATUS_OK) return err(new UnknownProcess(`the state has status ${head.value.status}`))
-    const startedAt = state.decodeStartedAt(body.value)
+    const startedAt = status === STATUS_OK ? state.decodeStartedAt(body.value) : undefined
+    onHead(protocol.decodeHead(status, headers), startedAt)
+    if (status !== STATUS_OK) return err(new UnknownProcess(`the state has status ${status}`))
     return startedAt === undefined ? err(new UnknownProcess('the state does not tell the start')) : ok(startedAt)
   } finally {
     clearTimeout(timer)
--- a/packages/pimentoplank/src/relay/gossip/datagrams.ts
+++ b/packages/pimentoplank/src/relay/gossip/datagrams.ts
@@ -31,6 +31,9 @@
     answeredParts: report.answeredParts.map(({ part, at }) => ({ part, ageMs: toAgeMs(at, now) })),
     suspects: [...report.suspects],
     streams: encodeStreams(report.streams, now),
+    leavingTargets: report.leaving.map(({ target, startedAt, at }) => ({
+      target, startedAt: startedAt === undefined ? undefined : BigInt(startedAt), ageMs: toAgeMs(at, now)
+    })),
     configRevision: BigInt(report.configRevision),
     openJobs: [...report.openJobs].map(([job, tokens]) => ({ job, tokens: BigInt(Math.round(tokens)) }))
   })
@@ -182,6 +185,9 @@
       crashingParts: rest.crashingParts.map(({ parts, ageMs }) => ({ parts, at: now - ageMs })),
       limits: rest.targetLimits.map(({ target, perSecond, ageMs }) => ({ target, perSecond, at: now - ageMs })),
       streams: decodeStreams(rest.streams, now),
+      leaving: rest.leavingTargets.map(({ target, startedAt, ageMs }) => ({
+        target, startedAt: startedAt === undefined ? undefined : Number(startedAt), at: now - ageMs
+      })),
       answeredParts: rest.answeredParts.map(({ part, ageMs }) => ({ part, at: now - ageMs })),
       configRevision: Number(rest.configRevision),
       openJobs: new Map(openJobs.map(({ job, tokens }) => [job, Number(tokens)]))
--- a/packages/pimentoplank/src/relay/gossip/gossip.ts
+++ b/packages/pimentoplank/src/relay/gossip/gossip.ts
@@ -12,7 +12,8 @@
 
 /** Part of a full report that the instance provides. */
 export type OwnReport = Pick<
-  Report, 'stage' | 'callerAddress' | 'jobs' | 'configRevision' | 'openJobs' | 'limits' | 'streams' | keyof CrashReport
+  Report, 'stage' | 'callerAddress' | 'jobs' | 'configRevision' | 'openJobs' | 'limits' | 'streams' | 'leaving' |
+  keyof CrashReport
 >
 
 /** Part of a report that changes with each request. */
--- a/packages/pimentoplank/src/relay/gossip/largeFleet.steps.ts
+++ b/packages/pimentoplank/src/relay/gossip/largeFleet.steps.ts
@@ -49,6 +49,7 @@
       answeredParts: [],
       limits: [],
       streams: [],
+      leaving: [],
       configRevision: 1,
       openJobs: new Map()
     }),
--- a/packages/pimentoplank/src/relay/gossip/types.ts
+++ b/packages/pimentoplank/src/relay/gossip/types.ts
@@ -77,6 +77,16 @@
   keepUntil: number
 }
 
+/** A process of a target that has said that it leaves. */
+export interface LeavingNotice {
+  /** Hash of the target's id. */
+  target: number
+  /** When the process started, in milliseconds by its own clock; undefined if its entry does not tell. */
+  startedAt: number | undefined
+  /** When an instance first heard it, on the local monotonic clock in milliseconds. */
+  at: number
+}
+
 export interface Report extends CrashReport {
   instance: string
   /** Wall clock time at which the process started, in milliseconds. */
@@ -96,6 +106,7 @@
   limits: readonly LimitNotice[]
   /** Streams that were placed a short while ago. */
   streams: readonly StreamNotice[]
+  leaving: readonly LeavingNotice[]
   configRevision: number
   /** Tokens of items that have no result yet, by hash of the job's id. */
   openJobs: ReadonlyMap<number, number>
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
@@ -98,6 +98,7 @@
     isFresh: true,
     isPreferred: false,
     isOutdated: false,
+    isLeaving: false,
     allowance: Infinity
   })
 }
@@ -126,7 +127,7 @@
     signal.addEventListener('abort', () => push(err(new SendFailure('broken', true, 'aborted'))))
     world.sent.push({ ...outgoing, push })
     return ok({
-      head: { status: 200, headers: [], isNotRun: false, isOtherTarget: false, isSigned: true },
+      head: { status: 200, headers: [], isNotRun: false, isOtherTarget: false, isSigned: true, isLeaving: false },
       getEnding: () => ({ framing: 'chunks' as const, bytes: 0, connection: 'open' as const }),
       read: async () => {
         while (chunks.length === 0) await new Promise<void>((resolve) => { wake = resolve })
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.ts
@@ -130,14 +130,14 @@
   }
 
   function startItems (service: string, own: StartableItem[], others: readonly WaitingItems[]): void {
-    // The version that an outdated target would write is not known.
-    const all = loads.getLoads(service).filter(({ isOutdated }) => !isOutdated)
+    // The version that an outdated target would write is not known; one that leaves ends before most items do.
+    const all = loads.getLoads(service).filter(({ isOutdated, isLeaving }) => !isOutdated && !isLeaving)
     const silent = new Set([...running].filter(({ isSilent }) => isSilent).map(({ target }) => target))
     const candidates = all.map((load) => toCandidate(load, silent))
     const slots = all.reduce((sum, { target }) => sum + target.slots, 0)
     const liveReserve = Math.round(slots * rules.liveReserveShare)
     for (const item of own) {
-      const countTargets = (name: string): number => loads.getLoads(name).length
+      const countTargets = (name: string): number => loads.getLoads(name).filter(({ isLeaving }) => !isLeaving).length
       const blockedText = { ...options, candidates, countTargets, liveReserve, pace }
       if (item.run !== undefined || !dropBlockedText(item, blockedText)) continue
       item.version = undefined
--- a/packages/pimentoplank/src/relay/live/slotScheduler.steps.ts
+++ b/packages/pimentoplank/src/relay/live/slotScheduler.steps.ts
@@ -57,6 +57,7 @@
     ownBatch: 0,
     isSuspect: false,
     isOutdated: false,
+    isLeaving: false,
     isFresh: true,
     isPreferred: true,
     allowance: Infinity
--- a/packages/pimentoplank/src/relay/live/slotScheduler.ts
+++ b/packages/pimentoplank/src/relay/live/slotScheduler.ts
@@ -88,7 +88,14 @@
   let queue: Waiting[] = []
   const meanRunMs = new Map<string, number>()
 
+  /** Targets that leave are candidates only where no others are. */
   function findCandidates (ask: SlotQuery): TargetLoad[] {
+    const candidates = findTargets(ask)
+    const staying = candidates.filter(({ isLeaving }) => !isLeaving)
+    return staying.length > 0 ? staying : candidates
+  }
+
+  function findTargets (ask: SlotQuery): TargetLoad[] {
     const { only } = ask
     const all = loads.getLoads(ask.service).filter(({ target }) => only === undefined || only.has(target.id))
     const { version, excluded, reusable } = ask
--- a/packages/pimentoplank/src/relay/load/loadView.ts
+++ b/packages/pimentoplank/src/relay/load/loadView.ts
@@ -26,6 +26,8 @@
   isSuspect: boolean
   /** True when another process than the listed one answers at its address; its entry is out of date. */
   isOutdated: boolean
+  /** True when it leaves and is used only where no others are left. */
+  isLeaving: boolean
   /** True when the load is only milliseconds old; that of other failure domains is about a second old. */
   isFresh: boolean
   /** True when this instance tries the target before others. */
@@ -53,7 +55,7 @@
 }
 
 export interface LoadView {
-  /** Lists the load of each target of a service that may receive new requests. */
+  /** Lists the load of each target of a service that may receive new requests, leaving ones included. */
   getLoads: (service: string) => TargetLoad[]
   /** Finds the load of a target by its id; undefined for an unknown target. */
   getLoad: (targetId: string) => TargetLoad | undefined
@@ -144,7 +146,7 @@
     return (suspicions.get(id)?.until ?? 0) > clock.now()
   }
 
-  function computeLoad (target: Target): TargetLoad {
+  function computeLoad (target: Target, isLeaving = false): TargetLoad {
     const key = getKey(target.id)
     const ownUse = ownUses.get(target.id)
     const peerUse = peerUses.getUse(key)
@@ -157,6 +159,7 @@
       ownBatch: ownUse?.batch ?? 0,
       isSuspect: isOwnSuspect(target.id) || peerUses.isSuspect(key),
       isOutdated: target.startedAt !== undefined && outdated.get(target.id) === target.startedAt,
+      isLeaving,
       isFresh: options.isClose(target.failureDomain),
       isPreferred: options.isPreferred(target),
       allowance: options.limits.getAllowance(target),
@@ -182,7 +185,10 @@
   }
 
   return {
-    getLoads: (service) => targets.getUsable(service).map(computeLoad),
+    getLoads: (service) => [
+      ...targets.getUsable(service).map((target) => computeLoad(target)),
+      ...targets.getLeaving(service).map((target) => computeLoad(target, true))
+    ],
     getLoad: findLoad,
     getLoadByKey: (key) => {
       for (const target of targets.all()) if (getKey(target.id) === key) return computeLoad(target)
--- a/packages/pimentoplank/src/relay/model/types.ts
+++ b/packages/pimentoplank/src/relay/model/types.ts
@@ -161,6 +161,8 @@
   isOtherTarget: boolean
   /** True when the response carries a signature that shows it comes from a target. */
   isSigned: boolean
+  /** True when the target says that it leaves, which its entry may not tell. */
+  isLeaving: boolean
   load?: ReportedLoad
   /** Requests a second that the target takes from all instances together; undefined when it names no limit. */
   limitPerSecond?: number
--- a/packages/pimentoplank/src/relay/targets/targetDirectory.ts
+++ b/packages/pimentoplank/src/relay/targets/targetDirectory.ts
@@ -1,6 +1,8 @@
 /** Service discovery: tracks the targets that are registered in the platform's object store. */
-import type { Clock, Log, ObjectFeed, WatchEvent } from '../../shared'
+import { hash32, type Clock, type Log, type ObjectFeed, type WatchEvent } from '../../shared'
+import type { LeavingNotice } from '../gossip'
 import type { Target } from '../model'
+import { createLeavingTargets } from './leavingTargets'
 import { createVersionTracker, type RegisteredVersions } from './versionHistory'
 
 export interface TargetDirectoryOptions {
@@ -16,6 +18,8 @@
   decode: (id: string, value: unknown) => Target | undefined
   /** How long removed targets stay in use after a mass removal of registrations, in milliseconds. */
   removalGraceMs: number
+  /** How long targets that leave stay in use where no others are left, in milliseconds. */
+  leavingGraceMs: number
   clock: Clock
   log: Log
 }
@@ -23,6 +27,19 @@
 export interface TargetDirectory {
   /** Lists the targets of a service that may receive new requests. */
   getUsable: (service: string) => readonly Target[]
+  /** Lists targets of a service that leave but still answer requests that are sent now. */
+  getLeaving: (service: string) => readonly Target[]
+  /**
+   * Records that a process of a target has said that it leaves; its entry doesn't undo that.
+   *
+   * @param startedAt - when the process started, by its own clock; undefined if its entry does not tell
+   * @returns true if this was not known
+   */
+  recordLeaving: (id: string, startedAt: number | undefined) => boolean
+  /** Merges which processes have told peers that they leave. */
+  mergeLeaving: (notices: readonly LeavingNotice[]) => void
+  /** Returns which processes of targets leave, for reports. */
+  getLeavingNotices: () => LeavingNotice[]
   /** Finds a registered target by id, including leaving ones; undefined when it is not registered. */
   get: (id: string) => Target | undefined
   /** True when the target may receive new requests. */
@@ -50,9 +67,15 @@
 
 /** Creates the directory and subscribes it to the registrations. */
 export function createTargetDirectory (options: TargetDirectoryOptions): TargetDirectory {
-  const { feed, kind, decode, removalGraceMs, clock, log } = options
+  const { feed, kind, decode, removalGraceMs, leavingGraceMs, clock, log } = options
   const targets = new Map<string, Target>()
+  const idsByKey = new Map<number, string>()
   const removed = new Map<string, RemovedTarget>()
+  /** When the entry of a target began to say that it leaves. */
+  const leavingSince = new Map<string, number>()
+  const leaving = createLeavingTargets({
+    findByKey: (key) => targets.get(idsByKey.get(key) ?? ''), clock, log
+  })
   const versions = createVersionTracker(clock)
   const listeners: Array<() => void> = []
   const processListeners: Array<(target: Target) => void> = []
@@ -65,15 +88,21 @@
       remove(event.name, before)
     } else {
       targets.set(event.name, after)
+      idsByKey.set(hash32(event.name), event.name)
       removed.delete(event.name)
     }
     if (versions.record(before, after)) {
       log.info({ target: event.name, version: after?.version, revision: event.revision }, 'target has another version')
     }
     if (after !== undefined && after.startedAt !== before?.startedAt) {
+      if (leaving.getSince(after) !== undefined) {
+        log.info({ target: after.id, startedAt: after.startedAt, source: 'heard' }, 'target leaves')
+      }
       processListeners.forEach((listener) => listener(after))
     }
     if (before?.state !== after?.state) {
+      if (after?.state === 'leaving') leavingSince.set(event.name, clock.now())
+      else leavingSince.delete(event.name)
       log.info({
         target: event.name, from: before?.state, to: after?.state ?? 'gone', revision: event.revision
       }, 'target changed')
@@ -83,6 +112,7 @@
 
   function remove (id: string, before: Target | undefined): void {
     targets.delete(id)
+    idsByKey.delete(hash32(id))
     if (before?.state === 'ready') removed.set(id, { target: before, at: clock.now() })
   }
 
@@ -91,11 +121,29 @@
     for (const [id, { at }] of removed) {
       if (at < since) removed.delete(id)
     }
-    return [...removed.values()].map(({ target }) => target).filter((target) => target.service === service)
+    return [...removed.values()].map(({ target }) => target)
+      .filter((target) => target.service === service && leaving.getSince(target) === undefined)
+  }
+
+  function getLeavingTargets (service: string): Target[] {
+    const since = clock.now() - leavingGraceMs
+    return [...targets.values()].filter((target) => {
+      if (target.service !== service) return false
+      const leftAt = Math.min(leavingSince.get(target.id) ?? Infinity, leaving.getSince(target) ?? Infinity)
+      return leftAt < Infinity && leftAt >= since
+    })
+  }
+
+  function recordLeaving (id: string, startedAt: number | undefined): boolean {
+    const isNew = leaving.record(id, startedAt)
+    if (isNew) listeners.forEach((listener) => listener())
+    return isNew
   }
 
   function getUsableTargets (service: string): readonly Target[] {
-    const ready = [...targets.values()].filter((target) => target.service === service && target.state === 'ready')
+    const ready = [...targets.values()].filter((target) => (
+      target.service === service && target.state === 'ready' && leaving.getSince(target) === undefined
+    ))
     if (removed.size === 0) return ready
     const recent = getRecentlyRemoved(service)
     return recent.length > MASS_REMOVAL_SHARE * (ready.length + recent.length) ? [...ready, ...recent] : ready
@@ -108,6 +156,10 @@
 
   return {
     getUsable: getUsableTargets,
+    getLeaving: getLeavingTargets,
+    recordLeaving,
+    mergeLeaving: leaving.merge,
+    getLeavingNotices: leaving.getNotices,
     get: (id) => targets.get(id),
     isUsable: (id) => {
       const target = targets.get(id) ?? removed.get(id)?.target
