Register open requests in a set rather than as listeners of one signal

Cause: each live request added a listener to the signal that ends requests at the end of a shutdown. With more than ten requests at once Node warns of a leak on standard error, on nearly every entry, in a line that is not JSON.

Change: a registry of the functions that end requests.

Ruled out: raising the listener limit, which hides further leaks; AbortSignal.any on the signal, which keeps the dependants of a signal that lives as long as the process.

--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -19,7 +19,9 @@
   createJobStore, createQuota, handOverJobs, getOpenTokens,
   type JobApi
 } from './jobs'
-import { createCrashingPartsStore, createCrashTracker, createSlotScheduler, createSilenceDetector } from './live'
+import {
+  createCrashingPartsStore, createCrashTracker, createOpenRequests, createSlotScheduler, createSilenceDetector
+} from './live'
 import { createLoadView, createPeerUses, createTargetLimits, createTargetPreference } from './load'
 import type { RelayConfig, Target, TargetProtocol } from './model'
 import { createRouteTable, type RouteTable } from './routing'
@@ -85,7 +87,7 @@
     clock,
     log
   })
-  const requestsEnd = new AbortController()
+  const openRequests = createOpenRequests()
   let table: RouteTable | undefined
   let isClosed = false
   let reportTimer: NodeJS.Timeout | undefined
@@ -264,7 +266,7 @@
         log
       }),
       crashes,
-      closing: requestsEnd.signal,
+      openRequests,
       rules: RELAY_RULES.live,
       clock,
       metrics,
@@ -486,7 +488,7 @@
     applySettings,
     stop: async () => {
       await shutdown.stop()
-      requestsEnd.abort()
+      openRequests.endAll()
       // The refusals have to be written before the connections of callers are closed.
       await new Promise((resolve) => setImmediate(resolve))
       await close()
--- a/packages/pimentoplank/src/relay/live/index.ts
+++ b/packages/pimentoplank/src/relay/live/index.ts
@@ -3,6 +3,7 @@
 export { createCrashTracker, type CrashTracker } from './crashTracker'
 export { BEGINNING_EVENTS } from './attemptTarget'
 export type { LiveCall, RelayDeps, RelayRules } from './liveCall'
+export { createOpenRequests, type OpenRequests } from './openRequests'
 export { handleUnexpectedError, relayRequest } from './relayRequest'
 export { createSlotScheduler, type Slot, type SlotQuery, type SlotScheduler } from './slotScheduler'
 export { createSilenceDetector, type SilenceDetector } from './silenceDetector'
--- a/packages/pimentoplank/src/relay/live/liveCall.ts
+++ b/packages/pimentoplank/src/relay/live/liveCall.ts
@@ -6,6 +6,7 @@
 import type { StreamVersionFinder, StreamVersions } from '../streams'
 import type { CallerReply } from './callerReply'
 import type { CrashTracker } from './crashTracker'
+import type { OpenRequests } from './openRequests'
 import type { SilenceDetector } from './silenceDetector'
 import type { SlotScheduler } from './slotScheduler'
 
@@ -40,8 +41,8 @@
   streamVersions: Pick<StreamVersions, 'recordPlacement'>
   streamVersionFinder: StreamVersionFinder
   crashes: CrashTracker
-  /** Aborts when this instance has to end; requests that are left are refused, or cut if their answer has begun. */
-  closing: AbortSignal
+  /** Ends when this instance has to; requests that are left are refused, or cut if their answer has begun. */
+  openRequests: Pick<OpenRequests, 'add' | 'isEnded'>
   rules: RelayRules
   clock: Clock
   metrics: Metrics
--- a/packages/pimentoplank/src/relay/live/relayRequest.ts
+++ b/packages/pimentoplank/src/relay/live/relayRequest.ts
@@ -20,7 +20,7 @@
   const over = new AbortController()
   const end = (): void => over.abort()
   const timer = setTimeout(end, Math.max(0, endAt - clock.now()))
-  deps.closing.addEventListener('abort', end)
+  const removeOpenRequest = deps.openRequests.add(end)
   const ended = AbortSignal.any([over.signal, reply.disconnected])
   const progress: Progress = {
     runs: 0,
@@ -91,7 +91,7 @@
     }
   } finally {
     clearTimeout(timer)
-    deps.closing.removeEventListener('abort', end)
+    removeOpenRequest()
     heldSlot?.discard()
   }
 
@@ -161,7 +161,7 @@
 
   function failRequest (refusal: RefusalError): void {
     const outcome = progress.runs > 0 ? 'failed' : refusal.outcome
-    const reason = deps.closing.aborted ? 'addressMoved' : refusal.reason
+    const reason = deps.openRequests.isEnded() ? 'addressMoved' : refusal.reason
     const last = outcome === refusal.outcome && reason === refusal.reason
       ? refusal
       : new RefusalError(reason, { outcome, detail: refusal.message, cause: refusal })
