Conclude the version of a stream only from all versions a service ever had

Cause: `findOnlyVersion` concluded from what an instance had followed since its start, and from the route's timeout and the deadlines it had seen since then. After a kill of all instances, streams that were taken up later than that were answered 200 and joined from two versions; before that, none went on, although only one version had ever served. Callers can come that late: a chain of tries, a deadline longer than the timeout of the route, a timeout that was shortened.

Change: a record for each version of a service at the platform (one small object when a version appears; one list as an instance starts). A stream of which nobody knows goes on only if its service has had one version, by the records and by what has been followed since; how late it comes doesn't matter. A version is forgotten an hour after its last target was registered. If a version that serves has no record when an instance starts, others may have had none either: nothing is concluded for an hour then, by this instance and by those that read its record.

Conclusion: never mixed however late; at once where one version has served. With two versions in an hour and all instances killed, streams are refused.

Three examples of streamVersions.feature are replaced: the route's timeout has no part in the decision any more; the new examples refuse where the old ones concluded (9 s after the other version had left) and are as strict elsewhere.

Not covered: a process at another version than its entry says (known to those that asked it) and that is gone before its entry is written, beside a kill of all instances.

--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -27,7 +27,7 @@
 import { createRouteTable, type RouteTable } from './routing'
 import { RELAY_RULES } from './rules'
 import type { RelaySettings } from './settings'
-import { createStreamService, createStreamVersionFinder, createStreamVersions } from './streams'
+import { createServiceVersions, createStreamService, createStreamVersionFinder, createStreamVersions } from './streams'
 import { createTargetDirectory } from './targets'
 
 /** Codecs for the formats that a deployment's platform, callers and targets use. */
@@ -120,6 +120,16 @@
     clock,
     log
   })
+  const serviceVersions = createServiceVersions({
+    platform,
+    getRegistered: targets.getVersions,
+    listTargets: targets.all,
+    whenListed: feed.ready(),
+    isFirstStart: settings.isFirstStart,
+    clock,
+    log
+  })
+  targets.onChange(serviceVersions.recordAll)
   targets.onProcessChange((target) => {
     if (streamVersions.resolve(target)) scheduleReport()
   })
@@ -257,8 +267,9 @@
         streamVersions,
         peers: gossip.peers,
         transports,
+        whenVersionsLoaded: serviceVersions.whenLoaded,
         getVersionHistory: (service) => ({
-          ...targets.getVersionHistory(service),
+          ...serviceVersions.getHistory(service),
           hasOutdatedEntries: loads.getLoads(service).some(({ isOutdated }) => isOutdated)
         }),
         clock,
@@ -322,6 +333,9 @@
   crashingPartsStore.load(closing.signal).then(crashes.restore).catch((cause: unknown) => {
     log.error({ cause: describeCause(cause) }, 'parts that crash targets could not be restored')
   })
+  serviceVersions.load(closing.signal).catch((cause: unknown) => {
+    log.error({ cause: describeCause(cause) }, 'versions of services could not be loaded')
+  })
   feed.ready().then(async () => await jobManager.recover()).catch((cause: unknown) => {
     log.error({ cause: describeCause(cause) }, 'jobs could not be recovered from the store')
   })
--- a/packages/pimentoplank/src/relay/decisions/index.ts
+++ b/packages/pimentoplank/src/relay/decisions/index.ts
@@ -16,6 +16,6 @@
 export { BATCH_ALLOWANCE, computeLimitShare, LIVE_ALLOWANCE, refillAllowance, type Allowance, type LimitShareInput } from './limitShare'
 export { computeSuspicion, type FailureRecord, type Suspicion, type SuspicionRules } from './suspicion'
 export {
-  findOnlyVersion, findPlacedVersion, listResumeCandidates,
+  findOnlyVersion, findPlacedVersion, FORGET_VERSION_MS, listResumeCandidates,
   type PlacedProcess, type ResumeCandidate, type ResumeInput, type VersionHistory
 } from './streamVersions'
--- a/packages/pimentoplank/src/relay/decisions/streamVersions.feature
+++ b/packages/pimentoplank/src/relay/decisions/streamVersions.feature
@@ -1,23 +1,25 @@
 Feature: At which software version a stream may go on
 
   Scenario Outline: A stream of which nothing is known, <case>
-    Given a service that has been followed for <followed> s, with versions last registered <versions>
-    When the version of a stream that may have begun 4 s ago is looked for
+    Given a service whose versions are known <known>, last registered <versions>
+    When the version of a stream of which nothing is known is looked for
     Then it is "<version>"
 
     Examples:
-      | case                                         | followed | versions        | version |
-      | while only one version has served            | 5        | v1 now          | v1      |
-      | while two versions serve                     | 5        | v1 now, v2 now  | unknown |
-      | just after the other version has left        | 5        | v1 3 ago, v2 now | unknown |
-      | long after the other version has left        | 60       | v1 9 ago, v2 now | v2      |
-      | at an instance that has just started         | 1        | v1 now          | unknown |
-      | after the last target of its version is gone | 5        | v1 2 ago        | v1      |
+      | case                                             | known              | versions         | version |
+      | while only one version has served                | from its beginning | v1 now           | v1      |
+      | while two versions serve                         | from its beginning | v1 now, v2 now   | unknown |
+      | just after the other version has left            | from its beginning | v1 3s, v2 now    | unknown |
+      | minutes after the other version has left         | from its beginning | v1 59min, v2 now | unknown |
+      | long after the other version has left            | from its beginning | v1 61min, v2 now | v2      |
+      | at an instance that doesn't know what was before | for 9s             | v1 now           | unknown |
+      | at one that has followed the service for long    | for 61min          | v1 now           | v1      |
+      | after the last target of its version is gone     | from its beginning | v1 2s            | v1      |
 
   Scenario: A stream of which nothing is known, while an entry is out of date
-    Given a service that has been followed for 60 s, with versions last registered v1 now
+    Given a service whose versions are known from its beginning, last registered v1 now
     And the entry of one of its targets is out of date
-    When the version of a stream that may have begun 4 s ago is looked for
+    When the version of a stream of which nothing is known is looked for
     Then it is "unknown"
 
   Scenario Outline: The version of a stream that was placed at a process <case>
--- a/packages/pimentoplank/src/relay/decisions/streamVersions.steps.ts
+++ b/packages/pimentoplank/src/relay/decisions/streamVersions.steps.ts
@@ -15,16 +15,22 @@
 }
 
 const NOW = 100_000
-const MS_PER_S = 1000
+const MS_PER_UNIT: Record<string, number> = { s: 1000, min: 60_000 }
 
-Given('a service that has been followed for {int} s, with versions last registered {}', function (
-  this: VersionsWorld, seconds: number, versions: string
+/** Parses a time such as `3s` or `for 61min`. */
+function parseMs (text: string): number {
+  const [, number, unit] = /(\d+)(s|min)/.exec(text)!
+  return Number(number) * MS_PER_UNIT[unit!]!
+}
+
+Given('a service whose versions are known {}, last registered {}', function (
+  this: VersionsWorld, known: string, versions: string
 ) {
   this.history = {
-    followedSince: NOW - seconds * MS_PER_S,
+    knownSince: known === 'from its beginning' ? -Infinity : NOW - parseMs(known),
     versions: new Map(versions.split(', ').map((entry): [string, number] => {
       const [version, at] = entry.split(' ')
-      return [version!, at === 'now' ? Infinity : NOW - Number(at) * MS_PER_S]
+      return [version!, at === 'now' ? Infinity : NOW - parseMs(at!)]
     })),
     hasOutdatedEntries: false
   }
@@ -34,10 +40,8 @@
   this.history.hasOutdatedEntries = true
 })
 
-When('the version of a stream that may have begun {int} s ago is looked for', function (
-  this: VersionsWorld, seconds: number
-) {
-  this.found = findOnlyVersion(this.history, seconds * MS_PER_S, NOW)
+When('the version of a stream of which nothing is known is looked for', function (this: VersionsWorld) {
+  this.found = findOnlyVersion(this.history, NOW)
 })
 
 Then('it is {string}', function (this: VersionsWorld, version: string) {
--- a/packages/pimentoplank/src/relay/decisions/streamVersions.ts
+++ b/packages/pimentoplank/src/relay/decisions/streamVersions.ts
@@ -3,29 +3,39 @@
  *
  * Load pattern: targets of several software versions serve side by side, and what two of them write does not fit
  * together. Streams break, callers take them up at other instances, and targets come back at another version under
- * their old id while peers and the platform still list the version before, for seconds if the platform is away.
+ * their old id while peers and the platform still list the version before, for seconds if the platform is away. All
+ * instances may be killed at once, and callers take up streams that began before, however late they come.
  */
+import { HOUR_MS } from '../../shared'
 import type { Target } from '../model'
 
 /** Which software versions a service has had. */
 export interface VersionHistory {
-  /** Time since which changes of the service's targets have been followed, on the monotonic clock in milliseconds. */
-  followedSince: number
-  /** When each version was last registered; infinite while it is. */
+  /**
+   * Time since which all versions that served are known, on the monotonic clock in milliseconds; `-Infinity` if those
+   * before the start of this instance are known, too.
+   */
+  knownSince: number
+  /** When each version was last registered, as far as known; infinite while it is. */
   versions: ReadonlyMap<string, number>
   /** True when the entry of a target of the service is out of date, so that another version may serve. */
   hasOutdatedEntries: boolean
 }
 
 /**
- * Finds the version of a stream of which nothing is known: the only one that the service has had for as long as a
- * stream can last.
+ * Streams of a version that has been gone for this long are not taken up any more, in milliseconds. No deadline or
+ * timeout bounds that: callers may try again for as long as they like.
+ */
+export const FORGET_VERSION_MS = HOUR_MS
+
+/**
+ * Finds the version of a stream of which nothing is known: the only one that the service has had.
  *
- * @param maxStreamMs - longest time since a stream that is taken up now may have begun, in milliseconds
+ * @param now - time on the monotonic clock, in milliseconds
  */
-export function findOnlyVersion (history: VersionHistory, maxStreamMs: number, now: number): string | undefined {
-  const since = now - maxStreamMs
-  if (history.followedSince > since || history.hasOutdatedEntries) return undefined
+export function findOnlyVersion (history: VersionHistory, now: number): string | undefined {
+  const since = now - FORGET_VERSION_MS
+  if (history.knownSince > since || history.hasOutdatedEntries) return undefined
   const recent = [...history.versions].filter(([, lastAt]) => lastAt >= since).map(([version]) => version)
   return recent.length === 1 ? recent[0] : undefined
 }
--- a/packages/pimentoplank/src/relay/live/relayRequest.ts
+++ b/packages/pimentoplank/src/relay/live/relayRequest.ts
@@ -36,7 +36,7 @@
 
   try {
     if (isTakenUp) {
-      const version = await deps.streamVersionFinder.find(request, route, call.service)
+      const version = await deps.streamVersionFinder.find(request, call.service)
       if (version.isErr()) return failRequest(version.error)
       progress.version = version.value
     }
--- a/packages/pimentoplank/src/relay/settings.ts
+++ b/packages/pimentoplank/src/relay/settings.ts
@@ -29,6 +29,7 @@
   }),
   seeds: z.array(address).default([]).describe('Addresses of peers to contact before any peer is known.'),
   bounds: boundSettings.prefault({}),
+  isFirstStart: z.boolean().default(false).describe('True when nothing has been served before this deployment started.'),
   log: logSettings.prefault({})
 })
 export type RelaySettings = z.infer<typeof relaySettings>
--- a/packages/pimentoplank/src/relay/streams/streamVersionFinder.steps.ts
+++ b/packages/pimentoplank/src/relay/streams/streamVersionFinder.steps.ts
@@ -9,7 +9,7 @@
 import { waitUntil } from '../../../features/support/waitUntil'
 import type { VersionHistory } from '../decisions'
 import type { PeerView } from '../gossip'
-import type { CallerRequest, Route } from '../model'
+import type { CallerRequest } from '../model'
 import { createStreamVersionFinder, createStreamVersions } from '.'
 
 interface FinderWorld {
@@ -26,7 +26,7 @@
 const SECURITY = { sharedKey: '' }
 const STEP_TIMEOUT_MS = 10_000
 const KEEP_MS = 10_000
-const UNKNOWN_HISTORY: VersionHistory = { followedSince: Infinity, versions: new Map(), hasOutdatedEntries: false }
+const UNKNOWN_HISTORY: VersionHistory = { knownSince: Infinity, versions: new Map(), hasOutdatedEntries: false }
 
 Given('{int} peer(s) in each of {int} failure domain(s), of which those in {string} know version {string} of {string}', { timeout: STEP_TIMEOUT_MS }, async function (
   this: FinderWorld, count: number, domains: number, knowing: string, version: string, attempt: string
@@ -86,7 +86,7 @@
 })
 
 function createHistory (version: string, hasOutdatedEntries: boolean): VersionHistory {
-  return { followedSince: -Infinity, versions: new Map([[version, Infinity]]), hasOutdatedEntries }
+  return { knownSince: -Infinity, versions: new Map([[version, Infinity]]), hasOutdatedEntries }
 }
 
 When('a caller takes up stream {string}', async function (this: FinderWorld, resumes: string) {
@@ -96,13 +96,14 @@
     streamVersions: createStreamVersions({ getTarget: () => undefined, clock, log: createSilentLog() }),
     peers: () => this.streamPeers!,
     transports: this.transports,
+    whenVersionsLoaded: async () => undefined,
     getVersionHistory: () => this.history,
     clock,
     metrics: createMetrics(),
     log: createSilentLog()
   })
   const request = { id: 'r9', resumes, lastEventId: 3 } as unknown as CallerRequest
-  this.bound = await finder.find(request, { timeoutMs: KEEP_MS } as unknown as Route, 's')
+  this.bound = await finder.find(request, 's')
 })
 
 Then('it is bound to version {string}', function (this: FinderWorld, version: string) {
--- a/packages/pimentoplank/src/relay/streams/streamVersionFinder.ts
+++ b/packages/pimentoplank/src/relay/streams/streamVersionFinder.ts
@@ -7,13 +7,15 @@
 } from '../../shared'
 import { findOnlyVersion, type VersionHistory } from '../decisions'
 import type { PeerView, StreamNotice } from '../gossip'
-import type { CallerRequest, Route } from '../model'
+import type { CallerRequest } from '../model'
 import type { KnownStream, StreamVersions } from './streamVersions'
 
 export interface StreamVersionFinderOptions {
   streamVersions: StreamVersions
   peers: () => readonly PeerView[]
   transports: PeerTransports
+  /** Resolves when the versions that services had before this instance started are known, or after a time. */
+  whenVersionsLoaded: (timeoutMs: number) => Promise<void>
   /** Returns the software versions that a service has had. */
   getVersionHistory: (service: string) => VersionHistory
   clock: Clock
@@ -23,7 +25,7 @@
 
 export interface StreamVersionFinder {
   /** Finds the version of the stream that a request takes up; a refusal if it can't be found out. */
-  find: (request: CallerRequest, route: Route, service: string) => Promise<Result<string, RefusalError>>
+  find: (request: CallerRequest, service: string) => Promise<Result<string, RefusalError>>
   /** Finds the version of a stream that this instance has begun; a refusal if it is in doubt. */
   findOwn: (request: CallerRequest) => Result<string, RefusalError>
 }
@@ -32,6 +34,8 @@
 const ASKED_PER_DOMAIN = 2
 /** Timeout for asking peers, in milliseconds. */
 const ASK_TIMEOUT_MS = 150
+/** Longest wait of a request for the versions of services, in milliseconds; they are read as an instance starts. */
+const LOAD_TIMEOUT_MS = 150
 /** Retry hint for callers whose stream is not known, in milliseconds. */
 const UNKNOWN_RETRY_AFTER_MS = 100
 
@@ -45,9 +49,9 @@
 export function createStreamVersionFinder (options: StreamVersionFinderOptions): StreamVersionFinder {
   const { streamVersions, transports, clock, metrics, log } = options
 
-  async function find (request: CallerRequest, route: Route, service: string): Promise<Result<string, RefusalError>> {
+  async function find (request: CallerRequest, service: string): Promise<Result<string, RefusalError>> {
     const attempt = request.resumes ?? request.id
-    return conclude(request, attempt, await lookUp(hash64(attempt), request, route, service))
+    return conclude(request, attempt, await lookUp(hash64(attempt), request, service))
   }
 
   function findOwn (request: CallerRequest): Result<string, RefusalError> {
@@ -70,15 +74,15 @@
       : ok(found.version)
   }
 
-  async function lookUp (key: bigint, request: CallerRequest, route: Route, service: string): Promise<Found> {
+  async function lookUp (key: bigint, request: CallerRequest, service: string): Promise<Found> {
     if (streamVersions.find(key) === undefined) {
       const notice = await askPeers(key, request.id)
       if (notice !== undefined) streamVersions.merge([notice], 'peer')
     }
     const known = streamVersions.find(key)
     if (known !== undefined) return describeKnown(known)
-    const maxStreamMs = Math.max(route.timeoutMs, streamVersions.getLongestKeepMs())
-    const version = findOnlyVersion(options.getVersionHistory(service), maxStreamMs, clock.now())
+    await options.whenVersionsLoaded(LOAD_TIMEOUT_MS)
+    const version = findOnlyVersion(options.getVersionHistory(service), clock.now())
     return { version, source: version === undefined ? 'none' : 'onlyVersion' }
   }
 
--- a/packages/pimentoplank/src/relay/streams/streamVersions.ts
+++ b/packages/pimentoplank/src/relay/streams/streamVersions.ts
@@ -42,8 +42,6 @@
   getLatestNotices: () => StreamNotice[]
   /** Returns what full reports tell peers, which are rarer and go back further. */
   getNotices: () => StreamNotice[]
-  /** Returns the longest time from a placement to the caller's deadline that was heard of, in milliseconds. */
-  getLongestKeepMs: () => number
   /** Finds the version of streams that a process got before its entry was known here; true if there were any. */
   resolve: (target: Target) => boolean
 }
@@ -64,12 +62,6 @@
   const recent = new Map<bigint, number>()
   /** Streams at processes that no entry known here describes. */
   const unresolved = new LRUCache<bigint, PlacedProcess & { attempt: string }>({ max: MAX_UNRESOLVED })
-  let longestKeepMs = 0
-
-  function remember (attempt: bigint, stream: KnownStream): void {
-    known.set(attempt, stream)
-    longestKeepMs = Math.max(longestKeepMs, stream.keepUntil - stream.at)
-  }
 
   function find (attempt: bigint): KnownStream | undefined {
     const stream = known.get(attempt)
@@ -96,7 +88,7 @@
     const key = hash64(attempt)
     const placed = { attempt, target: target.id, startedAt }
     const version = findPlacedVersion(placed, [target, getTarget(target.id)])
-    remember(key, { version, source: 'own', at: clock.now(), keepUntil })
+    known.set(key, { version, source: 'own', at: clock.now(), keepUntil })
     addRecent(key)
     unresolved.delete(key)
     if (version !== undefined) return
@@ -127,7 +119,7 @@
       if (before?.source === 'own') continue
       // Notices are repeated; the first arrival tells how old the knowledge is.
       if (before !== undefined && before.version === version) continue
-      remember(attempt, { version, source, at: clock.now(), keepUntil })
+      known.set(attempt, { version, source, at: clock.now(), keepUntil })
     }
   }
 
@@ -146,7 +138,6 @@
     merge,
     getLatestNotices: () => getNotices(LATEST_NOTICE_MS),
     getNotices: () => getNotices(NOTICE_MS),
-    getLongestKeepMs: () => longestKeepMs,
     resolve
   }
 }
--- a/packages/pimentoplank/src/relay/targets/targetDirectory.ts
+++ b/packages/pimentoplank/src/relay/targets/targetDirectory.ts
@@ -3,7 +3,7 @@
 import type { LeavingNotice } from '../gossip'
 import type { Target } from '../model'
 import { createLeavingTargets } from './leavingTargets'
-import { createVersionTracker, type RegisteredVersions } from './versionHistory'
+import { createVersionTracker } from './versionHistory'
 
 export interface TargetDirectoryOptions {
   feed: Pick<ObjectFeed, 'objects' | 'subscribe'>
@@ -48,8 +48,8 @@
   all: () => Iterable<Target>
   /** Calls the listener after each change of a registration. */
   onChange: (listener: () => void) => void
-  /** Returns the software versions that a service has had. */
-  getVersionHistory: (service: string) => RegisteredVersions
+  /** Returns when each software version of a service was last registered; infinite while it is. */
+  getVersions: (service: string) => ReadonlyMap<string, number>
   /** Calls the listener with a target whose entry now describes another process than before. */
   onProcessChange: (listener: (target: Target) => void) => void
 }
@@ -167,7 +167,7 @@
     },
     all: () => targets.values(),
     onChange: (listener) => { listeners.push(listener) },
-    getVersionHistory: versions.getHistory,
+    getVersions: versions.getLastTimes,
     onProcessChange: (listener) => { processListeners.push(listener) }
   }
 }
