Start the platform's programs in less processor time

Hypothesis: after a kill of all instances the time from the start of a process to its first request is most of the outage; 0.3 s of processor time on 0.675 of a core until the settings are read. Most of it compiles and evaluates what is never called.

Change: the bundle holds the parts of undici that are used, zod without locales (`import * as z`), no StatsD client (its metrics have a module of their own, and the package declares that its modules have no side effects), nothing of bunyan's optional modules. It is a script rather than a module, which a launcher runs with V8's code cache; V8 caches no code of modules in Node.js 20. V8 ignores a cache that was written with other flags or by another version.

--- a/packages/pimentoplank/src/batch/settings.ts
+++ b/packages/pimentoplank/src/batch/settings.ts
@@ -1,5 +1,5 @@
 /** Settings of a batch runner. */
-import { z } from 'zod'
+import * as z from 'zod'
 import {
   commonSettings, HOUR_MS, KIB_BYTES, MIB_BYTES, MINUTE_MS, SECOND_MS, slotClientSettings
 } from '../shared'
--- a/packages/pimentoplank/src/cli/commands/schema.ts
+++ b/packages/pimentoplank/src/cli/commands/schema.ts
@@ -1,6 +1,6 @@
 import { command, oneOf, positional } from 'cmd-ts'
 import { ok } from 'neverthrow'
-import { z } from 'zod'
+import * as z from 'zod'
 import { DOCUMENT_NAMES, DOCUMENTS, type DocumentName } from '../documents'
 import { runCommand } from '../runCommand'
 
--- a/packages/pimentoplank/src/cli/documents.ts
+++ b/packages/pimentoplank/src/cli/documents.ts
@@ -1,5 +1,5 @@
 /** JSON documents that operators write, with their schemas. */
-import type { z } from 'zod'
+import type * as z from 'zod'
 import { batchSettings } from '../batch'
 import { controllerSettings } from '../controller'
 import { entrySettings } from '../entry'
--- a/packages/pimentoplank/src/cli/explain/readLogLines.ts
+++ b/packages/pimentoplank/src/cli/explain/readLogLines.ts
@@ -1,7 +1,7 @@
 /** Reads log lines of instances, from files or standard input. */
 import { createReadStream } from 'node:fs'
 import { createInterface } from 'node:readline'
-import { z } from 'zod'
+import * as z from 'zod'
 
 const logLine = z.looseObject({
   /** ISO 8601. */
--- a/packages/pimentoplank/src/cli/settings.ts
+++ b/packages/pimentoplank/src/cli/settings.ts
@@ -1,5 +1,5 @@
 /** Settings of the operators' command line. */
-import { z } from 'zod'
+import * as z from 'zod'
 import { address, platformSettings, tlsSettings } from '../shared'
 
 export const cliSettings = z.strictObject({
--- a/packages/pimentoplank/src/controller/engineControl.ts
+++ b/packages/pimentoplank/src/controller/engineControl.ts
@@ -1,7 +1,7 @@
 /** Client of the control interface of engines, which docs/reference/engine.md describes. */
 import { err, ok, ResultAsync, type Result } from 'neverthrow'
 import { Agent, request } from 'undici'
-import { z } from 'zod'
+import * as z from 'zod'
 import { createConnector, describeCause, SECOND_MS, type Target } from '../shared'
 
 const TIMEOUT_MS = 2 * SECOND_MS
--- a/packages/pimentoplank/src/controller/settings.ts
+++ b/packages/pimentoplank/src/controller/settings.ts
@@ -1,5 +1,5 @@
 /** Settings of the controller. */
-import { z } from 'zod'
+import * as z from 'zod'
 import { commonSettings, MINUTE_MS, SECOND_MS } from '../shared'
 
 const durationMs = z.int().min(1).max(60 * MINUTE_MS)
--- a/packages/pimentoplank/src/entry/api/requestBody.ts
+++ b/packages/pimentoplank/src/entry/api/requestBody.ts
@@ -1,7 +1,7 @@
 /** Reads and parses request bodies of limited size. */
 import type { Context } from 'hono'
 import { err, ok, type Result } from 'neverthrow'
-import type { z } from 'zod'
+import type * as z from 'zod'
 import { RefusalError } from '../../shared'
 
 /**
--- a/packages/pimentoplank/src/entry/batches/limits.ts
+++ b/packages/pimentoplank/src/entry/batches/limits.ts
@@ -1,5 +1,5 @@
 /** Limits of batch uploads; part of the settings of an entry instance. */
-import { z } from 'zod'
+import * as z from 'zod'
 import { KIB_BYTES, MIB_BYTES, MINUTE_MS } from '../../shared'
 
 export const batchLimits = z.strictObject({
--- a/packages/pimentoplank/src/entry/live/requests.ts
+++ b/packages/pimentoplank/src/entry/live/requests.ts
@@ -1,5 +1,5 @@
 /** Schemas of chat and text completion requests, as common client libraries send them. */
-import { z } from 'zod'
+import * as z from 'zod'
 
 const message = z.looseObject({
   role: z.string().min(1),
--- a/packages/pimentoplank/src/entry/once/intent.ts
+++ b/packages/pimentoplank/src/entry/once/intent.ts
@@ -1,6 +1,6 @@
 /** Stored record (intent) of a request that runs at most once. */
 import { createHash } from 'node:crypto'
-import { z } from 'zod'
+import * as z from 'zod'
 
 /** Answer of a run, stored to be replayed to resends. */
 export const recordedAnswer = z.discriminatedUnion('kind', [
--- a/packages/pimentoplank/src/entry/settings.ts
+++ b/packages/pimentoplank/src/entry/settings.ts
@@ -1,5 +1,5 @@
 /** Settings of an entry instance. */
-import { z } from 'zod'
+import * as z from 'zod'
 import {
   commonSettings, HOUR_MS, KIB_BYTES, listenSettings, MIB_BYTES, MINUTE_MS, SECOND_MS, slotClientSettings,
   slotSchedulerSettings
--- a/packages/pimentoplank/src/relay/jobs/jobStore.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobStore.ts
@@ -1,6 +1,6 @@
 /** Persists batch jobs at the platform. */
 import { err, ok, ResultAsync, type Result } from 'neverthrow'
-import type { z } from 'zod'
+import type * as z from 'zod'
 import {
   PlatformConflict, PlatformUnavailable, type PlatformClient, type PlatformError, type StoredObject
 } from '../../shared'
--- a/packages/pimentoplank/src/relay/jobs/records.ts
+++ b/packages/pimentoplank/src/relay/jobs/records.ts
@@ -2,7 +2,7 @@
  * Stored form of a batch job at the platform: a small record that names its owner, its input, and its results.
  * Input and results are immutable once written, so any instance may cache them.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 
 /** Object kinds at the platform. */
 export const JOB_KINDS = { record: 'jobs', input: 'job-inputs', results: 'job-results' } as const
--- a/packages/pimentoplank/src/relay/live/crashingPartsStore.ts
+++ b/packages/pimentoplank/src/relay/live/crashingPartsStore.ts
@@ -1,5 +1,5 @@
 /** Keeps the prompt parts that crash targets at the platform, for instances that start later. */
-import { z } from 'zod'
+import * as z from 'zod'
 import { describeCause, PlatformConflict, SECOND_MS, type Clock, type Log, type PlatformClient } from '../../shared'
 import type { CrashingParts } from '../gossip'
 
--- a/packages/pimentoplank/src/relay/settings.ts
+++ b/packages/pimentoplank/src/relay/settings.ts
@@ -1,5 +1,5 @@
 /** Settings of a relay instance. */
-import { z } from 'zod'
+import * as z from 'zod'
 import { address, instanceSettings, listenSettings, logSettings, SECOND_MS } from '../shared'
 
 const durationMs = z.number().min(0)
--- a/packages/pimentoplank/src/relay/streams/serviceVersions.ts
+++ b/packages/pimentoplank/src/relay/streams/serviceVersions.ts
@@ -1,5 +1,5 @@
 /** Knows which software versions each service has had, also those that served before this process started. */
-import { z } from 'zod'
+import * as z from 'zod'
 import {
   describeCause, hash64, PlatformConflict, SECOND_MS, type Clock, type Log, type PlatformClient
 } from '../../shared'
--- a/packages/pimentoplank/src/shared/config/entries.ts
+++ b/packages/pimentoplank/src/shared/config/entries.ts
@@ -1,5 +1,5 @@
 /** Schemas of release notes and of the configuration entries that they add, change or withdraw. */
-import { z } from 'zod'
+import * as z from 'zod'
 
 const name = z.string().regex(/^[a-z0-9][a-z0-9._-]{0,62}$/, 'a name of lower-case letters, digits, dots and dashes')
 
--- a/packages/pimentoplank/src/shared/config/logRecords.ts
+++ b/packages/pimentoplank/src/shared/config/logRecords.ts
@@ -1,5 +1,5 @@
 /** Storage format of the configuration: a log of release notes, and snapshots that allow trimming the log. */
-import { z } from 'zod'
+import * as z from 'zod'
 import { configEntry, releaseNote } from './entries'
 
 const SEQUENCE_DIGITS = 10
--- a/packages/pimentoplank/src/shared/engine/client.ts
+++ b/packages/pimentoplank/src/shared/engine/client.ts
@@ -1,7 +1,7 @@
 /** Client of model engines; docs/reference/engine.md specifies their API. */
 import { err, ok, ResultAsync, type Result } from 'neverthrow'
 import type { Dispatcher } from 'undici'
-import { z } from 'zod'
+import * as z from 'zod'
 import { createSystemClock, TIMED_OUT, withTimeLimit, type Clock } from '../clock'
 import { SECOND_MS } from '../constants'
 import { describeCause } from '../errors'
--- a/packages/pimentoplank/src/shared/engine/eventReader.ts
+++ b/packages/pimentoplank/src/shared/engine/eventReader.ts
@@ -1,6 +1,6 @@
 /** Parser of the server-sent events of an engine. */
 import { createParser } from 'eventsource-parser'
-import { z } from 'zod'
+import * as z from 'zod'
 import { EngineError, type EngineEvent } from './types'
 
 const DONE_MARKER = '[DONE]'
--- a/packages/pimentoplank/src/shared/fleet/placement.ts
+++ b/packages/pimentoplank/src/shared/fleet/placement.ts
@@ -1,5 +1,5 @@
 /** Placement of models: which targets serve a model, according to the controller's last report. */
-import { z } from 'zod'
+import * as z from 'zod'
 import type { ObjectFeed } from '../feed'
 import { OBJECT_KINDS } from '../objects'
 import type { StoredObject } from '../platform'
--- a/packages/pimentoplank/src/shared/lease/tryAcquireLease.ts
+++ b/packages/pimentoplank/src/shared/lease/tryAcquireLease.ts
@@ -1,6 +1,6 @@
 /** Acquires, renews and releases a lease by conditional writes of one platform object. */
 import { err, ok, ResultAsync, type Result } from 'neverthrow'
-import { z } from 'zod'
+import * as z from 'zod'
 import type { Clock } from '../clock'
 import { OBJECT_KINDS } from '../objects/kinds'
 import { PlatformConflict, type PlatformClient, type PlatformError, type StoredObject } from '../platform'
--- a/packages/pimentoplank/src/shared/metrics/index.ts
+++ b/packages/pimentoplank/src/shared/metrics/index.ts
@@ -1,4 +1,3 @@
-export {
-  createMetrics, createInMemoryMetrics, type Metrics, type MetricsOptions, type MetricsSnapshot
-} from './metrics'
+export { createInMemoryMetrics, type Metrics, type MetricsSnapshot } from './metrics'
+export { createMetrics, type MetricsOptions } from './statsdMetrics'
 export { createPrometheusMetrics, type PrometheusMetrics } from './prometheusMetrics'
--- a/packages/pimentoplank/src/shared/objects/batchObjects.ts
+++ b/packages/pimentoplank/src/shared/objects/batchObjects.ts
@@ -1,5 +1,5 @@
 /** Schemas of the stored objects of a batch job. */
-import { z } from 'zod'
+import * as z from 'zod'
 
 export const BATCH_ENDPOINTS = ['/v1/chat/completions', '/v1/completions'] as const
 
--- a/packages/pimentoplank/src/shared/platform/client.ts
+++ b/packages/pimentoplank/src/shared/platform/client.ts
@@ -2,7 +2,7 @@
 import { err, ok, ResultAsync, type Result } from 'neverthrow'
 import { Agent, request } from 'undici'
 import { v7 as uuid } from 'uuid'
-import type { z } from 'zod'
+import type * as z from 'zod'
 import { createSystemClock, type Clock } from '../clock'
 import { SECOND_MS } from '../constants'
 import { describeCause } from '../errors'
--- a/packages/pimentoplank/src/shared/platform/schemas.ts
+++ b/packages/pimentoplank/src/shared/platform/schemas.ts
@@ -1,5 +1,5 @@
 /** Schemas of the platform's object API, as specified in docs/reference/platform.md. */
-import { z } from 'zod'
+import * as z from 'zod'
 
 export const storedObject = z.object({
   kind: z.string(),
--- a/packages/pimentoplank/src/shared/program/daemon.ts
+++ b/packages/pimentoplank/src/shared/program/daemon.ts
@@ -1,7 +1,7 @@
 /** Command of a daemon: reads the settings, runs the daemon, and exits with the documented exit code. */
 import { command, option, string } from 'cmd-ts'
 import type { Result } from 'neverthrow'
-import type { z } from 'zod'
+import type * as z from 'zod'
 import { EXIT_FAILED, EXIT_USAGE, runProgram, VERSION } from '../process'
 import { loadSettings } from '../settings'
 
--- a/packages/pimentoplank/src/shared/quarantine/partQuarantine.ts
+++ b/packages/pimentoplank/src/shared/quarantine/partQuarantine.ts
@@ -1,6 +1,6 @@
 /** Detects prompt parts that crash targets, from the crashes that all instances record at the platform. */
 import { LRUCache } from 'lru-cache'
-import { z } from 'zod'
+import * as z from 'zod'
 import type { Clock } from '../clock'
 import { MINUTE_MS } from '../constants'
 import { describeCause } from '../errors'
--- a/packages/pimentoplank/src/shared/quarantine/record.ts
+++ b/packages/pimentoplank/src/shared/quarantine/record.ts
@@ -1,5 +1,5 @@
 /** Stored record of content that was running when targets crashed. */
-import { z } from 'zod'
+import * as z from 'zod'
 
 export const crashRecord = z.object({
   target: z.string(),
--- a/packages/pimentoplank/src/shared/settings/commonSettings.ts
+++ b/packages/pimentoplank/src/shared/settings/commonSettings.ts
@@ -1,5 +1,5 @@
 /** Settings shared by all programs of the system. */
-import { z } from 'zod'
+import * as z from 'zod'
 import { LOG_LEVELS } from '../logging'
 import { MINUTE_MS, SECOND_MS } from '../constants'
 
--- a/packages/pimentoplank/src/shared/settings/loadSettings.ts
+++ b/packages/pimentoplank/src/shared/settings/loadSettings.ts
@@ -1,7 +1,7 @@
 /** Reads a settings file and reports all of its errors at once. */
 import { readFile } from 'node:fs/promises'
 import { err, ok, ResultAsync, type Result } from 'neverthrow'
-import type { z } from 'zod'
+import type * as z from 'zod'
 import { describeCause } from '../errors'
 
 /** An error in a settings file. */
--- a/packages/pimentoplank/src/shared/slots/settings.ts
+++ b/packages/pimentoplank/src/shared/slots/settings.ts
@@ -2,7 +2,7 @@
  * Settings of admission and routing, for the processes that acquire slots and for the instances that own them.
  * An owner is called a home in setting names and in the protocol.
  */
-import { z } from 'zod'
+import * as z from 'zod'
 import { SECOND_MS } from '../constants'
 
 const durationMs = z.int().min(1)
--- a/packages/soak/src/soakFleet.ts
+++ b/packages/soak/src/soakFleet.ts
@@ -78,7 +78,7 @@
 }
 
 /** Bundle of the real program. */
-const PROGRAM = path.resolve('target/pimentoplank-entry.mjs')
+const PROGRAM = path.resolve('target/pimentoplank-entry.cjs')
 const HEAP_MB = 160
 const RESTART_DELAY_MS = 300
 /** Time until a target that a request has crashed is replaced, in milliseconds. */
--- a/packages/standins/src/deployment/plan.ts
+++ b/packages/standins/src/deployment/plan.ts
@@ -1,6 +1,6 @@
 /** Plan of a small deployment on one machine. */
 import { readFile } from 'node:fs/promises'
-import { z } from 'zod'
+import * as z from 'zod'
 
 const overrides = z.record(z.string(), z.unknown()).default({})
 
--- a/packages/standins/src/engine/answer.ts
+++ b/packages/standins/src/engine/answer.ts
@@ -1,6 +1,6 @@
 /** Deterministic answers of the engine stand-in, so that a client can verify that an answer is complete. */
 import { hash32, hashHex } from 'pimentoplank/shared'
-import { z } from 'zod'
+import * as z from 'zod'
 
 /** A prompt with this marker is rejected with 500 by an engine whose `failOn` fault is set to it. */
 export const FAIL_MARKER = '[never completes]'
--- a/packages/standins/src/engine/faults.ts
+++ b/packages/standins/src/engine/faults.ts
@@ -1,5 +1,5 @@
 /** Faults that the engine stand-in can inject. */
-import { z } from 'zod'
+import * as z from 'zod'
 
 export const engineFaults = z.strictObject({
   /** A prompt that contains this marker crashes the engine when it starts to run; null switches the fault off. */
--- a/packages/standins/src/engine/modelRegistry.ts
+++ b/packages/standins/src/engine/modelRegistry.ts
@@ -1,7 +1,7 @@
 /** Models, adapters and role of the engine stand-in, and the orders of the controller that change them. */
 import { request } from 'undici'
 import { SECOND_MS, type Clock } from 'pimentoplank/shared'
-import { z } from 'zod'
+import * as z from 'zod'
 
 const MAX_TRANSFER_ATTEMPTS = 20
 const TRANSFER_RETRY_DELAY_MS = SECOND_MS / 2
--- a/packages/standins/src/load/experiment.ts
+++ b/packages/standins/src/load/experiment.ts
@@ -1,5 +1,5 @@
 /** Schema of an experiment file. */
-import { z } from 'zod'
+import * as z from 'zod'
 
 const HOUR_MS = 3_600_000
 const durationMs = z.number().min(0).max(HOUR_MS)
--- a/packages/standins/src/platform/app.ts
+++ b/packages/standins/src/platform/app.ts
@@ -1,7 +1,7 @@
 /** Routes of the platform stand-in, as specified in docs/reference/platform.md. */
 import { Hono, type Context, type MiddlewareHandler } from 'hono'
 import { instanceRecord, MIB_BYTES, type WatchBatch } from 'pimentoplank/shared'
-import { z } from 'zod'
+import * as z from 'zod'
 import { dropConnection, type StandinEnv } from '../shared'
 import { platformFaults } from './faults'
 import { gateSpec, type GatedCall } from './gates'
--- a/packages/standins/src/platform/faults.ts
+++ b/packages/standins/src/platform/faults.ts
@@ -1,5 +1,5 @@
 /** Faults that the platform stand-in can inject. */
-import { z } from 'zod'
+import * as z from 'zod'
 
 export const platformFaults = z.strictObject({
   /** Every call is rejected with 503. */
--- a/packages/standins/src/platform/gates.ts
+++ b/packages/standins/src/platform/gates.ts
@@ -1,6 +1,6 @@
 /** Blocks calls to the platform stand-in at an exact step, so that a test can inject a fault there. */
 import { v4 as uuid } from 'uuid'
-import { z } from 'zod'
+import * as z from 'zod'
 
 export const gateSpec = z.strictObject({
   kind: z.string(),
--- a/packages/standins/src/service/serviceStandin.ts
+++ b/packages/standins/src/service/serviceStandin.ts
@@ -4,7 +4,7 @@
 import { Hono, type Context, type MiddlewareHandler } from 'hono'
 import { createSystemClock, type BodyFraming, type Clock, type InstanceRecord } from 'pimentoplank/shared'
 import { v4 as uuid } from 'uuid'
-import { z } from 'zod'
+import * as z from 'zod'
 import {
   breakOffResponse, createRestartableServer, dropConnection, neverRespond, registerInstance, deregisterInstance,
   setFraming,
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,6 +1,7 @@
 // Bundles each program into one file: programs of the packages into their dist folders, programs of the platform into
 // target. With the argument `platform`, only the latter are built.
 import { build } from 'esbuild'
+import { bundleForPlatform } from './platform/bundle.mjs'
 
 const PROGRAMS = [
   { package: 'pimentoplank', name: 'pimentoplank', entry: 'src/cli/main.ts' },
@@ -27,7 +28,7 @@
   'const require = __createRequire(import.meta.url);'
 ].join('\n')
 
-async function bundle (entry, outfile, options = {}) {
+async function bundle (entry, outfile) {
   await build({
     entryPoints: [entry],
     outfile,
@@ -37,16 +38,14 @@
     format: 'esm',
     banner: { js: BANNER },
     external: ['dtrace-provider', 'unix-dgram', 'vega', 'vega-lite'],
-    logLevel: 'warning',
-    ...options
+    sourcemap: 'linked',
+    logLevel: 'warning'
   })
 }
 
 if (process.argv[2] !== 'platform') {
   for (const { package: name, ...program } of PROGRAMS) {
-    await bundle(`packages/${name}/${program.entry}`, `packages/${name}/dist/${program.name}.js`, { sourcemap: 'linked' })
+    await bundle(`packages/${name}/${program.entry}`, `packages/${name}/dist/${program.name}.js`)
   }
 }
-for (const { name, entry } of PLATFORM_PROGRAMS) {
-  await bundle(entry, `target/${name}.mjs`, { minify: true, keepNames: true, legalComments: 'none' })
-}
+await Promise.all(PLATFORM_PROGRAMS.map(async ({ name, entry }) => await bundleForPlatform(entry, name)))
