--- a/packages/pimentoplank/src/relay/callers/relayHandler.ts
+++ b/packages/pimentoplank/src/relay/callers/relayHandler.ts
@@ -1,7 +1,7 @@
 /** Routes requests of callers to the live path or to the batch jobs. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { err, ok, type Result } from 'neverthrow'
-import { RefusalError, type Clock, type Log, type Random } from '../../shared'
+import { RefusalError, type Log, type Random } from '../../shared'
 import { isRepeatable } from '../decisions'
 import type { JobApi, JobItem } from '../jobs'
 import { createCallerReply, handleUnexpectedError, relayRequest, type CallerReply, type RefusalAnswer, type RelayDeps } from '../live'
@@ -24,6 +24,8 @@
 export interface RelayHandlerOptions {
   protocol: CallerProtocol
   getRouteTable: () => RouteTable | undefined
+  /** Resolves when this instance can place requests, or when it has tried to start for too long. */
+  whenStarted: Promise<void>
   live: RelayDeps
   jobs: JobApi
   isLeaving: () => boolean
@@ -31,7 +33,6 @@
   isClosed: () => boolean
   /** Counts a request as in flight; returns the function that ends it. */
   trackRequest: () => () => void
-  clock: Clock
   random: Random
   log: Log
 }
@@ -39,18 +40,24 @@
 /** A request with less than this share of the route's longest deadline is a retry of the caller. */
 const RETRY_DEADLINE_SHARE = 0.95
 
-export type RelayHandler = (req: IncomingMessage, res: ServerResponse) => Promise<void>
+/**
+ * Answers a request.
+ *
+ * @param arrivedAt - when its head arrived, on the monotonic clock in milliseconds
+ */
+export type RelayHandler = (req: IncomingMessage, res: ServerResponse, arrivedAt: number) => Promise<void>
 
 /** Creates the handler of an instance. */
 export function createRelayHandler (options: RelayHandlerOptions): RelayHandler {
-  const { protocol, live, jobs, clock, random, log } = options
+  const { protocol, live, jobs, random, log } = options
   /** Longest deadline received on each route, in milliseconds. */
   const longestDeadlines = new Map<string, number>()
 
-  async function handle (req: IncomingMessage, res: ServerResponse): Promise<void> {
+  async function handle (req: IncomingMessage, res: ServerResponse, arrivedAt: number): Promise<void> {
     const reply = createCallerReply({ res, encodeRefusal: protocol.encodeRefusal, isLeaving: options.isLeaving })
     const endRequest = options.trackRequest()
     try {
+      await options.whenStarted
       const received = await receiveRequest(req)
       if (received.isErr()) {
         log.info({ path: req.url, reason: received.error.reason, detail: received.error.message }, 'refused')
@@ -60,7 +67,7 @@
       }
       const { request, route } = received.value
       if (route.kind === 'batch') await submit(request, route, reply, res)
-      else await relay(request, route, reply)
+      else await relay(request, route, reply, arrivedAt)
     } finally {
       endRequest()
     }
@@ -85,7 +92,9 @@
     return ok({ request: { ...head.value, body: body.value }, route })
   }
 
-  async function relay (request: CallerRequest, route: Route, reply: CallerReply): Promise<void> {
+  async function relay (
+    request: CallerRequest, route: Route, reply: CallerReply, arrivedAt: number
+  ): Promise<void> {
     const service = pickService(route, random())
     if (service === undefined) {
       reply.refuse(new RefusalError('noTarget', { detail: `route ${route.name} names no service` }))
@@ -99,9 +108,7 @@
       reply.refuse(new RefusalError('quarantined', { outcome: 'not_run' }))
       return
     }
-    const call = {
-      request, route, service, reply, arrivedAt: clock.now(), isReturning: isCallerRetry(request, route), isProbe
-    }
+    const call = { request, route, service, reply, arrivedAt, isReturning: isCallerRetry(request, route), isProbe }
     await relayRequest(call, live).catch((cause: unknown) => handleUnexpectedError(cause, call, log))
   }
 
--- a/packages/pimentoplank/src/relay/constants.ts
+++ b/packages/pimentoplank/src/relay/constants.ts
@@ -19,6 +19,8 @@
 export const MIN_LOCAL_INSTANCES = 4
 /** Share of the drain bound during which targets that leave are used where no others are left; they answer until it. */
 export const LEAVING_GRACE_SHARE = 0.5
+/** Requests that arrive right after the start are held for up to this time after it, in milliseconds. */
+export const MAX_START_WAIT_MS = 1000
 /** Interval of periodic work, in milliseconds. */
 export const TICK_INTERVAL_MS = 100
 /** Share of the drain bound during which targets whose entries disappeared together are still used. */
--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -8,7 +8,7 @@
 import { createDirectory, createRelayHandler, type CallerProtocol, type Directory, type RelayHandler } from './callers'
 import {
   URGENT_REPORT_DELAY_MS, CRASH_RETENTION_MS, DIRECTORY_MAX_AGE_MS, DIRECTORY_STALENESS_FACTOR, FEED_TIMINGS,
-  GOSSIP_SETTINGS, JOB_NOTICE_MS, LEAVING_GRACE_SHARE, PREFERRING_INSTANCES, REMOVAL_GRACE_SHARE,
+  GOSSIP_SETTINGS, JOB_NOTICE_MS, LEAVING_GRACE_SHARE, MAX_START_WAIT_MS, PREFERRING_INSTANCES, REMOVAL_GRACE_SHARE,
   TARGET_CONNECT_TIMEOUT_MS, TARGET_IDLE_TIMEOUT_MS, TICK_INTERVAL_MS
 } from './constants'
 import { createFeedMembers } from './feedMembers'
@@ -89,6 +89,9 @@
   })
   const openRequests = createOpenRequests()
   let table: RouteTable | undefined
+  let hasTargets = false
+  let markStarted: () => void
+  const whenStarted = new Promise<void>((resolve) => { markStarted = resolve })
   let isClosed = false
   let reportTimer: NodeJS.Timeout | undefined
 
@@ -257,6 +260,7 @@
   const handle = createRelayHandler({
     protocol: protocols.callers,
     getRouteTable: () => table,
+    whenStarted,
     live: {
       slotScheduler,
       exchange,
@@ -287,7 +291,6 @@
     isLeaving: () => shutdown.getStage() !== 'serving',
     isClosed: () => shutdown.getStage() === 'closed',
     trackRequest: shutdown.trackRequest,
-    clock,
     random,
     log
   })
@@ -336,6 +339,12 @@
   serviceVersions.load(closing.signal).catch((cause: unknown) => {
     log.error({ cause: describeCause(cause) }, 'versions of services could not be loaded')
   })
+  feed.ready().then(() => {
+    hasTargets = true
+    checkStarted()
+    gossip.reportNow()
+  }).catch((cause: unknown) => log.error({ cause: describeCause(cause) }, 'feed could not start'))
+  clock.sleep(MAX_START_WAIT_MS, closing.signal).then(() => markStarted()).catch(() => undefined)
   feed.ready().then(async () => await jobManager.recover()).catch((cause: unknown) => {
     log.error({ cause: describeCause(cause) }, 'jobs could not be recovered from the store')
   })
@@ -380,14 +389,23 @@
       return
     }
     table = createRouteTable(config.value)
+    checkStarted()
     log.info({ version: table.version, revision, routes: config.value.routes.length }, 'configuration in force')
     gossip.reportNow()
     dispatchAll()
   }
 
+  function isStarted (): boolean {
+    return table !== undefined && hasTargets
+  }
+
+  function checkStarted (): void {
+    if (isStarted()) markStarted()
+  }
+
   function getStage (): Stage {
     if (shutdown.getStage() !== 'serving') return 'leaving'
-    return table === undefined ? 'starting' : 'serving'
+    return isStarted() ? 'serving' : 'starting'
   }
 
   function getOwnReport (): OwnReport {
