Let all sleeps under one signal share a listener

Change: the system's clock keeps the sleeps of a signal in a set with one listener.

Measured: clock.feature, first scenario failed before (one warning), passes now.

--- a/packages/pimentoplank/src/shared/clock/clock.ts
+++ b/packages/pimentoplank/src/shared/clock/clock.ts
@@ -21,15 +21,28 @@
     wallTime: () => Date.now(),
     sleep: async (ms, signal) => {
       if (signal?.aborted === true) return
+      const sleepers = signal === undefined ? undefined : getSleepers(signal)
       await new Promise<void>((resolve) => {
         const wake = (): void => {
           clearTimeout(timer)
-          signal?.removeEventListener('abort', wake)
+          sleepers?.delete(wake)
           resolve()
         }
         const timer = setTimeout(wake, ms)
-        signal?.addEventListener('abort', wake)
+        sleepers?.add(wake)
       })
     }
   }
 }
+
+/** What sleeps until a signal aborts. All of it shares one listener, as Node warns of signals with many listeners. */
+const sleepersBySignal = new WeakMap<AbortSignal, Set<() => void>>()
+
+function getSleepers (signal: AbortSignal): Set<() => void> {
+  const known = sleepersBySignal.get(signal)
+  if (known !== undefined) return known
+  const sleepers = new Set<() => void>()
+  sleepersBySignal.set(signal, sleepers)
+  signal.addEventListener('abort', () => [...sleepers].forEach((wake) => wake()), { once: true })
+  return sleepers
+}
