--- a/packages/pimentoplank/src/relay/callers/relayHandler.ts
+++ b/packages/pimentoplank/src/relay/callers/relayHandler.ts
@@ -1,8 +1,8 @@
 /** Routes requests of callers to the live path or to the batch jobs. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { err, ok, type Result } from 'neverthrow'
-import { RefusalError, type Clock, type Log, type Random } from '../../shared'
-import { isRepeatable, mayBeRetry, recordDeadline, type DeadlineHistory } from '../decisions'
+import { RefusalError, type Log, type Random } from '../../shared'
+import { isRepeatable } from '../decisions'
 import type { JobApi, JobItem } from '../jobs'
 import { createCallerReply, handleUnexpectedError, relayRequest, type CallerReply, type RefusalAnswer, type RelayDeps } from '../live'
 import type { CallerRequest, RawHeaders, Route } from '../model'
@@ -21,6 +21,9 @@
   encodeAccepted: (job: string) => RefusalAnswer
 }
 
+/** A request with less than this share of the route's longest deadline is a retry of the caller. */
+const RETRY_DEADLINE_SHARE = 0.95
+
 export interface RelayHandlerOptions {
   protocol: CallerProtocol
   getRouteTable: () => RouteTable | undefined
@@ -33,7 +36,6 @@
   isClosed: () => boolean
   /** Counts a request as in flight; returns the function that ends it. */
   trackRequest: () => () => void
-  clock: Clock
   random: Random
   log: Log
 }
@@ -48,8 +50,8 @@
 /** Creates the handler of an instance. */
 export function createRelayHandler (options: RelayHandlerOptions): RelayHandler {
   const { protocol, live, jobs, random, log } = options
-  /** Deadlines of each route's requests. */
-  const deadlines = new Map<string, DeadlineHistory>()
+  /** Longest deadline received on each route, in milliseconds. */
+  const longestDeadlines = new Map<string, number>()
 
   async function handle (req: IncomingMessage, res: ServerResponse, arrivedAt: number): Promise<void> {
     const reply = createCallerReply({ res, encodeRefusal: protocol.encodeRefusal, isLeaving: options.isLeaving })
@@ -106,16 +108,15 @@
       reply.refuse(new RefusalError('quarantined', { outcome: 'not_run' }))
       return
     }
-    const call = { request, route, service, reply, arrivedAt, isReturning: isReturning(request, route), isProbe }
+    const call = { request, route, service, reply, arrivedAt, isReturning: isCallerRetry(request, route), isProbe }
     await relayRequest(call, live).catch((cause: unknown) => handleUnexpectedError(cause, call, log))
   }
 
-  function isReturning ({ deadlineMs }: CallerRequest, route: Route): boolean {
+  function isCallerRetry ({ deadlineMs }: CallerRequest, route: Route): boolean {
     if (deadlineMs === undefined) return false
-    const now = options.clock.now()
-    const history = recordDeadline(deadlines.get(route.name), deadlineMs, now)
-    deadlines.set(route.name, history)
-    return mayBeRetry(history, deadlineMs, now)
+    const longest = Math.max(longestDeadlines.get(route.name) ?? 0, deadlineMs)
+    longestDeadlines.set(route.name, longest)
+    return deadlineMs < longest * RETRY_DEADLINE_SHARE
   }
 
   async function submit (request: CallerRequest, route: Route, reply: CallerReply, res: ServerResponse): Promise<void> {
--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -291,7 +291,6 @@
     isLeaving: () => shutdown.getStage() !== 'serving',
     isClosed: () => shutdown.getStage() === 'closed',
     trackRequest: shutdown.trackRequest,
-    clock,
     random,
     log
   })
--- a/packages/pimentoplank/src/relay/decisions/index.ts
+++ b/packages/pimentoplank/src/relay/decisions/index.ts
@@ -8,7 +8,6 @@
   countExcess, countRoom, chooseStarts, choosePreempted, rankItem,
   type BatchCandidate, type BatchScheduleInput, type BatchStart, type ExcessInput, type RunningItem, type WaitingItem
 } from './batchScheduling'
-export { mayBeRetry, recordDeadline, type DeadlineHistory } from './callerRetries'
 export {
   decideItemVersion, type ItemVersionDecision, type ItemVersionInput, type ItemVersionRules
 } from './itemVersions'
--- a/packages/pimentoplank/src/relay/decisions/testing/simulation.ts
+++ b/packages/pimentoplank/src/relay/decisions/testing/simulation.ts
@@ -5,7 +5,7 @@
  */
 import {
   countExcess, countRoom, chooseStarts, choosePreempted, choosePlacement, decideAdmission, decideItemVersion,
-  mayBeRetry, orderWaiting, rankItem, recordDeadline, type BatchCandidate, type DeadlineHistory, type PlacementCandidate
+  orderWaiting, rankItem, type BatchCandidate, type PlacementCandidate
 } from '..'
 import { rankByRendezvous, type Random } from '../../../shared'
 import { RELAY_RULES } from '../../rules'
@@ -107,7 +107,6 @@
   const items: Item[] = []
   const waiting: Waiting[] = []
   let retries: SimulatedRequest[] = []
-  let deadlines: Array<DeadlineHistory | undefined> = []
   let jobCount = 0
   let busyMs = 0
   let slotMs = 0
@@ -249,8 +248,6 @@
   }
 
   function arrive (live: SimulatedRequest): void {
-    const history = recordDeadline(deadlines[live.instance], live.deadlineMs, now)
-    deadlines[live.instance] = history
     if (place(live, true)) return
     const all = listCandidates(live.instance)
     const admission = decideAdmission({
@@ -258,7 +255,7 @@
       queueLength: waiting.filter((one) => one.live.instance === live.instance).length,
       meanRunMs: pattern.liveRunMs,
       remainingMs: live.deadlineMs,
-      isReturning: mayBeRetry(history, live.deadlineMs, now),
+      isReturning: live.isReturning,
       isContinuation: false
     }, RELAY_RULES.live, random)
     if (admission.type === 'wait') {
@@ -289,7 +286,6 @@
 
   /** Cuts everything as the instances go down. */
   function cutAll (backAt: number): void {
-    deadlines = []
     for (const { live } of waiting.splice(0)) comeAgain(live, backAt)
     for (const target of targets) {
       for (const work of [...target.running, ...target.queue]) {
