Refuse jobs at once while the platform is away, with the longest delay that callers follow

Hypothesis: a job that comes while the store is away costs six writes that fail, and since a write without an answer may have been done, its caller gets no time to return: it comes again at once, for the last time, and is lost.

Change: the client of the platform counts failures in a row; from three on, calls are tried once rather than two or three times.

--- a/packages/pimentoplank/features/support/memoryPlatform.ts
+++ b/packages/pimentoplank/features/support/memoryPlatform.ts
@@ -83,6 +83,7 @@
       }),
       putStatus: (kind, name) => call('put', kind, name, () => undefined),
       watch: () => okAsync({ revision, events: [] }),
+      isAvailable: () => true,
       listInstances: () => okAsync([]),
       close: async () => undefined
     }
--- a/packages/pimentoplank/src/relay/callers/relayHandler.ts
+++ b/packages/pimentoplank/src/relay/callers/relayHandler.ts
@@ -123,7 +123,9 @@
     const items = protocol.decodeJob(request.body)
     const accepted = items.isErr()
       ? err(items.error)
-      : await jobs.submit({ id: request.id, host: request.host, route, items: items.value })
+      : await jobs.submit({
+        id: request.id, host: request.host, route, items: items.value, remainingMs: request.deadlineMs
+      })
     if (accepted.isErr()) {
       live.metrics.countRefusal(accepted.error.reason)
       reply.refuse(accepted.error)
--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -241,6 +241,7 @@
     onAccepted: () => runner.dispatch(),
     isLeaving: () => shutdown.getStage() !== 'serving',
     clock,
+    random,
     metrics,
     log
   })
--- a/packages/pimentoplank/src/relay/decisions/index.ts
+++ b/packages/pimentoplank/src/relay/decisions/index.ts
@@ -8,10 +8,11 @@
   countExcess, countRoom, chooseStarts, choosePreempted, rankItem,
   type BatchCandidate, type BatchScheduleInput, type BatchStart, type ExcessInput, type RunningItem, type WaitingItem
 } from './batchScheduling'
+export { computeOutageRetryMs } from './outageRetry'
 export {
   decideItemVersion, type ItemVersionDecision, type ItemVersionInput, type ItemVersionRules
 } from './itemVersions'
-export { MIN_TRY_MS, isRepeatable, canRetry, type RetryState, type TryFailure } from './retries'
+export { MAX_RETRY_AFTER_SHARE, MIN_TRY_MS, isRepeatable, canRetry, type RetryState, type TryFailure } from './retries'
 export { isClearlyUnderLimit, countWaitingTokens, type CountedJob } from './quota'
 export { BATCH_ALLOWANCE, computeLimitShare, LIVE_ALLOWANCE, refillAllowance, type Allowance, type LimitShareInput } from './limitShare'
 export { computeSuspicion, type FailureRecord, type Suspicion, type SuspicionRules } from './suspicion'
--- a/packages/pimentoplank/src/relay/decisions/retries.ts
+++ b/packages/pimentoplank/src/relay/decisions/retries.ts
@@ -27,6 +27,8 @@
   leftMs: number
 }
 
+/** Callers follow a retry delay of up to this share of the time until their deadline. */
+export const MAX_RETRY_AFTER_SHARE = 1 / 3
 /** Number of tries without a run up to which a request that never ran is still retried. */
 const MAX_REFUSALS = 4
 /** Minimum remaining time for another try, in milliseconds. */
--- a/packages/pimentoplank/src/relay/jobs/jobApi.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobApi.ts
@@ -4,8 +4,9 @@
 import { createClient, type Client } from '@connectrpc/connect'
 import {
   describeCause, JobService, PlatformConflict, PlatformRejected, PlatformUnavailable, RefusalError,
-  type Clock, type Log, type Metrics, type PeerTransports, type PlatformError
+  type Clock, type Log, type Metrics, type PeerTransports, type PlatformError, type Random
 } from '../../shared'
+import { computeOutageRetryMs } from '../decisions'
 import type { PeerView } from '../gossip'
 import type { Route } from '../model'
 import type { JobRegistry } from './jobRegistry'
@@ -20,6 +21,8 @@
   host: string
   route: Route
   items: readonly JobItem[]
+  /** Time until the caller's deadline, in milliseconds; undefined when none was given. */
+  remainingMs?: number
 }
 
 export interface ResultPage {
@@ -57,6 +60,7 @@
   onAccepted: () => void
   isLeaving: () => boolean
   clock: Clock
+  random: Random
   metrics: Metrics
   log: Log
 }
@@ -97,6 +101,8 @@
     const { id, route, items } = job
     if (registry.get(id) !== undefined || registry.getKnown(id) !== undefined) return ok(undefined)
     if (options.isLeaving()) return err(new RefusalError('addressMoved', { retryAfterMs: 0 }))
+    const unavailable = await checkStore(job)
+    if (unavailable !== undefined) return err(unavailable)
     const tokens = items.reduce((sum, item) => sum + item.tokens, 0)
     const limit = route.batch?.maxWaitingTokens ?? 0
     const room = await options.quota.check(route.name, tokens, limit)
@@ -132,6 +138,19 @@
     return ok(undefined)
   }
 
+  /**
+   * Refuses a job while the platform is away, before anything of it is written: what a write without an answer has done
+   * is not known, so that its caller can't be told when to come back.
+   */
+  async function checkStore ({ id, remainingMs }: JobSubmission): Promise<RefusalError | undefined> {
+    if (store.isAvailable()) return undefined
+    const found = await store.read(id)
+    if (found.isOk()) return undefined
+    const retryAfterMs = computeOutageRetryMs(remainingMs, options.random)
+    log.warn({ job: id, retryAfterMs: Math.round(retryAfterMs), cause: found.error.message }, 'job refused: the platform is away')
+    return new RefusalError('platformDown', { outcome: 'not_run', retryAfterMs, cause: found.error })
+  }
+
   /** Refuses a job over quota, unless it was accepted before: resubmission succeeds whatever the quota. */
   async function refuseOverQuota (id: string, tokens: number, limit: number): Promise<Result<void, RefusalError>> {
     const known = await store.read(id)
--- a/packages/pimentoplank/src/relay/jobs/jobStore.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobStore.ts
@@ -16,6 +16,8 @@
 }
 
 export interface JobStore {
+  /** False while the platform answers no calls. */
+  isAvailable: () => boolean
   /** Creates a job; `created` is false when it exists already. */
   create: (
     job: string,
@@ -153,6 +155,7 @@
   }
 
   return {
+    isAvailable: platform.isAvailable,
     create: (...args) => new ResultAsync(create(...args)),
     read: (job) => new ResultAsync(read(job)),
     list: () => new ResultAsync(list()),
--- a/packages/pimentoplank/src/relay/rules.ts
+++ b/packages/pimentoplank/src/relay/rules.ts
@@ -1,6 +1,6 @@
 /** Tuning constants of placement, admission, batch execution, result storage and failure detection. */
 import type { JobManagerRules, ItemRunnerRules } from './jobs'
-import type { AdmissionRules, PlacementRules, SuspicionRules } from './decisions'
+import { MAX_RETRY_AFTER_SHARE, type AdmissionRules, type PlacementRules, type SuspicionRules } from './decisions'
 import type { RelayRules } from './live'
 
 /** Placement, admission and failover of live requests. */
@@ -8,7 +8,7 @@
   maxQueueWaitShare: 0.6,
   lateReserveShare: 0.15,
   maxReturningWaitMs: 1500,
-  maxRetryAfterShare: 1 / 3,
+  maxRetryAfterShare: MAX_RETRY_AFTER_SHARE,
   firstEventShare: 0.6,
   gapShare: 0.6
 }
--- a/packages/pimentoplank/src/shared/platform/client.ts
+++ b/packages/pimentoplank/src/shared/platform/client.ts
@@ -22,6 +22,8 @@
 const MAX_WRITE_ATTEMPTS = 3
 const MAX_READ_ATTEMPTS = 2
 const RETRY_BACKOFF_MS = 50
+/** With this many failures in a row the platform counts as unavailable; single calls fail also while it serves. */
+const UNAVAILABLE_AFTER_FAILURES = 3
 /** Default time that a watch may take beyond the wait that it requested of the platform. */
 const WATCH_MARGIN_MS = 2 * SECOND_MS
 const HTTP_NOT_FOUND = 404
@@ -103,6 +105,8 @@
   remove: (kind: string, name: string, options?: RemoveOptions) => ResultAsync<void, PlatformError>
   /** Waits for changes to objects of a kind with one long poll, which the platform counts as one call. */
   watch: (kind: string, options: WatchOptions) => ResultAsync<WatchBatch, PlatformError>
+  /** False once several calls in a row have failed, until one succeeds; calls are tried once then. */
+  isAvailable: () => boolean
   /** Reads the list of instances and targets, which may be stale. */
   listInstances: () => ResultAsync<InstanceRecord[], PlatformError>
   close: () => Promise<void>
@@ -124,7 +128,20 @@
   const agent = new Agent({ connect: createConnector({ timeoutMs }) })
   const base = options.url.replace(/\/$/, '')
 
+  let failuresInRow = 0
+
+  function isAvailable (): boolean {
+    return failuresInRow < UNAVAILABLE_AFTER_FAILURES
+  }
+
   async function send (call: Call): Promise<Result<HttpResponse, PlatformUnavailable>> {
+    const response = await sendOnce(call)
+    if (response.isOk()) failuresInRow = 0
+    else if (call.signal?.aborted !== true) failuresInRow += 1
+    return response
+  }
+
+  async function sendOnce (call: Call): Promise<Result<HttpResponse, PlatformUnavailable>> {
     const limit = AbortSignal.timeout(call.timeoutMs ?? timeoutMs)
     const signal = call.signal === undefined ? limit : AbortSignal.any([limit, call.signal])
     metrics.count(`platform.calls.${call.method.toLowerCase()}`)
@@ -159,7 +176,7 @@
     for (let attempt = 1; ; attempt++) {
       const response = await send(call)
       if (response.isOk()) return parseResponse(dialect.translate(operation, kind, response.value), schema)
-      if (attempt >= maxAttempts || call.signal?.aborted === true) return err(response.error)
+      if (attempt >= maxAttempts || !isAvailable() || call.signal?.aborted === true) return err(response.error)
       metrics.countRetry('platformUnavailable')
       await clock.sleep(RETRY_BACKOFF_MS, call.signal)
     }
@@ -204,7 +221,7 @@
         })
       }
       maybeApplied ||= response.error.maybeApplied
-      if (attempt >= MAX_WRITE_ATTEMPTS || putOptions.signal?.aborted === true) {
+      if (attempt >= MAX_WRITE_ATTEMPTS || !isAvailable() || putOptions.signal?.aborted === true) {
         return err(new PlatformUnavailable(response.error.message, { maybeApplied, cause: response.error }))
       }
       metrics.countRetry('platformUnavailable')
@@ -223,7 +240,7 @@
     for (let attempt = 1; ; attempt++) {
       const response = await send(call)
       if (response.isOk()) return readEmptyResponse(dialect.translate('putStatus', kind, response.value))
-      if (attempt >= MAX_WRITE_ATTEMPTS) return err(response.error)
+      if (attempt >= MAX_WRITE_ATTEMPTS || !isAvailable()) return err(response.error)
       metrics.countRetry('platformUnavailable')
       await clock.sleep(RETRY_BACKOFF_MS * attempt)
     }
@@ -234,7 +251,7 @@
     for (let attempt = 1; ; attempt++) {
       const response = await send(call)
       if (response.isOk()) return readEmptyResponse(dialect.translate('remove', kind, response.value))
-      if (attempt >= MAX_WRITE_ATTEMPTS) return err(response.error)
+      if (attempt >= MAX_WRITE_ATTEMPTS || !isAvailable()) return err(response.error)
       metrics.countRetry('platformUnavailable')
       await clock.sleep(RETRY_BACKOFF_MS * attempt)
     }
@@ -262,6 +279,7 @@
     putStatus: (kind, name, status, options = {}) => new ResultAsync(putStatus(kind, name, status, options)),
     remove: (kind, name, removeOptions = {}) => new ResultAsync(remove(kind, name, removeOptions)),
     watch: (kind, watchOptions) => new ResultAsync(watch(kind, watchOptions)),
+    isAvailable,
     listInstances: () => new ResultAsync(listInstances()),
     close: async () => await agent.destroy()
   }
--- a/packages/soak/features/streamChecks.steps.ts
+++ b/packages/soak/features/streamChecks.steps.ts
@@ -53,7 +53,9 @@
     sentAt,
     endedAt: sentAt + RUN_MS,
     hasLeft: false,
-    answer: { status: 200, headers: {}, body, isTruncated: false, isWhole: ids.at(-1) === EVENTS_PER_RESPONSE },
+    answer: {
+      status: 200, headers: {}, body, isTruncated: false, isWhole: ids.at(-1) === EVENTS_PER_RESPONSE, tookMs: 0
+    },
     ...attempt
   }
   world.attempts.push(added)
@@ -156,7 +158,7 @@
   for (let index = 0; index < taken; index++) {
     const attempt = takeUp(this, `s${index}`, 'v1', index < on ? range(HELD_EVENTS + 1) : [])
     attempt.instance = this.attempts[0]!.instance
-    if (index >= on) attempt.answer = { status: 503, headers: {}, body: '', isTruncated: false, isWhole: true }
+    if (index >= on) attempt.answer = { status: 503, headers: {}, body: '', isTruncated: false, isWhole: true, tookMs: 0 }
   }
 })
 
