--- a/packages/soak/features/soak.steps.ts
+++ b/packages/soak/features/soak.steps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { Then, When } from '@cucumber/cucumber'
 import {
-  EARLY_SIGHUPS, OLD_ENTRY_REGRESSIONS, REGRESSIONS, runSeed, STREAM_REGRESSIONS,
+  EARLY_SIGHUPS, OLD_ENTRY_REGRESSIONS, REGRESSIONS, EVERY_FAULT, runSeed, SHORT_FAULTS, STREAM_REGRESSIONS,
   type Regression, type SeedOutcome
 } from '../src'
 
@@ -19,7 +19,7 @@
   this: SoakWorld, seed: number, seconds: number
 ) {
   const lengthMs = seconds * MS_PER_S
-  this.outcomes = [await runSeed({ seed, lengthMs, withLongFaults: true, withVersionFaults: true, ...FLEET_OPTIONS })]
+  this.outcomes = [await runSeed({ seed, lengthMs, ...EVERY_FAULT, ...FLEET_OPTIONS })]
 })
 
 async function runRegressions (regressions: readonly Regression[]): Promise<SeedOutcome[]> {
@@ -27,7 +27,7 @@
   for (let start = 0; start < regressions.length; start += MAX_PARALLEL_SEEDS) {
     const seeds = regressions.slice(start, start + MAX_PARALLEL_SEEDS)
     outcomes.push(...await Promise.all(seeds.map(async ({ seed, seconds, ...faults }) => await runSeed({
-      seed, lengthMs: seconds * MS_PER_S, withLongFaults: false, withVersionFaults: false, ...faults, ...FLEET_OPTIONS
+      seed, lengthMs: seconds * MS_PER_S, ...SHORT_FAULTS, ...faults, ...FLEET_OPTIONS
     }))))
   }
   return outcomes
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -49,6 +49,7 @@
       storeFaults: seen.faults.filter(({ kind }) => STORE_FAULTS.has(kind))
     }),
     ...checkRemovedTargets(seen),
+    ...checkLeavingTargets(seen),
     ...checkCrashingPart(seen),
     ...checkLimits(seen),
     ...checkEndless(seen),
@@ -135,6 +136,16 @@
     INSTANCE_FAULTS.has(fault.kind) && fault.from <= to && fault.to >= from - CONTACT_TIMEOUT_MS)
 }
 
+/** A target that says that it leaves must get no requests later than the drain bound, whatever its entry says. */
+function checkLeavingTargets ({ fleet, faults }: Observations): string[] {
+  return fleet.targets.flatMap(({ standin }) => {
+    const toldAt = standin.getToldLeavingAt()
+    if (toldAt === undefined) return []
+    const late = standin.runs.filter(({ at }) => at > toldAt + DRAIN_MS && !isInstanceDisturbed(faults, toldAt, at))
+    return late.length === 0 ? [] : [`leaving: ${standin.id} got ${late.length} requests after it had said that it leaves`]
+  })
+}
+
 /** Once a part has crashed targets several times, requests with it must not reach targets any more. */
 function checkCrashingPart ({ fleet, faults }: Observations): string[] {
   const runs = fleet.targets.flatMap(({ standin }) => standin.runs)
--- a/packages/soak/src/inject.ts
+++ b/packages/soak/src/inject.ts
@@ -156,11 +156,11 @@
     const endDisturbance = disturb(target)
     return () => {
       endDisturbance()
-      const { crashingPart, limitPerSecond, endless, pause } = target.standin.faults
+      const { crashingPart, limitPerSecond, endless, pause, tellsLeaving } = target.standin.faults
       const { faults } = target.standin
       for (const name of Object.keys(faults) as Array<keyof typeof faults>) faults[name] = undefined
       // Long faults end by themselves.
-      Object.assign(faults, { crashingPart, limitPerSecond, endless, pause })
+      Object.assign(faults, { crashingPart, limitPerSecond, endless, pause, tellsLeaving })
     }
   },
   targetLink: (fleet, { pick }) => {
@@ -198,6 +198,19 @@
       target.standin.faults.endless = undefined
     }
   },
+  targetTellsLeaving: (fleet, { pick }) => {
+    const target = pickTarget(fleet, pick)
+    if (target === undefined) return undefined
+    const { faults, version } = target.standin
+    faults.tellsLeaving = 'always'
+    // It ends at last, and another one comes.
+    return () => {
+      disturb(target)
+      fleet.removeTarget(target)
+      target.standin.crash().catch(() => undefined)
+      fleet.addTarget(version).catch(() => undefined)
+    }
+  },
   targetPauses: injectPauses,
   targetVersions: injectVersions,
   configuration: (fleet) => {
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -1,6 +1,6 @@
 /** Command line of the soak test. */
 import { command, number, option, run, string } from 'cmd-ts'
-import { runSeed } from './runSeed'
+import { EVERY_FAULT, runSeed } from './runSeed'
 
 const EXIT_FAILED = 1
 const MS_PER_S = 1000
@@ -23,7 +23,7 @@
     async function work (): Promise<void> {
       for (let next = left.shift(); next !== undefined; next = left.shift()) {
         const lengthMs = seconds * MS_PER_S
-        const outcome = await runSeed({ seed: next, lengthMs, withLongFaults: true, withVersionFaults: true, ...rest })
+        const outcome = await runSeed({ seed: next, lengthMs, ...EVERY_FAULT, ...rest })
         if (outcome.broken.length > 0) failed += 1
         process.stdout.write(`${JSON.stringify(outcome)}\n`)
       }
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -13,7 +13,10 @@
 export const LONG_FAULT_KINDS = ['crashingPart', 'targetLimit', 'targetEndless'] as const
 /** Sound targets that pause, and targets of several software versions; drawn apart as well. */
 export const VERSION_FAULT_KINDS = ['targetPauses', 'targetVersions'] as const
-type LongFaultKind = typeof LONG_FAULT_KINDS[number] | typeof VERSION_FAULT_KINDS[number]
+/** A target that says in its answers that it leaves while its entry stays; drawn apart as well. */
+export const LEAVING_FAULT_KINDS = ['targetTellsLeaving'] as const
+type LongFaultKind =
+  typeof LONG_FAULT_KINDS[number] | typeof VERSION_FAULT_KINDS[number] | typeof LEAVING_FAULT_KINDS[number]
 export type FaultKind = typeof FAULT_KINDS[number] | LongFaultKind
 
 export interface Fault {
--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -6,7 +6,7 @@
 import { startCallers } from './callers'
 import { findViolations } from './checks'
 import { injectFaults } from './inject'
-import { createSoakRandom, generateFaults, generateLongFaults, VERSION_FAULT_KINDS } from './plan'
+import { createSoakRandom, generateFaults, generateLongFaults, LEAVING_FAULT_KINDS, VERSION_FAULT_KINDS } from './plan'
 import { startSoakFleet, type SoakFleet } from './soakFleet'
 
 export interface SeedOptions {
@@ -19,10 +19,17 @@
   withLongFaults: boolean
   /** Adds pauses of sound targets, and targets of several software versions. */
   withVersionFaults: boolean
+  /** Adds targets that say in their answers that they leave. */
+  withLeavingTargets: boolean
   /** Folder for logs; those of a seed without violations are removed. */
   folder: string
 }
 
+/** Options with which a seed has every kind of fault. */
+export const EVERY_FAULT = { withLongFaults: true, withVersionFaults: true, withLeavingTargets: true }
+/** Options with which a seed has short faults only. */
+export const SHORT_FAULTS = { withLongFaults: false, withVersionFaults: false, withLeavingTargets: false }
+
 export interface SeedOutcome {
   seed: number
   faults: number
@@ -41,6 +48,8 @@
 const LONG_FAULT_SEED = 1_000_003
 /** Multiplied with the seed for pauses and versions; the first numbers of neighbouring seeds are much the same. */
 const VERSION_FAULT_FACTOR = 0x9e3779b1
+/** The same for targets that say that they leave. */
+const LEAVING_FAULT_FACTOR = 0x85ebca6b
 const START_TIMEOUT_MS = 15_000
 /** Time within which the deployment must recover after the last fault, in milliseconds. */
 const RECOVERY_MS = 6000
@@ -60,6 +69,10 @@
     const versionRandom = createSoakRandom(Math.imul(seed, VERSION_FAULT_FACTOR))
     plan.push(...generateLongFaults(versionRandom, lengthMs, VERSION_FAULT_KINDS))
   }
+  if (options.withLeavingTargets) {
+    const leavingRandom = createSoakRandom(Math.imul(seed, LEAVING_FAULT_FACTOR))
+    plan.push(...generateLongFaults(leavingRandom, lengthMs, LEAVING_FAULT_KINDS))
+  }
   const fleet = await startSoakFleet({ instances: options.instances, targets: options.targets, folder, run: seed })
   try {
     await waitUntilReady(fleet)
