Split the feed, the configuration and the start state out of createRelay

createRelay.ts assembles the parts; how the configuration is followed, what the feed follows and when the instance has started have modules of their own. No change of behaviour; 44 scenarios of start, live, configuration, leavingTargets and stopping pass.

--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -1,18 +1,19 @@
 /** Creates a relay instance from its components. */
 import { err, ok, ResultAsync, type Result } from 'neverthrow'
 import {
-  createObjectFeed, createPeerServer, createPeerTransports, createSystemClock, describeCause, rankByRendezvous,
-  type Clock, type Log, type Metrics, type Peer, type PeeredFeed, type PeerSecurity, type PlatformClient, type Random
+  createPeerServer, createPeerTransports, createSystemClock, describeCause, rankByRendezvous,
+  type Clock, type Log, type Metrics, type PeerSecurity, type PlatformClient, type Random
 } from '../shared'
 import { createShutdownController } from '../entry/stopping'
 import { createDirectory, createRelayHandler, type CallerProtocol, type Directory, type RelayHandler } from './callers'
 import {
-  URGENT_REPORT_DELAY_MS, CRASH_RETENTION_MS, DIRECTORY_MAX_AGE_MS, DIRECTORY_STALENESS_FACTOR, FEED_TIMINGS,
-  GOSSIP_SETTINGS, JOB_NOTICE_MS, LEAVING_GRACE_SHARE, MAX_START_WAIT_MS, PREFERRING_INSTANCES, REMOVAL_GRACE_SHARE,
-  TARGET_CONNECT_TIMEOUT_MS, TARGET_IDLE_TIMEOUT_MS, TICK_INTERVAL_MS
+  CRASH_RETENTION_MS, DIRECTORY_MAX_AGE_MS, DIRECTORY_STALENESS_FACTOR, GOSSIP_SETTINGS, JOB_NOTICE_MS,
+  LEAVING_GRACE_SHARE, MAX_START_WAIT_MS, PREFERRING_INSTANCES, REMOVAL_GRACE_SHARE, TARGET_CONNECT_TIMEOUT_MS,
+  TARGET_IDLE_TIMEOUT_MS, TICK_INTERVAL_MS, URGENT_REPORT_DELAY_MS
 } from './constants'
-import { createFeedMembers } from './feedMembers'
+import { createRelayFeed } from './createRelayFeed'
 import { createExchange, createTargetConnectionPool } from './exchange'
+import { followConfig } from './followConfig'
 import { startGossip, type Gossip, type OwnLoad, type OwnReport, type Stage } from './gossip'
 import {
   createItemRunner, createJobRegistry, createJobApi, createJobCollector, createJobManager, createJobService,
@@ -24,10 +25,11 @@
 } from './live'
 import { createLoadView, createPeerUses, createTargetLimits, createTargetPreference } from './load'
 import type { RelayConfig, Target, TargetProtocol } from './model'
-import { createRouteTable, type RouteTable } from './routing'
+import type { RouteTable } from './routing'
 import { RELAY_RULES } from './rules'
 import type { RelaySettings } from './settings'
 import { createServiceVersions, createStreamService, createStreamVersionFinder, createStreamVersions } from './streams'
+import { createStartState } from './startState'
 import { createTargetDirectory } from './targets'
 
 /** Codecs for the formats that a deployment's platform, callers and targets use. */
@@ -88,10 +90,9 @@
     log
   })
   const openRequests = createOpenRequests()
-  let table: RouteTable | undefined
-  let hasTargets = false
-  let markStarted: () => void
-  const whenStarted = new Promise<void>((resolve) => { markStarted = resolve })
+  const closing = new AbortController()
+  const startState = createStartState(clock, MAX_START_WAIT_MS, closing.signal)
+  let getRouteTable: () => RouteTable | undefined = () => undefined
   let isClosed = false
   let reportTimer: NodeJS.Timeout | undefined
 
@@ -114,7 +115,18 @@
   })
   if (started.isErr()) return err(started.error)
   const gossip: Gossip = started.value
-  const feed = createPlatformFeed()
+  const feed = createRelayFeed({
+    settings,
+    peerAddress,
+    kinds: [protocols.config.kind, protocols.targetEntries.kind],
+    platform,
+    transports,
+    gossip,
+    clock,
+    random,
+    metrics,
+    log
+  })
   const targets = createTargetDirectory({
     feed,
     ...protocols.targetEntries,
@@ -204,7 +216,7 @@
     loads,
     crashes,
     exchange,
-    table: () => table,
+    table: () => getRouteTable(),
     peers: gossip.peers,
     failureDomain: instance.failureDomain,
     rules: RELAY_RULES.items,
@@ -219,7 +231,7 @@
     self: instance.id,
     jobRegistry,
     store,
-    table: () => table,
+    table: () => getRouteTable(),
     peers: gossip.peers,
     isLeaving: () => shutdown.getStage() !== 'serving',
     onItemsReady: () => runner.dispatch(),
@@ -260,8 +272,8 @@
   })
   const handle = createRelayHandler({
     protocol: protocols.callers,
-    getRouteTable: () => table,
-    whenStarted,
+    getRouteTable: () => getRouteTable(),
+    whenStarted: startState.whenStarted,
     live: {
       slotScheduler,
       exchange,
@@ -311,7 +323,17 @@
     await gossip.close()
     return err(peerServer.error)
   }
-  watchConfig()
+  getRouteTable = followConfig({
+    feed,
+    object: protocols.config,
+    onChange: () => {
+      startState.recordConfig()
+      gossip.reportNow()
+      dispatchAll()
+    },
+    metrics,
+    log
+  })
   targets.onChange(dispatchAll)
   loads.onOwnChange(() => {
     gossip.reportLoadChange()
@@ -333,7 +355,6 @@
   const collector = createJobCollector({
     self: instance.id, store, peers: gossip.peers, keepMs: settings.bounds.jobStatusMs, clock, log
   })
-  const closing = new AbortController()
   crashingPartsStore.load(closing.signal).then(crashes.restore).catch((cause: unknown) => {
     log.error({ cause: describeCause(cause) }, 'parts that crash targets could not be restored')
   })
@@ -341,72 +362,16 @@
     log.error({ cause: describeCause(cause) }, 'versions of services could not be loaded')
   })
   feed.ready().then(() => {
-    hasTargets = true
-    checkStarted()
+    startState.recordTargets()
     gossip.reportNow()
   }).catch((cause: unknown) => log.error({ cause: describeCause(cause) }, 'feed could not start'))
-  clock.sleep(MAX_START_WAIT_MS, closing.signal).then(() => markStarted()).catch(() => undefined)
   feed.ready().then(async () => await jobManager.recover()).catch((cause: unknown) => {
     log.error({ cause: describeCause(cause) }, 'jobs could not be recovered from the store')
   })
 
-  function createPlatformFeed (): PeeredFeed {
-    const self: Peer = { id: instance.id, failureDomain: instance.failureDomain, peerAddress }
-    return createObjectFeed({
-      platform,
-      transports,
-      instance: self,
-      kinds: [protocols.config.kind, protocols.targetEntries.kind],
-      seeds: settings.seeds,
-      members: createFeedMembers(gossip),
-      watchersPerDomain: 1,
-      timings: FEED_TIMINGS,
-      isPlatformCurrent: true,
-      clock,
-      random,
-      metrics,
-      log
-    })
-  }
-
-  function watchConfig (): void {
-    const { kind, name } = protocols.config
-    const object = feed.objects(kind).get(name)
-    if (object !== undefined) applyConfig(object.value, object.revision)
-    feed.subscribe(kind, (event) => {
-      if (event.name === name && event.object !== undefined) applyConfig(event.object.value, event.revision)
-    })
-  }
-
-  function applyConfig (value: unknown, revision: number): void {
-    const config = protocols.config.decode(value)
-    if (config.isErr()) {
-      log.error({ revision, cause: config.error.message }, 'configuration cannot be read; the one in force stays')
-      metrics.count('config.unreadable')
-      return
-    }
-    if (table !== undefined && config.value.version < table.version) {
-      log.warn({ revision, version: config.value.version, inForce: table.version }, 'older configuration left out')
-      return
-    }
-    table = createRouteTable(config.value)
-    checkStarted()
-    log.info({ version: table.version, revision, routes: config.value.routes.length }, 'configuration in force')
-    gossip.reportNow()
-    dispatchAll()
-  }
-
-  function isStarted (): boolean {
-    return table !== undefined && hasTargets
-  }
-
-  function checkStarted (): void {
-    if (isStarted()) markStarted()
-  }
-
   function getStage (): Stage {
     if (shutdown.getStage() !== 'serving') return 'leaving'
-    return isStarted() ? 'serving' : 'starting'
+    return startState.isStarted() ? 'serving' : 'starting'
   }
 
   function getOwnReport (): OwnReport {
@@ -517,7 +482,7 @@
     jobs,
     trackRequest: shutdown.trackRequest,
     isReady: () => getStage() === 'serving',
-    table: () => table,
+    table: () => getRouteTable(),
     applySettings,
     stop: async () => {
       await shutdown.stop()
