Let requests of our own interface wait until an owner of their targets can be asked

Traced with the plan and the refusals in the error's place: three targets were planned, no ticket could be opened, nobody had refused. The instance's list was read before the entry instances had registered, and is read again after two seconds: it knew targets, but no owner to ask.

Change: while targets are known and none of their owners could be asked, the acquisition plans again every 50 ms, for 2.5 s at most and within the request's deadline.

Ruled out: owners that disagree (no refusal `NOT_HOME`), ejected targets (none), models that are not loaded (nothing excluded).

--- a/packages/pimentoplank/src/entry/slots/failures.feature
+++ b/packages/pimentoplank/src/entry/slots/failures.feature
@@ -154,6 +154,16 @@
     Then 1 live request of slot holder "a" is refused as "noTarget"
     And slot holder "a" is told to retry after 100 to 5000 ms
 
+  Scenario: Requests that come before any owner is listed wait for one
+    Given a slot rig of 1 owner and 1 target with 4 slots, first owner not yet listed
+    When slot holder "a" asks for 1 live slot
+    And the slot clock advances 200 ms
+    Then slot holder "a" holds 0 live slots
+    And no request of a slot holder has been refused
+    When the first owner joins the membership list
+    And the slot clock advances 100 ms
+    Then slot holder "a" holds 1 live slot
+
   Scenario: A new instance becomes the owner of a target while requests wait
     Given a slot rig of 3 owners and 1 target with 4 slots, first owner not yet listed
     When slot holder "a" asks for 4 live slots
--- a/packages/pimentoplank/src/entry/slots/slotFailures.steps.ts
+++ b/packages/pimentoplank/src/entry/slots/slotFailures.steps.ts
@@ -14,7 +14,7 @@
 /** Time that holders need to move to the next owner, in milliseconds. */
 const HAND_OVER_MS = 50
 
-Given('a slot rig of {int} owners and {int} target(s) with {int} slots, first owner not yet listed', async function (
+Given('a slot rig of {int} owner(s) and {int} target(s) with {int} slots, first owner not yet listed', async function (
   this: SlotsWorld, owners: number, targets: number, slots: number
 ) {
   await startRig(this, { owners, targets, slots })
--- a/packages/pimentoplank/src/shared/slots/acquisition.ts
+++ b/packages/pimentoplank/src/shared/slots/acquisition.ts
@@ -18,6 +18,9 @@
 const MAX_ATTEMPTS = 12
 /** Retry delay when no owner has suggested one, in milliseconds. */
 const DEFAULT_RETRY_AFTER_MS = 1000
+/** Longest wait for an owner that can be asked, in milliseconds: a reading of the instance list and some. */
+const MAX_OWNER_WAIT_MS = 2500
+const OWNER_PAUSE_MS = 50
 /** Longest delay of a Node timer, in milliseconds. */
 const MAX_TIMER_MS = 2 ** 31 - 1
 
@@ -40,6 +43,8 @@
 interface AcquisitionState {
   /** Targets of the open tickets, by ticket. */
   open: Map<number, Target>
+  /** True once an owner was asked. */
+  hasAskedOwner: boolean
   attempts: number
   /** Index of the next target of the plan to try. */
   nextIndex: number
@@ -86,8 +91,10 @@
     const ticket = tickets.request({
       target, req: options.req, deadlineMs, ignoreEjection: plan.ignoreEjection
     }, mailbox)
-    if (ticket !== undefined) state.open.set(ticket, target)
-    return ticket !== undefined
+    if (ticket === undefined) return false
+    state.hasAskedOwner = true
+    state.open.set(ticket, target)
+    return true
   }
 
   function tryNext (): void {
@@ -107,7 +114,23 @@
     tryNext()
   }
 
-  for (let count = 0; count < plan.maxParallel; count += 1) tryNext()
+  function tryFirst (): void {
+    for (let count = 0; count < plan.maxParallel; count += 1) tryNext()
+  }
+
+  /** Until the instances have found each other, targets are known whose owners can't be asked yet. */
+  async function waitForOwner (): Promise<void> {
+    const until = Math.min(deadlineAt, clock.now() + MAX_OWNER_WAIT_MS)
+    while (!state.hasAskedOwner && plan.targets.length > 0 && clock.now() < until && options.signal?.aborted !== true) {
+      await clock.sleep(OWNER_PAUSE_MS, options.signal)
+      plan = options.plan()
+      Object.assign(state, { attempts: 0, nextIndex: 0 })
+      tryFirst()
+    }
+  }
+
+  tryFirst()
+  await waitForOwner()
   while (state.open.size > 0) {
     const event = await mailbox.next()
     if (event.type === 'ended') return err(createEndedError(event.reason, state))
@@ -134,7 +157,15 @@
 }
 
 function createState (): AcquisitionState {
-  return { open: new Map(), attempts: 0, nextIndex: 0, loadRefusals: 0, queued: new Set(), reason: 'noTarget' }
+  return {
+    open: new Map(),
+    hasAskedOwner: false,
+    attempts: 0,
+    nextIndex: 0,
+    loadRefusals: 0,
+    queued: new Set(),
+    reason: 'noTarget'
+  }
 }
 
 /** Whether the request has used up its time in a queue, so that trying another target is pointless. */
