Wait for the hash functions before an instance runs

Cause: since the program is loaded by a dynamic import, a module that uses the hash functions could run before they were loaded: in a bundle, the top-level await of the hash module does not hold up every module of a dynamic import. On a busy machine the process ended at its start with exit code 1 ("Cannot read properties of undefined (reading 'h32')").

Ruled out: other top-level awaits (there is no other one in the program); the store program, whose imports are static.

--- a/packages/pimentoplank/src/shared/hashing/hash.ts
+++ b/packages/pimentoplank/src/shared/hashing/hash.ts
@@ -1,7 +1,15 @@
 /** Fast non-cryptographic hashes (xxHash) that are the same in every process. */
-import xxhash from 'xxhash-wasm'
+import xxhash, { type XXHashAPI } from 'xxhash-wasm'
 
-const hasher = await xxhash()
+let hasher: XXHashAPI
+
+/**
+ * Resolves when the functions can be used. A static import waits for it; in a bundle, a dynamic import of modules that
+ * use them may not.
+ */
+export const hashesReady: Promise<void> = xxhash().then((loaded) => { hasher = loaded })
+
+await hashesReady
 
 /** Hashes text to an unsigned 32-bit number. */
 export function hash32 (text: string): number {
--- a/packages/soak/features/soak.feature
+++ b/packages/soak/features/soak.feature
@@ -19,3 +19,7 @@
   Scenario: Seeds whose hang-up met a starting process keep every promise
     When the seeds whose hang-up met a starting process run
     Then no guarantee was violated
+
+  Scenario: Seeds in which a program ran before it was loaded keep every promise
+    When the seeds in which a program ran before it was loaded run
+    Then no guarantee was violated
--- a/packages/soak/features/soak.steps.ts
+++ b/packages/soak/features/soak.steps.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict'
 import { Then, When } from '@cucumber/cucumber'
 import {
-  EARLY_SIGHUPS, OLD_ENTRY_REGRESSIONS, REGRESSIONS, EVERY_FAULT, runSeed, SHORT_FAULTS, STREAM_REGRESSIONS,
+  EARLY_SIGHUPS, EVERY_FAULT, LOADING_REGRESSIONS, OLD_ENTRY_REGRESSIONS, REGRESSIONS, runSeed, SHORT_FAULTS,
+  STREAM_REGRESSIONS,
   type Regression, type SeedOutcome
 } from '../src'
 
@@ -49,6 +50,12 @@
   this.outcomes = await runRegressions(OLD_ENTRY_REGRESSIONS)
 })
 
+When('the seeds in which a program ran before it was loaded run', { timeout: RUN_TIMEOUT_MS }, async function (
+  this: SoakWorld
+) {
+  this.outcomes = await runRegressions(LOADING_REGRESSIONS)
+})
+
 When('the seeds whose hang-up met a starting process run', { timeout: RUN_TIMEOUT_MS }, async function (
   this: SoakWorld
 ) {
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -1,4 +1,6 @@
-export { EARLY_SIGHUPS, OLD_ENTRY_REGRESSIONS, REGRESSIONS, STREAM_REGRESSIONS, type Regression } from './regressions'
+export {
+  EARLY_SIGHUPS, LOADING_REGRESSIONS, OLD_ENTRY_REGRESSIONS, REGRESSIONS, STREAM_REGRESSIONS, type Regression
+} from './regressions'
 export { EVERY_FAULT, runSeed, SHORT_FAULTS, type SeedOptions, type SeedOutcome } from './runSeed'
 export { sendLiveRequest, type Attempt } from './liveRequests'
 export { EVENTS_PER_RESPONSE, findStreamViolations, type SeenTarget } from './streamChecks'
--- a/packages/soak/src/regressions.ts
+++ b/packages/soak/src/regressions.ts
@@ -8,6 +8,8 @@
   withLongFaults?: boolean
   /** True for seeds that failed with pauses and versions of targets. */
   withVersionFaults?: boolean
+  /** True for seeds that failed with targets that say that they leave. */
+  withLeavingTargets?: boolean
 }
 
 /** Seeds in which SIGHUP reached a starting process; before the program's first line runs, it ends the process. */
@@ -35,6 +37,13 @@
 /** Seeds in which instances placed streams by an entry that was older than its target. */
 export const OLD_ENTRY_REGRESSIONS: readonly Regression[] = [{ seed: 7026, cause: OLD_ENTRY, ...withEveryFault }]
 
+const LOADING = 'a program ran before its hash functions were loaded, and ended'
+
+/** Seeds in which a program that was started again ran before all of it was loaded. */
+export const LOADING_REGRESSIONS: readonly Regression[] = [11001, 11005].map((seed) => (
+  { seed, cause: LOADING, ...withEveryFault, withLeavingTargets: true }
+))
+
 export const REGRESSIONS: readonly Regression[] = [
   { seed: 101, seconds: 15, cause: LOST_TAKEOVER },
   { seed: 105, seconds: 15, cause: LOST_TAKEOVER },
