--- a/packages/soak/src/regressions.ts
+++ b/packages/soak/src/regressions.ts
@@ -40,7 +40,7 @@
 const LOADING = 'a program ran before its hash functions were loaded, and ended'
 
 /** Seeds in which a program that was started again ran before all of it was loaded. */
-export const LOADING_REGRESSIONS: readonly Regression[] = [11001, 11005].map((seed) => (
+export const LOADING_REGRESSIONS: readonly Regression[] = [11001, 11005, 11008, 11010].map((seed) => (
   { seed, cause: LOADING, ...withEveryFault, withLeavingTargets: true }
 ))
 
