Use leaving targets as a last resort only by their own word, not by their entries

Cause, found by reading: where all targets of a service leave, those whose entries say so were used for half of the drain bound after this instance had heard it. An entry may come late (a watch that hears nothing for a second, then lists anew), so that a request could reach such a target later than the bound after the report.

Change: only targets that have said so themselves, whose moment is known.

Measured: leavingTargets.feature, 10 scenarios pass.

--- a/packages/pimentoplank/src/relay/targets/targetDirectory.ts
+++ b/packages/pimentoplank/src/relay/targets/targetDirectory.ts
@@ -18,7 +18,7 @@
   decode: (id: string, value: unknown) => Target | undefined
   /** How long removed targets stay in use after a mass removal of registrations, in milliseconds. */
   removalGraceMs: number
-  /** How long targets that leave stay in use where no others are left, in milliseconds. */
+  /** How long targets that have said that they leave stay in use where no others are left, in milliseconds. */
   leavingGraceMs: number
   clock: Clock
   log: Log
@@ -27,7 +27,10 @@
 export interface TargetDirectory {
   /** Lists the targets of a service that may receive new requests. */
   getUsable: (service: string) => readonly Target[]
-  /** Lists targets of a service that leave but still answer requests that are sent now. */
+  /**
+   * Lists targets of a service that have said a short while ago that they leave, and still answer what is sent now. A
+   * target whose entry says so is not among them: the entry may have been late.
+   */
   getLeaving: (service: string) => readonly Target[]
   /**
    * Records that a process of a target has said that it leaves; its entry doesn't undo that.
@@ -71,8 +74,6 @@
   const targets = new Map<string, Target>()
   const idsByKey = new Map<number, string>()
   const removed = new Map<string, RemovedTarget>()
-  /** When the entry of a target began to say that it leaves. */
-  const leavingSince = new Map<string, number>()
   const leaving = createLeavingTargets({
     findByKey: (key) => targets.get(idsByKey.get(key) ?? ''), clock, log
   })
@@ -101,8 +102,6 @@
       processListeners.forEach((listener) => listener(after))
     }
     if (before?.state !== after?.state) {
-      if (after?.state === 'leaving') leavingSince.set(event.name, clock.now())
-      else leavingSince.delete(event.name)
       log.info({
         target: event.name, from: before?.state, to: after?.state ?? 'gone', revision: event.revision
       }, 'target changed')
@@ -127,11 +126,9 @@
 
   function getLeavingTargets (service: string): Target[] {
     const since = clock.now() - leavingGraceMs
-    return [...targets.values()].filter((target) => {
-      if (target.service !== service) return false
-      const leftAt = Math.min(leavingSince.get(target.id) ?? Infinity, leaving.getSince(target) ?? Infinity)
-      return leftAt < Infinity && leftAt >= since
-    })
+    return [...targets.values()].filter((target) => (
+      target.service === service && target.state === 'ready' && (leaving.getSince(target) ?? -Infinity) >= since
+    ))
   }
 
   function recordLeaving (id: string, startedAt: number | undefined): boolean {
