Let items wait for the check of their chunk's claim that is already being made

A runner that thaws without its lease reads the checkpoint before it dispatches. The first item that asked noted the time of the check before it had an answer, and every item that asked during the read got the result of the check before, which at first is "may run". With several slots granted while the process was frozen, all but the first item ran. Ruled out: the lease itself (a new one is acquired only after all chunks were released) and the finalizer (the job had ended).

Change: items share the read in flight and wait for its result.

Conclusion: a check followed by an act of several callers must be shared, not only remembered. What remains: a process that is frozen between its check and the request, as no target of this interface checks who sends an item.

--- a/packages/pimentoplank/features/support/memoryPlatform.ts
+++ b/packages/pimentoplank/features/support/memoryPlatform.ts
@@ -23,6 +23,8 @@
   calls: MemoryCall[]
   /** Called before each platform call; returns the fault that the call gets. */
   faultOf: (call: MemoryCall) => CallFault | undefined
+  /** Called before each platform call; returns what the call waits for before it takes effect. */
+  delayOf: (call: MemoryCall) => Promise<void> | undefined
 }
 
 /** Creates an empty store. */
@@ -61,6 +63,12 @@
     ): ResultAsync<Value, PlatformError> {
       const made: MemoryCall = { operation, kind, name, client: id }
       platform.calls.push(made)
+      const delay = platform.delayOf(made)
+      if (delay === undefined) return perform(made, act)
+      return ResultAsync.fromSafePromise(delay).andThen(() => perform(made, act))
+    }
+
+    function perform<Value> (made: MemoryCall, act: () => PlatformError | Value): ResultAsync<Value, PlatformError> {
       const fault = platform.faultOf(made)
       if (fault === 'down') return errAsync(new PlatformUnavailable('down'))
       const value = act()
@@ -112,6 +120,8 @@
     }
   }
 
-  const platform: MemoryPlatform = { client, feed, objects: (kind) => list(kind), calls: [], faultOf: () => undefined }
+  const platform: MemoryPlatform = {
+    client, feed, objects: (kind) => list(kind), calls: [], faultOf: () => undefined, delayOf: () => undefined
+  }
   return platform
 }
--- a/packages/pimentoplank/src/batch/activeChunk.ts
+++ b/packages/pimentoplank/src/batch/activeChunk.ts
@@ -63,9 +63,9 @@
   let graceEndsAt = 0
   let oldestPendingAt: number | undefined
   let isLost = false
-  let verifiedAt = -Infinity
+  /** Latest check of the claim while the lease was not known to be held; items that ask in the meantime wait for it. */
+  let verification: { startedAt: number, mayRun: Promise<boolean> } | undefined
   let lastPlatformContactAt = clock.now()
-  let mayRun = true
 
   /**
    * Creates tasks for the items without a result. An at-most-once item that an earlier owner may have dispatched gets
@@ -105,14 +105,18 @@
       lastPlatformContactAt = now
       return true
     }
-    if (now - verifiedAt < VERIFY_INTERVAL_MS) return mayRun
-    verifiedAt = now
+    if (verification === undefined || now - verification.startedAt >= VERIFY_INTERVAL_MS) {
+      verification = { startedAt: now, mayRun: verifyClaim(now) }
+    }
+    return await verification.mayRun
+  }
+
+  async function verifyClaim (startedAt: number): Promise<boolean> {
     const outcome = await writer.verify()
     if (outcome === 'lost') markLost()
-    if (outcome === 'committed') lastPlatformContactAt = now
+    if (outcome === 'committed') lastPlatformContactAt = startedAt
     const { runMs, maxPendingBytes } = settings.outage
-    mayRun = outcome !== 'lost' && now - lastPlatformContactAt < runMs && writer.getPendingBytes() < maxPendingBytes
-    return mayRun
+    return outcome !== 'lost' && startedAt - lastPlatformContactAt < runMs && writer.getPendingBytes() < maxPendingBytes
   }
 
   function markLost (): void {
--- a/packages/pimentoplank/src/batch/faults.feature
+++ b/packages/pimentoplank/src/batch/faults.feature
@@ -191,6 +191,19 @@
     When the batch runner "a" thaws
     Then no batch run began after the job had ended
 
+  Scenario: No item of a runner that thaws starts while the first of them still checks the claim
+    Given a batch fleet with the runners "a, b"
+    When 40 batch items are uploaded
+    And the batch runner "a" runs items
+    And each batch slot takes 3 s to be granted
+    And batch items are waiting for slots
+    And the batch runner "a" freezes, and when it thaws its slots arrive before its feed events
+    And the batch job is cancelled
+    Then the batch job is "cancelled" within 60 s
+    When reads of checkpoints by the batch runner "a" take 200 ms
+    And the batch runner "a" thaws
+    Then no batch run began after the job had ended
+
   Scenario: A claim that races with a cancellation runs no items
     Given a batch fleet with the runners "a"
     When the batch job will be cancelled during its first claim
--- a/packages/pimentoplank/src/batch/runner.steps.ts
+++ b/packages/pimentoplank/src/batch/runner.steps.ts
@@ -242,6 +242,12 @@
   await entry.clock.jump(MINUTE)
 })
 
+When('reads of checkpoints by the batch runner {string} take {int} ms', function (this: FleetWorld, id: string, ms: number) {
+  const { clock } = this.fleet.runners.get(id)!
+  this.fleet.platform.delayOf = ({ client, operation, kind }) =>
+    client === id && operation === 'get' && kind === OBJECT_KINDS.checkpoint ? clock.sleep(ms) : undefined
+})
+
 When('the batch runner {string} is stopped', async function (this: FleetWorld, id: string) {
   await stopRunner(this, id, 15 * SECOND)
 })
