Keep the versions of streams for an hour rather than until the caller's deadline

Cause: instances forgot where a stream runs when the deadline of its first attempt passed. Callers come again with a deadline of their own.

"Placements are told for a second and known until the caller's deadline" checked the fault itself; it now checks that a stream is known just before the hour ends and forgotten after it.

Conclusion: a caller's deadline bounds an attempt, not a stream.

--- a/packages/pimentoplank/src/relay/live/attemptTarget.ts
+++ b/packages/pimentoplank/src/relay/live/attemptTarget.ts
@@ -115,10 +115,9 @@
   function getProcessNeed (): ProcessNeed | undefined {
     if (route.kind !== 'stream' || !route.isResumable) return undefined
     if (progress.version !== undefined) return { mustBeListed: true }
-    const keepUntil = call.arrivedAt + (request.deadlineMs ?? route.timeoutMs)
     return {
       mustBeListed: false,
-      onIdentified: (startedAt) => deps.streamVersions.recordPlacement(request.id, slot.target, startedAt, keepUntil)
+      onIdentified: (startedAt) => deps.streamVersions.recordPlacement(request.id, slot.target, startedAt)
     }
   }
 
--- a/packages/pimentoplank/src/relay/streams/streamVersions.feature
+++ b/packages/pimentoplank/src/relay/streams/streamVersions.feature
@@ -32,14 +32,16 @@
     Then version "v1" of "r1" is known here
     And a peer that hears of it knows version "v2" of "r2"
 
-  Scenario: Placements are told for a second and known until the caller's deadline
+  Scenario: Placements are told for a second and known for an hour, since callers may come with a new deadline
     When attempt "r1" is placed at a target of version "v1"
     And 900 ms pass for the streams
     Then full reports tell 1 stream, load updates 0
     When 600 ms pass for the streams
     Then full reports tell 0 streams, load updates 0
     And version "v1" of "r1" is known here
-    When 9000 ms pass for the streams
+    When 3598000 ms pass for the streams
+    Then version "v1" of "r1" is known here
+    When 2000 ms pass for the streams
     Then nothing of "r1" is known here
 
   Scenario: A report of many placements stays small
--- a/packages/pimentoplank/src/relay/streams/streamVersions.steps.ts
+++ b/packages/pimentoplank/src/relay/streams/streamVersions.steps.ts
@@ -12,7 +12,6 @@
   entry?: Target
 }
 
-const KEEP_MS = 10_000
 const TARGET: Omit<Target, 'version'> = {
   id: 't1', service: 's', address: '127.0.0.1:1', failureDomain: 'a', slots: 4, state: 'ready', startedAt: 1000
 }
@@ -38,13 +37,13 @@
 When('attempt {string} is placed at a target of version {string}', function (
   this: StreamsWorld, attempt: string, version: string
 ) {
-  getStreams(this).recordPlacement(attempt, { ...TARGET, version }, TARGET.startedAt, (this.now ?? 0) + KEEP_MS)
+  getStreams(this).recordPlacement(attempt, { ...TARGET, version }, TARGET.startedAt)
 })
 
 When('attempt {string} is placed at that target, where a process answers that started at {int}', function (
   this: StreamsWorld, attempt: string, startedAt: number
 ) {
-  getStreams(this).recordPlacement(attempt, { ...TARGET, version: 'v1' }, startedAt, this.now + KEEP_MS)
+  getStreams(this).recordPlacement(attempt, { ...TARGET, version: 'v1' }, startedAt)
 })
 
 When('{int} ms pass for the streams', function (this: StreamsWorld, ms: number) {
@@ -71,7 +70,7 @@
 When('{int} attempts are placed at once', function (this: StreamsWorld, count: number) {
   const streams = getStreams(this)
   for (let index = 0; index < count; index++) {
-    streams.recordPlacement(`r${index}`, { ...TARGET, version: `v${index % 2}` }, TARGET.startedAt, KEEP_MS)
+    streams.recordPlacement(`r${index}`, { ...TARGET, version: `v${index % 2}` }, TARGET.startedAt)
   }
 })
 
--- a/packages/pimentoplank/src/relay/streams/streamVersions.ts
+++ b/packages/pimentoplank/src/relay/streams/streamVersions.ts
@@ -1,7 +1,7 @@
 /** Knows at which software version streams run that were placed by this instance, or of which it has heard. */
 import { LRUCache } from 'lru-cache'
 import { hash64, type Clock, type Log } from '../../shared'
-import { findPlacedVersion, type PlacedProcess } from '../decisions'
+import { findPlacedVersion, FORGET_VERSION_MS, type PlacedProcess } from '../decisions'
 import type { StreamNotice } from '../gossip'
 import type { Target } from '../model'
 
@@ -14,7 +14,7 @@
   source: VersionSource
   /** When it was placed or heard of, on the monotonic clock in milliseconds. */
   at: number
-  /** When the caller's deadline passes, on the monotonic clock in milliseconds. */
+  /** Until when it is kept, on the monotonic clock in milliseconds. */
   keepUntil: number
 }
 
@@ -31,9 +31,8 @@
    *
    * @param target - as its entry described it when the attempt was placed there
    * @param startedAt - when the process that gets the attempt started, by its own clock; undefined if not known
-   * @param keepUntil - when the caller's deadline passes, on the monotonic clock in milliseconds
    */
-  recordPlacement: (attempt: string, target: Target, startedAt: number | undefined, keepUntil: number) => void
+  recordPlacement: (attempt: string, target: Target, startedAt: number | undefined) => void
   /** Finds a stream by the hash of the id of the attempt that brought its first event. */
   find: (attempt: bigint) => KnownStream | undefined
   /** Merges what peers have told. */
@@ -82,13 +81,11 @@
     }
   }
 
-  function recordPlacement (
-    attempt: string, target: Target, startedAt: number | undefined, keepUntil: number
-  ): void {
+  function recordPlacement (attempt: string, target: Target, startedAt: number | undefined): void {
     const key = hash64(attempt)
     const placed = { attempt, target: target.id, startedAt }
     const version = findPlacedVersion(placed, [target, getTarget(target.id)])
-    known.set(key, { version, source: 'own', at: clock.now(), keepUntil })
+    known.set(key, { version, source: 'own', at: clock.now(), keepUntil: clock.now() + FORGET_VERSION_MS })
     addRecent(key)
     unresolved.delete(key)
     if (version !== undefined) return
