Give peers half a second to tell the version of a stream

Change: the timeout is 500 ms. The first peer that knows the stream still ends the wait at once, and a stream of which all peers have said that they don't know it is refused at once; only a peer that is silent holds a refusal up.

Measured: the new scenario (peers take 350 ms) fails before and passes now, with the other five of the feature.

--- a/packages/pimentoplank/src/relay/streams/streamVersionFinder.feature
+++ b/packages/pimentoplank/src/relay/streams/streamVersionFinder.feature
@@ -14,6 +14,12 @@
     When a caller takes up stream "r2"
     Then it is refused as "streamVersionUnknown"
 
+  Scenario: A busy peer that takes a while to answer still tells the version
+    Given 2 peers in each of 2 failure domains, of which those in "b" know version "v1" of "r1"
+    And the peers take 350 ms to answer
+    When a caller takes up stream "r1"
+    Then it is bound to version "v1"
+
   Scenario: A stream whose version is in doubt is refused, although only one version serves now
     Given 1 peer in each of 1 failure domain, of which those in "a" know version "" of "r1"
     And only version "v2" has served for long
--- a/packages/pimentoplank/src/relay/streams/streamVersionFinder.steps.ts
+++ b/packages/pimentoplank/src/relay/streams/streamVersionFinder.steps.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { create } from '@bufbuild/protobuf'
+import { setTimeout as pause } from 'node:timers/promises'
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import type { Result } from 'neverthrow'
 import {
@@ -19,6 +20,7 @@
   /** Failure domains of the peers that were asked. */
   asked: string[]
   silentDomains: Set<string>
+  answerMs: number
   history: VersionHistory
   bound: Result<string, RefusalError>
 }
@@ -33,6 +35,7 @@
 ) {
   this.asked = []
   this.silentDomains = new Set()
+  this.answerMs = 0
   this.history = UNKNOWN_HISTORY
   this.streamPeers = []
   this.streamServers = []
@@ -63,6 +66,7 @@
         findVersion: async ({ attempt }) => {
           world.asked.push(failureDomain)
           if (world.silentDomains.has(failureDomain)) await new Promise(() => undefined)
+          await pause(world.answerMs)
           return create(FindVersionResponseSchema, { known: attempt === known, version, keepMs: KEEP_MS })
         }
       })
@@ -75,6 +79,10 @@
   this.silentDomains = new Set([first, second])
 })
 
+Given('the peers take {int} ms to answer', function (this: FinderWorld, ms: number) {
+  this.answerMs = ms
+})
+
 Given('only version {string} has served for long', function (this: FinderWorld, version: string) {
   this.history = createHistory(version, false)
 })
--- a/packages/pimentoplank/src/relay/streams/streamVersionFinder.ts
+++ b/packages/pimentoplank/src/relay/streams/streamVersionFinder.ts
@@ -33,7 +33,7 @@
 /** Instances that are asked in each failure domain. */
 const ASKED_PER_DOMAIN = 2
 /** Timeout for asking peers, in milliseconds. */
-const ASK_TIMEOUT_MS = 150
+const ASK_TIMEOUT_MS = 500
 /** Longest wait of a request for the versions of services, in milliseconds; they are read as an instance starts. */
 const LOAD_TIMEOUT_MS = 150
 /** Retry hint for callers whose stream is not known, in milliseconds. */
