Log what was known of the targets when a live request is refused

The line named an expected wait of 3 to 35 ms and no waiting request, which explained nothing. It now has the number of targets, of trusted ones, and of slots that live requests could use at all and at trusted targets.

--- a/packages/pimentoplank/src/relay/live/slotScheduler.ts
+++ b/packages/pimentoplank/src/relay/live/slotScheduler.ts
@@ -214,6 +214,7 @@
         req: ask.requestId,
         reason: admission.reason,
         waiting: queue.length,
+        ...summarizeLoads(all),
         expectedMs: admission.expectedMs,
         retryAfterMs: admission.retryAfterMs
       }, 'refused')
@@ -222,6 +223,14 @@
     return await enqueue(ask)
   }
 
+  /** Free slots include those of batch items, which live requests preempt. */
+  function summarizeLoads (all: readonly TargetLoad[]): Record<string, number> {
+    const trusted = all.filter(({ isSuspect }) => !isSuspect)
+    const countFree = (loads: readonly TargetLoad[]): number =>
+      loads.reduce((sum, { target, live }) => sum + Math.max(0, target.slots - live), 0)
+    return { targets: all.length, trusted: trusted.length, free: countFree(all), trustedFree: countFree(trusted) }
+  }
+
   /** A target with a limit runs no more requests at once than the limit lets in during one run. */
   function countUsableSlots ({ target, limitPerSecond = Infinity }: TargetLoad, runMs: number): number {
     return Math.min(target.slots, limitPerSecond * runMs / MS_PER_S)
