Soak: don't take connections that a silent link hides for open ones

Such a connection passes on neither bytes nor its end, so that the target can't see the close. Ruled out: another cause in the instance, whose log says that the request ended; a leak in the stand-in (its loop ends with its socket).

Change: the link tells which of its connections to the target hide that their other end has closed; the check leaves out just these, by their ports, and names the requests of the others.

--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -172,10 +172,12 @@
   })
 }
 
-/** Connections on which bytes come without end must be closed. */
+/** Connections on which bytes come without end must be closed. A link that has gone silent hides it from the target. */
 function checkEndless ({ fleet }: Observations): string[] {
-  return fleet.targets.flatMap(({ standin }) =>
-    standin.getEndless() === 0 ? [] : [`endless: ${standin.getEndless()} connections of ${standin.id} are still open`])
+  return fleet.targets.flatMap(({ standin, link }) => {
+    const open = standin.getEndless().filter(({ port }) => !link.isHalfOpen(port)).map(({ id }) => id)
+    return open.length === 0 ? [] : [`endless: connections of ${standin.id} are still open: ${open.join(', ')}`]
+  })
 }
 
 function checkRecovery ({ attempts, recoveredAt }: Observations): string[] {
--- a/packages/standins/src/link/link.steps.ts
+++ b/packages/standins/src/link/link.steps.ts
@@ -10,6 +10,8 @@
   link: Link
   client: Socket
   received: string
+  /** Ports from which the link has connected to the upstream. */
+  upstreamPorts: number[]
   ending?: 'close' | 'reset'
 }
 
@@ -41,6 +43,39 @@
   this.link = await createLink(`127.0.0.1:${(this.upstream.address() as AddressInfo).port}`)
 })
 
+Given('a link to a server that keeps connections open', async function (this: LinkWorld) {
+  this.upstreamPorts = []
+  this.upstream = createServer((socket) => {
+    this.upstreamPorts.push(socket.remotePort!)
+    socket.on('error', () => undefined)
+  })
+  this.upstream.listen(0, '127.0.0.1')
+  await once(this.upstream, 'listening')
+  this.link = await createLink(`127.0.0.1:${(this.upstream.address() as AddressInfo).port}`)
+})
+
+When('a client sends a request through the link, which then goes silent', async function (this: LinkWorld) {
+  sendRequest(this)
+  await waitUntil(() => this.upstreamPorts.length === 1)
+  this.link.setMode('silent')
+})
+
+Then('no connection to the upstream is half-open', function (this: LinkWorld) {
+  assert.ok(!this.link.isHalfOpen(this.upstreamPorts[0]!))
+})
+
+When('the client closes its connection', function (this: LinkWorld) {
+  this.client.destroy()
+})
+
+Then('the connection to the upstream is half-open', async function (this: LinkWorld) {
+  await waitUntil(() => this.link.isHalfOpen(this.upstreamPorts[0]!))
+})
+
+async function waitUntil (condition: () => boolean): Promise<void> {
+  while (!condition()) await pause(5)
+}
+
 When('the link drops the bytes of its upstream and a client sends a request', function (this: LinkWorld) {
   this.link.setMode('oneWay')
   sendRequest(this)
--- a/packages/standins/src/link/link.ts
+++ b/packages/standins/src/link/link.ts
@@ -21,6 +21,8 @@
   address: string
   /** Changes the mode. A connection keeps the faults of earlier modes; `open` affects only new ones. */
   setMode: (mode: LinkMode) => void
+  /** True for the local port of a connection to the upstream which hides that its other end has closed. */
+  isHalfOpen: (port: number) => boolean
   /** Returns the number of bytes received from both ends so far. */
   getByteCount: () => number
   close: () => Promise<void>
@@ -44,6 +46,8 @@
 export async function createLink (upstreamAddress: string): Promise<Link> {
   const connections = new Set<Connection>()
   const sockets = new Set<Socket>()
+  /** Upstream ends of connections whose other end has closed silently. */
+  const halfOpen = new Set<Socket>()
   let mode: LinkMode = 'open'
   let byteCount = 0
 
@@ -87,16 +91,24 @@
         from.destroy()
         return
       }
-      if (isDropped()) return
+      if (isDropped()) {
+        markHalfOpen()
+        return
+      }
       if (connection.isSlow) setTimeout(() => into.end(), SLOW_MS)
       else into.end()
     })
+    const markHalfOpen = (): void => { if (!isFromUpstream && !into.destroyed) halfOpen.add(into) }
     sockets.add(from)
     from.on('error', () => { isReset = true })
     from.on('close', () => {
       sockets.delete(from)
       connections.delete(connection)
-      if (isDropped()) return
+      halfOpen.delete(from)
+      if (isDropped()) {
+        markHalfOpen()
+        return
+      }
       const end = (): void => {
         if (isReset) into.resetAndDestroy()
         else into.destroy()
@@ -115,6 +127,7 @@
       mode = next
       for (const connection of connections) applyMode(connection, next)
     },
+    isHalfOpen: (one) => [...halfOpen].some(({ localPort }) => localPort === one),
     getByteCount: () => byteCount,
     close: async () => {
       const closed = new Promise<void>((resolve) => server.close(() => resolve()))
