Revert "Use the free slots of suspect targets where most targets are suspect"

Hypothesis: while most targets are suspect, requests are better served at the free slots of these than refused.

It would have to tell targets that were silent from those that refuse connections; not tried.

--- a/packages/pimentoplank/src/relay/decisions/placement.ts
+++ b/packages/pimentoplank/src/relay/decisions/placement.ts
@@ -5,9 +5,6 @@
  * A step up arrives faster than batch items end, so a request may be sent to a target with no free slot, where it
  * preempts a batch item or waits shortly in the target's own queue.
  *
- * Load pattern: most targets are suspected at the same time, as after a pause of the network or of this machine. Too
- * few trusted ones are left to carry the load, and most of the others are sound.
- *
  * Load pattern: the same steps in a large fleet, where the load of other instances is known late. Instances prefer
  * different targets, use other failure domains only for overflow, and limit themselves to their share of the queues.
  */
@@ -70,8 +67,8 @@
 
 /**
  * Chooses a target. Suspect targets only receive probes: repeatable requests for which no trusted target has capacity,
- * a few at a time, whose outcome shows whether the target has recovered. When most targets are suspect, the number of
- * probes has no limit. When all are, they are used like trusted ones.
+ * a few at a time, whose outcome shows whether the target has recovered. When all targets are suspect, they are used
+ * like trusted ones.
  */
 export function choosePlacement (input: PlacementInput, rules: PlacementRules, random: Random): Placement {
   const candidates = input.candidates.filter(({ allowance }) => allowance >= LIVE_ALLOWANCE)
@@ -80,17 +77,14 @@
   if (trusted.length === 0) return chooseAmong(candidates, input, rules, random)
   const placement = chooseAmong(trusted, input, rules, random)
   if (placement.type !== 'wait' || !input.isRepeatable) return placement
-  const maxProbes = trusted.length < candidates.length * MIN_TRUSTED_SHARE ? Infinity : MAX_PROBES
-  const probeable = candidates.filter((one) => one.isSuspect && one.live < maxProbes && countFreeSlots(one) > 0)
+  const probeable = candidates.filter((one) => one.isSuspect && one.live < MAX_PROBES && countFreeSlots(one) > 0)
   return probeable.length === 0
     ? placement
     : { type: 'free', id: pickWeighted(narrowToPreferred(probeable), countFreeSlots, random).id }
 }
 
-/** Maximum number of live requests at a suspect target while enough targets are trusted. */
+/** Maximum number of live requests at a suspect target. */
 const MAX_PROBES = 2
-/** Share of the targets that is enough. */
-const MIN_TRUSTED_SHARE = 0.5
 
 /** Prefers targets whose load is fresh; targets with stale load receive the overflow. */
 function chooseAmong (
--- a/packages/pimentoplank/src/relay/live/slotScheduler.feature
+++ b/packages/pimentoplank/src/relay/live/slotScheduler.feature
@@ -37,13 +37,3 @@
     Given targets "a v1" and "b v2" with 1 slot each, which are all in use
     When 50 streams of version "v1" look for a slot
     Then all of them wait, while a new request is refused as "queueFull"
-
-  Scenario: Where most targets are suspect, requests use all of their free slots
-    Given targets "a v1" and "b v1" with 1 slot each, which are all in use
-    And suspect targets "c v1, d v1, e v1" with 4 slots each, of which 2 are in use
-    Then 6 of 10 requests get a slot
-
-  Scenario: Where few targets are suspect, they get a few requests to probe them
-    Given targets "a v1" and "b v1" with 1 slot each, which are all in use
-    And suspect targets "c v1" with 4 slots each, of which 1 is in use
-    Then 1 of 10 requests get a slot
--- a/packages/pimentoplank/src/relay/live/slotScheduler.steps.ts
+++ b/packages/pimentoplank/src/relay/live/slotScheduler.steps.ts
@@ -45,22 +45,6 @@
   this.loads.push(createLoad(entry, this.loads.length))
 })
 
-Given(/^suspect targets "(.*)" with 4 slots each, of which (\d) (?:is|are) in use$/, function (
-  this: SchedulerWorld, entries: string, live: string
-) {
-  for (const entry of entries.split(', ')) {
-    const load = createLoad(entry, this.loads.length)
-    const target = { ...load.target, slots: 4 }
-    this.loads.push({ ...load, target, live: Number(live), ownLive: 0, isSuspect: true })
-  }
-})
-
-Then('{int} of {int} requests get a slot', async function (this: SchedulerWorld, served: number, count: number) {
-  for (let index = 0; index < count; index++) await ask(this, `request ${index}`)
-  assert.equal([...this.acquired.values()].filter((result) => result.isOk()).length, served)
-  assert.equal(this.scheduler.countWaiting(), count - served)
-})
-
 /** Creates the load of a target, given as its id and version, whose only slot is in use. */
 function createLoad (entry: string, key: number): TargetLoad {
   const [id, version] = entry.split(' ')
