--- a/packages/soak/features/soak.steps.ts
+++ b/packages/soak/features/soak.steps.ts
@@ -12,7 +12,7 @@
 
 const RUN_TIMEOUT_MS = 600_000
 const MS_PER_S = 1000
-const MAX_PARALLEL_SEEDS = 4
+const MAX_PARALLEL_SEEDS = 2
 /** Deployment size of the recorded seeds; with another size, the same seed gives a different run. */
 const FLEET_OPTIONS = { instances: 5, targets: 8, folder: 'reports/soak' }
 
