Log where the state of a job was heard, whether its owner could be told of its end, and how old the record is

An end that reached the owner and was dropped, one that never reached it, and a job that was opened with an old record looked the same in the log: no line at all. Now each change of a job's state names its source, a call to the owner logs its outcome (its failure was swallowed), and 'item started' tells epoch and age of the record. Stored jobs carry the time at which they were read or written.

--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -207,9 +207,9 @@
     log
   })
   const jobRegistry = createJobRegistry({
-    self: instance.id, noticeMs: JOB_NOTICE_MS, onNotice: () => gossip.reportNow(), clock
+    self: instance.id, noticeMs: JOB_NOTICE_MS, onNotice: () => gossip.reportNow(), clock, log
   })
-  const store = createJobStore(platform)
+  const store = createJobStore(platform, clock)
   const runner = createItemRunner({
     self: instance.id,
     jobRegistry,
@@ -340,7 +340,7 @@
     scheduleDispatch()
   })
   gossip.onReport((report) => {
-    for (const { job, ...ownership } of report.jobs) jobRegistry.update(job, ownership)
+    for (const { job, ...ownership } of report.jobs) jobRegistry.update(job, ownership, 'peer')
     crashes.merge(report)
     limits.merge(report.limits)
     targets.mergeLeaving(report.leaving)
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
@@ -79,7 +79,7 @@
     finished: false
   }
   return createOwnedJob({
-    id: 'job', stored: { record, revision: 1 }, items, getTimes: () => ({ dueAt: DUE_MS, expiresAt: DUE_MS }), now
+    id: 'job', stored: { record, revision: 1, asOf: now() }, items, getTimes: () => ({ dueAt: DUE_MS, expiresAt: DUE_MS }), now
   })
 }
 
@@ -150,7 +150,9 @@
   this.gone = new Set()
   addTarget(this, id, slots)
   const { clock } = this
-  const jobRegistry = createJobRegistry({ self: SELF, noticeMs: 0, onNotice: () => undefined, clock })
+  const jobRegistry = createJobRegistry({
+    self: SELF, noticeMs: 0, onNotice: () => undefined, clock, log: createSilentLog()
+  })
   this.job = createJob(count, () => clock.now())
   jobRegistry.add(this.job)
   this.runner = createItemRunner({
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.ts
@@ -210,6 +210,8 @@
       target: target.id,
       version: target.version,
       lastEvent: progress.lastEventId,
+      epoch: owned.record().epoch,
+      recordAgeMs: Math.round(clock.now() - owned.confirmedAt()),
       dueInMs: Math.round(owned.dueAt - clock.now())
     }, 'item started')
     const entry: ActiveRun = {
--- a/packages/pimentoplank/src/relay/jobs/jobApi.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobApi.ts
@@ -130,7 +130,7 @@
       if (registry.get(id) === undefined && !kept.ended && !kept.finished) manager.openJob(id, created.value, items)
       options.onAccepted()
     } else {
-      registry.update(id, { owner: kept.owner, epoch: kept.epoch, ended: kept.ended })
+      registry.update(id, { owner: kept.owner, epoch: kept.epoch, ended: kept.ended }, 'record')
     }
     log.info({
       job: id, route: route.name, items: items.length, tokens, owner: kept.owner, created: created.value.created
@@ -205,7 +205,7 @@
     const stored = await readStored(id)
     if (stored.isErr()) return err(stored.error)
     const { record } = stored.value
-    registry.update(id, { owner: record.owner, epoch: record.epoch, ended: record.ended })
+    registry.update(id, { owner: record.owner, epoch: record.epoch, ended: record.ended }, 'record')
     if (record.owner === self && !record.finished && !record.ended) settle(id)
     if (!asked.has(record.owner) && record.owner !== self) {
       const page = await readFromOwner(record.owner, id, after, waitMs)
@@ -292,7 +292,7 @@
     if (registry.getKnown(id)?.ended === true) return ok(undefined)
     const owner = registry.getKnown(id)?.owner
     if (owner !== undefined && await notifyOwner(owner, id)) {
-      registry.update(id, { owner, epoch: registry.getKnown(id)!.epoch, ended: true })
+      registry.update(id, { owner, epoch: registry.getKnown(id)!.epoch, ended: true }, 'peer')
       return ok(undefined)
     }
     return await endStored(id)
@@ -300,12 +300,17 @@
 
   async function notifyOwner (owner: string, job: string): Promise<boolean> {
     const peer = options.peers().find(({ report }) => report.instance === owner)
-    if (peer === undefined) return false
+    if (peer === undefined) {
+      log.info({ job, owner, outcome: 'notHeard' }, 'owner asked to end a job')
+      return false
+    }
     try {
       const res = await getClient(peer.report.peerAddress).jobEnded({ job }, { timeoutMs: PEER_TIMEOUT_MS })
+      log.info({ job, owner, outcome: res.isOwner ? 'ended' : 'notOwner' }, 'owner asked to end a job')
       return res.isOwner
-    } catch {
+    } catch (cause) {
       options.metrics.countRetry('peerUnavailable')
+      log.info({ job, owner, outcome: 'noAnswer', cause: describeCause(cause) }, 'owner asked to end a job')
       return false
     }
   }
@@ -321,8 +326,10 @@
         if (written.error instanceof PlatformConflict) continue
         return err(toReadRefusal(written.error))
       }
-      registry.update(id, { owner: record.owner, epoch: record.epoch, ended: true })
-      notifyOwner(record.owner, id).catch(() => undefined)
+      registry.update(id, { owner: record.owner, epoch: record.epoch, ended: true }, 'record')
+      notifyOwner(record.owner, id).catch((cause: unknown) => log.error({
+        job: id, owner: record.owner, cause: describeCause(cause)
+      }, 'owner could not be asked to end a job'))
       log.info({ job: id, owner: record.owner }, 'job ended by its caller')
       return ok(undefined)
     }
--- a/packages/pimentoplank/src/relay/jobs/jobManager.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.steps.ts
@@ -55,14 +55,14 @@
     ended: false,
     finished: false
   }
-  this.stored = { record, revision: 1 }
+  this.stored = { record, revision: 1, asOf: this.clock.now() }
   const canUpdate = new Promise<void>((resolve) => { this.updateRecord = resolve })
   const store: Partial<JobStore> = {
     read: () => resolved(this.stored),
     readItems: () => resolved(this.items),
     readSegment: () => resolved(undefined),
     update: (_job, next, revision) => new ResultAsync(canUpdate.then(() => {
-      this.stored = { record: next, revision: revision + 1 }
+      this.stored = { record: next, revision: revision + 1, asOf: this.clock.now() }
       return ok(this.stored)
     })),
     writeSegment: (_job, _index, results) => {
@@ -70,7 +70,9 @@
       return resolved([...results])
     }
   }
-  this.jobRegistry = createJobRegistry({ self: SELF, noticeMs: 0, onNotice: () => undefined, clock: this.clock })
+  this.jobRegistry = createJobRegistry({
+    self: SELF, noticeMs: 0, onNotice: () => undefined, clock: this.clock, log: createSilentLog()
+  })
   this.manager = createJobManager({
     self: SELF,
     jobRegistry: this.jobRegistry,
--- a/packages/pimentoplank/src/relay/jobs/jobManager.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.ts
@@ -181,7 +181,7 @@
       if (current.isErr()) return err(current.error)
       if (current.value === undefined) return err(written.error)
       const { record } = current.value
-      registry.update(job.id, { owner: record.owner, epoch: record.epoch, ended: record.ended })
+      registry.update(job.id, { owner: record.owner, epoch: record.epoch, ended: record.ended }, 'record')
       job.setStored(current.value)
       if (record.owner !== self) return err(written.error)
     }
@@ -191,7 +191,7 @@
     options.onStop(job)
     const written = job.isEnded() ? ok(undefined) : await changeRecord(job, (record) => ({ ...record, ended: true }))
     if (written.isErr()) return written
-    registry.update(job.id, { owner: self, epoch: job.record().epoch, ended: true })
+    registry.update(job.id, { owner: self, epoch: job.record().epoch, ended: true }, 'record')
     log.info({ job: job.id }, 'job ended by its caller')
     return ok(undefined)
   }
@@ -233,7 +233,7 @@
     if (found.value === undefined) return ok(undefined)
     const { record, revision } = found.value
     if (record.finished || record.ended) {
-      registry.update(id, { owner: record.owner, epoch: record.epoch, ended: record.ended })
+      registry.update(id, { owner: record.owner, epoch: record.epoch, ended: record.ended }, 'record')
       return ok(undefined)
     }
     const items = await store.readItems(id)
@@ -253,7 +253,7 @@
     if (accepted !== undefined) {
       // The caller's repeat was accepted meanwhile, and items of the job may run already.
       accepted.setStored(taken.value)
-      registry.update(id, { owner: self, epoch: taken.value.record.epoch, ended: accepted.isEnded() })
+      registry.update(id, { owner: self, epoch: taken.value.record.epoch, ended: accepted.isEnded() }, 'record')
       return ok(accepted)
     }
     log.info({
--- a/packages/pimentoplank/src/relay/jobs/jobRegistry.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobRegistry.ts
@@ -1,6 +1,6 @@
 /** Registry of the jobs that this instance owns, and of the known state of other instances' jobs. */
 import { LRUCache } from 'lru-cache'
-import type { Clock } from '../../shared'
+import type { Clock, Log } from '../../shared'
 import type { JobOwnership } from '../gossip'
 import type { OwnedJob } from './ownedJob'
 
@@ -10,6 +10,9 @@
   ended: boolean
 }
 
+/** Where the state of a job is known from: the stored record, a peer's report, or a job that this instance opened. */
+export type StateSource = 'record' | 'peer' | 'opened'
+
 export interface JobRegistry {
   owned: () => Iterable<OwnedJob>
   get: (job: string) => OwnedJob | undefined
@@ -20,7 +23,7 @@
   /** Returns the last known state of a job, whichever instance owns it. */
   getKnown: (job: string) => KnownJob | undefined
   /** Merges the state of a job; a state of an earlier epoch is ignored. */
-  update: (job: string, state: KnownJob) => void
+  update: (job: string, state: KnownJob, source: StateSource) => void
   /** Returns recent changes of jobs for gossip. */
   getNotices: () => JobOwnership[]
   /** Calls the listener when an owned job was taken over by another instance, or ended. */
@@ -34,6 +37,7 @@
   /** Called when a change should be gossiped at once. */
   onNotice: () => void
   clock: Clock
+  log: Log
 }
 
 const MAX_KNOWN_JOBS = 20_000
@@ -41,20 +45,21 @@
 const MAX_NOTICES = 24
 
 /** Creates the job registry of an instance. */
-export function createJobRegistry ({ self, noticeMs, onNotice, clock }: JobRegistryOptions): JobRegistry {
+export function createJobRegistry ({ self, noticeMs, onNotice, clock, log }: JobRegistryOptions): JobRegistry {
   const jobs = new Map<string, OwnedJob>()
   const known = new LRUCache<string, KnownJob>({ max: MAX_KNOWN_JOBS })
   /** Changes made here, by job, with the time until which they are gossiped. */
   const notices = new Map<string, number>()
   const listeners: Array<(job: OwnedJob, state: KnownJob) => void> = []
 
-  function mergeState (job: string, state: KnownJob): void {
+  function mergeState (job: string, state: KnownJob, source: StateSource): void {
     const before = known.get(job)
     if (before !== undefined && state.epoch < before.epoch) return
     const ended = state.ended || before?.ended === true
     if (before?.epoch === state.epoch && before.ended === ended) return
     const merged = { ...state, ended }
     known.set(job, merged)
+    log.info({ job, ...merged, source, isOwned: jobs.has(job) }, 'job state changed')
     if (state.owner === self || ended) {
       notices.set(job, clock.now() + noticeMs)
       onNotice()
@@ -82,7 +87,7 @@
     add: (job) => {
       jobs.set(job.id, job)
       const { owner, epoch, ended } = job.record()
-      mergeState(job.id, { owner, epoch, ended })
+      mergeState(job.id, { owner, epoch, ended }, 'opened')
     },
     remove: (job) => { jobs.delete(job) },
     getKnown: (job) => known.get(job),
--- a/packages/pimentoplank/src/relay/jobs/jobStore.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobStore.ts
@@ -2,7 +2,7 @@
 import { err, ok, ResultAsync, type Result } from 'neverthrow'
 import type * as z from 'zod'
 import {
-  PlatformConflict, PlatformUnavailable, type PlatformClient, type PlatformError, type StoredObject
+  PlatformConflict, PlatformUnavailable, type Clock, type PlatformClient, type PlatformError, type StoredObject
 } from '../../shared'
 import {
   toInputName, JOB_KINDS, jobInput, jobRecord, resultSegment, toSegmentName,
@@ -13,6 +13,8 @@
 export interface StoredJob {
   record: JobRecord
   revision: number
+  /** Time before which nothing newer was stored, on the monotonic clock in milliseconds. */
+  asOf: number
 }
 
 export interface JobStore {
@@ -66,33 +68,35 @@
 }
 
 /** Creates the job store of an instance. */
-export function createJobStore (platform: PlatformClient): JobStore {
+export function createJobStore (platform: PlatformClient, clock: Clock): JobStore {
   async function create (
     job: string,
     record: JobRecord,
     items: readonly JobItem[]
   ): Promise<Result<StoredJob & { created: boolean }, PlatformError>> {
     const parts = splitItems(items)
+    const asOf = clock.now()
     const writes = parts.map(async (part, index) =>
       await createIfAbsent(platform, JOB_KINDS.input, toInputName(job, index), { items: part, parts: parts.length }))
     const [recorded, ...inputs] = await Promise.all([
       platform.put(JOB_KINDS.record, job, record, { ifRevision: 0 }), ...writes
     ])
     for (const input of inputs) if (input.isErr()) return err(input.error)
-    if (recorded.isOk()) return ok({ record, revision: recorded.value.revision, created: true })
+    if (recorded.isOk()) return ok({ record, revision: recorded.value.revision, asOf, created: true })
     if (!(recorded.error instanceof PlatformConflict) || recorded.error.current === null) return err(recorded.error)
     return parse(jobRecord, recorded.error.current).map((found) => ({
-      record: found, revision: (recorded.error as PlatformConflict).current!.revision, created: false
+      record: found, revision: (recorded.error as PlatformConflict).current!.revision, asOf, created: false
     }))
   }
 
   async function list (): Promise<Result<Map<string, StoredJob>, PlatformError>> {
+    const asOf = clock.now()
     const page = await platform.listAll(JOB_KINDS.record)
     if (page.isErr()) return err(page.error)
     const jobs = new Map<string, StoredJob>()
     for (const object of page.value.items) {
       const record = jobRecord.safeParse(object.value)
-      if (record.success) jobs.set(object.name, { record: record.data, revision: object.revision })
+      if (record.success) jobs.set(object.name, { record: record.data, revision: object.revision, asOf })
     }
     return ok(jobs)
   }
@@ -146,12 +150,19 @@
     return await platform.remove(JOB_KINDS.record, job)
   }
 
+  async function update (job: string, record: JobRecord, revision: number): Promise<Result<StoredJob, PlatformError>> {
+    const asOf = clock.now()
+    const written = await platform.put(JOB_KINDS.record, job, record, { ifRevision: revision })
+    return written.map((object) => ({ record, revision: object.revision, asOf }))
+  }
+
   async function read (job: string): Promise<Result<StoredJob | undefined, PlatformError>> {
+    const asOf = clock.now()
     const found = await platform.get(JOB_KINDS.record, job)
     if (found.isErr()) return err(found.error)
     const { value } = found
     if (value === null) return ok(undefined)
-    return parse(jobRecord, value).map((record) => ({ record, revision: value.revision }))
+    return parse(jobRecord, value).map((record) => ({ record, revision: value.revision, asOf }))
   }
 
   return {
@@ -159,8 +170,7 @@
     create: (...args) => new ResultAsync(create(...args)),
     read: (job) => new ResultAsync(read(job)),
     list: () => new ResultAsync(list()),
-    update: (job, record, revision) => platform.put(JOB_KINDS.record, job, record, { ifRevision: revision })
-      .map((object) => ({ record, revision: object.revision })),
+    update: (...args) => new ResultAsync(update(...args)),
     withdraw: (job) => platform.remove(JOB_KINDS.record, job),
     remove: (job, record) => new ResultAsync(remove(job, record)),
     readItems: (...args) => new ResultAsync(readItems(...args)),
--- a/packages/pimentoplank/src/relay/jobs/ownedJob.ts
+++ b/packages/pimentoplank/src/relay/jobs/ownedJob.ts
@@ -34,6 +34,8 @@
   record: () => JobRecord
   revision: () => number
   setStored: (next: StoredJob) => void
+  /** Time at which the record was certainly current, on the monotonic clock in milliseconds. */
+  confirmedAt: () => number
   /** True once the caller has ended the job, as known from the record, an RPC or gossip. */
   isEnded: () => boolean
   markEnded: () => void
@@ -82,6 +84,7 @@
   let pendingSince: number | undefined
   let segments = 0
   let current = options.stored
+  let confirmedAt = current.asOf
   let isMarkedEnded = false
   let waiters: Array<() => void> = []
 
@@ -106,7 +109,11 @@
     id,
     record: () => current.record,
     revision: () => current.revision,
-    setStored: (next) => { current = next },
+    setStored: (next) => {
+      current = next
+      confirmedAt = Math.max(confirmedAt, next.asOf)
+    },
+    confirmedAt: () => confirmedAt,
     isEnded: () => isMarkedEnded || current.record.ended,
     markEnded: () => { isMarkedEnded = true },
     get dueAt () { return options.getTimes().dueAt },
