Apply the end or the next owner of a job that was heard before the job is opened

Callers saw items of a job run on after its end had been acknowledged, for as long as the job had items. Cause: the state of a job and the job itself come by different ways. An end that is heard while the submission is being stored, or while the job is taken over, is merged first; the job that is opened later, with the record as it was, adds nothing to what is known, and the merge returned before it had looked at the job. Now the job is compared with what is known when it is added, whether that is new or not.

--- a/packages/pimentoplank/src/relay/jobs/jobManager.feature
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.feature
@@ -31,3 +31,21 @@
     Given a job manager whose store holds a job of 2 items with this instance as its owner
     When a peer hands the job over with event 5 of both items, only the second with its version, and 1 failure each
     Then the items of the job have no event and event 5, and 1 failure each
+
+  Scenario Outline: An end that is heard before the job is opened stops the job
+    Given a job manager whose store holds a job of 2 items with this instance as its owner
+    When the takeover of the job waits for the store to update its record
+    And a peer tells that the job was ended at epoch <epoch>
+    And the store updates the record
+    Then the job has ended, and its runs were stopped
+
+    Examples:
+      | epoch |
+      | 1     |
+      | 2     |
+
+  Scenario: A job whose next owner is heard before it is opened is released
+    Given a job manager whose store holds a job of 2 items with this instance as its owner
+    When a peer tells that it owns the job at epoch 2
+    And the caller's repeat of the job is accepted
+    Then the job is not owned
--- a/packages/pimentoplank/src/relay/jobs/jobManager.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.steps.ts
@@ -23,6 +23,8 @@
   updateRecord: () => void
   takeover: Promise<boolean>
   table?: RouteTable
+  /** Jobs whose runs were stopped. */
+  stopped: string[]
 }
 
 const JOB = 'job'
@@ -40,6 +42,7 @@
 Given('a job manager whose store holds a job of {int} items with this instance as its owner', function (this: ManagerWorld, count: number) {
   this.clock = createManualClock()
   this.results = []
+  this.stopped = []
   this.items = Array.from({ length: count }, (_, index) => (
     { id: `item-${index}`, path: '/x', headers: [], body: '', tokens: 1 }
   ))
@@ -81,7 +84,7 @@
     peers: () => [],
     isLeaving: () => false,
     onItemsReady: () => undefined,
-    onStop: () => undefined,
+    onStop: ({ id }) => this.stopped.push(id),
     rules: { ...RELAY_RULES.jobs, keepMs: 60_000 },
     clock: this.clock,
     random: () => 0.5,
@@ -220,3 +223,22 @@
   assert.equal(second!.failures, failures)
   this.manager.close()
 })
+
+When('a peer tells that the job was ended at epoch {int}', function (this: ManagerWorld, epoch: number) {
+  this.jobRegistry.update(JOB, { owner: SELF, epoch, ended: true }, 'peer')
+})
+
+When('a peer tells that it owns the job at epoch {int}', function (this: ManagerWorld, epoch: number) {
+  this.jobRegistry.update(JOB, { owner: 'instance-2', epoch, ended: false }, 'peer')
+})
+
+Then('the job has ended, and its runs were stopped', function (this: ManagerWorld) {
+  assert.equal(this.jobRegistry.get(JOB)!.isEnded(), true)
+  assert.deepEqual(this.stopped.at(-1), JOB)
+  this.manager.close()
+})
+
+Then('the job is not owned', function (this: ManagerWorld) {
+  assert.equal(this.jobRegistry.get(JOB), undefined)
+  this.manager.close()
+})
--- a/packages/pimentoplank/src/relay/jobs/jobRegistry.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobRegistry.ts
@@ -16,7 +16,7 @@
 export interface JobRegistry {
   owned: () => Iterable<OwnedJob>
   get: (job: string) => OwnedJob | undefined
-  /** Adds a job that this instance now owns. */
+  /** Adds a job that this instance now owns; revokes it at once if its end or its next owner is known already. */
   add: (job: OwnedJob) => void
   /** Removes a job that another instance owns, or that needs no more work. */
   remove: (job: string) => void
@@ -64,10 +64,16 @@
       notices.set(job, clock.now() + noticeMs)
       onNotice()
     }
+    revokeIfKnown(job)
+  }
+
+  /** Notifies the listeners when an owned job is known to be ended or to have another owner. */
+  function revokeIfKnown (job: string): void {
     const owned = jobs.get(job)
-    if (owned === undefined) return
+    const state = known.get(job)
+    if (owned === undefined || state === undefined) return
     const isLost = state.owner !== self && state.epoch >= owned.record().epoch
-    if (isLost || ended) listeners.forEach((listener) => listener(owned, merged))
+    if (isLost || state.ended) listeners.forEach((listener) => listener(owned, state))
   }
 
   function collectNotices (): JobOwnership[] {
@@ -88,6 +94,8 @@
       jobs.set(job.id, job)
       const { owner, epoch, ended } = job.record()
       mergeState(job.id, { owner, epoch, ended }, 'opened')
+      // Its end or its next owner may have been heard before it was opened.
+      revokeIfKnown(job.id)
     },
     remove: (job) => { jobs.delete(job) },
     getKnown: (job) => known.get(job),
