Start items of a job only while its stored record is known to be recent

Cause: who acknowledges an end has written it to the record and tells the owner once, by a call whose outcome nobody waits for and by gossip that repeats for 5 s to peers that are heard. The owner read its record only when it wrote it. So 'my job runs' was a belief without an age: an owner that didn't hear the ender, or did before it had opened the job, never learned of the end. Gossip or calls that are repeated more often would only make this rarer. Now each record carries the time at which it was current. While an instance owns jobs with open items, it reads the changes of all records with one call about once a second (sooner where the platform is slow), and an item starts, moves or is sent only while the record is at most 0.6 of the bound on ended jobs old, by the monotonic clock, and not after a suspension of the machine. What is acknowledged later than the record was current can't be followed by a start later than that age. While the platform doesn't answer, running items go on and no new ones start. The bound is a setting (bounds.jobEndMs), which the platform's settings give.

--- a/packages/pimentoplank/features/support/manualClock.ts
+++ b/packages/pimentoplank/features/support/manualClock.ts
@@ -7,6 +7,8 @@
   advance: (ms: number) => Promise<void>
   /** Advances the time in one step, as seen by a process that was frozen. */
   jump: (ms: number) => Promise<void>
+  /** Advances the wall clock only, as seen by a process whose machine was suspended. */
+  shiftWallTime: (ms: number) => void
 }
 
 /** Turns of the event loop given to work that a resolved sleep continues. */
@@ -20,6 +22,7 @@
 /** Creates a clock that starts at 0. */
 export function createManualClock (): ManualClock {
   let time = 0
+  let wallTimeShift = 0
   const sleepers = new Set<Sleeper>()
 
   async function sleep (ms: number, signal?: AbortSignal): Promise<void> {
@@ -56,7 +59,14 @@
     await advance(0)
   }
 
-  return { now: () => time, wallTime: () => time, sleep, advance, jump }
+  return {
+    now: () => time,
+    wallTime: () => time + wallTimeShift,
+    sleep,
+    advance,
+    jump,
+    shiftWallTime: (ms) => { wallTimeShift += ms }
+  }
 }
 
 async function settle (): Promise<void> {
--- a/packages/pimentoplank/src/relay/constants.ts
+++ b/packages/pimentoplank/src/relay/constants.ts
@@ -39,6 +39,10 @@
 export const DIRECTORY_STALENESS_FACTOR = 3
 /** Maximum number of addresses in one answer of the directory. */
 export const DIRECTORY_MAX_ADDRESSES = 64
+/** Age of the record of a job up to which its items start, as a share of the bound on ended jobs. */
+export const RECORD_AGE_SHARE = 0.6
+/** Longest age of the record of a job at which its owner says that there are no further results, in milliseconds. */
+export const MAX_READ_AGE_MS = 800
 /** Time for which reports repeat a change of a job, in milliseconds. */
 export const JOB_NOTICE_MS = 5000
 /** Timings of watching and polling the platform, in milliseconds. */
--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -8,8 +8,8 @@
 import { createDirectory, createRelayHandler, type CallerProtocol, type Directory, type RelayHandler } from './callers'
 import {
   CRASH_RETENTION_MS, DIRECTORY_MAX_AGE_MS, DIRECTORY_STALENESS_FACTOR, GOSSIP_SETTINGS, JOB_NOTICE_MS,
-  LEAVING_GRACE_SHARE, MAX_START_WAIT_MS, PREFERRING_INSTANCES, REMOVAL_GRACE_SHARE, TARGET_CONNECT_TIMEOUT_MS,
-  TARGET_IDLE_TIMEOUT_MS, TICK_INTERVAL_MS, URGENT_REPORT_DELAY_MS
+  LEAVING_GRACE_SHARE, MAX_READ_AGE_MS, MAX_START_WAIT_MS, PREFERRING_INSTANCES, RECORD_AGE_SHARE,
+  REMOVAL_GRACE_SHARE, TARGET_CONNECT_TIMEOUT_MS, TARGET_IDLE_TIMEOUT_MS, TICK_INTERVAL_MS, URGENT_REPORT_DELAY_MS
 } from './constants'
 import { createRelayFeed } from './createRelayFeed'
 import { createExchange, createTargetConnectionPool } from './exchange'
@@ -17,7 +17,7 @@
 import { startGossip, type Gossip, type OwnLoad, type OwnReport, type Stage } from './gossip'
 import {
   createItemRunner, createJobRegistry, createJobApi, createJobCollector, createJobManager, createJobService,
-  createJobStore, createQuota, handOverJobs, getOpenTokens,
+  createJobStore, createQuota, createRecordFollower, handOverJobs, getOpenTokens,
   type JobApi
 } from './jobs'
 import {
@@ -210,6 +210,15 @@
     self: instance.id, noticeMs: JOB_NOTICE_MS, onNotice: () => gossip.reportNow(), clock, log
   })
   const store = createJobStore(platform, clock)
+  const recordFollower = createRecordFollower({
+    self: instance.id,
+    jobRegistry,
+    store,
+    rules: { maxAgeMs: settings.bounds.jobEndMs * RECORD_AGE_SHARE, maxReadAgeMs: MAX_READ_AGE_MS },
+    clock,
+    metrics,
+    log
+  })
   const runner = createItemRunner({
     self: instance.id,
     jobRegistry,
@@ -220,6 +229,7 @@
     peers: gossip.peers,
     failureDomain: instance.failureDomain,
     rules: RELAY_RULES.items,
+    mayStart: recordFollower.mayStart,
     isPaused: () => isClosed || shutdown.getStage() !== 'serving',
     onFinished: (job) => jobManager.scheduleStore(job),
     clock,
@@ -440,6 +450,7 @@
   function runPeriodicWork (): void {
     const domains = new Set(gossip.peers().map(({ report }) => report.failureDomain))
     peerUses.retainDigests((failureDomain) => domains.has(failureDomain) && !gossip.isClose(failureDomain))
+    recordFollower.tick()
     dispatchAll()
     jobManager.tick()
   }
--- a/packages/pimentoplank/src/relay/exchange/exchange.ts
+++ b/packages/pimentoplank/src/relay/exchange/exchange.ts
@@ -26,6 +26,8 @@
   | 'staleConnection'
   /** The response belongs to another request. */
   | 'spoiled'
+  /** It was not sent: once there was a connection, the sender's reason to send it had gone. */
+  | 'withdrawn'
   /** The sender aborted it. */
   | 'aborted'
 
@@ -110,6 +112,11 @@
       connections.destroy(connection)
       return err(new SendFailure('aborted', false, 'request aborted before it was sent'))
     }
+    if (need?.mayStillSend?.() === false) {
+      if (connections.isUsable(connection)) connections.release(target.address, connection)
+      else connections.destroy(connection)
+      return err(new SendFailure('withdrawn', false, 'request withdrawn before it was sent'))
+    }
     const mark: SendMark = { sent: false }
     const receiver = createResponseReceiver()
     const abort = (): void => {
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
@@ -170,6 +170,7 @@
     peers: () => [],
     failureDomain: 'a',
     rules: RELAY_RULES.items,
+    mayStart: (job) => !job.isEnded(),
     isPaused: () => false,
     onFinished: () => undefined,
     clock,
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.ts
@@ -42,6 +42,8 @@
   peers: () => readonly PeerView[]
   failureDomain: string
   rules: ItemRunnerRules
+  /** True while items of the job may start. */
+  mayStart: (job: OwnedJob) => boolean
   /** True while no new run may start. */
   isPaused: () => boolean
   /** Called after an item has got its result. */
@@ -92,18 +94,18 @@
 
 /** True when a run ended through a fault of the target rather than of the item or this instance. */
 function isTargetFault (end: ItemEnd): boolean {
-  if (end.type === 'refused') return end.reason !== 'otherProcess'
+  if (end.type === 'refused') return end.reason !== 'otherProcess' && end.reason !== 'withdrawn'
   return end.type === 'interrupted' && end.isBroken
 }
 
 /** Creates the item runner of an instance. */
 export function createItemRunner (options: ItemRunnerOptions): ItemRunner {
-  const { jobRegistry: registry, loads, rules, clock, random, metrics, log } = options
+  const { loads, rules, clock, random, metrics, log } = options
   const running = new Set<ActiveRun>()
   /** When the silence of a target was last recorded as its failure. */
   const silenceRecordedAt = new LRUCache<string, number>({ max: MAX_SILENT_TARGETS })
   const pace = createItemTimeEstimator()
-  const finder = createReadyItemFinder({ jobRegistry: registry, crashes: options.crashes, pace, clock, random })
+  const finder = createReadyItemFinder({ ...options, pace })
 
   function startReadyItems (): void {
     const table = options.table()
@@ -122,6 +124,7 @@
     const excluded = new Set(silent.map(({ target }) => target))
     return silent.flatMap((run) => {
       const { owned, itemId, progress, service } = run.ready
+      if (!options.mayStart(owned)) return []
       const route = table.findRoute(owned.record().host, owned.findItem(itemId)?.path ?? '')
       if (route?.services.some((one) => one.service === service && one.weight > 0) !== true) return []
       const dueAt = finder.computeRank(owned, progress)
@@ -240,6 +243,7 @@
       exchange: options.exchange,
       clock,
       log,
+      mayStillSend: () => options.mayStart(owned),
       onStarted: () => {
         entry.hasStarted = true
         startedAt = clock.now()
@@ -322,8 +326,8 @@
     handlers[end.type](end as never)
     if (next !== undefined) {
       const version = findNeededVersion(progress) ?? next.version
-      const mayGoOn = version === next.version && owned.openItems().has(itemId) && !owned.isEnded() &&
-        !options.isPaused()
+      const mayGoOn = version === next.version && owned.openItems().has(itemId) &&
+        options.mayStart(owned) && !options.isPaused()
       if (end.type === 'interrupted' && mayGoOn) start(ready, next)
       else loads.end(next.id, 'batch')
     }
--- a/packages/pimentoplank/src/relay/jobs/jobRegistry.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobRegistry.ts
@@ -10,8 +10,11 @@
   ended: boolean
 }
 
-/** Where the state of a job is known from: the stored record, a peer's report, or a job that this instance opened. */
-export type StateSource = 'record' | 'peer' | 'opened'
+/**
+ * Where the state of a job is known from: its record, read or written for a call; the records that owners follow; a
+ * peer; or a job that this instance has opened.
+ */
+export type StateSource = 'record' | 'followed' | 'peer' | 'opened'
 
 export interface JobRegistry {
   owned: () => Iterable<OwnedJob>
@@ -59,8 +62,11 @@
     if (before?.epoch === state.epoch && before.ended === ended) return
     const merged = { ...state, ended }
     known.set(job, merged)
-    log.info({ job, ...merged, source, isOwned: jobs.has(job) }, 'job state changed')
-    if (state.owner === self || ended) {
+    // Each owner follows the records of all jobs, so that these changes are neither logged nor gossiped by each.
+    if (source !== 'followed' || jobs.has(job)) {
+      log.info({ job, ...merged, source, isOwned: jobs.has(job) }, 'job state changed')
+    }
+    if (source !== 'followed' && (state.owner === self || ended)) {
       notices.set(job, clock.now() + noticeMs)
       onNotice()
     }
--- a/packages/pimentoplank/src/relay/jobs/jobStore.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobStore.ts
@@ -2,7 +2,8 @@
 import { err, ok, ResultAsync, type Result } from 'neverthrow'
 import type * as z from 'zod'
 import {
-  PlatformConflict, PlatformUnavailable, type Clock, type PlatformClient, type PlatformError, type StoredObject
+  PlatformConflict, PlatformUnavailable, SECOND_MS,
+  type Clock, type PlatformClient, type PlatformError, type StoredObject
 } from '../../shared'
 import {
   toInputName, JOB_KINDS, jobInput, jobRecord, resultSegment, toSegmentName,
@@ -17,6 +18,18 @@
   asOf: number
 }
 
+/** Changes of records after a revision. */
+export interface RecordChanges {
+  /** Revision up to which all changes are among them. */
+  revision: number
+  /** Time at which no later change was stored yet, on the monotonic clock in milliseconds. */
+  asOf: number
+  /** True when they are all records that exist, since the platform has discarded the history. */
+  isComplete: boolean
+  /** The records by job id; undefined for one that was deleted. */
+  records: Map<string, StoredJob | undefined>
+}
+
 export interface JobStore {
   /** False while the platform answers no calls. */
   isAvailable: () => boolean
@@ -30,6 +43,8 @@
   read: (job: string) => ResultAsync<StoredJob | undefined, PlatformError>
   /** Lists all records, by job id. */
   list: () => ResultAsync<Map<string, StoredJob>, PlatformError>
+  /** Reads the records that changed after a revision, with one call unless the platform has discarded the history. */
+  readChanges: (since: number) => ResultAsync<RecordChanges, PlatformError>
   /** Updates a record if its revision is unchanged. */
   update: (job: string, record: JobRecord, revision: number) => ResultAsync<StoredJob, PlatformError>
   /** Reads the items of a job; undefined while any part of its input is missing. */
@@ -48,6 +63,10 @@
   readSegment: (job: string, index: number) => ResultAsync<ItemResult[] | undefined, PlatformError>
 }
 
+/** Wait requested of the platform while there are no changes, in milliseconds: it answers at once. */
+const CHANGES_WAIT_MS = 1
+/** Time allowed for the answer, in milliseconds. */
+const CHANGES_TIMEOUT_MS = SECOND_MS
 /** Maximum size of an input object, in characters; larger inputs are split over several objects. */
 const MAX_INPUT_CHARS = 700_000
 
@@ -89,16 +108,29 @@
     }))
   }
 
-  async function list (): Promise<Result<Map<string, StoredJob>, PlatformError>> {
+  async function list (): Promise<Result<{ revision: number, jobs: Map<string, StoredJob> }, PlatformError>> {
     const asOf = clock.now()
     const page = await platform.listAll(JOB_KINDS.record)
-    if (page.isErr()) return err(page.error)
-    const jobs = new Map<string, StoredJob>()
-    for (const object of page.value.items) {
-      const record = jobRecord.safeParse(object.value)
-      if (record.success) jobs.set(object.name, { record: record.data, revision: object.revision, asOf })
+    return page.map(({ revision, items }) => ({ revision, jobs: parseRecords(items, asOf) }))
+  }
+
+  async function readChanges (since: number): Promise<Result<RecordChanges, PlatformError>> {
+    const asOf = clock.now()
+    const options = { since, waitMs: CHANGES_WAIT_MS, marginMs: CHANGES_TIMEOUT_MS }
+    const batch = await platform.watch(JOB_KINDS.record, options)
+    if (batch.isErr()) return err(batch.error)
+    if (batch.value.compacted === true) {
+      const all = await list()
+      return all.map(({ revision, jobs }) => ({ revision, asOf, isComplete: true, records: jobs }))
+    }
+    const { revision, events } = batch.value
+    if (revision < since) return err(new PlatformUnavailable(`stale answer: revision ${revision} is before ${since}`))
+    const records = new Map<string, StoredJob | undefined>()
+    for (const { name, object } of events) {
+      const [parsed] = object === undefined ? [undefined] : parseRecords([object], asOf).values()
+      if (parsed !== undefined || object === undefined) records.set(name, parsed)
     }
-    return ok(jobs)
+    return ok({ revision, asOf, isComplete: false, records })
   }
 
   async function readItems (job: string): Promise<Result<JobItem[] | undefined, PlatformError>> {
@@ -169,7 +201,8 @@
     isAvailable: platform.isAvailable,
     create: (...args) => new ResultAsync(create(...args)),
     read: (job) => new ResultAsync(read(job)),
-    list: () => new ResultAsync(list()),
+    list: () => new ResultAsync(list()).map(({ jobs }) => jobs),
+    readChanges: (since) => new ResultAsync(readChanges(since)),
     update: (...args) => new ResultAsync(update(...args)),
     withdraw: (job) => platform.remove(JOB_KINDS.record, job),
     remove: (job, record) => new ResultAsync(remove(job, record)),
@@ -179,6 +212,16 @@
   }
 }
 
+/** Leaves out objects that are no records. */
+function parseRecords (objects: readonly StoredObject[], asOf: number): Map<string, StoredJob> {
+  const jobs = new Map<string, StoredJob>()
+  for (const { name, value, revision } of objects) {
+    const record = jobRecord.safeParse(value)
+    if (record.success) jobs.set(name, { record: record.data, revision, asOf })
+  }
+  return jobs
+}
+
 /** Creates an object if absent; an existing one is a success, since every writer writes the same content. */
 async function createIfAbsent (
   platform: PlatformClient,
--- a/packages/pimentoplank/src/relay/jobs/ownedJob.ts
+++ b/packages/pimentoplank/src/relay/jobs/ownedJob.ts
@@ -36,6 +36,8 @@
   setStored: (next: StoredJob) => void
   /** Time at which the record was certainly current, on the monotonic clock in milliseconds. */
   confirmedAt: () => number
+  /** Records that the record was current at a time on the monotonic clock. */
+  confirm: (at: number) => void
   /** True once the caller has ended the job, as known from the record, an RPC or gossip. */
   isEnded: () => boolean
   markEnded: () => void
@@ -114,6 +116,7 @@
       confirmedAt = Math.max(confirmedAt, next.asOf)
     },
     confirmedAt: () => confirmedAt,
+    confirm: (at) => { confirmedAt = Math.max(confirmedAt, at) },
     isEnded: () => isMarkedEnded || current.record.ended,
     markEnded: () => { isMarkedEnded = true },
     get dueAt () { return options.getTimes().dueAt },
--- a/packages/pimentoplank/src/relay/jobs/readyItems.ts
+++ b/packages/pimentoplank/src/relay/jobs/readyItems.ts
@@ -20,6 +20,8 @@
 export interface ReadyItemOptions {
   jobRegistry: JobRegistry
   crashes: Pick<CrashTracker, 'hasCrashingParts'>
+  /** True while items of the job may start. */
+  mayStart: (job: OwnedJob) => boolean
   pace: ItemTimeEstimator
   clock: Clock
   random: Random
@@ -43,7 +45,7 @@
     const now = clock.now()
     const ready: ReadyItem[] = []
     for (const owned of registry.owned()) {
-      if (owned.isEnded()) continue
+      if (!options.mayStart(owned)) continue
       for (const [itemId, progress] of owned.openItems()) {
         if (progress.target !== undefined || progress.notBefore > now) continue
         const item = owned.findItem(itemId)
--- a/packages/pimentoplank/src/relay/jobs/runItem.ts
+++ b/packages/pimentoplank/src/relay/jobs/runItem.ts
@@ -41,6 +41,8 @@
   exchange: Exchange
   clock: Clock
   log: Log
+  /** Called right before the item is sent; false when it must not be sent any more. */
+  mayStillSend: () => boolean
   /** Called when the target has accepted the item and its answer begins. */
   onStarted: () => void
   /** Called when the target has become silent. */
@@ -89,7 +91,7 @@
       target,
       deadlineMs: options.remainingMs === Infinity ? undefined : Math.max(1, Math.round(options.remainingMs)),
       lastEventId: progress.lastEventId
-    }, signal, { mustBeListed: true })
+    }, signal, { mustBeListed: true, mayStillSend: options.mayStillSend })
     if (sent.isErr()) {
       if (!isOwnAbort()) logFailure(sent.error)
       const { mayHaveRun, reason } = sent.error
--- a/packages/pimentoplank/src/relay/model/types.ts
+++ b/packages/pimentoplank/src/relay/model/types.ts
@@ -139,6 +139,8 @@
    * @param startedAt - when the process at the address started; undefined if it does not tell
    */
   onIdentified?: (startedAt: number | undefined) => void
+  /** Called once a connection is there; the request is sent only if it returns true. */
+  mayStillSend?: () => boolean
 }
 
 /** Load that a target reports with its response. */
--- a/packages/pimentoplank/src/relay/settings.ts
+++ b/packages/pimentoplank/src/relay/settings.ts
@@ -10,6 +10,7 @@
   drainMs: durationMs.default(2 * SECOND_MS).describe('Longest time until a leaving target gets no more requests.'),
   graceMs: durationMs.default(8 * SECOND_MS).describe('Longest time from the stop signal until the process ends.'),
   directoryMaxAgeMs: durationMs.default(5 * SECOND_MS).describe('Upper limit for the time that callers may cache an answer of the directory.'),
+  jobEndMs: durationMs.default(3 * SECOND_MS).describe('Longest time from the acknowledgement of a job\'s end until no item of it reaches a target.'),
   jobStatusMs: durationMs.default(120 * SECOND_MS).describe('How long a job can be read after its submission.')
 })
 
