Bound the age at which an owner says that a job has no further results

Readers were told that there is nothing at a position that they had read before (LOST, seen once by the users beside cuts between instances): an owner whose job had been taken over by an instance that it didn't hear went on answering reads from its own shorter list, since nothing had told it of the successor. The owner now learns of a successor as it follows the records. Until then: results that it has are true whoever owns the job, as they never move, and are listed at once; that there are no further ones it says only while the record is at most 800 ms old, reads the records anew first, and otherwise leaves the answer to the stored results, or refuses. Results that were read before are listed while the platform is away, too.

--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -259,6 +259,7 @@
     store,
     transports,
     peers: gossip.peers,
+    recordFollower,
     quota: createQuota({ self: instance.id, jobRegistry, store, peers: gossip.peers, clock, log }),
     onAccepted: () => runner.dispatch(),
     isLeaving: () => shutdown.getStage() !== 'serving',
--- a/packages/pimentoplank/src/relay/jobs/jobApi.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobApi.ts
@@ -13,6 +13,7 @@
 import type { JobManager } from './jobManager'
 import { splitItems, type JobStore } from './jobStore'
 import type { OwnedJob } from './ownedJob'
+import type { RecordFollower } from './recordFollower'
 import type { Quota } from './quota'
 import type { ItemResult, JobItem, JobRecord } from './records'
 
@@ -56,6 +57,7 @@
   transports: PeerTransports
   peers: () => readonly PeerView[]
   quota: Quota
+  recordFollower: Pick<RecordFollower, 'mayDenyResults' | 'refresh'>
   /** Called after a job is accepted. */
   onAccepted: () => void
   isLeaving: () => boolean
@@ -181,13 +183,22 @@
       const job = registry.get(id)
       if (job === undefined) return undefined
       const leftMs = until - clock.now()
-      if (
-        job.storedResults().length > after || leftMs <= 0 || job.isComplete() || job.isEnded()
-      ) return toPage(job, after)
+      // Results stay where they are, so that these hold whoever owns the job now.
+      if (job.storedResults().length > after || job.isComplete()) return toPage(job, after)
+      if (leftMs <= 0 || job.isEnded()) return await confirmPage(job, after)
       await job.waitForChange(leftMs)
     }
   }
 
+  /** That there are no further results is true only of the job's owner, and another instance may be that now. */
+  async function confirmPage (job: OwnedJob, after: number): Promise<ResultPage | undefined> {
+    const { recordFollower } = options
+    if (!job.isEnded() && !recordFollower.mayDenyResults(job)) await recordFollower.refresh()
+    const isKnown = registry.get(job.id) === job && (job.isEnded() || recordFollower.mayDenyResults(job))
+    if (!isKnown) log.info({ job: job.id, after, ageMs: Math.round(clock.now() - job.confirmedAt()) }, 'results not denied: the job may have another owner')
+    return isKnown ? toPage(job, after) : undefined
+  }
+
   function toPage (job: OwnedJob, after: number): ResultPage {
     return { total: job.record().total, results: cutPage(job.storedResults(), after) }
   }
@@ -203,7 +214,7 @@
       if (page !== undefined) return ok(page)
     }
     const stored = await readStored(id)
-    if (stored.isErr()) return err(stored.error)
+    if (stored.isErr()) return readCached(id, after) ?? err(stored.error)
     const { record } = stored.value
     registry.update(id, { owner: record.owner, epoch: record.epoch, ended: record.ended }, 'record')
     if (record.owner === self && !record.finished && !record.ended) settle(id)
@@ -243,6 +254,13 @@
     return ok(found.value)
   }
 
+  /** Returns results that were read before, which hold also while the platform is away; undefined without any. */
+  function readCached (id: string, after: number): Result<ResultPage, never> | undefined {
+    const cached = cache.get(id)
+    if (cached === undefined || cached.results.length <= after) return undefined
+    return ok({ total: cached.record.total, results: cutPage(cached.results, after) })
+  }
+
   /** Reads stored results; segments are immutable, so those read before are cached. */
   async function readSegments (
     id: string,
