Let each owner of a job take the next place of its results before it goes on

A result could be listed by the former owner and be missing at its successor (LOST): an owner that doesn't know of its successor yet may still store results, or its write may be done late; the successor, which had read the stored results before, learned of them only with its next write, and the former owner wrote on behind what it met there. Also, a job that this instance had lost to one that is gone now was 'taken over' by going on with its own old state. Now a takeover ends with an empty segment of the new epoch: what a former owner writes finds its place taken, and a segment of a later epoch makes it read who owns the job before it stores anything more. Jobs of a lost owner are read anew if this instance has an old state of them. It costs one write for each takeover. The three scenarios fail with the parts taken out.

--- a/packages/pimentoplank/src/relay/jobs/jobManager.feature
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.feature
@@ -49,3 +49,26 @@
     When a peer tells that it owns the job at epoch 2
     And the caller's repeat of the job is accepted
     Then the job is not owned
+
+  Scenario: A result that the former owner stores during the takeover keeps its position
+    Given a job manager whose store holds a job of 3 items with this instance as its owner
+    When the job is taken over while the former owner still stores the result of its first item
+    Then the first result of the job is that of the former owner, and 2 items are open
+    And the former owner finds the next place taken by epoch 2
+
+  Scenario: An owner that meets results of its successor stores none behind them
+    Given a job manager whose store holds a job of 3 items with this instance as its owner
+    When the caller's repeat of the job is accepted
+    And an instance that is not heard takes the job over and stores the result of its first item
+    And the second item of the job is finished
+    And 10 s pass for the job manager
+    Then the store has 1 results, all of the successor
+    And the job is not owned
+
+  Scenario: A job that was lost to an instance which is gone now is taken over with that instance's results
+    Given a job manager whose store holds a job of 3 items with this instance as its owner
+    When the caller's repeat of the job is accepted
+    And an instance that is not heard takes the job over and stores the result of its first item
+    And that instance is gone, and its jobs are taken over here
+    Then the first result of the job is that of the former owner, and 2 items are open
+    And the former owner finds the next place taken by epoch 3
--- a/packages/pimentoplank/src/relay/jobs/jobManager.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.steps.ts
@@ -11,7 +11,7 @@
   createJobManager, createJobRegistry, createJobService, type JobApi, type JobManager, type JobRegistry
 } from '.'
 import type { JobStore, StoredJob } from './jobStore'
-import type { ItemResult, JobItem } from './records'
+import type { JobItem, ResultSegment } from './records'
 
 interface ManagerWorld {
   clock: ManualClock
@@ -19,8 +19,10 @@
   jobRegistry: JobRegistry
   stored: StoredJob
   items: JobItem[]
-  results: ItemResult[]
+  segments: ResultSegment[]
   updateRecord: () => void
+  /** Called before each write of results. */
+  beforeWrite?: () => void
   takeover: Promise<boolean>
   table?: RouteTable
   /** Jobs whose runs were stopped. */
@@ -41,7 +43,7 @@
 
 Given('a job manager whose store holds a job of {int} items with this instance as its owner', function (this: ManagerWorld, count: number) {
   this.clock = createManualClock()
-  this.results = []
+  this.segments = []
   this.stopped = []
   this.items = Array.from({ length: count }, (_, index) => (
     { id: `item-${index}`, path: '/x', headers: [], body: '', tokens: 1 }
@@ -62,15 +64,17 @@
   const canUpdate = new Promise<void>((resolve) => { this.updateRecord = resolve })
   const store: Partial<JobStore> = {
     read: () => resolved(this.stored),
+    list: () => resolved(new Map([[JOB, this.stored]])),
     readItems: () => resolved(this.items),
-    readSegment: () => resolved(undefined),
+    readSegment: (_job, index) => resolved(this.segments[index]?.results),
     update: (_job, next, revision) => new ResultAsync(canUpdate.then(() => {
       this.stored = { record: next, revision: revision + 1, asOf: this.clock.now() }
       return ok(this.stored)
     })),
-    writeSegment: (_job, _index, results) => {
-      this.results.push(...results)
-      return resolved([...results])
+    writeSegment: (_job, index, segment) => {
+      this.beforeWrite?.()
+      this.segments[index] ??= segment
+      return resolved(this.segments[index])
     }
   }
   this.jobRegistry = createJobRegistry({
@@ -192,8 +196,9 @@
 })
 
 Then('the store has the results of all {int} items, each once', function (this: ManagerWorld, count: number) {
-  assert.equal(this.results.length, count)
-  assert.equal(new Set(this.results.map(({ item }) => item)).size, count)
+  const results = this.segments.flatMap((segment) => segment.results)
+  assert.equal(results.length, count)
+  assert.equal(new Set(results.map(({ item }) => item)).size, count)
   this.manager.close()
 })
 
@@ -242,3 +247,48 @@
   assert.equal(this.jobRegistry.get(JOB), undefined)
   this.manager.close()
 })
+
+function createResult ({ id }: JobItem): ResultSegment['results'][number] {
+  return { item: id, completed: true, text: 'of the other owner' }
+}
+
+When('the job is taken over while the former owner still stores the result of its first item', async function (this: ManagerWorld) {
+  this.beforeWrite = () => {
+    this.beforeWrite = undefined
+    this.segments[0] = { results: [createResult(this.items[0]!)], epoch: 1 }
+  }
+  this.updateRecord()
+  assert.equal(await this.manager.takeOver(JOB), true)
+})
+
+Then('the first result of the job is that of the former owner, and {int} items are open', function (this: ManagerWorld, open: number) {
+  const job = this.jobRegistry.get(JOB)!
+  assert.deepEqual(job.storedResults().map(({ text }) => text), ['of the other owner'])
+  assert.equal(job.openItems().size, open)
+})
+
+Then('the former owner finds the next place taken by epoch {int}', function (this: ManagerWorld, epoch: number) {
+  assert.deepEqual(this.segments.at(-1), { results: [], epoch })
+  this.manager.close()
+})
+
+When('an instance that is not heard takes the job over and stores the result of its first item', function (this: ManagerWorld) {
+  this.stored = { ...this.stored, record: { ...this.stored.record, owner: 'instance-2', epoch: 2 }, revision: 9 }
+  this.segments.push({ results: [], epoch: 2 }, { results: [createResult(this.items[0]!)], epoch: 2 })
+})
+
+When('the second item of the job is finished', async function (this: ManagerWorld) {
+  finishItem(this, this.items[1]!)
+  await settle()
+})
+
+Then('the store has {int} results, all of the successor', function (this: ManagerWorld, count: number) {
+  const results = this.segments.flatMap((segment) => segment.results)
+  assert.equal(results.length, count)
+  assert.ok(results.every(({ text }) => text === 'of the other owner'))
+})
+
+When('that instance is gone, and its jobs are taken over here', async function (this: ManagerWorld) {
+  this.updateRecord()
+  await this.manager.takeOverFrom('instance-2')
+})
--- a/packages/pimentoplank/src/relay/jobs/jobManager.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.ts
@@ -132,14 +132,17 @@
         await clock.sleep(Math.min(waitMs, rules.storeDelayMs), closing.signal)
         continue
       }
+      const { epoch } = job.record()
       const results = [...job.pendingResults()]
-      const written = await store.writeSegment(job.id, job.segmentCount(), results)
+      const written = await store.writeSegment(job.id, job.segmentCount(), { results, epoch })
       if (written.isOk()) {
         failures = 0
-        if (registry.get(job.id) === job) job.appendSegment(written.value)
+        const { results: stored, epoch: writerEpoch = 0 } = written.value
+        if (registry.get(job.id) === job) job.appendSegment(stored)
         log.info({
-          job: job.id, segment: job.segmentCount(), results: written.value.length, open: job.openItems().size
+          job: job.id, segment: job.segmentCount(), results: stored.length, open: job.openItems().size, writerEpoch
         }, 'results stored')
+        if (writerEpoch > epoch) await learnOwner(job)
         continue
       }
       failures += 1
@@ -150,6 +153,20 @@
     if (job.isComplete()) markComplete(job)
   }
 
+  /** Reads who owns a job in which a later owner has stored results, before anything more of it is stored. */
+  async function learnOwner (job: OwnedJob): Promise<void> {
+    for (let failures = 1; registry.get(job.id) === job && !closing.signal.aborted; failures++) {
+      const found = await store.read(job.id)
+      if (found.isOk() && found.value !== undefined) {
+        const { record } = found.value
+        registry.update(job.id, { owner: record.owner, epoch: record.epoch, ended: record.ended }, 'record')
+        if (record.owner === self) job.setStored(found.value)
+        return
+      }
+      await clock.sleep(computeBackoff(failures), closing.signal)
+    }
+  }
+
   function computeBackoff (failures: number): number {
     return Math.min(rules.maxBackoffMs, FIRST_BACKOFF_MS * 2 ** failures) * (0.5 + random() / 2)
   }
@@ -242,13 +259,8 @@
     if (items.value === undefined) return ok(undefined)
     const taken = await store.update(id, { ...record, owner: self, epoch: record.epoch + 1 }, revision)
     if (taken.isErr()) return err(taken.error)
-    const segments: ItemResult[][] = []
-    for (;;) {
-      const segment = await store.readSegment(id, segments.length)
-      if (segment.isErr()) return err(segment.error)
-      if (segment.value === undefined) break
-      segments.push(segment.value)
-    }
+    const segments = await takeSegments(id, taken.value.record.epoch)
+    if (segments.isErr()) return err(segments.error)
     const accepted = registry.get(id)
     if (accepted !== undefined) {
       // The caller's repeat was accepted meanwhile, and items of the job may run already.
@@ -257,10 +269,27 @@
       return ok(accepted)
     }
     log.info({
-      job: id, from: record.owner, epoch: taken.value.record.epoch, segments: segments.length
+      job: id, from: record.owner, epoch: taken.value.record.epoch, segments: segments.value.length
     }, 'job taken over')
     metrics.count('jobs.takenOver')
-    return ok(open(id, taken.value, items.value, segments))
+    return ok(open(id, taken.value, items.value, segments.value))
+  }
+
+  /** Reads the results stored so far, and writes the segment after which no former owner can store any. */
+  async function takeSegments (id: string, epoch: number): Promise<Result<ItemResult[][], PlatformError>> {
+    const segments: ItemResult[][] = []
+    for (;;) {
+      const segment = await store.readSegment(id, segments.length)
+      if (segment.isErr()) return err(segment.error)
+      if (segment.value !== undefined) {
+        segments.push(segment.value)
+        continue
+      }
+      const written = await store.writeSegment(id, segments.length, { results: [], epoch })
+      if (written.isErr()) return err(written.error)
+      segments.push(written.value.results)
+      if (written.value.epoch === epoch) return ok(segments)
+    }
   }
 
   /** Takes over the unfinished jobs that match, with retries; returns the number of other unfinished jobs. */
@@ -270,6 +299,10 @@
       if (jobs.isOk()) {
         const open = [...jobs.value].filter(([, { record }]) => !record.finished && !record.ended)
         const matching = open.filter(([, { record }]) => isMatch(record))
+        // A job that was lost to an owner which is gone now has to be read anew.
+        for (const [id, { record }] of matching) {
+          registry.update(id, { owner: record.owner, epoch: record.epoch, ended: record.ended }, 'record')
+        }
         const taken = await Promise.all(matching.map(async ([id]) => await takeOver(id)))
         if (taken.every((one) => one)) return open.length - matching.length
       }
--- a/packages/pimentoplank/src/relay/jobs/jobStore.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobStore.ts
@@ -7,7 +7,7 @@
 } from '../../shared'
 import {
   toInputName, JOB_KINDS, jobInput, jobRecord, resultSegment, toSegmentName,
-  type ItemResult, type JobItem, type JobRecord
+  type ItemResult, type JobItem, type JobRecord, type ResultSegment
 } from './records'
 
 /** A record with its revision, on which the next update is conditional. */
@@ -50,11 +50,11 @@
   /** Reads the items of a job; undefined while any part of its input is missing. */
   readItems: (job: string) => ResultAsync<JobItem[] | undefined, PlatformError>
   /**
-   * Writes a segment. When another owner wrote it first, resolves to the results stored there instead.
+   * Writes a segment. When another owner wrote it first, resolves to the segment stored there instead.
    *
    * @param index - number of preceding segments
    */
-  writeSegment: (job: string, index: number, results: readonly ItemResult[]) => ResultAsync<ItemResult[], PlatformError>
+  writeSegment: (job: string, index: number, segment: ResultSegment) => ResultAsync<ResultSegment, PlatformError>
   /** Deletes the record of a job that was not acknowledged. */
   withdraw: (job: string) => ResultAsync<void, PlatformError>
   /** Deletes all objects of a job, its record last. */
@@ -151,13 +151,13 @@
   async function writeSegment (
     job: string,
     index: number,
-    results: readonly ItemResult[]
-  ): Promise<Result<ItemResult[], PlatformError>> {
+    segment: ResultSegment
+  ): Promise<Result<ResultSegment, PlatformError>> {
     const name = toSegmentName(job, index)
-    const written = await platform.put(JOB_KINDS.results, name, { results }, { ifRevision: 0 })
-    if (written.isOk()) return ok([...results])
+    const written = await platform.put(JOB_KINDS.results, name, segment, { ifRevision: 0 })
+    if (written.isOk()) return ok(segment)
     if (!(written.error instanceof PlatformConflict) || written.error.current === null) return err(written.error)
-    return parse(resultSegment, written.error.current).map((segment) => segment.results)
+    return parse(resultSegment, written.error.current)
   }
 
   async function readSegment (job: string, index: number): Promise<Result<ItemResult[] | undefined, PlatformError>> {
--- a/packages/pimentoplank/src/relay/jobs/records.ts
+++ b/packages/pimentoplank/src/relay/jobs/records.ts
@@ -56,8 +56,15 @@
 })
 export type ItemResult = z.infer<typeof itemResult>
 
-/** Results in order of position; they continue those of the preceding segments. */
-export const resultSegment = z.object({ results: z.array(itemResult) })
+/**
+ * Results in order of position; they continue those of the preceding segments. Each owner begins with an empty segment,
+ * so that what a former owner writes from then on finds its place taken.
+ */
+export const resultSegment = z.object({
+  results: z.array(itemResult),
+  /** Epoch of the owner that wrote it; absent in segments of earlier versions. */
+  epoch: z.int().min(1).optional()
+})
 export type ResultSegment = z.infer<typeof resultSegment>
 
 const SEGMENT_DIGITS = 6
