Write the end of a job to its record where its owner finds that it has a successor

The end of a job was refused with 503 at an instance that took itself for the owner, until the caller came again elsewhere: the conditional write met the successor's record. It is written to the record now, as any instance does.

--- a/packages/pimentoplank/src/relay/jobs/jobApi.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobApi.ts
@@ -306,7 +306,11 @@
 
   async function end (id: string): Promise<Result<void, RefusalError>> {
     const own = registry.get(id)
-    if (own !== undefined) return (await manager.endJob(own)).mapErr(toReadRefusal)
+    if (own !== undefined) {
+      const ended = await manager.endJob(own)
+      const isLost = ended.isErr() && ended.error instanceof PlatformConflict
+      return isLost ? await endStored(id) : ended.mapErr(toReadRefusal)
+    }
     if (registry.getKnown(id)?.ended === true) return ok(undefined)
     const owner = registry.getKnown(id)?.owner
     if (owner !== undefined && await notifyOwner(owner, id)) {
