--- a/packages/pimentoplank/src/relay/jobs/jobManager.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.ts
@@ -11,12 +11,9 @@
 import { createJobTimes } from './jobTimes'
 import { createOwnedJob, type ItemProgress, type OwnedJob } from './ownedJob'
 import type { ItemResult, JobItem, JobRecord } from './records'
+import { createResultStorage, type ResultStorageRules } from './resultStorage'
 
-export interface JobManagerRules {
-  /** Longest time that a result is held back to be stored in a batch, in milliseconds. */
-  storeDelayMs: number
-  /** Results of a job that is due within this time are stored at once, in milliseconds. */
-  dueSoonMs: number
+export interface JobManagerRules extends ResultStorageRules {
   /** Upper bound of the backoff while the platform does not answer, in milliseconds. */
   maxBackoffMs: number
   /** How long a finished job stays in memory, in milliseconds. */
@@ -80,11 +77,13 @@
 export function createJobManager (options: JobManagerOptions): JobManager {
   const { self, jobRegistry: registry, store, rules, clock, random, metrics, log } = options
   const closing = new AbortController()
-  /** Store operations in progress. */
-  const storing = new Map<OwnedJob, Promise<void>>()
   const finishedAt = new Map<string, number>()
   const adopting = new Set<string>()
 
+  const storage = createResultStorage({
+    ...options, computeBackoff, onStored: (job) => { if (job.isComplete()) markComplete(job) }, signal: closing.signal
+  })
+
   registry.onRevoked((job, state) => {
     log.info({
       job: job.id, owner: state.owner, epoch: state.epoch, ended: state.ended
@@ -108,65 +107,6 @@
     return job
   }
 
-  function storePending (job: OwnedJob): void {
-    if (job.pendingResults().length === 0) return
-    if (!storing.has(job)) {
-      const task = storeResults(job).finally(() => storing.delete(job))
-      storing.set(job, task)
-    }
-  }
-
-  /** Computes the time until the pending results of a job must be stored, in milliseconds. */
-  function computeStoreDelay (job: OwnedJob): number {
-    if (job.openItems().size === 0 || options.isLeaving()) return 0
-    const now = clock.now()
-    const waited = now - (job.pendingSince() ?? now)
-    return Math.max(0, Math.min(rules.storeDelayMs - waited, job.dueAt - rules.dueSoonMs - now))
-  }
-
-  async function storeResults (job: OwnedJob): Promise<void> {
-    let failures = 0
-    while (job.pendingResults().length > 0 && registry.get(job.id) === job && !closing.signal.aborted) {
-      const waitMs = computeStoreDelay(job)
-      if (waitMs > 0) {
-        await clock.sleep(Math.min(waitMs, rules.storeDelayMs), closing.signal)
-        continue
-      }
-      const { epoch } = job.record()
-      const results = [...job.pendingResults()]
-      const written = await store.writeSegment(job.id, job.segmentCount(), { results, epoch })
-      if (written.isOk()) {
-        failures = 0
-        const { results: stored, epoch: writerEpoch = 0 } = written.value
-        if (registry.get(job.id) === job) job.appendSegment(stored)
-        log.info({
-          job: job.id, segment: job.segmentCount(), results: stored.length, open: job.openItems().size, writerEpoch
-        }, 'results stored')
-        if (writerEpoch > epoch) await learnOwner(job)
-        continue
-      }
-      failures += 1
-      log.warn({ job: job.id, failures, cause: describeCause(written.error) }, 'results could not be stored')
-      metrics.countRetry('platformUnavailable')
-      await clock.sleep(computeBackoff(failures), closing.signal)
-    }
-    if (job.isComplete()) markComplete(job)
-  }
-
-  /** Reads who owns a job in which a later owner has stored results, before anything more of it is stored. */
-  async function learnOwner (job: OwnedJob): Promise<void> {
-    for (let failures = 1; registry.get(job.id) === job && !closing.signal.aborted; failures++) {
-      const found = await store.read(job.id)
-      if (found.isOk() && found.value !== undefined) {
-        const { record } = found.value
-        registry.update(job.id, { owner: record.owner, epoch: record.epoch, ended: record.ended }, 'record')
-        if (record.owner === self) job.setStored(found.value)
-        return
-      }
-      await clock.sleep(computeBackoff(failures), closing.signal)
-    }
-  }
-
   function computeBackoff (failures: number): number {
     return Math.min(rules.maxBackoffMs, FIRST_BACKOFF_MS * 2 ** failures) * (0.5 + random() / 2)
   }
@@ -235,7 +175,7 @@
         // Items may run here already if the caller's repeat was accepted meanwhile.
         if (own !== undefined && own.target === undefined && own.lastEventId === undefined) Object.assign(own, known)
       }
-      storePending(job)
+      storage.schedule(job)
       options.onItemsReady()
       return true
     } finally {
@@ -259,7 +199,7 @@
     if (items.value === undefined) return ok(undefined)
     const taken = await store.update(id, { ...record, owner: self, epoch: record.epoch + 1 }, revision)
     if (taken.isErr()) return err(taken.error)
-    const segments = await takeSegments(id, taken.value.record.epoch)
+    const segments = await storage.takeSegments(id, taken.value.record.epoch)
     if (segments.isErr()) return err(segments.error)
     const accepted = registry.get(id)
     if (accepted !== undefined) {
@@ -275,23 +215,6 @@
     return ok(open(id, taken.value, items.value, segments.value))
   }
 
-  /** Reads the results stored so far, and writes the segment after which no former owner can store any. */
-  async function takeSegments (id: string, epoch: number): Promise<Result<ItemResult[][], PlatformError>> {
-    const segments: ItemResult[][] = []
-    for (;;) {
-      const segment = await store.readSegment(id, segments.length)
-      if (segment.isErr()) return err(segment.error)
-      if (segment.value !== undefined) {
-        segments.push(segment.value)
-        continue
-      }
-      const written = await store.writeSegment(id, segments.length, { results: [], epoch })
-      if (written.isErr()) return err(written.error)
-      segments.push(written.value.results)
-      if (written.value.epoch === epoch) return ok(segments)
-    }
-  }
-
   /** Takes over the unfinished jobs that match, with retries; returns the number of other unfinished jobs. */
   async function adoptAll (isMatch: (record: JobRecord) => boolean): Promise<number> {
     for (let failures = 1; !closing.signal.aborted && !options.isLeaving(); failures++) {
@@ -326,7 +249,7 @@
 
   return {
     openJob: (id, stored, items) => open(id, stored, items),
-    scheduleStore: storePending,
+    scheduleStore: storage.schedule,
     endJob: end,
     takeOver,
     resolveSubmission: async (id) => {
@@ -353,10 +276,7 @@
       await clock.sleep(rules.settleMs, closing.signal)
       await adoptAll((record) => record.owner === self || (!isAlive(record.owner) && isSuccessorOf(record.owner)))
     },
-    flushAll: async (ms) => {
-      const tasks = Promise.all([...storing.values()])
-      await Promise.race([tasks, clock.sleep(ms)])
-    },
+    flushAll: storage.flushAll,
     tick: () => {
       const now = clock.now()
       for (const job of registry.owned()) {
@@ -375,6 +295,6 @@
     options.onStop(job)
     log.warn({ job: job.id, items: job.openItems().size }, 'items expired: retention period is over')
     for (const item of [...job.openItems().keys()]) job.finishItem({ item, completed: false, text: '' })
-    storePending(job)
+    storage.schedule(job)
   }
 }
--- /dev/null
+++ b/packages/pimentoplank/src/relay/jobs/resultStorage.ts
@@ -0,0 +1,133 @@
+/** Stores the results of owned jobs as segments, which only the latest owner can add to. */
+import { err, ok, type Result } from 'neverthrow'
+import { describeCause, type Clock, type Log, type Metrics, type PlatformError } from '../../shared'
+import type { JobRegistry } from './jobRegistry'
+import type { JobStore } from './jobStore'
+import type { OwnedJob } from './ownedJob'
+import type { ItemResult } from './records'
+
+export interface ResultStorageRules {
+  /** Longest time that a result is held back to be stored in a batch, in milliseconds. */
+  storeDelayMs: number
+  /** Results of a job that is due within this time are stored at once, in milliseconds. */
+  dueSoonMs: number
+}
+
+export interface ResultStorageOptions {
+  self: string
+  jobRegistry: JobRegistry
+  store: JobStore
+  /** True while results are not held back, since this instance stops. */
+  isLeaving: () => boolean
+  /** Called once no result of a job waits to be stored. */
+  onStored: (job: OwnedJob) => void
+  /** Returns the pause after a number of failures in a row, in milliseconds. */
+  computeBackoff: (failures: number) => number
+  /** Ends all waits. */
+  signal: AbortSignal
+  rules: ResultStorageRules
+  clock: Clock
+  metrics: Metrics
+  log: Log
+}
+
+export interface ResultStorage {
+  /** Schedules the pending results of a job to be stored. */
+  schedule: (job: OwnedJob) => void
+  /** Reads the results of a job that was taken over, and ends the time in which a former owner can store any. */
+  takeSegments: (job: string, epoch: number) => Promise<Result<ItemResult[][], PlatformError>>
+  /** Waits until all pending results are stored, or `ms` milliseconds have passed. */
+  flushAll: (ms: number) => Promise<void>
+}
+
+/** Creates the result storage of an instance. */
+export function createResultStorage (options: ResultStorageOptions): ResultStorage {
+  const { self, jobRegistry: registry, store, signal, rules, clock, metrics, log } = options
+  /** Store operations in progress. */
+  const storing = new Map<OwnedJob, Promise<void>>()
+
+  function storePending (job: OwnedJob): void {
+    if (job.pendingResults().length === 0) return
+    if (!storing.has(job)) {
+      const task = storeResults(job).finally(() => storing.delete(job))
+      storing.set(job, task)
+    }
+  }
+
+  /** Computes the time until the pending results of a job must be stored, in milliseconds. */
+  function computeStoreDelay (job: OwnedJob): number {
+    if (job.openItems().size === 0 || options.isLeaving()) return 0
+    const now = clock.now()
+    const waited = now - (job.pendingSince() ?? now)
+    return Math.max(0, Math.min(rules.storeDelayMs - waited, job.dueAt - rules.dueSoonMs - now))
+  }
+
+  async function storeResults (job: OwnedJob): Promise<void> {
+    let failures = 0
+    while (job.pendingResults().length > 0 && registry.get(job.id) === job && !signal.aborted) {
+      const waitMs = computeStoreDelay(job)
+      if (waitMs > 0) {
+        await clock.sleep(Math.min(waitMs, rules.storeDelayMs), signal)
+        continue
+      }
+      const { epoch } = job.record()
+      const results = [...job.pendingResults()]
+      const written = await store.writeSegment(job.id, job.segmentCount(), { results, epoch })
+      if (written.isOk()) {
+        failures = 0
+        const { results: stored, epoch: writerEpoch = 0 } = written.value
+        if (registry.get(job.id) === job) job.appendSegment(stored)
+        log.info({
+          job: job.id, segment: job.segmentCount(), results: stored.length, open: job.openItems().size, writerEpoch
+        }, 'results stored')
+        if (writerEpoch > epoch) await learnOwner(job)
+        continue
+      }
+      failures += 1
+      log.warn({ job: job.id, failures, cause: describeCause(written.error) }, 'results could not be stored')
+      metrics.countRetry('platformUnavailable')
+      await clock.sleep(options.computeBackoff(failures), signal)
+    }
+    options.onStored(job)
+  }
+
+  /** Reads who owns a job in which a later owner has stored results, before anything more of it is stored. */
+  async function learnOwner (job: OwnedJob): Promise<void> {
+    for (let failures = 1; registry.get(job.id) === job && !signal.aborted; failures++) {
+      const found = await store.read(job.id)
+      if (found.isOk() && found.value !== undefined) {
+        const { record } = found.value
+        registry.update(job.id, { owner: record.owner, epoch: record.epoch, ended: record.ended }, 'record')
+        if (record.owner === self) job.setStored(found.value)
+        return
+      }
+      await clock.sleep(options.computeBackoff(failures), signal)
+    }
+  }
+
+  /** Reads the results stored so far, and writes the segment after which no former owner can store any. */
+  async function takeSegments (id: string, epoch: number): Promise<Result<ItemResult[][], PlatformError>> {
+    const segments: ItemResult[][] = []
+    for (;;) {
+      const segment = await store.readSegment(id, segments.length)
+      if (segment.isErr()) return err(segment.error)
+      if (segment.value !== undefined) {
+        segments.push(segment.value)
+        continue
+      }
+      const written = await store.writeSegment(id, segments.length, { results: [], epoch })
+      if (written.isErr()) return err(written.error)
+      segments.push(written.value.results)
+      if (written.value.epoch === epoch) return ok(segments)
+    }
+  }
+
+  return {
+    schedule: storePending,
+    takeSegments,
+    flushAll: async (ms) => {
+      const tasks = Promise.all([...storing.values()])
+      await Promise.race([tasks, clock.sleep(ms)])
+    }
+  }
+}
