--- /dev/null
+++ b/packages/pimentoplank/src/relay/jobs/resultReader.ts
@@ -0,0 +1,207 @@
+/** Reads results and request bodies of batch jobs, from the owner or from the platform. */
+import { LRUCache } from 'lru-cache'
+import { err, ok, type Result } from 'neverthrow'
+import {
+  PlatformRejected, RefusalError, type Clock, type Log, type Metrics, type PlatformError
+} from '../../shared'
+import type { PeerView } from '../gossip'
+import type { JobRegistry } from './jobRegistry'
+import type { JobStore } from './jobStore'
+import type { OwnedJob } from './ownedJob'
+import { PEER_TIMEOUT_MS, type GetJobClient } from './peerJobs'
+import type { RecordFollower } from './recordFollower'
+import type { ItemResult, JobItem, JobRecord } from './records'
+
+export interface ResultPage {
+  /** Items of the job. */
+  total: number
+  results: readonly ItemResult[]
+}
+
+export interface ResultReaderOptions {
+  self: string
+  jobRegistry: JobRegistry
+  store: JobStore
+  getClient: GetJobClient
+  peers: () => readonly PeerView[]
+  recordFollower: Pick<RecordFollower, 'mayDenyResults' | 'refresh'>
+  /** Called with a job that is stored under this instance without being known here. */
+  onUnknown: (job: string) => void
+  clock: Clock
+  metrics: Metrics
+  log: Log
+}
+
+export interface ResultReader {
+  /** Reads results from a position on; waits up to `waitMs` milliseconds for one. */
+  read: (job: string, after: number, waitMs: number) => Promise<Result<ResultPage, RefusalError>>
+  /** Reads results of an owned job; undefined when this instance does not own it, or can't tell. */
+  readOwned: (job: string, after: number, waitMs: number) => Promise<ResultPage | undefined>
+  /** Reads the request body of an item. */
+  body: (job: string, item: string) => Promise<Result<Uint8Array, RefusalError>>
+}
+
+/** Maximum of result characters in one answer. */
+const MAX_PAGE_CHARS = 900_000
+export const PLATFORM_RETRY_MS = 1000
+const CACHED_JOBS = 200
+const CACHED_INPUTS = 50
+
+interface CachedJob {
+  record: JobRecord
+  results: ItemResult[]
+  segments: number
+}
+
+/** Creates the result reader of an instance. */
+export function createResultReader (options: ResultReaderOptions): ResultReader {
+  const { self, jobRegistry: registry, store, getClient, clock, log } = options
+  const cache = new LRUCache<string, CachedJob>({ max: CACHED_JOBS })
+  const inputs = new LRUCache<string, readonly JobItem[]>({ max: CACHED_INPUTS })
+
+  async function readOwned (id: string, after: number, waitMs: number): Promise<ResultPage | undefined> {
+    const until = clock.now() + waitMs
+    for (;;) {
+      const job = registry.get(id)
+      if (job === undefined) return undefined
+      const leftMs = until - clock.now()
+      // Results stay where they are, so that these hold whoever owns the job now.
+      if (job.storedResults().length > after || job.isComplete()) return toPage(job, after)
+      if (leftMs <= 0 || job.isEnded()) return await confirmPage(job, after)
+      await job.waitForChange(leftMs)
+    }
+  }
+
+  /** That there are no further results is true only of the job's owner, and another instance may be that now. */
+  async function confirmPage (job: OwnedJob, after: number): Promise<ResultPage | undefined> {
+    const { recordFollower } = options
+    if (!job.isEnded() && !recordFollower.mayDenyResults(job)) await recordFollower.refresh()
+    const isKnown = registry.get(job.id) === job && (job.isEnded() || recordFollower.mayDenyResults(job))
+    if (!isKnown) log.info({ job: job.id, after, ageMs: Math.round(clock.now() - job.confirmedAt()) }, 'results not denied: the job may have another owner')
+    return isKnown ? toPage(job, after) : undefined
+  }
+
+  function toPage (job: OwnedJob, after: number): ResultPage {
+    return { total: job.record().total, results: cutPage(job.storedResults(), after) }
+  }
+
+  async function readPage (id: string, after: number, waitMs: number): Promise<Result<ResultPage, RefusalError>> {
+    const owned = await readOwned(id, after, waitMs)
+    if (owned !== undefined) return ok(owned)
+    const asked = new Set<string>()
+    const known = registry.getKnown(id)
+    if (known !== undefined) {
+      asked.add(known.owner)
+      const page = await readFromOwner(known.owner, id, after, waitMs)
+      if (page !== undefined) return ok(page)
+    }
+    const stored = await readStored(id)
+    if (stored.isErr()) return readCached(id, after) ?? err(stored.error)
+    const { record } = stored.value
+    registry.update(id, { owner: record.owner, epoch: record.epoch, ended: record.ended }, 'record')
+    if (record.owner === self && !record.finished && !record.ended) options.onUnknown(id)
+    if (!asked.has(record.owner) && record.owner !== self) {
+      const page = await readFromOwner(record.owner, id, after, waitMs)
+      if (page !== undefined) return ok(page)
+    }
+    return await readSegments(id, stored.value, after)
+  }
+
+  async function readFromOwner (
+    owner: string,
+    job: string,
+    after: number,
+    waitMs: number
+  ): Promise<ResultPage | undefined> {
+    const peer = options.peers().find(({ report }) => report.instance === owner)
+    if (peer === undefined) return undefined
+    try {
+      const res = await getClient(peer.report.peerAddress)
+        .readResults({ job, after, waitMs, maxBytes: MAX_PAGE_CHARS }, { timeoutMs: waitMs + PEER_TIMEOUT_MS })
+      if (!res.isOwner) return undefined
+      return { total: res.total, results: res.results.map(({ item, completed, text }) => ({ item, completed, text })) }
+    } catch (cause) {
+      options.metrics.countRetry('peerUnavailable')
+      log.info({ job, owner, cause: String(cause) }, 'job owner did not answer')
+      return undefined
+    }
+  }
+
+  async function readStored (id: string): Promise<Result<{ record: JobRecord }, RefusalError>> {
+    const cached = cache.get(id)
+    if (cached?.record.finished === true) return ok(cached)
+    const found = await store.read(id)
+    if (found.isErr()) return err(toReadRefusal(found.error))
+    if (found.value === undefined) return err(new RefusalError('notFound', { detail: `no job ${id} exists` }))
+    return ok(found.value)
+  }
+
+  /** Returns results that were read before, which hold also while the platform is away; undefined without any. */
+  function readCached (id: string, after: number): Result<ResultPage, never> | undefined {
+    const cached = cache.get(id)
+    if (cached === undefined || cached.results.length <= after) return undefined
+    return ok({ total: cached.record.total, results: cutPage(cached.results, after) })
+  }
+
+  /** Reads stored results; segments are immutable, so those read before are cached. */
+  async function readSegments (
+    id: string,
+    { record }: { record: JobRecord },
+    after: number
+  ): Promise<Result<ResultPage, RefusalError>> {
+    const cached = cache.get(id) ?? { record, results: [], segments: 0 }
+    cached.record = record
+    cache.set(id, cached)
+    while (cached.results.length < record.total) {
+      const index = cached.segments
+      const segment = await store.readSegment(id, index)
+      if (segment.isErr()) return err(toReadRefusal(segment.error))
+      if (segment.value === undefined) break
+      // A concurrent read of the same job may have added the segment already.
+      if (cached.segments !== index) continue
+      cached.results.push(...segment.value)
+      cached.segments += 1
+    }
+    return ok({ total: record.total, results: cutPage(cached.results, after) })
+  }
+
+  /** Reads the items of a job; input is immutable, so it is cached. */
+  async function readItems (id: string): Promise<Result<readonly JobItem[], RefusalError>> {
+    const cached = inputs.get(id)
+    if (cached !== undefined) return ok(cached)
+    const items = await store.readItems(id)
+    if (items.isErr()) return err(toReadRefusal(items.error))
+    if (items.value === undefined) return err(new RefusalError('notFound', { detail: `no job ${id} exists` }))
+    inputs.set(id, items.value)
+    return ok(items.value)
+  }
+
+  async function findBody (id: string, item: string): Promise<Result<Uint8Array, RefusalError>> {
+    const own = registry.get(id)?.findItem(item)
+    if (own !== undefined) return ok(Buffer.from(own.body, 'base64'))
+    const items = await readItems(id)
+    if (items.isErr()) return err(items.error)
+    const found = items.value.find((one) => one.id === item)
+    if (found === undefined) return err(new RefusalError('notFound', { detail: `no item ${item} in job ${id}` }))
+    return ok(Buffer.from(found.body, 'base64'))
+  }
+
+  return { read: readPage, readOwned, body: findBody }
+}
+
+/** Returns the refusal of a call for which the platform could not be read or written. */
+export function toReadRefusal (cause: PlatformError): RefusalError {
+  const reason = cause instanceof PlatformRejected ? 'badRequest' : 'platformDown'
+  return new RefusalError(reason, { retryAfterMs: PLATFORM_RETRY_MS, cause })
+}
+
+function cutPage (results: readonly ItemResult[], after: number): ItemResult[] {
+  const page: ItemResult[] = []
+  let chars = 0
+  for (const result of results.slice(after)) {
+    chars += result.text.length
+    if (page.length > 0 && chars > MAX_PAGE_CHARS) break
+    page.push(result)
+  }
+  return page
+}
