--- a/packages/pimentoplank/src/shared/feed/platformWatch.ts
+++ b/packages/pimentoplank/src/shared/feed/platformWatch.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '../clock'
 import type { Log } from '../logging'
 import type { Metrics } from '../metrics'
-import type { PlatformClient } from '../platform'
+import type { PlatformClient, StoredObject } from '../platform'
 import type { Random } from '../random'
 import type { FeedState } from './feedState'
 import type { Freshness } from './freshness'
@@ -51,7 +51,8 @@
 export async function readKind (kind: string, options: PlatformWatchOptions): Promise<boolean> {
   const page = await options.platform.listAll(kind)
   if (page.isErr()) return false
-  const { revision, items } = page.value
+  const { revision } = page.value
+  const items = page.value.items.map((object) => dropDeepValue(object, options.log))
   const events = items.map((object) => ({ type: 'put' as const, name: object.name, revision: object.revision, object }))
   if (!options.state.merge(kind, { revision, full: true, events })) {
     options.metrics.count('feed.staleReads')
@@ -94,7 +95,10 @@
   const batch = await platform.watch(kind, { since, waitMs, marginMs: watchMarginMs, signal })
   if (batch.isErr()) return false
   if (batch.value.compacted === true) return await readKind(kind, options)
-  const { revision, events } = batch.value
+  const { revision } = batch.value
+  const events = batch.value.events.map((event) => (
+    event.object === undefined ? event : { ...event, object: dropDeepValue(event.object, options.log) }
+  ))
   if (revision < since) {
     metrics.count('feed.staleReads')
     return false
@@ -103,3 +107,19 @@
   freshness.recordPlatformResponse()
   return true
 }
+
+/** Deeper values are left out: peers can't be sent them, as `JSON.stringify` runs out of stack. */
+const MAX_VALUE_DEPTH = 100
+
+/** Returns the object; without its value if another writer has nested it too deeply to pass it on. */
+function dropDeepValue (object: StoredObject, log: Log): StoredObject {
+  if (!isDeeperThan(MAX_VALUE_DEPTH, object.value)) return object
+  const { kind, name, revision } = object
+  log.warn({ kind, name, revision, maxDepth: MAX_VALUE_DEPTH }, 'object is nested too deeply; its value is left out')
+  return { ...object, value: null }
+}
+
+function isDeeperThan (levels: number, value: unknown): boolean {
+  if (typeof value !== 'object' || value === null) return false
+  return levels === 0 || Object.values(value).some((child) => isDeeperThan(levels - 1, child))
+}
