Don't take an earlier refusal that comes again for the answer to a request

A faulty replica wrote a refusal once more on a kept connection when the next request came there. Where that request had the same id (a caller's second attempt with its id, a stream that goes back to a replica that refused it, each further run of a batch item), callers were answered 503 for a request that ran, and streams and items ran at another replica or once more at the same one. A copy of a 421 to another request was believed as well, as the status was looked at before the id.

A connection that has carried an id is no longer used for a request with that id, and ids are compared before anything else that an answer states. A connection keeps hashes of at most 256 ids and is closed after as many requests.

Seen to fail, one guard out at a time: without the check of carried ids 7 scenarios (all of an earlier refusal, and of an id carried before), with the old order that of a copied 421, without the comparison of ids the 4 of copies, without the bound the one of 600 requests. 'Bytes that come on an idle connection end it' guards what undici does; it was not seen to fail.

A refusal without any id is believed as before.

--- a/packages/pimentoplank/src/relay/exchange/connectionPool.ts
+++ b/packages/pimentoplank/src/relay/exchange/connectionPool.ts
@@ -1,7 +1,7 @@
 /** Pool of connections to targets, each of which carries one request at a time. */
 import type { Socket } from 'node:net'
 import { Client, type Dispatcher } from 'undici'
-import { createConnector, markDispatch, type Clock, type Metrics, type SendMark } from '../../shared'
+import { createConnector, hash32, markDispatch, type Clock, type Metrics, type SendMark } from '../../shared'
 
 export interface ConnectionSettings {
   /** Timeout for establishing a connection, in milliseconds. */
@@ -23,11 +23,13 @@
   idleMs: number
   /** When the process at its other end started; undefined until it was asked. */
   processStartedAt?: number
+  /** Hashes of the ids of the requests that it has carried; a late copy of an answer has one of these ids. */
+  carried: Set<number>
 }
 
 export interface TargetConnectionPool {
-  /** Returns an idle connection, or opens a new one. */
-  acquire: (address: string) => TargetConnection
+  /** Returns an idle connection that has not carried the request before, or opens a new one. */
+  acquire: (address: string, requestId: string) => TargetConnection
   /** Opens a new connection. */
   open: (address: string) => TargetConnection
   /** Returns a connection to the pool after its response was read to the end. */
@@ -53,6 +55,8 @@
 const STALE_IDLE_SHARE = 0.8
 /** Time for which a shortened idle timeout applies, in milliseconds. */
 const SHORTENED_TIMEOUT_MS = 10_000
+/** A connection that has carried this many requests is not used again, which bounds the memory for their ids. */
+const MAX_CARRIED = 256
 
 /** Creates the connection pool of an instance. */
 export function createTargetConnectionPool (options: {
@@ -89,7 +93,8 @@
       client,
       dispatch: (request, handler) => { dispatch(request, handler) },
       isReused: false,
-      idleMs: 0
+      idleMs: 0,
+      carried: new Set()
     }
     client.on('disconnect', () => closeConnection(connection))
     client.on('connectionError', () => closeConnection(connection))
@@ -97,12 +102,14 @@
     return connection
   }
 
-  function acquireConnection (address: string): TargetConnection {
+  function acquireConnection (address: string, requestId: string): TargetConnection {
     const list = idle.get(address) ?? []
-    for (let entry = list.pop(); entry !== undefined; entry = list.pop()) {
+    for (const entry of [...list].reverse()) {
       const { connection, since } = entry
       connection.idleMs = clock.now() - since
       const isFresh = connection.idleMs < getIdleTimeoutMs()
+      if (isFresh && isUsable(connection) && connection.carried.has(hash32(requestId))) continue
+      list.splice(list.indexOf(entry), 1)
       if (isFresh && isUsable(connection)) {
         connection.isReused = true
         return connection
@@ -126,6 +133,7 @@
     open: openConnection,
     release: (address, connection) => {
       if (!connections.has(connection)) return
+      if (connection.carried.size >= MAX_CARRIED) return closeConnection(connection)
       const list = idle.get(address) ?? []
       list.push({ connection, since: clock.now() })
       idle.set(address, list)
--- /dev/null
+++ b/packages/pimentoplank/src/relay/exchange/exchange.feature
@@ -0,0 +1,31 @@
+Feature: Bytes that come late on kept connections to targets
+
+  Scenario Outline: A copy of an earlier answer with status <status> is not the answer to another request
+    Given a target that answers request "first" with status <status>
+    When request "first" is sent, and its answer comes once more right before that to request "second"
+    Then request "second" fails as spoiled, and may have run
+    And a later request is sent on another connection
+
+    Examples:
+      | status |
+      | 200    |
+      | 421    |
+      | 429    |
+      | 503    |
+
+  Scenario: A request is not sent on a connection that has carried its id
+    Given a target that answers request "first" with status 503
+    When request "first" is sent twice, and its answer comes once more right before the second one
+    Then the second answer is the target's own
+    And the target had 2 connections
+
+  Scenario: Bytes that come on an idle connection end it
+    Given a target that answers request "first" with status 503
+    When request "first" is sent, and its answer comes once more 50 ms later
+    Then the target sees that connection end
+    And request "second" is answered on another connection
+
+  Scenario: A connection is used for a bounded number of requests
+    Given a target that answers request "first" with status 503
+    When 600 requests are sent one after the other
+    Then the target had 3 connections
--- a/packages/pimentoplank/src/relay/exchange/exchange.ts
+++ b/packages/pimentoplank/src/relay/exchange/exchange.ts
@@ -2,7 +2,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { Dispatcher } from 'undici'
 import {
-  ConnectionResetError, describeCause, getBodyFraming, isConnectFailure, KIB_BYTES, SECOND_MS,
+  ConnectionResetError, describeCause, getBodyFraming, hash32, isConnectFailure, KIB_BYTES, SECOND_MS,
   type BodyFraming, type Clock, type Log, type Metrics, type SendMark
 } from '../../shared'
 import type { AnswerHead, ProcessNeed, Target, TargetProtocol, TargetRequest } from '../model'
@@ -103,7 +103,9 @@
   ): Promise<Result<TargetAnswer, SendFailure>> {
     const { request, target } = outgoing
     if (signal.aborted) return err(new SendFailure('aborted', false, 'request aborted before it was sent'))
-    const opened = need === undefined ? ok(connections.acquire(target.address)) : await connect(outgoing, need, signal)
+    const opened = need === undefined
+      ? ok(connections.acquire(target.address, request.id))
+      : await connect(outgoing, need, signal)
     if (opened.isErr()) return err(opened.error)
     const connection = opened.value
     if (signal.aborted) {
@@ -126,6 +128,7 @@
       mark
     }
     const sentAt = clock.now()
+    connection.carried.add(hash32(request.id))
     connection.dispatch(options, receiver.handler)
     const received = await receiver.head()
     if (received.isErr()) {
@@ -156,9 +159,9 @@
     const { startedAt, address } = target
     if (startedAt === undefined) {
       need.onIdentified?.(undefined)
-      return ok(connections.acquire(address))
+      return ok(connections.acquire(address, request.id))
     }
-    const opened = await openIdentified(target, signal)
+    const opened = await openIdentified(target, request.id, signal)
     if (opened.isErr()) return opened
     const connection = opened.value
     const { processStartedAt } = connection
@@ -176,11 +179,11 @@
 
   /** Returns a connection whose process was asked for its start; one without it where the process does not tell. */
   async function openIdentified (
-    target: Target, signal: AbortSignal
+    target: Target, requestId: string, signal: AbortSignal
   ): Promise<Result<TargetConnection, SendFailure>> {
     const { id, address } = target
     for (let attempt = 1; ; attempt++) {
-      const connection = connections.acquire(address)
+      const connection = connections.acquire(address, requestId)
       if (connection.processStartedAt !== undefined) return ok(connection)
       const started = await identifyProcess(connection, {
         protocol,
@@ -279,10 +282,11 @@
 }
 
 function findHeadFailure ({ request, target }: TargetRequest, head: AnswerHead): SendFailure | undefined {
-  if (head.isOtherTarget) return new SendFailure('otherTarget', false, `another target than the expected one answered at ${target.address}`)
+  // First, as a copy of an earlier answer says nothing of this request, whatever its status is.
   if (head.requestId !== undefined && head.requestId !== request.id) {
     return new SendFailure('spoiled', true, `response belongs to another request: ${head.requestId}`)
   }
+  if (head.isOtherTarget) return new SendFailure('otherTarget', false, `another target than the expected one answered at ${target.address}`)
   if (head.isNotRun) return new SendFailure('refused', false, `target refused the request with status ${head.status}`)
   return undefined
 }
