Send a request on another connection if its kept one ended before it was sent

Bytes that come on an idle connection in the instant in which a request is to go there end that connection: the HTTP client looks for them before it writes. The request then failed as if no connection could be opened, which also counts against the target. It is now sent on another connection, as none of it was sent.

--- a/packages/pimentoplank/src/relay/exchange/exchange.feature
+++ b/packages/pimentoplank/src/relay/exchange/exchange.feature
@@ -25,6 +25,12 @@
     Then the target sees that connection end
     And request "second" is answered on another connection
 
+  Scenario: Bytes that come in the instant before a connection is used again end it unused
+    Given a target that answers request "first" with status 503
+    When request "first" is sent, and its answer comes once more in the instant in which request "second" is sent
+    Then request "second" was answered on another connection
+    And the target sees that connection end
+
   Scenario: A connection is used for a bounded number of requests
     Given a target that answers request "first" with status 503
     When 600 requests are sent one after the other
--- a/packages/pimentoplank/src/relay/exchange/exchange.steps.ts
+++ b/packages/pimentoplank/src/relay/exchange/exchange.steps.ts
@@ -129,6 +129,16 @@
   this.sockets[0]!.write(encodeAnswer(id, this.statuses.get(id)!))
 })
 
+When('request {string} is sent, and its answer comes once more in the instant in which request {string} is sent', async function (
+  this: ExchangeWorld, first: string, second: string
+) {
+  await sendOne(this, first)
+  await pause(50)
+  // No event is handled between this write and the send.
+  this.sockets[0]!.write(encodeAnswer(first, this.statuses.get(first)!))
+  await sendOne(this, second)
+})
+
 When('{int} requests are sent one after the other', { timeout: STEP_TIMEOUT_MS }, async function (this: ExchangeWorld, count: number) {
   for (let index = 0; index < count; index++) {
     await sendOne(this, `request ${index}`)
@@ -165,6 +175,10 @@
   assert.deepEqual(world.arrived.filter((one) => one.id === id), [{ id, connection: 1 }])
 }
 
+Then('request {string} was answered on another connection', function (this: ExchangeWorld, id: string) {
+  checkOtherConnection(this, id)
+})
+
 Then('request {string} is answered on another connection', async function (this: ExchangeWorld, id: string) {
   await sendOne(this, id)
   checkOtherConnection(this, id)
--- a/packages/pimentoplank/src/relay/exchange/exchange.ts
+++ b/packages/pimentoplank/src/relay/exchange/exchange.ts
@@ -135,6 +135,15 @@
       removeAbortListener()
       connections.destroy(connection)
       if (signal.aborted) return err(new SendFailure('aborted', mark.sent, 'request aborted'))
+      if (connection.isReused && !mark.sent) {
+        log.info({
+          req: request.id,
+          target: target.id,
+          idleMs: Math.round(connection.idleMs),
+          detail: describeCause(received.error)
+        }, 'kept connection ended before the request was sent')
+        return await send(outgoing, signal, need)
+      }
       const reason = classifyFailure(connection, mark, received.error, clock.now() - sentAt)
       if (reason === 'staleConnection') connections.reportStale(connection)
       return err(new SendFailure(reason, reason !== 'connectFailed', describeCause(received.error)))
