Let a begun stream go on only with status 200

A stream or a batch item broke off, and the next replica answered with a signed status 2xx other than 200: the caller got the body of a 206 in the middle of its stream, and a 204 with a length ended stream and item as complete. Statuses from 300 on and answers without signature were kept from callers already.

An answer with another status than 200 now ends the try of a stream whose caller has its head, or of an item that has events.

A signed 200 without any event is still taken for the end of a stream, as a stream can break off after its last event.

--- a/packages/pimentoplank/src/relay/jobs/runItem.ts
+++ b/packages/pimentoplank/src/relay/jobs/runItem.ts
@@ -54,6 +54,7 @@
 /** Reason of an abort for which the item moves from a silent target to another one. */
 export const SILENT_TARGET = 'silentTarget'
 
+const STATUS_OK = 200
 const STATUS_UNPROCESSABLE = 422
 const STATUS_SERVER_ERROR = 500
 
@@ -141,6 +142,10 @@
     if (status === STATUS_UNPROCESSABLE) return ok({ type: 'impossible' })
     return ok({ type: status >= STATUS_SERVER_ERROR ? 'failed' : 'refused' })
   }
+  if (status !== STATUS_OK && progress.lastEventId !== undefined) {
+    await drainAnswer(answer)
+    return err(new SendFailure('spoiled', true, `status ${status} in place of the rest of a text`))
+  }
   const reader = createEventReader(answer)
   for (;;) {
     const next = await reader.read()
--- a/packages/pimentoplank/src/relay/live/attemptTarget.ts
+++ b/packages/pimentoplank/src/relay/live/attemptTarget.ts
@@ -37,6 +37,7 @@
   return { type: 'failed', failure: new SendFailure(reason, true, detail) }
 }
 
+const STATUS_OK = 200
 const STATUS_SERVER_ERROR = 500
 /** A request that crashes its target does so as it begins to run, before this many events. */
 export const BEGINNING_EVENTS = 2
@@ -155,7 +156,10 @@
       deps.loads.recordFailure(slot.target.id, 'serverError')
       if (canMove) return failed('broken', `the target answered with status ${head.status}`)
     }
-    if (!isSuccess && call.reply.hasStarted()) return failed('broken', `the target answered with status ${head.status}`)
+    // Its caller has the head of the first answer.
+    if (head.status !== STATUS_OK && call.reply.hasStarted()) {
+      return failed('broken', `the target answered with status ${head.status}`)
+    }
     return route.kind === 'stream' && isSuccess ? await forwardEvents(answer, reader) : await forwardBody(answer)
   }
 
