Carry connections to targets through peers that reach them (HTTP/2 CONNECT)

An instance that lost its path to the targets failed its requests although its peers reached them. This adds the transport: tunnels on the peer server, their client, and a connection pool that opens connections directly or through a peer. Paths are always direct until the choice between them is added, so that behaviour stays as it was.

Node's Http2Stream.close sends END_STREAM before its code: a reset connection to a target then looked like the orderly end of a body without a length. Streams are destroyed with an error instead. Scenarios: peerTunnels.feature.

--- /dev/null
+++ b/packages/pimentoplank/features/support/tcpLink.ts
@@ -0,0 +1,56 @@
+/** A link in front of a TCP server that a test can cut or freeze. */
+import { once } from 'node:events'
+import { connect, createServer, type AddressInfo, type Socket } from 'node:net'
+
+export interface TcpLink {
+  /** IP address and port that lead to the server. */
+  address: string
+  /** Resets all connections, and refuses new ones. */
+  cut: () => void
+  /** Lets no bytes through any more, without closing anything. */
+  freeze: () => void
+  /** Counts the connections to the server. */
+  countConnections: () => number
+  close: () => void
+}
+
+/** Opens a link to a server. */
+export async function openTcpLink (to: string): Promise<TcpLink> {
+  const [host, port] = to.split(':')
+  const sockets = new Set<Socket>()
+  let isFrozen = false
+
+  function add (socket: Socket): void {
+    sockets.add(socket)
+    socket.on('error', () => undefined)
+    socket.on('close', () => sockets.delete(socket))
+  }
+
+  const server = createServer({ noDelay: true }, (near) => {
+    add(near)
+    if (isFrozen) return near.pause()
+    const far = connect({ host, port: Number(port), noDelay: true })
+    add(far)
+    near.pipe(far).pipe(near)
+    near.on('close', () => far.destroy())
+    far.on('close', () => near.destroy())
+  })
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+
+  function cut (): void {
+    server.close()
+    for (const socket of [...sockets]) socket.resetAndDestroy()
+  }
+
+  return {
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    cut,
+    freeze: () => {
+      isFrozen = true
+      for (const socket of sockets) socket.unpipe().pause()
+    },
+    countConnections: () => sockets.size / 2,
+    close: cut
+  }
+}
--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -1,7 +1,7 @@
 /** Creates a relay instance from its components. */
 import { err, ok, ResultAsync, type Result } from 'neverthrow'
 import {
-  createPeerServer, createPeerTransports, createSystemClock, describeCause, rankByRendezvous,
+  createPeerServer, createPeerTransports, createPeerTunnels, createSystemClock, describeCause, rankByRendezvous,
   type Clock, type Log, type Metrics, type PeerSecurity, type PlatformClient, type Random
 } from '../shared'
 import { createShutdownController } from '../entry/stopping'
@@ -12,7 +12,7 @@
   TARGET_IDLE_TIMEOUT_MS, TICK_INTERVAL_MS, URGENT_REPORT_DELAY_MS
 } from './constants'
 import { createRelayFeed } from './createRelayFeed'
-import { createExchange, createTargetConnectionPool } from './exchange'
+import { createDirectConnector, createExchange, createTargetConnectionPool, createTargetConnector } from './exchange'
 import { followConfig } from './followConfig'
 import { startGossip, type Gossip, type OwnLoad, type OwnReport, type Stage } from './gossip'
 import {
@@ -25,6 +25,7 @@
 } from './live'
 import { createLoadView, createPeerUses, createTargetLimits, createTargetPreference } from './load'
 import type { RelayConfig, Target, TargetProtocol } from './model'
+import { createDirectPaths } from './paths'
 import type { RouteTable } from './routing'
 import { RELAY_RULES } from './rules'
 import type { RelaySettings } from './settings'
@@ -178,8 +179,15 @@
     metrics,
     log
   })
+  const paths = createDirectPaths()
+  const tunnels = createPeerTunnels({ self: instance.id, security, metrics, log })
+  const connectDirect = createDirectConnector({ timeoutMs: TARGET_CONNECT_TIMEOUT_MS, observer: paths })
   const connections = createTargetConnectionPool({
-    settings: { connectTimeoutMs: TARGET_CONNECT_TIMEOUT_MS, idleTimeoutMs: TARGET_IDLE_TIMEOUT_MS }, clock, metrics
+    settings: { idleTimeoutMs: TARGET_IDLE_TIMEOUT_MS },
+    connect: createTargetConnector({ connectDirect, paths, tunnels, clock, log }),
+    paths,
+    clock,
+    metrics
   })
   const exchange = createExchange({
     protocol: protocols.targets,
@@ -316,6 +324,14 @@
       feed.routes(router)
       jobRoutes(router)
       streamRoutes(router)
+    },
+    tunnels: {
+      mayOpen: targets.hasAddress,
+      isDirect: (address) => shutdown.getStage() === 'serving' && paths.choose(address).type === 'direct',
+      connect: connectDirect,
+      clock,
+      metrics,
+      log
     }
   })
   if (peerServer.isErr()) {
@@ -469,6 +485,7 @@
     await gossip.close()
     transports.close()
     connections.close()
+    tunnels.close()
     await peerServer._unsafeUnwrap().close()
   }
 
--- a/packages/pimentoplank/src/relay/exchange/connectionPool.ts
+++ b/packages/pimentoplank/src/relay/exchange/connectionPool.ts
@@ -1,11 +1,12 @@
 /** Pool of connections to targets, each of which carries one request at a time. */
 import type { Socket } from 'node:net'
+import type { Duplex } from 'node:stream'
 import { Client, type Dispatcher } from 'undici'
-import { createConnector, markDispatch, type Clock, type Metrics, type SendMark } from '../../shared'
+import { markDispatch, type Clock, type Metrics, type SendMark } from '../../shared'
+import type { PathChoice, TargetPaths } from '../paths'
+import type { TargetConnector } from './targetConnector'
 
 export interface ConnectionSettings {
-  /** Timeout for establishing a connection, in milliseconds. */
-  connectTimeoutMs: number
   /** A connection that is idle for this long is closed, in milliseconds. */
   idleTimeoutMs: number
 }
@@ -16,7 +17,9 @@
   /** Dispatches a request; sets the mark right before the first byte is written to the socket. */
   dispatch: (options: Dispatcher.DispatchOptions & { mark: SendMark }, handler: Dispatcher.DispatchHandler) => void
   /** Set once the connection is established. */
-  socket?: Socket
+  socket?: Duplex
+  /** Peer through which it goes; undefined for a direct connection, and until it is established. */
+  via?: string
   /** True if an earlier request was answered on it. */
   isReused: boolean
   /** Idle time before the current request, in milliseconds. */
@@ -57,12 +60,15 @@
 /** Creates the connection pool of an instance. */
 export function createTargetConnectionPool (options: {
   settings: ConnectionSettings
+  connect: TargetConnector
+  paths: TargetPaths
   clock: Clock
   metrics: Metrics
 }): TargetConnectionPool {
-  const { settings, clock, metrics } = options
+  const { settings, connect, paths, clock, metrics } = options
   const idle = new Map<string, IdleConnection[]>()
-  const connections = new Set<TargetConnection>()
+  /** Open connections, each with what gives it up while it is being established. */
+  const connections = new Map<TargetConnection, AbortController>()
   let shortenedTimeout: { ms: number, until: number } | undefined
 
   function getIdleTimeoutMs (): number {
@@ -70,18 +76,20 @@
     return shortenedTimeout.ms
   }
 
-  function openConnection (address: string): TargetConnection {
+  function openConnection (address: string, choice: PathChoice = paths.choose(address)): TargetConnection {
     metrics.count('targets.connections')
-    const connect = createConnector({ timeoutMs: settings.connectTimeoutMs })
+    const closed = new AbortController()
     const client = new Client(`http://${address}`, {
       pipelining: 1,
       headersTimeout: NO_LIMIT,
       bodyTimeout: NO_LIMIT,
       keepAliveTimeout: settings.idleTimeoutMs,
       keepAliveMaxTimeout: settings.idleTimeoutMs,
-      connect: (connectOptions, done) => connect(connectOptions, (...result) => {
-        if (result[0] === null) connection.socket = result[1]
-        done(...result)
+      connect: (_options, done) => connect({ address, choice, signal: closed.signal }, (opened) => {
+        if (opened.isErr()) return done(opened.error, null)
+        connection.socket = opened.value.socket
+        connection.via = opened.value.via
+        done(null, opened.value.socket as Socket)
       })
     })
     const dispatch = markDispatch(client.dispatch.bind(client))
@@ -93,23 +101,50 @@
     }
     client.on('disconnect', () => closeConnection(connection))
     client.on('connectionError', () => closeConnection(connection))
-    connections.add(connection)
+    connections.set(connection, closed)
     return connection
   }
 
   function acquireConnection (address: string): TargetConnection {
-    const list = idle.get(address) ?? []
-    for (let entry = list.pop(); entry !== undefined; entry = list.pop()) {
-      const { connection, since } = entry
-      connection.idleMs = clock.now() - since
-      const isFresh = connection.idleMs < getIdleTimeoutMs()
-      if (isFresh && isUsable(connection)) {
-        connection.isReused = true
-        return connection
-      }
+    const list = pruneIdle(address)
+    const direct = paths.isDirectUsable(address) ? takeLast(list, undefined) : undefined
+    if (direct !== undefined) return direct
+    const choice = paths.choose(address)
+    if (choice.type === 'peer') return takeLast(list, choice.instance) ?? openConnection(address, choice)
+    closeIdleTunnels(address, list)
+    return openConnection(address, choice)
+  }
+
+  /** Closes the idle connections that can carry no request, and returns the others. */
+  function pruneIdle (address: string): IdleConnection[] {
+    const list = (idle.get(address) ?? []).filter(({ connection, since }) => {
+      const isFresh = clock.now() - since < getIdleTimeoutMs()
+      if (isFresh && isUsable(connection)) return true
       closeConnection(connection)
-    }
-    return openConnection(address)
+      return false
+    })
+    if (list.length > 0) idle.set(address, list)
+    else idle.delete(address)
+    return list
+  }
+
+  function closeIdleTunnels (address: string, list: IdleConnection[]): void {
+    idle.set(address, list.filter(({ connection }) => connection.via === undefined))
+    for (const { connection } of list) if (connection.via !== undefined) closeConnection(connection)
+  }
+
+  /**
+   * Takes the connection that was used last.
+   *
+   * @param via - peer through which it goes; undefined for a direct one
+   */
+  function takeLast (list: IdleConnection[], via: string | undefined): TargetConnection | undefined {
+    const index = list.findLastIndex(({ connection }) => connection.via === via)
+    if (index < 0) return undefined
+    const [{ connection, since }] = list.splice(index, 1) as [IdleConnection]
+    connection.idleMs = clock.now() - since
+    connection.isReused = true
+    return connection
   }
 
   function isUsable (connection: TargetConnection): boolean {
@@ -117,6 +152,7 @@
   }
 
   function closeConnection (connection: TargetConnection): void {
+    connections.get(connection)?.abort()
     if (!connections.delete(connection)) return
     connection.client.destroy().catch(() => undefined)
   }
@@ -139,6 +175,6 @@
         ms: Math.min(getIdleTimeoutMs(), observedMs * STALE_IDLE_SHARE), until: clock.now() + SHORTENED_TIMEOUT_MS
       }
     },
-    close: () => { for (const connection of [...connections]) closeConnection(connection) }
+    close: () => { for (const connection of [...connections.keys()]) closeConnection(connection) }
   }
 }
--- a/packages/pimentoplank/src/relay/exchange/exchange.ts
+++ b/packages/pimentoplank/src/relay/exchange/exchange.ts
@@ -2,7 +2,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { Dispatcher } from 'undici'
 import {
-  ConnectionResetError, describeCause, getBodyFraming, isConnectFailure, KIB_BYTES, SECOND_MS,
+  ConnectionResetError, describeCause, getBodyFraming, isConnectFailure, isPeerFailure, KIB_BYTES, SECOND_MS,
   type BodyFraming, type Clock, type Log, type Metrics, type SendMark
 } from '../../shared'
 import type { AnswerHead, ProcessNeed, Target, TargetProtocol, TargetRequest } from '../model'
@@ -20,8 +20,12 @@
   | 'otherTarget'
   /** Another process than the one that the target's entry describes answers, or which one it is can't be found out. */
   | 'otherProcess'
+  /** The peer that was to open the connection could not be reached or refused; nothing is known of the target. */
+  | 'peerUnreachable'
   /** The connection broke before the end of the response. */
   | 'broken'
+  /** The peer through which the connection went was lost before the end of the response. */
+  | 'peerLost'
   /** A pooled connection turned out to be reset when the request was written to it. */
   | 'staleConnection'
   /** The response belongs to another request. */
@@ -128,13 +132,16 @@
     const sentAt = clock.now()
     connection.dispatch(options, receiver.handler)
     const received = await receiver.head()
+    if (connection.via !== undefined) {
+      log.info({ req: request.id, target: target.id, via: connection.via, sent: mark.sent }, 'request went through a peer')
+    }
     if (received.isErr()) {
       removeAbortListener()
       connections.destroy(connection)
       if (signal.aborted) return err(new SendFailure('aborted', mark.sent, 'request aborted'))
       const reason = classifyFailure(connection, mark, received.error, clock.now() - sentAt)
       if (reason === 'staleConnection') connections.reportStale(connection)
-      return err(new SendFailure(reason, reason !== 'connectFailed', describeCause(received.error)))
+      return err(new SendFailure(reason, !NOT_RUN.has(reason), describeCause(received.error)))
     }
     const { status, headers } = received.value
     const head = protocol.decodeHead(status, headers)
@@ -199,6 +206,8 @@
       const mayTryAgain = attempt < MAX_IDENTIFY_ATTEMPTS && !isSilent && (connection.isReused || started.isOk())
       if (mayTryAgain) continue
       const detail = started.isErr() ? describeCause(started.error) : 'it closed each connection'
+      const isPeerFault = started.isErr() && isPeerFailure(started.error)
+      if (isPeerFault) return err(new SendFailure('peerUnreachable', false, detail))
       if (connection.socket === undefined) return err(new SendFailure('connectFailed', false, detail))
       log.info({ target: id, detail }, 'target did not tell when its process started')
       return ok(connections.open(address))
@@ -221,7 +230,10 @@
       getEnding: () => ({ framing, bytes, connection: getConnectionState(connection) }),
       read: async () => {
         const next = await receiver.read()
-        if (next.isErr()) return err(new SendFailure('broken', true, describeCause(next.error)))
+        if (next.isErr()) {
+          const reason = isPeerFailure(next.error) ? 'peerLost' : 'broken'
+          return err(new SendFailure(reason, true, describeCause(next.error)))
+        }
         if (next.value !== undefined) {
           bytes += next.value.length
           return ok(next.value)
@@ -246,6 +258,8 @@
 
 /** A reset of a pooled connection by its target is seen after about one round trip; upper limit in milliseconds. */
 const STALE_DETECTION_MS = 25
+/** Failures after which the target has certainly not run the request. */
+const NOT_RUN: ReadonlySet<SendFailureReason> = new Set(['connectFailed', 'peerUnreachable'])
 
 function classifyFailure (
   connection: TargetConnection,
@@ -253,6 +267,7 @@
   cause: Error,
   afterMs: number
 ): SendFailureReason {
+  if (isPeerFailure(cause)) return mark.sent ? 'peerLost' : 'peerUnreachable'
   if (!mark.sent || isConnectFailure(cause)) return 'connectFailed'
   return connection.isReused && afterMs <= STALE_DETECTION_MS ? 'staleConnection' : 'broken'
 }
--- a/packages/pimentoplank/src/relay/exchange/index.ts
+++ b/packages/pimentoplank/src/relay/exchange/index.ts
@@ -4,3 +4,4 @@
 } from './exchange'
 export { createEventReader, type EventReader } from './eventReader'
 export { getEventData, type SplitEvent } from './eventSplitter'
+export { createDirectConnector, createTargetConnector, type DirectConnector, type TargetConnector } from './targetConnector'
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.ts
@@ -5,7 +5,7 @@
   countExcess, chooseStarts, choosePreempted,
   type BatchCandidate, type ItemVersionRules, type RunningItem
 } from '../decisions'
-import type { Exchange } from '../exchange'
+import type { Exchange, SendFailureReason } from '../exchange'
 import type { PeerView, WaitingItems } from '../gossip'
 import { BEGINNING_EVENTS, type CrashTracker } from '../live'
 import type { LoadView, TargetLoad } from '../load'
@@ -90,10 +90,13 @@
 const MAX_BACKOFF_DOUBLINGS = 5
 const MAX_SILENT_TARGETS = 10_000
 
-/** True when a run ended through a fault of the target rather than of the item or this instance. */
+/** Failures that say nothing about the target itself. */
+const OTHER_FAULTS: ReadonlySet<SendFailureReason> = new Set(['otherProcess', 'peerUnreachable', 'peerLost'])
+
+/** True when a run ended through a fault of the target rather than of the item, this instance or a peer. */
 function isTargetFault (end: ItemEnd): boolean {
-  if (end.type === 'refused') return end.reason !== 'otherProcess'
-  return end.type === 'interrupted' && end.isBroken
+  if (end.type === 'refused') return end.reason === undefined || !OTHER_FAULTS.has(end.reason)
+  return end.type === 'interrupted' && end.isBroken && !OTHER_FAULTS.has(end.reason)
 }
 
 /** Creates the item runner of an instance. */
--- a/packages/pimentoplank/src/relay/live/attemptTarget.ts
+++ b/packages/pimentoplank/src/relay/live/attemptTarget.ts
@@ -40,7 +40,7 @@
 const STATUS_SERVER_ERROR = 500
 /** A request that crashes its target does so as it begins to run, before this many events. */
 export const BEGINNING_EVENTS = 2
-/** Failures that count against the target itself. */
+/** Failures that count against the target itself; those of peers through which it is reached don't. */
 const TARGET_FAULTS: ReadonlySet<SendFailureReason> = new Set(['connectFailed', 'refused', 'broken', 'spoiled'])
 /** Maximum size of a plain response that is buffered, so that it can be retried, in bytes. */
 const MAX_BUFFERED_BYTES = MIB_BYTES
--- /dev/null
+++ b/packages/pimentoplank/src/relay/paths/index.ts
@@ -0,0 +1,2 @@
+export * from './types'
+export { createDirectPaths } from './directPaths'
--- a/packages/pimentoplank/src/relay/targets/targetDirectory.ts
+++ b/packages/pimentoplank/src/relay/targets/targetDirectory.ts
@@ -47,6 +47,8 @@
   get: (id: string) => Target | undefined
   /** True when the target may receive new requests. */
   isUsable: (id: string) => boolean
+  /** True when a registered target, or one that was removed a short while ago, has the address. */
+  hasAddress: (address: string) => boolean
   /** Lists all registered targets, including leaving ones. */
   all: () => Iterable<Target>
   /** Calls the listener after each change of a registration. */
@@ -162,6 +164,10 @@
       const target = targets.get(id) ?? removed.get(id)?.target
       return target !== undefined && getUsableTargets(target.service).includes(target)
     },
+    hasAddress: (address) => {
+      const known = [...targets.values(), ...[...removed.values()].map(({ target }) => target)]
+      return known.some((target) => target.address === address)
+    },
     all: () => targets.values(),
     onChange: (listener) => { listeners.push(listener) },
     getVersions: versions.getLastTimes,
--- a/packages/pimentoplank/src/shared/rpc/peerSecurity.ts
+++ b/packages/pimentoplank/src/shared/rpc/peerSecurity.ts
@@ -1,4 +1,5 @@
 /** Credentials for mutual authentication between peers. */
+import { createHash, timingSafeEqual } from 'node:crypto'
 import { readFile } from 'node:fs/promises'
 import { ResultAsync } from 'neverthrow'
 import type { CommonSettings } from '../settings'
@@ -23,3 +24,13 @@
   const [cert, key, ca] = await Promise.all([readFile(certFile), readFile(keyFile), readFile(caFile)])
   return { sharedKey: settings.sharedKey, tls: { cert, key, ca } }
 }
+
+/** Creates a function that tells whether a received key is the shared one, in constant time. */
+export function createKeyCheck (sharedKey: string): (received: string | undefined) => boolean {
+  const expected = digest(sharedKey)
+  return (received) => timingSafeEqual(digest(received ?? ''), expected)
+}
+
+function digest (text: string): Buffer {
+  return createHash('sha256').update(text).digest()
+}
--- a/packages/pimentoplank/src/shared/rpc/peerServer.ts
+++ b/packages/pimentoplank/src/shared/rpc/peerServer.ts
@@ -1,11 +1,12 @@
-/** HTTP/2 server for the Connect services that peers call. */
-import { timingSafeEqual, createHash } from 'node:crypto'
+/** HTTP/2 server for the Connect services that peers call, and for the tunnels that they open to targets. */
 import * as http2 from 'node:http2'
 import type { AddressInfo } from 'node:net'
 import { Code, ConnectError, type ConnectRouter, type Interceptor } from '@connectrpc/connect'
 import { connectNodeAdapter } from '@connectrpc/connect-node'
 import { errAsync, okAsync, ResultAsync } from 'neverthrow'
-import { PEER_KEY_HEADER, type PeerSecurity } from './peerSecurity'
+import { createKeyCheck, PEER_KEY_HEADER, type PeerSecurity } from './peerSecurity'
+import { createTunnelServer, type TunnelServerOptions } from './tunnelServer'
+import { MAX_SESSION_MEMORY_MB } from './tunnelSession'
 
 export interface PeerServerOptions {
   host: string
@@ -14,6 +15,8 @@
   security: PeerSecurity
   /** Registers the services of this process. */
   routes: (router: ConnectRouter) => void
+  /** Lets peers open tunnels to targets; without it they are refused. */
+  tunnels?: TunnelServerOptions
 }
 
 export interface PeerServer {
@@ -30,6 +33,8 @@
     interceptors: [createAuthInterceptor(options.security.sharedKey)]
   })
   const server = createHttp2Server(options.security, handler)
+  const tunnels = options.tunnels === undefined ? undefined : createTunnelServer(options.security, options.tunnels)
+  if (tunnels !== undefined) server.on('connect', (req: http2.Http2ServerRequest) => tunnels.accept(req.stream, req.headers))
   const sessions = new Set<http2.Http2Session>()
   server.on('session', (session: http2.Http2Session) => {
     sessions.add(session)
@@ -47,7 +52,11 @@
     const { port } = server.address() as AddressInfo
     return okAsync({
       address: `${options.host}:${port}`,
-      close: async () => await closeServer(server, sessions)
+      close: async () => {
+        // A session that is destroyed closes its streams as if they had ended in an orderly way.
+        tunnels?.close()
+        await closeServer(server, sessions)
+      }
     })
   })
 }
@@ -55,9 +64,11 @@
 type Http2Server = http2.Http2Server | http2.Http2SecureServer
 
 function createHttp2Server (security: PeerSecurity, handler: ReturnType<typeof connectNodeAdapter>): Http2Server {
-  if (security.tls === undefined) return http2.createServer(handler)
+  if (security.tls === undefined) return http2.createServer({ maxSessionMemory: MAX_SESSION_MEMORY_MB }, handler)
   const { cert, key, ca } = security.tls
-  return http2.createSecureServer({ cert, key, ca, requestCert: true, rejectUnauthorized: true }, handler)
+  return http2.createSecureServer({
+    cert, key, ca, requestCert: true, rejectUnauthorized: true, maxSessionMemory: MAX_SESSION_MEMORY_MB
+  }, handler)
 }
 
 async function closeServer (server: Http2Server, sessions: Set<http2.Http2Session>): Promise<void> {
@@ -67,14 +78,11 @@
 }
 
 function createAuthInterceptor (sharedKey: string): Interceptor {
-  const expected = digest(sharedKey)
+  const isSharedKey = createKeyCheck(sharedKey)
   return (next) => async (req) => {
-    const received = req.header.get(PEER_KEY_HEADER) ?? ''
-    if (!timingSafeEqual(digest(received), expected)) throw new ConnectError('unknown peer key', Code.Unauthenticated)
+    if (!isSharedKey(req.header.get(PEER_KEY_HEADER) ?? undefined)) {
+      throw new ConnectError('unknown peer key', Code.Unauthenticated)
+    }
     return await next(req)
   }
 }
-
-function digest (text: string): Buffer {
-  return createHash('sha256').update(text).digest()
-}
--- /dev/null
+++ b/packages/pimentoplank/src/shared/rpc/peerTunnels.steps.ts
@@ -0,0 +1,398 @@
+import assert from 'node:assert/strict'
+import { randomBytes } from 'node:crypto'
+import { once } from 'node:events'
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import type { Duplex } from 'node:stream'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { After, Given, Then, When } from '@cucumber/cucumber'
+import type { Result } from 'neverthrow'
+import { generate } from 'selfsigned'
+import { Client } from 'undici'
+import { openTcpLink, type TcpLink } from '../../../features/support/tcpLink'
+import {
+  createInMemoryMetrics, createPeerServer, createPeerTunnels, createSilentLog, createSystemClock, TunnelBrokenError,
+  type Metrics, type PeerSecurity, type PeerServer, type PeerTunnels, type PeerTunnelsOptions, type TunnelRefusedError
+} from '..'
+import { ConnectionResetError, createConnector, toConnectOptions } from '../targetHttp'
+
+type Behaviour = (socket: Socket) => void
+
+interface TunnelWorld {
+  security: PeerSecurity
+  peer: PeerServer
+  link: TcpLink
+  links: TcpLink[]
+  metrics: Metrics
+  target: Server
+  targetAddress: string
+  /** Connections to the target, by the order in which they were opened. */
+  sockets: Socket[]
+  behave: Behaviour
+  isDirect: boolean
+  tunnels: PeerTunnels
+  others: PeerTunnels[]
+  openSockets: Duplex[]
+  posted: Buffer
+  received: Buffer
+  sent: Buffer
+  failure?: Error
+  opened: Result<Duplex, TunnelRefusedError>
+}
+
+const KEY = 'shared-key-of-the-peers'
+const MB = 1_000_000
+const MAX_TUNNELS = 32
+const SOON_MS = 5000
+const STEP_MS = 5
+const DELAY_MS = 30
+const FREE_PORT_ADDRESS = '127.0.0.1:1'
+const UNFRAMED_HEAD = 'HTTP/1.1 200 OK\r\n\r\n'
+
+function createCertificate (): NonNullable<PeerSecurity['tls']> {
+  const { cert, private: key } = generate([{ name: 'commonName', value: 'peer' }], {
+    keySize: 2048, algorithm: 'sha256'
+  })
+  return { cert: Buffer.from(cert), key: Buffer.from(key), ca: Buffer.from(cert) }
+}
+
+const SECURITY_BY_NAME: Record<string, PeerSecurity> = {
+  'a shared key': { sharedKey: KEY },
+  certificates: { sharedKey: KEY, tls: createCertificate() }
+}
+
+async function eventually (isTrue: () => boolean, withinMs: number, what: () => string): Promise<void> {
+  const end = performance.now() + withinMs
+  while (!isTrue()) {
+    if (performance.now() > end) assert.fail(what())
+    await sleep(STEP_MS)
+  }
+}
+
+function createTunnels (world: TunnelWorld, options: Partial<PeerTunnelsOptions> = {}): PeerTunnels {
+  return createPeerTunnels({
+    self: 'asking', security: world.security, metrics: createInMemoryMetrics(), log: createSilentLog(), ...options
+  })
+}
+
+Given(/^a peer with (a shared key|certificates) that reaches a target$/, async function (this: TunnelWorld, name: string) {
+  this.security = SECURITY_BY_NAME[name]!
+  this.sockets = []
+  this.openSockets = []
+  this.others = []
+  this.isDirect = true
+  this.sent = Buffer.alloc(0)
+  this.behave = () => undefined
+  this.target = createServer((socket) => {
+    this.sockets.push(socket)
+    socket.on('error', () => undefined)
+    this.behave(socket)
+  })
+  this.target.listen(0, '127.0.0.1')
+  await once(this.target, 'listening')
+  this.targetAddress = `127.0.0.1:${(this.target.address() as AddressInfo).port}`
+  this.metrics = createInMemoryMetrics()
+  const connect = createConnector({ timeoutMs: 250 })
+  const started = await createPeerServer({
+    host: '127.0.0.1',
+    port: 0,
+    security: this.security,
+    routes: () => undefined,
+    tunnels: {
+      mayOpen: (address) => address === this.targetAddress || address === FREE_PORT_ADDRESS,
+      isDirect: () => this.isDirect,
+      connect: (address, done) => connect(toConnectOptions(address), done),
+      maxTunnels: MAX_TUNNELS,
+      clock: createSystemClock(),
+      metrics: this.metrics,
+      log: createSilentLog()
+    }
+  })
+  this.peer = started._unsafeUnwrap()
+  this.link = await openTcpLink(this.peer.address)
+  this.tunnels = createTunnels(this)
+})
+
+Given('sessions of tunnels are closed after {int} ms without a tunnel', function (this: TunnelWorld, ms: number) {
+  this.tunnels = createTunnels(this, { idleTimeoutMs: ms })
+})
+
+async function openTunnel (world: TunnelWorld): Promise<Duplex> {
+  const opened = await world.tunnels.open({
+    instance: 'peer', peerAddress: world.link.address, address: world.targetAddress
+  })
+  const socket = opened._unsafeUnwrap()
+  socket.on('error', () => undefined)
+  world.openSockets.push(socket)
+  return socket
+}
+
+/** Sends a request through a tunnel with the HTTP client that the relay uses, and reads the answer. */
+async function exchange (world: TunnelWorld, body?: Buffer): Promise<void> {
+  const socket = await openTunnel(world)
+  const client = new Client(`http://${world.targetAddress}`, {
+    connect: (_options, done) => { setImmediate(() => done(null, socket as Socket)) }, pipelining: 1
+  })
+  const chunks: Buffer[] = []
+  try {
+    const res = await client.request({ method: 'POST', path: '/', body })
+    for await (const chunk of res.body) chunks.push(chunk)
+  } catch (cause) {
+    world.failure = cause as Error
+  }
+  world.received = Buffer.concat(chunks)
+  await client.destroy()
+}
+
+/** Reads a request with a body of a known length, and sends the body back. */
+function createEcho (length: number, framing: string): Behaviour {
+  return (socket) => {
+    const chunks: Buffer[] = []
+    let bytes = 0
+    socket.on('data', (chunk) => {
+      chunks.push(chunk)
+      bytes += chunk.length
+      const all = bytes < length ? undefined : Buffer.concat(chunks)
+      const bodyAt = all?.indexOf('\r\n\r\n') ?? -1
+      if (all === undefined || all.length - bodyAt - 4 < length) return
+      const head = framing === 'length'
+        ? `HTTP/1.1 200 OK\r\nContent-Length: ${length}\r\nConnection: close\r\n\r\n`
+        : UNFRAMED_HEAD
+      socket.write(head)
+      socket.end(all.subarray(bodyAt + 4))
+    })
+  }
+}
+
+When('a body of {int} MB is posted through a tunnel and sent back framed by {word}', async function (
+  this: TunnelWorld, size: number, framing: string
+) {
+  this.posted = randomBytes(size * MB)
+  this.behave = createEcho(this.posted.length, framing)
+  await exchange(this, this.posted)
+})
+
+type EndStep = (world: TunnelWorld, socket: Socket) => void | Promise<void>
+
+const END_STEPS: Record<string, EndStep> = {
+  'the target closes with the last bytes': (_world, socket) => { socket.end() },
+  'the target closes after the last bytes': async (_world, socket) => {
+    await sleep(DELAY_MS)
+    socket.end()
+  },
+  'the target resets with the last bytes': (_world, socket) => { socket.resetAndDestroy() },
+  'the target resets after the last bytes': async (_world, socket) => {
+    await sleep(DELAY_MS)
+    socket.resetAndDestroy()
+  },
+  'the connection to the peer is reset': async ({ link }) => {
+    await sleep(DELAY_MS)
+    link.cut()
+  },
+  'the peer closes its server': async ({ peer }) => {
+    await sleep(DELAY_MS)
+    await peer.close()
+  },
+  'the peer no longer answers': async ({ link }) => {
+    await sleep(DELAY_MS)
+    link.freeze()
+  }
+}
+
+When(/^a target sends a body without a length through a tunnel, and then (.+)$/, async function (
+  this: TunnelWorld, end: string
+) {
+  this.sent = randomBytes(1000)
+  this.behave = (socket) => {
+    socket.once('data', () => {
+      socket.write(UNFRAMED_HEAD)
+      socket.write(this.sent)
+      Promise.resolve(END_STEPS[end]!(this, socket)).catch((cause: Error) => { this.failure = cause })
+    })
+  }
+  await exchange(this)
+})
+
+When(/^the caller's side of a tunnel ends, and the target then answers and ends by a (close|reset)$/, async function (
+  this: TunnelWorld, end: 'close' | 'reset'
+) {
+  this.sent = randomBytes(1000)
+  const socket = await openTunnel(this)
+  await eventually(() => this.sockets.length === 1, SOON_MS, () => 'the target has no connection')
+  const [atTarget] = this.sockets as [Socket]
+  atTarget.on('data', () => undefined)
+  socket.end('question')
+  await once(socket, 'finish')
+  await sleep(DELAY_MS)
+  atTarget.write(this.sent)
+  if (end === 'close') atTarget.end()
+  else atTarget.resetAndDestroy()
+  const chunks: Buffer[] = []
+  try {
+    for await (const chunk of socket) chunks.push(chunk as Buffer)
+  } catch (cause) {
+    this.failure = cause as Error
+  }
+  this.received = Buffer.concat(chunks)
+})
+
+function sendWithoutEnd (socket: Socket): void {
+  const chunk = Buffer.alloc(64 * 1024)
+  const send = (): void => {
+    while (!socket.destroyed && socket.write(chunk)) { /* until the buffer is full */ }
+  }
+  socket.on('drain', send)
+  send()
+}
+
+When('a tunnel whose target is sending is closed', async function (this: TunnelWorld) {
+  this.behave = sendWithoutEnd
+  const socket = await openTunnel(this)
+  socket.on('data', () => undefined)
+  await sleep(DELAY_MS)
+  assert.equal(this.sockets.length, 1)
+  socket.destroy()
+})
+
+When('{int} tunnels whose targets send without end are not read', async function (this: TunnelWorld, count: number) {
+  this.behave = sendWithoutEnd
+  for (let opened = 0; opened < count; opened++) await openTunnel(this)
+  // Each of them has filled what it may hold when its connection takes no more.
+  await eventually(
+    () => this.sockets.length === count && this.sockets.every(({ writableNeedDrain }) => writableNeedDrain),
+    SOON_MS, () => 'the connections still take bytes'
+  )
+})
+
+Then('the peer has read less than {int} MB for each of the {int} others', async function (
+  this: TunnelWorld, size: number, count: number
+) {
+  for (const socket of this.openSockets) socket.destroy()
+  await eventually(() => getOpenTunnels(this) === 0, SOON_MS, () => `${getOpenTunnels(this)} tunnels are open`)
+  const others = this.metrics.snapshot().counters['tunnels.bytes']! - 2 * this.posted.length
+  assert.ok(others > 0 && others < count * size * MB, `${others} bytes`)
+})
+
+const ASK_STEPS: Record<string, (world: TunnelWorld) => Promise<Result<Duplex, TunnelRefusedError>>> = {
+  'with another key': async (world) => {
+    const other = createTunnels(world, { security: { ...world.security, sharedKey: 'another-key' } })
+    world.others.push(other)
+    return await ask(world, { tunnels: other })
+  },
+  'to an address that belongs to no target': async (world) => await ask(world, { address: world.peer.address }),
+  'while the peer has no direct path': async (world) => {
+    world.isDirect = false
+    return await ask(world)
+  },
+  'while the peer has as many tunnels as it carries': async (world) => {
+    await Promise.all(Array.from({ length: MAX_TUNNELS }, async () => await openTunnel(world)))
+    await eventually(() => world.sockets.length === MAX_TUNNELS, SOON_MS, () => `${world.sockets.length} connections`)
+    world.sockets.splice(0)
+    return await ask(world)
+  },
+  'to a target that refuses connections': async (world) => await ask(world, { address: FREE_PORT_ADDRESS }),
+  'of a peer that is gone': async (world) => {
+    await world.peer.close()
+    return await ask(world, { peerAddress: world.peer.address })
+  },
+  'of a peer that does not answer': async (world) => {
+    world.link.freeze()
+    return await ask(world)
+  }
+}
+
+async function ask (
+  world: TunnelWorld,
+  { tunnels = world.tunnels, peerAddress = world.link.address, address = world.targetAddress }: {
+    tunnels?: PeerTunnels, peerAddress?: string, address?: string
+  } = {}
+): Promise<Result<Duplex, TunnelRefusedError>> {
+  return await tunnels.open({ instance: 'peer', peerAddress, address })
+}
+
+When('a tunnel is asked for to a target that refuses connections, as the peer loses its direct path', async function (
+  this: TunnelWorld
+) {
+  const asked = ask(this, { address: FREE_PORT_ADDRESS })
+  // The request is checked before the connection fails.
+  let checks = 0
+  Object.defineProperty(this, 'isDirect', { get: () => checks++ === 0 })
+  this.opened = await asked
+  assert.equal(checks, 2)
+})
+
+When(/^a tunnel is asked for ((?:with|to|while|of) (?!.*, as ).+)$/, async function (this: TunnelWorld, because: string) {
+  this.opened = await ASK_STEPS[because]!(this)
+})
+
+Then(/^the tunnel is refused as (peerFailed|targetFailed)$/, function (this: TunnelWorld, outcome: string) {
+  assert.equal(this.opened._unsafeUnwrapErr().outcome, outcome)
+})
+
+Then('the reason names {}', function (this: TunnelWorld, reason: string) {
+  assert.ok(this.opened._unsafeUnwrapErr().message.includes(reason), this.opened._unsafeUnwrapErr().message)
+})
+
+Then('the target has been connected {int} times', function (this: TunnelWorld, count: number) {
+  assert.equal(this.sockets.length, count)
+})
+
+When('as many tunnels as the peer carries have been opened and closed', async function (this: TunnelWorld) {
+  await Promise.all(Array.from({ length: MAX_TUNNELS }, async () => await openTunnel(this)))
+  for (const socket of this.openSockets) socket.destroy()
+  await eventually(() => getOpenTunnels(this) === 0, SOON_MS, () => `${getOpenTunnels(this)} tunnels are open`)
+})
+
+Then('another tunnel is opened', async function (this: TunnelWorld) {
+  await openTunnel(this)
+})
+
+Then(/^the answer through the tunnel is (complete|broken by a reset|broken by the peer)$/, function (
+  this: TunnelWorld, state: string
+) {
+  const expected: Record<string, new (...args: any[]) => Error> = {
+    'broken by a reset': ConnectionResetError, 'broken by the peer': TunnelBrokenError
+  }
+  if (state === 'complete') assert.equal(this.failure, undefined)
+  else assert.ok(this.failure instanceof expected[state]!, String(this.failure))
+})
+
+Then('the answer through the tunnel is the body that was posted', function (this: TunnelWorld) {
+  assert.equal(Buffer.compare(this.received, this.posted), 0)
+})
+
+Then('the bytes that were sent before were received', function (this: TunnelWorld) {
+  assert.equal(Buffer.compare(this.received, this.sent), 0)
+})
+
+function getOpenTunnels ({ metrics }: TunnelWorld): number {
+  return metrics.snapshot().gauges['tunnels.open'] ?? 0
+}
+
+Then('the peer soon has {int} open tunnels', async function (this: TunnelWorld, count: number) {
+  await eventually(() => getOpenTunnels(this) === count, SOON_MS, () => `${getOpenTunnels(this)} tunnels are open`)
+})
+
+Then('the peer soon has {int} sessions', async function (this: TunnelWorld, count: number) {
+  await eventually(() => this.link.countConnections() === count, SOON_MS, () => 'the session is open')
+})
+
+function countOpen (world: TunnelWorld): number {
+  return world.sockets.filter(({ closed }) => !closed).length
+}
+
+Then('the target soon has {int} connections', async function (this: TunnelWorld, count: number) {
+  await eventually(() => countOpen(this) === count, SOON_MS, () => `${countOpen(this)} connections are open`)
+})
+
+Then('the target has {int} connections within {int} ms', async function (this: TunnelWorld, count: number, ms: number) {
+  await eventually(() => countOpen(this) === count, ms, () => `${countOpen(this)} connections are open`)
+})
+
+After(async function (this: Partial<TunnelWorld>) {
+  if (this.tunnels === undefined || this.link === undefined) return
+  for (const tunnels of [this.tunnels, ...this.others!]) tunnels.close()
+  this.link.close()
+  await this.peer!.close()
+  for (const socket of this.sockets!) socket.destroy()
+  this.target!.close()
+})
--- /dev/null
+++ b/packages/pimentoplank/src/shared/rpc/peerTunnels.ts
@@ -0,0 +1,190 @@
+/**
+ * Connections to targets that are opened by peers: HTTP/2 CONNECT, one stream for each connection.
+ *
+ * The end of a stream tells how the connection ended: in an orderly way (END_STREAM), by a reset of the connection to
+ * the target (INTERNAL_ERROR), or with the peer. Only the first may pass for the end of a body without a length.
+ */
+import * as http2 from 'node:http2'
+import type { Duplex } from 'node:stream'
+import { err, ok, type Result } from 'neverthrow'
+import { SECOND_MS } from '../constants'
+import { describeCause } from '../errors'
+import type { Log } from '../logging'
+import type { Metrics } from '../metrics'
+import { PEER_KEY_HEADER, type PeerSecurity } from './peerSecurity'
+import {
+  destroySession, INSTANCE_HEADER, MAX_SESSION_MEMORY_MB, MAX_TUNNELS, REASON_HEADER, SESSION_WINDOW_BYTES,
+  STREAM_WINDOW_BYTES, watchSession
+} from './tunnelSession'
+import { createTunnelSocket, TunnelBrokenError } from './tunnelSocket'
+
+/** Timeout for the session with the peer and the peer's connection to the target together, in milliseconds. */
+const TUNNEL_OPEN_TIMEOUT_MS = 400
+/** A session without tunnels is closed after this time. */
+const IDLE_SESSION_TIMEOUT_MS = 10 * SECOND_MS
+
+export interface PeerTunnelsOptions {
+  /** Id of this instance. */
+  self: string
+  security: PeerSecurity
+  metrics: Metrics
+  log: Log
+  /** Timeout for opening a tunnel, in milliseconds. */
+  openTimeoutMs?: number
+  /** A session without tunnels is closed after this time, in milliseconds. */
+  idleTimeoutMs?: number
+}
+
+export interface TunnelRequest {
+  /** Id of the peer. */
+  instance: string
+  /** IP address and port of the peer's peer server. */
+  peerAddress: string
+  /** IP address and port of the target. */
+  address: string
+  /** Gives the tunnel up while it is being opened. */
+  signal?: AbortSignal
+}
+
+export interface PeerTunnels {
+  /** Opens a connection to a target through a peer. */
+  open: (request: TunnelRequest) => Promise<Result<Duplex, TunnelRefusedError>>
+  close: () => void
+}
+
+/** There is no tunnel: the peer could not be reached or refused, or it could not connect to the target. */
+export class TunnelRefusedError extends Error {
+  readonly outcome: 'peerFailed' | 'targetFailed'
+
+  constructor (outcome: 'peerFailed' | 'targetFailed', { instance, address }: TunnelRequest, detail: string) {
+    super(`${outcome === 'peerFailed' ? 'no tunnel' : 'target not reached'} through ${instance} to ${address}: ${detail}`)
+    this.name = 'TunnelRefusedError'
+    this.outcome = outcome
+  }
+}
+
+export { TunnelBrokenError }
+
+/** Tells whether an error says something of the peer of a tunnel only, and nothing of the target. */
+export function isPeerFailure (cause: unknown): boolean {
+  return cause instanceof TunnelBrokenError || (cause instanceof TunnelRefusedError && cause.outcome === 'peerFailed')
+}
+
+interface TunnelSession {
+  http: http2.ClientHttp2Session
+  tunnels: number
+  idleTimer?: NodeJS.Timeout
+}
+
+const STATUS_OK = 200
+const STATUS_TARGET_FAILED = 502
+
+/** Creates the tunnels of an instance, with one session for each peer that is apart from that of the calls. */
+export function createPeerTunnels (options: PeerTunnelsOptions): PeerTunnels {
+  const {
+    security, metrics, log, openTimeoutMs = TUNNEL_OPEN_TIMEOUT_MS, idleTimeoutMs = IDLE_SESSION_TIMEOUT_MS
+  } = options
+  const sessions = new Map<string, TunnelSession>()
+
+  function getSession (peerAddress: string): TunnelSession {
+    const known = sessions.get(peerAddress)
+    if (known !== undefined && !known.http.closed && !known.http.destroyed) return known
+    const http = connectSession(peerAddress, security)
+    const session: TunnelSession = { http, tunnels: 0 }
+    sessions.set(peerAddress, session)
+    http.once('connect', () => {
+      http.setLocalWindowSize(SESSION_WINDOW_BYTES)
+      watchSession(http, () => log.info({ peer: peerAddress, tunnels: session.tunnels }, 'session of tunnels is dead'))
+    })
+    // Each stream reports what broke it.
+    http.on('error', () => undefined)
+    http.once('close', () => {
+      clearTimeout(session.idleTimer)
+      if (sessions.get(peerAddress) === session) sessions.delete(peerAddress)
+    })
+    return session
+  }
+
+  function scheduleClose (session: TunnelSession): void {
+    session.tunnels -= 1
+    if (session.tunnels > 0) return
+    session.idleTimer = setTimeout(() => session.http.close(), idleTimeoutMs).unref()
+  }
+
+  async function open (request: TunnelRequest): Promise<Result<Duplex, TunnelRefusedError>> {
+    const opened = await openStream(request)
+      .catch((cause: unknown) => err(new TunnelRefusedError('peerFailed', request, describeCause(cause))))
+    if (opened.isOk()) {
+      metrics.count('peerTunnels.connected')
+      return ok(createTunnelSocket(opened.value, () => metrics.count('peerTunnels.broken')))
+    }
+    metrics.count(`peerTunnels.${opened.error.outcome}`)
+    return err(opened.error)
+  }
+
+  async function openStream (request: TunnelRequest): Promise<Result<http2.ClientHttp2Stream, TunnelRefusedError>> {
+    const { peerAddress, address, signal } = request
+    if (signal?.aborted === true) return err(new TunnelRefusedError('peerFailed', request, 'given up'))
+    const session = getSession(peerAddress)
+    const stream = session.http.request({
+      ':method': 'CONNECT',
+      ':authority': address,
+      [PEER_KEY_HEADER]: security.sharedKey,
+      [INSTANCE_HEADER]: options.self
+    })
+    clearTimeout(session.idleTimer)
+    session.tunnels += 1
+    stream.once('close', () => scheduleClose(session))
+    return await new Promise((resolve) => {
+      let failure: Error | undefined
+      const giveUp = (): void => settleFailed('peerFailed', 'given up')
+      const timer = setTimeout(() => {
+        settleFailed('peerFailed', `no answer within ${openTimeoutMs} ms`)
+        if (session.http.connecting) destroySession(session.http, 'the peer is not reached')
+      }, openTimeoutMs)
+
+      function settle (): void {
+        clearTimeout(timer)
+        signal?.removeEventListener('abort', giveUp)
+      }
+
+      function settleFailed (outcome: TunnelRefusedError['outcome'], detail: string): void {
+        settle()
+        stream.destroy(new Error('no tunnel'))
+        resolve(err(new TunnelRefusedError(outcome, request, detail)))
+      }
+
+      signal?.addEventListener('abort', giveUp)
+      stream.on('error', (cause) => { failure ??= cause })
+      stream.once('close', () => settleFailed(
+        'peerFailed', failure === undefined ? 'the session closed' : describeCause(failure)
+      ))
+      stream.once('response', (headers) => {
+        const status = headers[':status']
+        if (status === STATUS_OK) {
+          settle()
+          resolve(ok(stream))
+          return
+        }
+        const reason = String(headers[REASON_HEADER] ?? '')
+        settleFailed(status === STATUS_TARGET_FAILED ? 'targetFailed' : 'peerFailed', `status ${status} ${reason}`)
+      })
+    })
+  }
+
+  return {
+    open,
+    close: () => { for (const { http } of [...sessions.values()]) destroySession(http, 'this instance closes') }
+  }
+}
+
+function connectSession (peerAddress: string, { tls }: PeerSecurity): http2.ClientHttp2Session {
+  return http2.connect(`${tls === undefined ? 'http' : 'https'}://${peerAddress}`, {
+    settings: { initialWindowSize: STREAM_WINDOW_BYTES, enablePush: false },
+    peerMaxConcurrentStreams: MAX_TUNNELS,
+    maxSessionMemory: MAX_SESSION_MEMORY_MB,
+    ...tls,
+    // Peers are addressed by IP, so host names are not verified; trust rests on the certificate authority.
+    checkServerIdentity: () => undefined
+  })
+}
--- a/packages/pimentoplank/src/shared/targetHttp/connector.ts
+++ b/packages/pimentoplank/src/shared/targetHttp/connector.ts
@@ -12,29 +12,39 @@
   }
 }
 
-/**
- * Creates a connector.
- *
- * @param options - `timeoutMs` bounds the time for establishing a connection, in milliseconds
- */
-export function createConnector ({ timeoutMs }: { timeoutMs: number }): buildConnector.connector {
+export interface ConnectorOptions {
+  /** Timeout for establishing a connection, in milliseconds. */
+  timeoutMs: number
+  /** Called when bytes arrive on a connection. */
+  onBytes?: () => void
+}
+
+/** Creates a connector. */
+export function createConnector ({ timeoutMs, onBytes }: ConnectorOptions): buildConnector.connector {
   const connect = buildConnector({ timeout: timeoutMs, keepAlive: true })
   return (options, done) => connect(options, (...result) => {
-    if (result[0] === null) reportResets(result[1])
+    if (result[0] === null) watchSocket(result[1], onBytes)
     done(...result)
   })
 }
 
+/** Splits an IP address and port as the options of a connector. */
+export function toConnectOptions (address: string): buildConnector.Options {
+  const { host, hostname, port, protocol } = new URL(`http://${address}`)
+  return { host, hostname: hostname.replace(/^\[|\]$/g, ''), port, protocol }
+}
+
 /**
  * Makes every reset of a connection an error that the HTTP client reports.
  *
  * A response without a length or chunks ends with its connection. Two resets look like an orderly end there: undici
  * accepts `ECONNRESET`, and libuv reports the end of the stream when a reset arrives together with the last bytes.
  */
-function reportResets (socket: Socket): void {
+function watchSocket (socket: Socket, onBytes?: () => void): void {
   const push = socket.push.bind(socket)
   const destroy = socket.destroy.bind(socket)
   socket.push = (chunk, encoding) => {
+    if (chunk !== null) onBytes?.()
     // After a reset, the socket no longer has a peer.
     if (chunk !== null || socket.remoteAddress !== undefined) return push(chunk, encoding)
     // The bytes before the reset are read first.
--- a/packages/pimentoplank/src/shared/targetHttp/index.ts
+++ b/packages/pimentoplank/src/shared/targetHttp/index.ts
@@ -1,5 +1,5 @@
 export { getBodyFraming, type BodyFraming } from './bodyFraming'
-export { ConnectionResetError, createConnector } from './connector'
+export { ConnectionResetError, createConnector, toConnectOptions, type ConnectorOptions } from './connector'
 export { readLimitedBody } from './readLimitedBody'
 export {
   createTargetAgent, isConnectFailure, markDispatch,
