--- /dev/null
+++ b/packages/pimentoplank/src/relay/exchange/tunnels.feature
@@ -0,0 +1,60 @@
+Feature: Requests to targets through peers
+
+  Scenario Outline: A request whose path fails <when> fails as <reason> and <run>
+    Given an exchange with a target and a peer that reaches it, where paths go through the peer
+    When a request is sent and the path fails <when>
+    Then the request fails as <reason>
+    And the request <run>
+    And the paths were told of the peer: <outcome>
+
+    Examples:
+      | when                                                  | reason          | run           | outcome      |
+      | since the peer is gone                                | peerUnreachable | has not run   | peerFailed   |
+      | since the peer does not answer                        | peerUnreachable | has not run   | peerFailed   |
+      | since the peer has no direct path                     | peerUnreachable | has not run   | peerFailed   |
+      | since the target refuses connections of the peer      | connectFailed   | has not run   | targetFailed |
+      | as the peer is lost after the request was written     | peerLost        | may have run  | connected    |
+      | as the peer is lost within the body                   | peerLost        | may have run  | connected    |
+      | as the target resets after the request was written    | broken          | may have run  | connected    |
+      | as the target resets within the body                  | broken          | may have run  | connected    |
+
+  Scenario: The answer to a request through a peer is whole, and the next request uses the same tunnel
+    Given an exchange with a target and a peer that reaches it, where paths go through the peer
+    When 2 requests are sent one after the other
+    Then both are answered whole through the peer
+    And the target has seen 1 connection
+
+  Scenario: Tunnels are left once paths are direct again
+    Given an exchange with a target and a peer that reaches it, where paths go through the peer
+    When 1 request is sent
+    And paths are direct
+    And 1 request is sent
+    Then the target has seen 2 connections
+    And the peer carries 0 tunnels
+
+  Scenario: Open direct connections that may hang are not used, and used again later
+    Given an exchange with a target and a peer that reaches it, where paths are direct
+    When 1 request is sent
+    And direct connections may hang and paths go through the peer
+    And 1 request is sent
+    Then the target has seen 2 connections
+    When direct connections are usable
+    And 1 request is sent
+    Then the target has seen 2 connections
+    And 2 requests were answered directly
+
+  Scenario: A request goes through a peer at once when the direct path fails before anything was written
+    Given an exchange with a target and a peer that reaches it, where paths are direct until one fails
+    When a request is sent while the instance can't connect to the target
+    Then it is answered whole through the peer
+    And the paths were told of a failed direct connection
+
+  Scenario: A request goes on to the next peer when one refuses
+    Given an exchange with a target and a peer that reaches it, where paths first go through a peer that is gone
+    When 1 request is sent
+    Then it is answered whole through the peer
+
+  Scenario: A caller that leaves ends the connection between the peer and the target
+    Given an exchange with a target and a peer that reaches it, where paths go through the peer
+    When a request is sent and given up while the target works on it
+    Then the target has no connection within 100 ms
--- /dev/null
+++ b/packages/pimentoplank/src/relay/exchange/tunnels.steps.ts
@@ -0,0 +1,316 @@
+import assert from 'node:assert/strict'
+import { once } from 'node:events'
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { After, Given, Then, When } from '@cucumber/cucumber'
+import type { Result } from 'neverthrow'
+import { openTcpLink, type TcpLink } from '../../../features/support/tcpLink'
+import {
+  createInMemoryMetrics, createPeerServer, createPeerTunnels, createSilentLog, createSystemClock,
+  type Metrics, type PeerServer, type PeerTunnels
+} from '../../shared'
+import type { TargetProtocol, TargetRequest } from '../model'
+import { createDirectPaths, type PathChoice, type TargetPaths } from '../paths'
+import {
+  createDirectConnector, createExchange, createTargetConnectionPool, createTargetConnector,
+  type DirectConnector, type Exchange, type SendFailure, type TargetAnswer, type TargetConnectionPool
+} from '.'
+
+interface ExchangeWorld {
+  target: Server
+  address: string
+  sockets: Socket[]
+  /** Called when a request has arrived whole. */
+  answer: (socket: Socket) => void
+  peer: PeerServer
+  peerMetrics: Metrics
+  link: TcpLink
+  tunnels: PeerTunnels
+  connections: TargetConnectionPool
+  exchange: Exchange
+  choose: () => PathChoice
+  isDirectUsable: boolean
+  /** True while this instance can't connect to the target. */
+  isCut: boolean
+  isPeerDirect: boolean
+  /** Address that the peer connects to instead of the target's. */
+  peerTarget?: string
+  observed: string[]
+  failure?: SendFailure
+  answers: Array<{ body: string, isDirect: boolean }>
+}
+
+const SECURITY = { sharedKey: 'shared-key-of-the-peers' }
+const CONNECT_TIMEOUT_MS = 250
+const IDLE_TIMEOUT_MS = 3000
+const SOON_MS = 5000
+const STEP_MS = 5
+const DELAY_MS = 30
+const BODY = 'the whole answer'
+const REFUSING_ADDRESS = '127.0.0.1:1'
+
+const PROTOCOL: TargetProtocol = {
+  encodeHeaders: ({ request }) => request.headers,
+  decodeHead: (status, headers) => ({
+    status, headers, isNotRun: false, isOtherTarget: false, isSigned: true, isLeaving: false
+  }),
+  state: { path: '/state', decodeStartedAt: () => undefined }
+}
+
+async function eventually (isTrue: () => boolean, withinMs: number, what: string): Promise<void> {
+  const end = performance.now() + withinMs
+  while (!isTrue()) {
+    if (performance.now() > end) assert.fail(what)
+    await sleep(STEP_MS)
+  }
+}
+
+function answerWhole (socket: Socket): void {
+  socket.write(`HTTP/1.1 200 OK\r\nContent-Length: ${BODY.length}\r\n\r\n${BODY}`)
+}
+
+function beginAnswer (socket: Socket): void {
+  socket.write(`HTTP/1.1 200 OK\r\n\r\n${BODY.slice(0, BODY.length / 2)}`)
+}
+
+async function startTarget (world: ExchangeWorld): Promise<void> {
+  world.sockets = []
+  world.answer = answerWhole
+  world.target = createServer((socket) => {
+    world.sockets.push(socket)
+    socket.on('error', () => undefined)
+    socket.on('data', () => world.answer(socket))
+  })
+  world.target.listen(0, '127.0.0.1')
+  await once(world.target, 'listening')
+  world.address = `127.0.0.1:${(world.target.address() as AddressInfo).port}`
+}
+
+async function startPeer (world: ExchangeWorld): Promise<void> {
+  const connect = createDirectConnector({ timeoutMs: CONNECT_TIMEOUT_MS, observer: createDirectPaths() })
+  world.isPeerDirect = true
+  world.peerMetrics = createInMemoryMetrics()
+  const started = await createPeerServer({
+    host: '127.0.0.1',
+    port: 0,
+    security: SECURITY,
+    routes: () => undefined,
+    tunnels: {
+      mayOpen: (address) => address === world.address,
+      isDirect: () => world.isPeerDirect,
+      connect: (address, done) => connect(world.peerTarget ?? address, done),
+      clock: createSystemClock(),
+      metrics: world.peerMetrics,
+      log: createSilentLog()
+    }
+  })
+  world.peer = started._unsafeUnwrap()
+  world.link = await openTcpLink(world.peer.address)
+}
+
+function startExchange (world: ExchangeWorld): void {
+  const clock = createSystemClock()
+  const log = createSilentLog()
+  const metrics = createInMemoryMetrics()
+  world.isDirectUsable = true
+  world.isCut = false
+  world.observed = []
+  world.answers = []
+  const paths: TargetPaths = {
+    choose: () => world.choose(),
+    isDirectUsable: () => world.isDirectUsable,
+    recordConnected: () => { world.observed.push('direct connected') },
+    recordConnectFailed: () => { world.observed.push('direct failed') },
+    recordBytes: () => { world.observed.push('bytes') },
+    recordPeerOutcome: (instance, _address, outcome) => { world.observed.push(`${instance} ${outcome}`) }
+  }
+  const direct = createDirectConnector({ timeoutMs: CONNECT_TIMEOUT_MS, observer: paths })
+  const connectDirect: DirectConnector = (address, done) => direct(world.isCut ? REFUSING_ADDRESS : address, done)
+  world.tunnels = createPeerTunnels({ self: 'asking', security: SECURITY, metrics, log })
+  world.connections = createTargetConnectionPool({
+    settings: { idleTimeoutMs: IDLE_TIMEOUT_MS },
+    connect: createTargetConnector({ connectDirect, paths, tunnels: world.tunnels, clock, log }),
+    paths,
+    clock,
+    metrics
+  })
+  world.exchange = createExchange({
+    protocol: PROTOCOL,
+    connections: world.connections,
+    onHead: () => undefined,
+    onOtherProcess: () => undefined,
+    clock,
+    metrics,
+    log
+  })
+}
+
+const CHOICES: Record<string, (world: ExchangeWorld) => () => PathChoice> = {
+  'go through the peer': toPeer,
+  'are direct': () => () => ({ type: 'direct' }),
+  'are direct until one fails': (world) => () => (
+    world.observed.includes('direct failed') ? toPeer(world)() : { type: 'direct' }
+  ),
+  'first go through a peer that is gone': (world) => () => world.observed.includes('gone peerFailed')
+    ? toPeer(world)()
+    : { type: 'peer', instance: 'gone', peerAddress: REFUSING_ADDRESS }
+}
+
+function toPeer ({ link }: ExchangeWorld): () => PathChoice {
+  return () => ({ type: 'peer', instance: 'peer', peerAddress: link.address })
+}
+
+Given(/^an exchange with a target and a peer that reaches it, where paths (.+)$/, async function (
+  this: ExchangeWorld, choice: string
+) {
+  await startTarget(this)
+  await startPeer(this)
+  startExchange(this)
+  this.choose = CHOICES[choice]!(this)
+})
+
+function createRequest ({ address }: ExchangeWorld): TargetRequest {
+  return {
+    request: { id: 'request', host: 'h', method: 'GET', path: '/', headers: [], body: new Uint8Array() },
+    target: { id: 'target', service: 's', address, failureDomain: 'a', version: 'v', slots: 1, state: 'ready' }
+  }
+}
+
+async function send (world: ExchangeWorld, signal = new AbortController().signal): Promise<void> {
+  const opened = world.sockets.length
+  const sent = await world.exchange.send(createRequest(world), signal)
+  if (sent.isErr()) {
+    world.failure = sent.error
+    return
+  }
+  const body = await readBody(sent.value)
+  sent.value.close()
+  if (body.isErr()) {
+    world.failure = body.error
+    return
+  }
+  const isDirect = world.observed.at(-1) === 'bytes'
+  world.observed = world.observed.filter((what) => what !== 'bytes')
+  world.answers.push({ body: body.value, isDirect })
+  assert.ok(world.sockets.length - opened <= 1)
+}
+
+async function readBody (answer: TargetAnswer): Promise<Result<string, SendFailure>> {
+  let text = ''
+  for (;;) {
+    const next = await answer.read()
+    if (next.isErr()) return next.map(() => text)
+    if (next.value === undefined) return next.map(() => text)
+    text += Buffer.from(next.value).toString()
+  }
+}
+
+const FAILURES: Record<string, (world: ExchangeWorld) => void | Promise<void>> = {
+  'since the peer is gone': ({ link }) => link.cut(),
+  'since the peer does not answer': ({ link }) => link.freeze(),
+  'since the peer has no direct path': (world) => { world.isPeerDirect = false },
+  'since the target refuses connections of the peer': (world) => { world.peerTarget = REFUSING_ADDRESS },
+  'as the peer is lost after the request was written': (world) => { world.answer = () => world.link.cut() },
+  'as the peer is lost within the body': (world) => {
+    world.answer = (socket) => {
+      beginAnswer(socket)
+      setTimeout(() => world.link.cut(), DELAY_MS)
+    }
+  },
+  'as the target resets after the request was written': (world) => {
+    world.answer = (socket) => { socket.resetAndDestroy() }
+  },
+  'as the target resets within the body': (world) => {
+    world.answer = (socket) => {
+      beginAnswer(socket)
+      socket.resetAndDestroy()
+    }
+  }
+}
+
+When(/^a request is sent and the path fails (.+)$/, async function (this: ExchangeWorld, when: string) {
+  await FAILURES[when]!(this)
+  await send(this)
+})
+
+When(/^(\d+) requests? (?:is|are) sent(?: one after the other)?$/, async function (this: ExchangeWorld, count: string) {
+  for (let sent = 0; sent < Number(count); sent++) await send(this)
+  assert.equal(this.failure, undefined)
+})
+
+When(/^paths are direct$/, function (this: ExchangeWorld) {
+  this.choose = CHOICES['are direct']!(this)
+})
+
+When('direct connections may hang and paths go through the peer', function (this: ExchangeWorld) {
+  this.isDirectUsable = false
+  this.choose = toPeer(this)
+})
+
+When('direct connections are usable', function (this: ExchangeWorld) {
+  this.isDirectUsable = true
+})
+
+When("a request is sent while the instance can't connect to the target", async function (this: ExchangeWorld) {
+  this.isCut = true
+  await send(this)
+})
+
+When('a request is sent and given up while the target works on it', async function (this: ExchangeWorld) {
+  const caller = new AbortController()
+  const arrived = new Promise<void>((resolve) => { this.answer = () => resolve() })
+  const sent = send(this, caller.signal)
+  await arrived
+  caller.abort()
+  await sent
+  assert.equal(this.failure?.reason, 'aborted')
+})
+
+Then('the request fails as {word}', function (this: ExchangeWorld, reason: string) {
+  assert.equal(this.failure?.reason, reason, this.failure?.message)
+})
+
+Then(/^the request (has not run|may have run)$/, function (this: ExchangeWorld, run: string) {
+  assert.equal(this.failure!.mayHaveRun, run === 'may have run')
+})
+
+Then('the paths were told of the peer: {word}', function (this: ExchangeWorld, outcome: string) {
+  assert.deepEqual(this.observed, [`peer ${outcome}`])
+})
+
+Then('the paths were told of a failed direct connection', function (this: ExchangeWorld) {
+  assert.deepEqual(this.observed, ['direct failed', 'peer connected'])
+})
+
+Then(/^(?:it is|both are) answered whole through the peer$/, function (this: ExchangeWorld) {
+  assert.equal(this.failure, undefined)
+  assert.ok(this.answers.length > 0)
+  for (const { body, isDirect } of this.answers) assert.deepEqual({ body, isDirect }, { body: BODY, isDirect: false })
+})
+
+Then('{int} requests were answered directly', function (this: ExchangeWorld, count: number) {
+  assert.equal(this.answers.filter(({ isDirect }) => isDirect).length, count)
+})
+
+Then(/^the target has seen (\d+) connections?$/, function (this: ExchangeWorld, count: string) {
+  assert.equal(this.sockets.length, Number(count))
+})
+
+Then('the peer carries {int} tunnels', async function (this: ExchangeWorld, count: number) {
+  const isReached = (): boolean => (this.peerMetrics.snapshot().gauges['tunnels.open'] ?? 0) === count
+  await eventually(isReached, SOON_MS, 'the peer carries other tunnels')
+})
+
+Then('the target has no connection within {int} ms', async function (this: ExchangeWorld, ms: number) {
+  await eventually(() => this.sockets.every(({ closed }) => closed), ms, 'the target has a connection')
+})
+
+After(async function (this: Partial<ExchangeWorld>) {
+  if (this.connections === undefined) return
+  this.connections.close()
+  this.tunnels!.close()
+  this.link!.close()
+  await this.peer!.close()
+  for (const socket of this.sockets!) socket.destroy()
+  this.target!.close()
+})
--- a/packages/pimentoplank/src/shared/rpc/peerTunnels.steps.ts
+++ b/packages/pimentoplank/src/shared/rpc/peerTunnels.steps.ts
@@ -389,9 +389,9 @@
 })
 
 After(async function (this: Partial<TunnelWorld>) {
-  if (this.tunnels === undefined || this.link === undefined) return
-  for (const tunnels of [this.tunnels, ...this.others!]) tunnels.close()
-  this.link.close()
+  if (this.others === undefined) return
+  for (const tunnels of [this.tunnels!, ...this.others]) tunnels.close()
+  this.link!.close()
   await this.peer!.close()
   for (const socket of this.sockets!) socket.destroy()
   this.target!.close()
