--- a/packages/pimentoplank/src/relay/exchange/exchange.steps.ts
+++ b/packages/pimentoplank/src/relay/exchange/exchange.steps.ts
@@ -3,11 +3,13 @@
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { setTimeout as pause } from 'node:timers/promises'
 import { After, Given, Then, When } from '@cucumber/cucumber'
-import type { Result } from 'neverthrow'
+import { err, ok, type Result } from 'neverthrow'
 import { createInMemoryMetrics, createSilentLog, createSystemClock } from '../../shared'
 import type { Target, TargetProtocol } from '../model'
+import { createDirectPaths } from '../paths'
 import { createTargetConnectionPool } from './connectionPool'
 import { createExchange, drainAnswer, type Exchange, type SendFailure, type TargetAnswer } from './exchange'
+import { createDirectConnector } from './targetConnector'
 
 interface SentRequest {
   id: string
@@ -74,10 +76,18 @@
   this.lateTarget = {
     id: 'target', service: 's', address: `127.0.0.1:${port}`, failureDomain: 'a', version: 'v1', slots: 1, state: 'ready'
   }
+  const paths = createDirectPaths()
+  const connectDirect = createDirectConnector({ timeoutMs: 1000, observer: paths })
   this.lateExchange = createExchange({
     protocol,
     connections: createTargetConnectionPool({
-      settings: { connectTimeoutMs: 1000, idleTimeoutMs: 10_000 }, clock, metrics
+      settings: { idleTimeoutMs: 10_000 },
+      connect: ({ address }, done) => connectDirect(address, (cause, socket) => {
+        done(socket == null ? err(cause ?? new Error('no socket')) : ok({ socket }))
+      }),
+      paths,
+      clock,
+      metrics
     }),
     onHead: () => undefined,
     onOtherProcess: () => undefined,
