--- a/packages/pimentoplank/src/relay/constants.ts
+++ b/packages/pimentoplank/src/relay/constants.ts
@@ -17,6 +17,8 @@
 export const PREFERRING_INSTANCES = 3
 /** The directory answers with local instances only if at least this many serve in the failure domain of the caller. */
 export const MIN_LOCAL_INSTANCES = 4
+/** The directory lists instances that are cut off from targets, too, if fewer than this share are not. */
+export const MIN_REACHING_SHARE = 0.25
 /** Share of the drain bound during which targets that leave are used where no others are left; they answer until it. */
 export const LEAVING_GRACE_SHARE = 0.5
 /** Requests that arrive right after the start are held for up to this time after it, in milliseconds. */
--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -11,6 +11,7 @@
   LEAVING_GRACE_SHARE, MAX_START_WAIT_MS, PREFERRING_INSTANCES, REMOVAL_GRACE_SHARE, TARGET_CONNECT_TIMEOUT_MS,
   TARGET_IDLE_TIMEOUT_MS, TICK_INTERVAL_MS, URGENT_REPORT_DELAY_MS
 } from './constants'
+import { createPaths } from './createPaths'
 import { createRelayFeed } from './createRelayFeed'
 import { createExchange, createTargetConnectionPool } from './exchange'
 import { followConfig } from './followConfig'
@@ -148,10 +149,13 @@
   targets.onProcessChange((target) => {
     if (streamVersions.resolve(target)) scheduleReport()
   })
-  const peerUses = createPeerUses(gossip.peers())
+  const peerUses = createPeerUses(gossip.peers(), clock)
   gossip.onReport((report, before) => peerUses.replaceReport(before, report))
   gossip.onDigest(peerUses.replaceDigest)
   gossip.onPeerLost(({ report }) => peerUses.replaceReport(report, undefined))
+  const paths = createPaths({
+    failureDomain: instance.failureDomain, targets, gossip, peerUses, onChange: scheduleReport, clock, random, metrics, log
+  })
   const limits = createTargetLimits({
     self: instance.id,
     listInstances: () => [
@@ -173,6 +177,7 @@
       self: instance, gossip, preferringInstances: PREFERRING_INSTANCES, clock
     }),
     limits,
+    paths,
     rules: RELAY_RULES.suspicion,
     clock,
     metrics,
@@ -181,6 +186,7 @@
   const connections = createTargetConnectionPool({
     settings: { connectTimeoutMs: TARGET_CONNECT_TIMEOUT_MS, idleTimeoutMs: TARGET_IDLE_TIMEOUT_MS }, clock, metrics
   })
+  paths.onLost(connections.dropConnecting)
   const exchange = createExchange({
     protocol: protocols.targets,
     connections,
@@ -216,6 +222,7 @@
     loads,
     crashes,
     exchange,
+    paths,
     table: () => getRouteTable(),
     peers: gossip.peers,
     failureDomain: instance.failureDomain,
@@ -278,6 +285,7 @@
       slotScheduler,
       exchange,
       loads,
+      paths,
       silenceDetector: createSilenceDetector(clock),
       streamVersions,
       streamVersionFinder: createStreamVersionFinder({
@@ -389,10 +397,13 @@
   }
 
   function getOwnLoad (): OwnLoad {
+    const suspects = loads.getOwnSuspects()
     return {
       uses: loads.getOwnUses(),
       waiting: runner.getWaiting(),
-      suspects: loads.getOwnSuspects(),
+      suspects: suspects.all,
+      unreached: suspects.unreached,
+      isCutOff: paths.isCutOff(),
       streams: streamVersions.getLatestNotices()
     }
   }
@@ -468,6 +479,7 @@
     await feed.close()
     await gossip.close()
     transports.close()
+    paths.close()
     connections.close()
     await peerServer._unsafeUnwrap().close()
   }
@@ -475,7 +487,7 @@
   return ok({
     handle,
     directory: createDirectory({
-      self: { callerAddress, failureDomain: instance.failureDomain, stage: getStage },
+      self: { callerAddress, failureDomain: instance.failureDomain, stage: getStage, isCutOff: paths.isCutOff },
       peers: gossip.peers,
       maxAgeMs: settings.bounds.directoryMaxAgeMs
     }),
--- a/packages/pimentoplank/src/relay/decisions/index.ts
+++ b/packages/pimentoplank/src/relay/decisions/index.ts
@@ -20,3 +20,7 @@
   findOnlyVersion, findPlacedVersion, FORGET_VERSION_MS, listResumeCandidates,
   type PlacedProcess, type ResumeCandidate, type ResumeInput, type VersionHistory
 } from './streamVersions'
+export {
+  ANSWERING_MS, chooseChecks, choosePathPeer, decideReach,
+  type PathInput, type PathPeer, type ProbeCandidate, type Reach, type ReachInput, type TargetEvidence
+} from './reach'
--- /dev/null
+++ b/packages/pimentoplank/src/relay/decisions/reach.ts
@@ -0,0 +1,152 @@
+/**
+ * Reach: whether this instance is cut off from targets, and over which path it connects to them.
+ *
+ * Load pattern: some instances lose the path to all targets for seconds, while callers, peers and the store still reach
+ * them. New connections hang or are refused; open ones hang, are reset, or live on. What tells such a cut from targets
+ * that are down is that the same targets answer peers meanwhile. The reverse must not look like it: targets that are
+ * down for all or for one failure domain, a sound target that is silent for a second, an instance without evidence.
+ */
+import type { Random } from '../../shared'
+
+/** What is known of the path to one target; times are on the monotonic clock, in milliseconds. */
+export interface TargetEvidence {
+  /** When a direct connection was last established. */
+  connectedAt?: number
+  /** When a direct connection last could not be established. */
+  connectFailedAt?: number
+  /** When bytes last arrived on a direct connection. */
+  bytesAt?: number
+  /** When a silence of the target was last certain. */
+  silentAt?: number
+  /** When it was last heard that the target answers a peer, or a peer opened a connection to it. */
+  peersAnsweredAt?: number
+}
+
+export interface ReachInput {
+  targets: readonly TargetEvidence[]
+  /** When the cut began that is believed so far; undefined while none is. */
+  lostSince?: number
+  /** Time on the monotonic clock, in milliseconds. */
+  now: number
+}
+
+/** Belief on the path to targets, with the numbers that it rests on. */
+export interface Reach {
+  isCutOff: boolean
+  /** When the first of the failures that count was seen; undefined without any. */
+  since?: number
+  /** Targets that are not reached. */
+  failed: number
+  /** Targets that are reached, for all that is known. */
+  reached: number
+  /** Targets that are not reached and answer peers. */
+  contradicted: number
+}
+
+/** A target counts as answering for this long after its last bytes, in milliseconds. */
+export const ANSWERING_MS = 500
+/** Failures older than this are no evidence of a cut, in milliseconds. */
+const EVIDENCE_MS = 2000
+/** Reports that a target answers peers count for this long, in milliseconds. */
+const PEER_EVIDENCE_MS = 1000
+/** A cut is believed for this long without word that targets answer peers, in milliseconds. */
+const MAX_UNCONFIRMED_MS = 2000
+/** Fewest targets that fail in a cut, where there are as many. */
+const MIN_FAILED = 2
+/** Share of the targets with evidence that fail in a cut. */
+const FAILED_SHARE = 0.75
+
+const NEVER = -Infinity
+
+/** True when new connections to the target fail. */
+function isUnconnectable ({ connectFailedAt = NEVER, connectedAt = NEVER }: TargetEvidence, since: number): boolean {
+  return connectFailedAt >= since && connectFailedAt > connectedAt
+}
+
+/** True when nothing comes over open connections to the target. */
+function isSilent ({ silentAt = NEVER, connectedAt = NEVER, bytesAt = NEVER }: TargetEvidence, since: number): boolean {
+  return silentAt >= since && silentAt > Math.max(connectedAt, bytesAt)
+}
+
+function getFailedAt (target: TargetEvidence, since: number): number {
+  return Math.min(
+    isUnconnectable(target, since) ? target.connectFailedAt! : Infinity,
+    isSilent(target, since) ? target.silentAt! : Infinity
+  )
+}
+
+/** Decides whether this instance is cut off from targets. */
+export function decideReach ({ targets, lostSince, now }: ReachInput): Reach {
+  const windowStart = lostSince ?? now - EVIDENCE_MS
+  const failed = targets.filter((target) => isUnconnectable(target, windowStart) || isSilent(target, windowStart))
+  if (failed.length === 0) return { isCutOff: false, failed: 0, reached: 0, contradicted: 0 }
+  const since = lostSince ?? Math.min(...failed.map((target) => getFailedAt(target, windowStart)))
+  // Open connections may live on in a cut, so that bytes on them say nothing of new ones.
+  const areConnectsTried = failed.filter((target) => isUnconnectable(target, windowStart)).length >= MIN_FAILED
+  const reached = targets.filter((target) => !failed.includes(target) &&
+    Math.max(target.connectedAt ?? NEVER, areConnectsTried ? NEVER : target.bytesAt ?? NEVER) >= since)
+  const heardSince = now - (lostSince === undefined ? PEER_EVIDENCE_MS : MAX_UNCONFIRMED_MS)
+  const contradicted = failed.filter(({ peersAnsweredAt = NEVER }) => peersAnsweredAt >= heardSince)
+  const counts = { since, failed: failed.length, reached: reached.length, contradicted: contradicted.length }
+  const isMost = failed.length >= FAILED_SHARE * (failed.length + reached.length)
+  if (lostSince !== undefined) return { ...counts, isCutOff: isMost && contradicted.length > 0 }
+  // A target may be down with peers that have not noticed yet; several of many at once rarely are.
+  const isProven = failed.some((target) => isAnsweringPeersSince(target, getFailedAt(target, windowStart)))
+  const isLikely = contradicted.length >= MIN_FAILED && targets.length > MIN_FAILED
+  const isEnough = failed.length >= Math.min(MIN_FAILED, targets.length)
+  return { ...counts, isCutOff: isEnough && isMost && (isProven || isLikely) }
+}
+
+/** True when it is certain that the target has answered a peer after the given time. */
+function isAnsweringPeersSince ({ peersAnsweredAt = NEVER }: TargetEvidence, since: number): boolean {
+  return peersAnsweredAt - ANSWERING_MS > since
+}
+
+/** A peer through which connections may be opened. */
+export interface PathPeer {
+  instance: string
+  peerAddress: string
+  failureDomain: string
+  /** True when the target answers it now. */
+  isAnswered: boolean
+}
+
+export interface PathInput {
+  /** Peers that serve, are not cut off themselves, and have not just failed. */
+  peers: readonly PathPeer[]
+  /** Failure domain of this instance. */
+  ownDomain: string
+  /** Failure domain of the target; undefined when it is not known. */
+  targetDomain: string | undefined
+}
+
+/** Chooses the peer through which a connection is opened; undefined if there is none. */
+export function choosePathPeer ({ peers, ownDomain, targetDomain }: PathInput, random: Random): PathPeer | undefined {
+  const rank = ({ isAnswered, failureDomain }: PathPeer): number =>
+    (isAnswered ? 0 : 3) + (failureDomain === ownDomain ? 0 : failureDomain === targetDomain ? 1 : 2)
+  const best = Math.min(...peers.map(rank))
+  const equals = peers.filter((peer) => rank(peer) === best)
+  return equals[Math.floor(random() * equals.length)]
+}
+
+export interface ProbeCandidate {
+  address: string
+  failureDomain: string
+  evidence: TargetEvidence
+}
+
+/** Chooses targets for test connections that tell whether others than the failed ones are reached. */
+export function chooseChecks (
+  candidates: readonly ProbeCandidate[], count: number, now: number, random: Random
+): ProbeCandidate[] {
+  const since = now - EVIDENCE_MS
+  const hasFailed = ({ evidence }: ProbeCandidate): boolean =>
+    isUnconnectable(evidence, since) || isSilent(evidence, since)
+  const failedDomains = new Set(candidates.filter(hasFailed).map(({ failureDomain }) => failureDomain))
+  const order = ({ failureDomain }: ProbeCandidate): number => random() + (failedDomains.has(failureDomain) ? 1 : 0)
+  return candidates.filter((candidate) => !hasFailed(candidate))
+    .map((candidate) => ({ candidate, order: order(candidate) }))
+    .sort((a, b) => a.order - b.order)
+    .slice(0, count)
+    .map(({ candidate }) => candidate)
+}
--- a/packages/pimentoplank/src/relay/exchange/connectionPool.ts
+++ b/packages/pimentoplank/src/relay/exchange/connectionPool.ts
@@ -34,6 +34,8 @@
   release: (address: string, connection: TargetConnection) => void
   /** Closes a connection. */
   destroy: (connection: TargetConnection) => void
+  /** Closes connections that are not established yet, so that their requests fail without having been sent. */
+  dropConnecting: () => void
   /** True while a connection can carry a request. */
   isUsable: (connection: TargetConnection) => boolean
   /** Reports that a pooled connection was reset while idle; the idle timeout of all is shortened for a while. */
@@ -131,6 +133,9 @@
       idle.set(address, list)
     },
     destroy: closeConnection,
+    dropConnecting: () => {
+      for (const connection of [...connections]) if (connection.socket === undefined) closeConnection(connection)
+    },
     isUsable,
     reportStale: ({ idleMs: observedMs }) => {
       metrics.count('targets.staleConnections')
--- a/packages/pimentoplank/src/relay/gossip/datagrams.ts
+++ b/packages/pimentoplank/src/relay/gossip/datagrams.ts
@@ -19,7 +19,9 @@
     ...report,
     incarnation: BigInt(report.incarnation),
     stage: STAGE_CODES[report.stage],
-    uses: [...report.uses].map(([target, { live, batch }]) => ({ target, live, batch })),
+    uses: [...report.uses].map(([target, { live, batch, isAnswering }]) => (
+      { target, live, batch, answering: isAnswering }
+    )),
     waiting: encodeWaiting(report.waiting, now),
     knownPeers: [...report.knownPeers],
     jobs: [...report.jobs],
@@ -30,6 +32,8 @@
     targetLimits: report.limits.map(({ target, perSecond, at }) => ({ target, perSecond, ageMs: toAgeMs(at, now) })),
     answeredParts: report.answeredParts.map(({ part, at }) => ({ part, ageMs: toAgeMs(at, now) })),
     suspects: [...report.suspects],
+    unreached: [...report.unreached],
+    cutOff: report.isCutOff,
     streams: encodeStreams(report.streams, now),
     leavingTargets: report.leaving.map(({ target, startedAt, at }) => ({
       target, startedAt: startedAt === undefined ? undefined : BigInt(startedAt), ageMs: toAgeMs(at, now)
@@ -93,11 +97,19 @@
     batch: uses.map(([, { batch }]) => batch),
     waiting: encodeWaiting(load.waiting, now),
     suspects: [...load.suspects],
+    answering: encodeAnswering(uses),
+    unreached: [...load.unreached],
+    cutOff: load.isCutOff,
     streams: encodeStreams(load.streams, now)
   })
   return toBinary(DatagramSchema, create(DatagramSchema, { content: { case: 'load', value: message } }))
 }
 
+function encodeAnswering (uses: ReadonlyArray<[number, TargetUse]>): boolean[] {
+  const answering = uses.map(([, { isAnswering }]) => isAnswering === true)
+  return answering.includes(true) ? answering : []
+}
+
 /** Returns the lowest 32 bits of an incarnation, which identify it in load updates. */
 export function getLowBits (incarnation: number): number {
   return incarnation % INCARNATION_MODULUS
@@ -118,7 +130,8 @@
     failureDomain,
     targets: list.map(([target]) => target),
     live: list.map(([, { live }]) => live),
-    batch: list.map(([, { batch }]) => batch)
+    batch: list.map(([, { batch }]) => batch),
+    answering: encodeAnswering(list)
   })
   return toBinary(DatagramSchema, create(DatagramSchema, { content: { case: 'digest', value: message } }))
 }
@@ -139,6 +152,8 @@
   uses: ReadonlyMap<number, TargetUse>
   waiting: readonly WaitingItems[]
   suspects: ReadonlySet<number>
+  unreached: ReadonlySet<number>
+  isCutOff: boolean
   streams: readonly StreamNotice[]
 }
 
@@ -159,8 +174,8 @@
   const { content } = datagram
   if (content.case === 'yield') return { type: 'yield', target: content.value.target, count: content.value.count }
   if (content.case === 'digest') {
-    const { failureDomain, targets, live, batch } = content.value
-    return { type: 'digest', digest: { failureDomain, uses: decodeUses(targets, live, batch) } }
+    const { failureDomain, ...uses } = content.value
+    return { type: 'digest', digest: { failureDomain, uses: decodeUses(uses) } }
   }
   if (content.case === 'load') return { type: 'load', load: decodeLoad(content.value, now) }
   if (content.case !== 'report') return undefined
@@ -176,11 +191,15 @@
       peerAddress: rest.peerAddress,
       failureDomain: rest.failureDomain,
       region: rest.region,
-      uses: new Map(uses.map(({ target, live, batch }): [number, TargetUse] => [target, { live, batch }])),
+      uses: new Map(uses.map(({ target, live, batch, answering }): [number, TargetUse] => (
+        [target, { live, batch, isAnswering: answering }]
+      ))),
       waiting: decodeWaiting(waiting, now),
       knownPeers: rest.knownPeers,
       jobs: jobs.map(({ job, owner, epoch, ended }): JobOwnership => ({ job, owner, epoch, ended })),
       suspects: new Set(suspects),
+      unreached: new Set(rest.unreached),
+      isCutOff: rest.cutOff,
       crashes: rest.crashes.map(({ target, ageMs, prompts }) => ({ target, at: now - ageMs, prompts })),
       crashingParts: rest.crashingParts.map(({ parts, ageMs }) => ({ parts, at: now - ageMs })),
       limits: rest.targetLimits.map(({ target, perSecond, ageMs }) => ({ target, perSecond, at: now - ageMs })),
@@ -196,22 +215,24 @@
 }
 
 function decodeLoad (change: LoadChange, now: number): LoadUpdate {
-  const { instance, incarnation, sequence, targets, live, batch, waiting, suspects, streams } = change
+  const { instance, incarnation, sequence, waiting, suspects, unreached, cutOff, streams } = change
   return {
     instance,
     incarnation,
     sequence,
-    uses: decodeUses(targets, live, batch),
+    uses: decodeUses(change),
     waiting: decodeWaiting(waiting, now),
     suspects: new Set(suspects),
+    unreached: new Set(unreached),
+    isCutOff: cutOff,
     streams: decodeStreams(streams, now)
   }
 }
 
 function decodeUses (
-  targets: readonly number[],
-  live: readonly number[],
-  batch: readonly number[]
+  { targets, live, batch, answering }: Pick<LoadChange, 'targets' | 'live' | 'batch' | 'answering'>
 ): Map<number, TargetUse> {
-  return new Map(targets.map((target, index) => [target, { live: live[index] ?? 0, batch: batch[index] ?? 0 }]))
+  return new Map(targets.map((target, index) => (
+    [target, { live: live[index] ?? 0, batch: batch[index] ?? 0, isAnswering: answering[index] ?? false }]
+  )))
 }
--- a/packages/pimentoplank/src/relay/gossip/gossip.ts
+++ b/packages/pimentoplank/src/relay/gossip/gossip.ts
@@ -17,7 +17,7 @@
 >
 
 /** Part of a report that changes with each request. */
-export type OwnLoad = Pick<Report, 'uses' | 'waiting' | 'suspects' | 'streams'>
+export type OwnLoad = Pick<Report, 'uses' | 'waiting' | 'suspects' | 'unreached' | 'isCutOff' | 'streams'>
 
 /** Use of targets as reported to instances of other failure domains. */
 export interface FarUses {
@@ -142,8 +142,8 @@
     const report = id === undefined ? undefined : peers.get(id)?.report
     if (id === undefined || report === undefined) return
     if (getLowBits(report.incarnation) !== load.incarnation || load.sequence <= report.sequence) return
-    const { sequence, uses, waiting, suspects, streams } = load
-    const next = { ...report, sequence, uses, waiting, suspects, streams }
+    const { sequence, uses, waiting, suspects, unreached, isCutOff, streams } = load
+    const next = { ...report, sequence, uses, waiting, suspects, unreached, isCutOff, streams }
     peers.set(id, { report: next, lastReceivedAt: clock.now() })
     reportListeners.forEach((listener) => listener(next, report))
   }
--- a/packages/pimentoplank/src/relay/gossip/largeFleet.steps.ts
+++ b/packages/pimentoplank/src/relay/gossip/largeFleet.steps.ts
@@ -53,7 +53,14 @@
       configRevision: 1,
       openJobs: new Map()
     }),
-    getOwnLoad: () => ({ uses: new Map([...near, ...far]), waiting: [], suspects: new Set(), streams: [] }),
+    getOwnLoad: () => ({
+      uses: new Map([...near, ...far]),
+      waiting: [],
+      suspects: new Set(),
+      unreached: new Set(),
+      isCutOff: false,
+      streams: []
+    }),
     getFarUses: () => ({ own: far, domain: domainUses() }),
     onYield: () => undefined,
     clock: createSystemClock(),
@@ -63,7 +70,7 @@
   })
   if (started.isErr()) return await startMember(id, seeds, maxClosePeers)
   const gossip = started.value
-  const peerUses = createPeerUses([])
+  const peerUses = createPeerUses([], createSystemClock())
   const lost: string[] = []
 
   function domainUses (): Map<number, TargetUse> {
--- a/packages/pimentoplank/src/relay/gossip/types.ts
+++ b/packages/pimentoplank/src/relay/gossip/types.ts
@@ -7,6 +7,8 @@
 export interface TargetUse {
   live: number
   batch: number
+  /** True when bytes of the target arrived at the instance a moment ago, on a connection of its own. */
+  isAnswering?: boolean
 }
 
 /** Number of batch items that wait for a slot, by due time. */
@@ -103,6 +105,10 @@
   knownPeers: readonly string[]
   jobs: readonly JobOwnership[]
   suspects: ReadonlySet<number>
+  /** Those of the suspects that it did not reach or that were silent, so that its path may be at fault. */
+  unreached: ReadonlySet<number>
+  /** True when it has lost its path to targets that answer others. */
+  isCutOff: boolean
   limits: readonly LimitNotice[]
   /** Streams that were placed a short while ago. */
   streams: readonly StreamNotice[]
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
@@ -29,6 +29,10 @@
   /** Ids of targets that are not registered any more. */
   gone: Set<string>
   sent: SentRun[]
+  isCutOff?: boolean
+  losePath: () => void
+  /** Number of crashes recorded. */
+  crashes?: number
 }
 
 const SELF = 'instance-1'
@@ -160,12 +164,25 @@
     jobRegistry,
     loads: createFakeLoads(this),
     crashes: {
-      recordCrash: () => undefined,
+      recordCrash: () => { this.crashes = (this.crashes ?? 0) + 1 },
       recordPossibleCrash: () => undefined,
       recordAnswer: () => undefined,
       hasCrashingParts: () => false
     },
     exchange: createFakeExchange(this),
+    paths: {
+      isCutOff: () => this.isCutOff === true,
+      isAnswering: () => false,
+      isDirectUsable: () => this.isCutOff !== true,
+      recordSilent: () => undefined,
+      onLost: (listener) => {
+        this.losePath = () => {
+          this.isCutOff = true
+          listener(this.clock.now())
+        }
+        return () => undefined
+      }
+    },
     table: () => this.table,
     peers: () => [],
     failureDomain: 'a',
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.ts
@@ -8,10 +8,12 @@
 import type { Exchange } from '../exchange'
 import type { PeerView, WaitingItems } from '../gossip'
 import { BEGINNING_EVENTS, type CrashTracker } from '../live'
-import type { LoadView, TargetLoad } from '../load'
+import type { FaultKind, LoadView, TargetLoad } from '../load'
 import type { Target } from '../model'
+import type { InstancePaths } from '../paths'
 import type { RouteTable } from '../routing'
 import { dropBlockedText } from './blockedText'
+import { getFaultKind } from './itemFaults'
 import { createItemTimeEstimator } from './itemTimeEstimator'
 import type { JobRegistry } from './jobRegistry'
 import type { OwnedJob } from './ownedJob'
@@ -38,6 +40,7 @@
   loads: LoadView
   crashes: Pick<CrashTracker, 'recordCrash' | 'recordPossibleCrash' | 'recordAnswer' | 'hasCrashingParts'>
   exchange: Exchange
+  paths: Pick<InstancePaths, 'isCutOff' | 'isAnswering' | 'isDirectUsable' | 'onLost' | 'recordSilent'>
   table: () => RouteTable | undefined
   peers: () => readonly PeerView[]
   failureDomain: string
@@ -73,6 +76,8 @@
 }
 
 interface ActiveRun extends RunningItem {
+  /** Address of the target. */
+  address: string
   /** On the monotonic clock, in milliseconds. */
   sentAt: number
   stop: AbortController
@@ -90,12 +95,6 @@
 const MAX_BACKOFF_DOUBLINGS = 5
 const MAX_SILENT_TARGETS = 10_000
 
-/** True when a run ended through a fault of the target rather than of the item or this instance. */
-function isTargetFault (end: ItemEnd): boolean {
-  if (end.type === 'refused') return end.reason !== 'otherProcess'
-  return end.type === 'interrupted' && end.isBroken
-}
-
 /** Creates the item runner of an instance. */
 export function createItemRunner (options: ItemRunnerOptions): ItemRunner {
   const { jobRegistry: registry, loads, rules, clock, random, metrics, log } = options
@@ -104,6 +103,11 @@
   const silenceRecordedAt = new LRUCache<string, number>({ max: MAX_SILENT_TARGETS })
   const pace = createItemTimeEstimator()
   const finder = createReadyItemFinder({ jobRegistry: registry, crashes: options.crashes, pace, clock, random })
+  // Nothing more comes over connections that hang: their items need not wait until that shows.
+  options.paths.onLost(() => {
+    for (const run of running) run.isSilent ||= !options.paths.isDirectUsable(run.address)
+    startReadyItems()
+  })
 
   function startReadyItems (): void {
     const table = options.table()
@@ -218,6 +222,7 @@
       job: owned.id,
       dueAt: ready.dueAt,
       target: target.id,
+      address: target.address,
       sentAt: clock.now(),
       hasStarted: false,
       stop,
@@ -246,6 +251,8 @@
       },
       onSilent: () => {
         entry.isSilent = true
+        const isCertain = entry.hasStarted && !options.paths.isAnswering(target.address)
+        if (isCertain) options.paths.recordSilent(target.address)
         log.info({
           job: owned.id, item: itemId, target: target.id, lastEvent: progress.lastEventId
         }, 'item run is silent')
@@ -258,7 +265,8 @@
       if (startedAt !== undefined) pace.recordRun((progress.lastEventId ?? 0) - firstEvent, clock.now() - startedAt)
       if (end.type === 'completed') pace.recordCompletion(progress.lastEventId ?? 0)
       recordCrashEvidence(ready, target, end, (progress.lastEventId ?? 0) - firstEvent)
-      if (isTargetFault(end)) recordTargetFailure(entry, end)
+      const fault = getFaultKind(end)
+      if (fault !== undefined) recordTargetFailure(entry, end, fault)
       progress.target = undefined
       progress.interrupt = undefined
       loads.end(target.id, 'batch')
@@ -268,12 +276,12 @@
   }
 
   /** A silence under several items counts once; a run that was sent after it has tried the target anew. */
-  function recordTargetFailure ({ target, sentAt }: ActiveRun, end: ItemEnd): void {
-    if (end.type === 'interrupted' && end.reason === 'aborted') {
+  function recordTargetFailure ({ target, sentAt }: ActiveRun, end: ItemEnd, kind: FaultKind): void {
+    if (kind === 'silence') {
       if (sentAt <= (silenceRecordedAt.get(target) ?? -Infinity)) return
       silenceRecordedAt.set(target, clock.now())
     }
-    loads.recordFailure(target, `item.${end.type}`)
+    loads.recordFailure(target, `item.${end.type}`, kind)
   }
 
   function recordCrashEvidence (
@@ -289,7 +297,8 @@
       crashes.recordAnswer(item.headers)
       return
     }
-    if (end.type !== 'interrupted') return
+    // A cut that befalls all connections is no crash.
+    if (end.type !== 'interrupted' || options.paths.isCutOff()) return
     const request = createItemRequest(item, owned.record().host)
     if (end.reason === 'staleConnection') crashes.recordPossibleCrash(target.id, request)
     if (end.reason !== 'broken') return
--- a/packages/pimentoplank/src/relay/live/attemptTarget.ts
+++ b/packages/pimentoplank/src/relay/live/attemptTarget.ts
@@ -3,6 +3,7 @@
 import { MIB_BYTES, type RefusalError } from '../../shared'
 import { isRepeatable, MIN_TRY_MS } from '../decisions'
 import { createEventReader, SendFailure, type EventReader, type SendFailureReason, type TargetAnswer } from '../exchange'
+import type { FaultKind } from '../load'
 import type { AnswerHead, ProcessNeed } from '../model'
 import type { LiveCall, Progress, RelayDeps } from './liveCall'
 import type { Slot, SlotQuery } from './slotScheduler'
@@ -40,8 +41,10 @@
 const STATUS_SERVER_ERROR = 500
 /** A request that crashes its target does so as it begins to run, before this many events. */
 export const BEGINNING_EVENTS = 2
-/** Failures that count against the target itself. */
-const TARGET_FAULTS: ReadonlySet<SendFailureReason> = new Set(['connectFailed', 'refused', 'broken', 'spoiled'])
+/** Failures that count against the target, unless its path is at fault. */
+const FAULT_KINDS: Partial<Record<SendFailureReason, FaultKind>> = {
+  connectFailed: 'connect', refused: 'target', broken: 'cut', spoiled: 'target'
+}
 /** Maximum size of a plain response that is buffered, so that it can be retried, in bytes. */
 const MAX_BUFFERED_BYTES = MIB_BYTES
 
@@ -68,16 +71,19 @@
     onSilent: ({ isCertain, isNew }) => {
       // A sound target may be silent for a moment, which counts once, however many requests run there.
       if (isCertain && isNew) {
-        deps.loads.recordFailure(slot.target.id, 'silent')
+        deps.paths.recordSilent(slot.target.address)
+        deps.loads.recordFailure(slot.target.id, 'silent', 'silence')
         silentSince = clock.now()
       }
       if (isMovable) search.start()
     }
   })
+  const removeLostListener = deps.paths.onLost(() => setImmediate(leaveHangingConnection))
   const sentAt = clock.now()
   /** When this request reported the target as silent; undefined once the target has gone on. */
   let silentSince: number | undefined
   let events = 0
+  let isOver = false
   progress.ending = undefined
   deps.log.info({
     req: request.id,
@@ -89,6 +95,8 @@
   try {
     return await exchangeWithTarget()
   } finally {
+    isOver = true
+    removeLostListener()
     watch.stop()
     search.stop()
     search.takeSlot()?.discard()
@@ -111,6 +119,11 @@
     return end
   }
 
+  /** Where the path to targets is lost, no silence has to show first. Requests not sent yet have failed by then. */
+  function leaveHangingConnection (): void {
+    if (!isOver && canMove && !deps.paths.isDirectUsable(slot.target.address)) search.start()
+  }
+
   /** What two versions write doesn't fit together, and the version belongs to the process that gets the stream. */
   function getProcessNeed (): ProcessNeed | undefined {
     if (route.kind !== 'stream' || !route.isResumable) return undefined
@@ -136,12 +149,15 @@
       return { type: 'failed', failure: cause, nextSlot: search.takeSlot() }
     }
     recordCrashEvidence(failure)
-    if (TARGET_FAULTS.has(failure.reason)) deps.loads.recordFailure(slot.target.id, failure.reason)
+    const kind = FAULT_KINDS[failure.reason]
+    if (kind !== undefined) deps.loads.recordFailure(slot.target.id, failure.reason, kind)
     return { type: 'failed', failure }
   }
 
   function recordCrashEvidence ({ reason }: SendFailure): void {
     const { crashes } = deps
+    // A cut that befalls all connections is no crash.
+    if (deps.paths.isCutOff()) return
     if (reason === 'connectFailed') crashes.recordUnreachable(slot.target.id)
     if (reason === 'staleConnection') crashes.recordPossibleCrash(slot.target.id, request)
     if (reason === 'broken' && events < BEGINNING_EVENTS) crashes.recordCrash(slot.target.id, request)
@@ -152,7 +168,7 @@
     const isSuccess = head.status >= 200 && head.status < 300
     if (isSuccess && !head.isSigned) return toAttemptEnd(new SendFailure('spoiled', true, 'unsigned success'))
     if (head.status >= STATUS_SERVER_ERROR) {
-      deps.loads.recordFailure(slot.target.id, 'serverError')
+      deps.loads.recordFailure(slot.target.id, 'serverError', 'target')
       if (canMove) return failed('broken', `the target answered with status ${head.status}`)
     }
     if (!isSuccess && call.reply.hasStarted()) return failed('broken', `the target answered with status ${head.status}`)
--- a/packages/pimentoplank/src/relay/live/liveCall.ts
+++ b/packages/pimentoplank/src/relay/live/liveCall.ts
@@ -3,6 +3,7 @@
 import type { AnswerEnding, Exchange } from '../exchange'
 import type { LoadView } from '../load'
 import type { CallerRequest, Route } from '../model'
+import type { InstancePaths } from '../paths'
 import type { StreamVersionFinder, StreamVersions } from '../streams'
 import type { CallerReply } from './callerReply'
 import type { CrashTracker } from './crashTracker'
@@ -37,6 +38,7 @@
   slotScheduler: SlotScheduler
   exchange: Exchange
   loads: LoadView
+  paths: Pick<InstancePaths, 'isCutOff' | 'isDirectUsable' | 'onLost' | 'recordSilent'>
   silenceDetector: SilenceDetector
   streamVersions: Pick<StreamVersions, 'recordPlacement'>
   streamVersionFinder: StreamVersionFinder
--- a/packages/pimentoplank/src/relay/live/slotSearch.ts
+++ b/packages/pimentoplank/src/relay/live/slotSearch.ts
@@ -20,7 +20,7 @@
 export interface SlotSearch {
   /** Aborts once a slot is held, so that the run at the silent target can be given up. */
   found: AbortSignal
-  /** Starts to wait for a free slot at another target. */
+  /** Starts to wait for a free slot at another target, unless it does already. */
   start: () => void
   /** Stops waiting, since the target has sent bytes or the run has ended. */
   stop: () => void
@@ -75,6 +75,7 @@
   return {
     found: found.signal,
     start: () => {
+      if (waiting?.signal.aborted === false) return
       waiting = new AbortController()
       search(AbortSignal.any([ended, waiting.signal])).catch((cause: unknown) => {
         log.error({ target: targetId, cause: describeCause(cause) }, 'search for another target failed')
--- a/packages/pimentoplank/src/relay/load/loadView.ts
+++ b/packages/pimentoplank/src/relay/load/loadView.ts
@@ -1,10 +1,12 @@
 /** Tracks the load of each target, from this instance and its peers, and which targets are suspected to fail. */
 import { LRUCache } from 'lru-cache'
 import { hash32, type Clock, type Log, type Metrics } from '../../shared'
-import { computeSuspicion, type FailureRecord, type SuspicionRules } from '../decisions'
+import type { SuspicionRules } from '../decisions'
 import type { FarUses, PeerView, TargetUse } from '../gossip'
 import type { ReportedLoad, Target } from '../model'
+import type { InstancePaths } from '../paths'
 import type { TargetDirectory } from '../targets'
+import { createOwnSuspicions, type FaultKind, type OwnSuspects, type OwnSuspicionsOptions } from './ownSuspicions'
 import type { PeerUses } from './peerUses'
 import type { TargetLimits } from './targetLimits'
 
@@ -48,6 +50,7 @@
   /** True when this instance tries the target before others. */
   isPreferred: (target: Target) => boolean
   limits: Pick<TargetLimits, 'getAllowance' | 'getLimit' | 'take'>
+  paths: OwnSuspicionsOptions['paths'] & Pick<InstancePaths, 'isAnswering'>
   rules: SuspicionRules
   clock: Clock
   metrics: Metrics
@@ -69,8 +72,9 @@
    * Records that a target failed a request and excludes it for some time.
    *
    * @param reason - cause of the failure, for the log and the metric
+   * @param kind - what it may be the fault of
    */
-  recordFailure: (targetId: string, reason: string) => void
+  recordFailure: (targetId: string, reason: string, kind: FaultKind) => void
   /** Records that another process than the one that an entry describes answers at the address of the target. */
   recordOutdated: (target: Target) => void
   /**
@@ -83,8 +87,8 @@
   getOwnUses: () => ReadonlyMap<number, TargetUse>
   /** Returns the load that is reported to other failure domains. */
   getFarUses: () => FarUses
-  /** Returns the hashes of the targets that this instance itself suspects. */
-  getOwnSuspects: () => ReadonlySet<number>
+  /** Returns the hashes of the targets that this instance itself suspects; none while it is cut off from targets. */
+  getOwnSuspects: () => OwnSuspects
   /** Records the load that a target reported with a response. */
   recordReportedLoad: (targetId: string, load: ReportedLoad) => void
   /** Lists the peers with batch items at a target, in descending order of their number. */
@@ -97,30 +101,30 @@
   key: number
 }
 
-interface OwnSuspicion {
-  since: number
-  until: number
-}
-
-/** Number of targets whose hashes and failure records are cached, including removed targets. */
+/** Number of targets whose hashes are cached, including removed targets. */
 const MAX_TRACKED_TARGETS = 10_000
 
 export function createLoadView (options: LoadViewOptions): LoadView {
-  const { targets, peerUses, peers, rules, clock, metrics, log } = options
+  const { targets, peerUses, peers, paths, log } = options
   const ownUses = new Map<string, OwnUse>()
-  const suspicions = new Map<string, OwnSuspicion>()
-  /** By hash of the target's id, which is how peers identify targets. */
-  const failures = new LRUCache<number, FailureRecord>({ max: MAX_TRACKED_TARGETS })
   const keys = new LRUCache<string, number>({ max: MAX_TRACKED_TARGETS })
   /** Start of the process that the outdated entry of a target describes, by the target's id. */
   const outdated = new LRUCache<string, number>({ max: MAX_TRACKED_TARGETS })
   const reportedSlots = new Map<string, number>()
   const listeners: Array<() => void> = []
 
-  peerUses.onSuspect((key) => {
-    failures.set(key, computeSuspicion(failures.get(key), clock.now(), rules).record)
+  const suspicions = createOwnSuspicions({
+    ...options, getKey, getAddress: (id) => targets.get(id)?.address, onChange: notify
+  })
+  peerUses.onSuspect((key, isUnreached) => {
+    // What a peer doesn't reach is no failure of a target that answers here.
+    if (!isUnreached || !isAnsweringKey(key)) suspicions.addPeerFailure(key)
   })
 
+  function isAnsweringKey (key: number): boolean {
+    return [...targets.all()].some(({ id, address }) => getKey(id) === key && paths.isAnswering(address))
+  }
+
   function getKey (id: string): number {
     let key = keys.get(id)
     if (key === undefined) {
@@ -142,8 +146,16 @@
     listeners.forEach((listener) => listener())
   }
 
-  function isOwnSuspect (id: string): boolean {
-    return (suspicions.get(id)?.until ?? 0) > clock.now()
+  function isAnswering (id: string): boolean {
+    const address = targets.get(id)?.address
+    return address !== undefined && paths.isAnswering(address)
+  }
+
+  /** Peers that don't reach a target which answers here, or another peer, tell only of their path. */
+  function isPeerSuspect (key: number, address: string): boolean {
+    if (peerUses.isSuspect(key)) return true
+    const since = peerUses.getUnreachedSince(key)
+    return since !== undefined && !paths.hasAnsweredSince(address, key, since)
   }
 
   function computeLoad (target: Target, isLeaving = false): TargetLoad {
@@ -157,7 +169,7 @@
       batch: peerUse.batch + (ownUse?.batch ?? 0),
       ownLive: ownUse?.live ?? 0,
       ownBatch: ownUse?.batch ?? 0,
-      isSuspect: isOwnSuspect(target.id) || peerUses.isSuspect(key),
+      isSuspect: suspicions.isSuspect(target.id) || isPeerSuspect(key, target.address),
       isOutdated: target.startedAt !== undefined && outdated.get(target.id) === target.startedAt,
       isLeaving,
       isFresh: options.isClose(target.failureDomain),
@@ -172,18 +184,6 @@
     return target === undefined ? undefined : computeLoad(target)
   }
 
-  function suspectTarget (id: string, reason: string): void {
-    const now = clock.now()
-    const key = getKey(id)
-    const { record, forMs } = computeSuspicion(failures.get(key), now, rules)
-    failures.set(key, record)
-    const until = Math.max(suspicions.get(id)?.until ?? 0, now + forMs)
-    suspicions.set(id, { since: now, until })
-    metrics.count(`suspects.${reason}`)
-    log.info({ target: id, reason, weight: record.weight, forMs: Math.round(forMs) }, 'target is left out')
-    notify()
-  }
-
   return {
     getLoads: (service) => [
       ...targets.getUsable(service).map((target) => computeLoad(target)),
@@ -199,34 +199,29 @@
       changeOwnUse(id, work, 1)
     },
     end: (id, work) => changeOwnUse(id, work, -1),
-    recordFailure: suspectTarget,
+    recordFailure: suspicions.recordFailure,
     recordOutdated: ({ id, startedAt }) => {
       if (startedAt === undefined || outdated.get(id) === startedAt) return
       outdated.set(id, startedAt)
       log.info({ target: id, startedAt }, 'entry of the target is out of date')
     },
-    recordSuccess: (id, sentAt) => {
-      const suspicion = suspicions.get(id)
-      if (suspicion === undefined || suspicion.since > sentAt) return
-      suspicions.delete(id)
-      notify()
-    },
+    recordSuccess: suspicions.recordSuccess,
     getFarUses: () => {
       const farOwn = new Map<number, TargetUse>()
       const domain = new Map<number, TargetUse>()
       for (const target of targets.all()) {
         const { key, live, batch, ownLive, ownBatch, isFresh } = computeLoad(target)
-        if (isFresh && live + batch > 0) domain.set(key, { live, batch })
-        if (!isFresh && ownLive + ownBatch > 0) farOwn.set(key, { live: ownLive, batch: ownBatch })
+        const isAnswering = paths.isAnswering(target.address)
+        const isAnsweringAny = isAnswering || peerUses.listAnswered(key).size > 0
+        if (isFresh && live + batch > 0) domain.set(key, { live, batch, isAnswering: isAnsweringAny })
+        if (!isFresh && ownLive + ownBatch > 0) farOwn.set(key, { live: ownLive, batch: ownBatch, isAnswering })
       }
       return { own: farOwn, domain }
     },
-    getOwnUses: () => new Map([...ownUses.values()].map(({ key, live, batch }) => [key, { live, batch }])),
-    getOwnSuspects: () => {
-      const now = clock.now()
-      for (const [id, { until }] of suspicions) if (until <= now) suspicions.delete(id)
-      return new Set([...suspicions.keys()].map(getKey))
-    },
+    getOwnUses: () => new Map([...ownUses].map(([id, { key, live, batch }]) => (
+      [key, { live, batch, isAnswering: isAnswering(id) }]
+    ))),
+    getOwnSuspects: suspicions.list,
     recordReportedLoad: (id, load) => { reportedSlots.set(id, load.slots) },
     listBatchHolders: (key) => peers()
       .filter(({ report }) => (report.uses.get(key)?.batch ?? 0) > 0)
--- /dev/null
+++ b/packages/pimentoplank/src/relay/paths/index.ts
@@ -0,0 +1,2 @@
+export { createTargetPaths, type InstancePaths, type InstancePathsOptions } from './targetPaths'
+export type { PathChoice, PathObserver, TargetPaths } from './types'
--- a/packages/pimentoplank/src/relay/streams/streamVersions.steps.ts
+++ b/packages/pimentoplank/src/relay/streams/streamVersions.steps.ts
@@ -16,7 +16,14 @@
   id: 't1', service: 's', address: '127.0.0.1:1', failureDomain: 'a', slots: 4, state: 'ready', startedAt: 1000
 }
 const EMPTY_LOAD = {
-  instance: 1, incarnation: 1, sequence: 1, uses: new Map(), waiting: [], suspects: new Set<number>()
+  instance: 1,
+  incarnation: 1,
+  sequence: 1,
+  uses: new Map(),
+  waiting: [],
+  suspects: new Set<number>(),
+  unreached: new Set<number>(),
+  isCutOff: false
 }
 
 function getStreams (world: StreamsWorld): StreamVersions {
