--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -154,7 +154,15 @@
   gossip.onDigest(peerUses.replaceDigest)
   gossip.onPeerLost(({ report }) => peerUses.replaceReport(report, undefined))
   const paths = createPaths({
-    failureDomain: instance.failureDomain, targets, gossip, peerUses, onChange: scheduleReport, clock, random, metrics, log
+    failureDomain: instance.failureDomain,
+    targets,
+    gossip,
+    peerUses,
+    onChange: scheduleReport,
+    clock,
+    random,
+    metrics,
+    log
   })
   const limits = createTargetLimits({
     self: instance.id,
--- a/packages/pimentoplank/src/relay/decisions/index.ts
+++ b/packages/pimentoplank/src/relay/decisions/index.ts
@@ -21,6 +21,6 @@
   type PlacedProcess, type ResumeCandidate, type ResumeInput, type VersionHistory
 } from './streamVersions'
 export {
-  ANSWERING_MS, chooseChecks, choosePathPeer, decideReach,
+  addPathFailure, ANSWERING_MS, chooseChecks, choosePathPeer, decideReach, hasAnsweredPeersThrough,
   type PathInput, type PathPeer, type ProbeCandidate, type Reach, type ReachInput, type TargetEvidence
 } from './reach'
--- a/packages/pimentoplank/src/relay/decisions/reach.ts
+++ b/packages/pimentoplank/src/relay/decisions/reach.ts
@@ -18,6 +18,10 @@
   bytesAt?: number
   /** When a silence of the target was last certain. */
   silentAt?: number
+  /** When the first of the failures was seen that no connection has followed. */
+  failingSince?: number
+  /** Since when peers have been heard to be answered by the target, without a longer gap. */
+  peersAnsweredSince?: number
   /** When it was last heard that the target answers a peer, or a peer opened a connection to it. */
   peersAnsweredAt?: number
 }
@@ -33,8 +37,8 @@
 /** Belief on the path to targets, with the numbers that it rests on. */
 export interface Reach {
   isCutOff: boolean
-  /** When the first of the failures that count was seen; undefined without any. */
-  since?: number
+  /** When the cut began, for all that is known: with the first failure that no connection has followed. */
+  since: number
   /** Targets that are not reached. */
   failed: number
   /** Targets that are reached, for all that is known. */
@@ -50,7 +54,7 @@
 /** Reports that a target answers peers count for this long, in milliseconds. */
 const PEER_EVIDENCE_MS = 1000
 /** A cut is believed for this long without word that targets answer peers, in milliseconds. */
-const MAX_UNCONFIRMED_MS = 2000
+const MAX_UNCONFIRMED_MS = 1000
 /** Fewest targets that fail in a cut, where there are as many. */
 const MIN_FAILED = 2
 /** Share of the targets with evidence that fail in a cut. */
@@ -68,38 +72,63 @@
   return silentAt >= since && silentAt > Math.max(connectedAt, bytesAt)
 }
 
-function getFailedAt (target: TargetEvidence, since: number): number {
-  return Math.min(
-    isUnconnectable(target, since) ? target.connectFailedAt! : Infinity,
-    isSilent(target, since) ? target.silentAt! : Infinity
-  )
+function getFailedAt ({ connectFailedAt = NEVER, silentAt = NEVER }: TargetEvidence): number {
+  return Math.max(connectFailedAt, silentAt)
+}
+
+/** Adds a failure of the path to what is known of it. */
+export function addPathFailure (
+  before: TargetEvidence, kind: 'connectFailedAt' | 'silentAt', now: number
+): TargetEvidence {
+  const isFailing = getFailedAt(before) > Math.max(before.connectedAt ?? NEVER, now - EVIDENCE_MS)
+  return { ...before, [kind]: now, failingSince: isFailing ? before.failingSince ?? now : now }
 }
 
 /** Decides whether this instance is cut off from targets. */
 export function decideReach ({ targets, lostSince, now }: ReachInput): Reach {
-  const windowStart = lostSince ?? now - EVIDENCE_MS
+  const windowStart = (lostSince ?? now) - EVIDENCE_MS
   const failed = targets.filter((target) => isUnconnectable(target, windowStart) || isSilent(target, windowStart))
-  if (failed.length === 0) return { isCutOff: false, failed: 0, reached: 0, contradicted: 0 }
-  const since = lostSince ?? Math.min(...failed.map((target) => getFailedAt(target, windowStart)))
+  if (failed.length === 0) return { isCutOff: false, since: now, failed: 0, reached: 0, contradicted: 0 }
+  const failingSince = Math.min(...failed.map((target) => target.failingSince ?? getFailedAt(target)))
+  const reachedSince = lostSince ?? Math.max(windowStart, failingSince)
   // Open connections may live on in a cut, so that bytes on them say nothing of new ones.
   const areConnectsTried = failed.filter((target) => isUnconnectable(target, windowStart)).length >= MIN_FAILED
   const reached = targets.filter((target) => !failed.includes(target) &&
-    Math.max(target.connectedAt ?? NEVER, areConnectsTried ? NEVER : target.bytesAt ?? NEVER) >= since)
+    Math.max(target.connectedAt ?? NEVER, areConnectsTried ? NEVER : target.bytesAt ?? NEVER) >= reachedSince)
   const heardSince = now - (lostSince === undefined ? PEER_EVIDENCE_MS : MAX_UNCONFIRMED_MS)
-  const contradicted = failed.filter(({ peersAnsweredAt = NEVER }) => peersAnsweredAt >= heardSince)
-  const counts = { since, failed: failed.length, reached: reached.length, contradicted: contradicted.length }
+  const contradicted = failed.filter((target) => (target.peersAnsweredAt ?? NEVER) >= heardSince &&
+    (lostSince !== undefined || hadAnsweredPeers(target, getFailedAt(target))))
+  const counts = {
+    since: lostSince ?? findBeginning(targets, failed, now),
+    failed: failed.length,
+    reached: reached.length,
+    contradicted: contradicted.length
+  }
   const isMost = failed.length >= FAILED_SHARE * (failed.length + reached.length)
   if (lostSince !== undefined) return { ...counts, isCutOff: isMost && contradicted.length > 0 }
   // A target may be down with peers that have not noticed yet; several of many at once rarely are.
-  const isProven = failed.some((target) => isAnsweringPeersSince(target, getFailedAt(target, windowStart)))
+  const isProven = failed.some((target) => hasAnsweredPeersThrough(target, getFailedAt(target)))
   const isLikely = contradicted.length >= MIN_FAILED && targets.length > MIN_FAILED
   const isEnough = failed.length >= Math.min(MIN_FAILED, targets.length)
   return { ...counts, isCutOff: isEnough && isMost && (isProven || isLikely) }
 }
 
-/** True when it is certain that the target has answered a peer after the given time. */
-function isAnsweringPeersSince ({ peersAnsweredAt = NEVER }: TargetEvidence, since: number): boolean {
-  return peersAnsweredAt - ANSWERING_MS > since
+function findBeginning (
+  targets: readonly TargetEvidence[], failed: readonly TargetEvidence[], now: number
+): number {
+  const lastConnectedAt = Math.max(...targets.map(({ connectedAt = NEVER }) => connectedAt))
+  const times = failed.flatMap((target) => [target.failingSince ?? now, getFailedAt(target)])
+  return Math.min(now, ...times.filter((at) => at > lastConnectedAt))
+}
+
+/** False for a target that may have been down for all at the given time. */
+function hadAnsweredPeers ({ peersAnsweredSince = Infinity }: TargetEvidence, at: number): boolean {
+  return peersAnsweredSince <= at
+}
+
+/** True when it is certain that the target went on answering peers at the given time. */
+export function hasAnsweredPeersThrough (target: TargetEvidence, at: number): boolean {
+  return hadAnsweredPeers(target, at) && (target.peersAnsweredAt ?? NEVER) - ANSWERING_MS > at
 }
 
 /** A peer through which connections may be opened. */
--- a/packages/pimentoplank/src/relay/load/index.ts
+++ b/packages/pimentoplank/src/relay/load/index.ts
@@ -1,5 +1,5 @@
 export { createLoadView, type LoadView, type LoadViewOptions, type TargetLoad, type WorkClass } from './loadView'
 export type { FaultKind, OwnSuspects } from './ownSuspicions'
-export { createPeerUses, type PeerUses } from './peerUses'
+export { createPeerUses, type PeerAnswers, type PeerUses } from './peerUses'
 export { createTargetLimits, type TargetLimits, type TargetLimitsOptions } from './targetLimits'
 export { createTargetPreference, type TargetPreferenceOptions } from './targetPreference'
--- a/packages/pimentoplank/src/relay/load/ownSuspicions.ts
+++ b/packages/pimentoplank/src/relay/load/ownSuspicions.ts
@@ -25,7 +25,7 @@
   getKey: (targetId: string) => number
   /** Returns the address of a target; undefined for an unknown target. */
   getAddress: (targetId: string) => string | undefined
-  paths: Pick<InstancePaths, 'isCutOff' | 'hasAnsweredSince' | 'haveAnsweredPeersSince' | 'onLost'>
+  paths: Pick<InstancePaths, 'isCutOff' | 'hasAnsweredSince' | 'hasAnsweredPeersSince' | 'hasAnsweredPeersThrough' | 'onLost'>
   rules: SuspicionRules
   /** Called when a suspicion begins or ends. */
   onChange: () => void
@@ -88,23 +88,26 @@
     else failures.set(getKey(id), before)
   }
 
-  /** True when the target has answered meanwhile, by which the path to it was at fault. */
+  /** True when the target has answered since. */
   function isContradicted (id: string, suspicion: Suspicion): boolean {
     const address = options.getAddress(id)
     if (address === undefined || !isPathLike(suspicion)) return false
     // A target that goes on after a silence was at fault as likely as the path.
     return suspicion.kind === 'connect'
       ? paths.hasAnsweredSince(address, getKey(id), suspicion.since)
-      : paths.haveAnsweredPeersSince(getKey(id), suspicion.since)
+      : paths.hasAnsweredPeersSince(getKey(id), suspicion.since)
   }
 
   function prune (): void {
     const now = clock.now()
     for (const [id, suspicion] of suspicions) {
       if (isContradicted(id, suspicion)) {
-        log.info({ target: id, sinceMs: Math.round(now - suspicion.since) }, 'target answers others: its path was at fault')
+        // A target that was down for all and is back has failed; one that went on answering has not.
+        const isOfPath = paths.hasAnsweredPeersThrough(getKey(id), suspicion.since)
+        log.info({ target: id, sinceMs: Math.round(now - suspicion.since), isOfPath }, 'suspect answers others')
         metrics.count('suspects.contradicted')
-        drop(id, suspicion)
+        if (isOfPath) drop(id, suspicion)
+        else suspicions.delete(id)
       } else if (suspicion.until + (isPathLike(suspicion) ? CONTRADICTION_WAIT_MS : 0) <= now) {
         suspicions.delete(id)
       }
@@ -139,7 +142,7 @@
     key: number, current: Suspicion | undefined, earlier: FailureRecord | undefined
   ): FailureRecord | undefined {
     const isChained = current !== undefined && isPathLike(current) &&
-      paths.haveAnsweredPeersSince(key, current.since - CONTRADICTION_WAIT_MS)
+      paths.hasAnsweredPeersThrough(key, current.since - CONTRADICTION_WAIT_MS)
     return isChained ? current.before : earlier
   }
 
--- a/packages/pimentoplank/src/relay/load/peerUses.ts
+++ b/packages/pimentoplank/src/relay/load/peerUses.ts
@@ -19,14 +19,20 @@
    * if none does. Peers that are cut off from targets don't count.
    */
   getUnreachedSince: (key: number) => number | undefined
-  /** Returns when it was last heard that the target answers a peer, on the monotonic clock in milliseconds. */
-  getAnsweredAt: (key: number) => number | undefined
+  /** Returns when peers were last heard to be answered by the target; undefined for none. */
+  getAnswers: (key: number) => PeerAnswers | undefined
   /** Returns the ids of the peers that the target answers according to their latest reports. */
   listAnswered: (key: number) => ReadonlySet<string>
   /** Calls the listener when a peer begins to suspect a target; `isUnreached` if it may be for its own path. */
   onSuspect: (listener: (key: number, isUnreached: boolean) => void) => void
 }
 
+/** Since when and until when peers were heard to be answered by a target, on the monotonic clock in milliseconds. */
+export interface PeerAnswers {
+  since: number
+  until: number
+}
+
 /** Suspicions of one report. */
 interface Suspects {
   /** Targets that failed. */
@@ -37,6 +43,8 @@
 
 /** Maximum of targets for which it is remembered when they answered peers; the least recent are evicted. */
 const MAX_TARGETS = 10_000
+/** After a longer time without an answer the target may have been down, in milliseconds. */
+const MAX_ANSWER_GAP_MS = 1000
 const EMPTY_USES: DomainUses['uses'] = new Map()
 const NO_USE: TargetUse = { live: 0, batch: 0 }
 const NO_INSTANCES: ReadonlySet<string> = new Set()
@@ -59,7 +67,7 @@
   /** By target, since when which peers don't reach it. */
   const unreached = new Map<number, Map<string, number>>()
   const answered = new Map<number, Set<string>>()
-  const answeredAt = new LRUCache<number, number>({ max: MAX_TARGETS })
+  const answers = new LRUCache<number, PeerAnswers>({ max: MAX_TARGETS })
   const listeners: Array<(key: number, isUnreached: boolean) => void> = []
 
   const digests = new Map<string, DomainUses>()
@@ -70,10 +78,17 @@
       const next = { live: sum.live + sign * live, batch: sum.batch + sign * batch }
       if (next.live === 0 && next.batch === 0) uses.delete(key)
       else uses.set(key, next)
-      if (isAnswering === true && sign > 0) answeredAt.set(key, clock.now())
+      if (isAnswering === true && sign > 0) recordAnswer(key)
     }
   }
 
+  function recordAnswer (key: number): void {
+    const now = clock.now()
+    const known = answers.get(key)
+    const isGoingOn = known !== undefined && now - known.until <= MAX_ANSWER_GAP_MS
+    answers.set(key, { since: isGoingOn ? known.since : now, until: now })
+  }
+
   function replaceSuspects (before: Report | undefined, after: Report | undefined): void {
     const old = getSuspects(before)
     const next = getSuspects(after)
@@ -135,7 +150,7 @@
       const peers = unreached.get(key)
       return peers === undefined ? undefined : Math.max(...peers.values())
     },
-    getAnsweredAt: (key) => answeredAt.get(key),
+    getAnswers: (key) => answers.get(key),
     listAnswered: (key) => answered.get(key) ?? NO_INSTANCES,
     onSuspect: (listener) => { listeners.push(listener) }
   }
--- a/packages/pimentoplank/src/relay/paths/targetPaths.ts
+++ b/packages/pimentoplank/src/relay/paths/targetPaths.ts
@@ -2,7 +2,8 @@
 import { LRUCache } from 'lru-cache'
 import { describeCause, hash32, type Clock, type Log, type Metrics, type Random } from '../../shared'
 import {
-  ANSWERING_MS, chooseChecks, choosePathPeer, decideReach, type ProbeCandidate, type Reach, type TargetEvidence
+  addPathFailure, ANSWERING_MS, chooseChecks, choosePathPeer, decideReach, hasAnsweredPeersThrough,
+  type ProbeCandidate, type Reach, type TargetEvidence
 } from '../decisions'
 import type { PeerView } from '../gossip'
 import type { PeerUses } from '../load'
@@ -15,7 +16,7 @@
   /** Lists all registered targets. */
   listTargets: () => Iterable<Target>
   peers: () => readonly PeerView[]
-  peerUses: Pick<PeerUses, 'getAnsweredAt' | 'listAnswered'>
+  peerUses: Pick<PeerUses, 'getAnswers' | 'listAnswered'>
   /** Opens a direct connection to an address and closes it; resolves to whether it was established. */
   probe: (address: string) => Promise<boolean>
   clock: Clock
@@ -32,10 +33,12 @@
   isCutOff: () => boolean
   /** True when bytes of the target arrived a moment ago on a direct connection. */
   isAnswering: (address: string) => boolean
-  /** True when the target has answered this instance, or certainly a peer, after a time on the monotonic clock. */
+  /** True when the target has answered this instance or a peer after a time on the monotonic clock. */
   hasAnsweredSince: (address: string, key: number, since: number) => boolean
-  /** True when the target has certainly answered a peer after a time on the monotonic clock. */
-  haveAnsweredPeersSince: (key: number, since: number) => boolean
+  /** True when the target has answered a peer after a time on the monotonic clock. */
+  hasAnsweredPeersSince: (key: number, since: number) => boolean
+  /** True when the target has certainly gone on answering peers at a time on the monotonic clock. */
+  hasAnsweredPeersThrough: (key: number, at: number) => boolean
   /**
    * Calls the listener when the path to targets is lost.
    *
@@ -89,12 +92,20 @@
   function listCandidates (): ProbeCandidate[] {
     const byAddress = new Map<string, ProbeCandidate>()
     for (const { id, address, failureDomain } of options.listTargets()) {
-      const before = byAddress.get(address)?.evidence
-      const peersAnsweredAt = Math.max(
-        peerUses.getAnsweredAt(hash32(id)) ?? -Infinity,
-        before?.peersAnsweredAt ?? openedByPeers.get(address) ?? -Infinity
-      )
-      byAddress.set(address, { address, failureDomain, evidence: { ...evidence.get(address), peersAnsweredAt } })
+      // An entry that is out of date may name the address, too.
+      const known = byAddress.get(address)?.evidence
+      const answers = peerUses.getAnswers(hash32(id))
+      byAddress.set(address, {
+        address,
+        failureDomain,
+        evidence: {
+          ...evidence.get(address),
+          peersAnsweredSince: answers?.since ?? known?.peersAnsweredSince,
+          peersAnsweredAt: Math.max(
+            answers?.until ?? -Infinity, known?.peersAnsweredAt ?? openedByPeers.get(address) ?? -Infinity
+          )
+        }
+      })
     }
     return [...byAddress.values()]
   }
@@ -160,7 +171,7 @@
 
   function beginCut (reach: Reach): void {
     const now = clock.now()
-    lost = { since: reach.since ?? now, at: now, ended: new AbortController() }
+    lost = { since: reach.since, at: now, ended: new AbortController() }
     metrics.count('paths.lost')
     metrics.gauge('paths.cutOff', 1)
     log.warn({ ...toLogFields(reach), peers: listPeers().length }, 'path to targets lost')
@@ -176,7 +187,9 @@
     lost = undefined
     ended.abort()
     // What the cut has left would speak for the next one.
-    for (const one of evidence.values()) Object.assign(one, { connectFailedAt: undefined, silentAt: undefined })
+    for (const one of evidence.values()) {
+      Object.assign(one, { connectFailedAt: undefined, silentAt: undefined, failingSince: undefined })
+    }
     openedByPeers.clear()
     metrics.count('paths.returned')
     metrics.gauge('paths.cutOff', 0)
@@ -184,9 +197,8 @@
     returnListeners.forEach((listener) => listener())
   }
 
-  function toLogFields ({ since, failed, reached, contradicted }: Reach): Record<string, number | undefined> {
-    const sinceMs = since === undefined ? undefined : Math.round(clock.now() - since)
-    return { failed, reached, answeringPeers: contradicted, sinceMs }
+  function toLogFields ({ since, failed, reached, contradicted }: Reach): Record<string, number> {
+    return { failed, reached, answeringPeers: contradicted, sinceMs: Math.round(clock.now() - since) }
   }
 
   async function probeUntil (signal: AbortSignal): Promise<void> {
@@ -225,7 +237,7 @@
   }
 
   function recordConnectFailed (address: string): void {
-    record(address, { connectFailedAt: clock.now() })
+    evidence.set(address, addPathFailure(evidence.get(address) ?? {}, 'connectFailedAt', clock.now()))
     if (lost === undefined) update()
   }
 
@@ -259,8 +271,8 @@
     return (evidence.get(address)?.bytesAt ?? -Infinity) >= clock.now() - ANSWERING_MS
   }
 
-  function haveAnsweredPeersSince (key: number, since: number): boolean {
-    return (peerUses.getAnsweredAt(key) ?? -Infinity) - ANSWERING_MS > since
+  function hasAnsweredPeersSince (key: number, since: number): boolean {
+    return (peerUses.getAnswers(key)?.until ?? -Infinity) - ANSWERING_MS > since
   }
 
   return {
@@ -268,7 +280,7 @@
     recordConnectFailed,
     recordBytes: (address) => record(address, { bytesAt: clock.now() }),
     recordSilent: (address) => {
-      record(address, { silentAt: clock.now() })
+      evidence.set(address, addPathFailure(evidence.get(address) ?? {}, 'silentAt', clock.now()))
       if (lost === undefined) update()
     },
     recordPeerOutcome: (instance, address, outcome) => {
@@ -286,8 +298,12 @@
     isCutOff: () => lost !== undefined,
     isAnswering,
     hasAnsweredSince: (address, key, since) =>
-      (evidence.get(address)?.bytesAt ?? -Infinity) > since || haveAnsweredPeersSince(key, since),
-    haveAnsweredPeersSince,
+      (evidence.get(address)?.bytesAt ?? -Infinity) > since || hasAnsweredPeersSince(key, since),
+    hasAnsweredPeersSince,
+    hasAnsweredPeersThrough: (key, at) => {
+      const answers = peerUses.getAnswers(key)
+      return hasAnsweredPeersThrough({ peersAnsweredSince: answers?.since, peersAnsweredAt: answers?.until }, at)
+    },
     onLost: (listener) => {
       lostListeners.add(listener)
       return () => { lostListeners.delete(listener) }
