--- /dev/null
+++ b/packages/pimentoplank/src/relay/gossip/datagrams.steps.ts
@@ -0,0 +1,116 @@
+import assert from 'node:assert/strict'
+import { fromBinary, toBinary } from '@bufbuild/protobuf'
+import { Given, Then, When } from '@cucumber/cucumber'
+import { DatagramSchema, type Datagram } from '../../shared'
+import { decodeDatagram, encodeDigest, encodeLoad, encodeReport, type DatagramContent } from './datagrams'
+import type { Report, TargetUse } from './types'
+
+interface DatagramsWorld {
+  uses: Map<number, TargetUse>
+  received: DatagramContent
+}
+
+const ANSWERING = 1
+const IDLE = 2
+const UNREACHED = 3
+const FAILED = 4
+
+function createReport (uses: Report['uses']): Report {
+  return {
+    instance: 'a',
+    incarnation: 1,
+    sequence: 1,
+    stage: 'serving',
+    callerAddress: 'a:80',
+    peerAddress: 'a:81',
+    failureDomain: 'x',
+    region: 'r',
+    uses,
+    waiting: [],
+    knownPeers: [],
+    jobs: [],
+    suspects: new Set([UNREACHED, FAILED]),
+    unreached: new Set([UNREACHED]),
+    isCutOff: true,
+    limits: [],
+    streams: [],
+    leaving: [],
+    configRevision: 1,
+    openJobs: new Map(),
+    crashes: [],
+    crashingParts: [],
+    answeredParts: []
+  }
+}
+
+const encoders: Record<string, (uses: Report['uses']) => Uint8Array> = {
+  report: (uses) => encodeReport(createReport(uses), 0),
+  'load update': (uses) => encodeLoad({ ...createReport(uses), instance: 1 }, 0),
+  digest: (uses) => encodeDigest({ failureDomain: 'x', uses })
+}
+
+/** Takes out what older versions don't send. */
+function removeReach (bytes: Uint8Array): Uint8Array {
+  const datagram: Datagram = fromBinary(DatagramSchema, bytes)
+  const { content } = datagram
+  if (content.case === 'report') {
+    Object.assign(content.value, { unreached: [], cutOff: false })
+    for (const use of content.value.uses) use.answering = false
+  }
+  if (content.case === 'load') Object.assign(content.value, { unreached: [], cutOff: false, answering: [] })
+  return toBinary(DatagramSchema, datagram)
+}
+
+function getReceived (world: DatagramsWorld): Pick<Report, 'uses' | 'suspects' | 'unreached' | 'isCutOff'> {
+  const { received } = world
+  if (received.type === 'report') return received.report
+  if (received.type === 'load') return received.load
+  assert.ok(received.type === 'digest')
+  return { uses: received.digest.uses, suspects: new Set(), unreached: new Set(), isCutOff: false }
+}
+
+function listAnswering (world: DatagramsWorld): number[] {
+  return [...getReceived(world).uses].filter(([, { isAnswering }]) => isAnswering === true).map(([target]) => target)
+}
+
+Given('a target that answers, one that doesn\'t, and a third that is not reached', function (this: DatagramsWorld) {
+  this.uses = new Map([
+    [IDLE, { live: 1, batch: 2, isAnswering: false }],
+    [ANSWERING, { live: 3, batch: 0, isAnswering: true }],
+    [UNREACHED, { live: 1, batch: 0 }]
+  ])
+})
+
+When(/^an instance that is cut off sends a (report|load update|digest)$/, function (this: DatagramsWorld, datagram: string) {
+  this.received = decodeDatagram(encoders[datagram]!(this.uses), 0)!
+})
+
+When(/^an instance of an older version sends a (report|load update)$/, function (this: DatagramsWorld, datagram: string) {
+  this.received = decodeDatagram(removeReach(encoders[datagram]!(this.uses)), 0)!
+})
+
+Then('the receiver knows which target answers', function (this: DatagramsWorld) {
+  assert.deepEqual(listAnswering(this), [ANSWERING])
+  assert.equal(getReceived(this).uses.get(IDLE)?.batch, 2)
+})
+
+Then('it knows which suspect is not reached, and that the sender is cut off', function (this: DatagramsWorld) {
+  const { suspects, unreached, isCutOff } = getReceived(this)
+  assert.deepEqual([...suspects], [UNREACHED, FAILED])
+  assert.deepEqual([...unreached], [UNREACHED])
+  assert.equal(isCutOff, true)
+})
+
+Then('the receiver knows of no target that answers', function (this: DatagramsWorld) {
+  assert.deepEqual(listAnswering(this), [])
+  assert.equal(getReceived(this).uses.get(ANSWERING)?.live, 3)
+})
+
+Then('it takes all suspects for targets that fail, and the sender for one that is not cut off', function (
+  this: DatagramsWorld
+) {
+  const { suspects, unreached, isCutOff } = getReceived(this)
+  assert.deepEqual([...suspects], [UNREACHED, FAILED])
+  assert.equal(unreached.size, 0)
+  assert.equal(isCutOff, false)
+})
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.feature
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.feature
@@ -40,6 +40,26 @@
     And 11 s pass for the item runner
     Then target "a" has failed 2 times
 
+  Scenario: An item whose connection hangs as the path to targets is lost moves at once
+    Given an item runner with a job of 1 item and a target "a" with 1 slot
+    And a target "b" with 1 slot
+    When the runner looks for items to start
+    And target "a" sends events 1 to 2
+    And the path to targets is lost for the item runner
+    Then the item ran 2 times, the last time at "b" after event 2
+    And target "a" has 0 items and target "b" has 1
+
+  Scenario: Connections that break while the path to targets is lost are no crashes
+    Given an item runner with a job of 1 item and a target "a" with 1 slot
+    When the runner looks for items to start
+    And the run at "a" breaks off
+    Then 1 crash is recorded
+    When 1 s pass for the item runner
+    And the runner looks for items to start
+    And the path to targets is lost for the item runner
+    And the run at "a" breaks off
+    Then 1 crash is recorded
+
   Scenario: A silent target that goes on keeps its item
     Given an item runner with a job of 1 item and a target "a" with 1 slot
     And a target "b" with 0 slots
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
@@ -237,6 +237,15 @@
   await settle()
 })
 
+When('the path to targets is lost for the item runner', async function (this: RunnerWorld) {
+  this.losePath()
+  await settle()
+})
+
+Then('{int} crash is recorded', function (this: RunnerWorld, count: number) {
+  assert.equal(this.crashes ?? 0, count)
+})
+
 Then('the item ran {int} times', function (this: RunnerWorld, count: number) {
   assert.equal(this.sent.length, count)
 })
