--- a/packages/pimentoplank/src/relay/live/relayRequest.ts
+++ b/packages/pimentoplank/src/relay/live/relayRequest.ts
@@ -30,6 +30,8 @@
     silentTargets: new Set(),
     refusedBy: new Set()
   }
+  // Targets that could not be connected to can be reached through peers.
+  const removeLostListener = deps.paths.onLost(() => progress.refusedBy.clear())
   const isResumable = route.kind === 'stream' && route.isResumable
   const isTakenUp = isResumable && request.lastEventId !== undefined
   let heldSlot: Slot | undefined
@@ -62,6 +64,7 @@
         slot.discard()
         return failRequest(new RefusalError('quarantined', { outcome: progress.runs > 0 ? 'failed' : 'not_run' }))
       }
+      const wasCutOff = deps.paths.isCutOff()
       const attempt = await attemptTarget({ call, slot, progress, endAt, ended, createQuery }, deps)
         .finally(slot.release)
       if (attempt.type === 'done') return logEnd('done')
@@ -77,10 +80,11 @@
         next: heldSlot?.target.id,
         ...progress.ending
       }, 'try failed')
+      const isOfPath = failure.reason === 'connectFailed' && !wasCutOff && deps.paths.isCutOff()
       if (failure.mayHaveRun) progress.runs += 1
-      else progress.refusals += 1
+      else if (!isOfPath) progress.refusals += 1
       if (failure.mayHaveRun) progress.silentTargets.delete(slot.target.id)
-      getFailedTargets(attempt).add(slot.target.id)
+      if (!isOfPath) getFailedTargets(attempt).add(slot.target.id)
       const isAnswerBegun = route.kind !== 'stream' && reply.hasStarted()
       const hasSilentTarget = progress.silentTargets.size > 0
       const state = { ...progress, hasBegun: hasBegun(), hasSilentTarget, isAnswerBegun, leftMs: endAt - clock.now() }
@@ -92,6 +96,7 @@
   } finally {
     clearTimeout(timer)
     removeOpenRequest()
+    removeLostListener()
     heldSlot?.discard()
   }
 
