--- a/packages/pimentoplank/src/relay/decisions/reach.ts
+++ b/packages/pimentoplank/src/relay/decisions/reach.ts
@@ -164,7 +164,9 @@
   evidence: TargetEvidence
 }
 
-/** Chooses targets for test connections that tell whether others than the failed ones are reached. */
+/**
+ * Chooses targets for test connections: those that are silent, which may be slow, and others than those that failed.
+ */
 export function chooseChecks (
   candidates: readonly ProbeCandidate[], count: number, now: number, random: Random
 ): ProbeCandidate[] {
@@ -172,8 +174,9 @@
   const hasFailed = ({ evidence }: ProbeCandidate): boolean =>
     isUnconnectable(evidence, since) || isSilent(evidence, since)
   const failedDomains = new Set(candidates.filter(hasFailed).map(({ failureDomain }) => failureDomain))
-  const order = ({ failureDomain }: ProbeCandidate): number => random() + (failedDomains.has(failureDomain) ? 1 : 0)
-  return candidates.filter((candidate) => !hasFailed(candidate))
+  const order = ({ failureDomain, evidence }: ProbeCandidate): number =>
+    random() + (isSilent(evidence, since) ? -1 : failedDomains.has(failureDomain) ? 1 : 0)
+  return candidates.filter(({ evidence }) => !isUnconnectable(evidence, since))
     .map((candidate) => ({ candidate, order: order(candidate) }))
     .sort((a, b) => a.order - b.order)
     .slice(0, count)
--- a/packages/pimentoplank/src/relay/paths/targetPaths.feature
+++ b/packages/pimentoplank/src/relay/paths/targetPaths.feature
@@ -67,6 +67,17 @@
     And 400 ms pass for the paths
     Then the instance is not cut off
 
+  Scenario: Targets that are slow and accept connections are no cut
+    Given targets "t0" to "t3" can be reached
+    When targets "t0" to "t3" are silent
+    And 400 ms pass for the paths
+    Then the instance is not cut off
+
+  Scenario: Targets that are silent and accept no connections are a cut
+    When targets "t0" to "t3" are silent
+    And 400 ms pass for the paths
+    Then the instance is cut off
+
   Scenario: Targets that no peer is answered by are down
     Given no target answers a peer any more
     When connections to "t0" to "t3" fail
--- a/packages/pimentoplank/src/relay/paths/targetPaths.steps.ts
+++ b/packages/pimentoplank/src/relay/paths/targetPaths.steps.ts
@@ -120,6 +120,10 @@
   for (const id of listIds(first, last)) this.paths!.recordConnectFailed(getAddress(id))
 })
 
+When('targets {string} to {string} are silent', function (this: PathsWorld, first: string, last: string) {
+  for (const id of listIds(first, last)) this.paths!.recordSilent(getAddress(id))
+})
+
 When('a connection to {string} is established', function (this: PathsWorld, id: string) {
   this.paths!.recordConnected(getAddress(id))
 })
