--- a/packages/pimentoplank/src/relay/load/ownSuspicions.ts
+++ b/packages/pimentoplank/src/relay/load/ownSuspicions.ts
@@ -98,10 +98,15 @@
       : paths.hasAnsweredPeersSince(getKey(id), suspicion.since)
   }
 
+  /** A target that just could not be connected to is left out for a moment, whatever comes over open connections. */
+  function isUndone (id: string, suspicion: Suspicion): boolean {
+    return clock.now() >= suspicion.since + rules.initialMs && isContradicted(id, suspicion)
+  }
+
   function prune (): void {
     const now = clock.now()
     for (const [id, suspicion] of suspicions) {
-      if (isContradicted(id, suspicion)) {
+      if (isUndone(id, suspicion)) {
         // A target that was down for all and is back has failed; one that went on answering has not.
         const isOfPath = paths.hasAnsweredPeersThrough(getKey(id), suspicion.since)
         log.info({ target: id, sinceMs: Math.round(now - suspicion.since), isOfPath }, 'suspect answers others')
@@ -159,12 +164,13 @@
     },
     isSuspect: (id) => {
       const suspicion = suspicions.get(id)
-      return suspicion !== undefined && suspicion.until > clock.now() && !isContradicted(id, suspicion)
+      return suspicion !== undefined && suspicion.until > clock.now() && !isUndone(id, suspicion)
     },
     list: () => {
       prune()
       if (paths.isCutOff()) return NO_SUSPECTS
-      const active = [...suspicions].filter(([, { until }]) => until > clock.now())
+      const active = [...suspicions].filter(([id, suspicion]) =>
+        suspicion.until > clock.now() && !isContradicted(id, suspicion))
       const unreached = active.filter(([, suspicion]) => isPathLike(suspicion))
       return {
         all: new Set(active.map(([id]) => getKey(id))), unreached: new Set(unreached.map(([id]) => getKey(id)))
--- a/packages/pimentoplank/src/relay/load/suspicions.feature
+++ b/packages/pimentoplank/src/relay/load/suspicions.feature
@@ -67,6 +67,20 @@
     And 510 ms pass for the suspicions
     Then the target is trusted
 
+  Scenario: A target that takes no more connections is left out here for a moment, again and again, and not reported
+    When it can't be connected to here
+    And 10 ms pass for the suspicions
+    And bytes of the target arrive here
+    Then the target is suspected
+    And it is not reported as suspect
+    When 490 ms pass for the suspicions
+    Then the target is trusted
+    When it can't be connected to here
+    And 10 ms pass for the suspicions
+    And bytes of the target arrive here
+    And 490 ms pass for the suspicions
+    Then the target is trusted
+
   Scenario: A target that was down and is back is trusted, with a history
     When it can't be connected to here
     And 400 ms pass for the suspicions
