--- a/packages/pimentoplank/src/relay/paths/targetPaths.ts
+++ b/packages/pimentoplank/src/relay/paths/targetPaths.ts
@@ -191,6 +191,7 @@
       Object.assign(one, { connectFailedAt: undefined, silentAt: undefined, failingSince: undefined })
     }
     openedByPeers.clear()
+    checkedAt = -Infinity
     metrics.count('paths.returned')
     metrics.gauge('paths.cutOff', 0)
     log.warn({ ...toLogFields(reach), lostMs: Math.round(clock.now() - at) }, 'path to targets is back')
