--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -11,6 +11,7 @@
   LEAVING_GRACE_SHARE, MAX_READ_AGE_MS, MAX_START_WAIT_MS, PREFERRING_INSTANCES, RECORD_AGE_SHARE,
   REMOVAL_GRACE_SHARE, TARGET_CONNECT_TIMEOUT_MS, TARGET_IDLE_TIMEOUT_MS, TICK_INTERVAL_MS, URGENT_REPORT_DELAY_MS
 } from './constants'
+import { createPaths } from './createPaths'
 import { createRelayFeed } from './createRelayFeed'
 import { createDirectConnector, createExchange, createTargetConnectionPool, createTargetConnector } from './exchange'
 import { followConfig } from './followConfig'
@@ -25,7 +26,6 @@
 } from './live'
 import { createLoadView, createPeerUses, createTargetLimits, createTargetPreference } from './load'
 import type { RelayConfig, Target, TargetProtocol } from './model'
-import { createDirectPaths } from './paths'
 import type { RouteTable } from './routing'
 import { RELAY_RULES } from './rules'
 import type { RelaySettings } from './settings'
@@ -149,10 +149,21 @@
   targets.onProcessChange((target) => {
     if (streamVersions.resolve(target)) scheduleReport()
   })
-  const peerUses = createPeerUses(gossip.peers())
+  const peerUses = createPeerUses(gossip.peers(), clock)
   gossip.onReport((report, before) => peerUses.replaceReport(before, report))
   gossip.onDigest(peerUses.replaceDigest)
   gossip.onPeerLost(({ report }) => peerUses.replaceReport(report, undefined))
+  const paths = createPaths({
+    failureDomain: instance.failureDomain,
+    targets,
+    gossip,
+    peerUses,
+    onChange: scheduleReport,
+    clock,
+    random,
+    metrics,
+    log
+  })
   const limits = createTargetLimits({
     self: instance.id,
     listInstances: () => [
@@ -174,12 +185,12 @@
       self: instance, gossip, preferringInstances: PREFERRING_INSTANCES, clock
     }),
     limits,
+    paths,
     rules: RELAY_RULES.suspicion,
     clock,
     metrics,
     log
   })
-  const paths = createDirectPaths()
   const tunnels = createPeerTunnels({ self: instance.id, security, metrics, log })
   const connectDirect = createDirectConnector({ timeoutMs: TARGET_CONNECT_TIMEOUT_MS, observer: paths })
   const connections = createTargetConnectionPool({
@@ -189,6 +200,7 @@
     clock,
     metrics
   })
+  paths.onLost(connections.dropConnecting)
   const exchange = createExchange({
     protocol: protocols.targets,
     connections,
@@ -233,6 +245,7 @@
     loads,
     crashes,
     exchange,
+    paths,
     table: () => getRouteTable(),
     peers: gossip.peers,
     failureDomain: instance.failureDomain,
@@ -297,6 +310,7 @@
       slotScheduler,
       exchange,
       loads,
+      paths,
       silenceDetector: createSilenceDetector(clock),
       streamVersions,
       streamVersionFinder: createStreamVersionFinder({
@@ -416,10 +430,13 @@
   }
 
   function getOwnLoad (): OwnLoad {
+    const suspects = loads.getOwnSuspects()
     return {
       uses: loads.getOwnUses(),
       waiting: runner.getWaiting(),
-      suspects: loads.getOwnSuspects(),
+      suspects: suspects.all,
+      unreached: suspects.unreached,
+      isCutOff: paths.isCutOff(),
       streams: streamVersions.getLatestNotices()
     }
   }
@@ -496,6 +513,7 @@
     await feed.close()
     await gossip.close()
     transports.close()
+    paths.close()
     connections.close()
     tunnels.close()
     await peerServer._unsafeUnwrap().close()
@@ -504,7 +522,7 @@
   return ok({
     handle,
     directory: createDirectory({
-      self: { callerAddress, failureDomain: instance.failureDomain, stage: getStage },
+      self: { callerAddress, failureDomain: instance.failureDomain, stage: getStage, isCutOff: paths.isCutOff },
       peers: gossip.peers,
       maxAgeMs: settings.bounds.directoryMaxAgeMs
     }),
--- a/packages/pimentoplank/src/relay/paths/index.ts
+++ b/packages/pimentoplank/src/relay/paths/index.ts
@@ -1,2 +1,3 @@
-export * from './types'
 export { createDirectPaths } from './directPaths'
+export { createTargetPaths, type InstancePaths, type InstancePathsOptions } from './targetPaths'
+export type { PathChoice, PathObserver, TargetPaths } from './types'
