--- a/packages/pimentoplank/src/shared/rpc/peerTunnels.steps.ts
+++ b/packages/pimentoplank/src/shared/rpc/peerTunnels.steps.ts
@@ -36,7 +36,7 @@
   received: Buffer
   sent: Buffer
   failure?: Error
-  opened: Result<Duplex, TunnelRefusedError>
+  asked: Result<Duplex, TunnelRefusedError>
 }
 
 const KEY = 'shared-key-of-the-peers'
@@ -312,24 +312,24 @@
 When('a tunnel is asked for to a target that refuses connections, as the peer loses its direct path', async function (
   this: TunnelWorld
 ) {
-  const asked = ask(this, { address: FREE_PORT_ADDRESS })
+  const answer = ask(this, { address: FREE_PORT_ADDRESS })
   // The request is checked before the connection fails.
   let checks = 0
   Object.defineProperty(this, 'isDirect', { get: () => checks++ === 0 })
-  this.opened = await asked
+  this.asked = await answer
   assert.equal(checks, 2)
 })
 
 When(/^a tunnel is asked for ((?:with|to|while|of) (?!.*, as ).+)$/, async function (this: TunnelWorld, because: string) {
-  this.opened = await ASK_STEPS[because]!(this)
+  this.asked = await ASK_STEPS[because]!(this)
 })
 
 Then(/^the tunnel is refused as (peerFailed|targetFailed)$/, function (this: TunnelWorld, outcome: string) {
-  assert.equal(this.opened._unsafeUnwrapErr().outcome, outcome)
+  assert.equal(this.asked._unsafeUnwrapErr().outcome, outcome)
 })
 
 Then('the reason names {}', function (this: TunnelWorld, reason: string) {
-  assert.ok(this.opened._unsafeUnwrapErr().message.includes(reason), this.opened._unsafeUnwrapErr().message)
+  assert.ok(this.asked._unsafeUnwrapErr().message.includes(reason), this.asked._unsafeUnwrapErr().message)
 })
 
 Then('the target has been connected {int} times', function (this: TunnelWorld, count: number) {
