Give each tunnelled request of the scenarios an id of its own, and tag their hooks

A request is not sent on a connection that has carried its id, so that the scenarios on reuse need several ids; hooks without a tag ran in other features that use the same names.

--- a/packages/pimentoplank/src/relay/exchange/exchange.feature
+++ b/packages/pimentoplank/src/relay/exchange/exchange.feature
@@ -33,5 +33,5 @@
 
   Scenario: A connection is used for a bounded number of requests
     Given a target that answers request "first" with status 503
-    When 600 requests are sent one after the other
+    When 600 requests are answered by the target in turn
     Then the target had 3 connections
--- a/packages/pimentoplank/src/relay/exchange/exchange.steps.ts
+++ b/packages/pimentoplank/src/relay/exchange/exchange.steps.ts
@@ -137,7 +137,7 @@
   await sendOne(this, second)
 })
 
-When('{int} requests are sent one after the other', { timeout: STEP_TIMEOUT_MS }, async function (this: ExchangeWorld, count: number) {
+When('{int} requests are answered by the target in turn', { timeout: STEP_TIMEOUT_MS }, async function (this: ExchangeWorld, count: number) {
   for (let index = 0; index < count; index++) {
     await sendOne(this, `request ${index}`)
     assert.ok(this.last.isOk())
--- a/packages/pimentoplank/src/relay/exchange/tunnels.feature
+++ b/packages/pimentoplank/src/relay/exchange/tunnels.feature
@@ -1,3 +1,4 @@
+@tunnelledExchange
 Feature: Requests to targets through peers
 
   Scenario Outline: A request whose path fails <when> fails as <reason> and <run>
--- a/packages/pimentoplank/src/relay/exchange/tunnels.steps.ts
+++ b/packages/pimentoplank/src/relay/exchange/tunnels.steps.ts
@@ -169,9 +169,12 @@
   this.choose = CHOICES[choice]!(this)
 })
 
+/** Each request has an id of its own, as that of a connection's earlier request is not used there again. */
+let lastId = 0
+
 function createRequest ({ address }: ExchangeWorld): TargetRequest {
   return {
-    request: { id: 'request', host: 'h', method: 'GET', path: '/', headers: [], body: new Uint8Array() },
+    request: { id: `request-${++lastId}`, host: 'h', method: 'GET', path: '/', headers: [], body: new Uint8Array() },
     target: { id: 'target', service: 's', address, failureDomain: 'a', version: 'v', slots: 1, state: 'ready' }
   }
 }
@@ -305,7 +308,7 @@
   await eventually(() => this.sockets.every(({ closed }) => closed), ms, 'the target has a connection')
 })
 
-After(async function (this: Partial<ExchangeWorld>) {
+After({ tags: '@tunnelledExchange' }, async function (this: Partial<ExchangeWorld>) {
   if (this.connections === undefined) return
   this.connections.close()
   this.tunnels!.close()
--- a/packages/pimentoplank/src/shared/rpc/peerTunnels.feature
+++ b/packages/pimentoplank/src/shared/rpc/peerTunnels.feature
@@ -1,3 +1,4 @@
+@peerTunnels
 Feature: Tunnels through peers to targets
 
   Scenario Outline: A whole exchange passes byte for byte between peers with <security>
--- a/packages/pimentoplank/src/shared/rpc/peerTunnels.steps.ts
+++ b/packages/pimentoplank/src/shared/rpc/peerTunnels.steps.ts
@@ -388,7 +388,7 @@
   await eventually(() => countOpen(this) === count, ms, () => `${countOpen(this)} connections are open`)
 })
 
-After(async function (this: Partial<TunnelWorld>) {
+After({ tags: '@peerTunnels' }, async function (this: Partial<TunnelWorld>) {
   if (this.others === undefined) return
   for (const tunnels of [this.tunnels!, ...this.others]) tunnels.close()
   this.link!.close()
