Start items of a job only on a read of the job that is younger than the grace of a cancellation

What callers saw: the state of a job was 'cancelled', which is final, and items of it went on being started, by a runner that heard no changes (until its next commit was refused), that was being stopped (its feed is closed, its queued slots were still granted), or that was cut off from the platform (for outage.runMs, 5 min). Cause: a held lease allowed items to start without any look at the job, and during an outage so did the last contact. Change: items start only while a read of the job that was sent less than 0.9 of cancelGraceMs ago found it running. Batch work thus pauses after 4.5 s without the platform; a longer grace is the way to more.

--- a/packages/pimentoplank/features/support/memoryPlatform.ts
+++ b/packages/pimentoplank/features/support/memoryPlatform.ts
@@ -25,6 +25,8 @@
   faultOf: (call: MemoryCall) => CallFault | undefined
   /** Called before each platform call; returns what the call waits for before it takes effect. */
   delayOf: (call: MemoryCall) => Promise<void> | undefined
+  /** Called after each platform call took effect; returns what its answer waits for. */
+  answerDelayOf: (call: MemoryCall) => Promise<void> | undefined
 }
 
 /** Creates an empty store. */
@@ -64,8 +66,14 @@
       const made: MemoryCall = { operation, kind, name, client: id }
       platform.calls.push(made)
       const delay = platform.delayOf(made)
-      if (delay === undefined) return perform(made, act)
-      return ResultAsync.fromSafePromise(delay).andThen(() => perform(made, act))
+      if (delay === undefined) return answer(made, act)
+      return ResultAsync.fromSafePromise(delay).andThen(() => answer(made, act))
+    }
+
+    function answer<Value> (made: MemoryCall, act: () => PlatformError | Value): ResultAsync<Value, PlatformError> {
+      const performed = perform(made, act)
+      const delay = platform.answerDelayOf(made)
+      return delay === undefined ? performed : ResultAsync.fromSafePromise(delay).andThen(() => performed)
     }
 
     function perform<Value> (made: MemoryCall, act: () => PlatformError | Value): ResultAsync<Value, PlatformError> {
@@ -121,7 +129,13 @@
   }
 
   const platform: MemoryPlatform = {
-    client, feed, objects: (kind) => list(kind), calls: [], faultOf: () => undefined, delayOf: () => undefined
+    client,
+    feed,
+    objects: (kind) => list(kind),
+    calls: [],
+    faultOf: () => undefined,
+    delayOf: () => undefined,
+    answerDelayOf: () => undefined
   }
   return platform
 }
--- a/packages/pimentoplank/src/batch/activeChunk.ts
+++ b/packages/pimentoplank/src/batch/activeChunk.ts
@@ -17,6 +17,7 @@
   name: string
   /** Name of the job. */
   job: string
+  uploadId: string
   account: string
   checkpoint: CheckpointRecord
   revision: number
@@ -50,7 +51,7 @@
 /** Starts processing a claimed chunk. */
 export function createActiveChunk (context: RunnerContext, claimed: ClaimedChunk): ActiveChunk {
   const { clock, settings, platform, metrics } = context
-  const { name, job, checkpoint, items } = claimed
+  const { name, job, uploadId, checkpoint, items } = claimed
   const log: Log = context.log.child({ job, chunk: name, epoch: checkpoint.epoch })
   const writer = createCheckpointWriter({
     platform, name, claim: checkpoint, revision: claimed.revision, maxSegmentBytes: settings.commit.maxBytes
@@ -95,11 +96,20 @@
     return task
   }
 
+  /** Checks that this runner may still dispatch items of the chunk: it holds the claim, and the job runs. */
+  async function mayDispatch (): Promise<boolean> {
+    if (!await mayHoldClaim()) return false
+    // Last, since its answer is what a cancellation relies on.
+    const state = await context.jobStates.confirm({ name: job, uploadId, since: claimed.revision })
+    if (state === 'ended') requestEnd('sealed', 0)
+    return state === 'running'
+  }
+
   /**
-   * Checks that this runner may still dispatch items of the chunk. While the lease is not known to be held, the claim
-   * is verified by reading the checkpoint; during an outage, dispatch continues within the bounds of the settings.
+   * Checks the claim by the lease, or by reading the checkpoint while the lease is not known to be held. A claim that
+   * can't be read counts as held within the bounds of the settings.
    */
-  async function mayDispatch (): Promise<boolean> {
+  async function mayHoldClaim (): Promise<boolean> {
     const now = clock.now()
     if (context.isLeaseHeld()) {
       lastPlatformContactAt = now
--- a/packages/pimentoplank/src/batch/chunkClaimer.ts
+++ b/packages/pimentoplank/src/batch/chunkClaimer.ts
@@ -1,6 +1,6 @@
 /** Finds chunks without a live owner and claims them with conditional writes. */
 import {
-  toListingStart, checkpointRecord, toChunkName, chunkRecord, jobRecord, OBJECT_KINDS, parseChunkName, toUploadPrefix,
+  toListingStart, checkpointRecord, toChunkName, chunkRecord, OBJECT_KINDS, parseChunkName, toUploadPrefix,
   type CheckpointRecord, type ChunkOwner, type JobRecord, type StoredObject
 } from '../shared'
 import type { RunnerContext } from './context'
@@ -108,12 +108,15 @@
       ? await writeCheckpoint(name, createFirstCheckpoint(owner, items.length), 0)
       : await takeOver(name, candidate.object)
     if (claim === null) return null
-    if (!await isStillRunning(job, record, claim)) {
+    // A cancellation is either visible to this read, which is no older than the claim, or it came after the claim, and
+    // the runner that finalizes the job sees the claim.
+    const { uploadId } = record
+    if (await context.jobStates.read({ name: job, uploadId, since: claim.revision }) !== 'running') {
       await releaseClaim(name, claim)
       return null
     }
     metrics.count(candidate.object === undefined ? 'batch.claims.fresh' : 'batch.claims.takenOver')
-    return { name, job, account: record.account, items, ...claim }
+    return { name, job, uploadId, account: record.account, items, ...claim }
   }
 
   async function writeCheckpoint (
@@ -134,19 +137,6 @@
     return await writeCheckpoint(name, { ...before, owner, epoch: before.epoch + 1 }, found.revision)
   }
 
-  /**
-   * Checks that the job is still running, from a read that is at least as new as the claim. A cancellation is then
-   * either visible to this read, or it came after the claim, and the runner that finalizes the job sees the claim.
-   */
-  async function isStillRunning (name: string, { uploadId }: JobRecord, claim: Claim): Promise<boolean> {
-    const page = await platform.list(OBJECT_KINDS.job, { prefix: name, limit: 1 })
-    if (page.isErr() || page.value.revision < claim.revision) return false
-    const found = page.value.items.find((object) => object.name === name)
-    if (found !== undefined) context.feed.offer(found)
-    const job = jobRecord.safeParse(found?.value).data
-    return job !== undefined && job.uploadId === uploadId && job.state === 'running'
-  }
-
   /** Releases a claim under which no work was done. */
   async function releaseClaim (name: string, { checkpoint, revision }: Claim): Promise<void> {
     await writeCheckpoint(name, { ...checkpoint, owner: null }, revision)
--- a/packages/pimentoplank/src/batch/context.ts
+++ b/packages/pimentoplank/src/batch/context.ts
@@ -3,6 +3,7 @@
   ChunkOwner, Clock, ConfigView, EngineClient, MembershipView, Metrics, Log, ObjectFeed, PlatformClient, Quarantine,
   SlotClient
 } from '../shared'
+import type { JobStates } from './jobStates'
 import type { RunnerSettings } from './settings'
 
 export interface RunnerDeps {
@@ -29,4 +30,6 @@
   getOwner: () => ChunkOwner | undefined
   /** True while the lease's last renewal is more recent than the lease's length. */
   isLeaseHeld: () => boolean
+  /** State of jobs as read from the platform. */
+  jobStates: JobStates
 }
--- a/packages/pimentoplank/src/batch/faults.feature
+++ b/packages/pimentoplank/src/batch/faults.feature
@@ -214,6 +214,88 @@
     Then the batch job is "cancelled" within 30 s
     And no batch item ran
 
+  Scenario: A runner that hears no changes starts no item of a job whose cancellation is final
+    Given a batch fleet with the runners "a, b", scans each second and chunks of 400 items
+    When 400 batch items are uploaded
+    And the batch runner "a" runs items
+    And the batch runner "a" receives no feed events
+    And the batch job is cancelled
+    Then the batch job is "cancelled" within 30 s
+    And no batch item starts in 30 s
+
+  Scenario: A runner that hears no changes and gets late answers starts no item of a job whose cancellation is final
+    Given a batch fleet with the runners "a, b", scans each second and chunks of 400 items
+    When reads of jobs by the batch runner "a" are answered after 1100 ms
+    And 400 batch items are uploaded
+    And the batch runner "a" runs items
+    And the batch runner "a" receives no feed events
+    And the batch job is cancelled
+    Then the batch job is "cancelled" within 30 s
+    And no batch item starts in 30 s
+
+  Scenario: A runner that is cut off starts no item of a job whose cancellation is final
+    Given a batch fleet with the runners "a, b", scans each second and chunks of 400 items
+    When 400 batch items are uploaded
+    And the batch runner "a" runs items
+    And the batch runner "a" is cut off from the platform
+    And the batch job is cancelled
+    Then the batch job is "cancelled" within 30 s
+    And no batch item starts in 40 s
+
+  Scenario Outline: No item starts later than the grace after a cancellation was accepted by a runner that <hears nothing>
+    Given a batch fleet with the runners "a, b", scans each second and chunks of 400 items
+    When 400 batch items are uploaded
+    And the batch runner "a" runs items
+    And the batch runner "a" <hears nothing>
+    And the batch job is cancelled
+    And 5 s pass in the batch fleet
+    Then no batch item starts in 40 s
+
+    Examples:
+      | hears nothing                |
+      | receives no feed events      |
+      | is cut off from the platform |
+
+  Scenario: A runner that is stopping starts no item of a job whose cancellation is final
+    Given a batch fleet with the runners "a, c", scans each second and chunks of 400 items
+    When 400 batch items are uploaded
+    And the batch runner "a" runs items
+    And each batch slot takes 11 s to be granted
+    And batch items are waiting for slots
+    And the batch runner "a" begins to stop
+    And the batch job is cancelled
+    Then the batch job is "cancelled" within 30 s
+    And no batch item starts in 30 s
+
+  Scenario: A claim that is written after the cancellation is final runs no items
+    Given a batch fleet with the runners "a"
+    When the first claim of the batch runner "a" is written 20 s late
+    And 10 batch items are uploaded
+    And the batch runner "b" starts
+    And the batch job is cancelled
+    Then the batch job is "cancelled" within 15 s
+    And no batch item starts in 40 s
+    And no batch item ran
+
+  Scenario: A cancellation is carried out although the answer of its write was lost
+    Given a batch fleet with the runners "a, b"
+    When 40 batch items are uploaded
+    And the batch runner "a" runs items
+    And the batch job is cancelled, the answer of the platform is lost, and it is cancelled again
+    Then the batch job is "cancelled" within 30 s
+    And no batch item starts in 30 s
+
+  Scenario: A job that was cancelled stays so when it is submitted again
+    Given a batch fleet with the runners "a, b"
+    When 40 batch items are uploaded
+    And the batch runner "a" runs items
+    And the batch job is cancelled
+    And the same 40 batch items are uploaded again
+    Then the batch job is "cancelled" within 30 s
+    When the same 40 batch items are uploaded again
+    Then the batch job is "cancelled" within 1 s
+    And no batch item starts in 30 s
+
   Scenario: A runner stops within its time limit although its streams do not react to cancellation
     Given a batch fleet with the runners "a, b"
     When 40 batch items are uploaded
--- a/packages/pimentoplank/src/batch/runner.steps.ts
+++ b/packages/pimentoplank/src/batch/runner.steps.ts
@@ -121,6 +121,12 @@
   assert.equal(runs.filter(({ resumedAt }) => resumedAt === 0).length, count)
 })
 
+Given('a batch fleet with the runners {string}, scans each second and chunks of {int} items', function (
+  this: FleetWorld, names: string, chunkItems: number
+) {
+  createFleet(this, names, { chunkItems, settings: { scan: { maxEveryMs: SECOND } } })
+})
+
 Given('a batch fleet without runners', function (this: FleetWorld) {
   createFleet(this, '')
 })
@@ -296,6 +302,61 @@
   this.fleet.runners.get(id)!.isFeedCut = true
 })
 
+When('the batch runner {string} receives no feed events', function (this: FleetWorld, id: string) {
+  this.fleet.runners.get(id)!.isFeedCut = true
+})
+
+When('the batch runner {string} reaches jobs at the platform only, and receives no feed events', function (
+  this: FleetWorld, id: string
+) {
+  injectFault(this, 'down', ({ client, kind }) => client === id && kind !== OBJECT_KINDS.job)
+  this.fleet.runners.get(id)!.isFeedCut = true
+})
+
+When('a chunk of the batch job has been taken over', async function (this: FleetWorld) {
+  const areTakenOver = (): boolean => this.fleet.platform.objects(OBJECT_KINDS.checkpoint)
+    .some(({ value }) => (value as CheckpointRecord).epoch > 1)
+  await this.fleet.advanceUntil(areTakenOver, 2 * MINUTE)
+})
+
+When('reads of jobs by the batch runner {string} are answered after {int} ms', function (
+  this: FleetWorld, id: string, ms: number
+) {
+  const { clock } = this.fleet.runners.get(id)!
+  this.fleet.platform.answerDelayOf = ({ client, operation, kind }) =>
+    client === id && operation !== 'put' && kind === OBJECT_KINDS.job ? clock.sleep(ms) : undefined
+})
+
+When('the batch runner {string} begins to stop', function (this: FleetWorld, id: string) {
+  this.fleet.runners.get(id)!.runner.stop()
+})
+
+When('the first claim of the batch runner {string} is written {int} s late', function (
+  this: FleetWorld, id: string, seconds: number
+) {
+  const { clock } = this.fleet.runners.get(id)!
+  let claims = 0
+  this.fleet.platform.delayOf = ({ client, operation, kind }) =>
+    client === id && operation === 'put' && kind === OBJECT_KINDS.checkpoint && claims++ === 0
+      ? clock.sleep(seconds * SECOND)
+      : undefined
+})
+
+When('the batch job is cancelled, the answer of the platform is lost, and it is cancelled again', async function (
+  this: FleetWorld
+) {
+  this.fleet.platform.faultOf = ({ client, operation }) => client === 'entry' && operation === 'put' ? 'loseAnswer' : undefined
+  assert.equal(await this.fleet.cancel(this.batchJob), 503)
+  this.fleet.platform.faultOf = () => undefined
+  assert.equal(await this.fleet.cancel(this.batchJob), 200)
+})
+
+When('the same {int} batch items are uploaded again', async function (this: FleetWorld, count: number) {
+  const before = this.batchJob
+  await uploadItems(this, count, {})
+  assert.equal(this.batchJob, before)
+})
+
 When('the platform is available to the batch fleet again', function (this: FleetWorld) {
   this.fleet.platform.faultOf = () => undefined
   for (const entry of this.fleet.runners.values()) entry.isFeedCut = false
@@ -462,7 +523,7 @@
   assert.ok(done.length > 0 && done.length > getCommittedIds(this).length)
 })
 
-Then('no batch item starts in {int} s', async function (this: FleetWorld, seconds: number) {
+Then('no batch item starts in {int} s', { timeout: MINUTE }, async function (this: FleetWorld, seconds: number) {
   this.fleet.targets.allow()
   const before = this.fleet.targets.runs.length
   await this.fleet.advance(seconds * SECOND)
--- a/packages/pimentoplank/src/batch/runner.ts
+++ b/packages/pimentoplank/src/batch/runner.ts
@@ -9,11 +9,14 @@
 import { createDispatcher } from './dispatcher'
 import { createActiveChunk, type ClaimedChunk, type ActiveChunk } from './activeChunk'
 import { createJobFinalizer } from './jobFinalizer'
+import { createJobStates } from './jobStates'
 import { createOwnerLeaseMonitor } from './ownerLeaseMonitor'
 import type { RunnerSettings } from './settings'
 
 /** Chunks are claimed while fewer ready items than this are queued per unit of parallelism. */
 const READY_ITEMS_PER_SLOT = 2
+/** Share of the grace after a cancellation for which a read of the job allows items to start; the rest covers drift. */
+const JOB_STATE_SHARE = 0.9
 /** Largest share by which the pause between scans is extended at random, to spread the scans of runners. */
 const JITTER_SHARE = 0.3
 
@@ -64,7 +67,8 @@
     settings,
     instance,
     getOwner: getChunkOwner,
-    isLeaseHeld: () => lease?.isHeld() === true
+    isLeaseHeld: () => lease?.isHeld() === true,
+    jobStates: createJobStates({ platform, feed, clock, log, maxAgeMs: settings.cancelGraceMs * JOB_STATE_SHARE })
   }
   const ownerMonitor = createOwnerLeaseMonitor({ platform, clock, random })
   const claimer = createChunkClaimer(context, ownerMonitor)
@@ -98,6 +102,7 @@
     if (object === undefined || job === undefined || isFinalState(job.state)) {
       jobs.delete(name)
       jobFinalizer.forget(name)
+      context.jobStates.forget(name)
     } else {
       const isSame = before?.tracked.job.uploadId === job.uploadId
       const ended = isSame ? before.tracked.ended : new Set<number>()
--- a/packages/pimentoplank/src/batch/settings.ts
+++ b/packages/pimentoplank/src/batch/settings.ts
@@ -18,7 +18,7 @@
 })
 
 export const outageSettings = z.strictObject({
-  runMs: ms.default(5 * MINUTE_MS).describe('How long claimed chunks are processed while the platform is unreachable.'),
+  runMs: ms.default(5 * MINUTE_MS).describe('How long claimed chunks are processed while their claims can\'t be checked.'),
   maxPendingBytes: z.int().min(1).default(16 * MIB_BYTES)
     .describe('Size of uncommitted results in memory at which processing pauses, in bytes.')
 })
@@ -45,7 +45,9 @@
     .describe('How long one slot request waits in the queue of the instance that grants the slots.'),
   intentGroup: z.int().min(1).default(16).describe('At-most-once items whose intents are written together.'),
   missingModelMs: ms.default(MINUTE_MS).describe('How long an item waits for a missing model before it fails.'),
-  cancelGraceMs: ms.default(5 * SECOND_MS).describe('Time that a chunk\'s owner has to seal it after a cancellation.'),
+  cancelGraceMs: ms.default(5 * SECOND_MS).describe(
+    'Time that a chunk\'s owner has to seal it after a cancellation, and within which it must have read the job to start items.'
+  ),
   stopGraceMs: ms.default(10 * SECOND_MS).describe('Time that running items have to finish when the process stops.'),
   lease: leaseSettings.prefault({}),
   commit: commitSettings.prefault({}),
