End a cancelled job whose chunks were taken over only once no earlier holder may start items

What callers saw: a job was cancelled right after a runner had taken over its chunks; the new holder sealed them at once, the state was 'cancelled', and the earlier holder, which did not know that it had lost them, went on starting items for as long as its last read of the job counted. Cause: the grace was kept only where a chunk had to be sealed by force. It was also counted from the first try to finalize the job, which may lie before its cancellation. Change: a job of which a chunk had more than one holder ends after the grace; the grace is counted in each state anew. Such jobs are up to cancelGraceMs longer 'cancelling'.

--- a/packages/pimentoplank/src/batch/faults.feature
+++ b/packages/pimentoplank/src/batch/faults.feature
@@ -242,6 +242,17 @@
     Then the batch job is "cancelled" within 30 s
     And no batch item starts in 40 s
 
+  Scenario: An earlier holder starts no item of a job that is cancelled right after its chunks were taken over
+    Given a batch fleet with the runners "a, b", scans each second and chunks of 400 items
+    When 400 batch items are uploaded
+    And the batch runner "a" runs items
+    And the batch runner "a" reaches jobs at the platform only, and receives no feed events
+    And a chunk of the batch job has been taken over
+    And the batch runner "a" is cut off from the platform
+    And the batch job is cancelled
+    Then the batch job is "cancelled" within 30 s
+    And no batch item starts in 30 s
+
   Scenario Outline: No item starts later than the grace after a cancellation was accepted by a runner that <hears nothing>
     Given a batch fleet with the runners "a, b", scans each second and chunks of 400 items
     When 400 batch items are uploaded
--- a/packages/pimentoplank/src/batch/jobFinalizer.ts
+++ b/packages/pimentoplank/src/batch/jobFinalizer.ts
@@ -1,7 +1,7 @@
 /** Finalizes jobs: `done` when every chunk is complete, `cancelled` when no chunk of a cancelled job is open. */
 import {
   checkpointRecord, chunkRecord, createBitmap, isFinalState, jobRecord, OBJECT_KINDS, rankByRendezvous, SECOND_MS,
-  toUploadPrefix, type BatchCounts, type CheckpointRecord, type JobRecord, type StoredObject
+  toUploadPrefix, type BatchCounts, type CheckpointRecord, type JobRecord, type JobState, type StoredObject
 } from '../shared'
 import type { ChunkClaimer } from './chunkClaimer'
 import { CHECKPOINT_PAGE_SIZE } from './chunkClaimer'
@@ -28,12 +28,13 @@
 /** Creates the job finalizer of a runner. */
 export function createJobFinalizer (context: RunnerContext, claimer: ChunkClaimer): JobFinalizer {
   const { platform, clock, membership, settings, feed, metrics, log } = context
-  const firstSeenAt = new Map<string, number>()
+  const firstSeen = new Map<string, { state: JobState, at: number }>()
 
-  /** Computes the time since the first attempt to finalize the job, less this runner's rank delay; may be negative. */
-  function computeWaitedMs (name: string): number {
-    const seenAt = firstSeenAt.get(name) ?? clock.now()
-    firstSeenAt.set(name, seenAt)
+  /** Computes the time since the first attempt in this state, less the delay of this runner's rank; may be negative. */
+  function computeWaitedMs (name: string, state: JobState): number {
+    const known = firstSeen.get(name)
+    const seenAt = known?.state === state ? known.at : clock.now()
+    firstSeen.set(name, { state, at: seenAt })
     const runners = rankByRendezvous(name, membership.instances('batch'), ({ id }) => id)
     const rank = Math.max(0, runners.findIndex(({ id }) => id === context.instance))
     return clock.now() - seenAt - rank * RANK_DELAY_MS
@@ -59,7 +60,7 @@
   async function tryFinalizeJob (name: string, found: StoredObject): Promise<void> {
     const job = jobRecord.parse(found.value)
     if (isFinalState(job.state)) return
-    const waited = computeWaitedMs(name)
+    const waited = computeWaitedMs(name, job.state)
     if (waited < 0) return
     const listing = await listCheckpoints(name, job)
     // A stale listing may lack claims that were made before the cancellation.
@@ -70,8 +71,13 @@
       if (isComplete) await writeFinalState(name, found, { ...job, state: 'done' }, listing)
       return
     }
-    if (open.length === 0) return await writeFinalState(name, found, { ...job, state: 'cancelled' }, listing)
     const mayForce = waited >= settings.cancelGraceMs
+    if (open.length === 0) {
+      // A holder that has lost its chunk without knowing it starts items for as long as its read of the job counts.
+      const hadEarlierHolders = listing.checkpoints.some(({ checkpoint }) => checkpoint.epoch > 1)
+      if (mayForce || !hadEarlierHolders) await writeFinalState(name, found, { ...job, state: 'cancelled' }, listing)
+      return
+    }
     for (const { object, checkpoint } of open) {
       if (checkpoint.owner === null || mayForce) await sealChunk(object)
     }
@@ -128,7 +134,7 @@
     return true
   }
 
-  return { tryFinalize: tryFinalizeJob, forget: (name) => { firstSeenAt.delete(name) } }
+  return { tryFinalize: tryFinalizeJob, forget: (name) => { firstSeen.delete(name) } }
 }
 
 function sumCounts (all: readonly BatchCounts[]): BatchCounts {
