Take a listing of checkpoints for as old as its oldest page before a job is final

What callers saw: the state of a job was 'cancelled' while a chunk of it was still held, so that its results could change afterwards. Cause: only the first page's revision was compared with that of the cancellation; a later page that was read from an older state lacked a claim that was made before the cancellation. Change: each page counts. The platform of the tests can show a reader an earlier state. Measured: 'A cancellation is not final while a page of checkpoints is older than it' failed before ('cancelled' while the claim was open) and passes; it needs more than 100 claimed chunks.

--- a/packages/pimentoplank/features/support/memoryPlatform.ts
+++ b/packages/pimentoplank/features/support/memoryPlatform.ts
@@ -12,6 +12,14 @@
   kind: string
   name: string
   client: string
+  /** Name after which a page of a list begins. */
+  after?: string
+}
+
+/** The store at a moment, as a reader that is behind sees it. */
+export interface MemorySnapshot {
+  revision: number
+  objects: StoredObject[]
 }
 
 export interface MemoryPlatform {
@@ -27,6 +35,9 @@
   delayOf: (call: MemoryCall) => Promise<void> | undefined
   /** Called after each platform call took effect; returns what its answer waits for. */
   answerDelayOf: (call: MemoryCall) => Promise<void> | undefined
+  createSnapshot: () => MemorySnapshot
+  /** Called for each page of a list; returns the snapshot that it is read from, if not the current state. */
+  staleOf: (call: MemoryCall) => MemorySnapshot | undefined
 }
 
 /** Creates an empty store. */
@@ -36,8 +47,8 @@
   let revision = 0
   let writes = 0
 
-  function list (kind: string, prefix = ''): StoredObject[] {
-    return [...store.values()]
+  function list (kind: string, prefix = '', objects: Iterable<StoredObject> = store.values()): StoredObject[] {
+    return [...objects]
       .filter((object) => object.kind === kind && object.name.startsWith(prefix))
       .sort((a, b) => a.name < b.name ? -1 : 1)
   }
@@ -61,9 +72,10 @@
       operation: MemoryCall['operation'],
       kind: string,
       name: string,
-      act: () => PlatformError | Value
+      act: () => PlatformError | Value,
+      after?: string
     ): ResultAsync<Value, PlatformError> {
-      const made: MemoryCall = { operation, kind, name, client: id }
+      const made: MemoryCall = { operation, kind, name, client: id, after }
       platform.calls.push(made)
       const delay = platform.delayOf(made)
       if (delay === undefined) return answer(made, act)
@@ -87,10 +99,13 @@
     return {
       get: (kind, name) => call('get', kind, name, () => structuredClone(store.get(`${kind}/${name}`) ?? null)),
       list: (kind, options = {}) => call('list', kind, options.prefix ?? '', () => {
-        const rest = list(kind, options.prefix).filter((object) => object.name > (options.after ?? ''))
+        const { after } = options
+        const seen = platform.staleOf({ operation: 'list', kind, name: options.prefix ?? '', client: id, after })
+        const rest = list(kind, options.prefix, seen?.objects).filter((object) => object.name > (after ?? ''))
         const items = structuredClone(rest.slice(0, options.limit))
-        return { revision, items, next: items.length < rest.length ? items.at(-1)?.name : undefined }
-      }),
+        const next = items.length < rest.length ? items.at(-1)?.name : undefined
+        return { revision: seen?.revision ?? revision, items, next }
+      }, options.after),
       listAll: (kind, options = {}) => call('list', kind, options.prefix ?? '', () =>
         ({ revision, items: structuredClone(list(kind, options.prefix)) })),
       put: (kind, name, value, { ifRevision }) => call('put', kind, name, () => write(kind, name, value, ifRevision)),
@@ -135,7 +150,9 @@
     calls: [],
     faultOf: () => undefined,
     delayOf: () => undefined,
-    answerDelayOf: () => undefined
+    answerDelayOf: () => undefined,
+    createSnapshot: () => ({ revision, objects: structuredClone([...store.values()]) }),
+    staleOf: () => undefined
   }
   return platform
 }
--- a/packages/pimentoplank/src/batch/faults.feature
+++ b/packages/pimentoplank/src/batch/faults.feature
@@ -253,6 +253,19 @@
     Then the batch job is "cancelled" within 30 s
     And no batch item starts in 30 s
 
+  Scenario: A cancellation is not final while a page of checkpoints is older than it
+    Given a batch fleet with the runners "a" that hold 1 chunk of 1 item at a time
+    When 400 batch items are uploaded
+    And only chunks after the first 100 claimed ones are open, and "c" reads later pages from before their claims
+    And no more batch slots are granted
+    And the batch runner "a" receives no feed events
+    And the batch runner "c" starts
+    And the batch job is cancelled
+    And 8 s pass in the batch fleet
+    Then the batch job is still "cancelling"
+    When later pages of checkpoints are current again
+    Then the batch job is "cancelled" within 30 s
+
   Scenario Outline: No item starts later than the grace after a cancellation was accepted by a runner that <hears nothing>
     Given a batch fleet with the runners "a, b", scans each second and chunks of 400 items
     When 400 batch items are uploaded
--- a/packages/pimentoplank/src/batch/jobFinalizer.ts
+++ b/packages/pimentoplank/src/batch/jobFinalizer.ts
@@ -20,7 +20,7 @@
 }
 
 interface CheckpointListing {
-  /** Store revision at which the listing began. */
+  /** Store revision of the oldest page. */
   revision: number
   checkpoints: Array<{ object: StoredObject, checkpoint: CheckpointRecord }>
 }
@@ -43,7 +43,7 @@
   async function listCheckpoints (name: string, job: JobRecord): Promise<CheckpointListing | null> {
     const prefix = toUploadPrefix(name, job.uploadId)
     const checkpoints: CheckpointListing['checkpoints'] = []
-    let revision: number | undefined
+    let revision = Infinity
     let after: string | undefined
     do {
       const page = await platform.list(OBJECT_KINDS.checkpoint, { prefix, after, limit: CHECKPOINT_PAGE_SIZE })
@@ -51,7 +51,7 @@
       for (const object of page.value.items) {
         checkpoints.push({ object, checkpoint: checkpointRecord.parse(object.value) })
       }
-      revision ??= page.value.revision
+      revision = Math.min(revision, page.value.revision)
       after = page.value.next
     } while (after !== undefined)
     return { revision, checkpoints }
--- a/packages/pimentoplank/src/batch/runner.steps.ts
+++ b/packages/pimentoplank/src/batch/runner.steps.ts
@@ -127,6 +127,12 @@
   createFleet(this, names, { chunkItems, settings: { scan: { maxEveryMs: SECOND } } })
 })
 
+Given('a batch fleet with the runners {string} that hold 1 chunk of 1 item at a time', function (
+  this: FleetWorld, names: string
+) {
+  createFleet(this, names, { chunkItems: 1, settings: { chunksHeld: 1, scan: { everyMs: 100, maxEveryMs: SECOND } } })
+})
+
 Given('a batch fleet without runners', function (this: FleetWorld) {
   createFleet(this, '')
 })
@@ -327,6 +333,31 @@
     client === id && operation !== 'put' && kind === OBJECT_KINDS.job ? clock.sleep(ms) : undefined
 })
 
+When('only chunks after the first {int} claimed ones are open, and {string} reads later pages from before their claims',
+  { timeout: LONG_STEP_TIMEOUT_MS }, async function (this: FleetWorld, pageSize: number, reader: string) {
+    const { fleet } = this
+    const isOpen = ({ value }: { value: unknown }): boolean => (value as CheckpointRecord).state === 'open'
+    const list = (): ReturnType<typeof fleet.platform.objects> => fleet.platform.objects(OBJECT_KINDS.checkpoint)
+    let before = fleet.platform.createSnapshot()
+    await fleet.advanceUntil(() => {
+      const claimed = list()
+      if (claimed.length > pageSize + 1 && claimed.slice(0, pageSize).every((object) => !isOpen(object)) &&
+        claimed.slice(pageSize).some(isOpen)) return true
+      if (!claimed.slice(pageSize).some(isOpen)) before = fleet.platform.createSnapshot()
+      return false
+    }, 4 * MINUTE)
+    fleet.platform.staleOf = ({ client, kind, after }) =>
+      client === reader && kind === OBJECT_KINDS.checkpoint && (after ?? '') > list()[0]!.name ? before : undefined
+  })
+
+When('later pages of checkpoints are current again', function (this: FleetWorld) {
+  this.fleet.platform.staleOf = () => undefined
+})
+
+Then('the batch job is still {string}', async function (this: FleetWorld, state: string) {
+  assert.equal((await this.fleet.view(this.batchJob)).state, state)
+})
+
 When('the batch runner {string} begins to stop', function (this: FleetWorld, id: string) {
   this.fleet.runners.get(id)!.runner.stop()
 })
