--- a/packages/pimentoplank/features/support/randomFaults.ts
+++ b/packages/pimentoplank/features/support/randomFaults.ts
@@ -1,6 +1,7 @@
 /** Runs a batch fleet through random sequences of faults; fast-check prints the seed of a failure. */
 import assert from 'node:assert/strict'
 import * as fc from 'fast-check'
+import { OBJECT_KINDS, type JobRecord } from '../../src/shared'
 import { createBatchFleet, type BatchFleet } from './batchFleet'
 import type { CallFault, MemoryCall } from './memoryPlatform'
 
@@ -49,6 +50,8 @@
   job: string
   /** Process ids in use, by name. */
   processes: Map<string, string>
+  /** Number of runs that had begun when the job became `cancelled`. */
+  begunAtEnd?: number
 }
 
 /** Runs random sequences; each must end with the job in a final state and at most one result per item. */
@@ -65,6 +68,9 @@
   for (const id of RUNNERS) fleet.start(id)
   const job = await fleet.upload(noRepeat.map((flag, index) => ({ content: `roster ${index} `, noRepeat: flag })))
   const run: Run = { fleet, job, processes: new Map(RUNNERS.map((id) => [id, id])) }
+  fleet.platform.feed().subscribe(OBJECT_KINDS.job, ({ object }) => {
+    if ((object?.value as JobRecord).state === 'cancelled') run.begunAtEnd = fleet.targets.runs.length
+  })
   try {
     for (const nextFault of faults) await applyFault(run, nextFault)
     await heal(run)
@@ -124,7 +130,8 @@
   if ([...fleet.runners.values()].every(({ isKilled }) => isKilled)) restart(run, 'a')
 }
 
-async function checkOutcome ({ fleet, job }: Run, noRepeat: boolean[]): Promise<void> {
+async function checkOutcome (run: Run, noRepeat: boolean[]): Promise<void> {
+  const { fleet, job } = run
   const results = await fleet.results(job)
   const view = await fleet.view(job)
   assert.equal(new Set(results.map(({ id }) => id)).size, results.length, 'duplicate result ids')
@@ -141,6 +148,7 @@
   await fleet.advance(60 * SECOND)
   assert.deepEqual(await fleet.results(job), results, 'results changed after the job ended')
   assert.deepEqual(await fleet.view(job), view)
+  if (run.begunAtEnd !== undefined) assert.equal(fleet.targets.runs.length, run.begunAtEnd, 'runs began after the end')
 }
 
 function getText (response: unknown): string {
