Keep the record follower from acknowledging, losing and holding up jobs that it should not

A state that only records tell is no accepted job; a deleted record is forgotten, and a withdrawal names its revision. - A takeover whose empty segment could not be written left its job to nobody, or repeated itself with a new epoch and segment each time (17 epochs in 14 s). Its calls are repeated until they are answered. - A job that was opened with an older record than those read so far was taken for current (items 5.8 s after its end). Reads begin at the oldest record that is not covered, and only covered jobs are confirmed. - An owner whose writes of results got no answers denied results that others had read: 10 of 10 reads. It leaves the answer to the stored results while a write is in doubt. - A platform that answers in 1.2 s stopped all items, as reads timed out after 1 s (now after the longest age); reads of results asked again without a pause while it refused. Scenarios for each but the last; 'withdrawn' requests have one, too.

--- a/packages/pimentoplank/src/relay/exchange/exchange.feature
+++ b/packages/pimentoplank/src/relay/exchange/exchange.feature
@@ -35,3 +35,8 @@
     Given a target that answers request "first" with status 503
     When 600 requests are answered by the target in turn
     Then the target had 3 connections
+
+  Scenario: A request whose reason to be sent has gone once there is a connection is not sent
+    Given a target that answers request "first" with status 200
+    When request "late" is withdrawn while its connection is established
+    Then request "late" failed as withdrawn, and has not run
--- a/packages/pimentoplank/src/relay/exchange/exchange.steps.ts
+++ b/packages/pimentoplank/src/relay/exchange/exchange.steps.ts
@@ -181,3 +181,16 @@
   await sendOne(this, id)
   checkOtherConnection(this, id)
 })
+
+When('request {string} is withdrawn while its connection is established', async function (this: ExchangeWorld, id: string) {
+  const request = { id, host: 'h', method: 'POST', path: '/', headers: [], body: new Uint8Array() }
+  const need = { mustBeListed: false, mayStillSend: () => false }
+  this.last = await this.lateExchange.send({ request, target: this.lateTarget }, new AbortController().signal, need)
+})
+
+Then('request {string} failed as withdrawn, and has not run', async function (this: ExchangeWorld, id: string) {
+  const { reason, mayHaveRun } = this.last._unsafeUnwrapErr()
+  assert.deepEqual({ reason, mayHaveRun }, { reason: 'withdrawn', mayHaveRun: false })
+  await new Promise((resolve) => setTimeout(resolve, 50))
+  assert.ok(!this.arrived.some((one) => one.id === id))
+})
--- a/packages/pimentoplank/src/relay/jobs/jobApi.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobApi.ts
@@ -67,11 +67,13 @@
 export function createJobApi (options: JobApiOptions): JobApi {
   const { self, jobRegistry: registry, jobManager: manager, store, clock, log } = options
   const getClient = createJobClients(options.transports)
-  const reader = createResultReader({ ...options, getClient, onUnknown: settle })
+  const reader = createResultReader({
+    ...options, getClient, hasResultsInDoubt: manager.hasResultsInDoubt, onUnknown: settle
+  })
 
   async function submit (job: JobSubmission): Promise<Result<void, RefusalError>> {
     const { id, route, items } = job
-    if (registry.get(id) !== undefined || registry.getKnown(id) !== undefined) return ok(undefined)
+    if (registry.get(id) !== undefined || registry.isAccepted(id)) return ok(undefined)
     if (options.isLeaving()) return err(new RefusalError('addressMoved', { retryAfterMs: 0 }))
     const unavailable = await checkStore(job)
     if (unavailable !== undefined) return err(unavailable)
--- a/packages/pimentoplank/src/relay/jobs/jobManager.feature
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.feature
@@ -72,3 +72,10 @@
     And that instance is gone, and its jobs are taken over here
     Then the first result of the job is that of the former owner, and 2 items are open
     And the former owner finds the next place taken by epoch 3
+
+  Scenario: A takeover goes on until the platform has answered its writes, and takes one place of the results
+    Given a job manager whose store holds a job of 3 items with this instance as its owner
+    When the job is taken over while the platform does not answer 20 writes of results
+    Then 3 items of the job are open
+    And the former owner finds the next place taken by epoch 2
+    And the store has 1 segment
--- a/packages/pimentoplank/src/relay/jobs/jobManager.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.steps.ts
@@ -2,9 +2,9 @@
 import { setImmediate as nextTurn } from 'node:timers/promises'
 import { createClient, createRouterTransport } from '@connectrpc/connect'
 import { Given, Then, When } from '@cucumber/cucumber'
-import { ok, ResultAsync } from 'neverthrow'
+import { err, ok, ResultAsync } from 'neverthrow'
 import { createManualClock, type ManualClock } from '../../../features/support/manualClock'
-import { createInMemoryMetrics, createSilentLog, JobService } from '../../shared'
+import { createInMemoryMetrics, createSilentLog, JobService, PlatformUnavailable } from '../../shared'
 import { createRouteTable, type RouteTable } from '../routing'
 import { RELAY_RULES } from '../rules'
 import {
@@ -27,6 +27,8 @@
   table?: RouteTable
   /** Jobs whose runs were stopped. */
   stopped: string[]
+  /** Number of next writes of results that are done without an answer. */
+  unansweredWrites: number
 }
 
 const JOB = 'job'
@@ -44,6 +46,7 @@
 Given('a job manager whose store holds a job of {int} items with this instance as its owner', function (this: ManagerWorld, count: number) {
   this.clock = createManualClock()
   this.segments = []
+  this.unansweredWrites = 0
   this.stopped = []
   this.items = Array.from({ length: count }, (_, index) => (
     { id: `item-${index}`, path: '/x', headers: [], body: '', tokens: 1 }
@@ -74,6 +77,7 @@
     writeSegment: (_job, index, segment) => {
       this.beforeWrite?.()
       this.segments[index] ??= segment
+      if (this.unansweredWrites-- > 0) return new ResultAsync(Promise.resolve(err(new PlatformUnavailable('no answer'))))
       return resolved(this.segments[index])
     }
   }
@@ -292,3 +296,17 @@
   this.updateRecord()
   await this.manager.takeOverFrom('instance-2')
 })
+
+When('the job is taken over while the platform does not answer {int} writes of results', async function (
+  this: ManagerWorld, count: number
+) {
+  this.unansweredWrites = count
+  this.updateRecord()
+  const taken = this.manager.takeOver(JOB)
+  for (let second = 0; second < count; second++) await this.clock.advance(1000)
+  assert.equal(await taken, true)
+})
+
+Then('the store has {int} segment(s)', function (this: ManagerWorld, count: number) {
+  assert.equal(this.segments.length, count)
+})
--- a/packages/pimentoplank/src/relay/jobs/jobManager.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.ts
@@ -46,6 +46,8 @@
   openJob: (id: string, stored: StoredJob, items: readonly JobItem[]) => OwnedJob
   /** Schedules the pending results of a job to be stored. */
   scheduleStore: (job: OwnedJob) => void
+  /** True while results of a job may be stored of which this instance doesn't know it yet. */
+  hasResultsInDoubt: (job: OwnedJob) => boolean
   /** Marks an owned job as ended by its caller. */
   endJob: (job: OwnedJob) => Promise<Result<void, PlatformError>>
   /** Takes over a job from another instance, with that instance's progress and results if given. */
@@ -250,6 +252,7 @@
   return {
     openJob: (id, stored, items) => open(id, stored, items),
     scheduleStore: storage.schedule,
+    hasResultsInDoubt: storage.isInDoubt,
     endJob: end,
     takeOver,
     resolveSubmission: async (id) => {
--- a/packages/pimentoplank/src/relay/jobs/jobRegistry.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobRegistry.ts
@@ -10,6 +10,11 @@
   ended: boolean
 }
 
+interface KnownState extends KnownJob {
+  /** True when some instance has accepted the job; a record alone may be withdrawn, or its input incomplete. */
+  isAccepted: boolean
+}
+
 /**
  * Where the state of a job is known from: its record, read or written for a call; the records that owners follow; a
  * peer; or a job that this instance has opened.
@@ -25,6 +30,10 @@
   remove: (job: string) => void
   /** Returns the last known state of a job, whichever instance owns it. */
   getKnown: (job: string) => KnownJob | undefined
+  /** True when the job was accepted, here or as peers tell; its record alone doesn't show that. */
+  isAccepted: (job: string) => boolean
+  /** Drops what is known of a job whose record was deleted. */
+  forget: (job: string) => void
   /** Merges the state of a job; a state of an earlier epoch is ignored. */
   update: (job: string, state: KnownJob, source: StateSource) => void
   /** Returns recent changes of jobs for gossip. */
@@ -44,13 +53,14 @@
 }
 
 const MAX_KNOWN_JOBS = 20_000
+const ACCEPTED_SOURCES: ReadonlySet<StateSource> = new Set(['opened', 'peer'])
 /** Maximum of notices in one report, so that it fits a datagram. */
 const MAX_NOTICES = 24
 
 /** Creates the job registry of an instance. */
 export function createJobRegistry ({ self, noticeMs, onNotice, clock, log }: JobRegistryOptions): JobRegistry {
   const jobs = new Map<string, OwnedJob>()
-  const known = new LRUCache<string, KnownJob>({ max: MAX_KNOWN_JOBS })
+  const known = new LRUCache<string, KnownState>({ max: MAX_KNOWN_JOBS })
   /** Changes made here, by job, with the time until which they are gossiped. */
   const notices = new Map<string, number>()
   const listeners: Array<(job: OwnedJob, state: KnownJob) => void> = []
@@ -59,8 +69,13 @@
     const before = known.get(job)
     if (before !== undefined && state.epoch < before.epoch) return
     const ended = state.ended || before?.ended === true
-    if (before?.epoch === state.epoch && before.ended === ended) return
-    const merged = { ...state, ended }
+    const isAccepted = before?.isAccepted === true || ACCEPTED_SOURCES.has(source)
+    if (before?.epoch === state.epoch && before.ended === ended) {
+      before.isAccepted = isAccepted
+      return
+    }
+    const { owner, epoch } = state
+    const merged = { owner, epoch, ended, isAccepted }
     known.set(job, merged)
     // Each owner follows the records of all jobs, so that these changes are neither logged nor gossiped by each.
     if (source !== 'followed' || jobs.has(job)) {
@@ -88,7 +103,7 @@
     for (const [job, until] of notices) {
       const entry = known.get(job)
       if (until < now || entry === undefined) notices.delete(job)
-      else list.push({ job, ...entry })
+      else list.push({ job, owner: entry.owner, epoch: entry.epoch, ended: entry.ended })
     }
     return list.slice(-MAX_NOTICES)
   }
@@ -105,6 +120,11 @@
     },
     remove: (job) => { jobs.delete(job) },
     getKnown: (job) => known.get(job),
+    isAccepted: (job) => known.get(job)?.isAccepted === true,
+    forget: (job) => {
+      known.delete(job)
+      notices.delete(job)
+    },
     update: mergeState,
     getNotices: collectNotices,
     onRevoked: (listener) => { listeners.push(listener) }
--- a/packages/pimentoplank/src/relay/jobs/jobStore.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobStore.ts
@@ -2,7 +2,7 @@
 import { err, ok, ResultAsync, type Result } from 'neverthrow'
 import type * as z from 'zod'
 import {
-  PlatformConflict, PlatformUnavailable, SECOND_MS,
+  PlatformConflict, PlatformUnavailable,
   type Clock, type PlatformClient, type PlatformError, type StoredObject
 } from '../../shared'
 import {
@@ -43,8 +43,12 @@
   read: (job: string) => ResultAsync<StoredJob | undefined, PlatformError>
   /** Lists all records, by job id. */
   list: () => ResultAsync<Map<string, StoredJob>, PlatformError>
-  /** Reads the records that changed after a revision, with one call unless the platform has discarded the history. */
-  readChanges: (since: number) => ResultAsync<RecordChanges, PlatformError>
+  /**
+   * Reads the records that changed after a revision, with one call unless the platform has discarded the history.
+   *
+   * @param timeoutMs - time allowed for the answer, in milliseconds
+   */
+  readChanges: (since: number, timeoutMs: number) => ResultAsync<RecordChanges, PlatformError>
   /** Updates a record if its revision is unchanged. */
   update: (job: string, record: JobRecord, revision: number) => ResultAsync<StoredJob, PlatformError>
   /** Reads the items of a job; undefined while any part of its input is missing. */
@@ -55,8 +59,8 @@
    * @param index - number of preceding segments
    */
   writeSegment: (job: string, index: number, segment: ResultSegment) => ResultAsync<ResultSegment, PlatformError>
-  /** Deletes the record of a job that was not acknowledged. */
-  withdraw: (job: string) => ResultAsync<void, PlatformError>
+  /** Deletes the record of a job that was not acknowledged, unless it has changed. */
+  withdraw: (job: string, revision: number) => ResultAsync<void, PlatformError>
   /** Deletes all objects of a job, its record last. */
   remove: (job: string, record: JobRecord) => ResultAsync<void, PlatformError>
   /** Reads a segment; undefined when it does not exist. */
@@ -65,8 +69,6 @@
 
 /** Wait requested of the platform while there are no changes, in milliseconds: it answers at once. */
 const CHANGES_WAIT_MS = 1
-/** Time allowed for the answer, in milliseconds. */
-const CHANGES_TIMEOUT_MS = SECOND_MS
 /** Maximum size of an input object, in characters; larger inputs are split over several objects. */
 const MAX_INPUT_CHARS = 700_000
 
@@ -114,9 +116,9 @@
     return page.map(({ revision, items }) => ({ revision, jobs: parseRecords(items, asOf) }))
   }
 
-  async function readChanges (since: number): Promise<Result<RecordChanges, PlatformError>> {
+  async function readChanges (since: number, timeoutMs: number): Promise<Result<RecordChanges, PlatformError>> {
     const asOf = clock.now()
-    const options = { since, waitMs: CHANGES_WAIT_MS, marginMs: CHANGES_TIMEOUT_MS }
+    const options = { since, waitMs: CHANGES_WAIT_MS, marginMs: timeoutMs }
     const batch = await platform.watch(JOB_KINDS.record, options)
     if (batch.isErr()) return err(batch.error)
     if (batch.value.compacted === true) {
@@ -202,9 +204,9 @@
     create: (...args) => new ResultAsync(create(...args)),
     read: (job) => new ResultAsync(read(job)),
     list: () => new ResultAsync(list()).map(({ jobs }) => jobs),
-    readChanges: (since) => new ResultAsync(readChanges(since)),
+    readChanges: (...args) => new ResultAsync(readChanges(...args)),
     update: (...args) => new ResultAsync(update(...args)),
-    withdraw: (job) => platform.remove(JOB_KINDS.record, job),
+    withdraw: (job, revision) => platform.remove(JOB_KINDS.record, job, { ifRevision: revision }),
     remove: (job, record) => new ResultAsync(remove(job, record)),
     readItems: (...args) => new ResultAsync(readItems(...args)),
     writeSegment: (...args) => new ResultAsync(writeSegment(...args)),
--- a/packages/pimentoplank/src/relay/jobs/quota.ts
+++ b/packages/pimentoplank/src/relay/jobs/quota.ts
@@ -92,7 +92,7 @@
     if (counted.isErr()) return err(counted.error)
     if (counted.value <= limit) return ok(true)
     log.info({ job, route, counted: counted.value, limit }, 'job withdrawn: jobs stored earlier fill the quota')
-    return (await store.withdraw(job)).map(() => false)
+    return (await store.withdraw(job, revision)).map(() => false)
   }
 
   async function reserve (route: string, tokens: number, limit: number): Promise<Result<QuotaCheck, PlatformError>> {
--- a/packages/pimentoplank/src/relay/jobs/recordFollower.feature
+++ b/packages/pimentoplank/src/relay/jobs/recordFollower.feature
@@ -46,6 +46,23 @@
     And 10000 ms pass for the owner
     Then the platform got 0 to 1 reads since
 
+  Scenario: A job that is opened with an older record than those read so far is not taken for current
+    Given an owner of 2 jobs whose items may start up to 1800 ms after the record was current
+    When the first job is not opened yet, and its record is ended by an instance that the owner does not hear
+    And 3000 ms pass for the owner
+    And the first job is opened with its record of the beginning
+    And 2000 ms pass for the owner
+    Then items of 1 job may start
+
+  Scenario: A state that only the records tell is no accepted job, and a deleted one is forgotten
+    Given an owner of 1 jobs whose items may start up to 1800 ms after the record was current
+    When another instance writes the record of a job
+    And 1200 ms pass for the owner
+    Then the owner knows the state of that job, but not that it was accepted
+    When the record of that job is deleted
+    And 1200 ms pass for the owner
+    Then the owner does not know that job
+
   Scenario Outline: No item starts later than the longest age after an end was written, whatever the platform's answers take
     Then with answers that take <least> to <most> ms and are lost in <lost> of 100 cases, no owner of 200 random runs starts an item later than 1800 ms after the end
 
--- a/packages/pimentoplank/src/relay/jobs/recordFollower.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/recordFollower.steps.ts
@@ -217,3 +217,37 @@
     assert.ok(lastStart - endedAt <= maxMs, `seed ${seed}: an item could start ${lastStart - endedAt} ms after the end`)
   }
 })
+
+When('the first job is not opened yet, and its record is ended by an instance that the owner does not hear', function (
+  this: FollowerWorld
+) {
+  const { jobRegistry, store, jobs } = this.owner
+  jobRegistry.remove(jobs[0]!.id)
+  change(store, 'job-0', { ended: true })
+  // The other job is stored after that.
+  change(store, 'job-1', {})
+  jobs[1]!.setStored({ ...store.records.get('job-1')!, asOf: this.owner.clock.now() })
+})
+
+When('the first job is opened with its record of the beginning', function (this: FollowerWorld) {
+  this.owner.jobRegistry.add(this.owner.jobs[0]!)
+})
+
+When('another instance writes the record of a job', function (this: FollowerWorld) {
+  const { store } = this.owner
+  store.records.set('other', store.records.get('job-0')!)
+  change(store, 'other', { owner: 'instance-2' })
+})
+
+When('the record of that job is deleted', function (this: FollowerWorld) {
+  change(this.owner.store, 'other', undefined)
+})
+
+Then('the owner knows the state of that job, but not that it was accepted', function (this: FollowerWorld) {
+  assert.equal(this.owner.jobRegistry.getKnown('other')?.owner, 'instance-2')
+  assert.equal(this.owner.jobRegistry.isAccepted('other'), false)
+})
+
+Then('the owner does not know that job', function (this: FollowerWorld) {
+  assert.equal(this.owner.jobRegistry.getKnown('other'), undefined)
+})
--- a/packages/pimentoplank/src/relay/jobs/recordFollower.ts
+++ b/packages/pimentoplank/src/relay/jobs/recordFollower.ts
@@ -26,16 +26,18 @@
   tick: () => void
 }
 
-/** Pause after a read without an answer, in milliseconds. */
+/** Pause after a first read without an answer, in milliseconds. */
 const RETRY_MS = 200
+/** Longest pause after several of them in a row, in milliseconds. */
+const MAX_RETRY_MS = 800
 /** Difference between wall clock and monotonic clock that shows that the machine was suspended, in milliseconds. */
 const SUSPENDED_MS = 500
 
 /** Creates the follower of an instance. It makes no calls while the instance owns no job with open items. */
 export function createRecordFollower (options: RecordFollowerOptions): RecordFollower {
   const { self, jobRegistry: registry, store, rules, clock, metrics, log } = options
-  /** Store revision up to which all changes were read; undefined while no job is followed. */
-  let cursor: number | undefined
+  /** Store revisions between which all changes were read; undefined while no job is followed. */
+  let covered: { from: number, to: number } | undefined
   let answerMs = 0
   let failures = 0
   let retryAt = -Infinity
@@ -71,38 +73,46 @@
     const followed = listFollowed()
     if (followed.length === 0) return true
     const sentAt = clock.now()
-    const since = cursor ?? Math.min(...followed.map((job) => job.revision()))
-    const changes = await store.readChanges(since)
+    const since = getFirstUnread(followed)
+    const changes = await store.readChanges(since, rules.maxAgeMs)
     answerMs = clock.now() - sentAt
     if (changes.isErr()) {
       failures += 1
-      retryAt = clock.now() + RETRY_MS
+      retryAt = clock.now() + Math.min(MAX_RETRY_MS, RETRY_MS * 2 ** (failures - 1))
       metrics.countRetry('platformUnavailable')
       if (failures === 1) log.warn({ since, cause: changes.error.message }, 'stored records of jobs could not be read')
       return false
     }
     if (failures > 0) log.info({ since, failures }, 'stored records of jobs are read again')
     failures = 0
-    apply(changes.value)
+    apply(since, changes.value)
     return true
   }
 
-  function apply ({ revision, asOf, isComplete, records }: RecordChanges): void {
+  /** A job may be opened with a record that is older than the changes read so far. */
+  function getFirstUnread (followed: readonly OwnedJob[]): number {
+    const unread = followed.map((job) => job.revision()).filter((revision) => revision < (covered?.from ?? Infinity))
+    return unread.length > 0 ? Math.min(...unread) : covered!.to
+  }
+
+  function apply (since: number, { revision, asOf, isComplete, records }: RecordChanges): void {
     for (const [id, stored] of records) applyRecord(id, stored)
+    covered = { from: isComplete ? 0 : Math.min(since, covered?.from ?? since), to: revision }
     for (const job of listFollowed()) {
       if (isComplete && job.revision() <= revision && !records.has(job.id)) applyRecord(job.id, undefined)
-      // The record of a job that was opened meanwhile is among those that were read, or newer.
-      job.confirm(asOf)
+      // Changes of a job that was opened meanwhile with an older record may be missing.
+      if (job.revision() >= covered.from) job.confirm(asOf)
     }
-    cursor = revision
   }
 
   function applyRecord (id: string, stored: StoredJob | undefined): void {
     const owned = registry.get(id)
     if (stored === undefined) {
-      if (owned === undefined) return
-      log.warn({ job: id }, 'record of an owned job was deleted')
-      registry.update(id, { owner: self, epoch: owned.record().epoch, ended: true }, 'followed')
+      if (owned !== undefined) {
+        log.warn({ job: id }, 'record of an owned job was deleted')
+        registry.update(id, { owner: self, epoch: owned.record().epoch, ended: true }, 'followed')
+      }
+      registry.forget(id)
       return
     }
     const { record, revision } = stored
@@ -111,6 +121,7 @@
   }
 
   async function refresh (): Promise<boolean> {
+    if (reading === undefined && clock.now() < retryAt) return false
     reading ??= read().finally(() => { reading = undefined })
     return await reading
   }
@@ -131,7 +142,7 @@
     refresh,
     tick: () => {
       const followed = listFollowed()
-      if (followed.length === 0) cursor = undefined
+      if (followed.length === 0) covered = undefined
       logHeld(followed)
       const now = clock.now()
       const oldest = Math.min(...followed.map(getConfirmedAt))
--- a/packages/pimentoplank/src/relay/jobs/resultReader.ts
+++ b/packages/pimentoplank/src/relay/jobs/resultReader.ts
@@ -25,6 +25,8 @@
   getClient: GetJobClient
   peers: () => readonly PeerView[]
   recordFollower: Pick<RecordFollower, 'mayDenyResults' | 'refresh'>
+  /** True while results of an owned job may be stored of which this instance doesn't know it yet. */
+  hasResultsInDoubt: (job: OwnedJob) => boolean
   /** Called with a job that is stored under this instance without being known here. */
   onUnknown: (job: string) => void
   clock: Clock
@@ -76,7 +78,8 @@
   async function confirmPage (job: OwnedJob, after: number): Promise<ResultPage | undefined> {
     const { recordFollower } = options
     if (!job.isEnded() && !recordFollower.mayDenyResults(job)) await recordFollower.refresh()
-    const isKnown = registry.get(job.id) === job && (job.isEnded() || recordFollower.mayDenyResults(job))
+    const isOwner = registry.get(job.id) === job && (job.isEnded() || recordFollower.mayDenyResults(job))
+    const isKnown = isOwner && !options.hasResultsInDoubt(job)
     if (!isKnown) log.info({ job: job.id, after, ageMs: Math.round(clock.now() - job.confirmedAt()) }, 'results not denied: the job may have another owner')
     return isKnown ? toPage(job, after) : undefined
   }
--- a/packages/pimentoplank/src/relay/jobs/resultStorage.ts
+++ b/packages/pimentoplank/src/relay/jobs/resultStorage.ts
@@ -36,15 +36,22 @@
   schedule: (job: OwnedJob) => void
   /** Reads the results of a job that was taken over, and ends the time in which a former owner can store any. */
   takeSegments: (job: string, epoch: number) => Promise<Result<ItemResult[][], PlatformError>>
+  /** True while results may be stored of which this instance doesn't know it yet. */
+  isInDoubt: (job: OwnedJob) => boolean
   /** Waits until all pending results are stored, or `ms` milliseconds have passed. */
   flushAll: (ms: number) => Promise<void>
 }
 
+/** A write of results that takes longer than this may be seen by others before it is answered, in milliseconds. */
+const MAX_WRITE_MS = 300
+
 /** Creates the result storage of an instance. */
 export function createResultStorage (options: ResultStorageOptions): ResultStorage {
   const { self, jobRegistry: registry, store, signal, rules, clock, metrics, log } = options
   /** Store operations in progress. */
   const storing = new Map<OwnedJob, Promise<void>>()
+  /** When the first write of the results began that no answer has confirmed, on the monotonic clock. */
+  const unconfirmedSince = new Map<OwnedJob, number>()
 
   function storePending (job: OwnedJob): void {
     if (job.pendingResults().length === 0) return
@@ -72,9 +79,11 @@
       }
       const { epoch } = job.record()
       const results = [...job.pendingResults()]
+      if (!unconfirmedSince.has(job)) unconfirmedSince.set(job, clock.now())
       const written = await store.writeSegment(job.id, job.segmentCount(), { results, epoch })
       if (written.isOk()) {
         failures = 0
+        unconfirmedSince.delete(job)
         const { results: stored, epoch: writerEpoch = 0 } = written.value
         if (registry.get(job.id) === job) job.appendSegment(stored)
         log.info({
@@ -88,6 +97,7 @@
       metrics.countRetry('platformUnavailable')
       await clock.sleep(options.computeBackoff(failures), signal)
     }
+    unconfirmedSince.delete(job)
     options.onStored(job)
   }
 
@@ -95,10 +105,10 @@
   async function learnOwner (job: OwnedJob): Promise<void> {
     for (let failures = 1; registry.get(job.id) === job && !signal.aborted; failures++) {
       const found = await store.read(job.id)
-      if (found.isOk() && found.value !== undefined) {
-        const { record } = found.value
-        registry.update(job.id, { owner: record.owner, epoch: record.epoch, ended: record.ended }, 'record')
-        if (record.owner === self) job.setStored(found.value)
+      if (found.isOk()) {
+        const { owner, epoch, ended } = found.value?.record ?? { ...job.record(), ended: true }
+        registry.update(job.id, { owner, epoch, ended }, 'record')
+        if (found.value !== undefined && owner === self) job.setStored(found.value)
         return
       }
       await clock.sleep(options.computeBackoff(failures), signal)
@@ -109,22 +119,38 @@
   async function takeSegments (id: string, epoch: number): Promise<Result<ItemResult[][], PlatformError>> {
     const segments: ItemResult[][] = []
     for (;;) {
-      const segment = await store.readSegment(id, segments.length)
+      const segment = await repeat(id, epoch, async () => await store.readSegment(id, segments.length))
       if (segment.isErr()) return err(segment.error)
       if (segment.value !== undefined) {
         segments.push(segment.value)
         continue
       }
-      const written = await store.writeSegment(id, segments.length, { results: [], epoch })
+      const own = { results: [], epoch }
+      const written = await repeat(id, epoch, async () => await store.writeSegment(id, segments.length, own))
       if (written.isErr()) return err(written.error)
       segments.push(written.value.results)
       if (written.value.epoch === epoch) return ok(segments)
     }
   }
 
+  /** Repeats a call until it is answered: the record names this instance as the owner, so that no other one will. */
+  async function repeat<Value> (
+    id: string, epoch: number, call: () => Promise<Result<Value, PlatformError>>
+  ): Promise<Result<Value, PlatformError>> {
+    for (let failures = 1; ; failures++) {
+      const done = await call()
+      const known = registry.getKnown(id)
+      const isOver = known !== undefined && (known.ended || known.epoch > epoch)
+      if (done.isOk() || isOver || signal.aborted || options.isLeaving()) return done
+      log.warn({ job: id, epoch, failures, cause: describeCause(done.error) }, 'results of a job could not be taken over')
+      await clock.sleep(options.computeBackoff(failures), signal)
+    }
+  }
+
   return {
     schedule: storePending,
     takeSegments,
+    isInDoubt: (job) => clock.now() - (unconfirmedSince.get(job) ?? Infinity) > MAX_WRITE_MS,
     flushAll: async (ms) => {
       const tasks = Promise.all([...storing.values()])
       await Promise.race([tasks, clock.sleep(ms)])
