Guard the other stack's streams against the answers of engines that fail

'answers 200 with an error' and 'puts an error into its stream' guard the reader of events and were not seen to fail.

--- a/packages/pimentoplank/src/shared/engine/engine.feature
+++ b/packages/pimentoplank/src/shared/engine/engine.feature
@@ -20,3 +20,13 @@
       | sends bytes without end and without events | 0     | targetError   | true    |
       | fails with a body without end             | 0      | targetError   | true    |
       | does not listen                           | 0      | connectFailed | false   |
+      | puts an error into its stream             | 2      | targetError   | true    |
+      | answers 200 with an error                 | 0      | streamCut     | true    |
+      | answers 204 with nothing                  | 0      | rejected      | true    |
+      | answers 206 with events                   | 0      | rejected      | true    |
+      | answers 302 with events                   | 0      | rejected      | true    |
+      | answers 404 with events                   | 0      | rejected      | true    |
+      | answers 422 with events                   | 0      | rejected      | true    |
+      | answers 429 with events                   | 0      | rejected      | true    |
+      | answers 500 with events                   | 0      | targetError   | true    |
+      | answers 503 with events                   | 0      | targetError   | true    |
--- a/packages/pimentoplank/src/shared/engine/engine.steps.ts
+++ b/packages/pimentoplank/src/shared/engine/engine.steps.ts
@@ -30,6 +30,11 @@
   write()
 }
 
+/** Answers with a status, and with the events of a complete stream in place of an error. */
+function answerEvents (status: number): (res: ServerResponse) => void {
+  return (res) => { res.writeHead(status, { 'content-type': 'text/event-stream' }).end(TOKENS + FINISH_REASON + DONE) }
+}
+
 const BEHAVIORS: Record<string, (res: ServerResponse) => void> = {
   'ends with a reason and the mark': (res) => { res.end(TOKENS + FINISH_REASON + DONE) },
   'ends in order without the mark': (res) => { res.end(TOKENS + FINISH_REASON) },
@@ -42,7 +47,13 @@
   'sends bytes without end and without events': (res) => writeEndlessly(res, 'data: noise\n'),
   'fails with a body without end': (res) => writeEndlessly(res.writeHead(500), 'noise'),
   fails: (res) => { res.writeHead(500).end('{}') },
-  'does not listen': () => undefined
+  'does not listen': () => undefined,
+  'puts an error into its stream': (res) => { res.end(`${TOKENS}data: {"error":{"code":"failed"}}\n\n${TOKENS}${DONE}`) },
+  'answers 200 with an error': (res) => { res.end('{"error":{"code":"failed"}}') },
+  'answers 204 with nothing': (res) => { res.writeHead(204).end() },
+  ...Object.fromEntries([206, 302, 404, 422, 429, 500, 503].map((status) => (
+    [`answers ${status} with events`, answerEvents(status)]
+  )))
 }
 
 Given(/^a raw engine that (.+)$/, async function (this: EngineWorld, what: string) {
