Read each record of the platform's instance list by itself

One entry in the instance list that is no record, as another writer may leave it, made the whole list unreadable: entries went on with the list that they had. Such an entry is now left out and counted (platform.invalidRecords).

--- a/packages/pimentoplank/src/shared/platform/client.ts
+++ b/packages/pimentoplank/src/shared/platform/client.ts
@@ -13,7 +13,7 @@
 } from './dialect'
 import { PlatformConflict, PlatformRejected, PlatformUnavailable, type PlatformError } from './errors'
 import {
-  conflictResponse, instanceList, objectPage, putResponse, storedObject, watchBatch,
+  conflictResponse, instanceList, objectPage, putResponse, selectRecords, storedObject, watchBatch,
   type InstanceRecord, type ObjectPage, type StoredObject, type WatchBatch
 } from './schemas'
 
@@ -268,7 +268,7 @@
 
   async function listInstances (): Promise<Result<InstanceRecord[], PlatformError>> {
     const response = await read('get', '', { method: 'GET', path: '/v1/instances' }, instanceList)
-    return response.map((list) => list.instances)
+    return response.map(({ instances }) => selectRecords(instances, () => metrics.count('platform.invalidRecords')))
   }
 
   return {
--- a/packages/pimentoplank/src/shared/platform/schemas.ts
+++ b/packages/pimentoplank/src/shared/platform/schemas.ts
@@ -69,4 +69,14 @@
 })
 export type InstanceRecord = z.infer<typeof instanceRecord>
 
-export const instanceList = z.object({ instances: z.array(instanceRecord) })
+/** Other writers may have left entries that are no records; each is read by itself. */
+export const instanceList = z.object({ instances: z.array(z.unknown()) })
+
+/** Returns the records among the entries of an instance list; calls `onInvalid` for each entry that is none. */
+export function selectRecords (entries: readonly unknown[], onInvalid: () => void): InstanceRecord[] {
+  return entries.flatMap((entry) => {
+    const record = instanceRecord.safeParse(entry)
+    if (!record.success) onInvalid()
+    return record.success ? [record.data] : []
+  })
+}
