Let a stopping peer wait for its tunnels, and keep what was seen of a peer when a request did not wait for it

A connection through a peer that a request no longer waits for is followed to its outcome, since a peer that does not answer would otherwise never be noticed by requests with short deadlines.

The socket of a tunnel is created in the same turn as the response arrives. Scenarios: a shutdown waits for tunnels; an item whose peer was lost counts as no failure of its target.

--- a/packages/pimentoplank/features/support/tcpLink.ts
+++ b/packages/pimentoplank/features/support/tcpLink.ts
@@ -14,8 +14,13 @@
   close: () => void
 }
 
+export interface TcpLinkOptions {
+  /** Bytes of the server are collected for this long and then delivered together, in milliseconds. */
+  batchMs?: number
+}
+
 /** Opens a link to a server. */
-export async function openTcpLink (to: string): Promise<TcpLink> {
+export async function openTcpLink (to: string, { batchMs }: TcpLinkOptions = {}): Promise<TcpLink> {
   const [host, port] = to.split(':')
   const sockets = new Set<Socket>()
   let isFrozen = false
@@ -31,7 +36,9 @@
     if (isFrozen) return near.pause()
     const far = connect({ host, port: Number(port), noDelay: true })
     add(far)
-    near.pipe(far).pipe(near)
+    near.pipe(far)
+    if (batchMs === undefined) far.pipe(near)
+    else deliverTogether(far, near, batchMs)
     near.on('close', () => far.destroy())
     far.on('close', () => near.destroy())
   })
@@ -54,3 +61,16 @@
     close: cut
   }
 }
+
+function deliverTogether (from: Socket, to: Socket, batchMs: number): void {
+  let chunks: Buffer[] = []
+  from.on('data', (chunk) => {
+    if (chunks.length === 0) {
+      setTimeout(() => {
+        to.write(Buffer.concat(chunks))
+        chunks = []
+      }, batchMs)
+    }
+    chunks.push(chunk)
+  })
+}
--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -327,8 +327,9 @@
     },
     tunnels: {
       mayOpen: targets.hasAddress,
-      isDirect: (address) => shutdown.getStage() === 'serving' && paths.choose(address).type === 'direct',
+      isDirect: (address) => shutdown.getStage() === 'serving' && paths.isDirectUsable(address),
       connect: connectDirect,
+      track: shutdown.trackRequest,
       clock,
       metrics,
       log
--- a/packages/pimentoplank/src/relay/exchange/targetConnector.ts
+++ b/packages/pimentoplank/src/relay/exchange/targetConnector.ts
@@ -37,7 +37,7 @@
 export interface OpenRequest {
   address: string
   choice: PathChoice
-  /** Gives up a tunnel that is being opened. */
+  /** Aborted when the connection is no longer needed. */
   signal: AbortSignal
 }
 
@@ -82,7 +82,7 @@
     async function tryPeer ({ instance, peerAddress }: Extract<PathChoice, { type: 'peer' }>): Promise<void> {
       asked.add(instance)
       const startedAt = clock.now()
-      const opened = await tunnels.open({ instance, peerAddress, address, signal })
+      const opened = await tunnels.open({ instance, peerAddress, address })
       const outcome = opened.isOk() ? 'connected' : opened.error.outcome
       log.info({
         target: address,
@@ -91,12 +91,12 @@
         tookMs: Math.round(clock.now() - startedAt),
         detail: opened.isErr() ? describeCause(opened.error) : undefined
       }, 'connection through a peer')
-      if (signal.aborted) {
-        if (opened.isOk()) opened.value.destroy()
-        return done(err(new Error('connection given up')))
-      }
+      // What was seen of the peer counts also when the request that needed the connection did not wait for it.
       paths.recordPeerOutcome(instance, address, outcome)
-      if (opened.isOk()) done(ok({ socket: opened.value, via: instance }))
+      if (opened.isOk() && signal.aborted) {
+        opened.value.destroy()
+        done(err(new Error('connection given up')))
+      } else if (opened.isOk()) done(ok({ socket: opened.value, via: instance }))
       else if (outcome === 'targetFailed') done(err(opened.error))
       else goOn(opened.error)
     }
--- a/packages/pimentoplank/src/relay/exchange/tunnels.steps.ts
+++ b/packages/pimentoplank/src/relay/exchange/tunnels.steps.ts
@@ -99,6 +99,7 @@
       mayOpen: (address) => address === world.address,
       isDirect: () => world.isPeerDirect,
       connect: (address, done) => connect(world.peerTarget ?? address, done),
+      track: () => () => undefined,
       clock: createSystemClock(),
       metrics: world.peerMetrics,
       log: createSilentLog()
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.feature
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.feature
@@ -165,3 +165,15 @@
     And the runner looks for items to start
     And the runner looks for items to start
     Then the item ran 2 times, the last time at "b" from its beginning
+
+  Scenario: An item goes on after the loss of the peer through which it ran, which counts as no failure of its target
+    Given an item runner with a job of 1 item and a target "a" with 1 slot
+    When the runner looks for items to start
+    And target "a" sends events 1 to 2
+    And the peer through which the run at "a" goes is lost
+    And 1 s pass for the item runner
+    And the runner looks for items to start
+    Then the item ran 2 times, the last time at "a" after event 2
+    And target "a" has failed 0 times
+    When the run at "a" breaks off
+    Then target "a" has failed 1 time
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
@@ -276,6 +276,11 @@
   await settle()
 })
 
+When('the peer through which the run at {string} goes is lost', async function (this: RunnerWorld, id: string) {
+  this.sent.findLast(({ target }) => target.id === id)!.push(err(new SendFailure('peerLost', true, 'the tunnel broke')))
+  await settle()
+})
+
 When('target {string} has version {string}', function (this: RunnerWorld, id: string, version: string) {
   const load = this.loads.get(id)!
   load.target = { ...load.target, version }
--- a/packages/pimentoplank/src/shared/rpc/peerTunnels.feature
+++ b/packages/pimentoplank/src/shared/rpc/peerTunnels.feature
@@ -49,6 +49,13 @@
       | close | complete          |
       | reset | broken by a reset |
 
+  Scenario: A tunnel whose connection to the target is reset as it opens breaks
+    Given a peer with a shared key that reaches a target
+    And connections to the target are reset as soon as they are open, and the answers arrive together
+    When 20 tunnels are opened
+    Then each of these tunnels is broken by a reset
+    And the peer soon has 0 open tunnels
+
   Scenario: The connection to the target ends with the tunnel
     Given a peer with a shared key that reaches a target
     When a tunnel whose target is sending is closed
@@ -96,3 +103,11 @@
     When a body of 1 MB is posted through a tunnel and sent back framed by length
     Then the peer soon has 0 sessions
     And another tunnel is opened
+
+  Scenario: A shutdown of the peer waits for its tunnels
+    Given a peer with a shared key that reaches a target
+    When 3 tunnels are opened
+    Then a shutdown of the peer waits for 3 tunnels
+    When the tunnels are closed
+    Then the peer soon has 0 open tunnels
+    And a shutdown of the peer waits for 0 tunnels
--- a/packages/pimentoplank/src/shared/rpc/peerTunnels.steps.ts
+++ b/packages/pimentoplank/src/shared/rpc/peerTunnels.steps.ts
@@ -29,6 +29,10 @@
   sockets: Socket[]
   behave: Behaviour
   isDirect: boolean
+  /** True while the peer's connections to the target are reset as soon as they are open. */
+  isResetAtOnce: boolean
+  /** Number of tunnels for which a shutdown of the peer waits. */
+  tracked: number
   tunnels: PeerTunnels
   others: PeerTunnels[]
   openSockets: Duplex[]
@@ -80,6 +84,8 @@
   this.openSockets = []
   this.others = []
   this.isDirect = true
+  this.isResetAtOnce = false
+  this.tracked = 0
   this.sent = Buffer.alloc(0)
   this.behave = () => undefined
   this.target = createServer((socket) => {
@@ -100,7 +106,14 @@
     tunnels: {
       mayOpen: (address) => address === this.targetAddress || address === FREE_PORT_ADDRESS,
       isDirect: () => this.isDirect,
-      connect: (address, done) => connect(toConnectOptions(address), done),
+      connect: (address, done) => connect(toConnectOptions(address), (cause, socket) => {
+        done(cause, socket)
+        if (this.isResetAtOnce) socket?.destroy(new ConnectionResetError())
+      }),
+      track: () => {
+        this.tracked += 1
+        return () => { this.tracked -= 1 }
+      },
       maxTunnels: MAX_TUNNELS,
       clock: createSystemClock(),
       metrics: this.metrics,
@@ -342,6 +355,27 @@
   await eventually(() => getOpenTunnels(this) === 0, SOON_MS, () => `${getOpenTunnels(this)} tunnels are open`)
 })
 
+When('{int} tunnels are opened', async function (this: TunnelWorld, count: number) {
+  for (let opened = 0; opened < count; opened++) await openTunnel(this)
+})
+
+Given('connections to the target are reset as soon as they are open, and the answers arrive together', async function (
+  this: TunnelWorld
+) {
+  this.isResetAtOnce = true
+  this.link.close()
+  this.link = await openTcpLink(this.peer.address, { batchMs: DELAY_MS })
+})
+
+Then('each of these tunnels is broken by a reset', async function (this: TunnelWorld) {
+  await eventually(() => this.openSockets.every(({ closed }) => closed), SOON_MS, () => 'a tunnel is open')
+  for (const { errored } of this.openSockets) assert.ok(errored instanceof ConnectionResetError, String(errored))
+})
+
+When('the tunnels are closed', function (this: TunnelWorld) {
+  for (const socket of this.openSockets) socket.destroy()
+})
+
 Then('another tunnel is opened', async function (this: TunnelWorld) {
   await openTunnel(this)
 })
@@ -372,6 +406,10 @@
   await eventually(() => getOpenTunnels(this) === count, SOON_MS, () => `${getOpenTunnels(this)} tunnels are open`)
 })
 
+Then('a shutdown of the peer waits for {int} tunnels', function (this: TunnelWorld, count: number) {
+  assert.equal(this.tracked, count)
+})
+
 Then('the peer soon has {int} sessions', async function (this: TunnelWorld, count: number) {
   await eventually(() => this.link.countConnections() === count, SOON_MS, () => 'the session is open')
 })
--- a/packages/pimentoplank/src/shared/rpc/peerTunnels.ts
+++ b/packages/pimentoplank/src/shared/rpc/peerTunnels.ts
@@ -42,8 +42,6 @@
   peerAddress: string
   /** IP address and port of the target. */
   address: string
-  /** Gives the tunnel up while it is being opened. */
-  signal?: AbortSignal
 }
 
 export interface PeerTunnels {
@@ -112,19 +110,14 @@
   }
 
   async function open (request: TunnelRequest): Promise<Result<Duplex, TunnelRefusedError>> {
-    const opened = await openStream(request)
+    const opened = await openSocket(request)
       .catch((cause: unknown) => err(new TunnelRefusedError('peerFailed', request, describeCause(cause))))
-    if (opened.isOk()) {
-      metrics.count('peerTunnels.connected')
-      return ok(createTunnelSocket(opened.value, () => metrics.count('peerTunnels.broken')))
-    }
-    metrics.count(`peerTunnels.${opened.error.outcome}`)
-    return err(opened.error)
+    metrics.count(`peerTunnels.${opened.isOk() ? 'connected' : opened.error.outcome}`)
+    return opened
   }
 
-  async function openStream (request: TunnelRequest): Promise<Result<http2.ClientHttp2Stream, TunnelRefusedError>> {
-    const { peerAddress, address, signal } = request
-    if (signal?.aborted === true) return err(new TunnelRefusedError('peerFailed', request, 'given up'))
+  async function openSocket (request: TunnelRequest): Promise<Result<Duplex, TunnelRefusedError>> {
+    const { peerAddress, address } = request
     const session = getSession(peerAddress)
     const stream = session.http.request({
       ':method': 'CONNECT',
@@ -137,33 +130,29 @@
     stream.once('close', () => scheduleClose(session))
     return await new Promise((resolve) => {
       let failure: Error | undefined
-      const giveUp = (): void => settleFailed('peerFailed', 'given up')
+      const onClose = (): void => settleFailed(
+        'peerFailed', failure === undefined ? 'the session closed' : describeCause(failure)
+      )
       const timer = setTimeout(() => {
         settleFailed('peerFailed', `no answer within ${openTimeoutMs} ms`)
         if (session.http.connecting) destroySession(session.http, 'the peer is not reached')
       }, openTimeoutMs)
 
-      function settle (): void {
-        clearTimeout(timer)
-        signal?.removeEventListener('abort', giveUp)
-      }
-
       function settleFailed (outcome: TunnelRefusedError['outcome'], detail: string): void {
-        settle()
+        clearTimeout(timer)
         stream.destroy(new Error('no tunnel'))
         resolve(err(new TunnelRefusedError(outcome, request, detail)))
       }
 
-      signal?.addEventListener('abort', giveUp)
       stream.on('error', (cause) => { failure ??= cause })
-      stream.once('close', () => settleFailed(
-        'peerFailed', failure === undefined ? 'the session closed' : describeCause(failure)
-      ))
+      stream.once('close', onClose)
       stream.once('response', (headers) => {
         const status = headers[':status']
         if (status === STATUS_OK) {
-          settle()
-          resolve(ok(stream))
+          clearTimeout(timer)
+          stream.off('close', onClose)
+          // The stream may end in this turn of the event loop already.
+          resolve(ok(createTunnelSocket(stream, () => metrics.count('peerTunnels.broken'))))
           return
         }
         const reason = String(headers[REASON_HEADER] ?? '')
--- a/packages/pimentoplank/src/shared/rpc/tunnelServer.ts
+++ b/packages/pimentoplank/src/shared/rpc/tunnelServer.ts
@@ -19,6 +19,8 @@
   isDirect: (address: string) => boolean
   /** Connects to a target, within its own timeout. */
   connect: (address: string, done: (cause: Error | null, socket?: Socket | null) => void) => void
+  /** Counts a tunnel as in flight, so that a shutdown waits for it; returns the function that ends it. */
+  track: () => () => void
   /** Maximum number of open tunnels. */
   maxTunnels?: number
   clock: Clock
@@ -65,7 +67,11 @@
     prepareSession(stream.session as ServerHttp2Session | undefined)
     tunnels.add(tunnel)
     metrics.gauge('tunnels.open', tunnels.size)
-    stream.once('close', () => end(tunnel))
+    const endTracking = options.track()
+    stream.once('close', () => {
+      endTracking()
+      end(tunnel)
+    })
     options.connect(address, (cause, socket) => {
       if (socket == null) return handleConnectFailure(tunnel, cause)
       tunnel.socket = socket
--- a/packages/pimentoplank/src/shared/rpc/tunnelSocket.ts
+++ b/packages/pimentoplank/src/shared/rpc/tunnelSocket.ts
@@ -59,6 +59,8 @@
     setImmediate(() => socket.destroy(cause))
   }
 
+  // The tunnel may break before its user listens, and an error event without a listener would end the process.
+  socket.on('error', () => undefined)
   stream.on('error', (cause) => { failure ??= cause })
   stream.on('data', (chunk: Buffer) => { if (!socket.push(chunk)) stream.pause() })
   stream.once('end', () => {
