--- a/packages/pimentoplank/src/relay/targets/targetDirectory.ts
+++ b/packages/pimentoplank/src/relay/targets/targetDirectory.ts
@@ -165,8 +165,9 @@
       return target !== undefined && getUsableTargets(target.service).includes(target)
     },
     hasAddress: (address) => {
-      const known = [...targets.values(), ...[...removed.values()].map(({ target }) => target)]
-      return known.some((target) => target.address === address)
+      const since = clock.now() - removalGraceMs
+      const recent = [...removed.values()].filter(({ at }) => at >= since).map(({ target }) => target)
+      return [...targets.values(), ...recent].some((target) => target.address === address)
     },
     all: () => targets.values(),
     onChange: (listener) => { listeners.push(listener) },
