--- a/packages/pimentoplank/src/shared/rpc/peerTunnels.steps.ts
+++ b/packages/pimentoplank/src/shared/rpc/peerTunnels.steps.ts
@@ -34,7 +34,7 @@
   /** Number of tunnels for which a shutdown of the peer waits. */
   tracked: number
   tunnels: PeerTunnels
-  others: PeerTunnels[]
+  otherTunnels: PeerTunnels[]
   openSockets: Duplex[]
   posted: Buffer
   received: Buffer
@@ -82,7 +82,7 @@
   this.security = SECURITY_BY_NAME[name]!
   this.sockets = []
   this.openSockets = []
-  this.others = []
+  this.otherTunnels = []
   this.isDirect = true
   this.isResetAtOnce = false
   this.tracked = 0
@@ -288,7 +288,7 @@
 const ASK_STEPS: Record<string, (world: TunnelWorld) => Promise<Result<Duplex, TunnelRefusedError>>> = {
   'with another key': async (world) => {
     const other = createTunnels(world, { security: { ...world.security, sharedKey: 'another-key' } })
-    world.others.push(other)
+    world.otherTunnels.push(other)
     return await ask(world, { tunnels: other })
   },
   'to an address that belongs to no target': async (world) => await ask(world, { address: world.peer.address }),
@@ -427,8 +427,8 @@
 })
 
 After(async function (this: Partial<TunnelWorld>) {
-  if (this.others === undefined) return
-  for (const tunnels of [this.tunnels!, ...this.others]) tunnels.close()
+  if (this.otherTunnels === undefined) return
+  for (const tunnels of [this.tunnels!, ...this.otherTunnels]) tunnels.close()
   this.link!.close()
   await this.peer!.close()
   for (const socket of this.sockets!) socket.destroy()
