Log who left targets out, and whose requests take their slots, with each refusal

A refusal because peers had left every target out and one because the tries of a peer without a path held every slot looked the same in the log: trusted 0, free 0. The line names how many targets this instance has left out and how many only peers have, and how many live requests at them are its own and its peers'. No behaviour changes.

--- a/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
@@ -95,6 +95,7 @@
     ownLive: 0,
     ownBatch: 0,
     isSuspect: false,
+    isOwnSuspect: false,
     isFresh: true,
     isPreferred: false,
     isOutdated: false,
--- a/packages/pimentoplank/src/relay/live/slotScheduler.steps.ts
+++ b/packages/pimentoplank/src/relay/live/slotScheduler.steps.ts
@@ -56,6 +56,7 @@
     ownLive: 1,
     ownBatch: 0,
     isSuspect: false,
+    isOwnSuspect: false,
     isOutdated: false,
     isLeaving: false,
     isFresh: true,
--- a/packages/pimentoplank/src/relay/live/slotScheduler.ts
+++ b/packages/pimentoplank/src/relay/live/slotScheduler.ts
@@ -228,7 +228,17 @@
     const trusted = all.filter(({ isSuspect }) => !isSuspect)
     const countFree = (loads: readonly TargetLoad[]): number =>
       loads.reduce((sum, { target, live }) => sum + Math.max(0, target.slots - live), 0)
-    return { targets: all.length, trusted: trusted.length, free: countFree(all), trustedFree: countFree(trusted) }
+    const leftOutByOwn = all.filter(({ isOwnSuspect }) => isOwnSuspect).length
+    return {
+      targets: all.length,
+      trusted: trusted.length,
+      leftOutByOwn,
+      leftOutByPeers: all.length - trusted.length - leftOutByOwn,
+      ownLive: all.reduce((sum, load) => sum + load.ownLive, 0),
+      peersLive: all.reduce((sum, { live, ownLive }) => sum + live - ownLive, 0),
+      free: countFree(all),
+      trustedFree: countFree(trusted)
+    }
   }
 
   /** A target with a limit runs no more requests at once than the limit lets in during one run. */
--- a/packages/pimentoplank/src/relay/load/loadView.ts
+++ b/packages/pimentoplank/src/relay/load/loadView.ts
@@ -24,6 +24,8 @@
   ownBatch: number
   /** True while it is excluded because it failed a request of this instance or of a peer. */
   isSuspect: boolean
+  /** True while it is excluded because of failures that this instance itself has seen. */
+  isOwnSuspect: boolean
   /** True when another process than the listed one answers at its address; its entry is out of date. */
   isOutdated: boolean
   /** True when it leaves and is used only where no others are left. */
@@ -158,6 +160,7 @@
       ownLive: ownUse?.live ?? 0,
       ownBatch: ownUse?.batch ?? 0,
       isSuspect: isOwnSuspect(target.id) || peerUses.isSuspect(key),
+      isOwnSuspect: isOwnSuspect(target.id),
       isOutdated: target.startedAt !== undefined && outdated.get(target.id) === target.startedAt,
       isLeaving,
       isFresh: options.isClose(target.failureDomain),
