Let stand-ins cut single instances off from the replicas

Links take a mode for connections from some addresses, keep bytes back until the mode ends, and refuse new connections only. For that an instance can connect to its targets from an address of its own (targets.localAddress, local_address in the platform's file; by default the choice of the system), and runs of stand-in replicas record the sender. A link accepts each connection before it sees where it comes from, so that in scenarios within one process the connector of an instance itself refuses or times out new connections (connectors in RelayDeps); in the soak they are accepted first.

--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -2,7 +2,7 @@
 import { err, ok, ResultAsync, type Result } from 'neverthrow'
 import {
   createPeerServer, createPeerTransports, createSystemClock, describeCause, rankByRendezvous,
-  type Clock, type Log, type Metrics, type PeerSecurity, type PlatformClient, type Random
+  type Clock, type createConnector, type Log, type Metrics, type PeerSecurity, type PlatformClient, type Random
 } from '../shared'
 import { createShutdownController } from '../entry/stopping'
 import { createDirectory, createRelayHandler, type CallerProtocol, type Directory, type RelayHandler } from './callers'
@@ -50,6 +50,8 @@
   log: Log
   clock?: Clock
   random?: Random
+  /** Creates the function that establishes connections to targets; replaced by tests that cut an instance off. */
+  connectors?: typeof createConnector
 }
 
 export interface Relay {
@@ -179,7 +181,14 @@
     log
   })
   const connections = createTargetConnectionPool({
-    settings: { connectTimeoutMs: TARGET_CONNECT_TIMEOUT_MS, idleTimeoutMs: TARGET_IDLE_TIMEOUT_MS }, clock, metrics
+    settings: {
+      connectTimeoutMs: TARGET_CONNECT_TIMEOUT_MS,
+      idleTimeoutMs: TARGET_IDLE_TIMEOUT_MS,
+      localAddress: settings.targets.localAddress
+    },
+    connectors: deps.connectors,
+    clock,
+    metrics
   })
   const exchange = createExchange({
     protocol: protocols.targets,
@@ -447,7 +456,7 @@
   function applySettings (next: RelaySettings): string[] {
     next.seeds.forEach(gossip.addCandidate)
     log.level(next.log.level)
-    const restartSettings = ['instance', 'listen', 'platform', 'bounds'] as const
+    const restartSettings = ['instance', 'listen', 'platform', 'targets', 'bounds'] as const
     return restartSettings.filter((name) => JSON.stringify(next[name]) !== JSON.stringify(settings[name]))
   }
 
--- a/packages/pimentoplank/src/relay/exchange/connectionPool.ts
+++ b/packages/pimentoplank/src/relay/exchange/connectionPool.ts
@@ -8,6 +8,8 @@
   connectTimeoutMs: number
   /** A connection that is idle for this long is closed, in milliseconds. */
   idleTimeoutMs: number
+  /** IP address from which connections are made; by default the choice of the system. */
+  localAddress?: string
 }
 
 /** A connection that carries one request at a time. */
@@ -57,10 +59,12 @@
 /** Creates the connection pool of an instance. */
 export function createTargetConnectionPool (options: {
   settings: ConnectionSettings
+  /** Creates the function that establishes connections; replaced by tests that cut an instance off. */
+  connectors?: typeof createConnector
   clock: Clock
   metrics: Metrics
 }): TargetConnectionPool {
-  const { settings, clock, metrics } = options
+  const { settings, connectors = createConnector, clock, metrics } = options
   const idle = new Map<string, IdleConnection[]>()
   const connections = new Set<TargetConnection>()
   let shortenedTimeout: { ms: number, until: number } | undefined
@@ -72,7 +76,7 @@
 
   function openConnection (address: string): TargetConnection {
     metrics.count('targets.connections')
-    const connect = createConnector({ timeoutMs: settings.connectTimeoutMs })
+    const connect = connectors({ timeoutMs: settings.connectTimeoutMs, localAddress: settings.localAddress })
     const client = new Client(`http://${address}`, {
       pipelining: 1,
       headersTimeout: NO_LIMIT,
--- a/packages/pimentoplank/src/relay/settings.ts
+++ b/packages/pimentoplank/src/relay/settings.ts
@@ -27,6 +27,9 @@
     url: z.url().describe('Base URL of the platform\'s object API.'),
     timeoutMs: durationMs.default(SECOND_MS).describe('Timeout of one call, in milliseconds.')
   }),
+  targets: z.strictObject({
+    localAddress: z.ipv4().optional().describe('Address from which connections to targets are made; by default the choice of the system.')
+  }).prefault({}),
   seeds: z.array(address).default([]).describe('Addresses of peers to contact before any peer is known.'),
   bounds: boundSettings.prefault({}),
   isFirstStart: z.boolean().default(false).describe('True when nothing has been served before this deployment started.'),
--- a/packages/pimentoplank/src/shared/targetHttp/connector.ts
+++ b/packages/pimentoplank/src/shared/targetHttp/connector.ts
@@ -12,14 +12,17 @@
   }
 }
 
-/**
- * Creates a connector.
- *
- * @param options - `timeoutMs` bounds the time for establishing a connection, in milliseconds
- */
-export function createConnector ({ timeoutMs }: { timeoutMs: number }): buildConnector.connector {
+export interface ConnectorOptions {
+  /** Bounds the time for establishing a connection, in milliseconds. */
+  timeoutMs: number
+  /** IP address from which connections are made; by default the choice of the system. */
+  localAddress?: string
+}
+
+/** Creates a connector. */
+export function createConnector ({ timeoutMs, localAddress }: ConnectorOptions): buildConnector.connector {
   const connect = buildConnector({ timeout: timeoutMs, keepAlive: true })
-  return (options, done) => connect(options, (...result) => {
+  return (options, done) => connect({ ...options, localAddress }, (...result) => {
     if (result[0] === null) reportResets(result[1])
     done(...result)
   })
--- a/packages/soak/features/streamChecks.steps.ts
+++ b/packages/soak/features/streamChecks.steps.ts
@@ -37,7 +37,7 @@
 function addRun (world: ChecksWorld, version: string, run: Pick<ReplicaRun, 'id' | 'from' | 'sent'> & Partial<ReplicaRun>): void {
   const { runs } = getTarget(world, version).standin
   const at = NOW + world.targets.flatMap(({ standin }) => standin.runs).length
-  runs.push({ version, path: '/ask/x', body: '', at, ran: true, outcome: 'done', headers: {}, ...run })
+  runs.push({ version, path: '/ask/x', sender: '', body: '', at, ran: true, outcome: 'done', headers: {}, ...run })
 }
 
 /** Adds an attempt that brought the events with these ids. */
--- a/packages/standins/src/link/link.steps.ts
+++ b/packages/standins/src/link/link.steps.ts
@@ -13,13 +13,15 @@
   /** Ports from which the link has connected to the upstream. */
   upstreamPorts: number[]
   ending?: 'close' | 'reset'
+  /** Number of requests that reached the upstream. */
+  requests: number
 }
 
 const ANSWER = 'an answer'
 
-function sendRequest (world: LinkWorld): void {
+function sendRequest (world: LinkWorld, localAddress?: string): void {
   const [host, port] = world.link.address.split(':')
-  const client = connect(Number(port), host, () => client.write('request'))
+  const client = connect({ port: Number(port), host, localAddress }, () => client.write('request'))
   world.client = client
   world.received = ''
   client.on('data', (bytes) => { world.received += String(bytes) })
@@ -30,9 +32,11 @@
 Given('a link to a server that answers and then ends the connection by a {word}', async function (
   this: LinkWorld, by: 'close' | 'reset'
 ) {
+  this.requests = 0
   this.upstream = createServer((socket) => {
     socket.on('error', () => undefined)
     socket.once('data', () => {
+      this.requests += 1
       socket.write(ANSWER)
       if (by === 'close') socket.end()
       else socket.resetAndDestroy()
@@ -43,6 +47,16 @@
   this.link = await createLink(`127.0.0.1:${(this.upstream.address() as AddressInfo).port}`)
 })
 
+Given('a link to a server that answers and keeps connections open', async function (this: LinkWorld) {
+  this.upstream = createServer((socket) => {
+    socket.on('error', () => undefined)
+    socket.on('data', () => socket.write(ANSWER))
+  })
+  this.upstream.listen(0, '127.0.0.1')
+  await once(this.upstream, 'listening')
+  this.link = await createLink(`127.0.0.1:${(this.upstream.address() as AddressInfo).port}`)
+})
+
 Given('a link to a server that keeps connections open', async function (this: LinkWorld) {
   this.upstreamPorts = []
   this.upstream = createServer((socket) => {
@@ -91,7 +105,56 @@
   assert.deepEqual([this.received, this.ending], ['', undefined])
 })
 
-Then('the client receives the answer, and its connection is ended by a {word}', function (this: LinkWorld, by: string) {
+When(/^the link keeps back the bytes of ([\d.]+) and a client there sends a request$/, async function (
+  this: LinkWorld, address: string
+) {
+  this.link.setModeFrom([address], 'held')
+  sendRequest(this, address)
+  await once(this.client, 'connect')
+})
+
+When(/^the link is open again to ([\d.]+)$/, function (this: LinkWorld, address: string) {
+  this.link.setModeFrom([address], 'open')
+})
+
+Then(/^a client at ([\d.]+) receives the answer$/, async function (this: LinkWorld, address: string) {
+  const other = { ...this }
+  sendRequest(other, address)
+  await once(other.client, 'close')
+  assert.equal(other.received, ANSWER)
+})
+
+Then('within {int} ms the upstream gets no request', async function (this: LinkWorld, ms: number) {
+  await pause(ms)
+  assert.equal(this.requests, 0)
+})
+
+When(/^a client at ([\d.]+) is connected and the link then refuses new connections of that address$/, async function (
+  this: LinkWorld, address: string
+) {
+  sendRequest(this, address)
+  await once(this.client, 'data')
+  this.link.setModeFrom([address], 'refuseNew')
+})
+
+Then('the client receives an answer to its request', async function (this: LinkWorld) {
+  this.received = ''
+  this.client.write('request')
+  await once(this.client, 'data')
+  assert.equal(this.received, ANSWER)
+})
+
+Then(/^a new connection from ([\d.]+) is reset$/, async function (this: LinkWorld, address: string) {
+  const other: LinkWorld = { ...this, ending: undefined }
+  sendRequest(other, address)
+  await waitUntil(() => other.ending !== undefined)
+  assert.deepEqual([other.received, other.ending], ['', 'reset'])
+})
+
+Then('the client receives the answer, and its connection is ended by a {word}', async function (
+  this: LinkWorld, by: string
+) {
+  await waitUntil(() => this.ending !== undefined)
   assert.deepEqual([this.received, this.ending], [ANSWER, by])
 })
 
--- a/packages/standins/src/link/link.ts
+++ b/packages/standins/src/link/link.ts
@@ -10,8 +10,12 @@
  * - `oneWay`: bytes from the upstream are dropped, bytes to it pass
  * - `slow`: bytes pass after a delay
  * - `cut`: connections are reset, and new ones are reset immediately
+ * - `refuseNew`: new connections are reset immediately
+ * - `held`: bytes are kept back, on new connections, too, and passed on when the mode ends; a connection whose
+ *   downstream has closed meanwhile is reset then. New connections are established, as the kernel accepts them; in a
+ *   network that is partitioned they would time out.
  */
-export type LinkMode = 'open' | 'silent' | 'oldSilent' | 'oneWay' | 'slow' | 'cut'
+export type LinkMode = 'open' | 'silent' | 'oldSilent' | 'oneWay' | 'slow' | 'cut' | 'refuseNew' | 'held'
 
 /** Delay of each chunk in mode `slow`, in milliseconds. */
 const SLOW_MS = 150
@@ -21,6 +25,8 @@
   address: string
   /** Changes the mode. A connection keeps the faults of earlier modes; `open` affects only new ones. */
   setMode: (mode: LinkMode) => void
+  /** Changes the mode for connections from some IP addresses; others keep that of the link. */
+  setModeFrom: (addresses: readonly string[], mode: LinkMode) => void
   /** True for the local port of a connection to the upstream which hides that its other end has closed. */
   isHalfOpen: (port: number) => boolean
   /** Returns the number of bytes received from both ends so far. */
@@ -30,16 +36,22 @@
 
 /** A proxied connection. The faults of a mode are permanent for it, because dropped bytes can't be recovered. */
 interface Connection {
+  /** IP address of the downstream. */
+  from: string
   downstream: Socket
   upstream: Socket
   isSilent: boolean
   /** Whether bytes from the upstream are dropped. */
   dropsFromUpstream: boolean
   isSlow: boolean
+  /** What was kept back; undefined unless the mode is `held`. */
+  held?: Array<() => void>
+  /** True when the downstream has closed while bytes were kept back. */
+  hasLeft: boolean
 }
 
 /**
- * Starts a link.
+ * Starts a link. It connects to the upstream from the address from which the connection came.
  *
  * @param upstreamAddress - IP address and port of the upstream
  */
@@ -49,22 +61,27 @@
   /** Upstream ends of connections whose other end has closed silently. */
   const halfOpen = new Set<Socket>()
   let mode: LinkMode = 'open'
+  const modesFrom = new Map<string, LinkMode>()
   let byteCount = 0
 
   function accept (downstream: Socket): void {
-    if (mode === 'cut') {
+    const from = downstream.remoteAddress ?? ''
+    const current = modesFrom.get(from) ?? mode
+    if (current === 'cut' || current === 'refuseNew') {
       downstream.resetAndDestroy()
       return
     }
-    const upstream = connect(parseAddress(upstreamAddress))
+    const upstream = connect({ ...parseAddress(upstreamAddress), localAddress: downstream.remoteAddress })
     const connection: Connection = {
+      from,
       downstream,
       upstream,
       isSilent: false,
       dropsFromUpstream: false,
-      isSlow: false
+      isSlow: false,
+      hasLeft: false
     }
-    if (mode !== 'oldSilent') applyMode(connection, mode)
+    if (current !== 'oldSilent') applyMode(connection, current)
     connections.add(connection)
     relay(connection, downstream, upstream, false)
     relay(connection, upstream, downstream, true)
@@ -74,6 +91,10 @@
     from.on('data', (bytes) => {
       byteCount += bytes.length
       if (isDropped()) return
+      if (connection.held !== undefined) {
+        connection.held.push(() => { if (into.writable) into.write(bytes) })
+        return
+      }
       if (connection.isSlow) {
         setTimeout(() => { if (into.writable) into.write(bytes) }, SLOW_MS)
         return
@@ -85,6 +106,11 @@
     let isReset = false
     const isDropped = (): boolean => connection.isSilent || (connection.dropsFromUpstream && isFromUpstream)
     from.on('end', () => {
+      if (connection.held !== undefined) {
+        if (isFromUpstream) connection.held.push(() => into.end())
+        else connection.hasLeft = true
+        return
+      }
       // A reset that arrives with the last bytes is read as a regular end, but leaves the socket without a peer.
       isReset ||= from.remoteAddress === undefined
       if (isReset) {
@@ -102,17 +128,22 @@
     sockets.add(from)
     from.on('error', () => { isReset = true })
     from.on('close', () => {
+      const end = (): void => {
+        if (isReset) into.resetAndDestroy()
+        else into.destroy()
+      }
       sockets.delete(from)
-      connections.delete(connection)
       halfOpen.delete(from)
+      if (connection.held !== undefined && !isDropped()) {
+        if (isFromUpstream) connection.held.push(end)
+        else connection.hasLeft = true
+        return
+      }
+      connections.delete(connection)
       if (isDropped()) {
         markHalfOpen()
         return
       }
-      const end = (): void => {
-        if (isReset) into.resetAndDestroy()
-        else into.destroy()
-      }
       if (connection.isSlow) setTimeout(end, 2 * SLOW_MS)
       else end()
     })
@@ -125,7 +156,14 @@
     address: `127.0.0.1:${port}`,
     setMode: (next) => {
       mode = next
-      for (const connection of connections) applyMode(connection, next)
+      for (const connection of connections) if (!modesFrom.has(connection.from)) applyMode(connection, next)
+    },
+    setModeFrom: (addresses, next) => {
+      for (const from of addresses) {
+        if (next === 'open') modesFrom.delete(from)
+        else modesFrom.set(from, next)
+      }
+      for (const connection of connections) if (addresses.includes(connection.from)) applyMode(connection, next)
     },
     isHalfOpen: (one) => [...halfOpen].some(({ localPort }) => localPort === one),
     getByteCount: () => byteCount,
@@ -156,6 +194,15 @@
   if (mode === 'oneWay') connection.dropsFromUpstream = true
   if (mode === 'slow') connection.isSlow = true
   if (mode === 'cut') resetConnection(connection)
+  if (mode === 'held') connection.held ??= []
+  else passHeld(connection)
+}
+
+function passHeld (connection: Connection): void {
+  const { held = [], hasLeft } = connection
+  connection.held = undefined
+  if (hasLeft) resetConnection(connection)
+  else held.forEach((pass) => pass())
 }
 
 function resetConnection (connection: Connection): void {
