Cut instances off from all targets in the soak

For 9 s in half of the runs, one to three of five instances lose the path to every target in one of three ways. First tries there, from 3 s on, must be served two thirds as often as elsewhere, but for 4. A request may be kept back on its way to a target, so that removals during a cut count as delayed, like those beside faults of the store.

--- a/packages/soak/features/soak.feature
+++ b/packages/soak/features/soak.feature
@@ -23,3 +23,7 @@
   Scenario: Seeds in which a program ran before it was loaded keep every promise
     When the seeds in which a program ran before it was loaded run
     Then no guarantee was violated
+
+  Scenario: Seeds in which instances were cut off from all targets keep every promise
+    When the seeds in which instances were cut off run
+    Then no guarantee was violated
--- a/packages/soak/features/soak.steps.ts
+++ b/packages/soak/features/soak.steps.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict'
 import { Then, When } from '@cucumber/cucumber'
 import {
-  EARLY_SIGHUPS, EVERY_FAULT, LOADING_REGRESSIONS, OLD_ENTRY_REGRESSIONS, REGRESSIONS, runSeed, SHORT_FAULTS,
-  STREAM_REGRESSIONS,
+  CUT_REGRESSIONS, EARLY_SIGHUPS, EVERY_FAULT, LOADING_REGRESSIONS, OLD_ENTRY_REGRESSIONS, REGRESSIONS, runSeed,
+  SHORT_FAULTS, STREAM_REGRESSIONS,
   type Regression, type SeedOutcome
 } from '../src'
 
@@ -56,6 +56,10 @@
   this.outcomes = await runRegressions(LOADING_REGRESSIONS)
 })
 
+When('the seeds in which instances were cut off run', { timeout: RUN_TIMEOUT_MS }, async function (this: SoakWorld) {
+  this.outcomes = await runRegressions(CUT_REGRESSIONS)
+})
+
 When('the seeds whose hang-up met a starting process run', { timeout: RUN_TIMEOUT_MS }, async function (
   this: SoakWorld
 ) {
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -29,8 +29,10 @@
 const STORE_FAULTS: ReadonlySet<string> = new Set([
   'storeBusy', 'storeSilent', 'storeLosesAnswers', 'storeForgets', 'storeLink'
 ])
-/** Faults that may delay the propagation of a change at the store. */
-const DELAYING_FAULTS: ReadonlySet<string> = new Set([...STORE_FAULTS, 'kill', 'killMany', 'freeze', 'stop'])
+/** Faults that may delay the propagation of a change at the store, or a request on its way to a target. */
+const DELAYING_FAULTS: ReadonlySet<string> = new Set([
+  ...STORE_FAULTS, 'kill', 'killMany', 'freeze', 'stop', 'instanceCut'
+])
 
 /** Checks every guarantee; returns a description of each violation. */
 export function findViolations (seen: Observations): string[] {
@@ -53,6 +55,7 @@
     ...checkCrashingPart(seen),
     ...checkLimits(seen),
     ...checkEndless(seen),
+    ...checkCutInstances(seen),
     ...checkRecovery(seen)
   ]
 }
@@ -180,8 +183,39 @@
   })
 }
 
+/** Time after the start of a cut from which first tries count. */
+const CUT_GRACE_MS = 3000
+/** Served share of first tries at cut instances, as a part of the share elsewhere. */
+const MIN_CUT_SHARE = 2 / 3
+/** Number of first tries by which chance may fall short of that. */
+const CUT_TOLERANCE = 4
+
+/** First tries at instances without a path to the targets must be served nearly as often as those at the others. */
+function checkCutInstances ({ fleet: { instances }, attempts }: Observations): string[] {
+  const spans = new Set(instances.flatMap(({ cuts }) => cuts))
+  return [...spans].flatMap((span) => {
+    const first = attempts.filter(({ id, sentAt, endedAt, instance: { touchedAt }, hasLeft }) => {
+      const from = sentAt - CONTACT_TIMEOUT_MS
+      const isInTouch = !touchedAt.some((at) => at >= from && at <= endedAt)
+      return id.endsWith('a0') && !hasLeft && isInTouch && sentAt >= span.from + CUT_GRACE_MS && sentAt < span.to
+    })
+    const atCut = first.filter(({ instance }) => instance.cuts.includes(span))
+    const atOthers = first.filter(({ instance }) => !instance.cuts.includes(span))
+    const [served, servedElsewhere] = [countWhole(atCut), countWhole(atOthers)]
+    const least = MIN_CUT_SHARE * atCut.length * servedElsewhere / Math.max(1, atOthers.length)
+    if (served + CUT_TOLERANCE >= least) return []
+    const seen = `${served} of ${atCut.length} first tries served, elsewhere ${servedElsewhere} of ${atOthers.length}`
+    const cut = instances.filter(({ cuts }) => cuts.includes(span)).map(({ id }) => id)
+    return [`cut off: ${seen}, from ${span.from} on at ${cut.join(', ')}`]
+  })
+}
+
+function countWhole (attempts: readonly Attempt[]): number {
+  return attempts.filter(({ answer }) => answer?.status === HTTP_OK && answer.isWhole).length
+}
+
 function checkRecovery ({ attempts, recoveredAt }: Observations): string[] {
   const after = attempts.filter(({ sentAt, hasLeft }) => sentAt >= recoveredAt && !hasLeft)
-  const whole = after.filter(({ answer }) => answer?.status === HTTP_OK && answer.isWhole).length
+  const whole = countWhole(after)
   return whole >= after.length * MIN_RECOVERED_SHARE ? [] : [`recovery: ${whole} of ${after.length} requests completed`]
 }
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -1,5 +1,6 @@
 export {
-  EARLY_SIGHUPS, LOADING_REGRESSIONS, OLD_ENTRY_REGRESSIONS, REGRESSIONS, STREAM_REGRESSIONS, type Regression
+  CUT_REGRESSIONS, EARLY_SIGHUPS, LOADING_REGRESSIONS, OLD_ENTRY_REGRESSIONS, REGRESSIONS, STREAM_REGRESSIONS,
+  type Regression
 } from './regressions'
 export { EVERY_FAULT, runSeed, SHORT_FAULTS, type SeedOptions, type SeedOutcome } from './runSeed'
 export { sendLiveRequest, type Attempt } from './liveRequests'
--- a/packages/soak/src/inject.ts
+++ b/packages/soak/src/inject.ts
@@ -11,6 +11,8 @@
 
 const STREAM_PATHS = [PATHS.resumable, PATHS.once, PATHS.batch]
 const LINK_MODES: readonly LinkMode[] = ['silent', 'oldSilent', 'oneWay', 'slow', 'cut']
+/** Ways in which an instance is cut off from all targets. */
+const CUT_MODES: readonly LinkMode[] = ['held', 'cut', 'refuseNew']
 /** Limits of targets, in requests a second. */
 const MIN_LIMIT = 2
 const LIMIT_RANGE = 4
@@ -22,6 +24,8 @@
 ]
 /** Share of the instances that `killMany` kills. */
 const KILLED_SHARE = 0.6
+/** Most instances that `instanceCut` cuts off. */
+const MAX_CUT = 3
 
 function pickItem<Item> (items: readonly Item[], pick: number): Item | undefined {
   return items[pick % items.length]
@@ -213,6 +217,20 @@
   },
   targetPauses: injectPauses,
   targetVersions: injectVersions,
+  instanceCut: (fleet, { pick }) => {
+    const mode = pickItem(CUT_MODES, pick)!
+    const rest = Math.floor(pick / CUT_MODES.length)
+    const cut = fleet.instances.filter((_, index) => (index + rest) % fleet.instances.length < 1 + rest % MAX_CUT)
+    const span = { from: Date.now(), to: Infinity }
+    for (const instance of cut) {
+      instance.cuts.push(span)
+      fleet.setTargetLinks(instance, mode)
+    }
+    return () => {
+      span.to = Date.now()
+      for (const instance of cut) fleet.setTargetLinks(instance, 'open')
+    }
+  },
   configuration: (fleet) => {
     fleet.publishConfig()
     return undefined
--- a/packages/soak/src/plan.ts
+++ b/packages/soak/src/plan.ts
@@ -15,8 +15,10 @@
 export const VERSION_FAULT_KINDS = ['targetPauses', 'targetVersions'] as const
 /** A target that says in its answers that it leaves while its entry stays; drawn apart as well. */
 export const LEAVING_FAULT_KINDS = ['targetTellsLeaving'] as const
-type LongFaultKind =
-  typeof LONG_FAULT_KINDS[number] | typeof VERSION_FAULT_KINDS[number] | typeof LEAVING_FAULT_KINDS[number]
+/** Instances that are cut off from all targets; drawn apart as well. */
+export const CUT_FAULT_KINDS = ['instanceCut'] as const
+type LongFaultKind = typeof LONG_FAULT_KINDS[number] | typeof VERSION_FAULT_KINDS[number] |
+  typeof LEAVING_FAULT_KINDS[number] | typeof CUT_FAULT_KINDS[number]
 export type FaultKind = typeof FAULT_KINDS[number] | LongFaultKind
 
 export interface Fault {
--- a/packages/soak/src/regressions.ts
+++ b/packages/soak/src/regressions.ts
@@ -10,6 +10,8 @@
   withVersionFaults?: boolean
   /** True for seeds that failed with targets that say that they leave. */
   withLeavingTargets?: boolean
+  /** True for seeds that failed with instances that were cut off from all targets. */
+  withCutInstances?: boolean
 }
 
 /** Seeds in which SIGHUP reached a starting process; before the program's first line runs, it ends the process. */
@@ -44,6 +46,13 @@
   { seed, cause: LOADING, ...withEveryFault, withLeavingTargets: true }
 ))
 
+const STRANDED = 'an instance without a path to the targets had no other way for its requests'
+
+/** Seeds in which instances that were cut off from all targets served hardly any request. */
+export const CUT_REGRESSIONS: readonly Regression[] = [2, 6].map((seed) => (
+  { seed, cause: STRANDED, ...withEveryFault, withLeavingTargets: true, withCutInstances: true }
+))
+
 export const REGRESSIONS: readonly Regression[] = [
   { seed: 101, seconds: 15, cause: LOST_TAKEOVER },
   { seed: 105, seconds: 15, cause: LOST_TAKEOVER },
--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -6,7 +6,9 @@
 import { startCallers } from './callers'
 import { findViolations } from './checks'
 import { injectFaults } from './inject'
-import { createSoakRandom, generateFaults, generateLongFaults, LEAVING_FAULT_KINDS, VERSION_FAULT_KINDS } from './plan'
+import {
+  createSoakRandom, CUT_FAULT_KINDS, generateFaults, generateLongFaults, LEAVING_FAULT_KINDS, VERSION_FAULT_KINDS
+} from './plan'
 import { startSoakFleet, type SoakFleet } from './soakFleet'
 
 export interface SeedOptions {
@@ -21,14 +23,20 @@
   withVersionFaults: boolean
   /** Adds targets that say in their answers that they leave. */
   withLeavingTargets: boolean
+  /** Adds instances that are cut off from all targets. */
+  withCutInstances: boolean
   /** Folder for logs; those of a seed without violations are removed. */
   folder: string
 }
 
 /** Options with which a seed has every kind of fault. */
-export const EVERY_FAULT = { withLongFaults: true, withVersionFaults: true, withLeavingTargets: true }
+export const EVERY_FAULT = {
+  withLongFaults: true, withVersionFaults: true, withLeavingTargets: true, withCutInstances: true
+}
 /** Options with which a seed has short faults only. */
-export const SHORT_FAULTS = { withLongFaults: false, withVersionFaults: false, withLeavingTargets: false }
+export const SHORT_FAULTS = {
+  withLongFaults: false, withVersionFaults: false, withLeavingTargets: false, withCutInstances: false
+}
 
 export interface SeedOutcome {
   seed: number
@@ -50,6 +58,8 @@
 const VERSION_FAULT_FACTOR = 0x9e3779b1
 /** The same for targets that say that they leave. */
 const LEAVING_FAULT_FACTOR = 0x85ebca6b
+/** The same for instances that are cut off. */
+const CUT_FAULT_FACTOR = 0x27d4eb2f
 const START_TIMEOUT_MS = 15_000
 /** Time within which the deployment must recover after the last fault, in milliseconds. */
 const RECOVERY_MS = 6000
@@ -73,6 +83,9 @@
     const leavingRandom = createSoakRandom(Math.imul(seed, LEAVING_FAULT_FACTOR))
     plan.push(...generateLongFaults(leavingRandom, lengthMs, LEAVING_FAULT_KINDS))
   }
+  if (options.withCutInstances) {
+    plan.push(...generateLongFaults(createSoakRandom(Math.imul(seed, CUT_FAULT_FACTOR)), lengthMs, CUT_FAULT_KINDS))
+  }
   const fleet = await startSoakFleet({ instances: options.instances, targets: options.targets, folder, run: seed })
   try {
     await waitUntilReady(fleet)
--- a/packages/soak/src/soakFleet.ts
+++ b/packages/soak/src/soakFleet.ts
@@ -2,7 +2,7 @@
 import { spawn, type ChildProcess } from 'node:child_process'
 import { createWriteStream, mkdirSync, writeFileSync } from 'node:fs'
 import path from 'node:path'
-import { createLink, type Link } from '@pimentoplank/standins'
+import { createLink, type Link, type LinkMode } from '@pimentoplank/standins'
 import type { BodyFraming } from 'pimentoplank/shared'
 import {
   entryOf, PORTS, settingsText, startReplicaStandin, startStoreStandin, usualConfig,
@@ -30,6 +30,8 @@
   disturbedAt: number[]
   /** Times at which it was started or got any signal, as wall clock time in milliseconds. */
   touchedAt: number[]
+  /** Periods in which it was cut off from all targets; the last one ends with `Infinity` while it lasts. */
+  cuts: Span[]
   /** Descriptions of process exits that no fault caused. */
   crashes: string[]
 }
@@ -63,6 +65,8 @@
   /** Removes a target from the store. */
   removeTarget: (target: SoakTarget) => void
   restart: (instance: SoakInstance) => void
+  /** Changes the mode of the paths between an instance and all targets, later ones included. */
+  setTargetLinks: (instance: SoakInstance, mode: LinkMode) => void
   /** Writes the next configuration; each version adds a route of its own. */
   publishConfig: () => void
   close: () => Promise<void>
@@ -94,6 +98,7 @@
   const store = await startStoreStandin()
   const instances: SoakInstance[] = []
   const targets: SoakTarget[] = []
+  const targetModes = new Map<string, LinkMode>()
   let version = 0
   let isClosed = false
 
@@ -126,6 +131,7 @@
     })
     standin.faults.crashingPart = fleet.crashingPart
     const link = givenLink ?? await createLink(standin.address)
+    for (const [ip, mode] of targetModes) link.setModeFrom([ip], mode)
     const target: SoakTarget = { standin, link, startedAt: Date.now(), disturbed: [] }
     targets.push(target)
     const register = (): void => {
@@ -175,7 +181,7 @@
     const zone = FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]!
     writeFileSync(path.join(options.folder, `${id}.toml`), settingsText({ id, ip, seeds, zone, store: link.address }))
     const instance: SoakInstance = {
-      id, ip, address: `${ip}:${PORTS.callers}`, store: link, child: undefined as never, isHeld: false, disturbedAt: [], touchedAt: [], crashes: []
+      id, ip, address: `${ip}:${PORTS.callers}`, store: link, child: undefined as never, isHeld: false, disturbedAt: [], touchedAt: [], cuts: [], crashes: []
     }
     instance.child = launch(instance)
     instances.push(instance)
@@ -195,6 +201,10 @@
       target.leftAt = Date.now()
     },
     restart,
+    setTargetLinks: ({ ip }, mode) => {
+      targetModes.set(ip, mode)
+      for (const { link } of targets) link.setModeFrom([ip], mode)
+    },
     publishConfig: configure,
     close
   }
