--- a/packages/pimentoplank/src/relay/createPaths.ts
+++ b/packages/pimentoplank/src/relay/createPaths.ts
@@ -1,13 +1,20 @@
 /** Creates the tracker of the paths to targets, with the test connections that it needs. */
-import { connect } from 'node:net'
-import type { Clock, Log, Metrics, Random } from '../shared'
+import { createConnector, toConnectOptions, type Clock, type Log, type Metrics, type Random } from '../shared'
 import { TARGET_CONNECT_TIMEOUT_MS } from './constants'
 import type { Gossip } from './gossip'
 import type { PeerUses } from './load'
 import { createTargetPaths, type InstancePaths } from './paths'
 import type { TargetDirectory } from './targets'
 
+export interface OutgoingOptions {
+  /** IP address from which connections are made; by default the choice of the system. */
+  localAddress?: string
+  /** Creates the function that establishes connections. */
+  connectors?: typeof createConnector
+}
+
 export interface CreatePathsOptions {
+  outgoing: OutgoingOptions
   failureDomain: string
   targets: Pick<TargetDirectory, 'all'>
   gossip: Pick<Gossip, 'peers'>
@@ -21,30 +28,26 @@
 }
 
 /** Creates the tracker of an instance. */
-export function createPaths ({ targets, gossip, onChange, ...options }: CreatePathsOptions): InstancePaths {
-  const paths = createTargetPaths({ ...options, listTargets: targets.all, peers: gossip.peers, probe: probeTarget })
+export function createPaths ({ outgoing, targets, gossip, onChange, ...options }: CreatePathsOptions): InstancePaths {
+  const paths = createTargetPaths({
+    ...options, listTargets: targets.all, peers: gossip.peers, probe: createProbe(outgoing)
+  })
   paths.onLost(onChange)
   paths.onReturn(onChange)
   return paths
 }
 
-/**
- * Opens a connection and closes it without a request.
- *
- * @param address - IP number and port
- */
-export async function probeTarget (address: string): Promise<boolean> {
-  const colon = address.lastIndexOf(':')
-  const socket = connect({ host: address.slice(0, colon), port: Number(address.slice(colon + 1)) })
-  try {
-    return await new Promise<boolean>((resolve) => {
-      socket.once('connect', () => resolve(true))
-      socket.once('error', () => resolve(false))
-      socket.setTimeout(TARGET_CONNECT_TIMEOUT_MS, () => resolve(false))
+/** Creates the function that opens a connection to an address, and closes it without a request. */
+export function createProbe (
+  { localAddress, connectors = createConnector }: OutgoingOptions
+): (address: string) => Promise<boolean> {
+  const connect = connectors({ timeoutMs: TARGET_CONNECT_TIMEOUT_MS, localAddress })
+  return async (address) => await new Promise<boolean>((resolve) => {
+    connect(toConnectOptions(address), (_cause, socket) => {
+      // Errors after the outcome say nothing more.
+      socket?.on('error', () => undefined)
+      socket?.destroy()
+      resolve(socket != null)
     })
-  } finally {
-    // Errors after the outcome say nothing more.
-    socket.on('error', () => undefined)
-    socket.destroy()
-  }
+  })
 }
--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -2,7 +2,7 @@
 import { err, ok, ResultAsync, type Result } from 'neverthrow'
 import {
   createPeerServer, createPeerTransports, createPeerTunnels, createSystemClock, describeCause, rankByRendezvous,
-  type Clock, type Log, type Metrics, type PeerSecurity, type PlatformClient, type Random
+  type Clock, type createConnector, type Log, type Metrics, type PeerSecurity, type PlatformClient, type Random
 } from '../shared'
 import { createShutdownController } from '../entry/stopping'
 import { createDirectory, createRelayHandler, type CallerProtocol, type Directory, type RelayHandler } from './callers'
@@ -51,6 +51,8 @@
   log: Log
   clock?: Clock
   random?: Random
+  /** Creates the function that establishes connections to targets; replaced by tests that cut an instance off. */
+  connectors?: typeof createConnector
 }
 
 export interface Relay {
@@ -153,7 +155,9 @@
   gossip.onReport((report, before) => peerUses.replaceReport(before, report))
   gossip.onDigest(peerUses.replaceDigest)
   gossip.onPeerLost(({ report }) => peerUses.replaceReport(report, undefined))
+  const outgoing = { localAddress: settings.targets.localAddress, connectors: deps.connectors }
   const paths = createPaths({
+    outgoing,
     failureDomain: instance.failureDomain,
     targets,
     gossip,
@@ -192,7 +196,7 @@
     log
   })
   const tunnels = createPeerTunnels({ self: instance.id, security, metrics, log })
-  const connectDirect = createDirectConnector({ timeoutMs: TARGET_CONNECT_TIMEOUT_MS, observer: paths })
+  const connectDirect = createDirectConnector({ ...outgoing, timeoutMs: TARGET_CONNECT_TIMEOUT_MS, observer: paths })
   const connections = createTargetConnectionPool({
     settings: { idleTimeoutMs: TARGET_IDLE_TIMEOUT_MS },
     connect: createTargetConnector({ connectDirect, paths, tunnels, clock, log }),
@@ -493,7 +497,7 @@
   function applySettings (next: RelaySettings): string[] {
     next.seeds.forEach(gossip.addCandidate)
     log.level(next.log.level)
-    const restartSettings = ['instance', 'listen', 'platform', 'bounds'] as const
+    const restartSettings = ['instance', 'listen', 'platform', 'targets', 'bounds'] as const
     return restartSettings.filter((name) => JSON.stringify(next[name]) !== JSON.stringify(settings[name]))
   }
 
--- a/packages/pimentoplank/src/relay/exchange/targetConnector.ts
+++ b/packages/pimentoplank/src/relay/exchange/targetConnector.ts
@@ -13,13 +13,17 @@
 export type DirectConnector = (address: string, done: ConnectCallback) => void
 
 /** Creates the connector for direct connections; what happens to them is told to the observer. */
-export function createDirectConnector ({ timeoutMs, observer }: {
+export function createDirectConnector ({ timeoutMs, localAddress, connectors = createConnector, observer }: {
   /** Timeout for establishing a connection, in milliseconds. */
   timeoutMs: number
+  /** IP address from which connections are made; by default the choice of the system. */
+  localAddress?: string
+  /** Creates the function that establishes connections; replaced by tests that cut an instance off. */
+  connectors?: typeof createConnector
   observer: PathObserver
 }): DirectConnector {
   return (address, done) => {
-    const connect = createConnector({ timeoutMs, onBytes: () => observer.recordBytes(address) })
+    const connect = connectors({ timeoutMs, localAddress, onBytes: () => observer.recordBytes(address) })
     connect(toConnectOptions(address), (cause, socket) => {
       if (socket == null) observer.recordConnectFailed(address)
       else observer.recordConnected(address)
--- a/packages/pimentoplank/src/relay/load/loadView.ts
+++ b/packages/pimentoplank/src/relay/load/loadView.ts
@@ -26,6 +26,8 @@
   ownBatch: number
   /** True while it is excluded because it failed a request of this instance or of a peer. */
   isSuspect: boolean
+  /** True while it is excluded because of failures that this instance itself has seen. */
+  isOwnSuspect: boolean
   /** True when another process than the listed one answers at its address; its entry is out of date. */
   isOutdated: boolean
   /** True when it leaves and is used only where no others are left. */
@@ -170,6 +172,7 @@
       ownLive: ownUse?.live ?? 0,
       ownBatch: ownUse?.batch ?? 0,
       isSuspect: suspicions.isSuspect(target.id) || isPeerSuspect(key, target.address),
+      isOwnSuspect: suspicions.isSuspect(target.id),
       isOutdated: target.startedAt !== undefined && outdated.get(target.id) === target.startedAt,
       isLeaving,
       isFresh: options.isClose(target.failureDomain),
