--- a/packages/pimentoplank/src/shared/targetHttp/connector.ts
+++ b/packages/pimentoplank/src/shared/targetHttp/connector.ts
@@ -1,6 +1,6 @@
 /** Connector for HTTP clients that fails a response when its connection is reset, however the response is framed. */
 import type { Socket } from 'node:net'
-import { buildConnector, errors } from 'undici'
+import { buildConnector } from 'undici'
 
 /** The other end reset the connection; unlike `ECONNRESET`, never taken for the regular end of a response. */
 export class ConnectionResetError extends Error {
@@ -19,31 +19,13 @@
   localAddress?: string
 }
 
-/**
- * Creates a connector. It keeps the timeout by a timer of its own: undici's fires up to a second late, and then only
- * destroys the socket.
- */
+/** Creates a connector. */
 export function createConnector ({ timeoutMs, localAddress }: ConnectorOptions): buildConnector.connector {
   const connect = buildConnector({ timeout: timeoutMs, keepAlive: true })
-  return (options, done) => {
-    let isOver = false
-    // Events of the socket that are due come first.
-    const timer = setTimeout(() => setImmediate(() => {
-      if (isOver) return
-      isOver = true
-      done(new errors.ConnectTimeoutError(`no connection to ${options.hostname}:${options.port} within ${timeoutMs} ms`), null)
-    }), timeoutMs)
-    connect({ ...options, localAddress }, (...result) => {
-      clearTimeout(timer)
-      if (isOver) {
-        result[1]?.destroy()
-        return
-      }
-      isOver = true
-      if (result[0] === null) reportResets(result[1])
-      done(...result)
-    })
-  }
+  return (options, done) => connect({ ...options, localAddress }, (...result) => {
+    if (result[0] === null) reportResets(result[1])
+    done(...result)
+  })
 }
 
 /**
