--- a/packages/pimentoplank/src/shared/targetHttp/connector.ts
+++ b/packages/pimentoplank/src/shared/targetHttp/connector.ts
@@ -1,6 +1,6 @@
 /** Connector for HTTP clients that fails a response when its connection is reset, however the response is framed. */
 import type { Socket } from 'node:net'
-import { buildConnector, errors } from 'undici'
+import { buildConnector } from 'undici'
 
 /** The other end reset the connection; unlike `ECONNRESET`, never taken for the regular end of a response. */
 export class ConnectionResetError extends Error {
@@ -12,6 +12,11 @@
   }
 }
 
+/** A connection was not established in time. */
+class ConnectTimeoutError extends Error {
+  readonly code = 'UND_ERR_CONNECT_TIMEOUT'
+}
+
 export interface ConnectorOptions {
   /** Timeout for establishing a connection, in milliseconds. */
   timeoutMs: number
@@ -33,7 +38,7 @@
     const timer = setTimeout(() => setImmediate(() => {
       if (isOver) return
       isOver = true
-      done(new errors.ConnectTimeoutError(`no connection to ${options.hostname}:${options.port} within ${timeoutMs} ms`), null)
+      done(new ConnectTimeoutError(`no connection to ${options.hostname}:${options.port} within ${timeoutMs} ms`), null)
     }), timeoutMs)
     connect({ ...options, localAddress }, (...result) => {
       clearTimeout(timer)
