Let an instance ask a peer whether it reaches targets where no peer's use of them tells

A batch job that was submitted at an instance without a path to the targets got no results while no peer used any target: what tells a lost path from targets that are down is that these answer peers, and idle peers are answered by none. An instance whose failures look like a cut now lets a peer, one after the other, open a connection to a target and close it, at most every 300 ms. 'Where peers use no targets, one that is asked tells that the path is lost' failed without it, as did the four rows on jobs in stranded.feature (no result within 8 s); they pass now.

--- a/packages/pimentoplank/src/relay/createPaths.ts
+++ b/packages/pimentoplank/src/relay/createPaths.ts
@@ -1,9 +1,11 @@
 /** Creates the tracker of the paths to targets, with the test connections that it needs. */
-import { createConnector, toConnectOptions, type Clock, type Log, type Metrics, type Random } from '../shared'
+import {
+  createConnector, toConnectOptions, type Clock, type Log, type Metrics, type PeerTunnels, type Random
+} from '../shared'
 import { TARGET_CONNECT_TIMEOUT_MS } from './constants'
 import type { Gossip } from './gossip'
 import type { PeerUses } from './load'
-import { createTargetPaths, type InstancePaths } from './paths'
+import { createTargetPaths, type InstancePaths, type InstancePathsOptions } from './paths'
 import type { TargetDirectory } from './targets'
 
 export interface OutgoingOptions {
@@ -15,6 +17,7 @@
 
 export interface CreatePathsOptions {
   outgoing: OutgoingOptions
+  tunnels: Pick<PeerTunnels, 'open'>
   failureDomain: string
   targets: Pick<TargetDirectory, 'all'>
   gossip: Pick<Gossip, 'peers'>
@@ -28,9 +31,17 @@
 }
 
 /** Creates the tracker of an instance. */
-export function createPaths ({ outgoing, targets, gossip, onChange, ...options }: CreatePathsOptions): InstancePaths {
+export function createPaths (
+  { outgoing, tunnels, targets, gossip, onChange, ...options }: CreatePathsOptions
+): InstancePaths {
+  const askPeer: InstancePathsOptions['askPeer'] = async ({ instance, peerAddress }, address) => {
+    const opened = await tunnels.open({ instance, peerAddress, address })
+    if (opened.isOk()) opened.value.destroy()
+    return opened.isOk()
+  }
+
   const paths = createTargetPaths({
-    ...options, listTargets: targets.all, peers: gossip.peers, probe: createProbe(outgoing)
+    ...options, listTargets: targets.all, peers: gossip.peers, probe: createProbe(outgoing), askPeer
   })
   paths.onLost(onChange)
   paths.onReturn(onChange)
--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -155,9 +155,11 @@
   gossip.onReport((report, before) => peerUses.replaceReport(before, report))
   gossip.onDigest(peerUses.replaceDigest)
   gossip.onPeerLost(({ report }) => peerUses.replaceReport(report, undefined))
+  const tunnels = createPeerTunnels({ self: instance.id, security, metrics, log })
   const outgoing = { localAddress: settings.targets.localAddress, connectors: deps.connectors }
   const paths = createPaths({
     outgoing,
+    tunnels,
     failureDomain: instance.failureDomain,
     targets,
     gossip,
@@ -195,7 +197,6 @@
     metrics,
     log
   })
-  const tunnels = createPeerTunnels({ self: instance.id, security, metrics, log })
   const connectDirect = createDirectConnector({ ...outgoing, timeoutMs: TARGET_CONNECT_TIMEOUT_MS, observer: paths })
   const connections = createTargetConnectionPool({
     settings: { idleTimeoutMs: TARGET_IDLE_TIMEOUT_MS },
--- a/packages/pimentoplank/src/relay/decisions/reach.ts
+++ b/packages/pimentoplank/src/relay/decisions/reach.ts
@@ -24,6 +24,8 @@
   peersAnsweredSince?: number
   /** When it was last heard that the target answers a peer, or a peer opened a connection to it. */
   peersAnsweredAt?: number
+  /** When a peer that was asked last connected to the target. */
+  peerConnectedAt?: number
 }
 
 export interface ReachInput {
@@ -45,6 +47,8 @@
   reached: number
   /** Targets that are not reached and answer peers. */
   contradicted: number
+  /** True when the failures are those of a cut if peers reach the targets. */
+  mayBeCutOff: boolean
 }
 
 /** A target counts as answering for this long after its last bytes, in milliseconds. */
@@ -88,7 +92,9 @@
 export function decideReach ({ targets, lostSince, now }: ReachInput): Reach {
   const windowStart = (lostSince ?? now) - EVIDENCE_MS
   const failed = targets.filter((target) => isUnconnectable(target, windowStart) || isSilent(target, windowStart))
-  if (failed.length === 0) return { isCutOff: false, since: now, failed: 0, reached: 0, contradicted: 0 }
+  if (failed.length === 0) {
+    return { isCutOff: false, since: now, failed: 0, reached: 0, contradicted: 0, mayBeCutOff: false }
+  }
   const failingSince = Math.min(...failed.map((target) => target.failingSince ?? getFailedAt(target)))
   const reachedSince = lostSince ?? Math.max(windowStart, failingSince)
   // Open connections may live on in a cut, so that bytes on them say nothing of new ones.
@@ -96,8 +102,11 @@
   const reached = targets.filter((target) => !failed.includes(target) &&
     Math.max(target.connectedAt ?? NEVER, areConnectsTried ? NEVER : target.bytesAt ?? NEVER) >= reachedSince)
   const heardSince = now - (lostSince === undefined ? PEER_EVIDENCE_MS : MAX_UNCONFIRMED_MS)
-  const contradicted = failed.filter((target) => (target.peersAnsweredAt ?? NEVER) >= heardSince &&
-    (lostSince !== undefined || hadAnsweredPeers(target, getFailedAt(target))))
+  const hasConnectedPeer = (target: TargetEvidence): boolean => (target.peerConnectedAt ?? NEVER) >=
+    Math.max(heardSince, lostSince === undefined ? getFailedAt(target) : NEVER)
+  const contradicted = failed.filter((target) => hasConnectedPeer(target) ||
+    ((target.peersAnsweredAt ?? NEVER) >= heardSince &&
+      (lostSince !== undefined || hadAnsweredPeers(target, getFailedAt(target)))))
   const counts = {
     since: lostSince ?? findBeginning(targets, failed, now),
     failed: failed.length,
@@ -105,12 +114,16 @@
     contradicted: contradicted.length
   }
   const isMost = failed.length >= FAILED_SHARE * (failed.length + reached.length)
-  if (lostSince !== undefined) return { ...counts, isCutOff: isMost && contradicted.length > 0 }
+  if (lostSince !== undefined) {
+    return { ...counts, isCutOff: isMost && contradicted.length > 0, mayBeCutOff: isMost }
+  }
   // A target may be down with peers that have not noticed yet; several of many at once rarely are.
-  const isProven = failed.some((target) => hasAnsweredPeersThrough(target, getFailedAt(target)))
+  const isProven = failed.some((target) => hasConnectedPeer(target) ||
+    hasAnsweredPeersThrough(target, getFailedAt(target)))
   const isLikely = contradicted.length >= MIN_FAILED && targets.length > MIN_FAILED
   const isEnough = failed.length >= Math.min(MIN_FAILED, targets.length)
-  return { ...counts, isCutOff: isEnough && isMost && (isProven || isLikely) }
+  const mayBeCutOff = isEnough && isMost
+  return { ...counts, isCutOff: mayBeCutOff && (isProven || isLikely), mayBeCutOff }
 }
 
 function findBeginning (
--- a/packages/pimentoplank/src/relay/decisions/testing/reachFleet.ts
+++ b/packages/pimentoplank/src/relay/decisions/testing/reachFleet.ts
@@ -78,7 +78,16 @@
   const peers = (): PeerView[] => [...reports.values()]
   const peerUses = createPeerUses([], clock)
   const paths = createTargetPaths({
-    failureDomain, listTargets: () => REACH_TARGETS, peers, peerUses, probe, clock, random, metrics, log
+    askPeer: async () => false,
+    failureDomain,
+    listTargets: () => REACH_TARGETS,
+    peers,
+    peerUses,
+    probe,
+    clock,
+    random,
+    metrics,
+    log
   })
   const loads = createLoadView({
     targets: directory,
--- a/packages/pimentoplank/src/relay/load/suspicions.steps.ts
+++ b/packages/pimentoplank/src/relay/load/suspicions.steps.ts
@@ -77,6 +77,7 @@
   this.peerUses = createPeerUses([], clock)
   for (const report of this.reports.values()) this.peerUses.replaceReport(undefined, report)
   this.observed = createTargetPaths({
+    askPeer: async () => false,
     failureDomain: 'a',
     listTargets: () => [TARGET],
     peers: () => [],
--- a/packages/pimentoplank/src/relay/paths/targetPaths.feature
+++ b/packages/pimentoplank/src/relay/paths/targetPaths.feature
@@ -115,3 +115,12 @@
     Then the instance is cut off
     And the path to "t3" is direct
     And the path to "t0" is through "p2"
+
+  Scenario: Where peers use no targets, one that is asked tells that the path is lost
+    Given no target answers a peer any more
+    And peers that are asked connect to targets
+    When connections to "t0" to "t3" fail
+    And 1000 ms pass for the paths
+    Then the instance is cut off
+    And 5000 ms pass for the paths
+    And the instance is cut off
--- a/packages/pimentoplank/src/relay/paths/targetPaths.steps.ts
+++ b/packages/pimentoplank/src/relay/paths/targetPaths.steps.ts
@@ -15,6 +15,8 @@
   /** Addresses to which test connections succeed. */
   reachable: Set<string>
   probed: Set<string>
+  /** True when peers that are asked connect to targets. */
+  doPeersConnect: boolean
   messages: string[]
 }
 
@@ -53,7 +55,7 @@
 function createRecordingLog (messages: string[]): Log {
   const log = createSilentLog()
   const record = (_fields: object, message: string): void => { messages.push(message) }
-  return { ...log, warn: record } as unknown as Log
+  return { info: log.info.bind(log), error: log.error.bind(log), warn: record } as unknown as Log
 }
 
 function update (world: PathsWorld, peer: string, change: Partial<Report>): void {
@@ -71,11 +73,13 @@
   this.reachable = new Set()
   this.probed = new Set()
   this.messages = []
+  this.doPeersConnect = false
   this.peerUses = createPeerUses([], this.pathsClock)
   const targets = listIds(first, last).map((id): Target => (
     { id, service: 's', address: getAddress(id), failureDomain: 'a', version: 'v1', slots: 1, state: 'ready' }
   ))
   this.paths = createTargetPaths({
+    askPeer: async () => this.doPeersConnect,
     failureDomain,
     listTargets: () => targets,
     peers: () => [...this.views.values()],
@@ -112,6 +116,10 @@
   await this.pathsClock.advance(2000)
 })
 
+Given('peers that are asked connect to targets', function (this: PathsWorld) {
+  this.doPeersConnect = true
+})
+
 Given('targets {string} to {string} can be reached', function (this: PathsWorld, first: string, last: string) {
   for (const id of listIds(first, last)) this.reachable.add(getAddress(id))
 })
--- a/packages/pimentoplank/src/relay/paths/targetPaths.ts
+++ b/packages/pimentoplank/src/relay/paths/targetPaths.ts
@@ -19,6 +19,8 @@
   peerUses: Pick<PeerUses, 'getAnswers' | 'listAnswered'>
   /** Opens a direct connection to an address and closes it; resolves to whether it was established. */
   probe: (address: string) => Promise<boolean>
+  /** Lets a peer open a connection to an address and close it; resolves to whether it was established. */
+  askPeer: (peer: { instance: string, peerAddress: string }, address: string) => Promise<boolean>
   clock: Clock
   random: Random
   metrics: Metrics
@@ -63,6 +65,8 @@
 const CHECK_WAIT_MS = 100
 /** Interval in which failures are looked at again, since word from peers comes later, in milliseconds. */
 const REVIEW_INTERVAL_MS = 100
+/** Shortest interval in which peers are asked whether they reach targets, in milliseconds. */
+const ASK_INTERVAL_MS = 300
 /** A peer that could not be reached, or could not reach a target, is not used for it for this long, in milliseconds. */
 const PEER_PAUSE_MS = 1000
 /** Maximum of test connections at once when the path may be back. */
@@ -80,6 +84,8 @@
   /** Set while the path is lost. */
   let lost: { since: number, at: number, ended: AbortController } | undefined
   let checkedAt = -Infinity
+  let askedAt = -Infinity
+  let asks = 0
   let isChecking = false
   let isReviewing = false
 
@@ -134,6 +140,7 @@
         const reach = decide()
         if (reach.failed === 0) return
         if (reach.isCutOff && !isChecking) return beginCut(reach)
+        if (reach.mayBeCutOff) askPeer()
         await clock.sleep(REVIEW_INTERVAL_MS, closed.signal)
       }
     } finally {
@@ -169,6 +176,27 @@
     return isConnected
   }
 
+  /** Where peers use no targets, their reports don't tell whether these are reached. */
+  function askPeer (): void {
+    const now = clock.now()
+    if (now - askedAt < ASK_INTERVAL_MS) return
+    const failed = listCandidates().filter(({ evidence: { connectFailedAt = -Infinity, connectedAt = -Infinity } }) =>
+      connectFailedAt > connectedAt)
+    const peers = listPeers().filter(({ report }) => !isPaused(report.instance))
+    asks += 1
+    const peer = peers[asks % peers.length]?.report
+    const address = failed[asks % failed.length]?.address
+    if (peer === undefined || address === undefined) return
+    askedAt = now
+    metrics.count('paths.asked')
+    options.askPeer(peer, address).then((isConnected) => {
+      log.info({ peer: peer.instance, address, isConnected }, 'peer asked whether it reaches a target')
+      if (closed.signal.aborted) return
+      if (isConnected) record(address, { peerConnectedAt: clock.now() })
+      update()
+    }).catch((cause: unknown) => log.error({ address, cause: describeCause(cause) }, 'peer could not be asked'))
+  }
+
   function beginCut (reach: Reach): void {
     const now = clock.now()
     lost = { since: reach.since, at: now, ended: new AbortController() }
@@ -188,7 +216,9 @@
     ended.abort()
     // What the cut has left would speak for the next one.
     for (const one of evidence.values()) {
-      Object.assign(one, { connectFailedAt: undefined, silentAt: undefined, failingSince: undefined })
+      Object.assign(one, {
+        connectFailedAt: undefined, silentAt: undefined, failingSince: undefined, peerConnectedAt: undefined
+      })
     }
     openedByPeers.clear()
     checkedAt = -Infinity
@@ -209,6 +239,7 @@
       const candidates = listCandidates()
       const chosen = candidates[Math.floor(random() * candidates.length)]
       if (chosen !== undefined) probeOne(chosen.address)
+      askPeer()
       update()
     }
   }
