--- a/packages/pimentoplank/src/relay/decisions/reach.feature
+++ b/packages/pimentoplank/src/relay/decisions/reach.feature
@@ -65,7 +65,7 @@
     Given that the connections of 1 instance to targets 0 to 0 hang for 5000 ms
     When the reach is simulated with seeds 1 to 3
     Then no instance believes to be cut off
-    And the other instances trust at least 0.94 of the targets during the fault
+    And the other instances trust at least 0.98 of the targets during the fault
     And the instances serve at least 0.99 of their requests during the fault
 
   Scenario: Instances without requests have no evidence
--- a/packages/pimentoplank/src/relay/exchange/exchange.ts
+++ b/packages/pimentoplank/src/relay/exchange/exchange.ts
@@ -2,7 +2,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { Dispatcher } from 'undici'
 import {
-  ConnectionResetError, describeCause, getBodyFraming, hash32, isConnectFailure, isPeerFailure, KIB_BYTES, SECOND_MS,
+  ConnectionResetError, describeCause, getBodyFraming, hash32, isPeerFailure, KIB_BYTES, SECOND_MS,
   type BodyFraming, type Clock, type Log, type Metrics, type SendMark
 } from '../../shared'
 import type { AnswerHead, ProcessNeed, Target, TargetProtocol, TargetRequest } from '../model'
@@ -287,7 +287,7 @@
   afterMs: number
 ): SendFailureReason {
   if (isPeerFailure(cause)) return mark.sent ? 'peerLost' : 'peerUnreachable'
-  if (!mark.sent || isConnectFailure(cause)) return 'connectFailed'
+  if (!mark.sent) return 'connectFailed'
   return connection.isReused && afterMs <= STALE_DETECTION_MS ? 'staleConnection' : 'broken'
 }
 
