Fail a test run that ended before all scenarios had run, and run packages and platform in processes of their own

Why the process was aborted is not known: the heap was damaged by native code; nothing of ours is native. Three runs of the tunnel, exchange and job scenarios with the checking allocator found nothing. Two shorter processes keep parts apart; whether that helps is not shown.

--- a/cucumber.js
+++ b/cucumber.js
@@ -5,9 +5,27 @@
   strict: true
 }
 
+const PACKAGES = ['packages/*/src/**/*.feature', 'packages/*/features/**/*.feature']
+const PLATFORM = ['platform/features/**/*.feature']
+
+/** Parts of the test run, each in a process of its own. */
+export const packages = {
+  ...common,
+  paths: PACKAGES,
+  tags: 'not @matrix or @ci',
+  format: ['progress', 'message:reports/packages.ndjson']
+}
+
+export const platform = {
+  ...common,
+  paths: PLATFORM,
+  tags: 'not @matrix or @ci',
+  format: ['progress', 'message:reports/platform.ndjson']
+}
+
 export default {
   ...common,
-  paths: ['packages/*/src/**/*.feature', 'packages/*/features/**/*.feature', 'platform/features/**/*.feature'],
+  paths: [...PACKAGES, ...PLATFORM],
   tags: 'not @matrix or @ci'
 }
 
--- a/scripts/scenarios.mjs
+++ b/scripts/scenarios.mjs
@@ -24,9 +24,23 @@
   })
 }
 
+/**
+ * Counts the scenarios that a run has left out since it ended early, one that it had begun included.
+ *
+ * @param {string} file - path of the message file
+ * @returns {number} 0 for a run that came to its end
+ */
+export function countNotRun (file) {
+  const messages = readMessages(file)
+  if (messages.some((message) => message.testRunFinished)) return 0
+  const finished = messages.filter((message) => message.testCaseFinished).length
+  return Math.max(1, messages.filter((message) => message.testCase).length - finished)
+}
+
 function readMessages (path) {
   if (!existsSync(path)) return []
-  return readFileSync(path, 'utf8').split('\n').filter(Boolean).map((line) => JSON.parse(line))
+  // A run that was aborted may end within a line.
+  return readFileSync(path, 'utf8').split('\n').slice(0, -1).filter(Boolean).map((line) => JSON.parse(line))
 }
 
 function recordStep (results, runs, step) {
--- a/scripts/summary.mjs
+++ b/scripts/summary.mjs
@@ -1,8 +1,8 @@
-// Counts passed and failed scenarios of a cucumber message file; failures listed in KNOWN-RED.txt don't fail the run.
+// Counts passed and failed scenarios of cucumber message files; failures listed in KNOWN-RED.txt don't fail the run.
 import { existsSync, readFileSync } from 'node:fs'
-import { readScenarios } from './scenarios.mjs'
+import { countNotRun, readScenarios } from './scenarios.mjs'
 
-const [file, runnerStatus = '0'] = process.argv.slice(2)
+const [runnerStatus = '0', ...files] = process.argv.slice(2)
 const KNOWN_RED_FILE = 'KNOWN-RED.txt'
 const TEST_PREFIX = 'test: '
 const MAX_ERROR_LINES = 12
@@ -21,7 +21,7 @@
   return lines.slice(0, Math.min(stackAt < 0 ? lines.length : stackAt, MAX_ERROR_LINES))
 }
 
-const scenarios = readScenarios(file)
+const scenarios = files.flatMap(readScenarios)
 const knownRed = readKnownRed()
 const isKnown = ({ uri, name }) => knownRed.has(`${uri}: ${name}`)
 const failed = scenarios.filter((scenario) => !scenario.ok)
@@ -34,6 +34,8 @@
 }
 const runnerBroke = Number(runnerStatus) !== 0 && failed.length === 0
 if (runnerBroke) console.log(`FAILED: the test runner ended with status ${runnerStatus}`)
-const unexpectedCount = unexpected.length + (runnerBroke ? 1 : 0)
+const aborted = files.filter((file) => countNotRun(file) > 0)
+const unexpectedCount = unexpected.length + (runnerBroke ? 1 : 0) + aborted.length
+for (const file of aborted) console.log(`FAILED: the run of ${file} ended early: ${countNotRun(file)} scenarios did not run to their end`)
 console.log(`${scenarios.length - failed.length} passed, ${unexpectedCount} failed`)
 process.exitCode = unexpectedCount > 0 || scenarios.length === 0 ? 1 : 0
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -6,5 +6,8 @@
 node scripts/build.mjs
 mkdir -p reports
 status=0
-NODE_OPTIONS='--import tsx' npx cucumber-js "$@" || status=$?
-node scripts/summary.mjs reports/cucumber.ndjson "$status"
+for part in packages platform; do
+  rm -f "reports/$part.ndjson"
+  NODE_OPTIONS='--import tsx' npx cucumber-js --profile "$part" "$@" || status=$?
+done
+node scripts/summary.mjs "$status" reports/packages.ndjson reports/platform.ndjson
