Ask peers for the version of a stream that was heard of without one

Callers saw: 503 streamVersionUnknown for a stream that they took up at another instance, though the instance that began it knew its version.

From its log: req697 begins at a replica whose entry is out of date, and gossip tells the peer of it without a version; at 41.202 s the entry comes and the first instance resolves the stream; at 41.213 s its caller takes it up at the peer, which has the word of 152 ms ago ('source: heard, ageMs: 152, outcome: refused') and doesn't ask, since it asked only about streams it had never heard of. The new word was under way.

Change: a stream that was heard of without a version is asked for like one never heard of, and of the answers the first that names a version counts, rather than the first of a peer that knows the stream at all. Its version stays unknown, and the stream is refused, where no peer knows it.

--- a/packages/pimentoplank/src/relay/streams/streamVersionFinder.feature
+++ b/packages/pimentoplank/src/relay/streams/streamVersionFinder.feature
@@ -20,6 +20,26 @@
     When a caller takes up stream "r1"
     Then it is bound to version "v1"
 
+  Scenario: A version that became known after the stream was heard of is asked for
+    Given 1 peer in each of 1 failure domain, of which those in "a" know version "v1" of "r1"
+    And stream "r1" was heard of without a version
+    When a caller takes up stream "r1"
+    Then it is bound to version "v1"
+
+  Scenario: Peers that have only heard of a stream don't speak for the one that knows its version
+    Given 1 peer in each of 2 failure domains, of which those in "b" know version "v1" of "r1"
+    And the peers in "a" know every stream, but no version
+    And the peers take 100 ms to answer
+    When a caller takes up stream "r1"
+    Then it is bound to version "v1"
+
+  Scenario: A stream that was heard of without a version is not bound to the only one that serves
+    Given 1 peer in each of 1 failure domain, of which those in "b" know version "v1" of "r1"
+    And stream "r2" was heard of without a version
+    And only version "v2" has served for long
+    When a caller takes up stream "r2"
+    Then it is refused as "streamVersionUnknown"
+
   Scenario: A stream whose version is in doubt is refused, although only one version serves now
     Given 1 peer in each of 1 failure domain, of which those in "a" know version "" of "r1"
     And only version "v2" has served for long
--- a/packages/pimentoplank/src/relay/streams/streamVersionFinder.steps.ts
+++ b/packages/pimentoplank/src/relay/streams/streamVersionFinder.steps.ts
@@ -20,6 +20,10 @@
   /** Failure domains of the peers that were asked. */
   asked: string[]
   silentDomains: Set<string>
+  /** Failure domain whose peers know a stream, but not its version. */
+  unsureDomain?: string
+  /** Stream that was heard of without a version. */
+  heardWithout?: string
   answerMs: number
   history: VersionHistory
   bound: Result<string, RefusalError>
@@ -66,6 +70,9 @@
         findVersion: async ({ attempt }) => {
           world.asked.push(failureDomain)
           if (world.silentDomains.has(failureDomain)) await new Promise(() => undefined)
+          if (world.unsureDomain === failureDomain) {
+            return create(FindVersionResponseSchema, { known: true, version: '', keepMs: KEEP_MS })
+          }
           await pause(world.answerMs)
           return create(FindVersionResponseSchema, { known: attempt === known, version, keepMs: KEEP_MS })
         }
@@ -83,6 +90,14 @@
   this.answerMs = ms
 })
 
+Given('the peers in {string} know every stream, but no version', function (this: FinderWorld, failureDomain: string) {
+  this.unsureDomain = failureDomain
+})
+
+Given('stream {string} was heard of without a version', function (this: FinderWorld, attempt: string) {
+  this.heardWithout = attempt
+})
+
 Given('only version {string} has served for long', function (this: FinderWorld, version: string) {
   this.history = createHistory(version, false)
 })
@@ -100,8 +115,13 @@
 When('a caller takes up stream {string}', async function (this: FinderWorld, resumes: string) {
   const clock = createSystemClock()
   this.transports ??= createPeerTransports({ security: SECURITY })
+  const streamVersions = createStreamVersions({ getTarget: () => undefined, clock, log: createSilentLog() })
+  if (this.heardWithout !== undefined) {
+    const notice = { attempt: hash64(this.heardWithout), version: undefined, keepUntil: clock.now() + KEEP_MS }
+    streamVersions.merge([notice], 'heard')
+  }
   const finder = createStreamVersionFinder({
-    streamVersions: createStreamVersions({ getTarget: () => undefined, clock, log: createSilentLog() }),
+    streamVersions,
     peers: () => this.streamPeers!,
     transports: this.transports,
     whenVersionsLoaded: async () => undefined,
--- a/packages/pimentoplank/src/relay/streams/streamVersionFinder.ts
+++ b/packages/pimentoplank/src/relay/streams/streamVersionFinder.ts
@@ -75,7 +75,9 @@
   }
 
   async function lookUp (key: bigint, request: CallerRequest, service: string): Promise<Found> {
-    if (streamVersions.find(key) === undefined) {
+    const heard = streamVersions.find(key)
+    // A peer may have learned the version since it told of the stream.
+    if (heard?.version === undefined && heard?.source !== 'own') {
       const notice = await askPeers(key, request.id)
       if (notice !== undefined) streamVersions.merge([notice], 'peer')
     }
@@ -86,14 +88,17 @@
     return { version, source: version === undefined ? 'none' : 'onlyVersion' }
   }
 
+  /** Returns the first answer that names a version; without one, any of a peer that knows the stream. */
   async function askPeers (key: bigint, requestId: string): Promise<StreamNotice | undefined> {
-    const answers = chooseAsked(key).map(async (peer) => {
-      const notice = await askPeer(peer, key, requestId)
+    const answers = chooseAsked(key).map(async (peer) => await askPeer(peer, key, requestId))
+    const versions = answers.map(async (answer) => {
+      const notice = await answer
       // A rejected promise lets the others decide which answer is the first.
-      if (notice === undefined) throw new Error('the peer does not know the stream')
+      if (notice?.version === undefined) throw new Error('the peer does not know the version of the stream')
       return notice
     })
-    return await Promise.any(answers).catch(() => undefined)
+    return await Promise.any(versions)
+      .catch(async () => (await Promise.all(answers)).find((notice) => notice !== undefined))
   }
 
   function chooseAsked (key: bigint): PeerView[] {
