Take a target as reached only once a new connection has brought bytes

Cause, shown by the new scenario (stranded.feature, links without the switch that refuses new connections): test connections were established, which was taken for reaching the target, cleared the silences that had been seen, and kept the belief in a cut from beginning. The instances went on trying targets directly (queueFull, timeout), and their peers heard of the silences (trusted 2 of 4). Ruled out: the way of the fault otherwise, as the same scenario with connections that are reset at once passed before; the load of the machine (load 5 and 15 alike).

Change: a connection counts with its first bytes; one that is reset before counts as failed. A test connection carries the call for the target's state, which takes no slot, and says nothing while it is silent: a slow target may be.

--- a/packages/pimentoplank/src/relay/createPaths.ts
+++ b/packages/pimentoplank/src/relay/createPaths.ts
@@ -1,8 +1,7 @@
 /** Creates the tracker of the paths to targets, with the test connections that it needs. */
-import {
-  createConnector, toConnectOptions, type Clock, type Log, type Metrics, type PeerTunnels, type Random
-} from '../shared'
+import type { createConnector, Clock, Log, Metrics, PeerTunnels, Random } from '../shared'
 import { TARGET_CONNECT_TIMEOUT_MS } from './constants'
+import { createTargetProbe } from './exchange'
 import type { Gossip } from './gossip'
 import type { PeerUses } from './load'
 import { createTargetPaths, type InstancePaths, type InstancePathsOptions } from './paths'
@@ -17,6 +16,8 @@
 
 export interface CreatePathsOptions {
   outgoing: OutgoingOptions
+  /** Path of the call by which a target tells its state. */
+  statePath: string
   tunnels: Pick<PeerTunnels, 'open'>
   failureDomain: string
   targets: Pick<TargetDirectory, 'all'>
@@ -32,7 +33,7 @@
 
 /** Creates the tracker of an instance. */
 export function createPaths (
-  { outgoing, tunnels, targets, gossip, onChange, ...options }: CreatePathsOptions
+  { outgoing, statePath, tunnels, targets, gossip, onChange, ...options }: CreatePathsOptions
 ): InstancePaths {
   const askPeer: InstancePathsOptions['askPeer'] = async ({ instance, peerAddress }, address) => {
     const opened = await tunnels.open({ instance, peerAddress, address })
@@ -40,25 +41,9 @@
     return opened.isOk()
   }
 
-  const paths = createTargetPaths({
-    ...options, listTargets: targets.all, peers: gossip.peers, probe: createProbe(outgoing), askPeer
-  })
+  const probe = createTargetProbe({ ...outgoing, connectTimeoutMs: TARGET_CONNECT_TIMEOUT_MS, statePath })
+  const paths = createTargetPaths({ ...options, listTargets: targets.all, peers: gossip.peers, probe, askPeer })
   paths.onLost(onChange)
   paths.onReturn(onChange)
   return paths
 }
-
-/** Creates the function that opens a connection to an address, and closes it without a request. */
-export function createProbe (
-  { localAddress, connectors = createConnector }: OutgoingOptions
-): (address: string) => Promise<boolean> {
-  const connect = connectors({ timeoutMs: TARGET_CONNECT_TIMEOUT_MS, localAddress })
-  return async (address) => await new Promise<boolean>((resolve) => {
-    connect(toConnectOptions(address), (_cause, socket) => {
-      // Errors after the outcome say nothing more.
-      socket?.on('error', () => undefined)
-      socket?.destroy()
-      resolve(socket != null)
-    })
-  })
-}
--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -159,6 +159,7 @@
   const outgoing = { localAddress: settings.targets.localAddress, connectors: deps.connectors }
   const paths = createPaths({
     outgoing,
+    statePath: protocols.targets.state.path,
     tunnels,
     failureDomain: instance.failureDomain,
     targets,
--- a/packages/pimentoplank/src/relay/decisions/reach.feature
+++ b/packages/pimentoplank/src/relay/decisions/reach.feature
@@ -29,6 +29,21 @@
     And each instance believes in its path again 500 ms after the fault
     And no target is suspected from 600 ms after the fault on
 
+  Scenario Outline: Connections of <cut> instances are accepted by a proxy that reaches no target
+    Given that the connections of <cut> instances to all targets are silent for 5000 ms
+    When the reach is simulated with seeds 1 to 3
+    Then the cut instances serve at least 0.93 of their requests during the fault, 0.85 on time
+    And the other instances serve at least 0.95 of their requests during the fault, 0.95 on time
+    And the other instances trust at least 0.97 of the targets during the fault
+    And each cut instance knows within 1000 ms
+    And no other instance believes to be cut off
+    And each instance believes in its path again 500 ms after the fault
+    And no target is suspected from 600 ms after the fault on
+
+    Examples:
+      | cut |
+      | 3   |
+
   Scenario Outline: Without a peer that targets answer there is no cut: connections of all instances <fault>
     Given that the connections of 7 instances to all targets <fault> for 5000 ms
     When the reach is simulated with seeds 1 to 3
--- a/packages/pimentoplank/src/relay/decisions/reach.steps.ts
+++ b/packages/pimentoplank/src/relay/decisions/reach.steps.ts
@@ -31,7 +31,7 @@
   }
 }
 
-Given(/^that the connections of (\d+) instances? to all targets (hang|are refused) for (\d+) ms$/, function (
+Given(/^that the connections of (\d+) instances? to all targets (hang|are refused|are silent) for (\d+) ms$/, function (
   this: ReachWorld, cut: string, fault: string, ms: string
 ) {
   setFault(this, Number(cut), FAULTS[fault]!, Number(ms), [0, TARGETS - 1])
--- a/packages/pimentoplank/src/relay/decisions/reach.ts
+++ b/packages/pimentoplank/src/relay/decisions/reach.ts
@@ -10,9 +10,9 @@
 
 /** What is known of the path to one target; times are on the monotonic clock, in milliseconds. */
 export interface TargetEvidence {
-  /** When a direct connection was last established. */
+  /** When a new direct connection last brought bytes. */
   connectedAt?: number
-  /** When a direct connection last could not be established. */
+  /** When a direct connection last could not be established, or was reset before it brought bytes. */
   connectFailedAt?: number
   /** When bytes last arrived on a direct connection. */
   bytesAt?: number
--- a/packages/pimentoplank/src/relay/decisions/testing/reachFleet.ts
+++ b/packages/pimentoplank/src/relay/decisions/testing/reachFleet.ts
@@ -4,7 +4,7 @@
 import type { PeerView, Report } from '../../gossip'
 import { createLoadView, createPeerUses, type LoadView, type PeerUses } from '../../load'
 import type { Target } from '../../model'
-import { createTargetPaths, type InstancePaths } from '../../paths'
+import { createTargetPaths, type InstancePaths, type ProbeOutcome } from '../../paths'
 import { RELAY_RULES } from '../../rules'
 
 export interface ReachRequest {
@@ -25,6 +25,8 @@
   sentAt: number
   lastBytesAt: number
   hasBytes: boolean
+  /** True when its connection has carried no other. */
+  isNew: boolean
   /** Bytes that have come, as the time that they take. */
   doneMs: number
   triesLeft: number
@@ -69,7 +71,7 @@
 
 /** Creates an instance with empty reports of its peers. */
 export function createSimulatedInstance (
-  index: number, clock: ManualClock, random: Random, probe: (address: string) => Promise<boolean>
+  index: number, clock: ManualClock, random: Random, probe: (address: string) => Promise<ProbeOutcome>
 ): SimulatedInstance {
   const failureDomain = DOMAINS[index % DOMAINS.length]!
   const metrics = createInMemoryMetrics()
--- a/packages/pimentoplank/src/relay/decisions/testing/reachSimulation.ts
+++ b/packages/pimentoplank/src/relay/decisions/testing/reachSimulation.ts
@@ -55,6 +55,7 @@
 const FIRST_BYTES_MS = 60
 const GAP_MS = 40
 const CONNECT_TIMEOUT_MS = 250
+const PROBE_TIMEOUT_MS = 750
 const FIRST_SILENCE_MS = 180
 const GAP_SILENCE_MS = 120
 const DEADLINE_MS = 4000
@@ -86,8 +87,11 @@
   for (let index = 0; index < count; index++) {
     instances.push(createSimulatedInstance(index, clock, random, async (address) => {
       const target = REACH_TARGETS.findIndex((one) => one.address === address)
-      if (getFault(index, target) === 'hangs') await clock.sleep(CONNECT_TIMEOUT_MS)
-      return isConnectable(index, target)
+      const fault = getFault(index, target)
+      if (fault === 'hangs') await clock.sleep(CONNECT_TIMEOUT_MS)
+      if (fault === 'silent') await clock.sleep(PROBE_TIMEOUT_MS)
+      if (!isConnectable(index, target)) return 'failed'
+      return fault === 'silent' ? 'silent' : 'answered'
     }))
   }
 
@@ -115,6 +119,7 @@
       sentAt: now,
       lastBytesAt: now,
       hasBytes: false,
+      isNew: false,
       doneMs: 0,
       triesLeft,
       tried
@@ -154,7 +159,6 @@
     if (run.via !== undefined) {
       instance.paths.recordPeerOutcome(String(run.via), address, isConnected ? 'connected' : 'targetFailed')
     } else if (isConnected) {
-      instance.paths.recordConnected(address)
       outcome.connects.push({ ms: clock.now(), instance: instance.index })
     } else {
       instance.paths.recordConnectFailed(address)
@@ -163,6 +167,7 @@
     if (!instance.runs.has(run)) return
     if (!isConnected) return retry(instance, run, { reason: 'connectFailed', kind: 'connect' })
     run.state = 'open'
+    run.isNew = true
     run.sentAt = clock.now()
     run.lastBytesAt = run.sentAt
   }
@@ -175,6 +180,7 @@
     const isFlowing = fault === undefined || fault === 'refusesNew'
     const waitMs = run.hasBytes ? GAP_MS : FIRST_BYTES_MS
     if (isFlowing && now - run.lastBytesAt >= waitMs) {
+      if (run.via === undefined && run.isNew && !run.hasBytes) instance.paths.recordConnected(address)
       if (run.via === undefined) instance.paths.recordBytes(address)
       if (!run.hasBytes) {
         run.request.firstMs ??= now - run.request.arrivedAt
--- a/packages/pimentoplank/src/relay/exchange/index.ts
+++ b/packages/pimentoplank/src/relay/exchange/index.ts
@@ -4,4 +4,5 @@
 } from './exchange'
 export { createEventReader, type EventReader } from './eventReader'
 export { getEventData, type SplitEvent } from './eventSplitter'
+export { createTargetProbe, type TargetProbeOptions } from './targetProbe'
 export { createDirectConnector, createTargetConnector, type DirectConnector, type TargetConnector } from './targetConnector'
--- a/packages/pimentoplank/src/relay/exchange/targetConnector.ts
+++ b/packages/pimentoplank/src/relay/exchange/targetConnector.ts
@@ -23,10 +23,19 @@
   observer: PathObserver
 }): DirectConnector {
   return (address, done) => {
-    const connect = connectors({ timeoutMs, localAddress, onBytes: () => observer.recordBytes(address) })
+    let hasBytes = false
+    const connect = connectors({
+      timeoutMs,
+      localAddress,
+      onBytes: () => {
+        if (!hasBytes) observer.recordConnected(address)
+        hasBytes = true
+        observer.recordBytes(address)
+      },
+      onReset: () => { if (!hasBytes) observer.recordConnectFailed(address) }
+    })
     connect(toConnectOptions(address), (cause, socket) => {
       if (socket == null) observer.recordConnectFailed(address)
-      else observer.recordConnected(address)
       done(cause, socket)
     })
   }
--- a/packages/pimentoplank/src/relay/load/suspicions.steps.ts
+++ b/packages/pimentoplank/src/relay/load/suspicions.steps.ts
@@ -82,7 +82,7 @@
     listTargets: () => [TARGET],
     peers: () => [],
     peerUses: this.peerUses,
-    probe: async () => true,
+    probe: async () => 'answered',
     clock,
     random: () => 0.5,
     metrics,
--- a/packages/pimentoplank/src/relay/paths/targetPaths.feature
+++ b/packages/pimentoplank/src/relay/paths/targetPaths.feature
@@ -78,6 +78,21 @@
     And 400 ms pass for the paths
     Then the instance is cut off
 
+  Scenario: Targets that are silent on connections which a proxy accepts are a cut
+    Given connections to "t0" to "t3" are accepted but bring nothing
+    When targets "t0" to "t3" are silent
+    And 400 ms pass for the paths
+    Then the instance is cut off
+    When targets "t0" to "t3" answer peer "p2"
+    And 900 ms pass for the paths
+    And targets "t0" to "t3" answer peer "p2"
+    And 900 ms pass for the paths
+    Then the instance is cut off
+    When targets "t0" to "t3" answer peer "p2"
+    And targets "t0" to "t3" can be reached
+    And 320 ms pass for the paths
+    Then the instance is not cut off
+
   Scenario: Targets that no peer is answered by are down
     Given no target answers a peer any more
     When connections to "t0" to "t3" fail
--- a/packages/pimentoplank/src/relay/paths/targetPaths.steps.ts
+++ b/packages/pimentoplank/src/relay/paths/targetPaths.steps.ts
@@ -14,6 +14,8 @@
   views: Map<string, PeerView>
   /** Addresses to which test connections succeed. */
   reachable: Set<string>
+  /** Addresses that accept test connections and send nothing. */
+  accepting: Set<string>
   probed: Set<string>
   /** True when peers that are asked connect to targets. */
   doPeersConnect: boolean
@@ -71,6 +73,7 @@
   this.pathsClock = createManualClock()
   this.views = new Map()
   this.reachable = new Set()
+  this.accepting = new Set()
   this.probed = new Set()
   this.messages = []
   this.doPeersConnect = false
@@ -88,7 +91,7 @@
       this.probed.add(address)
       // A test connection that hangs tells nothing for now.
       if (!this.reachable.has(address)) await this.pathsClock.sleep(250)
-      return this.reachable.has(address)
+      return this.reachable.has(address) ? 'answered' : this.accepting.has(address) ? 'silent' : 'failed'
     },
     clock: this.pathsClock,
     random: () => 0.5,
@@ -124,6 +127,12 @@
   for (const id of listIds(first, last)) this.reachable.add(getAddress(id))
 })
 
+Given('connections to {string} to {string} are accepted but bring nothing', function (
+  this: PathsWorld, first: string, last: string
+) {
+  for (const id of listIds(first, last)) this.accepting.add(getAddress(id))
+})
+
 When('connections to {string} to {string} fail', function (this: PathsWorld, first: string, last: string) {
   for (const id of listIds(first, last)) this.paths!.recordConnectFailed(getAddress(id))
 })
--- a/packages/pimentoplank/src/relay/paths/targetPaths.ts
+++ b/packages/pimentoplank/src/relay/paths/targetPaths.ts
@@ -8,7 +8,7 @@
 import type { PeerView } from '../gossip'
 import type { PeerUses } from '../load'
 import type { Target } from '../model'
-import type { PathChoice, TargetPaths } from './types'
+import type { PathChoice, ProbeOutcome, TargetPaths } from './types'
 
 export interface InstancePathsOptions {
   /** Failure domain of this instance. */
@@ -17,8 +17,8 @@
   listTargets: () => Iterable<Target>
   peers: () => readonly PeerView[]
   peerUses: Pick<PeerUses, 'getAnswers' | 'listAnswered'>
-  /** Opens a direct connection to an address and closes it; resolves to whether it was established. */
-  probe: (address: string) => Promise<boolean>
+  /** Opens a direct connection to an address, asks the target for its state, and closes it. */
+  probe: (address: string) => Promise<ProbeOutcome>
   /** Lets a peer open a connection to an address and close it; resolves to whether it was established. */
   askPeer: (peer: { instance: string, peerAddress: string }, address: string) => Promise<boolean>
   clock: Clock
@@ -167,13 +167,13 @@
       })
   }
 
-  async function probe (address: string): Promise<boolean> {
+  async function probe (address: string): Promise<void> {
     metrics.count('paths.probes')
-    const isConnected = await options.probe(address)
-    if (closed.signal.aborted) return isConnected
-    if (isConnected) recordConnected(address)
-    else recordConnectFailed(address)
-    return isConnected
+    const outcome = await options.probe(address)
+    if (closed.signal.aborted) return
+    if (outcome === 'answered') recordConnected(address)
+    // A target that accepts the connection and is silent may be slow.
+    if (outcome === 'failed') recordConnectFailed(address)
   }
 
   /** Where peers use no targets, their reports don't tell whether these are reached. */
--- a/packages/pimentoplank/src/relay/paths/types.ts
+++ b/packages/pimentoplank/src/relay/paths/types.ts
@@ -6,11 +6,14 @@
   /** Through a peer that reaches the target. */
   | { type: 'peer', instance: string, peerAddress: string }
 
+/** Outcome of a test call: `silent` if a connection was established but brought nothing in time. */
+export type ProbeOutcome = 'answered' | 'failed' | 'silent'
+
 /** Observes the connections to targets, which are identified by their addresses. */
 export interface PathObserver {
-  /** Records that a direct connection was established. */
+  /** Records the first bytes on a direct connection; a proxy may accept those to targets that it doesn't reach. */
   recordConnected: (address: string) => void
-  /** Records that a direct connection could not be established. */
+  /** Records that a direct connection could not be established, or was reset before it brought bytes. */
   recordConnectFailed: (address: string) => void
   /** Records that bytes arrived on a direct connection. */
   recordBytes: (address: string) => void
--- a/packages/pimentoplank/src/shared/targetHttp/connector.ts
+++ b/packages/pimentoplank/src/shared/targetHttp/connector.ts
@@ -24,13 +24,17 @@
   localAddress?: string
   /** Called when bytes arrive on a connection. */
   onBytes?: () => void
+  /** Called when the other end resets a connection. */
+  onReset?: () => void
 }
 
 /**
  * Creates a connector. It keeps the timeout by a timer of its own: undici's fires up to a second late, and then only
  * destroys the socket.
  */
-export function createConnector ({ timeoutMs, localAddress, onBytes }: ConnectorOptions): buildConnector.connector {
+export function createConnector (
+  { timeoutMs, localAddress, onBytes, onReset }: ConnectorOptions
+): buildConnector.connector {
   const connect = buildConnector({ timeout: timeoutMs, keepAlive: true })
   return (options, done) => {
     let isOver = false
@@ -47,7 +51,7 @@
         return
       }
       isOver = true
-      if (result[0] === null) watchSocket(result[1], onBytes)
+      if (result[0] === null) watchSocket(result[1], { onBytes, onReset })
       done(...result)
     })
   }
@@ -65,18 +69,23 @@
  * A response without a length or chunks ends with its connection. Two resets look like an orderly end there: undici
  * accepts `ECONNRESET`, and libuv reports the end of the stream when a reset arrives together with the last bytes.
  */
-function watchSocket (socket: Socket, onBytes?: () => void): void {
+function watchSocket (socket: Socket, { onBytes, onReset }: Pick<ConnectorOptions, 'onBytes' | 'onReset'>): void {
   const push = socket.push.bind(socket)
   const destroy = socket.destroy.bind(socket)
   socket.push = (chunk, encoding) => {
     if (chunk !== null) onBytes?.()
     // After a reset, the socket no longer has a peer.
     if (chunk !== null || socket.remoteAddress !== undefined) return push(chunk, encoding)
+    onReset?.()
     // The bytes before the reset are read first.
     setImmediate(() => destroy(new ConnectionResetError()))
     return false
   }
-  socket.destroy = (cause) => destroy(isReset(cause) ? new ConnectionResetError({ cause }) : cause)
+  socket.destroy = (cause) => {
+    if (!isReset(cause)) return destroy(cause)
+    onReset?.()
+    return destroy(new ConnectionResetError({ cause }))
+  }
 }
 
 function isReset (cause: Error | undefined): cause is Error {
