Test the path to a suspect through a peer before its suspicion spreads

Callers would see: fewer targets at all instances, for seconds, because one instance lost its path to one of them.

Change: with each failure to connect and each silence the target is asked for its state directly and through one peer, at most one such test every 300 ms. Where it answers the peer only, peers aren't told. A target that answers the direct test but not the request is at fault itself, so that one which lies about its health is still reported.

The failure must follow the beginning of the peer's test now. The scenario 'Targets that are back have been down' left test connections failing after the return, which is a cut by now; it lets them succeed, and its old steps expect a cut in a scenario of their own.

After: reach.feature with its bounds as they stood, targetPaths, suspicions (6 new scenarios), stranded (18 of 18), silentTargets.

--- a/packages/pimentoplank/src/relay/createPaths.ts
+++ b/packages/pimentoplank/src/relay/createPaths.ts
@@ -1,5 +1,7 @@
 /** Creates the tracker of the paths to targets, with the test connections that it needs. */
-import type { createConnector, Clock, Log, Metrics, PeerTunnels, Random } from '../shared'
+import {
+  createConnector, toConnectOptions, type Clock, type Log, type Metrics, type PeerTunnels, type Random
+} from '../shared'
 import { TARGET_CONNECT_TIMEOUT_MS } from './constants'
 import { createTargetProbe } from './exchange'
 import type { Gossip } from './gossip'
@@ -35,13 +37,23 @@
 export function createPaths (
   { outgoing, statePath, tunnels, targets, gossip, onChange, ...options }: CreatePathsOptions
 ): InstancePaths {
-  const askPeer: InstancePathsOptions['askPeer'] = async ({ instance, peerAddress }, address) => {
-    const opened = await tunnels.open({ instance, peerAddress, address })
-    if (opened.isOk()) opened.value.destroy()
-    return opened.isOk()
+  const { localAddress, connectors = createConnector } = outgoing
+  const probe = createTargetProbe({
+    connect: ({ address, onBytes, done }) =>
+      connectors({ timeoutMs: TARGET_CONNECT_TIMEOUT_MS, localAddress, onBytes })(toConnectOptions(address), done),
+    statePath
+  })
+  const askPeer: InstancePathsOptions['askPeer'] = async ({ instance, peerAddress }, target) => {
+    const probeThroughPeer = createTargetProbe({
+      connect: ({ address, done }) => {
+        tunnels.open({ instance, peerAddress, address })
+          .then((opened) => opened.match((socket) => done(null, socket), (cause) => done(cause)))
+          .catch(done)
+      },
+      statePath
+    })
+    return await probeThroughPeer(target) === 'answered'
   }
-
-  const probe = createTargetProbe({ ...outgoing, connectTimeoutMs: TARGET_CONNECT_TIMEOUT_MS, statePath })
   const paths = createTargetPaths({ ...options, listTargets: targets.all, peers: gossip.peers, probe, askPeer })
   paths.onLost(onChange)
   paths.onReturn(onChange)
--- a/packages/pimentoplank/src/relay/decisions/reach.feature
+++ b/packages/pimentoplank/src/relay/decisions/reach.feature
@@ -43,6 +43,7 @@
     Examples:
       | cut |
       | 3   |
+      | 6   |
 
   Scenario Outline: Without a peer that targets answer there is no cut: connections of all instances <fault>
     Given that the connections of 7 instances to all targets <fault> for 5000 ms
--- a/packages/pimentoplank/src/relay/decisions/reach.ts
+++ b/packages/pimentoplank/src/relay/decisions/reach.ts
@@ -24,8 +24,8 @@
   peersAnsweredSince?: number
   /** When it was last heard that the target answers a peer, or a peer opened a connection to it. */
   peersAnsweredAt?: number
-  /** When a peer that was asked last connected to the target. */
-  peerConnectedAt?: number
+  /** When the last test through a peer began that the target answered. */
+  peerReachedAt?: number
 }
 
 export interface ReachInput {
@@ -102,9 +102,10 @@
   const reached = targets.filter((target) => !failed.includes(target) &&
     Math.max(target.connectedAt ?? NEVER, areConnectsTried ? NEVER : target.bytesAt ?? NEVER) >= reachedSince)
   const heardSince = now - (lostSince === undefined ? PEER_EVIDENCE_MS : MAX_UNCONFIRMED_MS)
-  const hasConnectedPeer = (target: TargetEvidence): boolean => (target.peerConnectedAt ?? NEVER) >=
-    Math.max(heardSince, lostSince === undefined ? getFailedAt(target) : NEVER)
-  const contradicted = failed.filter((target) => hasConnectedPeer(target) ||
+  // A failure before the test may be that of a target which was back by then.
+  const isReachedByPeer = (target: TargetEvidence): boolean => (target.peerReachedAt ?? NEVER) >= heardSince &&
+    (lostSince !== undefined || getFailedAt(target) >= target.peerReachedAt!)
+  const contradicted = failed.filter((target) => isReachedByPeer(target) ||
     ((target.peersAnsweredAt ?? NEVER) >= heardSince &&
       (lostSince !== undefined || hadAnsweredPeers(target, getFailedAt(target)))))
   const counts = {
@@ -118,7 +119,7 @@
     return { ...counts, isCutOff: isMost && contradicted.length > 0, mayBeCutOff: isMost }
   }
   // A target may be down with peers that have not noticed yet; several of many at once rarely are.
-  const isProven = failed.some((target) => hasConnectedPeer(target) ||
+  const isProven = failed.some((target) => isReachedByPeer(target) ||
     hasAnsweredPeersThrough(target, getFailedAt(target)))
   const isLikely = contradicted.length >= MIN_FAILED && targets.length > MIN_FAILED
   const isEnough = failed.length >= Math.min(MIN_FAILED, targets.length)
--- a/packages/pimentoplank/src/relay/decisions/testing/reachFleet.ts
+++ b/packages/pimentoplank/src/relay/decisions/testing/reachFleet.ts
@@ -71,7 +71,10 @@
 
 /** Creates an instance with empty reports of its peers. */
 export function createSimulatedInstance (
-  index: number, clock: ManualClock, random: Random, probe: (address: string) => Promise<ProbeOutcome>
+  index: number,
+  clock: ManualClock,
+  random: Random,
+  probe: (instance: number, address: string) => Promise<ProbeOutcome>
 ): SimulatedInstance {
   const failureDomain = DOMAINS[index % DOMAINS.length]!
   const metrics = createInMemoryMetrics()
@@ -80,12 +83,12 @@
   const peers = (): PeerView[] => [...reports.values()]
   const peerUses = createPeerUses([], clock)
   const paths = createTargetPaths({
-    askPeer: async () => false,
+    askPeer: async ({ instance }, address) => await probe(Number(instance), address) === 'answered',
     failureDomain,
     listTargets: () => REACH_TARGETS,
     peers,
     peerUses,
-    probe,
+    probe: async (address) => await probe(index, address),
     clock,
     random,
     metrics,
--- a/packages/pimentoplank/src/relay/decisions/testing/reachSimulation.ts
+++ b/packages/pimentoplank/src/relay/decisions/testing/reachSimulation.ts
@@ -85,12 +85,12 @@
   }
 
   for (let index = 0; index < count; index++) {
-    instances.push(createSimulatedInstance(index, clock, random, async (address) => {
+    instances.push(createSimulatedInstance(index, clock, random, async (instance, address) => {
       const target = REACH_TARGETS.findIndex((one) => one.address === address)
-      const fault = getFault(index, target)
+      const fault = getFault(instance, target)
       if (fault === 'hangs') await clock.sleep(CONNECT_TIMEOUT_MS)
       if (fault === 'silent') await clock.sleep(PROBE_TIMEOUT_MS)
-      if (!isConnectable(index, target)) return 'failed'
+      if (!isConnectable(instance, target)) return 'failed'
       return fault === 'silent' ? 'silent' : 'answered'
     }))
   }
--- a/packages/pimentoplank/src/relay/load/ownSuspicions.ts
+++ b/packages/pimentoplank/src/relay/load/ownSuspicions.ts
@@ -1,6 +1,6 @@
 /** Tracks the targets that failed requests of this instance and are left out for a while. */
 import { LRUCache } from 'lru-cache'
-import type { Clock, Log, Metrics } from '../../shared'
+import { describeCause, type Clock, type Log, type Metrics } from '../../shared'
 import { computeSuspicion, type FailureRecord, type SuspicionRules } from '../decisions'
 import type { InstancePaths } from '../paths'
 
@@ -25,7 +25,10 @@
   getKey: (targetId: string) => number
   /** Returns the address of a target; undefined for an unknown target. */
   getAddress: (targetId: string) => string | undefined
-  paths: Pick<InstancePaths, 'isCutOff' | 'hasAnsweredSince' | 'hasAnsweredPeersSince' | 'hasAnsweredPeersThrough' | 'onLost'>
+  paths: Pick<
+    InstancePaths,
+    'isCutOff' | 'hasAnsweredSince' | 'hasAnsweredPeersSince' | 'hasAnsweredPeersThrough' | 'checkPath' | 'onLost'
+  >
   rules: SuspicionRules
   /** Called when a suspicion begins or ends. */
   onChange: () => void
@@ -42,7 +45,7 @@
   /** Adds the failure of a target that a peer has seen to its history. */
   addPeerFailure: (key: number) => void
   isSuspect: (targetId: string) => boolean
-  /** Lists the suspects; none while this instance is cut off from targets. */
+  /** Lists the suspects of which peers are told; none while this instance is cut off from targets. */
   list: () => OwnSuspects
 }
 
@@ -60,6 +63,8 @@
 const CUT_MARGIN_MS = 1000
 /** Suspicions are kept for this long after their end, since word that targets answer comes later, in milliseconds. */
 const CONTRADICTION_WAIT_MS = 1000
+/** For how long it counts that a target answers a peer, but not this instance, in milliseconds. */
+const LOST_PATH_MS = 5000
 const NO_SUSPECTS: OwnSuspects = { all: new Set(), unreached: new Set() }
 
 function isPathLike ({ kind }: Pick<Suspicion, 'kind'>): boolean {
@@ -73,6 +78,9 @@
   /** By hash of the target's id, which is how peers identify targets. */
   const failures = new LRUCache<number, FailureRecord>({ max: MAX_TRACKED_TARGETS })
 
+  /** When a target was last found to answer a peer only, by its id. */
+  const lostPaths = new LRUCache<string, number>({ max: MAX_TRACKED_TARGETS })
+
   paths.onLost((lostSince) => {
     for (const [id, suspicion] of suspicions) {
       const isOfCut = suspicion.kind === 'cut' && suspicion.since >= lostSince - CUT_MARGIN_MS
@@ -119,6 +127,22 @@
     }
   }
 
+  /** Where the path to a single target is lost, no failures of other targets tell so. */
+  async function checkPath (id: string): Promise<void> {
+    const address = options.getAddress(id)
+    const isLost = address === undefined ? undefined : await paths.checkPath(address)
+    if (isLost === undefined) return
+    log.info({ target: id, isLost }, 'path to a suspect was tested')
+    if (isLost) lostPaths.set(id, clock.now())
+    else lostPaths.delete(id)
+    options.onChange()
+  }
+
+  /** True for a suspect of which peers need not be told. */
+  function isOfLostPath (id: string, suspicion: Suspicion): boolean {
+    return isPathLike(suspicion) && (lostPaths.get(id) ?? -Infinity) >= clock.now() - LOST_PATH_MS
+  }
+
   function recordFailure (id: string, reason: string, kind: FaultKind): void {
     if (kind !== 'target' && paths.isCutOff()) {
       metrics.count('suspects.cutOff')
@@ -140,6 +164,8 @@
     metrics.count(`suspects.${reason}`)
     log.info({ target: id, reason, weight: record.weight, forMs: Math.round(forMs) }, 'target is left out')
     options.onChange()
+    if (!isPathLike({ kind })) return
+    checkPath(id).catch((cause: unknown) => log.error({ target: id, cause: describeCause(cause) }, 'path could not be tested'))
   }
 
   /** Failures of a target that answers peers meanwhile are undone together. */
@@ -170,7 +196,7 @@
       prune()
       if (paths.isCutOff()) return NO_SUSPECTS
       const active = [...suspicions].filter(([id, suspicion]) =>
-        suspicion.until > clock.now() && !isContradicted(id, suspicion))
+        suspicion.until > clock.now() && !isContradicted(id, suspicion) && !isOfLostPath(id, suspicion))
       const unreached = active.filter(([, suspicion]) => isPathLike(suspicion))
       return {
         all: new Set(active.map(([id]) => getKey(id))), unreached: new Set(unreached.map(([id]) => getKey(id)))
--- a/packages/pimentoplank/src/relay/load/suspicions.feature
+++ b/packages/pimentoplank/src/relay/load/suspicions.feature
@@ -127,3 +127,30 @@
     And it is not reported as suspect
     When the path to targets is back
     Then it is reported as suspect
+
+  Scenario Outline: A target that <fault> here: test connections are <here>, peers reach it <peers>
+    Given test connections of this instance are <here>
+    And peers reach the target <peers>
+    When it <fault> here
+    And 10 ms pass for the suspicions
+    Then the target is suspected
+    And it is <told>
+
+    Examples:
+      | fault                 | here     | peers   | told                    |
+      | can't be connected to | failed   | as well | not reported as suspect |
+      | is silent             | silent   | as well | not reported as suspect |
+      | is silent             | answered | as well | reported as suspect     |
+      | can't be connected to | failed   | no more | reported as suspect     |
+      | is silent             | silent   | no more | reported as suspect     |
+
+  Scenario: Peers are told of a target that dies after its path was lost
+    Given peers reach the target as well
+    When it can't be connected to here
+    And 10 ms pass for the suspicions
+    Then it is not reported as suspect
+    When peers reach the target no more
+    And 600 ms pass for the suspicions
+    And it can't be connected to here
+    And 10 ms pass for the suspicions
+    Then it is reported as suspect and as not reached
--- a/packages/pimentoplank/src/relay/load/suspicions.steps.ts
+++ b/packages/pimentoplank/src/relay/load/suspicions.steps.ts
@@ -4,12 +4,16 @@
 import { createInMemoryMetrics, createSilentLog, hash32 } from '../../shared'
 import type { Report } from '../gossip'
 import type { Target } from '../model'
-import { createTargetPaths, type InstancePaths } from '../paths'
+import { createTargetPaths, type InstancePaths, type ProbeOutcome } from '../paths'
 import { RELAY_RULES } from '../rules'
 import { createLoadView, createPeerUses, type FaultKind, type LoadView, type PeerUses } from '.'
 
 interface SuspicionsWorld {
   suspicionsClock: ManualClock
+  /** What test connections to the target bring. */
+  directOutcome: ProbeOutcome
+  /** True if the target answers peers that are asked. */
+  doesPeerReach: boolean
   reports: Map<string, Report>
   peerUses: PeerUses
   loads: LoadView
@@ -77,17 +81,20 @@
   this.peerUses = createPeerUses([], clock)
   for (const report of this.reports.values()) this.peerUses.replaceReport(undefined, report)
   this.observed = createTargetPaths({
-    askPeer: async () => false,
+    askPeer: async () => this.doesPeerReach,
     failureDomain: 'a',
-    listTargets: () => [TARGET],
-    peers: () => [],
+    // One target that is not reached is no cut where there are others.
+    listTargets: () => [TARGET, { ...TARGET, id: 't1', address: 't1:80' }],
+    peers: () => [...this.reports.values()].map((report) => ({ report, lastReceivedAt: clock.now() })),
     peerUses: this.peerUses,
-    probe: async () => 'answered',
+    probe: async (address) => address === TARGET.address ? this.directOutcome : 'answered',
     clock,
     random: () => 0.5,
     metrics,
     log
   })
+  this.directOutcome = 'failed'
+  this.doesPeerReach = false
   this.isCutOff = false
   this.losePath = () => {
     this.isCutOff = true
@@ -154,6 +161,16 @@
   this.loads.recordFailure(TARGET.id, reason, kind)
 })
 
+Given(/^test connections of this instance are (answered|failed|silent)$/, function (
+  this: SuspicionsWorld, outcome: ProbeOutcome
+) {
+  this.directOutcome = outcome
+})
+
+Given(/^peers reach the target (as well|no more)$/, function (this: SuspicionsWorld, which: string) {
+  this.doesPeerReach = which === 'as well'
+})
+
 When('the path to targets is lost', function (this: SuspicionsWorld) {
   this.losePath()
 })
--- a/packages/pimentoplank/src/relay/paths/targetPaths.feature
+++ b/packages/pimentoplank/src/relay/paths/targetPaths.feature
@@ -105,11 +105,22 @@
     When connections to "t0" to "t3" fail
     And 300 ms pass for the paths
     And targets "t0" to "t3" answer peer "p2"
+    And targets "t0" to "t3" can be reached
     And 600 ms pass for the paths
     And targets "t0" to "t3" answer peer "p2"
     And 400 ms pass for the paths
     Then the instance is not cut off
 
+  Scenario: Targets that are back for peers only are a cut
+    Given no target answers a peer any more
+    When connections to "t0" to "t3" fail
+    And 300 ms pass for the paths
+    And targets "t0" to "t3" answer peer "p2"
+    And 600 ms pass for the paths
+    And targets "t0" to "t3" answer peer "p2"
+    And 400 ms pass for the paths
+    Then the instance is cut off
+
   Scenario: The path is back as soon as a test connection shows it, with nothing of the cut left
     When connections to "t0" to "t3" fail
     And 100 ms pass for the paths
--- a/packages/pimentoplank/src/relay/paths/targetPaths.ts
+++ b/packages/pimentoplank/src/relay/paths/targetPaths.ts
@@ -5,7 +5,7 @@
   addPathFailure, ANSWERING_MS, chooseChecks, choosePathPeer, decideReach, hasAnsweredPeersThrough,
   type ProbeCandidate, type Reach, type TargetEvidence
 } from '../decisions'
-import type { PeerView } from '../gossip'
+import type { PeerView, Report } from '../gossip'
 import type { PeerUses } from '../load'
 import type { Target } from '../model'
 import type { PathChoice, ProbeOutcome, TargetPaths } from './types'
@@ -19,7 +19,7 @@
   peerUses: Pick<PeerUses, 'getAnswers' | 'listAnswered'>
   /** Opens a direct connection to an address, asks the target for its state, and closes it. */
   probe: (address: string) => Promise<ProbeOutcome>
-  /** Lets a peer open a connection to an address and close it; resolves to whether it was established. */
+  /** Asks the target at an address for its state through a peer; resolves to whether it answered. */
   askPeer: (peer: { instance: string, peerAddress: string }, address: string) => Promise<boolean>
   clock: Clock
   random: Random
@@ -35,6 +35,11 @@
   isCutOff: () => boolean
   /** True when bytes of the target arrived a moment ago on a direct connection. */
   isAnswering: (address: string) => boolean
+  /**
+   * Tests a target directly and through a peer. Resolves to true if it answers the peer only, so that the path is at
+   * fault; to undefined if no peer could be asked now.
+   */
+  checkPath: (address: string) => Promise<boolean | undefined>
   /** True when the target has answered this instance or a peer after a time on the monotonic clock. */
   hasAnsweredSince: (address: string, key: number, since: number) => boolean
   /** True when the target has answered a peer after a time on the monotonic clock. */
@@ -140,7 +145,7 @@
         const reach = decide()
         if (reach.failed === 0) return
         if (reach.isCutOff && !isChecking) return beginCut(reach)
-        if (reach.mayBeCutOff) askPeer()
+        if (reach.mayBeCutOff) askAboutFailed()
         await clock.sleep(REVIEW_INTERVAL_MS, closed.signal)
       }
     } finally {
@@ -167,34 +172,49 @@
       })
   }
 
-  async function probe (address: string): Promise<void> {
+  async function probe (address: string): Promise<ProbeOutcome> {
     metrics.count('paths.probes')
     const outcome = await options.probe(address)
-    if (closed.signal.aborted) return
+    if (closed.signal.aborted) return outcome
     if (outcome === 'answered') recordConnected(address)
     // A target that accepts the connection and is silent may be slow.
     if (outcome === 'failed') recordConnectFailed(address)
+    return outcome
   }
 
-  /** Where peers use no targets, their reports don't tell whether these are reached. */
-  function askPeer (): void {
-    const now = clock.now()
-    if (now - askedAt < ASK_INTERVAL_MS) return
-    const failed = listCandidates().filter(({ evidence: { connectFailedAt = -Infinity, connectedAt = -Infinity } }) =>
-      connectFailedAt > connectedAt)
+  function choosePeerToAsk (): Report | undefined {
+    if (clock.now() - askedAt < ASK_INTERVAL_MS) return undefined
     const peers = listPeers().filter(({ report }) => !isPaused(report.instance))
+    return peers[asks % peers.length]?.report
+  }
+
+  async function askPeer (peer: Report, address: string): Promise<boolean> {
+    const now = clock.now()
     asks += 1
-    const peer = peers[asks % peers.length]?.report
-    const address = failed[asks % failed.length]?.address
-    if (peer === undefined || address === undefined) return
     askedAt = now
     metrics.count('paths.asked')
-    options.askPeer(peer, address).then((isConnected) => {
-      log.info({ peer: peer.instance, address, isConnected }, 'peer asked whether it reaches a target')
-      if (closed.signal.aborted) return
-      if (isConnected) record(address, { peerConnectedAt: clock.now() })
-      update()
-    }).catch((cause: unknown) => log.error({ address, cause: describeCause(cause) }, 'peer could not be asked'))
+    const isReached = await options.askPeer(peer, address)
+    log.info({ peer: peer.instance, address, isReached }, 'peer asked whether it reaches a target')
+    if (isReached) record(address, { peerReachedAt: now })
+    return isReached
+  }
+
+  /** Where peers use no targets, their reports don't tell whether these are reached. */
+  function askAboutFailed (): void {
+    const failed = listCandidates().filter(({ evidence: { connectFailedAt = -Infinity, connectedAt = -Infinity } }) =>
+      connectFailedAt > connectedAt)
+    const address = failed[asks % failed.length]?.address
+    if (address === undefined) return
+    checkPath(address)
+      .then(() => { if (!closed.signal.aborted) update() })
+      .catch((cause: unknown) => log.error({ address, cause: describeCause(cause) }, 'peer could not be asked'))
+  }
+
+  async function checkPath (address: string): Promise<boolean | undefined> {
+    const peer = choosePeerToAsk()
+    if (peer === undefined) return undefined
+    const [outcome, isReachedByPeer] = await Promise.all([probe(address), askPeer(peer, address)])
+    return outcome !== 'answered' && isReachedByPeer
   }
 
   function beginCut (reach: Reach): void {
@@ -217,7 +237,7 @@
     // What the cut has left would speak for the next one.
     for (const one of evidence.values()) {
       Object.assign(one, {
-        connectFailedAt: undefined, silentAt: undefined, failingSince: undefined, peerConnectedAt: undefined
+        connectFailedAt: undefined, silentAt: undefined, failingSince: undefined, peerReachedAt: undefined
       })
     }
     openedByPeers.clear()
@@ -239,7 +259,7 @@
       const candidates = listCandidates()
       const chosen = candidates[Math.floor(random() * candidates.length)]
       if (chosen !== undefined) probeOne(chosen.address)
-      askPeer()
+      askAboutFailed()
       update()
     }
   }
@@ -329,6 +349,7 @@
       (isAnswering(address) && evidence.get(address)!.bytesAt! > lost.since),
     isCutOff: () => lost !== undefined,
     isAnswering,
+    checkPath,
     hasAnsweredSince: (address, key, since) =>
       (evidence.get(address)?.bytesAt ?? -Infinity) > since || hasAnsweredPeersSince(key, since),
     hasAnsweredPeersSince,
