Reset the connections of requests that are given up, so that a path that hangs can't deliver them later

Cause: a socket that is destroyed is closed, and the kernel goes on delivering what it holds, then the end. The links of the stand-ins hide that: they reset connections whose sender has left. Peers that carry a tunnel closed theirs likewise. Change: connections that are given up are reset, which discards what was not delivered; the peer's, too, once its tunnel ends. Idle connections are closed as before. Not covered: bytes that hang between an instance and the peer that carries its tunnel.

--- a/packages/pimentoplank/src/relay/exchange/connectionPool.ts
+++ b/packages/pimentoplank/src/relay/exchange/connectionPool.ts
@@ -1,5 +1,5 @@
 /** Pool of connections to targets, each of which carries one request at a time. */
-import type { Socket } from 'node:net'
+import { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { Client, type Dispatcher } from 'undici'
 import { hash32, markDispatch, type Clock, type Metrics, type SendMark } from '../../shared'
@@ -37,7 +37,7 @@
   open: (address: string) => TargetConnection
   /** Returns a connection to the pool after its response was read to the end. */
   release: (address: string, connection: TargetConnection) => void
-  /** Closes a connection. */
+  /** Resets a connection, unless its other end has ended it: what the network has not delivered yet is discarded. */
   destroy: (connection: TargetConnection) => void
   /** Closes connections that are not established yet, so that their requests fail without having been sent. */
   dropConnecting: () => void
@@ -167,6 +167,13 @@
     connection.client.destroy().catch(() => undefined)
   }
 
+  /** A connection that is merely closed would still deliver its request once it no longer hangs. */
+  function resetConnection (connection: TargetConnection): void {
+    const { socket } = connection
+    if (socket instanceof Socket && !socket.destroyed && !socket.readableEnded) socket.resetAndDestroy()
+    closeConnection(connection)
+  }
+
   return {
     acquire: acquireConnection,
     open: openConnection,
@@ -177,7 +184,7 @@
       list.push({ connection, since: clock.now() })
       idle.set(address, list)
     },
-    destroy: closeConnection,
+    destroy: resetConnection,
     dropConnecting: () => {
       for (const connection of [...connections.keys()]) if (connection.socket === undefined) closeConnection(connection)
     },
--- a/packages/pimentoplank/src/relay/exchange/exchange.feature
+++ b/packages/pimentoplank/src/relay/exchange/exchange.feature
@@ -40,3 +40,10 @@
     Given a target that answers request "first" with status 200
     When request "late" is withdrawn while its connection is established
     Then request "late" failed as withdrawn, and has not run
+
+  Scenario: A request that is aborted on a connection that hangs does not reach the target later
+    Given a target that answers request "first" with status 200
+    And the target reads nothing from its connections
+    When request "late" with a body of 300000 bytes is sent, and aborted 200 ms later
+    And the target reads what has come 100 ms later
+    Then the target finds the connection reset, and request "late" incomplete
--- a/packages/pimentoplank/src/relay/exchange/exchange.steps.ts
+++ b/packages/pimentoplank/src/relay/exchange/exchange.steps.ts
@@ -26,6 +26,10 @@
   /** Sent right before the answer to the next request. */
   repeated: string
   last: Result<TargetAnswer, SendFailure>
+  /** Size of the body that was sent to a target which reads late, and what arrived there, head included. */
+  bodyBytes: number
+  receivedBytes: number
+  ending?: 'reset' | 'closed'
 }
 
 const HEAD_END = '\r\n\r\n'
@@ -194,3 +198,42 @@
   await new Promise((resolve) => setTimeout(resolve, 50))
   assert.ok(!this.arrived.some((one) => one.id === id))
 })
+
+Given('the target reads nothing from its connections', function (this: ExchangeWorld) {
+  this.lateServer.removeAllListeners('connection')
+  this.lateServer.on('connection', (socket) => {
+    this.sockets.push(socket)
+    socket.pause()
+    socket.on('error', () => undefined)
+  })
+})
+
+When('request {string} with a body of {int} bytes is sent, and aborted {int} ms later', async function (
+  this: ExchangeWorld, id: string, bytes: number, ms: number
+) {
+  this.bodyBytes = bytes
+  const request = { id, host: 'h', method: 'POST', path: '/', headers: [], body: new Uint8Array(bytes) }
+  const sender = new AbortController()
+  const sent = this.lateExchange.send({ request, target: this.lateTarget }, sender.signal)
+  await pause(ms)
+  sender.abort()
+  this.last = await sent
+  assert.equal(this.last._unsafeUnwrapErr().mayHaveRun, true)
+})
+
+When('the target reads what has come {int} ms later', async function (this: ExchangeWorld, ms: number) {
+  await pause(ms)
+  const [socket] = this.sockets
+  this.receivedBytes = 0
+  this.ending = undefined
+  socket!.on('data', (bytes: Buffer) => { this.receivedBytes += bytes.length })
+  socket!.once('end', () => { this.ending ??= socket!.remoteAddress === undefined ? 'reset' : 'closed' })
+  socket!.once('error', () => { this.ending ??= 'reset' })
+  socket!.resume()
+  while (this.ending === undefined) await pause(5)
+})
+
+Then('the target finds the connection reset, and request {string} incomplete', function (this: ExchangeWorld, _id: string) {
+  assert.ok(this.receivedBytes < this.bodyBytes, `${this.receivedBytes} bytes of a body of ${this.bodyBytes} arrived`)
+  assert.equal(this.ending, 'reset')
+})
--- a/packages/pimentoplank/src/relay/exchange/tunnels.feature
+++ b/packages/pimentoplank/src/relay/exchange/tunnels.feature
@@ -59,3 +59,11 @@
     Given an exchange with a target and a peer that reaches it, where paths go through the peer
     When a request is sent and given up while the target works on it
     Then the target has no connection within 100 ms
+
+  Scenario: A request that is given up while the connection between the peer and the target hangs does not reach the target later
+    Given an exchange with a target and a peer that reaches it, where paths go through the peer
+    And the target reads nothing from its connections for now
+    When a request with a body of 200000 bytes is sent, and given up 200 ms later
+    And the peer carries 0 tunnels
+    And the target reads what has come
+    Then the target has a part of the request only, and finds the connection reset
--- a/packages/pimentoplank/src/relay/exchange/tunnels.steps.ts
+++ b/packages/pimentoplank/src/relay/exchange/tunnels.steps.ts
@@ -38,6 +38,10 @@
   observed: string[]
   failure?: SendFailure
   answers: Array<{ body: string, isDirect: boolean }>
+  /** Size of the body that was sent to a target which reads late, and what arrived there, head included. */
+  bodyBytes: number
+  receivedBytes: number
+  ending?: 'reset' | 'closed'
 }
 
 const SECURITY = { sharedKey: 'shared-key-of-the-peers' }
@@ -309,6 +313,42 @@
   await eventually(() => this.sockets.every(({ closed }) => closed), ms, 'the target has a connection')
 })
 
+Given('the target reads nothing from its connections for now', function (this: ExchangeWorld) {
+  this.target.removeAllListeners('connection')
+  this.target.on('connection', (socket) => {
+    this.sockets.push(socket)
+    socket.pause()
+    socket.on('error', () => undefined)
+  })
+})
+
+When('a request with a body of {int} bytes is sent, and given up {int} ms later', async function (
+  this: ExchangeWorld, bytes: number, ms: number
+) {
+  this.bodyBytes = bytes
+  const { request, target } = createRequest(this)
+  const caller = new AbortController()
+  const sent = this.exchange.send({ request: { ...request, method: 'POST', body: new Uint8Array(bytes) }, target }, caller.signal)
+  await sleep(ms)
+  caller.abort()
+  assert.equal((await sent)._unsafeUnwrapErr().reason, 'aborted')
+})
+
+When('the target reads what has come', async function (this: ExchangeWorld) {
+  const [socket] = this.sockets
+  this.receivedBytes = 0
+  socket!.on('data', (bytes: Buffer) => { this.receivedBytes += bytes.length })
+  socket!.once('end', () => { this.ending ??= socket!.remoteAddress === undefined ? 'reset' : 'closed' })
+  socket!.once('error', () => { this.ending ??= 'reset' })
+  socket!.resume()
+  await eventually(() => this.ending !== undefined, SOON_MS, 'the connection goes on')
+})
+
+Then('the target has a part of the request only, and finds the connection reset', function (this: ExchangeWorld) {
+  assert.ok(this.receivedBytes < this.bodyBytes, `${this.receivedBytes} bytes of a body of ${this.bodyBytes} arrived`)
+  assert.equal(this.ending, 'reset')
+})
+
 After({ tags: '@tunnelledExchange' }, async function (this: Partial<ExchangeWorld>) {
   if (this.connections === undefined) return
   this.connections.close()
--- a/packages/pimentoplank/src/shared/rpc/tunnelServer.ts
+++ b/packages/pimentoplank/src/shared/rpc/tunnelServer.ts
@@ -121,7 +121,9 @@
     metrics.gauge('tunnels.open', tunnels.size)
     if (socket === undefined) return
     const outcome = getOutcome(stream, socket)
-    socket.destroy()
+    // If merely closed, a connection that hangs would still deliver what the peer has sent.
+    if (socket.destroyed || socket.readableEnded) socket.destroy()
+    else socket.resetAndDestroy()
     metrics.count(`tunnels.${outcome}`)
     metrics.count('tunnels.bytes', socket.bytesRead + socket.bytesWritten)
     log.info({
