Give up items that no target has answered before the record of their job is older than the bound

Cause: the age of the record was checked before an item is sent, not while it waits to arrive. Only the end itself, a silence with room elsewhere, or 10 s of silence aborted it. Ruled out: an owner that reads the end aborts in time. Change: a run that its target has not begun to answer is aborted once the record is 0.9 of the bound old (2.7 s); its connection is reset, so that nothing arrives later. It runs again when records are read. Answered runs go on. The features of relay/jobs, endedJobs and silentItems pass (55 of 55). Price: while the store is away for longer than 2.7 s, items whose answer takes that long to begin are sent again.

--- a/packages/pimentoplank/src/relay/constants.ts
+++ b/packages/pimentoplank/src/relay/constants.ts
@@ -43,6 +43,8 @@
 export const DIRECTORY_MAX_ADDRESSES = 64
 /** Age of the record of a job up to which its items start, as a share of the bound on ended jobs. */
 export const RECORD_AGE_SHARE = 0.6
+/** Age of the record at which items without an answer are given up, as a share of the same bound. */
+export const UNANSWERED_AGE_SHARE = 0.9
 /** Longest age of the record of a job at which its owner says that there are no further results, in milliseconds. */
 export const MAX_READ_AGE_MS = 800
 /** Time for which reports repeat a change of a job, in milliseconds. */
--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -9,7 +9,8 @@
 import {
   CRASH_RETENTION_MS, DIRECTORY_MAX_AGE_MS, DIRECTORY_STALENESS_FACTOR, GOSSIP_SETTINGS, JOB_NOTICE_MS,
   LEAVING_GRACE_SHARE, MAX_READ_AGE_MS, MAX_START_WAIT_MS, PREFERRING_INSTANCES, RECORD_AGE_SHARE,
-  REMOVAL_GRACE_SHARE, TARGET_CONNECT_TIMEOUT_MS, TARGET_IDLE_TIMEOUT_MS, TICK_INTERVAL_MS, URGENT_REPORT_DELAY_MS
+  REMOVAL_GRACE_SHARE, TARGET_CONNECT_TIMEOUT_MS, TARGET_IDLE_TIMEOUT_MS, TICK_INTERVAL_MS, UNANSWERED_AGE_SHARE,
+  URGENT_REPORT_DELAY_MS
 } from './constants'
 import { createPaths } from './createPaths'
 import { createRelayFeed } from './createRelayFeed'
@@ -240,7 +241,11 @@
     self: instance.id,
     jobRegistry,
     store,
-    rules: { maxAgeMs: settings.bounds.jobEndMs * RECORD_AGE_SHARE, maxReadAgeMs: MAX_READ_AGE_MS },
+    rules: {
+      maxAgeMs: settings.bounds.jobEndMs * RECORD_AGE_SHARE,
+      maxUnansweredAgeMs: settings.bounds.jobEndMs * UNANSWERED_AGE_SHARE,
+      maxReadAgeMs: MAX_READ_AGE_MS
+    },
     clock,
     metrics,
     log
@@ -257,6 +262,7 @@
     failureDomain: instance.failureDomain,
     rules: RELAY_RULES.items,
     mayStart: recordFollower.mayStart,
+    mayAwaitAnswers: recordFollower.mayAwaitAnswers,
     isPaused: () => isClosed || shutdown.getStage() !== 'serving',
     onFinished: (job) => jobManager.scheduleStore(job),
     clock,
--- a/packages/pimentoplank/src/relay/decisions/index.ts
+++ b/packages/pimentoplank/src/relay/decisions/index.ts
@@ -16,7 +16,7 @@
 export { isClearlyUnderLimit, countWaitingTokens, type CountedJob } from './quota'
 export { BATCH_ALLOWANCE, computeLimitShare, LIVE_ALLOWANCE, refillAllowance, type Allowance, type LimitShareInput } from './limitShare'
 export {
-  computeRefreshAgeMs, mayDenyResults, mayStartItems, type RecordAgeRules
+  computeRefreshAgeMs, mayAwaitAnswers, mayDenyResults, mayStartItems, type RecordAgeRules
 } from './recordAge'
 export { computeSuspicion, type FailureRecord, type Suspicion, type SuspicionRules } from './suspicion'
 export {
--- a/packages/pimentoplank/src/relay/decisions/recordAge.ts
+++ b/packages/pimentoplank/src/relay/decisions/recordAge.ts
@@ -10,6 +10,11 @@
 export interface RecordAgeRules {
   /** Longest age of the record of a job at which its items may start, in milliseconds. */
   maxAgeMs: number
+  /**
+   * Age of the record at which items are given up that were sent and aren't answered yet, in milliseconds: on a
+   * connection that hangs, they may reach their targets at any later time.
+   */
+  maxUnansweredAgeMs: number
   /** Longest age at which the owner's word that there are no further results stands, in milliseconds. */
   maxReadAgeMs: number
 }
@@ -28,6 +33,11 @@
   return now - confirmedAt <= maxAgeMs
 }
 
+/** True while the record is recent enough to go on with items that their targets haven't begun to answer. */
+export function mayAwaitAnswers (confirmedAt: number, now: number, { maxUnansweredAgeMs }: RecordAgeRules): boolean {
+  return now - confirmedAt <= maxUnansweredAgeMs
+}
+
 /** True while the owner of a job may say that there are no further results. */
 export function mayDenyResults (confirmedAt: number, now: number, { maxReadAgeMs }: RecordAgeRules): boolean {
   return now - confirmedAt <= maxReadAgeMs
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
@@ -189,6 +189,7 @@
     failureDomain: 'a',
     rules: RELAY_RULES.items,
     mayStart: (job) => !job.isEnded(),
+    mayAwaitAnswers: () => true,
     isPaused: () => false,
     onFinished: () => undefined,
     clock,
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.ts
@@ -47,6 +47,8 @@
   rules: ItemRunnerRules
   /** True while items of the job may start. */
   mayStart: (job: OwnedJob) => boolean
+  /** True while runs of the job may go on that their targets haven't begun to answer. */
+  mayAwaitAnswers: (job: OwnedJob) => boolean
   /** True while no new run may start. */
   isPaused: () => boolean
   /** Called after an item has got its result. */
@@ -111,6 +113,15 @@
     startReadyItems()
   })
 
+  /** What hangs on a connection is reset with it, before it could reach its target too late. */
+  function stopOutdatedRuns (): void {
+    for (const { ready: { owned, itemId }, target, hasStarted, stop } of running) {
+      if (hasStarted || stop.signal.aborted || options.mayAwaitAnswers(owned)) continue
+      log.info({ job: owned.id, item: itemId, target }, 'unanswered item given up: the stored record is out of date')
+      stop.abort()
+    }
+  }
+
   function startReadyItems (): void {
     const table = options.table()
     if (table === undefined || options.isPaused()) return
@@ -378,7 +389,10 @@
   }
 
   return {
-    dispatch: startReadyItems,
+    dispatch: () => {
+      stopOutdatedRuns()
+      startReadyItems()
+    },
     yieldExcess: yieldExcessItems,
     yieldItems,
     stopJob: (job) => { for (const entry of running) if (entry.job === job.id) entry.stop.abort() },
--- a/packages/pimentoplank/src/relay/jobs/recordFollower.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/recordFollower.steps.ts
@@ -116,7 +116,7 @@
         readChanges(since).then((read) => read instanceof Error ? err(read) : ok(read))
       )
     },
-    rules: { maxAgeMs, maxReadAgeMs: 800 },
+    rules: { maxAgeMs, maxUnansweredAgeMs: 2700, maxReadAgeMs: 800 },
     clock,
     metrics: createInMemoryMetrics(),
     log
--- a/packages/pimentoplank/src/relay/jobs/recordFollower.ts
+++ b/packages/pimentoplank/src/relay/jobs/recordFollower.ts
@@ -1,6 +1,6 @@
 /** Follows the stored records of the jobs that this instance owns, so that the age of what it knows is bounded. */
 import type { Clock, Log, Metrics } from '../../shared'
-import { computeRefreshAgeMs, mayDenyResults, mayStartItems, type RecordAgeRules } from '../decisions'
+import { computeRefreshAgeMs, mayAwaitAnswers, mayDenyResults, mayStartItems, type RecordAgeRules } from '../decisions'
 import type { JobRegistry } from './jobRegistry'
 import type { JobStore, RecordChanges, StoredJob } from './jobStore'
 import type { OwnedJob } from './ownedJob'
@@ -18,6 +18,8 @@
 export interface RecordFollower {
   /** True while the record of an owned job is known to be recent enough to start its items. */
   mayStart: (job: OwnedJob) => boolean
+  /** True while items of an owned job may go on that their targets haven't begun to answer. */
+  mayAwaitAnswers: (job: OwnedJob) => boolean
   /** True while this instance may say that an owned job has no further results. */
   mayDenyResults: (job: OwnedJob) => boolean
   /** Reads the changes of all records; resolves to false if the platform did not answer. */
@@ -138,6 +140,7 @@
   return {
     mayStart: (job) => registry.get(job.id) === job && !job.isEnded() &&
       mayStartItems(getConfirmedAt(job), clock.now(), rules),
+    mayAwaitAnswers: (job) => mayAwaitAnswers(getConfirmedAt(job), clock.now(), rules),
     mayDenyResults: (job) => mayDenyResults(getConfirmedAt(job), clock.now(), rules),
     refresh,
     tick: () => {
