Test what failures say of requests whose tunnels break at any moment

The connection to a peer that is closed in an orderly way, as the kernel does for a process that ends, is new in the scenarios of bodies without a length, too.

--- a/packages/pimentoplank/features/support/tcpLink.ts
+++ b/packages/pimentoplank/features/support/tcpLink.ts
@@ -7,6 +7,8 @@
   address: string
   /** Resets all connections, and refuses new ones. */
   cut: () => void
+  /** Closes all connections as the kernel does for a process that ends, and refuses new ones. */
+  end: () => void
   /** Lets no bytes through any more, without closing anything. */
   freeze: () => void
   /** Counts the connections to the server. */
@@ -47,12 +49,20 @@
 
   function cut (): void {
     server.close()
-    for (const socket of [...sockets]) socket.resetAndDestroy()
+    for (const socket of [...sockets]) {
+      // Node never closes a socket that is reset while it is being shut down.
+      if (socket.writableEnded) socket.destroy()
+      else socket.resetAndDestroy()
+    }
   }
 
   return {
     address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
     cut,
+    end: () => {
+      server.close()
+      for (const socket of sockets) socket.unpipe().resume().end()
+    },
     freeze: () => {
       isFrozen = true
       for (const socket of sockets) socket.unpipe().pause()
--- a/packages/pimentoplank/src/relay/exchange/tunnels.feature
+++ b/packages/pimentoplank/src/relay/exchange/tunnels.feature
@@ -67,3 +67,21 @@
     And the peer carries 0 tunnels
     And the target reads what has come
     Then the target has a part of the request only, and finds the connection reset
+
+  Scenario Outline: What a failure says of a request holds whenever <what> while the request is sent on a <which> tunnel
+    Given an exchange with a target and a peer that reaches it, where paths go through the peer
+    When 60 requests are sent on a <which> tunnel each, and <what> after 0 to 15 ms
+    Then no request has reached the target twice
+    And no request has reached the target that failed as one that has not run
+    And some requests have failed and some have reached the target
+
+    Examples:
+      | which | what                                 |
+      | new   | the connection to the peer is reset  |
+      | new   | the connection to the peer is closed |
+      | new   | the target resets its connections    |
+      | new   | the target closes its connections    |
+      | kept  | the connection to the peer is reset  |
+      | kept  | the connection to the peer is closed |
+      | kept  | the target resets its connections    |
+      | kept  | the target closes its connections    |
--- a/packages/pimentoplank/src/relay/exchange/tunnels.steps.ts
+++ b/packages/pimentoplank/src/relay/exchange/tunnels.steps.ts
@@ -42,6 +42,10 @@
   bodyBytes: number
   receivedBytes: number
   ending?: 'reset' | 'closed'
+  /** Requests that were sent while their paths broke, by id. */
+  tried: Map<string, Result<string, SendFailure>>
+  /** Ids of the requests that have reached the target. */
+  reached: string[]
 }
 
 const SECURITY = { sharedKey: 'shared-key-of-the-peers' }
@@ -50,6 +54,9 @@
 const SOON_MS = 5000
 const STEP_MS = 5
 const DELAY_MS = 30
+/** Time that the target works on a request whose path breaks, in milliseconds. */
+const ANSWER_MS = 5
+const BREAKS_TIMEOUT_MS = 30_000
 const BODY = 'the whole answer'
 const REFUSING_ADDRESS = '127.0.0.1:1'
 
@@ -161,8 +168,8 @@
     : { type: 'peer', instance: 'gone', peerAddress: REFUSING_ADDRESS }
 }
 
-function toPeer ({ link }: ExchangeWorld): () => PathChoice {
-  return () => ({ type: 'peer', instance: 'peer', peerAddress: link.address })
+function toPeer (world: ExchangeWorld): () => PathChoice {
+  return () => ({ type: 'peer', instance: 'peer', peerAddress: world.link.address })
 }
 
 Given(/^an exchange with a target and a peer that reaches it, where paths (.+)$/, async function (
@@ -178,8 +185,9 @@
 let lastId = 0
 
 function createRequest ({ address }: ExchangeWorld): TargetRequest {
+  const id = `request-${++lastId}`
   return {
-    request: { id: `request-${++lastId}`, host: 'h', method: 'GET', path: '/', headers: [], body: new Uint8Array() },
+    request: { id, host: 'h', method: 'GET', path: `/${id}`, headers: [], body: new Uint8Array() },
     target: { id: 'target', service: 's', address, failureDomain: 'a', version: 'v', slots: 1, state: 'ready' }
   }
 }
@@ -246,6 +254,54 @@
   assert.equal(this.failure, undefined)
 })
 
+const BREAKS: Record<string, (world: ExchangeWorld) => void> = {
+  'the connection to the peer is reset': ({ link }) => link.cut(),
+  'the connection to the peer is closed': ({ link }) => link.end(),
+  'the target resets its connections': ({ sockets }) => { for (const socket of sockets) socket.resetAndDestroy() },
+  'the target closes its connections': ({ sockets }) => { for (const socket of sockets) socket.end() }
+}
+
+When(/^(\d+) requests are sent on a (new|kept) tunnel each, and (.+) after 0 to (\d+) ms$/, { timeout: BREAKS_TIMEOUT_MS }, async function (
+  this: ExchangeWorld, count: string, which: string, what: string, mostMs: string
+) {
+  this.tried = new Map()
+  this.reached = []
+  this.answer = (socket) => { setTimeout(() => answerWhole(socket), ANSWER_MS) }
+  this.target.on('connection', (socket: Socket) => {
+    socket.on('data', (bytes: Buffer) => { this.reached.push(...bytes.toString().match(/request-\d+(?= HTTP)/g) ?? []) })
+  })
+  for (let index = 0; index < Number(count); index++) {
+    if (which === 'kept') await send(this)
+    const delayMs = Number(mostMs) * index / Number(count)
+    const outgoing = createRequest(this)
+    const from = performance.now()
+    const sent = this.exchange.send(outgoing, new AbortController().signal)
+    while (performance.now() - from < delayMs) await new Promise((resolve) => setImmediate(resolve))
+    BREAKS[what]!(this)
+    const answer = await sent
+    this.tried.set(outgoing.request.id, answer.isErr() ? answer.map(() => '') : await readBody(answer.value))
+    if (answer.isOk()) answer.value.close()
+    this.link.close()
+    this.link = await openTcpLink(this.peer.address)
+  }
+  await sleep(DELAY_MS)
+})
+
+Then('no request has reached the target twice', function (this: ExchangeWorld) {
+  assert.deepEqual(this.reached.filter((id, index) => this.reached.indexOf(id) !== index), [])
+})
+
+Then('no request has reached the target that failed as one that has not run', function (this: ExchangeWorld) {
+  const notRun = [...this.tried].filter(([, result]) => result.isErr() && !result.error.mayHaveRun).map(([id]) => id)
+  assert.deepEqual(notRun.filter((id) => this.reached.includes(id)), [])
+})
+
+Then('some requests have failed and some have reached the target', function (this: ExchangeWorld) {
+  const results = [...this.tried.values()]
+  const reached = [...this.tried.keys()].filter((id) => this.reached.includes(id))
+  assert.ok(results.some((one) => one.isErr()) && reached.length > 0, `${reached.length} of ${results.length} reached the target`)
+})
+
 When(/^paths are direct$/, function (this: ExchangeWorld) {
   this.choose = CHOICES['are direct']!(this)
 })
--- a/packages/pimentoplank/src/shared/rpc/peerTunnels.feature
+++ b/packages/pimentoplank/src/shared/rpc/peerTunnels.feature
@@ -30,11 +30,13 @@
       | a shared key | the target resets with the last bytes        | broken by a reset           |
       | a shared key | the target resets after the last bytes       | broken by a reset           |
       | a shared key | the connection to the peer is reset          | broken by the peer          |
+      | a shared key | the connection to the peer is closed         | broken by the peer          |
       | a shared key | the peer closes its server                   | broken by the peer          |
       | a shared key | the peer no longer answers                   | broken by the peer          |
       | certificates | the target closes with the last bytes        | complete                    |
       | certificates | the target resets with the last bytes        | broken by a reset           |
       | certificates | the connection to the peer is reset          | broken by the peer          |
+      | certificates | the connection to the peer is closed         | broken by the peer          |
       | certificates | the peer closes its server                   | broken by the peer          |
 
   Scenario Outline: The end of the caller's side alone leaves the other side open, whose <end> arrives as that
--- a/packages/pimentoplank/src/shared/rpc/peerTunnels.steps.ts
+++ b/packages/pimentoplank/src/shared/rpc/peerTunnels.steps.ts
@@ -201,6 +201,10 @@
     await sleep(DELAY_MS)
     link.cut()
   },
+  'the connection to the peer is closed': async ({ link }) => {
+    await sleep(DELAY_MS)
+    link.end()
+  },
   'the peer closes its server': async ({ peer }) => {
     await sleep(DELAY_MS)
     await peer.close()
