Let a session of tunnels that is destroyed while it connects not end the process

What callers would see: an instance ends by itself, with all its connections, when its event loop is held up for 400 ms (the timeout of tunnels) as it opens a session with a peer. Seen once as ERR_HTTP2_INVALID_SESSION that nothing caught, in a play of stranded.feature on a busy machine, before any cut: peers are asked whether they reach a target, so that sound instances open tunnels, too.

Cause: Node emits 'connect' for a session that was destroyed meanwhile as well, and the listener sets the session's window, which throws. The timer that gives the tunnel up destroys such sessions, and comes before the event when the loop was held up. The server's end was ruled out: a stream whose session is destroyed has no session.

Now the listener leaves such sessions alone.

--- a/packages/pimentoplank/src/shared/rpc/peerTunnels.feature
+++ b/packages/pimentoplank/src/shared/rpc/peerTunnels.feature
@@ -114,3 +114,9 @@
     When the tunnels are closed
     Then the peer soon has 0 open tunnels
     And a shutdown of the peer waits for 0 tunnels
+
+  Scenario: An instance that is held up while its session with a peer is being established goes on
+    Given a peer with a shared key that reaches a target
+    When 36 tunnels are asked for in sessions of their own with a timeout of 40 ms, and this instance is held up for 60 ms each time
+    Then some of these tunnels are refused as peerFailed, and nothing else fails
+    And another tunnel is opened
--- a/packages/pimentoplank/src/shared/rpc/peerTunnels.steps.ts
+++ b/packages/pimentoplank/src/shared/rpc/peerTunnels.steps.ts
@@ -41,6 +41,7 @@
   sent: Buffer
   failure?: Error
   asked: Result<Duplex, TunnelRefusedError>
+  heldUp: Array<Result<Duplex, TunnelRefusedError>>
 }
 
 const KEY = 'shared-key-of-the-peers'
@@ -49,6 +50,7 @@
 const SOON_MS = 5000
 const STEP_MS = 5
 const DELAY_MS = 30
+const MAX_TURNS = 12
 const FREE_PORT_ADDRESS = '127.0.0.1:1'
 const UNFRAMED_HEAD = 'HTTP/1.1 200 OK\r\n\r\n'
 
@@ -376,6 +378,28 @@
   for (const { errored } of this.openSockets) assert.ok(errored instanceof ConnectionResetError, String(errored))
 })
 
+When('{int} tunnels are asked for in sessions of their own with a timeout of {int} ms, and this instance is held up for {int} ms each time', async function (
+  this: TunnelWorld, count: number, openTimeoutMs: number, heldUpMs: number
+) {
+  this.heldUp = []
+  for (let index = 0; index < count; index++) {
+    const tunnels = createTunnels(this, { openTimeoutMs })
+    this.otherTunnels.push(tunnels)
+    const asked = ask(this, { tunnels })
+    // The connection is being established in one of these turns of the event loop.
+    for (let turn = 0; turn < index % MAX_TURNS; turn++) await new Promise((resolve) => setImmediate(resolve))
+    const until = performance.now() + heldUpMs
+    while (performance.now() < until) { /* held up */ }
+    this.heldUp.push(await asked)
+    await sleep(STEP_MS)
+  }
+})
+
+Then('some of these tunnels are refused as peerFailed, and nothing else fails', function (this: TunnelWorld) {
+  const outcomes = new Set(this.heldUp.map((asked) => asked.isOk() ? 'opened' : asked.error.outcome))
+  assert.deepEqual([...outcomes].filter((outcome) => outcome !== 'opened'), ['peerFailed'])
+})
+
 When('the tunnels are closed', function (this: TunnelWorld) {
   for (const socket of this.openSockets) socket.destroy()
 })
--- a/packages/pimentoplank/src/shared/rpc/peerTunnels.ts
+++ b/packages/pimentoplank/src/shared/rpc/peerTunnels.ts
@@ -91,6 +91,8 @@
     const session: TunnelSession = { http, tunnels: 0 }
     sessions.set(peerAddress, session)
     http.once('connect', () => {
+      // A session that was destroyed while it connected still tells that it is connected.
+      if (http.destroyed) return
       http.setLocalWindowSize(SESSION_WINDOW_BYTES)
       watchSession(http, () => log.info({ peer: peerAddress, tunnels: session.tunnels }, 'session of tunnels is dead'))
     })
