Split the parts that createRelay assembles into modules by job

It still says in which order the parts are created and how they are connected; what each of them is created from has modules of its own: access to targets (createTargetAccess), crashes (createCrashes), jobs (createJobs), requests of callers (createRequestHandling), the dispatcher and the reports to peers (ownReports). The types of an instance are in relay.ts. Plain moves in the same order of creation and subscription; the lines that differ pass what was in scope before. No change of behaviour.

--- /dev/null
+++ b/packages/pimentoplank/src/relay/createJobs.ts
@@ -0,0 +1,119 @@
+/** The batch jobs of an instance: the jobs that it knows, their items' runs, and their interface for callers. */
+import type { Clock, Log, Metrics, PeerTransports, PlatformClient, Random } from '../shared'
+import { JOB_NOTICE_MS, MAX_READ_AGE_MS, RECORD_AGE_SHARE } from './constants'
+import type { Exchange } from './exchange'
+import type { Gossip } from './gossip'
+import {
+  createItemRunner, createJobApi, createJobManager, createJobRegistry, createJobStore, createQuota,
+  createRecordFollower, type ItemRunner, type JobApi, type JobManager, type JobRegistry, type JobStore,
+  type RecordFollower
+} from './jobs'
+import type { CrashTracker } from './live'
+import type { LoadView } from './load'
+import type { InstancePaths } from './paths'
+import type { RouteTable } from './routing'
+import { RELAY_RULES } from './rules'
+import type { RelaySettings } from './settings'
+
+export interface JobsOptions {
+  instance: RelaySettings['instance']
+  bounds: RelaySettings['bounds']
+  platform: PlatformClient
+  transports: PeerTransports
+  gossip: Gossip
+  loads: LoadView
+  crashes: CrashTracker
+  exchange: Exchange
+  paths: InstancePaths
+  table: () => RouteTable | undefined
+  /** True once this instance has closed. */
+  isClosed: () => boolean
+  /** True once this instance shuts down. */
+  isLeaving: () => boolean
+  clock: Clock
+  random: Random
+  metrics: Metrics
+  log: Log
+}
+
+export interface Jobs {
+  jobRegistry: JobRegistry
+  store: JobStore
+  recordFollower: RecordFollower
+  runner: ItemRunner
+  jobManager: JobManager
+  jobs: JobApi
+}
+
+/** Creates the parts of an instance that has no job yet. */
+export function createJobs (options: JobsOptions): Jobs {
+  const {
+    instance, bounds, platform, transports, gossip, loads, crashes, exchange, paths, table, isClosed, isLeaving,
+    clock, random, metrics, log
+  } = options
+  const jobRegistry = createJobRegistry({
+    self: instance.id, noticeMs: JOB_NOTICE_MS, onNotice: () => gossip.reportNow(), clock, log
+  })
+  const store = createJobStore(platform, clock)
+  const recordFollower = createRecordFollower({
+    self: instance.id,
+    jobRegistry,
+    store,
+    rules: { maxAgeMs: bounds.jobEndMs * RECORD_AGE_SHARE, maxReadAgeMs: MAX_READ_AGE_MS },
+    clock,
+    metrics,
+    log
+  })
+  const runner = createItemRunner({
+    self: instance.id,
+    jobRegistry,
+    loads,
+    crashes,
+    exchange,
+    paths,
+    table,
+    peers: gossip.peers,
+    failureDomain: instance.failureDomain,
+    rules: RELAY_RULES.items,
+    mayStart: recordFollower.mayStart,
+    isPaused: () => isClosed() || isLeaving(),
+    onFinished: (job) => jobManager.scheduleStore(job),
+    clock,
+    random,
+    metrics,
+    log
+  })
+  const jobManager = createJobManager({
+    self: instance.id,
+    jobRegistry,
+    store,
+    table,
+    peers: gossip.peers,
+    isLeaving,
+    onItemsReady: () => runner.dispatch(),
+    onStop: (job) => runner.stopJob(job),
+    rules: { ...RELAY_RULES.jobs, keepMs: bounds.jobStatusMs },
+    clock,
+    random,
+    metrics,
+    log
+  })
+  const jobs = createJobApi({
+    self: instance.id,
+    jobRegistry,
+    jobManager,
+    store,
+    transports,
+    peers: gossip.peers,
+    recordFollower,
+    quota: createQuota({ self: instance.id, jobRegistry, store, peers: gossip.peers, clock, log }),
+    onAccepted: () => runner.dispatch(),
+    isLeaving,
+    clock,
+    random,
+    metrics,
+    log
+  })
+
+  return { jobRegistry, store, recordFollower, runner, jobManager, jobs }
+}
--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -1,77 +1,30 @@
 /** Creates a relay instance from its components. */
 import { err, ok, ResultAsync, type Result } from 'neverthrow'
-import {
-  createPeerServer, createPeerTransports, createPeerTunnels, createSystemClock, describeCause, rankByRendezvous,
-  type Clock, type createConnector, type Log, type Metrics, type PeerSecurity, type PlatformClient, type Random
-} from '../shared'
+import { createPeerServer, createPeerTransports, createSystemClock, describeCause } from '../shared'
 import { createShutdownController } from '../entry/stopping'
-import { createDirectory, createRelayHandler, type CallerProtocol, type Directory, type RelayHandler } from './callers'
+import { createDirectory } from './callers'
 import {
-  CRASH_RETENTION_MS, DIRECTORY_MAX_AGE_MS, DIRECTORY_STALENESS_FACTOR, GOSSIP_SETTINGS, JOB_NOTICE_MS,
-  LEAVING_GRACE_SHARE, MAX_READ_AGE_MS, MAX_START_WAIT_MS, PREFERRING_INSTANCES, RECORD_AGE_SHARE,
-  REMOVAL_GRACE_SHARE, TARGET_CONNECT_TIMEOUT_MS, TARGET_IDLE_TIMEOUT_MS, TICK_INTERVAL_MS, URGENT_REPORT_DELAY_MS
+  DIRECTORY_MAX_AGE_MS, DIRECTORY_STALENESS_FACTOR, GOSSIP_SETTINGS, LEAVING_GRACE_SHARE, MAX_START_WAIT_MS,
+  REMOVAL_GRACE_SHARE, TICK_INTERVAL_MS, URGENT_REPORT_DELAY_MS
 } from './constants'
-import { createPaths } from './createPaths'
+import { createCrashes } from './createCrashes'
+import { createJobs } from './createJobs'
 import { createRelayFeed } from './createRelayFeed'
-import { createDirectConnector, createExchange, createTargetConnectionPool, createTargetConnector } from './exchange'
+import { createRequestHandling } from './createRequestHandling'
+import { createTargetAccess } from './createTargetAccess'
+import { createDispatcher } from './dispatcher'
 import { followConfig } from './followConfig'
-import { startGossip, type Gossip, type OwnLoad, type OwnReport, type Stage } from './gossip'
-import {
-  createItemRunner, createJobRegistry, createJobApi, createJobCollector, createJobManager, createJobService,
-  createJobStore, createQuota, createRecordFollower, handOverJobs, getOpenTokens,
-  type JobApi
-} from './jobs'
-import {
-  createCrashingPartsStore, createCrashTracker, createOpenRequests, createSlotScheduler, createSilenceDetector
-} from './live'
-import { createLoadView, createPeerUses, createTargetLimits, createTargetPreference } from './load'
-import type { RelayConfig, Target, TargetProtocol } from './model'
+import { startGossip, type Gossip, type Stage } from './gossip'
+import { createJobCollector, createJobService, handOverJobs } from './jobs'
+import { createOpenRequests } from './live'
+import { createOwnReports } from './ownReports'
+import type { Relay, RelayDeps } from './relay'
 import type { RouteTable } from './routing'
-import { RELAY_RULES } from './rules'
 import type { RelaySettings } from './settings'
-import { createServiceVersions, createStreamService, createStreamVersionFinder, createStreamVersions } from './streams'
+import { createServiceVersions, createStreamService, createStreamVersions } from './streams'
 import { createStartState } from './startState'
 import { createTargetDirectory } from './targets'
 
-/** Codecs for the formats that a deployment's platform, callers and targets use. */
-export interface RelayProtocols {
-  callers: CallerProtocol
-  targets: TargetProtocol
-  /** Object that holds the configuration. */
-  config: { kind: string, name: string, decode: (value: unknown) => Result<RelayConfig, Error> }
-  /** Objects in which targets are registered. */
-  targetEntries: { kind: string, decode: (id: string, value: unknown) => Target | undefined }
-}
-
-export interface RelayDeps {
-  platform: PlatformClient
-  protocols: RelayProtocols
-  security: PeerSecurity
-  metrics: Metrics
-  log: Log
-  clock?: Clock
-  random?: Random
-  /** Creates the function that establishes connections to targets; replaced by tests that cut an instance off. */
-  connectors?: typeof createConnector
-}
-
-export interface Relay {
-  handle: RelayHandler
-  directory: Directory
-  jobs: JobApi
-  /** Counts a call of a caller as in flight, so that a shutdown waits for it; returns the function that ends it. */
-  trackRequest: () => () => void
-  /** True while this instance accepts requests of callers. */
-  isReady: () => boolean
-  table: () => RouteTable | undefined
-  /** Applies changed settings; returns the names of those that require a restart. */
-  applySettings: (settings: RelaySettings) => string[]
-  /** Shuts down gracefully: leaves the directory, hands jobs over, waits for running requests, then closes. */
-  stop: () => Promise<void>
-  /** Closes at once, without handing jobs over. */
-  close: () => Promise<void>
-}
-
 /** Starts an instance; fails if the address for peers is in use. */
 export function createRelay (settings: RelaySettings, deps: RelayDeps): ResultAsync<Relay, Error> {
   return new ResultAsync(start(settings, deps))
@@ -107,8 +60,8 @@
     peerAddress,
     seeds: settings.seeds,
     settings: GOSSIP_SETTINGS,
-    getOwnReport,
-    getOwnLoad,
+    getOwnReport: () => ownReports.getOwnReport(),
+    getOwnLoad: () => ownReports.getOwnLoad(),
     getFarUses: () => loads.getFarUses(),
     onYield: (key, count) => yieldItemsByKey(key, count),
     clock,
@@ -151,200 +104,79 @@
   targets.onProcessChange((target) => {
     if (streamVersions.resolve(target)) scheduleReport()
   })
-  const peerUses = createPeerUses(gossip.peers(), clock)
-  gossip.onReport((report, before) => peerUses.replaceReport(before, report))
-  gossip.onDigest(peerUses.replaceDigest)
-  gossip.onPeerLost(({ report }) => peerUses.replaceReport(report, undefined))
-  const tunnels = createPeerTunnels({ self: instance.id, security, metrics, log })
-  const outgoing = { localAddress: settings.targets.localAddress, connectors: deps.connectors }
-  const paths = createPaths({
-    outgoing,
-    statePath: protocols.targets.state.path,
-    tunnels,
-    failureDomain: instance.failureDomain,
+  const { tunnels, paths, limits, peerUses, loads, connectDirect, connections, exchange } = createTargetAccess({
+    instance,
+    protocol: protocols.targets,
+    outgoing: { localAddress: settings.targets.localAddress, connectors: deps.connectors },
+    security,
     targets,
     gossip,
-    peerUses,
     onChange: scheduleReport,
     clock,
     random,
     metrics,
     log
   })
-  const limits = createTargetLimits({
+  const { crashes, crashingPartsStore } = createCrashes({
     self: instance.id,
-    listInstances: () => [
-      { id: instance.id, failureDomain: instance.failureDomain },
-      // Instances that leave still send the requests that they have accepted.
-      ...gossip.peers().filter(({ report }) => report.stage !== 'starting')
-        .map(({ report }) => ({ id: report.instance, failureDomain: report.failureDomain }))
-    ],
-    onChange: scheduleReport,
-    clock,
-    log
-  })
-  const loads = createLoadView({
-    targets,
-    peerUses,
-    peers: gossip.peers,
-    isClose: gossip.isClose,
-    isPreferred: createTargetPreference({
-      self: instance, gossip, preferringInstances: PREFERRING_INSTANCES, clock
-    }),
-    limits,
-    paths,
-    rules: RELAY_RULES.suspicion,
-    clock,
-    metrics,
-    log
-  })
-  const connectDirect = createDirectConnector({ ...outgoing, timeoutMs: TARGET_CONNECT_TIMEOUT_MS, observer: paths })
-  const connections = createTargetConnectionPool({
-    settings: { idleTimeoutMs: TARGET_IDLE_TIMEOUT_MS },
-    connect: createTargetConnector({ connectDirect, paths, tunnels, clock, log }),
-    paths,
-    clock,
-    metrics
-  })
-  paths.onLost(connections.dropConnecting)
-  const exchange = createExchange({
-    protocol: protocols.targets,
-    connections,
-    onHead: ({ id, startedAt }, head, processStartedAt) => {
-      if (head.isLeaving) recordLeaving(id, startedAt, processStartedAt)
-      // Only a signed answer is known to be whole, so that the absence of a limit says something.
-      if (head.limitPerSecond !== undefined || head.isSigned) limits.recordAnswer(id, head.limitPerSecond)
-    },
-    onOtherProcess: loads.recordOutdated,
-    clock,
-    metrics,
-    log
-  })
-  const crashingPartsStore = createCrashingPartsStore({ platform, keepMs: CRASH_RETENTION_MS, clock, log })
-  const crashes = createCrashTracker({
-    keepMs: CRASH_RETENTION_MS,
     decodePromptParts: protocols.callers.decodePromptParts,
-    isProber: (key) => rankByRendezvous(key, listServingInstances(), (id) => id)[0] === instance.id,
+    platform,
+    listServingInstances,
     onChange: scheduleReport,
-    onFound: (found) => {
-      crashingPartsStore.save(found).catch((cause: unknown) => log.error({ cause: describeCause(cause) }, 'parts that crash targets could not be stored'))
-    },
     clock,
     log
   })
-  const jobRegistry = createJobRegistry({
-    self: instance.id, noticeMs: JOB_NOTICE_MS, onNotice: () => gossip.reportNow(), clock, log
-  })
-  const store = createJobStore(platform, clock)
-  const recordFollower = createRecordFollower({
-    self: instance.id,
-    jobRegistry,
-    store,
-    rules: { maxAgeMs: settings.bounds.jobEndMs * RECORD_AGE_SHARE, maxReadAgeMs: MAX_READ_AGE_MS },
-    clock,
-    metrics,
-    log
-  })
-  const runner = createItemRunner({
-    self: instance.id,
-    jobRegistry,
+  const { jobRegistry, store, recordFollower, runner, jobManager, jobs } = createJobs({
+    instance,
+    bounds: settings.bounds,
+    platform,
+    transports,
+    gossip,
     loads,
     crashes,
     exchange,
     paths,
     table: () => getRouteTable(),
-    peers: gossip.peers,
-    failureDomain: instance.failureDomain,
-    rules: RELAY_RULES.items,
-    mayStart: recordFollower.mayStart,
-    isPaused: () => isClosed || shutdown.getStage() !== 'serving',
-    onFinished: (job) => jobManager.scheduleStore(job),
-    clock,
-    random,
-    metrics,
-    log
-  })
-  const jobManager = createJobManager({
-    self: instance.id,
-    jobRegistry,
-    store,
-    table: () => getRouteTable(),
-    peers: gossip.peers,
+    isClosed: () => isClosed,
     isLeaving: () => shutdown.getStage() !== 'serving',
-    onItemsReady: () => runner.dispatch(),
-    onStop: (job) => runner.stopJob(job),
-    rules: { ...RELAY_RULES.jobs, keepMs: settings.bounds.jobStatusMs },
     clock,
     random,
     metrics,
     log
   })
-  const jobs = createJobApi({
-    self: instance.id,
-    jobRegistry,
-    jobManager,
-    store,
+  const { slotScheduler, handle } = createRequestHandling({
+    instance,
+    protocol: protocols.callers,
+    getRouteTable: () => getRouteTable(),
+    whenStarted: startState.whenStarted,
     transports,
-    peers: gossip.peers,
-    recordFollower,
-    quota: createQuota({ self: instance.id, jobRegistry, store, peers: gossip.peers, clock, log }),
-    onAccepted: () => runner.dispatch(),
-    isLeaving: () => shutdown.getStage() !== 'serving',
-    clock,
-    random,
-    metrics,
-    log
-  })
-  const slotScheduler = createSlotScheduler({
-    loads,
     gossip,
-    yieldOwn: runner.yieldItems,
-    failureDomain: instance.failureDomain,
-    countSharers: () => 1 + gossip.peers()
-      .filter(({ report }) => report.stage === 'serving' && gossip.isClose(report.failureDomain)).length,
-    rules: RELAY_RULES.live,
+    access: { loads, paths, exchange },
+    streamVersions,
+    serviceVersions,
+    crashes,
+    openRequests,
+    runner,
+    jobs,
+    shutdown,
     clock,
     random,
     metrics,
     log
   })
-  const handle = createRelayHandler({
-    protocol: protocols.callers,
-    getRouteTable: () => getRouteTable(),
-    whenStarted: startState.whenStarted,
-    live: {
-      slotScheduler,
-      exchange,
-      loads,
-      paths,
-      silenceDetector: createSilenceDetector(clock),
-      streamVersions,
-      streamVersionFinder: createStreamVersionFinder({
-        streamVersions,
-        peers: gossip.peers,
-        transports,
-        whenVersionsLoaded: serviceVersions.whenLoaded,
-        getVersionHistory: (service) => ({
-          ...serviceVersions.getHistory(service),
-          hasOutdatedEntries: loads.getLoads(service).some(({ isOutdated }) => isOutdated)
-        }),
-        clock,
-        metrics,
-        log
-      }),
-      crashes,
-      openRequests,
-      rules: RELAY_RULES.live,
-      clock,
-      metrics,
-      log
-    },
-    jobs,
-    isLeaving: () => shutdown.getStage() !== 'serving',
-    isClosed: () => shutdown.getStage() === 'closed',
-    trackRequest: shutdown.trackRequest,
-    random,
-    log
+  const { dispatchAll, scheduleDispatch } = createDispatcher(slotScheduler, runner)
+  const ownReports = createOwnReports({
+    getStage,
+    callerAddress,
+    getConfigRevision: () => feed.revision(protocols.config.kind),
+    jobRegistry,
+    runner,
+    crashes,
+    limits,
+    loads,
+    paths,
+    streamVersions,
+    targets
   })
   const jobRoutes = createJobService({ jobRegistry, jobManager, jobApi: jobs })
   const streamRoutes = createStreamService({ streamVersions, clock })
@@ -422,38 +254,6 @@
     return startState.isStarted() ? 'serving' : 'starting'
   }
 
-  function getOwnReport (): OwnReport {
-    return {
-      stage: getStage(),
-      callerAddress,
-      jobs: jobRegistry.getNotices(),
-      ...crashes.getReport(),
-      limits: limits.getNotices(),
-      streams: streamVersions.getNotices(),
-      leaving: targets.getLeavingNotices(),
-      configRevision: Math.max(0, feed.revision(protocols.config.kind)),
-      openJobs: getOpenTokens(jobRegistry)
-    }
-  }
-
-  function getOwnLoad (): OwnLoad {
-    const suspects = loads.getOwnSuspects()
-    return {
-      uses: loads.getOwnUses(),
-      waiting: runner.getWaiting(),
-      suspects: suspects.all,
-      unreached: suspects.unreached,
-      isCutOff: paths.isCutOff(),
-      streams: streamVersions.getLatestNotices()
-    }
-  }
-
-  /** A process that was asked may be another one than that of the entry, which then is out of date. */
-  function recordLeaving (id: string, listed: number | undefined, found: number | undefined): void {
-    const isNew = [...new Set([listed, found ?? listed])].map((startedAt) => targets.recordLeaving(id, startedAt))
-    if (isNew.includes(true)) scheduleReport()
-  }
-
   function yieldItemsByKey (key: number, count: number): void {
     const load = loads.getLoadByKey(key)
     if (load !== undefined) runner.yieldItems(load.target.id, count)
@@ -472,22 +272,6 @@
     return [instance.id, ...serving.map(({ report }) => report.instance)]
   }
 
-  let isDispatchScheduled = false
-  function scheduleDispatch (): void {
-    if (isDispatchScheduled) return
-    isDispatchScheduled = true
-    setImmediate(() => {
-      isDispatchScheduled = false
-      dispatchAll()
-    })
-  }
-
-  function dispatchAll (): void {
-    slotScheduler.dispatch()
-    runner.yieldExcess()
-    runner.dispatch()
-  }
-
   function runPeriodicWork (): void {
     const domains = new Set(gossip.peers().map(({ report }) => report.failureDomain))
     peerUses.retainDigests((failureDomain) => domains.has(failureDomain) && !gossip.isClose(failureDomain))
--- a/packages/pimentoplank/src/relay/index.ts
+++ b/packages/pimentoplank/src/relay/index.ts
@@ -1,4 +1,5 @@
-export { createRelay, type Relay, type RelayDeps, type RelayProtocols } from './createRelay'
+export { createRelay } from './createRelay'
+export type { Relay, RelayDeps, RelayProtocols } from './relay'
 export type { CallerProtocol, Directory, DirectoryAnswer } from './callers'
 export type { JobApi, JobItem, JobSubmission, ItemResult, ResultPage } from './jobs'
 export { JOB_KINDS } from './jobs'
