Split giving up slots and the evidence of ended runs out of the item runner

Which items give up their slots is in itemYielder.ts, what the end of a run says of its target and of its item as a cause of crashes in runEvidence.ts, and the type of a run that has not ended in activeRun.ts. Plain moves; no change of behaviour.

--- a/packages/pimentoplank/src/relay/jobs/itemRunner.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.ts
@@ -1,24 +1,22 @@
 /** Runs items of owned jobs in slots that live requests leave free. */
-import { LRUCache } from 'lru-cache'
 import { hash32, type Clock, type Log, type Metrics, type Random } from '../../shared'
-import {
-  countExcess, chooseStarts, choosePreempted,
-  type BatchCandidate, type ItemVersionRules, type RunningItem
-} from '../decisions'
+import { chooseStarts, type BatchCandidate, type ItemVersionRules } from '../decisions'
 import type { Exchange } from '../exchange'
 import type { PeerView, WaitingItems } from '../gossip'
-import { BEGINNING_EVENTS, type CrashTracker } from '../live'
-import type { FaultKind, LoadView, TargetLoad } from '../load'
+import type { CrashTracker } from '../live'
+import type { LoadView, TargetLoad } from '../load'
 import type { Target } from '../model'
 import type { InstancePaths } from '../paths'
 import type { RouteTable } from '../routing'
+import type { ActiveRun } from './activeRun'
 import { dropBlockedText } from './blockedText'
-import { getFaultKind } from './itemFaults'
 import { createItemTimeEstimator } from './itemTimeEstimator'
+import { createItemYielder } from './itemYielder'
 import type { JobRegistry } from './jobRegistry'
 import type { OwnedJob } from './ownedJob'
 import { createReadyItemFinder, findNeededVersion, summarizeReadyItems, type ReadyItem } from './readyItems'
-import { createItemRequest, runItem, SILENT_TARGET, type ItemEnd } from './runItem'
+import { createRunEvidence } from './runEvidence'
+import { runItem, SILENT_TARGET, type ItemEnd } from './runItem'
 
 export interface ItemRunnerRules extends ItemVersionRules {
   /** Share of each service's slots that batch items leave free for live requests. */
@@ -77,34 +75,19 @@
   run?: ActiveRun
 }
 
-interface ActiveRun extends RunningItem {
-  /** Address of the target. */
-  address: string
-  /** On the monotonic clock, in milliseconds. */
-  sentAt: number
-  stop: AbortController
-  done: Promise<void>
-  ready: ReadyItem
-  /** True while the target sends no events. */
-  isSilent: boolean
-  /** Target on which a slot is held for the item while its run at a silent target ends. */
-  next?: Target
-}
-
 /** Crashes after which an item is tried again as soon as after other broken runs. */
 const QUICK_CRASHES = 4
 /** With more crashes the backoff is doubled up to this many times. */
 const MAX_BACKOFF_DOUBLINGS = 5
-const MAX_SILENT_TARGETS = 10_000
 
 /** Creates the item runner of an instance. */
 export function createItemRunner (options: ItemRunnerOptions): ItemRunner {
   const { loads, rules, clock, random, metrics, log } = options
   const running = new Set<ActiveRun>()
-  /** When the silence of a target was last recorded as its failure. */
-  const silenceRecordedAt = new LRUCache<string, number>({ max: MAX_SILENT_TARGETS })
   const pace = createItemTimeEstimator()
   const finder = createReadyItemFinder({ ...options, pace })
+  const evidence = createRunEvidence(options)
+  const { yieldItems, yieldExcessItems } = createItemYielder({ ...options, running, computeRank: finder.computeRank })
   // Nothing more comes over connections that hang: their items need not wait until that shows.
   options.paths.onLost(() => {
     for (const run of running) run.isSilent ||= !options.paths.isDirectUsable(run.address)
@@ -268,9 +251,7 @@
       running.delete(entry)
       if (startedAt !== undefined) pace.recordRun((progress.lastEventId ?? 0) - firstEvent, clock.now() - startedAt)
       if (end.type === 'completed') pace.recordCompletion(progress.lastEventId ?? 0)
-      recordCrashEvidence(ready, target, end, (progress.lastEventId ?? 0) - firstEvent)
-      const fault = getFaultKind(end)
-      if (fault !== undefined) recordTargetFailure(entry, end, fault)
+      evidence.recordEnd(entry, end, (progress.lastEventId ?? 0) - firstEvent)
       progress.target = undefined
       progress.interrupt = undefined
       loads.end(target.id, 'batch')
@@ -279,37 +260,6 @@
     })
   }
 
-  /** A silence under several items counts once; a run that was sent after it has tried the target anew. */
-  function recordTargetFailure ({ target, sentAt }: ActiveRun, end: ItemEnd, kind: FaultKind): void {
-    if (kind === 'silence') {
-      if (sentAt <= (silenceRecordedAt.get(target) ?? -Infinity)) return
-      silenceRecordedAt.set(target, clock.now())
-    }
-    loads.recordFailure(target, `item.${end.type}`, kind)
-  }
-
-  function recordCrashEvidence (
-    { owned, itemId, progress }: ReadyItem,
-    target: Target,
-    end: ItemEnd,
-    events: number
-  ): void {
-    const { crashes } = options
-    const item = owned.findItem(itemId)!
-    if (events >= BEGINNING_EVENTS || end.type === 'completed') {
-      progress.crashes = 0
-      crashes.recordAnswer(item.headers)
-      return
-    }
-    // A cut that befalls all connections is no crash.
-    if (end.type !== 'interrupted' || options.paths.isCutOff()) return
-    const request = createItemRequest(item, owned.record().host)
-    if (end.reason === 'staleConnection') crashes.recordPossibleCrash(target.id, request)
-    if (end.reason !== 'broken') return
-    progress.crashes += 1
-    crashes.recordCrash(target.id, request)
-  }
-
   function handleEnd ({ ready, next }: ActiveRun, target: Target, end: ItemEnd): void {
     const { owned, itemId, progress, route } = ready
     metrics.count(`items.${end.type}`)
@@ -348,35 +298,6 @@
     options.onFinished(owned)
   }
 
-  function yieldItems (targetId: string, count: number): void {
-    const candidates = [...running].filter((entry) => entry.target === targetId && !entry.stop.signal.aborted)
-    for (const entry of candidates) entry.dueAt = finder.computeRank(entry.ready.owned, entry.ready.progress)
-    for (const entry of choosePreempted(candidates, count)) {
-      metrics.count('items.yielded')
-      entry.stop.abort()
-    }
-  }
-
-  function yieldExcessItems (): void {
-    for (const targetId of new Set([...running].map(({ target }) => target))) {
-      const load = loads.getLoad(targetId)
-      if (load === undefined || load.live + load.batch <= load.target.slots) continue
-      const count = countExcess({
-        self: options.self,
-        slots: load.target.slots,
-        live: load.live,
-        batch: load.batch,
-        holders: [
-          { id: options.self, batch: load.ownBatch },
-          ...options.peers().map(({ report }) => ({
-            id: report.instance, batch: report.uses.get(load.key)?.batch ?? 0
-          }))
-        ]
-      })
-      if (count > 0) yieldItems(targetId, count)
-    }
-  }
-
   return {
     dispatch: startReadyItems,
     yieldExcess: yieldExcessItems,
