Move the peer and the tunnels of the tunnel steps into a support file

The steps are unchanged but for the names of the set-up and of the end; the lines with assertions and waits are the same as before.

--- a/packages/pimentoplank/src/shared/rpc/peerTunnels.steps.ts
+++ b/packages/pimentoplank/src/shared/rpc/peerTunnels.steps.ts
@@ -1,181 +1,31 @@
 import assert from 'node:assert/strict'
 import { randomBytes } from 'node:crypto'
 import { once } from 'node:events'
-import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import type { Result } from 'neverthrow'
-import { generate } from 'selfsigned'
-import { Client } from 'undici'
-import { openTcpLink, type TcpLink } from '../../../features/support/tcpLink'
+import { openTcpLink } from '../../../features/support/tcpLink'
 import {
-  createInMemoryMetrics, createPeerServer, createPeerTunnels, createSilentLog, createSystemClock, TunnelBrokenError,
-  type Metrics, type PeerSecurity, type PeerServer, type PeerTunnels, type PeerTunnelsOptions, type TunnelRefusedError
-} from '..'
-import { ConnectionResetError, createConnector, toConnectOptions } from '../targetHttp'
-
-type Behaviour = (socket: Socket) => void
-
-interface TunnelWorld {
-  security: PeerSecurity
-  peer: PeerServer
-  link: TcpLink
-  links: TcpLink[]
-  metrics: Metrics
-  target: Server
-  targetAddress: string
-  /** Connections to the target, by the order in which they were opened. */
-  sockets: Socket[]
-  behave: Behaviour
-  isDirect: boolean
-  /** True while the peer's connections to the target are reset as soon as they are open. */
-  isResetAtOnce: boolean
-  /** Number of tunnels for which a shutdown of the peer waits. */
-  tracked: number
-  tunnels: PeerTunnels
-  otherTunnels: PeerTunnels[]
-  openSockets: Duplex[]
-  posted: Buffer
-  received: Buffer
-  sent: Buffer
-  failure?: Error
-  asked: Result<Duplex, TunnelRefusedError>
-}
+  ask, closePeer, createEcho, createTunnels, eventually, exchange, getOpenTunnels, openTunnel, startPeer,
+  FREE_PORT_ADDRESS, MAX_TUNNELS, SOON_MS, UNFRAMED_HEAD,
+  type TunnelWorld
+} from '../../../features/support/tunnelWorld'
+import { TunnelBrokenError, type TunnelRefusedError } from '..'
+import { ConnectionResetError } from '../targetHttp'
 
-const KEY = 'shared-key-of-the-peers'
 const MB = 1_000_000
-const MAX_TUNNELS = 32
-const SOON_MS = 5000
-const STEP_MS = 5
 const DELAY_MS = 30
-const FREE_PORT_ADDRESS = '127.0.0.1:1'
-const UNFRAMED_HEAD = 'HTTP/1.1 200 OK\r\n\r\n'
-
-function createCertificate (): NonNullable<PeerSecurity['tls']> {
-  const { cert, private: key } = generate([{ name: 'commonName', value: 'peer' }], {
-    keySize: 2048, algorithm: 'sha256'
-  })
-  return { cert: Buffer.from(cert), key: Buffer.from(key), ca: Buffer.from(cert) }
-}
-
-const SECURITY_BY_NAME: Record<string, PeerSecurity> = {
-  'a shared key': { sharedKey: KEY },
-  certificates: { sharedKey: KEY, tls: createCertificate() }
-}
-
-async function eventually (isTrue: () => boolean, withinMs: number, what: () => string): Promise<void> {
-  const end = performance.now() + withinMs
-  while (!isTrue()) {
-    if (performance.now() > end) assert.fail(what())
-    await sleep(STEP_MS)
-  }
-}
-
-function createTunnels (world: TunnelWorld, options: Partial<PeerTunnelsOptions> = {}): PeerTunnels {
-  return createPeerTunnels({
-    self: 'asking', security: world.security, metrics: createInMemoryMetrics(), log: createSilentLog(), ...options
-  })
-}
 
 Given(/^a peer with (a shared key|certificates) that reaches a target$/, async function (this: TunnelWorld, name: string) {
-  this.security = SECURITY_BY_NAME[name]!
-  this.sockets = []
-  this.openSockets = []
-  this.otherTunnels = []
-  this.isDirect = true
-  this.isResetAtOnce = false
-  this.tracked = 0
-  this.sent = Buffer.alloc(0)
-  this.behave = () => undefined
-  this.target = createServer((socket) => {
-    this.sockets.push(socket)
-    socket.on('error', () => undefined)
-    this.behave(socket)
-  })
-  this.target.listen(0, '127.0.0.1')
-  await once(this.target, 'listening')
-  this.targetAddress = `127.0.0.1:${(this.target.address() as AddressInfo).port}`
-  this.metrics = createInMemoryMetrics()
-  const connect = createConnector({ timeoutMs: 250 })
-  const started = await createPeerServer({
-    host: '127.0.0.1',
-    port: 0,
-    security: this.security,
-    routes: () => undefined,
-    tunnels: {
-      mayOpen: (address) => address === this.targetAddress || address === FREE_PORT_ADDRESS,
-      isDirect: () => this.isDirect,
-      connect: (address, done) => connect(toConnectOptions(address), (cause, socket) => {
-        done(cause, socket)
-        if (this.isResetAtOnce) socket?.destroy(new ConnectionResetError())
-      }),
-      track: () => {
-        this.tracked += 1
-        return () => { this.tracked -= 1 }
-      },
-      maxTunnels: MAX_TUNNELS,
-      clock: createSystemClock(),
-      metrics: this.metrics,
-      log: createSilentLog()
-    }
-  })
-  this.peer = started._unsafeUnwrap()
-  this.link = await openTcpLink(this.peer.address)
-  this.tunnels = createTunnels(this)
+  await startPeer(this, name)
 })
 
 Given('sessions of tunnels are closed after {int} ms without a tunnel', function (this: TunnelWorld, ms: number) {
   this.tunnels = createTunnels(this, { idleTimeoutMs: ms })
 })
 
-async function openTunnel (world: TunnelWorld): Promise<Duplex> {
-  const opened = await world.tunnels.open({
-    instance: 'peer', peerAddress: world.link.address, address: world.targetAddress
-  })
-  const socket = opened._unsafeUnwrap()
-  socket.on('error', () => undefined)
-  world.openSockets.push(socket)
-  return socket
-}
-
-/** Sends a request through a tunnel with the HTTP client that the relay uses, and reads the answer. */
-async function exchange (world: TunnelWorld, body?: Buffer): Promise<void> {
-  const socket = await openTunnel(world)
-  const client = new Client(`http://${world.targetAddress}`, {
-    connect: (_options, done) => { setImmediate(() => done(null, socket as Socket)) }, pipelining: 1
-  })
-  const chunks: Buffer[] = []
-  try {
-    const res = await client.request({ method: 'POST', path: '/', body })
-    for await (const chunk of res.body) chunks.push(chunk)
-  } catch (cause) {
-    world.failure = cause as Error
-  }
-  world.received = Buffer.concat(chunks)
-  await client.destroy()
-}
-
-/** Reads a request with a body of a known length, and sends the body back. */
-function createEcho (length: number, framing: string): Behaviour {
-  return (socket) => {
-    const chunks: Buffer[] = []
-    let bytes = 0
-    socket.on('data', (chunk) => {
-      chunks.push(chunk)
-      bytes += chunk.length
-      const all = bytes < length ? undefined : Buffer.concat(chunks)
-      const bodyAt = all?.indexOf('\r\n\r\n') ?? -1
-      if (all === undefined || all.length - bodyAt - 4 < length) return
-      const head = framing === 'length'
-        ? `HTTP/1.1 200 OK\r\nContent-Length: ${length}\r\nConnection: close\r\n\r\n`
-        : UNFRAMED_HEAD
-      socket.write(head)
-      socket.end(all.subarray(bodyAt + 4))
-    })
-  }
-}
-
 When('a body of {int} MB is posted through a tunnel and sent back framed by {word}', async function (
   this: TunnelWorld, size: number, framing: string
 ) {
@@ -313,15 +163,6 @@
   }
 }
 
-async function ask (
-  world: TunnelWorld,
-  { tunnels = world.tunnels, peerAddress = world.link.address, address = world.targetAddress }: {
-    tunnels?: PeerTunnels, peerAddress?: string, address?: string
-  } = {}
-): Promise<Result<Duplex, TunnelRefusedError>> {
-  return await tunnels.open({ instance: 'peer', peerAddress, address })
-}
-
 When('a tunnel is asked for to a target that refuses connections, as the peer loses its direct path', async function (
   this: TunnelWorld
 ) {
@@ -398,10 +239,6 @@
   assert.equal(Buffer.compare(this.received, this.sent), 0)
 })
 
-function getOpenTunnels ({ metrics }: TunnelWorld): number {
-  return metrics.snapshot().gauges['tunnels.open'] ?? 0
-}
-
 Then('the peer soon has {int} open tunnels', async function (this: TunnelWorld, count: number) {
   await eventually(() => getOpenTunnels(this) === count, SOON_MS, () => `${getOpenTunnels(this)} tunnels are open`)
 })
@@ -427,10 +264,5 @@
 })
 
 After({ tags: '@peerTunnels' }, async function (this: Partial<TunnelWorld>) {
-  if (this.otherTunnels === undefined) return
-  for (const tunnels of [this.tunnels!, ...this.otherTunnels]) tunnels.close()
-  this.link!.close()
-  await this.peer!.close()
-  for (const socket of this.sockets!) socket.destroy()
-  this.target!.close()
+  await closePeer(this)
 })
