Create the empty report of the datagram and reach tests in one place

The same literal of 23 fields stood in datagrams.steps.ts and reachFleet.ts; features/support/emptyReport.ts creates it, and the tests name the fields that they are about. No assertion changed.

--- a/packages/pimentoplank/src/relay/decisions/testing/reachFleet.ts
+++ b/packages/pimentoplank/src/relay/decisions/testing/reachFleet.ts
@@ -1,4 +1,5 @@
 /** Simulated instances with the beliefs of the relay: their loads, suspicions and paths. */
+import { createEmptyReport } from '../../../../features/support/emptyReport'
 import type { ManualClock } from '../../../../features/support/manualClock'
 import { createInMemoryMetrics, createSilentLog, type Random } from '../../../shared'
 import type { PeerView, Report } from '../../gossip'
@@ -104,31 +105,7 @@
     metrics,
     log
   })
-  const own: Report = {
-    instance: String(index),
-    incarnation: 1,
-    sequence: 1,
-    stage: 'serving',
-    callerAddress: '',
-    peerAddress: `10.1.0.${index}:80`,
-    failureDomain,
-    region: 'r',
-    uses: new Map(),
-    waiting: [],
-    knownPeers: [],
-    jobs: [],
-    suspects: new Set(),
-    unreached: new Set(),
-    isCutOff: false,
-    limits: [],
-    streams: [],
-    leaving: [],
-    configRevision: 1,
-    openJobs: new Map(),
-    crashes: [],
-    crashingParts: [],
-    answeredParts: []
-  }
+  const own = createEmptyReport({ instance: String(index), failureDomain, peerAddress: `10.1.0.${index}:80` })
   return {
     index,
     paths,
--- a/packages/pimentoplank/src/relay/gossip/datagrams.steps.ts
+++ b/packages/pimentoplank/src/relay/gossip/datagrams.steps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { fromBinary, toBinary } from '@bufbuild/protobuf'
 import { Given, Then, When } from '@cucumber/cucumber'
+import { createEmptyReport } from '../../../features/support/emptyReport'
 import { DatagramSchema, type Datagram } from '../../shared'
 import { decodeDatagram, encodeDigest, encodeLoad, encodeReport, type DatagramContent } from './datagrams'
 import type { Report, TargetUse } from './types'
@@ -16,31 +17,16 @@
 const FAILED = 4
 
 function createReport (uses: Report['uses']): Report {
-  return {
+  return createEmptyReport({
     instance: 'a',
-    incarnation: 1,
-    sequence: 1,
-    stage: 'serving',
     callerAddress: 'a:80',
     peerAddress: 'a:81',
     failureDomain: 'x',
-    region: 'r',
     uses,
-    waiting: [],
-    knownPeers: [],
-    jobs: [],
     suspects: new Set([UNREACHED, FAILED]),
     unreached: new Set([UNREACHED]),
-    isCutOff: true,
-    limits: [],
-    streams: [],
-    leaving: [],
-    configRevision: 1,
-    openJobs: new Map(),
-    crashes: [],
-    crashingParts: [],
-    answeredParts: []
-  }
+    isCutOff: true
+  })
 }
 
 const encoders: Record<string, (uses: Report['uses']) => Uint8Array> = {
