Accept jobs on what the stored records say, whatever is heard of peers

Cause, shown by scenarios on (limit 1000, jobs of 150 tokens, real instances in one process, no item finishes): - Up to half of the limit a job was accepted on what peers reported, without a read of the store. Instances that hear nobody: 1350 accepted one after the other, 2250 at once; the same 1350 beside an instance that has just started, and beside one that was lost. - Jobs in the course of being stored counted nowhere: 2250 at three instances that hear each other, with a store that answers in 400 ms; 1500 at two that do not, in 900 ms. - A job whose owner was heard but did not report it counted as done one second after its submission, also while it was still being stored (slow store) or not recovered yet (owner restarted).

What changed: each instance keeps a view of the open records, up to a revision of the store. A job is stored and then accepted only if, in a view that reaches the revision of its record, the jobs with earlier revisions and itself fit. That needs no clock and nothing heard. What owners report only lowers the count of a job, by items that are done, which is never undone; a job that nobody reports counts in full. Owners report a job until its record says that it is finished. Calls at the same time share a read of the changes (one call for all jobs). A job is refused before it is stored only on records at most 500 ms old. Whoever accepts a record that another instance has stored notes that in the record first, so that the withdrawal meets another revision. Jobs that are not accepted are withdrawn in the background until that is done, and are not taken over meanwhile. On routes without a limit nothing changes.

Weighed and left: a fast path well below the limit on records of bounded age (an instance that hears nobody does not know among how many to divide the room); a commit mark for each job (one more write a job); listing all records for each job near the limit (as before; pages of 500).

--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -18,7 +18,7 @@
 import { startGossip, type Gossip, type OwnLoad, type OwnReport, type Stage } from './gossip'
 import {
   createItemRunner, createJobRegistry, createJobApi, createJobCollector, createJobManager, createJobService,
-  createJobStore, createQuota, createRecordFollower, handOverJobs, getOpenTokens,
+  createJobStore, createQuota, createRecordFollower, createRecordView, handOverJobs, getOpenTokens,
   type JobApi
 } from './jobs'
 import {
@@ -287,7 +287,9 @@
     transports,
     peers: gossip.peers,
     recordFollower,
-    quota: createQuota({ self: instance.id, jobRegistry, store, peers: gossip.peers, clock, log }),
+    quota: createQuota({
+      jobRegistry, recordView: createRecordView({ store, clock, metrics }), peers: gossip.peers, log
+    }),
     onAccepted: () => runner.dispatch(),
     isLeaving: () => shutdown.getStage() !== 'serving',
     clock,
--- a/packages/pimentoplank/src/relay/decisions/index.ts
+++ b/packages/pimentoplank/src/relay/decisions/index.ts
@@ -13,7 +13,7 @@
   decideItemVersion, type ItemVersionDecision, type ItemVersionInput, type ItemVersionRules
 } from './itemVersions'
 export { MAX_RETRY_AFTER_SHARE, MIN_TRY_MS, isRepeatable, canRetry, type RetryState, type TryFailure } from './retries'
-export { isClearlyUnderLimit, countWaitingTokens, type CountedJob } from './quota'
+export { comesBefore, countWaitingTokens, mayRefuse } from './quota'
 export { BATCH_ALLOWANCE, computeLimitShare, LIVE_ALLOWANCE, refillAllowance, type Allowance, type LimitShareInput } from './limitShare'
 export {
   computeRefreshAgeMs, mayDenyResults, mayStartItems, type RecordAgeRules
--- a/packages/pimentoplank/src/relay/decisions/quota.ts
+++ b/packages/pimentoplank/src/relay/decisions/quota.ts
@@ -1,46 +1,51 @@
 /**
  * Token quota: whether a batch job fits the limit of its route.
  *
- * Load pattern: many concurrent jobs at all instances, against a limit that may be far below the demand. Well below the
- * limit the reports of the instances decide; close to it the stored job records do, one job after the other.
+ * Load pattern: many concurrent jobs at all instances, which may not hear each other, against a limit that may be far
+ * below the demand, while the platform answers in milliseconds, in a second, or not at all. Only stored records tell
+ * which jobs exist, in one order for all instances; what is heard from owners tells how much of a job is done, which
+ * is never undone.
  */
 
-/** Share of the limit up to which the slightly outdated reports are sufficient. */
-const REPORTS_SUFFICE_SHARE = 0.5
-/** A job older than this counts as finished when its owner is alive but does not report it, in milliseconds. */
-const UNREPORTED_GRACE_MS = 1000
+/** Longest age of the records on which a job is refused before anything of it is stored, in milliseconds. */
+const MAX_REFUSAL_AGE_MS = 500
 
-export interface QuotaCheckInput {
-  /** Tokens of unfinished items, as reported by all instances. */
-  reported: number
-  /** Tokens of the new job. */
+export interface CountedJob {
+  /** Tokens of all its items. */
   tokens: number
-  limit: number
-  /** Number of instances that may accept a job of this size concurrently. */
-  instances: number
+  /** Tokens of its unfinished items as its owner knows or reports; undefined when its owner does not tell. */
+  open?: number
 }
 
-/** True when the job fits even if every instance accepts one of its size before it receives the others' reports. */
-export function isClearlyUnderLimit ({ reported, tokens, limit, instances }: QuotaCheckInput): boolean {
-  return reported + tokens * instances <= limit * REPORTS_SUFFICE_SHARE
+/** Sums the tokens of unfinished items; a job of which its owner tells nothing counts in full. */
+export function countWaitingTokens (jobs: Iterable<CountedJob>): number {
+  let sum = 0
+  for (const { tokens, open = tokens } of jobs) sum += Math.min(tokens, open)
+  return sum
 }
 
-export interface CountedJob {
-  /** Tokens of all its items. */
-  tokens: number
-  /** Time since its submission, in milliseconds. */
-  ageMs: number
-  /** True when its owner is alive by its heartbeats. */
-  isOwnerHeard: boolean
-  /** Tokens of its unfinished items, as reported by its owner; undefined when the owner does not report the job. */
-  reported?: number
+export interface JobPosition {
+  /** Revision of its record. */
+  revision: number
+  /** Increases with each change of owner. */
+  epoch: number
+  /** True if an instance has noted that it accepted the job, which was stored for another one. */
+  accepted?: boolean
+}
+
+/**
+ * True if a job comes before another one, which fits only with all of these. A job whose record was changed since it
+ * was accepted has a later revision than it was accepted with.
+ */
+export function comesBefore (job: JobPosition, revision: number): boolean {
+  return job.revision <= revision || job.epoch > 1 || job.accepted === true
 }
 
-/** Sums the tokens of unfinished items; a job without a report counts in full unless it counts as finished. */
-export function countWaitingTokens (jobs: readonly CountedJob[]): number {
-  return jobs.reduce((sum, { tokens, ageMs, isOwnerHeard, reported }) => {
-    if (reported !== undefined) return sum + reported
-    const isDone = isOwnerHeard && ageMs > UNREPORTED_GRACE_MS
-    return isDone ? sum : sum + tokens
-  }, 0)
+/**
+ * True if a job may be refused on records of this age.
+ *
+ * @param ageMs - time since the records were current, in milliseconds
+ */
+export function mayRefuse (ageMs: number): boolean {
+  return ageMs <= MAX_REFUSAL_AGE_MS
 }
--- a/packages/pimentoplank/src/relay/jobs/index.ts
+++ b/packages/pimentoplank/src/relay/jobs/index.ts
@@ -8,6 +8,7 @@
 export { createJobService } from './jobService'
 export { createJobStore, type JobStore, type StoredJob } from './jobStore'
 export { createQuota, getOpenTokens, type Quota } from './quota'
+export { createRecordView } from './recordView'
 export { createRecordFollower, type RecordFollower } from './recordFollower'
 export { createOwnedJob, type OwnedJob } from './ownedJob'
 export { JOB_KINDS, type ItemResult, type JobItem, type JobRecord } from './records'
--- a/packages/pimentoplank/src/relay/jobs/jobApi.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobApi.ts
@@ -9,9 +9,10 @@
 import type { Route } from '../model'
 import type { JobRegistry } from './jobRegistry'
 import type { JobManager } from './jobManager'
-import { splitItems, type JobStore } from './jobStore'
+import { splitItems, type CreatedJob, type JobStore } from './jobStore'
 import type { RecordFollower } from './recordFollower'
-import type { Quota } from './quota'
+import { createJobAcceptance } from './jobAcceptance'
+import type { Quota, QuotaJob } from './quota'
 import { createJobClients, PEER_TIMEOUT_MS } from './peerJobs'
 import type { JobItem, JobRecord } from './records'
 import { createResultReader, PLATFORM_RETRY_MS, toReadRefusal, type ResultPage } from './resultReader'
@@ -62,11 +63,14 @@
 
 /** Retry-after of a job refused for its quota, in milliseconds. */
 const QUOTA_RETRY_MS = 2000
+/** Retry-after of a job that is stored, but of which it isn't known whether it stays, in milliseconds. */
+const UNDECIDED_RETRY_MS = 1000
 
 /** Creates the job operations of an instance. */
 export function createJobApi (options: JobApiOptions): JobApi {
   const { self, jobRegistry: registry, jobManager: manager, store, clock, log } = options
   const getClient = createJobClients(options.transports)
+  const accept = createJobAcceptance(options)
   const reader = createResultReader({
     ...options, getClient, hasResultsInDoubt: manager.hasResultsInDoubt, onUnknown: settle
   })
@@ -78,10 +82,21 @@
     const unavailable = await checkStore(job)
     if (unavailable !== undefined) return err(unavailable)
     const tokens = items.reduce((sum, item) => sum + item.tokens, 0)
-    const limit = route.batch?.maxWaitingTokens ?? 0
-    const room = await options.quota.check(route.name, tokens, limit)
-    if (room.isErr()) return err(toStoreRefusal(id, room.error))
-    if (!room.value.fits) return await refuseOverQuota(id, tokens, limit)
+    const counted = { id, route: route.name, tokens, limit: route.batch?.maxWaitingTokens ?? 0 }
+    const room = await options.quota.reserve(counted)
+    if (room.isErr()) return err(toReadRefusal(room.error))
+    const release = manager.hold(id)
+    try {
+      return room.value ? await storeAndAccept(job, counted) : await refuseOverQuota(job, counted)
+    } finally {
+      options.quota.release(counted)
+      release()
+    }
+  }
+
+  async function storeAndAccept (job: JobSubmission, counted: QuotaJob): Promise<Result<void, RefusalError>> {
+    const { id, route, items } = job
+    const { tokens, limit } = counted
     const record: JobRecord = {
       route: route.name,
       host: job.host,
@@ -95,19 +110,45 @@
       finished: false
     }
     const created = await store.create(id, record, items)
-    if (created.isErr()) return err(toStoreRefusal(id, created.error))
-    const confirmed = created.value.created ? await room.value.confirm(id, created.value.revision) : ok(true)
-    if (confirmed.isErr()) return err(toStoreRefusal(id, confirmed.error))
-    if (!confirmed.value) return await refuseOverQuota(id, tokens, limit)
-    const { record: kept } = created.value
-    if (created.value.created || kept.owner === self) {
-      if (registry.get(id) === undefined && !kept.ended && !kept.finished) manager.openJob(id, created.value, items)
+    if (created.isErr()) {
+      if (limit === 0) return err(toStoreRefusal(id, created.error))
+      withdraw(id, record, created.error)
+      return err(toRefusal(id, created.error))
+    }
+    return await acceptStored(job, counted, created.value)
+  }
+
+  /** Accepts a job whose record and input are stored, or withdraws it if this submission has stored it. */
+  async function acceptStored (
+    job: JobSubmission,
+    counted: QuotaJob,
+    created: CreatedJob
+  ): Promise<Result<void, RefusalError>> {
+    const { id, route, items } = job
+    const { tokens, limit } = counted
+    const accepted = await accept(counted, created)
+    if (accepted.isErr()) {
+      if (created.created) withdraw(id, created.record)
+      return err(toRefusal(id, accepted.error))
+    }
+    if (accepted.value === undefined && created.created) {
+      withdraw(id, created.record)
+      log.info({ job: id, tokens, limit }, 'job withdrawn: waiting tokens exceed the limit')
+      return err(new RefusalError('accountLimit', { retryAfterMs: QUOTA_RETRY_MS }))
+    }
+    if (accepted.value === undefined) {
+      log.info({ job: id, tokens, limit, owner: created.record.owner }, 'job refused: stored elsewhere, not known to be accepted')
+      return err(new RefusalError('queueFull', { retryAfterMs: UNDECIDED_RETRY_MS }))
+    }
+    const { record: kept } = accepted.value
+    if (kept.owner === self) {
+      if (registry.get(id) === undefined && !kept.ended && !kept.finished) manager.openJob(id, accepted.value, items)
       options.onAccepted()
     } else {
       registry.update(id, { owner: kept.owner, epoch: kept.epoch, ended: kept.ended }, 'record')
     }
     log.info({
-      job: id, route: route.name, items: items.length, tokens, owner: kept.owner, created: created.value.created
+      job: id, route: route.name, items: items.length, tokens, owner: kept.owner, created: created.created
     }, 'job accepted')
     return ok(undefined)
   }
@@ -125,23 +166,35 @@
     return new RefusalError('platformDown', { outcome: 'not_run', retryAfterMs, cause: found.error })
   }
 
-  /** Refuses a job over quota, unless it was accepted before: resubmission succeeds whatever the quota. */
-  async function refuseOverQuota (id: string, tokens: number, limit: number): Promise<Result<void, RefusalError>> {
+  /** Refuses a job over quota, unless it is stored: what was accepted before is accepted whatever the quota. */
+  async function refuseOverQuota (job: JobSubmission, counted: QuotaJob): Promise<Result<void, RefusalError>> {
+    const { id, tokens, limit } = counted
     const known = await store.read(id)
     if (known.isErr()) return err(toReadRefusal(known.error))
-    if (known.value !== undefined) return ok(undefined)
+    if (known.value !== undefined) return await storeAndAccept(job, counted)
     log.info({ job: id, tokens, limit }, 'job refused: waiting tokens exceed the limit')
     return err(new RefusalError('accountLimit', { retryAfterMs: QUOTA_RETRY_MS }))
   }
 
   function toStoreRefusal (id: string, cause: PlatformError): RefusalError {
-    const mayExist = cause instanceof PlatformUnavailable && cause.maybeApplied
+    if (mayBeApplied(cause)) settle(id)
+    return toRefusal(id, cause)
+  }
+
+  function toRefusal (id: string, cause: PlatformError): RefusalError {
+    const mayExist = mayBeApplied(cause)
     log.warn({ job: id, mayExist, cause: cause.message }, 'job could not be stored')
-    if (mayExist) settle(id)
     const retryAfterMs = PLATFORM_RETRY_MS
     return new RefusalError('platformDown', { outcome: mayExist ? 'unknown' : 'not_run', retryAfterMs, cause })
   }
 
+  /** Withdraws a job in the background that this instance has stored, but did not accept. */
+  function withdraw (id: string, record: JobRecord, cause?: PlatformError): void {
+    manager.withdraw(id, record, cause !== undefined && mayBeApplied(cause)).catch((failure: unknown) => log.error({
+      job: id, cause: describeCause(failure)
+    }, 'job that was not accepted could not be withdrawn'))
+  }
+
   /** Checks in the background whether a job is stored under this instance without being known here. */
   function settle (id: string): void {
     manager.resolveSubmission(id).catch((cause: unknown) => log.error({
@@ -202,5 +255,9 @@
     }
   }
 
+  function mayBeApplied (cause: PlatformError): boolean {
+    return cause instanceof PlatformUnavailable && cause.maybeApplied
+  }
+
   return { submit, read: reader.read, body: reader.body, end, readOwned: reader.readOwned }
 }
--- a/packages/pimentoplank/src/relay/jobs/jobManager.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.ts
@@ -50,6 +50,8 @@
   hasResultsInDoubt: (job: OwnedJob) => boolean
   /** Marks an owned job as ended by its caller. */
   endJob: (job: OwnedJob) => Promise<Result<void, PlatformError>>
+  /** Keeps a job from being taken over here while it is being submitted; returns the function that ends it. */
+  hold: (job: string) => () => void
   /** Takes over a job from another instance, with that instance's progress and results if given. */
   takeOver: (
     job: string,
@@ -58,6 +60,14 @@
   ) => Promise<boolean>
   /** Determines whether a job whose store request got no answer was stored after all; if so, takes it over. */
   resolveSubmission: (job: string) => Promise<void>
+  /**
+   * Deletes the record of a job that this instance has stored, but did not accept, unless another one has accepted it
+   * meanwhile; the job is taken over then.
+   *
+   * @param record - the record as this instance has written it
+   * @param isInDoubt - true if its write got no answer, so that it may be stored later
+   */
+  withdraw: (job: string, record: JobRecord, isInDoubt: boolean) => Promise<void>
   /** Takes over the jobs of a failed instance if this one is its successor. */
   takeOverFrom: (owner: string) => Promise<void>
   /** Takes over the jobs that this instance owned before a restart, and those of instances that failed. */
@@ -81,6 +91,8 @@
   const closing = new AbortController()
   const finishedAt = new Map<string, number>()
   const adopting = new Set<string>()
+  /** Jobs of which it isn't decided whether they are accepted, with the number of calls that decide. */
+  const held = new Map<string, number>()
 
   const storage = createResultStorage({
     ...options, computeBackoff, onStored: (job) => { if (job.isComplete()) markComplete(job) }, signal: closing.signal
@@ -155,7 +167,25 @@
     return ok(undefined)
   }
 
+  function hold (id: string): () => void {
+    held.set(id, (held.get(id) ?? 0) + 1)
+    return () => {
+      const left = held.get(id)! - 1
+      if (left > 0) held.set(id, left)
+      else held.delete(id)
+    }
+  }
+
   async function takeOver (
+    id: string,
+    progress?: ReadonlyMap<string, Partial<ItemProgress>>,
+    results?: readonly ItemResult[]
+  ): Promise<boolean> {
+    if (registry.get(id) === undefined && held.has(id)) return false
+    return await takeOverHeld(id, progress, results)
+  }
+
+  async function takeOverHeld (
     id: string,
     progress?: ReadonlyMap<string, Partial<ItemProgress>>,
     results: readonly ItemResult[] = []
@@ -217,6 +247,19 @@
     return ok(open(id, taken.value, items.value, segments.value))
   }
 
+  async function withdraw (id: string, record: JobRecord, until: number): Promise<void> {
+    for (let failures = 0; !closing.signal.aborted && registry.get(id) === undefined; failures++) {
+      if (failures > 0) await clock.sleep(computeBackoff(failures), closing.signal)
+      const found = await store.read(id)
+      if (found.isErr()) continue
+      const stored = found.value
+      if (stored === undefined && clock.now() < until) continue
+      if (stored === undefined || stored.record.ended || !isSameSubmission(stored.record, record)) return
+      const isAccepted = stored.record.accepted === true
+      if (isAccepted ? await takeOverHeld(id) : (await store.withdraw(id, stored.revision)).isOk()) return
+    }
+  }
+
   /** Takes over the unfinished jobs that match, with retries; returns the number of other unfinished jobs. */
   async function adoptAll (isMatch: (record: JobRecord) => boolean): Promise<number> {
     for (let failures = 1; !closing.signal.aborted && !options.isLeaving(); failures++) {
@@ -254,6 +297,7 @@
     scheduleStore: storage.schedule,
     hasResultsInDoubt: storage.isInDoubt,
     endJob: end,
+    hold,
     takeOver,
     resolveSubmission: async (id) => {
       const until = clock.now() + LATE_WRITE_MS
@@ -262,12 +306,24 @@
         if (closing.signal.aborted || options.isLeaving() || registry.get(id) !== undefined) return
         await clock.sleep(computeBackoff(failures), closing.signal)
         const found = await store.read(id)
-        if (found.isErr() || found.value === undefined) continue
+        if (found.isErr()) continue
+        if (found.value === undefined) {
+          isOwn = false
+          continue
+        }
         isOwn = found.value.record.owner === self
         // Another instance may have acknowledged the job by now, so its owner must keep trying.
         if (!isOwn || await takeOver(id)) return
       }
     },
+    withdraw: async (id, record, isInDoubt) => {
+      const release = hold(id)
+      try {
+        await withdraw(id, record, clock.now() + (isInDoubt ? LATE_WRITE_MS : 0))
+      } finally {
+        release()
+      }
+    },
     takeOverFrom: async (owner) => {
       if (!isSuccessorOf(owner)) return
       await adoptAll((record) => record.owner === owner && !isAlive(owner))
@@ -301,3 +357,8 @@
     storage.schedule(job)
   }
 }
+
+/** True if a record was written by one submission and not taken over or created anew since. */
+function isSameSubmission (stored: JobRecord, written: JobRecord): boolean {
+  return stored.owner === written.owner && stored.epoch === written.epoch && stored.submittedAt === written.submittedAt
+}
--- a/packages/pimentoplank/src/relay/jobs/jobStore.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobStore.ts
@@ -18,6 +18,11 @@
   asOf: number
 }
 
+export interface CreatedJob extends StoredJob {
+  /** False when it exists already. */
+  created: boolean
+}
+
 /** Changes of records after a revision. */
 export interface RecordChanges {
   /** Revision up to which all changes are among them. */
@@ -33,14 +38,12 @@
 export interface JobStore {
   /** False while the platform answers no calls. */
   isAvailable: () => boolean
-  /** Creates a job; `created` is false when it exists already. */
-  create: (
-    job: string,
-    record: JobRecord,
-    items: readonly JobItem[]
-  ) => ResultAsync<StoredJob & { created: boolean }, PlatformError>
+  /** Creates a job; fails if its record or input could not be written, of which either may be stored then. */
+  create: (job: string, record: JobRecord, items: readonly JobItem[]) => ResultAsync<CreatedJob, PlatformError>
   /** Reads a record; undefined when it does not exist. */
   read: (job: string) => ResultAsync<StoredJob | undefined, PlatformError>
+  /** Reads all records. */
+  readAll: () => ResultAsync<RecordChanges, PlatformError>
   /** Lists all records, by job id. */
   list: () => ResultAsync<Map<string, StoredJob>, PlatformError>
   /**
@@ -94,7 +97,7 @@
     job: string,
     record: JobRecord,
     items: readonly JobItem[]
-  ): Promise<Result<StoredJob & { created: boolean }, PlatformError>> {
+  ): Promise<Result<CreatedJob, PlatformError>> {
     const parts = splitItems(items)
     const asOf = clock.now()
     const writes = parts.map(async (part, index) =>
@@ -116,15 +119,18 @@
     return page.map(({ revision, items }) => ({ revision, jobs: parseRecords(items, asOf) }))
   }
 
+  async function readAll (): Promise<Result<RecordChanges, PlatformError>> {
+    const asOf = clock.now()
+    const all = await list()
+    return all.map(({ revision, jobs }) => ({ revision, asOf, isComplete: true, records: jobs }))
+  }
+
   async function readChanges (since: number, timeoutMs: number): Promise<Result<RecordChanges, PlatformError>> {
     const asOf = clock.now()
     const options = { since, waitMs: CHANGES_WAIT_MS, marginMs: timeoutMs }
     const batch = await platform.watch(JOB_KINDS.record, options)
     if (batch.isErr()) return err(batch.error)
-    if (batch.value.compacted === true) {
-      const all = await list()
-      return all.map(({ revision, jobs }) => ({ revision, asOf, isComplete: true, records: jobs }))
-    }
+    if (batch.value.compacted === true) return await readAll()
     const { revision, events } = batch.value
     if (revision < since) return err(new PlatformUnavailable(`stale answer: revision ${revision} is before ${since}`))
     const records = new Map<string, StoredJob | undefined>()
@@ -203,6 +209,7 @@
     isAvailable: platform.isAvailable,
     create: (...args) => new ResultAsync(create(...args)),
     read: (job) => new ResultAsync(read(job)),
+    readAll: () => new ResultAsync(readAll()),
     list: () => new ResultAsync(list()).map(({ jobs }) => jobs),
     readChanges: (...args) => new ResultAsync(readChanges(...args)),
     update: (...args) => new ResultAsync(update(...args)),
--- /dev/null
+++ b/packages/pimentoplank/src/relay/jobs/quota.feature
@@ -0,0 +1,28 @@
+Feature: Limit of waiting tokens across instances
+
+  Scenario Outline: What instances have accepted never exceeds the limit, whatever they hear and the platform's answers take
+    Then with answers that take <least> to <most> ms and are lost in <lost> of 100 cases, 4 instances that hear <heard> accept at least <tokens> and at most 1000 tokens in 25 random runs
+
+    Examples:
+      | least | most | lost | heard          | tokens |
+      | 1     | 20   | 0    | nobody         | 500    |
+      | 1     | 20   | 0    | some, at times | 500    |
+      | 60    | 180  | 5    | some, at times | 500    |
+      | 400   | 900  | 0    | nobody         | 500    |
+      | 400   | 1100 | 10   | some, at times | 0      |
+      | 10    | 3000 | 30   | nobody         | 0      |
+
+  Scenario: Calls that come together share a read of the records
+    Given the records of 3 jobs, and a view of them that was read
+    When 20 callers want the records as they are now
+    Then all of them have the same records, with 1 read more
+
+  Scenario: Answers that overtake each other leave the latest records
+    Given the records of 3 jobs, and a view of them that was read
+    When a read whose answer takes 900 ms has begun, and a job is ended before another one that takes 10 ms
+    Then the view has 2 open jobs at once, and when both are answered
+
+  Scenario: Records that were read before the platform discarded its history are read anew
+    Given the records of 3 jobs, and a view of them that was read
+    When the platform discards its history, and the record of a job is deleted
+    Then the view has 2 open jobs once its records are read
--- a/packages/pimentoplank/src/relay/jobs/quota.ts
+++ b/packages/pimentoplank/src/relay/jobs/quota.ts
@@ -1,110 +1,109 @@
 /** Enforces the limit of waiting tokens of a route across all instances. */
-import { err, ok, type Result } from 'neverthrow'
-import { hash32, type Clock, type Log, type PlatformError } from '../../shared'
-import { isClearlyUnderLimit, countWaitingTokens } from '../decisions'
+import { ok, type Result } from 'neverthrow'
+import { hash32, type Log, type PlatformError } from '../../shared'
+import { comesBefore, countWaitingTokens, mayRefuse } from '../decisions'
 import type { PeerView } from '../gossip'
 import type { JobRegistry } from './jobRegistry'
-import type { JobStore, StoredJob } from './jobStore'
+import type { StoredJob } from './jobStore'
+import type { RecordView } from './recordView'
 
-export interface QuotaCheck {
-  fits: boolean
-  /**
-   * Called once the job is stored, before it is acknowledged: resolves a race with other instances. The result is false
-   * when the job had to be withdrawn.
-   */
-  confirm: (job: string, revision: number) => Promise<Result<boolean, PlatformError>>
+export interface QuotaJob {
+  id: string
+  /** Name of its route. */
+  route: string
+  tokens: number
+  /** Maximum of waiting tokens on the route; 0 for no limit. */
+  limit: number
 }
 
 export interface Quota {
   /**
-   * Checks whether a job fits within the limit of its route.
+   * Checks before a job is stored whether it may fit, which only `confirm` tells for certain. A job that may fit is
+   * counted here until it is released.
+   */
+  reserve: (job: QuotaJob) => Promise<Result<boolean, PlatformError>>
+  release: (job: QuotaJob) => void
+  /**
+   * Checks whether a stored job fits, before it is accepted. Concurrently stored jobs are ordered by the store's
+   * revisions, which every instance sees alike: the first ones that fit stay. A job whose record is gone does not fit.
+   * Fails if the records can't be read.
    *
-   * @param route - name of the route
-   * @param tokens - tokens of the job
-   * @param limit - maximum of waiting tokens; 0 for no limit
+   * @param revision - revision of its record
    */
-  check: (route: string, tokens: number, limit: number) => Promise<Result<QuotaCheck, PlatformError>>
+  confirm: (job: QuotaJob, revision: number) => Promise<Result<boolean, PlatformError>>
 }
 
 export interface QuotaOptions {
-  self: string
   jobRegistry: JobRegistry
-  store: JobStore
+  recordView: RecordView
   peers: () => readonly PeerView[]
-  clock: Clock
   log: Log
 }
 
 const NO_LIMIT = 0
-const CONFIRMED: QuotaCheck = { fits: true, confirm: async () => ok(true) }
-const REFUSED: QuotaCheck = { fits: false, confirm: async () => ok(false) }
 
-/** Returns the tokens of items without a result for each owned job, by hash of the job id. */
+/**
+ * Returns the tokens of items without a result for each owned job whose record does not tell yet that it is done, by
+ * hash of the job id.
+ */
 export function getOpenTokens (registry: JobRegistry): Map<number, number> {
   const open = new Map<number, number>()
   for (const job of registry.owned()) {
-    if (!job.isEnded() && job.openItems().size > 0) open.set(hash32(job.id), job.countOpenTokens())
+    if (!job.isEnded() && !job.record().finished) open.set(hash32(job.id), job.countOpenTokens())
   }
   return open
 }
 
 /** Creates the quota check of an instance. */
-export function createQuota ({ self, jobRegistry: registry, store, peers, clock, log }: QuotaOptions): Quota {
-  function sumReportedTokens (): number {
-    const own = [...getOpenTokens(registry).values()]
-    const others = peers().flatMap(({ report }) => [...report.openJobs.values()])
-    return [...own, ...others].reduce((sum, tokens) => sum + tokens, 0)
-  }
+export function createQuota ({ jobRegistry: registry, recordView: view, peers, log }: QuotaOptions): Quota {
+  /** Jobs that are being stored here. */
+  const reserved = new Set<QuotaJob>()
 
-  /** Counts waiting tokens from the stored records, refined by the open tokens that instances report. */
-  async function countTokens (
-    route: string,
-    isCounted: (job: StoredJob) => boolean
-  ): Promise<Result<number, PlatformError>> {
-    const jobs = await store.list()
-    if (jobs.isErr()) return err(jobs.error)
+  function countTokens (route: string, isCounted: (job: StoredJob) => boolean): number {
     const reports = new Map(peers().map(({ report }) => [report.instance, report.openJobs]))
-    reports.set(self, getOpenTokens(registry))
-    const now = clock.wallTime()
-    return ok(countWaitingTokens([...jobs.value]
-      .filter(([, { record }]) => record.route === route && !record.ended && !record.finished)
-      .filter(([, job]) => isCounted(job))
+    return countWaitingTokens([...view.getOpen()]
+      .filter(([, stored]) => stored.record.route === route && isCounted(stored))
       .map(([id, { record }]) => ({
         tokens: record.tokens,
-        ageMs: now - record.submittedAt,
-        isOwnerHeard: reports.has(record.owner),
-        reported: reports.get(record.owner)?.get(hash32(id))
-      }))))
+        open: getOwnOpen(id) ?? reports.get(record.owner)?.get(hash32(id))
+      })))
   }
 
-  /**
-   * Concurrently stored jobs are ordered by the store's revisions, which every instance sees alike: the first ones that
-   * fit stay.
-   */
-  async function confirm (
-    route: string,
-    limit: number,
-    job: string,
-    revision: number
-  ): Promise<Result<boolean, PlatformError>> {
-    const isEarlier = (other: StoredJob): boolean => other.revision <= revision || other.record.epoch > 1
-    const counted = await countTokens(route, isEarlier)
-    if (counted.isErr()) return err(counted.error)
-    if (counted.value <= limit) return ok(true)
-    log.info({ job, route, counted: counted.value, limit }, 'job withdrawn: jobs stored earlier fill the quota')
-    return (await store.withdraw(job, revision)).map(() => false)
+  function getOwnOpen (id: string): number | undefined {
+    return registry.getKnown(id)?.ended === true ? 0 : registry.get(id)?.countOpenTokens()
+  }
+
+  function countReserved (route: string): number {
+    return countWaitingTokens([...reserved].filter((one) => one.route === route && !view.getOpen().has(one.id)))
+  }
+
+  function mayFit ({ id, route, tokens, limit }: QuotaJob): boolean {
+    const others = countTokens(route, () => true) - (view.getOpen().get(id)?.record.tokens ?? 0)
+    return others + countReserved(route) + tokens <= limit
+  }
+
+  async function reserve (job: QuotaJob): Promise<Result<boolean, PlatformError>> {
+    if (job.limit === NO_LIMIT) return ok(true)
+    if (view.getAgeMs() === Infinity || (!mayFit(job) && !mayRefuse(view.getAgeMs()))) {
+      const read = await view.refresh()
+      if (read.isErr()) return read.map(() => false)
+    }
+    const isFitting = mayFit(job)
+    if (isFitting) reserved.add(job)
+    return ok(isFitting)
   }
 
-  async function reserve (route: string, tokens: number, limit: number): Promise<Result<QuotaCheck, PlatformError>> {
-    const instances = peers().length + 1
-    const isSure = limit === NO_LIMIT ||
-      isClearlyUnderLimit({ reported: sumReportedTokens(), tokens, limit, instances })
-    if (isSure) return ok(CONFIRMED)
-    const counted = await countTokens(route, () => true)
-    if (counted.isErr()) return err(counted.error)
-    if (counted.value + tokens > limit) return ok(REFUSED)
-    return ok({ fits: true, confirm: async (job, revision) => await confirm(route, limit, job, revision) })
+  async function confirm ({ id, route, limit }: QuotaJob, revision: number): Promise<Result<boolean, PlatformError>> {
+    if (limit === NO_LIMIT) return ok(true)
+    const read = await view.reach(revision)
+    return read.map(() => {
+      const isEarlier = (other: StoredJob): boolean =>
+        comesBefore({ ...other.record, revision: other.revision }, revision)
+      const counted = view.getOpen().has(id) ? countTokens(route, isEarlier) : Infinity
+      if (counted > limit) log.info({ job: id, route, counted, limit }, 'jobs stored earlier fill the quota')
+      return counted <= limit
+    })
   }
 
-  return { check: reserve }
+  return { reserve, release: (job) => { reserved.delete(job) }, confirm }
 }
--- a/packages/pimentoplank/src/relay/jobs/records.ts
+++ b/packages/pimentoplank/src/relay/jobs/records.ts
@@ -26,7 +26,9 @@
   /** True once the caller has ended the job; no further item may run. */
   ended: z.boolean(),
   /** True once every item has a stored result. */
-  finished: z.boolean()
+  finished: z.boolean(),
+  /** True once another instance than the one that stored the job has accepted it, which then can't withdraw it. */
+  accepted: z.boolean().optional()
 })
 export type JobRecord = z.infer<typeof jobRecord>
 
