Note that a job is finished until its record says so

What callers would see: jobs are refused with 429 though all items of earlier ones are done, for as long as the records of these say that they wait: at instances that don't hear their owner, for good.

Cause, by the failing scenarios: the record of a finished job was updated once, one second after its last result was stored; an update that failed was neither repeated nor logged (its result was dropped). A job that was taken over with all its results stored, since its owner was lost within that second, was never noted as finished at all.

What changed: the update is repeated with the usual pauses until the record says so, the job is another owner's or was ended, or the instance stops; failures are logged. A job that is complete when it is opened is noted like any other.

--- a/packages/pimentoplank/src/relay/jobs/jobManager.feature
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.feature
@@ -73,6 +73,12 @@
     Then the first result of the job is that of the former owner, and 2 items are open
     And the former owner finds the next place taken by epoch 3
 
+  Scenario: A job that is taken over with all its results stored is noted as finished, as soon as the store answers
+    Given a job manager whose store holds a job of 3 items with this instance as its owner
+    When the job is taken over with the results of all items stored, and the store does not answer 5 writes after that
+    And 10 s pass for the job manager
+    Then the record says that the job is finished
+
   Scenario: A takeover goes on until the platform has answered its writes, and takes one place of the results
     Given a job manager whose store holds a job of 3 items with this instance as its owner
     When the job is taken over while the platform does not answer 20 writes of results
--- a/packages/pimentoplank/src/relay/jobs/jobManager.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.steps.ts
@@ -29,6 +29,8 @@
   stopped: string[]
   /** Number of next writes of results that are done without an answer. */
   unansweredWrites: number
+  /** Number of next updates of the record that fail. */
+  failingUpdates: number
 }
 
 const JOB = 'job'
@@ -47,6 +49,7 @@
   this.clock = createManualClock()
   this.segments = []
   this.unansweredWrites = 0
+  this.failingUpdates = 0
   this.stopped = []
   this.items = Array.from({ length: count }, (_, index) => (
     { id: `item-${index}`, path: '/x', headers: [], body: '', tokens: 1 }
@@ -71,6 +74,7 @@
     readItems: () => resolved(this.items),
     readSegment: (_job, index) => resolved(this.segments[index]?.results),
     update: (_job, next, revision) => new ResultAsync(canUpdate.then(() => {
+      if (this.failingUpdates-- > 0) return err(new PlatformUnavailable('no answer'))
       this.stored = { record: next, revision: revision + 1, asOf: this.clock.now() }
       return ok(this.stored)
     })),
@@ -137,6 +141,20 @@
   assert.equal(await this.manager.takeOver(JOB), true)
 })
 
+When('the job is taken over with the results of all items stored, and the store does not answer {int} writes after that', async function (
+  this: ManagerWorld, count: number
+) {
+  this.segments.push({ results: this.items.map(createResult) })
+  this.updateRecord()
+  assert.equal(await this.manager.takeOver(JOB), true)
+  this.failingUpdates = count
+})
+
+Then('the record says that the job is finished', function (this: ManagerWorld) {
+  assert.equal(this.stored.record.finished, true)
+  this.manager.close()
+})
+
 When('the job manager ticks after {int} s', async function (this: ManagerWorld, seconds: number) {
   await this.clock.advance(seconds * 1000)
   this.manager.tick()
--- a/packages/pimentoplank/src/relay/jobs/jobManager.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.ts
@@ -1,7 +1,7 @@
 /** Manages the life cycle of owned jobs: stores results, ends and expires jobs, takes over jobs of failed instances. */
 import { err, ok, type Result } from 'neverthrow'
 import {
-  describeCause, PlatformConflict, rankByRendezvous,
+  describeCause, PlatformConflict, PlatformUnavailable, rankByRendezvous,
   type Clock, type Log, type Metrics, type PlatformError, type Random
 } from '../../shared'
 import type { PeerView } from '../gossip'
@@ -117,7 +117,7 @@
       now: () => clock.now()
     })
     registry.add(job)
-    if (job.isComplete()) finishedAt.set(id, clock.now())
+    if (job.isComplete()) markComplete(job)
     return job
   }
 
@@ -129,11 +129,22 @@
     if (finishedAt.has(job.id)) return
     finishedAt.set(job.id, clock.now())
     if (job.record().finished || job.isEnded()) return
-    clock.sleep(FINISH_UPDATE_DELAY_MS, closing.signal)
-      .then(async () => await changeRecord(job, (record) => ({ ...record, finished: true })))
-      .catch((cause: unknown) => log.error({
-        job: job.id, cause: describeCause(cause)
-      }, 'record of a finished job could not be updated'))
+    recordFinished(job).catch((cause: unknown) => log.error({
+      job: job.id, cause: describeCause(cause)
+    }, 'record of a finished job could not be updated'))
+  }
+
+  /** Notes in the record that a job is finished, until which its tokens count for those that don't hear this one. */
+  async function recordFinished (job: OwnedJob): Promise<void> {
+    await clock.sleep(FINISH_UPDATE_DELAY_MS, closing.signal)
+    for (let failures = 1; !closing.signal.aborted && registry.get(job.id) === job && !job.isEnded(); failures++) {
+      const written = await changeRecord(job, (record) => ({ ...record, finished: true }))
+      if (written.isOk() || !(written.error instanceof PlatformUnavailable)) return
+      log.warn({
+        job: job.id, failures, cause: describeCause(written.error)
+      }, 'record of a finished job could not be updated')
+      await clock.sleep(computeBackoff(failures), closing.signal)
+    }
   }
 
   /** Updates the record of an owned job; retries on conflicts and fails once another instance owns it. */
