--- a/packages/pimentoplank/src/relay/jobs/quota.feature
+++ b/packages/pimentoplank/src/relay/jobs/quota.feature
@@ -12,6 +12,17 @@
       | 400   | 1100 | 10   | some, at times | 0      |
       | 10    | 3000 | 30   | nobody         | 0      |
 
+  Scenario Outline: A job whose record is changed after it was accepted still comes before those stored meanwhile
+    Given 2 instances that hear nobody, and a platform that answers after 100 ms
+    When a job of 1 items is accepted at the second instance, and then one of 90 items at the first
+    And one of 20 items is submitted at the second while the record of that of 90 items is changed to <change>
+    Then the last job is refused as not run, and its record is deleted
+
+    Examples:
+      | change            |
+      | {"epoch":2}       |
+      | {"accepted":true} |
+
   Scenario: Calls that come together share a read of the records
     Given the records of 3 jobs, and a view of them that was read
     When 20 callers want the records as they are now
--- a/packages/pimentoplank/src/relay/jobs/quota.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/quota.steps.ts
@@ -4,7 +4,7 @@
 import { createManualClock, type ManualClock } from '../../../features/support/manualClock'
 import {
   createInMemoryMetrics, createSilentLog, PlatformConflict, PlatformUnavailable,
-  type PeerTransports, type PlatformClient, type PlatformError, type StoredObject
+  type PeerTransports, type PlatformClient, type PlatformError, type RefusalError, type StoredObject
 } from '../../shared'
 import { createSeededRandom } from '../decisions/testing/seededRandom'
 import type { PeerView } from '../gossip'
@@ -39,6 +39,8 @@
   view: RecordView
   readsBefore: number
   answered: Array<Result<void, PlatformError>>
+  instances: Instance[]
+  submission: Result<void, RefusalError>
 }
 
 type Random = () => number
@@ -265,6 +267,48 @@
   }
 })
 
+Given('2 instances that hear nobody, and a platform that answers after {int} ms', function (this: QuotaWorld, ms: number) {
+  this.clock = createManualClock()
+  this.fakePlatform = createFakePlatform(this.clock)
+  this.fakePlatform.getAnswerMs = () => ms
+  this.instances = ['instance-0', 'instance-1'].map((id) =>
+    createInstance(id, this.clock, this.fakePlatform, () => 0.5, () => []))
+})
+
+async function submitJob ({ api }: Instance, id: string, count: number): Promise<Result<void, RefusalError>> {
+  return await api.submit({ id, host: 'h', route: ROUTE, items: createItems(id, count) })
+}
+
+When('a job of {int} items is accepted at the second instance, and then one of {int} items at the first', async function (
+  this: QuotaWorld, small: number, large: number
+) {
+  for (const [number, id, count] of [[1, 'small', small], [0, 'large', large]] as const) {
+    const submitting = submitJob(this.instances[number]!, id, count)
+    for (let step = 0; step < 30; step++) await this.clock.advance(100)
+    assert.ok((await submitting).isOk())
+  }
+})
+
+When('one of {int} items is submitted at the second while the record of that of 90 items is changed to {}', async function (
+  this: QuotaWorld, count: number, change: string
+) {
+  const submitting = submitJob(this.instances[1]!, 'last', count)
+  // The record of the last job is stored after 50 ms, and counted as of 150 ms.
+  await this.clock.advance(30)
+  const { value, revision } = this.fakePlatform.objects.get('jobs/large')!
+  const changed = { ...value as object, ...JSON.parse(change) }
+  const changing = this.fakePlatform.client.put('jobs', 'large', changed, { ifRevision: revision })
+  for (let step = 0; step < 30; step++) await this.clock.advance(100)
+  assert.ok((await changing).isOk())
+  this.submission = await submitting
+})
+
+Then('the last job is refused as not run, and its record is deleted', function (this: QuotaWorld) {
+  assert.equal(this.submission.isErr() && this.submission.error.outcome, 'not_run')
+  assert.equal(this.fakePlatform.objects.has('jobs/last'), false)
+  this.instances.forEach(({ manager }) => manager.close())
+})
+
 Given('the records of {int} jobs, and a view of them that was read', async function (this: QuotaWorld, count: number) {
   this.clock = createManualClock()
   this.fakePlatform = createFakePlatform(this.clock)
