--- a/packages/pimentoplank/src/relay/createJobs.ts
+++ b/packages/pimentoplank/src/relay/createJobs.ts
@@ -5,8 +5,8 @@
 import type { Gossip } from './gossip'
 import {
   createItemRunner, createJobApi, createJobManager, createJobRegistry, createJobStore, createQuota,
-  createRecordFollower, type ItemRunner, type JobApi, type JobManager, type JobRegistry, type JobStore,
-  type RecordFollower
+  createRecordFollower, createRecordView,
+  type ItemRunner, type JobApi, type JobManager, type JobRegistry, type JobStore, type RecordFollower
 } from './jobs'
 import type { CrashTracker } from './live'
 import type { LoadView } from './load'
@@ -111,7 +111,9 @@
     transports,
     peers: gossip.peers,
     recordFollower,
-    quota: createQuota({ self: instance.id, jobRegistry, store, peers: gossip.peers, clock, log }),
+    quota: createQuota({
+      jobRegistry, recordView: createRecordView({ store, clock, metrics }), peers: gossip.peers, log
+    }),
     onAccepted: () => runner.dispatch(),
     isLeaving,
     clock,
--- a/packages/pimentoplank/src/relay/jobs/jobManager.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.ts
@@ -1,7 +1,7 @@
 /** Manages the life cycle of owned jobs: stores results, ends and expires jobs, takes over jobs of failed instances. */
 import { err, ok, type Result } from 'neverthrow'
 import {
-  describeCause, PlatformConflict, rankByRendezvous,
+  describeCause, PlatformConflict, PlatformUnavailable, rankByRendezvous,
   type Clock, type Log, type Metrics, type PlatformError, type Random
 } from '../../shared'
 import type { PeerView } from '../gossip'
@@ -50,6 +50,8 @@
   hasResultsInDoubt: (job: OwnedJob) => boolean
   /** Marks an owned job as ended by its caller. */
   endJob: (job: OwnedJob) => Promise<Result<void, PlatformError>>
+  /** Keeps a job from being taken over here while it is being submitted; returns the function that ends it. */
+  hold: (job: string) => () => void
   /** Takes over a job from another instance, with that instance's progress and results if given. */
   takeOver: (
     job: string,
@@ -58,6 +60,14 @@
   ) => Promise<boolean>
   /** Determines whether a job whose store request got no answer was stored after all; if so, takes it over. */
   resolveSubmission: (job: string) => Promise<void>
+  /**
+   * Deletes the record of a job that this instance has stored, but did not accept, unless another one has accepted it
+   * meanwhile; the job is taken over then.
+   *
+   * @param record - the record as this instance has written it
+   * @param isInDoubt - true if its write got no answer, so that it may be stored later
+   */
+  withdraw: (job: string, record: JobRecord, isInDoubt: boolean) => Promise<void>
   /** Takes over the jobs of a failed instance if this one is its successor. */
   takeOverFrom: (owner: string) => Promise<void>
   /** Takes over the jobs that this instance owned before a restart, and those of instances that failed. */
@@ -81,6 +91,8 @@
   const closing = new AbortController()
   const finishedAt = new Map<string, number>()
   const adopting = new Set<string>()
+  /** Jobs of which it isn't decided whether they are accepted, with the number of calls that decide. */
+  const held = new Map<string, number>()
 
   const storage = createResultStorage({
     ...options, computeBackoff, onStored: (job) => { if (job.isComplete()) markComplete(job) }, signal: closing.signal
@@ -105,7 +117,7 @@
       now: () => clock.now()
     })
     registry.add(job)
-    if (job.isComplete()) finishedAt.set(id, clock.now())
+    if (job.isComplete()) markComplete(job)
     return job
   }
 
@@ -117,11 +129,22 @@
     if (finishedAt.has(job.id)) return
     finishedAt.set(job.id, clock.now())
     if (job.record().finished || job.isEnded()) return
-    clock.sleep(FINISH_UPDATE_DELAY_MS, closing.signal)
-      .then(async () => await changeRecord(job, (record) => ({ ...record, finished: true })))
-      .catch((cause: unknown) => log.error({
-        job: job.id, cause: describeCause(cause)
-      }, 'record of a finished job could not be updated'))
+    recordFinished(job).catch((cause: unknown) => log.error({
+      job: job.id, cause: describeCause(cause)
+    }, 'record of a finished job could not be updated'))
+  }
+
+  /** Notes in the record that a job is finished, until which its tokens count for those that don't hear this one. */
+  async function recordFinished (job: OwnedJob): Promise<void> {
+    await clock.sleep(FINISH_UPDATE_DELAY_MS, closing.signal)
+    for (let failures = 1; !closing.signal.aborted && registry.get(job.id) === job && !job.isEnded(); failures++) {
+      const written = await changeRecord(job, (record) => ({ ...record, finished: true }))
+      if (written.isOk() || !(written.error instanceof PlatformUnavailable)) return
+      log.warn({
+        job: job.id, failures, cause: describeCause(written.error)
+      }, 'record of a finished job could not be updated')
+      await clock.sleep(computeBackoff(failures), closing.signal)
+    }
   }
 
   /** Updates the record of an owned job; retries on conflicts and fails once another instance owns it. */
@@ -155,7 +178,25 @@
     return ok(undefined)
   }
 
+  function hold (id: string): () => void {
+    held.set(id, (held.get(id) ?? 0) + 1)
+    return () => {
+      const left = held.get(id)! - 1
+      if (left > 0) held.set(id, left)
+      else held.delete(id)
+    }
+  }
+
   async function takeOver (
+    id: string,
+    progress?: ReadonlyMap<string, Partial<ItemProgress>>,
+    results?: readonly ItemResult[]
+  ): Promise<boolean> {
+    if (registry.get(id) === undefined && held.has(id)) return false
+    return await takeOverHeld(id, progress, results)
+  }
+
+  async function takeOverHeld (
     id: string,
     progress?: ReadonlyMap<string, Partial<ItemProgress>>,
     results: readonly ItemResult[] = []
@@ -217,6 +258,19 @@
     return ok(open(id, taken.value, items.value, segments.value))
   }
 
+  async function withdraw (id: string, record: JobRecord, until: number): Promise<void> {
+    for (let failures = 0; !closing.signal.aborted && registry.get(id) === undefined; failures++) {
+      if (failures > 0) await clock.sleep(computeBackoff(failures), closing.signal)
+      const found = await store.read(id)
+      if (found.isErr()) continue
+      const stored = found.value
+      if (stored === undefined && clock.now() < until) continue
+      if (stored === undefined || stored.record.ended || !isSameSubmission(stored.record, record)) return
+      const isAccepted = stored.record.accepted === true
+      if (isAccepted ? await takeOverHeld(id) : (await store.withdraw(id, stored.revision)).isOk()) return
+    }
+  }
+
   /** Takes over the unfinished jobs that match, with retries; returns the number of other unfinished jobs. */
   async function adoptAll (isMatch: (record: JobRecord) => boolean): Promise<number> {
     for (let failures = 1; !closing.signal.aborted && !options.isLeaving(); failures++) {
@@ -254,6 +308,7 @@
     scheduleStore: storage.schedule,
     hasResultsInDoubt: storage.isInDoubt,
     endJob: end,
+    hold,
     takeOver,
     resolveSubmission: async (id) => {
       const until = clock.now() + LATE_WRITE_MS
@@ -262,12 +317,24 @@
         if (closing.signal.aborted || options.isLeaving() || registry.get(id) !== undefined) return
         await clock.sleep(computeBackoff(failures), closing.signal)
         const found = await store.read(id)
-        if (found.isErr() || found.value === undefined) continue
+        if (found.isErr()) continue
+        if (found.value === undefined) {
+          isOwn = false
+          continue
+        }
         isOwn = found.value.record.owner === self
         // Another instance may have acknowledged the job by now, so its owner must keep trying.
         if (!isOwn || await takeOver(id)) return
       }
     },
+    withdraw: async (id, record, isInDoubt) => {
+      const release = hold(id)
+      try {
+        await withdraw(id, record, clock.now() + (isInDoubt ? LATE_WRITE_MS : 0))
+      } finally {
+        release()
+      }
+    },
     takeOverFrom: async (owner) => {
       if (!isSuccessorOf(owner)) return
       await adoptAll((record) => record.owner === owner && !isAlive(owner))
@@ -301,3 +368,8 @@
     storage.schedule(job)
   }
 }
+
+/** True if a record was written by one submission and not taken over or created anew since. */
+function isSameSubmission (stored: JobRecord, written: JobRecord): boolean {
+  return stored.owner === written.owner && stored.epoch === written.epoch && stored.submittedAt === written.submittedAt
+}
