Notice in tests when a guard of the record follower or of result storage is taken out

Added for 13, each fails with its guard taken out (one run each, recordFollower, jobManager, jobStore): reads of a takeover that are not repeated; a takeover that goes on after its job ended, has another owner, or its instance stops; a deleted record behind a successor's results; reads that don't begin at the oldest record, and jobs that they don't cover but confirm (each hid the other: the one scenario failed only without both); reads that time out after 1 s; retries without growing pauses (50 reads in 10 s) or without any for reads of results (100 reads); doubt that begins anew with each write; accepted jobs forgotten or not learned; withdrawal without a revision, which both stand-ins of the platform ignored. The check before an item is sent and the end of unanswered runs have scenarios, too, which fail without them. Not noticed still, without a fault that a caller could see: a complete listing that doesn't cover earlier revisions (one listing more), notices of a forgotten job (dropped by the next report), either of the two ends of doubt (the other one does it; without both a scenario fails). The stand-in reader of records keeps to the timeout that it is given; answers that are lost break after 1 s as before. With the real timeout, a store that was silent may hold up a read for 1.8 s after it is back; that is not covered.

--- a/packages/pimentoplank/features/support/memoryPlatform.ts
+++ b/packages/pimentoplank/features/support/memoryPlatform.ts
@@ -109,7 +109,11 @@
       listAll: (kind, options = {}) => call('list', kind, options.prefix ?? '', () =>
         ({ revision, items: structuredClone(list(kind, options.prefix)) })),
       put: (kind, name, value, { ifRevision }) => call('put', kind, name, () => write(kind, name, value, ifRevision)),
-      remove: (kind, name) => call('remove', kind, name, () => {
+      remove: (kind, name, { ifRevision } = {}) => call('remove', kind, name, () => {
+        const current = store.get(`${kind}/${name}`)
+        if (current !== undefined && ifRevision !== undefined && current.revision !== ifRevision) {
+          return new PlatformConflict(current, false)
+        }
         if (store.delete(`${kind}/${name}`)) emit(kind, { type: 'remove', name, revision: ++revision })
       }),
       putStatus: (kind, name) => call('put', kind, name, () => undefined),
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.feature
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.feature
@@ -197,3 +197,21 @@
     And target "a" has failed 0 times
     When the run at "a" breaks off
     Then target "a" has failed 1 time
+
+  Scenario: An item whose job ends while its connection is established may not be sent any more
+    Given an item runner with a job of 1 item and a target "a" with 1 slot
+    When the runner looks for items to start
+    Then the item may still be sent
+    When the job ends for the item runner
+    Then the item may not be sent any more
+
+  Scenario: An item without an answer is given up once the record of its job is out of date, and runs again later
+    Given an item runner with a job of 1 item and a target "a" with 1 slot
+    And targets do not begin to answer
+    When the runner looks for items to start
+    And the record of the job is out of date
+    And the runner looks for items to start
+    Then the run of the item was aborted
+    When the record of the job is read again
+    And the runner looks for items to start
+    Then the item ran 2 times, the last time at "a" before its first event
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
@@ -5,7 +5,7 @@
 import { createInMemoryMetrics, createSilentLog } from '../../shared'
 import { SendFailure, type Exchange, type TargetAnswer } from '../exchange'
 import type { LoadView, TargetLoad } from '../load'
-import type { Route, Target, TargetRequest } from '../model'
+import type { ProcessNeed, Route, Target, TargetRequest } from '../model'
 import { createRouteTable, type RouteTable } from '../routing'
 import { RELAY_RULES } from '../rules'
 import { createItemRunner, createJobRegistry, type ItemRunner } from '.'
@@ -16,6 +16,8 @@
 /** A run that reached a target. */
 interface SentRun extends TargetRequest {
   push: (chunk: Chunk) => void
+  signal: AbortSignal
+  need?: ProcessNeed
 }
 
 interface RunnerWorld {
@@ -31,6 +33,10 @@
   sent: SentRun[]
   isCutOff?: boolean
   losePath: () => void
+  /** True while targets don't begin to answer. */
+  isUnanswered?: boolean
+  /** True while the record of the job is out of date. */
+  isOutOfDate?: boolean
   /** Number of crashes recorded. */
   crashes?: number
 }
@@ -122,7 +128,9 @@
 
 /** Answers each request with events that the scenario sends. */
 function createFakeExchange (world: RunnerWorld): Exchange {
-  async function send (outgoing: TargetRequest, signal: AbortSignal): Promise<Result<TargetAnswer, SendFailure>> {
+  async function send (
+    outgoing: TargetRequest, signal: AbortSignal, need?: ProcessNeed
+  ): Promise<Result<TargetAnswer, SendFailure>> {
     const chunks: Chunk[] = []
     let wake = (): void => undefined
     const push = (chunk: Chunk): void => {
@@ -130,7 +138,11 @@
       wake()
     }
     signal.addEventListener('abort', () => push(err(new SendFailure('broken', true, 'aborted'))))
-    world.sent.push({ ...outgoing, push })
+    world.sent.push({ ...outgoing, push, signal, need })
+    if (world.isUnanswered === true) {
+      await new Promise((resolve) => signal.addEventListener('abort', resolve))
+      return err(new SendFailure('aborted', true, 'aborted'))
+    }
     return ok({
       head: { status: 200, headers: [], isNotRun: false, isOtherTarget: false, isSigned: true, isLeaving: false },
       getEnding: () => ({ framing: 'chunks' as const, bytes: 0, connection: 'open' as const }),
@@ -188,8 +200,8 @@
     peers: () => [],
     failureDomain: 'a',
     rules: RELAY_RULES.items,
-    mayStart: (job) => !job.isEnded(),
-    mayAwaitAnswers: () => true,
+    mayStart: (job) => !job.isEnded() && this.isOutOfDate !== true,
+    mayAwaitAnswers: () => this.isOutOfDate !== true,
     isPaused: () => false,
     onFinished: () => undefined,
     clock,
@@ -342,3 +354,31 @@
   assert.equal(this.sent.at(-1)!.target.id, id)
   assert.equal(this.sent.at(-1)!.lastEventId, undefined)
 })
+
+Then('the item may still be sent', function (this: RunnerWorld) {
+  assert.equal(this.sent.at(-1)!.need!.mayStillSend!(), true)
+})
+
+When('the job ends for the item runner', function (this: RunnerWorld) {
+  this.job.markEnded()
+})
+
+Then('the item may not be sent any more', function (this: RunnerWorld) {
+  assert.equal(this.sent.at(-1)!.need!.mayStillSend!(), false)
+})
+
+Given('targets do not begin to answer', function (this: RunnerWorld) {
+  this.isUnanswered = true
+})
+
+When('the record of the job is out of date', function (this: RunnerWorld) {
+  this.isOutOfDate = true
+})
+
+When('the record of the job is read again', function (this: RunnerWorld) {
+  this.isOutOfDate = false
+})
+
+Then('the run of the item was aborted', function (this: RunnerWorld) {
+  assert.equal(this.sent.at(-1)!.signal.aborted, true)
+})
--- a/packages/pimentoplank/src/relay/jobs/jobManager.feature
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.feature
@@ -79,3 +79,42 @@
     Then 3 items of the job are open
     And the former owner finds the next place taken by epoch 2
     And the store has 1 segment
+
+  Scenario: A takeover goes on until the platform has answered its reads of results
+    Given a job manager whose store holds a job of 3 items with this instance as its owner
+    When the job is taken over while the platform does not answer 20 reads of results
+    Then 3 items of the job are open
+    And the former owner finds the next place taken by epoch 2
+
+  Scenario Outline: A takeover whose writes get no answers is given up once <what>
+    Given a job manager whose store holds a job of 3 items with this instance as its owner
+    When the takeover of the job gets no answers to its writes of results
+    And <what>
+    And 30 s pass for the job manager
+    Then the job was not taken over
+
+    Examples:
+      | what                                           |
+      | a peer tells that the job was ended at epoch 2 |
+      | a peer tells that it owns the job at epoch 3   |
+      | the instance of the job manager stops          |
+
+  Scenario: An owner that meets results of a successor and no record ends its job
+    Given a job manager whose store holds a job of 3 items with this instance as its owner
+    When the caller's repeat of the job is accepted
+    And an instance that is not heard takes the job over and stores the result of its first item
+    And the record of the job is deleted
+    And the second item of the job is finished
+    And 10 s pass for the job manager
+    Then the job has ended, and its runs were stopped
+
+  Scenario: Results are in doubt from a write without an answer until one is answered
+    Given a job manager whose store holds a job of 3 items with this instance as its owner
+    When the caller's repeat of the job is accepted
+    And the platform does not answer writes of results
+    And the second item of the job is finished
+    And 3 s pass for the job manager
+    Then the results of the job are in doubt at any time of the next 10 s
+    When the platform answers writes of results, and the first item of the job is finished before the next one
+    And the store has got the second item's result
+    Then the results of the job are not in doubt 400 ms later
--- a/packages/pimentoplank/src/relay/jobs/jobManager.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.steps.ts
@@ -29,6 +29,9 @@
   stopped: string[]
   /** Number of next writes of results that are done without an answer. */
   unansweredWrites: number
+  unansweredReads: number
+  isLeaving: boolean
+  isDeleted: boolean
 }
 
 const JOB = 'job'
@@ -43,10 +46,17 @@
   return new ResultAsync(Promise.resolve(ok(value)))
 }
 
+function unanswered (): ResultAsync<never, PlatformUnavailable> {
+  return new ResultAsync(Promise.resolve(err(new PlatformUnavailable('no answer'))))
+}
+
 Given('a job manager whose store holds a job of {int} items with this instance as its owner', function (this: ManagerWorld, count: number) {
   this.clock = createManualClock()
   this.segments = []
   this.unansweredWrites = 0
+  this.unansweredReads = 0
+  this.isLeaving = false
+  this.isDeleted = false
   this.stopped = []
   this.items = Array.from({ length: count }, (_, index) => (
     { id: `item-${index}`, path: '/x', headers: [], body: '', tokens: 1 }
@@ -66,10 +76,13 @@
   this.stored = { record, revision: 1, asOf: this.clock.now() }
   const canUpdate = new Promise<void>((resolve) => { this.updateRecord = resolve })
   const store: Partial<JobStore> = {
-    read: () => resolved(this.stored),
+    read: () => resolved(this.isDeleted ? undefined : this.stored),
     list: () => resolved(new Map([[JOB, this.stored]])),
     readItems: () => resolved(this.items),
-    readSegment: (_job, index) => resolved(this.segments[index]?.results),
+    readSegment: (_job, index) => {
+      if (this.unansweredReads-- > 0) return unanswered()
+      return resolved(this.segments[index]?.results)
+    },
     update: (_job, next, revision) => new ResultAsync(canUpdate.then(() => {
       this.stored = { record: next, revision: revision + 1, asOf: this.clock.now() }
       return ok(this.stored)
@@ -77,7 +90,7 @@
     writeSegment: (_job, index, segment) => {
       this.beforeWrite?.()
       this.segments[index] ??= segment
-      if (this.unansweredWrites-- > 0) return new ResultAsync(Promise.resolve(err(new PlatformUnavailable('no answer'))))
+      if (this.unansweredWrites-- > 0) return unanswered()
       return resolved(this.segments[index])
     }
   }
@@ -90,7 +103,7 @@
     store: store as JobStore,
     table: () => this.table,
     peers: () => [],
-    isLeaving: () => false,
+    isLeaving: () => this.isLeaving,
     onItemsReady: () => undefined,
     onStop: ({ id }) => this.stopped.push(id),
     rules: { ...RELAY_RULES.jobs, keepMs: 60_000 },
@@ -310,3 +323,75 @@
 Then('the store has {int} segment(s)', function (this: ManagerWorld, count: number) {
   assert.equal(this.segments.length, count)
 })
+
+When('the job is taken over while the platform does not answer {int} reads of results', async function (
+  this: ManagerWorld, count: number
+) {
+  this.unansweredReads = count
+  this.updateRecord()
+  const taken = this.manager.takeOver(JOB)
+  for (let second = 0; second < count; second++) await this.clock.advance(1000)
+  assert.equal(await taken, true)
+})
+
+When('the takeover of the job gets no answers to its writes of results', async function (this: ManagerWorld) {
+  this.unansweredWrites = Infinity
+  this.updateRecord()
+  this.takeover = this.manager.takeOver(JOB)
+  for (let second = 0; second < 5; second++) {
+    await this.clock.advance(1000)
+    await settle()
+  }
+})
+
+When('the instance of the job manager stops', function (this: ManagerWorld) {
+  this.isLeaving = true
+})
+
+Then('the job was not taken over', async function (this: ManagerWorld) {
+  const open = new Promise<string>((resolve) => setImmediate(resolve, 'open'))
+  assert.equal(await Promise.race([this.takeover, open]), false)
+  assert.equal(this.jobRegistry.get(JOB), undefined)
+  this.manager.close()
+})
+
+When('the record of the job is deleted', function (this: ManagerWorld) {
+  this.isDeleted = true
+})
+
+When('the platform does not answer writes of results', function (this: ManagerWorld) {
+  this.unansweredWrites = Infinity
+})
+
+Then('the results of the job are in doubt at any time of the next {int} s', async function (this: ManagerWorld, seconds: number) {
+  const job = this.jobRegistry.get(JOB)!
+  for (let step = 0; step < seconds * 10; step++) {
+    await this.clock.advance(100)
+    await settle()
+    assert.equal(this.manager.hasResultsInDoubt(job), true, `not in doubt after ${step * 100} ms`)
+  }
+})
+
+When('the platform answers writes of results, and the first item of the job is finished before the next one', function (
+  this: ManagerWorld
+) {
+  this.unansweredWrites = 0
+  this.beforeWrite = () => {
+    this.beforeWrite = undefined
+    finishItem(this, this.items[0]!)
+  }
+})
+
+When('the store has got the second item\'s result', async function (this: ManagerWorld) {
+  while (this.jobRegistry.get(JOB)!.storedResults().length === 0) {
+    await this.clock.advance(100)
+    await settle()
+  }
+})
+
+Then('the results of the job are not in doubt {int} ms later', async function (this: ManagerWorld, ms: number) {
+  await this.clock.advance(ms)
+  await settle()
+  assert.equal(this.manager.hasResultsInDoubt(this.jobRegistry.get(JOB)!), false)
+  this.manager.close()
+})
--- a/packages/pimentoplank/src/relay/jobs/recordFollower.feature
+++ b/packages/pimentoplank/src/relay/jobs/recordFollower.feature
@@ -54,6 +54,35 @@
     And 2000 ms pass for the owner
     Then items of 1 job may start
 
+  Scenario: A job that is opened with an older record than those read so far runs once that was read, too
+    Given an owner of 2 jobs whose items may start up to 1800 ms after the record was current
+    When the first job is not opened yet, and another one is stored after it
+    And 3000 ms pass for the owner
+    And the first job is opened with its record of the beginning
+    Then items of 1 job may start
+    When 1200 ms pass for the owner
+    Then items of 2 jobs may start
+
+  Scenario: A read that began before a job was opened does not tell that the job's older record is current
+    Given an owner of 2 jobs whose items may start up to 1800 ms after the record was current
+    And the platform answers after 400 ms
+    When the first job is not opened yet, and its record is ended by an instance that the owner does not hear
+    And 3000 ms pass for the owner
+    And the first job is opened with its record of the beginning while a read is under way
+    Then no item of the first job may start within 3000 ms
+
+  Scenario: Items start in a part of the time where the platform takes 1200 ms to answer
+    Given an owner of 2 jobs whose items may start up to 1800 ms after the record was current
+    When the platform answers after 1200 ms
+    And 5000 ms pass for the owner
+    Then items of the first job may start at some time within 3000 ms
+
+  Scenario: A platform that refuses reads is asked ever more rarely, also for reads of results
+    Given an owner of 2 jobs whose items may start up to 1800 ms after the record was current
+    When the platform refuses reads
+    And 10000 ms pass for the owner, whose results are read all the time
+    Then the platform got 8 to 16 reads
+
   Scenario: A state that only the records tell is no accepted job, and a deleted one is forgotten
     Given an owner of 1 jobs whose items may start up to 1800 ms after the record was current
     When another instance writes the record of a job
@@ -63,6 +92,16 @@
     And 1200 ms pass for the owner
     Then the owner does not know that job
 
+  Scenario: A job counts as accepted once a peer tells of it, whatever the records tell before and after that
+    Given an owner of 1 jobs whose items may start up to 1800 ms after the record was current
+    When another instance writes the record of a job
+    And 1200 ms pass for the owner
+    And a peer tells the owner of that job
+    Then the owner knows that the job was accepted
+    When the record of that job names a third instance
+    And 1200 ms pass for the owner
+    Then the owner knows that the job was accepted
+
   Scenario Outline: No item starts later than the longest age after an end was written, whatever the platform's answers take
     Then with answers that take <least> to <most> ms and are lost in <lost> of 100 cases, no owner of 200 random runs starts an item later than 1800 ms after the end
 
--- a/packages/pimentoplank/src/relay/jobs/recordFollower.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/recordFollower.steps.ts
@@ -19,6 +19,8 @@
   revision: number
   hasHistory: boolean
   reads: number
+  /** True while every read fails at once. */
+  isRefusing: boolean
   /** Time until the next answer, in milliseconds; undefined for an answer that does not come. */
   getAnswerMs: () => number | undefined
 }
@@ -39,7 +41,8 @@
 const SELF = 'instance-1'
 const TICK_MS = 100
 const TURNS = 5
-const TIMEOUT_MS = 1000
+/** Time after which the connection of a read without an answer breaks. */
+const LOST_MS = 1000
 const LONGEST_AGE_MS = 1800
 /** Time within which a random run ends its job, in milliseconds, and time for which it is watched after that. */
 const END_WITHIN_MS = 6000
@@ -56,16 +59,23 @@
 function createOwner (count: number, maxAgeMs: number): Owner {
   const clock = createManualClock()
   const store: FakeStore = {
-    records: new Map(), changedAt: new Map(), revision: 1, hasHistory: true, reads: 0, getAnswerMs: () => 1
+    records: new Map(),
+    changedAt: new Map(),
+    revision: 1,
+    hasHistory: true,
+    reads: 0,
+    isRefusing: false,
+    getAnswerMs: () => 1
   }
 
-  async function readChanges (since: number): Promise<RecordChanges | PlatformError> {
+  async function readChanges (since: number, timeoutMs: number): Promise<RecordChanges | PlatformError> {
     store.reads += 1
+    if (store.isRefusing) return new PlatformUnavailable('refused')
     const asOf = clock.now()
     const answerMs = store.getAnswerMs()
     // The answer reflects the store at a time between question and answer.
     const atMs = (answerMs ?? 0) / 2
-    await clock.sleep(atMs)
+    await clock.sleep(Math.min(atMs, timeoutMs))
     const isComplete = !store.hasHistory
     const changed = [...store.changedAt].filter(([, revision]) => isComplete || revision > since).map(([id]) => id)
     const found = changed.map((id): [string, StoredJob | undefined] => {
@@ -73,8 +83,8 @@
       return [id, stored === undefined ? undefined : { ...stored, asOf }]
     })
     const { revision } = store
-    await clock.sleep(answerMs === undefined ? TIMEOUT_MS : answerMs - atMs)
-    if (answerMs === undefined || answerMs > TIMEOUT_MS) return new PlatformUnavailable('no answer')
+    await clock.sleep(answerMs === undefined ? LOST_MS : Math.min(answerMs, timeoutMs) - Math.min(atMs, timeoutMs))
+    if (answerMs === undefined || answerMs > timeoutMs) return new PlatformUnavailable('no answer')
     const records = new Map(found.filter(([, stored]) => !isComplete || stored !== undefined))
     return { revision, asOf, isComplete, records }
   }
@@ -112,8 +122,8 @@
     self: SELF,
     jobRegistry,
     store: {
-      readChanges: (since) => new ResultAsync(
-        readChanges(since).then((read) => read instanceof Error ? err(read) : ok(read))
+      readChanges: (since, timeoutMs) => new ResultAsync(
+        readChanges(since, timeoutMs).then((read) => read instanceof Error ? err(read) : ok(read))
       )
     },
     rules: { maxAgeMs, maxUnansweredAgeMs: 2700, maxReadAgeMs: 800 },
@@ -251,3 +261,51 @@
 Then('the owner does not know that job', function (this: FollowerWorld) {
   assert.equal(this.owner.jobRegistry.getKnown('other'), undefined)
 })
+
+When('the first job is not opened yet, and another one is stored after it', function (this: FollowerWorld) {
+  const { jobRegistry, store, jobs, clock } = this.owner
+  jobRegistry.remove(jobs[0]!.id)
+  change(store, 'job-1', {})
+  jobs[1]!.setStored({ ...store.records.get('job-1')!, asOf: clock.now() })
+})
+
+When('the first job is opened with its record of the beginning while a read is under way', async function (
+  this: FollowerWorld
+) {
+  const { store, jobRegistry, jobs } = this.owner
+  const { reads } = store
+  while (store.reads === reads) await pass(this.owner, TICK_MS)
+  jobRegistry.add(jobs[0]!)
+})
+
+Then('no item of the first job may start within {int} ms', async function (this: FollowerWorld, ms: number) {
+  const { follower, jobs } = this.owner
+  await pass(this.owner, ms, () => assert.equal(follower.mayStart(jobs[0]!), false))
+})
+
+Then('items of the first job may start at some time within {int} ms', async function (this: FollowerWorld, ms: number) {
+  const { follower, jobs } = this.owner
+  let starts = 0
+  await pass(this.owner, ms, () => { if (follower.mayStart(jobs[0]!)) starts += 1 })
+  assert.ok(starts > 0, 'no item could start')
+})
+
+When('the platform refuses reads', function (this: FollowerWorld) {
+  this.owner.store.isRefusing = true
+})
+
+When('{int} ms pass for the owner, whose results are read all the time', async function (this: FollowerWorld, ms: number) {
+  await pass(this.owner, ms, () => { this.owner.follower.refresh().catch(assert.fail) })
+})
+
+When('a peer tells the owner of that job', function (this: FollowerWorld) {
+  this.owner.jobRegistry.update('other', { owner: 'instance-2', epoch: 1, ended: false }, 'peer')
+})
+
+When('the record of that job names a third instance', function (this: FollowerWorld) {
+  change(this.owner.store, 'other', { owner: 'instance-3', epoch: 2 })
+})
+
+Then('the owner knows that the job was accepted', function (this: FollowerWorld) {
+  assert.equal(this.owner.jobRegistry.isAccepted('other'), true)
+})
