Repeat ends of jobs that could not be stored, and those that found no job yet

What callers would see: an end that is answered 503, since the store refuses, or 404, since the submission is still on its way to the store, is not known to anybody; its caller leaves, and the job's items run on, more than 3 s after the end counts as acknowledged (4 s without an acknowledgement). Cause: an end that failed was only answered as failed. Change: the instance goes on with the end in the background, as it does with submissions whose write got no answer: until it is stored, and for 8 s while there is no such job. At most 1000 jobs at a time; it ends with the instance.

--- a/packages/pimentoplank/src/relay/jobs/jobApi.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobApi.ts
@@ -149,7 +149,19 @@
     }, 'check whether the job was stored failed'))
   }
 
+  /** Whoever asks for an end may leave before it is acknowledged, and the job must not run on for that. */
   async function end (id: string): Promise<Result<void, RefusalError>> {
+    const ended = await tryEnd(id)
+    if (ended.isErr()) {
+      log.info({ job: id, reason: ended.error.reason }, 'end of a job is repeated: it is not stored')
+      manager.resolveEnd(id, async () => await tryEnd(id)).catch((cause: unknown) => log.error({
+        job: id, cause: describeCause(cause)
+      }, 'end of a job could not be repeated'))
+    }
+    return ended
+  }
+
+  async function tryEnd (id: string): Promise<Result<void, RefusalError>> {
     const own = registry.get(id)
     if (own !== undefined) {
       const ended = await manager.endJob(own)
--- a/packages/pimentoplank/src/relay/jobs/jobManager.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.ts
@@ -2,7 +2,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import {
   describeCause, PlatformConflict, rankByRendezvous,
-  type Clock, type Log, type Metrics, type PlatformError, type Random
+  type Clock, type Log, type Metrics, type PlatformError, type Random, type RefusalError
 } from '../../shared'
 import type { PeerView } from '../gossip'
 import type { RouteTable } from '../routing'
@@ -58,6 +58,12 @@
   ) => Promise<boolean>
   /** Determines whether a job whose store request got no answer was stored after all; if so, takes it over. */
   resolveSubmission: (job: string) => Promise<void>
+  /**
+   * Repeats an end that was not acknowledged until it is stored, or its job can't be stored any more by a late write.
+   *
+   * @param end - one attempt
+   */
+  resolveEnd: (job: string, end: () => Promise<Result<void, RefusalError>>) => Promise<void>
   /** Takes over the jobs of a failed instance if this one is its successor. */
   takeOverFrom: (owner: string) => Promise<void>
   /** Takes over the jobs that this instance owned before a restart, and those of instances that failed. */
@@ -72,6 +78,8 @@
 const FIRST_BACKOFF_MS = 50
 /** Time within which a write whose answer was lost may still take effect, in milliseconds. */
 const LATE_WRITE_MS = 8000
+/** Maximum number of jobs whose ends are repeated at the same time. */
+const MAX_ENDING_JOBS = 1000
 /** Delay before the record of a finished job is updated, in milliseconds. */
 const FINISH_UPDATE_DELAY_MS = 1000
 
@@ -81,6 +89,8 @@
   const closing = new AbortController()
   const finishedAt = new Map<string, number>()
   const adopting = new Set<string>()
+  /** Jobs whose ends are being repeated. */
+  const ending = new Set<string>()
 
   const storage = createResultStorage({
     ...options, computeBackoff, onStored: (job) => { if (job.isComplete()) markComplete(job) }, signal: closing.signal
@@ -268,6 +278,26 @@
         if (!isOwn || await takeOver(id)) return
       }
     },
+    resolveEnd: async (id, tryEnd) => {
+      if (ending.has(id)) return
+      if (ending.size >= MAX_ENDING_JOBS) {
+        log.warn({ job: id, limit: MAX_ENDING_JOBS }, 'end of a job is not repeated: too many are')
+        return
+      }
+      ending.add(id)
+      const until = clock.now() + LATE_WRITE_MS
+      try {
+        for (let failures = 1; ; failures++) {
+          await clock.sleep(computeBackoff(failures), closing.signal)
+          if (closing.signal.aborted || options.isLeaving()) return
+          const ended = await tryEnd()
+          if (ended.isOk()) return
+          if (ended.error.reason === 'notFound' && clock.now() > until) return
+        }
+      } finally {
+        ending.delete(id)
+      }
+    },
     takeOverFrom: async (owner) => {
       if (!isSuccessorOf(owner)) return
       await adoptAll((record) => record.owner === owner && !isAlive(owner))
