Read the state of batch jobs again after the machine of a runner was suspended

What callers would see: a runner's machine is suspended for seconds, its jobs are cancelled meanwhile and become final, and it starts items of them after it wakes, for up to 4.5 s: its monotonic clock stood still, so that its last read seems young. Change: a jump of the wall clock against the monotonic clock by 0.5 s or more discards all reads before it. Measured (jobStates.feature, one run each): before, 'running' without another read 10 s after the last one; now 'ended' after a second read. What a machine has handed to its kernel before it is suspended is not covered.

--- a/packages/pimentoplank/src/batch/jobStates.ts
+++ b/packages/pimentoplank/src/batch/jobStates.ts
@@ -11,6 +11,9 @@
 /** Shortest time between the starts of two reads of a job, in milliseconds. */
 const MIN_READ_INTERVAL_MS = SECOND_MS
 
+/** Difference between wall clock and monotonic clock that shows that the machine was suspended, in milliseconds. */
+const SUSPENDED_MS = SECOND_MS / 2
+
 /** `unknown`: the platform gave no answer, or one that is too old. */
 export type KnownState = 'running' | 'ended' | 'unknown'
 
@@ -53,6 +56,23 @@
 /** Creates the job states of a runner. */
 export function createJobStates ({ platform, feed, clock, log, maxAgeMs }: JobStatesOptions): JobStates {
   const states = new Map<string, Known>()
+  /** Reads that were sent before this time don't count. */
+  let trustedFrom = -Infinity
+  let clockOffset = getClockOffset()
+
+  function getClockOffset (): number {
+    return clock.wallTime() - clock.now()
+  }
+
+  /** The monotonic clock stops while the machine is suspended, so that earlier reads are older than it tells. */
+  function checkClock (): void {
+    const offset = getClockOffset()
+    if (Math.abs(offset - clockOffset) < SUSPENDED_MS) return
+    log.warn({ jumpMs: Math.round(offset - clockOffset) }, 'clocks differ: jobs are read again')
+    clockOffset = offset
+    trustedFrom = clock.now()
+    for (const known of states.values()) known.runningAt = -Infinity
+  }
 
   function getKnown (name: string): Known {
     const known = states.get(name) ?? { runningAt: -Infinity, readAt: -Infinity, isHeldBack: false }
@@ -70,6 +90,8 @@
     if (found !== undefined) feed.offer(found)
     const job = jobRecord.safeParse(found?.value).data
     const isRunning = job !== undefined && job.uploadId === ref.uploadId && job.state === 'running'
+    checkClock()
+    if (isRunning && sentAt < trustedFrom) return 'unknown'
     known.runningAt = isRunning ? Math.max(known.runningAt, sentAt) : -Infinity
     return isRunning ? 'running' : 'ended'
   }
@@ -82,6 +104,7 @@
   }
 
   async function confirm (ref: JobRef): Promise<KnownState> {
+    checkClock()
     const known = getKnown(ref.name)
     const ageMs = clock.now() - known.runningAt
     if (ageMs < maxAgeMs) {
