--- a/packages/pimentoplank/src/batch/jobStates.steps.ts
+++ b/packages/pimentoplank/src/batch/jobStates.steps.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
-import { okAsync } from 'neverthrow'
+import { okAsync, ResultAsync } from 'neverthrow'
 import { createManualClock, type ManualClock } from '../../features/support/manualClock'
 import { createSilentLog, type ObjectFeed, type PlatformClient } from '../shared'
 import { createJobStates, type JobRef, type JobStates } from './jobStates'
@@ -10,6 +10,9 @@
   jobStates: JobStates
   state: string
   reads: number
+  /** Store revision that reads show. */
+  revision: number
+  answerMs: number
 }
 
 const JOB: JobRef = { name: 'job', uploadId: 'upload', since: 1 }
@@ -18,6 +21,8 @@
   this.clock = createManualClock()
   this.state = 'running'
   this.reads = 0
+  this.revision = JOB.since
+  this.answerMs = 0
   const platform: Partial<PlatformClient> = {
     list: () => {
       this.reads += 1
@@ -32,7 +37,10 @@
         state: this.state,
         createdAt: 0
       }
-      return okAsync({ revision: 1, items: [{ kind: 'jobs', name: JOB.name, revision: 1, writeId: 'w', value }] })
+      const { revision } = this
+      const page = { revision, items: [{ kind: 'jobs', name: JOB.name, revision, writeId: 'w', value }] }
+      if (this.answerMs === 0) return okAsync(page)
+      return ResultAsync.fromSafePromise(this.clock.sleep(this.answerMs).then(() => page))
     }
   }
   const feed = { offer: () => undefined } as unknown as ObjectFeed
@@ -42,7 +50,7 @@
   assert.equal(await this.jobStates.read(JOB), 'running')
 })
 
-When('{int} s passes for the runner', async function (this: StatesWorld, seconds: number) {
+When('{int} s pass(es) for the runner', async function (this: StatesWorld, seconds: number) {
   await this.clock.advance(seconds * 1000)
 })
 
@@ -54,5 +62,15 @@
 })
 
 Then('the runner takes the job as {word}, after {int} read(s)', async function (this: StatesWorld, state: string, reads: number) {
-  assert.deepEqual([await this.jobStates.confirm(JOB), this.reads], [state, reads])
+  const confirmed = this.jobStates.confirm(JOB)
+  await this.clock.advance(this.answerMs)
+  assert.deepEqual([await confirmed, this.reads], [state, reads])
+})
+
+When('the platform shows the job at an earlier revision', function (this: StatesWorld) {
+  this.revision = JOB.since - 1
+})
+
+When('the platform takes {int} s to answer', function (this: StatesWorld, seconds: number) {
+  this.answerMs = seconds * 1000
 })
