Tell targets the time that is left, and ask whether a request may be sent, once there is a connection

What callers would see: a request that waits for its connection (up to three peers of 400 ms each and a direct try of 250 ms, or a process that is asked for its start for a second) reaches its target with a deadline that is over by as much; a target is then told more time than is left. An item that was withdrawn meanwhile, since its job has ended, was sent all the same.

Cause: the headers were encoded, and the reason to send was asked for, when the request was handed to the HTTP client, which opened the connection afterwards.

Now the connection is opened first; a request that comes on it gets what is left of its time. A connection that carried nothing is closed when its request is withdrawn.

--- a/packages/pimentoplank/src/relay/exchange/connectionPool.ts
+++ b/packages/pimentoplank/src/relay/exchange/connectionPool.ts
@@ -1,10 +1,12 @@
 /** Pool of connections to targets, each of which carries one request at a time. */
+import { once } from 'node:events'
 import { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
+import type { Result } from 'neverthrow'
 import { Client, type Dispatcher } from 'undici'
 import { hash32, markDispatch, type Clock, type Metrics, type SendMark } from '../../shared'
 import type { PathChoice, TargetPaths } from '../paths'
-import type { TargetConnector } from './targetConnector'
+import type { OpenedConnection, OpenRequest, TargetConnector } from './targetConnector'
 
 export interface ConnectionSettings {
   /** A connection that is idle for this long is closed, in milliseconds. */
@@ -16,6 +18,8 @@
   client: Client
   /** Dispatches a request; sets the mark right before the first byte is written to the socket. */
   dispatch: (options: Dispatcher.DispatchOptions & { mark: SendMark }, handler: Dispatcher.DispatchHandler) => void
+  /** Resolves once the connection is established, can't be, or is closed. */
+  opened: Promise<void>
   /** Set once the connection is established. */
   socket?: Duplex
   /** Peer through which it goes; undefined for a direct connection, and until it is established. */
@@ -91,17 +95,22 @@
       bodyTimeout: NO_LIMIT,
       keepAliveTimeout: settings.idleTimeoutMs,
       keepAliveMaxTimeout: settings.idleTimeoutMs,
-      connect: (_options, done) => connect({ address, choice, signal: closed.signal }, (opened) => {
-        if (opened.isErr()) return done(opened.error, null)
-        connection.socket = opened.value.socket
-        connection.via = opened.value.via
-        done(null, opened.value.socket as Socket)
-      })
+      connect: (_options, done) => {
+        opening.then((opened) => {
+          if (opened.isOk()) done(null, opened.value.socket as Socket)
+          else done(opened.error, null)
+        }).catch((cause: Error) => done(cause, null))
+      }
+    })
+    const opening = openSocket({ address, choice, signal: closed.signal }, (opened) => {
+      connection.socket = opened.socket
+      connection.via = opened.via
     })
     const dispatch = markDispatch(client.dispatch.bind(client))
     const connection: TargetConnection = {
       client,
       dispatch: (request, handler) => { dispatch(request, handler) },
+      opened: Promise.race([opening, once(closed.signal, 'abort')]).then(() => undefined),
       isReused: false,
       idleMs: 0,
       carried: new Set()
@@ -112,6 +121,17 @@
     return connection
   }
 
+  /** Opens a socket; one that nobody waits for any more is closed at once. */
+  async function openSocket (
+    request: OpenRequest, onOpened: (opened: OpenedConnection) => void
+  ): Promise<Result<OpenedConnection, Error>> {
+    return await new Promise((resolve) => connect(request, (opened) => {
+      if (opened.isOk() && request.signal.aborted) opened.value.socket.destroy()
+      else if (opened.isOk()) onOpened(opened.value)
+      resolve(opened)
+    }))
+  }
+
   function acquireConnection (address: string, requestId: string): TargetConnection {
     const list = pruneIdle(address)
     const direct = paths.isDirectUsable(address) ? takeLast(list, undefined, requestId) : undefined
@@ -165,6 +185,8 @@
     connections.get(connection)?.abort()
     if (!connections.delete(connection)) return
     connection.client.destroy().catch(() => undefined)
+    // The client has it only once a request was dispatched.
+    connection.socket?.destroy()
   }
 
   /** A connection that is merely closed would still deliver its request once it no longer hangs. */
--- a/packages/pimentoplank/src/relay/exchange/exchange.ts
+++ b/packages/pimentoplank/src/relay/exchange/exchange.ts
@@ -109,20 +109,12 @@
   ): Promise<Result<TargetAnswer, SendFailure>> {
     const { request, target } = outgoing
     if (signal.aborted) return err(new SendFailure('aborted', false, 'request aborted before it was sent'))
+    const startedAt = clock.now()
     const opened = need === undefined
       ? ok(connections.acquire(target.address, request.id))
       : await connect(outgoing, need, signal)
     if (opened.isErr()) return err(opened.error)
     const connection = opened.value
-    if (signal.aborted) {
-      connections.destroy(connection)
-      return err(new SendFailure('aborted', false, 'request aborted before it was sent'))
-    }
-    if (need?.mayStillSend?.() === false) {
-      if (connections.isUsable(connection)) connections.release(target.address, connection)
-      else connections.destroy(connection)
-      return err(new SendFailure('withdrawn', false, 'request withdrawn before it was sent'))
-    }
     const mark: SendMark = { sent: false }
     const receiver = createResponseReceiver()
     const abort = (): void => {
@@ -131,10 +123,25 @@
     }
     signal.addEventListener('abort', abort)
     const removeAbortListener = (): void => signal.removeEventListener('abort', abort)
+    // What holds for a request may have changed by the time that there is a connection.
+    await connection.opened
+    if (signal.aborted) {
+      removeAbortListener()
+      connections.destroy(connection)
+      return err(new SendFailure('aborted', false, 'request aborted before it was sent'))
+    }
+    if (need?.mayStillSend?.() === false) {
+      removeAbortListener()
+      const hasCarried = connection.isReused || connection.processStartedAt !== undefined
+      if (hasCarried && connections.isUsable(connection)) connections.release(target.address, connection)
+      else connections.destroy(connection)
+      return err(new SendFailure('withdrawn', false, 'request withdrawn before it was sent'))
+    }
+    const sending = { ...outgoing, deadlineMs: getLeftMs(outgoing, startedAt) }
     const options = {
       method: request.method as Dispatcher.HttpMethod,
       path: request.path,
-      headers: protocol.encodeHeaders(outgoing),
+      headers: protocol.encodeHeaders(sending),
       body: request.body.length > 0 ? request.body : null,
       mark
     }
@@ -156,7 +163,7 @@
           idleMs: Math.round(connection.idleMs),
           detail: describeCause(received.error)
         }, 'kept connection ended before the request was sent')
-        return await send(outgoing, signal, need)
+        return await send(sending, signal, need)
       }
       const reason = classifyFailure(connection, mark, received.error, clock.now() - sentAt)
       if (reason === 'staleConnection') connections.reportStale(connection)
@@ -175,6 +182,10 @@
     return err(failure)
   }
 
+  function getLeftMs ({ deadlineMs }: TargetRequest, since: number): number | undefined {
+    return deadlineMs === undefined ? undefined : Math.max(1, Math.round(deadlineMs - (clock.now() - since)))
+  }
+
   /** Returns a connection to the process that the request needs. */
   async function connect (
     { target, request }: TargetRequest, need: ProcessNeed, signal: AbortSignal
--- a/packages/pimentoplank/src/relay/exchange/tunnels.feature
+++ b/packages/pimentoplank/src/relay/exchange/tunnels.feature
@@ -85,3 +85,16 @@
       | kept  | the connection to the peer is closed |
       | kept  | the target resets its connections    |
       | kept  | the target closes its connections    |
+
+  Scenario: A target is told the time that is left once there is a connection, however long that took
+    Given an exchange with a target and a peer that reaches it, where paths first go through a peer that is gone
+    And the peer that is gone does not answer
+    When a request with 1500 ms left is sent
+    Then the target was told of the time that was left when the request reached it
+
+  Scenario: A request that is withdrawn while its connection is opened is not sent
+    Given an exchange with a target and a peer that reaches it, where paths first go through a peer that is gone
+    And the peer that is gone does not answer
+    When a request is sent and withdrawn 100 ms later
+    Then the request fails as withdrawn
+    And the request has not run
--- a/packages/pimentoplank/src/relay/exchange/tunnels.steps.ts
+++ b/packages/pimentoplank/src/relay/exchange/tunnels.steps.ts
@@ -25,6 +25,8 @@
   peer: PeerServer
   peerMetrics: Metrics
   link: TcpLink
+  /** Link to a peer that never answers. */
+  gone?: TcpLink
   tunnels: PeerTunnels
   connections: TargetConnectionPool
   exchange: Exchange
@@ -46,6 +48,11 @@
   tried: Map<string, Result<string, SendFailure>>
   /** Ids of the requests that have reached the target. */
   reached: string[]
+  /** Deadline of a request, and when it reached the target, on the monotonic clock. */
+  endAt: number
+  toldAt: number
+  /** Time that the target was told to have, in milliseconds. */
+  toldMs: number
 }
 
 const SECURITY = { sharedKey: 'shared-key-of-the-peers' }
@@ -61,7 +68,7 @@
 const REFUSING_ADDRESS = '127.0.0.1:1'
 
 const PROTOCOL: TargetProtocol = {
-  encodeHeaders: ({ request }) => request.headers,
+  encodeHeaders: ({ request, deadlineMs }) => [...request.headers, 'Deadline', String(deadlineMs)],
   decodeHead: (status, headers) => ({
     status, headers, isNotRun: false, isOtherTarget: false, isSigned: true, isLeaving: false
   }),
@@ -165,7 +172,7 @@
   ),
   'first go through a peer that is gone': (world) => () => world.observed.includes('gone peerFailed')
     ? toPeer(world)()
-    : { type: 'peer', instance: 'gone', peerAddress: REFUSING_ADDRESS }
+    : { type: 'peer', instance: 'gone', peerAddress: world.gone?.address ?? REFUSING_ADDRESS }
 }
 
 function toPeer (world: ExchangeWorld): () => PathChoice {
@@ -302,6 +309,38 @@
   assert.ok(results.some((one) => one.isErr()) && reached.length > 0, `${reached.length} of ${results.length} reached the target`)
 })
 
+Given('the peer that is gone does not answer', async function (this: ExchangeWorld) {
+  this.gone = await openTcpLink(this.peer.address)
+  this.gone.freeze()
+})
+
+When('a request with {int} ms left is sent', async function (this: ExchangeWorld, leftMs: number) {
+  this.answer = (socket) => {
+    this.toldAt = performance.now()
+    answerWhole(socket)
+  }
+  this.target.on('connection', (socket: Socket) => {
+    socket.on('data', (bytes: Buffer) => { this.toldMs = Number(/Deadline: (\d+)/.exec(bytes.toString())?.[1]) })
+  })
+  this.endAt = performance.now() + leftMs
+  const sent = await this.exchange.send({ ...createRequest(this), deadlineMs: leftMs }, new AbortController().signal)
+  sent._unsafeUnwrap().close()
+})
+
+Then('the target was told of the time that was left when the request reached it', function (this: ExchangeWorld) {
+  const leftMs = this.endAt - this.toldAt
+  assert.ok(Math.abs(this.toldMs - leftMs) <= DELAY_MS, `${this.toldMs} ms of ${Math.round(leftMs)} ms`)
+})
+
+When('a request is sent and withdrawn {int} ms later', async function (this: ExchangeWorld, ms: number) {
+  const withdrawAt = performance.now() + ms
+  const sent = await this.exchange.send(createRequest(this), new AbortController().signal, {
+    mustBeListed: false, mayStillSend: () => performance.now() < withdrawAt
+  })
+  this.failure = sent.isErr() ? sent.error : undefined
+  assert.ok(performance.now() >= withdrawAt)
+})
+
 When(/^paths are direct$/, function (this: ExchangeWorld) {
   this.choose = CHOICES['are direct']!(this)
 })
@@ -410,6 +449,7 @@
   this.connections.close()
   this.tunnels!.close()
   this.link!.close()
+  this.gone?.close()
   await this.peer!.close()
   for (const socket of this.sockets!) socket.destroy()
   this.target!.close()
