--- a/packages/pimentoplank/src/relay/exchange/tunnels.steps.ts
+++ b/packages/pimentoplank/src/relay/exchange/tunnels.steps.ts
@@ -290,8 +290,9 @@
     if (answer.isOk()) answer.value.close()
     this.link.close()
     this.link = await openTcpLink(this.peer.address)
+    // The pool has seen by then that the tunnel of this request is gone.
+    await sleep(DELAY_MS)
   }
-  await sleep(DELAY_MS)
 })
 
 Then('no request has reached the target twice', function (this: ExchangeWorld) {
