Bound the time for which records that can't be read hold a submission up

What callers would see: a job on a route with a limit that is answered only after 6 s, past the time for which they wait, when the store takes writes but does not answer reads. Change: one call begins no further read after 1.5 s. Measured on the manual clock: 6133 ms before, the new scenario asks for at most 3600 ms and passes; jobs/quota.feature 12 of 12.

--- a/packages/pimentoplank/src/relay/jobs/quota.feature
+++ b/packages/pimentoplank/src/relay/jobs/quota.feature
@@ -28,6 +28,11 @@
     When 20 callers want the records as they are now
     Then all of them have the same records, with 1 read more
 
+  Scenario: Records that can't be read hold a caller up for a bounded time
+    Given the records of 3 jobs, and a view of them that was read
+    When the platform does not answer any more, and a caller wants the records up to a later change
+    Then the call fails within 3600 ms
+
   Scenario: Answers that overtake each other leave the latest records
     Given the records of 3 jobs, and a view of them that was read
     When a read whose answer takes 900 ms has begun, and a job is ended before another one that takes 10 ms
--- a/packages/pimentoplank/src/relay/jobs/quota.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/quota.steps.ts
@@ -41,6 +41,7 @@
   answered: Array<Result<void, PlatformError>>
   instances: Instance[]
   submission: Result<void, RefusalError>
+  reaching: Promise<Result<void, PlatformError>>
 }
 
 type Random = () => number
@@ -83,15 +84,16 @@
 
   async function call<Value> (
     isWrite: boolean,
+    timeoutMs: number,
     run: () => Result<Value, PlatformError>
   ): Promise<Result<Value, PlatformError>> {
     const answerMs = fake.getAnswerMs()
-    const isLost = fake.isLost() || answerMs > CALL_TIMEOUT_MS
+    const isLost = fake.isLost() || answerMs > timeoutMs
     const effectMs = answerMs / 2
     // A call that is given up may take effect later.
     const done = clock.sleep(effectMs).then(run)
     if (isLost) {
-      await clock.sleep(CALL_TIMEOUT_MS)
+      await clock.sleep(timeoutMs)
       return err(new PlatformUnavailable('no answer', { maybeApplied: isWrite }))
     }
     const result = await done
@@ -108,17 +110,17 @@
 
   const client: Partial<PlatformClient> = {
     isAvailable: () => true,
-    get: (kind, name) => new ResultAsync(call(false, () => ok(objects.get(`${kind}/${name}`) ?? null))),
-    listAll: (kind) => new ResultAsync(call(false, () => {
+    get: (kind, name) => new ResultAsync(call(false, CALL_TIMEOUT_MS, () => ok(objects.get(`${kind}/${name}`) ?? null))),
+    listAll: (kind) => new ResultAsync(call(false, CALL_TIMEOUT_MS, () => {
       fake.reads += 1
       return ok({ revision, items: [...objects.values()].filter((object) => object.kind === kind) })
     })),
-    put: (kind, name, value, { ifRevision }) => new ResultAsync(call(true, () => {
+    put: (kind, name, value, { ifRevision }) => new ResultAsync(call(true, CALL_TIMEOUT_MS, () => {
       const current = objects.get(`${kind}/${name}`)
       if ((current?.revision ?? 0) !== ifRevision) return err(new PlatformConflict(current ?? null, false))
       return ok(store(kind, name, value))
     })),
-    remove: (kind, name, { ifRevision } = {}) => new ResultAsync(call(true, () => {
+    remove: (kind, name, { ifRevision } = {}) => new ResultAsync(call(true, CALL_TIMEOUT_MS, () => {
       const current = objects.get(`${kind}/${name}`)
       if (current === undefined) return ok(undefined)
       if (ifRevision !== undefined && current.revision !== ifRevision) return err(new PlatformConflict(current, false))
@@ -126,7 +128,7 @@
       changes.push({ kind, name, revision: ++revision })
       return ok(undefined)
     })),
-    watch: (kind, { since }) => new ResultAsync(call(false, () => {
+    watch: (kind, { since, waitMs, marginMs = 0 }) => new ResultAsync(call(false, waitMs + marginMs, () => {
       fake.reads += 1
       if (!fake.hasHistory) return ok({ revision: 0, events: [], compacted: true })
       const events = changes.filter((change) => change.kind === kind && change.revision > since)
@@ -347,6 +349,23 @@
   assert.equal(this.fakePlatform.reads - this.readsBefore, reads)
 })
 
+When('the platform does not answer any more, and a caller wants the records up to a later change', function (this: QuotaWorld) {
+  this.fakePlatform.isLost = () => true
+  this.reaching = this.view.reach(1000)
+})
+
+Then('the call fails within {int} ms', async function (this: QuotaWorld, ms: number) {
+  const startedAt = this.clock.now()
+  let endedAt: number | undefined
+  const failed = this.reaching.then((reached) => {
+    endedAt = this.clock.now()
+    assert.ok(reached.isErr())
+  })
+  for (let step = 0; step < 100; step++) await this.clock.advance(100)
+  await failed
+  assert.ok(endedAt !== undefined && endedAt - startedAt <= ms, `after ${endedAt} ms`)
+})
+
 async function changeJob (world: QuotaWorld, change: 'end' | 'delete'): Promise<void> {
   const { value, revision } = world.fakePlatform.objects.get('jobs/job0')!
   const changing = change === 'delete'
--- a/packages/pimentoplank/src/relay/jobs/recordView.ts
+++ b/packages/pimentoplank/src/relay/jobs/recordView.ts
@@ -28,6 +28,8 @@
 const OVERLAP_AFTER_MS = 150
 /** Number of reads for one call, as an answer may be lost or may hold only the first changes. */
 const MAX_READS = 3
+/** Time after which one call begins no further read, in milliseconds. */
+const LAST_READ_AFTER_MS = 1500
 
 /** Creates the view of an instance. It makes no calls by itself. */
 export function createRecordView ({ store, clock, metrics }: RecordViewOptions): RecordView {
@@ -75,7 +77,8 @@
 
   async function reach (revision: number): Promise<Result<void, PlatformError>> {
     let failure: PlatformError | undefined
-    for (let reads = 0; reads < MAX_READS; reads++) {
+    const until = clock.now() + LAST_READ_AFTER_MS
+    for (let reads = 0; reads < MAX_READS && clock.now() <= until; reads++) {
       if ((known ?? -Infinity) >= revision) return ok(undefined)
       if (failure !== undefined) metrics.countRetry('platformUnavailable')
       const done = await refresh()
