Say that a job will not run only once its record is gone

What callers would see (REFUSED): a job that was answered 429 or 503 runs, where the instance is killed after its answer and before it has deleted the record, which it did in the background: a successor finds the record and runs the job.

Cause: with the quota by stored records a job is stored first, and one that doesn't fit was refused at once. By reading of the merge, then shown by a scenario in which the store refuses deletions: jobs that were answered 429 still had records.

Change: the answer waits for the deletion, which is tried by the revision that is known, for a second at most; after that it promises nothing (504), and the deletion goes on in the background.

Before: the scenario fails.

--- a/packages/pimentoplank/src/relay/jobs/jobApi.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobApi.ts
@@ -65,6 +65,8 @@
 const QUOTA_RETRY_MS = 2000
 /** Retry-after of a job that is stored, but of which it isn't known whether it stays, in milliseconds. */
 const UNDECIDED_RETRY_MS = 1000
+/** Time for which the answer to a job that was stored and doesn't stay waits until it is gone, in milliseconds. */
+const WITHDRAW_WAIT_MS = 1000
 
 /** Creates the job operations of an instance. */
 export function createJobApi (options: JobApiOptions): JobApi {
@@ -112,8 +114,9 @@
     const created = await store.create(id, record, items)
     if (created.isErr()) {
       if (limit === 0) return err(toStoreRefusal(id, created.error))
-      withdraw(id, record, created.error)
-      return err(toRefusal(id, created.error))
+      const isInDoubt = mayBeApplied(created.error)
+      const isGone = await withdraw(id, record, { isInDoubt })
+      return err(toRefusal(id, created.error, isInDoubt || !isGone))
     }
     return await acceptStored(job, counted, created.value)
   }
@@ -128,12 +131,14 @@
     const { tokens, limit } = counted
     const accepted = await accept(counted, created)
     if (accepted.isErr()) {
-      if (created.created) withdraw(id, created.record)
-      return err(toRefusal(id, accepted.error))
+      const isGone = !created.created || await withdraw(id, created.record, created)
+      return err(toRefusal(id, accepted.error, mayBeApplied(accepted.error) || !isGone))
     }
     if (accepted.value === undefined && created.created) {
-      withdraw(id, created.record)
-      log.info({ job: id, tokens, limit }, 'job withdrawn: waiting tokens exceed the limit')
+      const isGone = await withdraw(id, created.record, created)
+      log.info({ job: id, tokens, limit, isGone }, 'job withdrawn: waiting tokens exceed the limit')
+      // If this instance were lost now, a successor would run a job whose record is still there.
+      if (!isGone) return err(new RefusalError('platformDown', { outcome: 'unknown' }))
       return err(new RefusalError('accountLimit', { retryAfterMs: QUOTA_RETRY_MS }))
     }
     if (accepted.value === undefined) {
@@ -178,21 +183,31 @@
 
   function toStoreRefusal (id: string, cause: PlatformError): RefusalError {
     if (mayBeApplied(cause)) settle(id)
-    return toRefusal(id, cause)
+    return toRefusal(id, cause, mayBeApplied(cause))
   }
 
-  function toRefusal (id: string, cause: PlatformError): RefusalError {
-    const mayExist = mayBeApplied(cause)
+  function toRefusal (id: string, cause: PlatformError, mayExist: boolean): RefusalError {
     log.warn({ job: id, mayExist, cause: cause.message }, 'job could not be stored')
     const retryAfterMs = PLATFORM_RETRY_MS
     return new RefusalError('platformDown', { outcome: mayExist ? 'unknown' : 'not_run', retryAfterMs, cause })
   }
 
-  /** Withdraws a job in the background that this instance has stored, but did not accept. */
-  function withdraw (id: string, record: JobRecord, cause?: PlatformError): void {
-    manager.withdraw(id, record, cause !== undefined && mayBeApplied(cause)).catch((failure: unknown) => log.error({
-      job: id, cause: describeCause(failure)
-    }, 'job that was not accepted could not be withdrawn'))
+  /**
+   * Withdraws a job that this instance has stored, but did not accept; goes on in the background after a time.
+   *
+   * @returns true if the job is certainly gone
+   */
+  async function withdraw (
+    id: string, record: JobRecord, { revision, isInDoubt = false }: { revision?: number, isInDoubt?: boolean }
+  ): Promise<boolean> {
+    const withdrawn = manager.withdraw(id, record, { revision, isInDoubt }).catch((failure: unknown) => {
+      log.error({ job: id, cause: describeCause(failure) }, 'job that was not accepted could not be withdrawn')
+      return false
+    })
+    if (isInDoubt) return false
+    const waited = new AbortController()
+    const late = clock.sleep(WITHDRAW_WAIT_MS, waited.signal).then(() => false)
+    return await Promise.race([withdrawn, late]).finally(() => waited.abort())
   }
 
   /** Checks in the background whether a job is stored under this instance without being known here. */
--- a/packages/pimentoplank/src/relay/jobs/jobManager.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.ts
@@ -65,9 +65,11 @@
    * meanwhile; the job is taken over then.
    *
    * @param record - the record as this instance has written it
-   * @param isInDoubt - true if its write got no answer, so that it may be stored later
+   * @param options.revision - its revision, where that is known
+   * @param options.isInDoubt - true if its write got no answer, so that it may be stored later
+   * @returns true once the job is certainly gone; false if it is accepted or another's, or this instance stops
    */
-  withdraw: (job: string, record: JobRecord, isInDoubt: boolean) => Promise<void>
+  withdraw: (job: string, record: JobRecord, options: { revision?: number, isInDoubt: boolean }) => Promise<boolean>
   /**
    * Repeats an end that was not acknowledged until it is stored, or its job can't be stored any more by a late write.
    *
@@ -268,17 +270,23 @@
     return ok(open(id, taken.value, items.value, segments.value))
   }
 
-  async function withdraw (id: string, record: JobRecord, until: number): Promise<void> {
+  async function withdraw (
+    id: string, record: JobRecord, { revision, until }: { revision: number | undefined, until: number }
+  ): Promise<boolean> {
+    if (revision !== undefined && (await store.withdraw(id, revision)).isOk()) return true
     for (let failures = 0; !closing.signal.aborted && registry.get(id) === undefined; failures++) {
       if (failures > 0) await clock.sleep(computeBackoff(failures), closing.signal)
       const found = await store.read(id)
       if (found.isErr()) continue
       const stored = found.value
       if (stored === undefined && clock.now() < until) continue
-      if (stored === undefined || stored.record.ended || !isSameSubmission(stored.record, record)) return
-      const isAccepted = stored.record.accepted === true
-      if (isAccepted ? await takeOverHeld(id) : (await store.withdraw(id, stored.revision)).isOk()) return
+      if (stored === undefined) return true
+      if (stored.record.ended || !isSameSubmission(stored.record, record)) return false
+      if (stored.record.accepted !== true) {
+        if ((await store.withdraw(id, stored.revision)).isOk()) return true
+      } else if (await takeOverHeld(id)) return false
     }
+    return false
   }
 
   /** Takes over the unfinished jobs that match, with retries; returns the number of other unfinished jobs. */
@@ -337,10 +345,10 @@
         if (!isOwn || await takeOver(id)) return
       }
     },
-    withdraw: async (id, record, isInDoubt) => {
+    withdraw: async (id, record, { revision, isInDoubt }) => {
       const release = hold(id)
       try {
-        await withdraw(id, record, clock.now() + (isInDoubt ? LATE_WRITE_MS : 0))
+        return await withdraw(id, record, { revision, until: clock.now() + (isInDoubt ? LATE_WRITE_MS : 0) })
       } finally {
         release()
       }
