--- a/packages/pimentoplank/src/relay/load/suspicions.steps.ts
+++ b/packages/pimentoplank/src/relay/load/suspicions.steps.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
+import { createEmptyReport } from '../../../features/support/emptyReport'
 import { createManualClock, type ManualClock } from '../../../features/support/manualClock'
 import { createInMemoryMetrics, createSilentLog, hash32 } from '../../shared'
 import type { Report } from '../gossip'
@@ -33,34 +34,6 @@
   'fails a request': { reason: 'serverError', kind: 'target' }
 }
 
-function createReport (instance: string): Report {
-  return {
-    instance,
-    incarnation: 1,
-    sequence: 1,
-    stage: 'serving',
-    callerAddress: '',
-    peerAddress: `${instance}:81`,
-    failureDomain: 'a',
-    region: 'r',
-    uses: new Map(),
-    waiting: [],
-    knownPeers: [],
-    jobs: [],
-    suspects: new Set(),
-    unreached: new Set(),
-    isCutOff: false,
-    limits: [],
-    streams: [],
-    leaving: [],
-    configRevision: 1,
-    openJobs: new Map(),
-    crashes: [],
-    crashingParts: [],
-    answeredParts: []
-  }
-}
-
 function update (world: SuspicionsWorld, peer: string, change: Partial<Report>): void {
   const before = world.reports.get(peer)!
   const report = { ...before, ...change }
@@ -77,7 +50,9 @@
   const log = createSilentLog()
   const lostListeners: Array<(since: number) => void> = []
   this.suspicionsClock = clock
-  this.reports = new Map([first, second].map((peer) => [peer, createReport(peer)]))
+  this.reports = new Map([first, second].map((peer) => [
+    peer, createEmptyReport({ instance: peer, failureDomain: 'a', peerAddress: `${peer}:81` })
+  ]))
   this.peerUses = createPeerUses([], clock)
   for (const report of this.reports.values()) this.peerUses.replaceReport(undefined, report)
   this.observed = createTargetPaths({
--- a/packages/pimentoplank/src/relay/paths/targetPaths.steps.ts
+++ b/packages/pimentoplank/src/relay/paths/targetPaths.steps.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict'
 import { After, Given, Then, When } from '@cucumber/cucumber'
+import { createEmptyReport } from '../../../features/support/emptyReport'
 import { createManualClock, type ManualClock } from '../../../features/support/manualClock'
 import { createInMemoryMetrics, createSilentLog, hash32, type Log } from '../../shared'
 import type { PeerView, Report } from '../gossip'
@@ -22,29 +23,6 @@
   messages: string[]
 }
 
-const EMPTY_REPORT: Omit<Report, 'instance' | 'failureDomain' | 'peerAddress'> = {
-  incarnation: 1,
-  sequence: 1,
-  stage: 'serving',
-  callerAddress: '',
-  region: 'r',
-  uses: new Map(),
-  waiting: [],
-  knownPeers: [],
-  jobs: [],
-  suspects: new Set(),
-  unreached: new Set(),
-  isCutOff: false,
-  limits: [],
-  streams: [],
-  leaving: [],
-  configRevision: 1,
-  openJobs: new Map(),
-  crashes: [],
-  crashingParts: [],
-  answeredParts: []
-}
-
 function listIds (first: string, last: string): string[] {
   const start = Number(first.slice(1))
   return Array.from({ length: Number(last.slice(1)) - start + 1 }, (_, index) => `t${start + index}`)
@@ -101,7 +79,7 @@
 })
 
 Given('a peer {string} of failure domain {string}', function (this: PathsWorld, instance: string, failureDomain: string) {
-  const report = { ...EMPTY_REPORT, instance, failureDomain, peerAddress: `${instance}:81` }
+  const report = createEmptyReport({ instance, failureDomain, peerAddress: `${instance}:81` })
   this.views.set(instance, { report, lastReceivedAt: 0 })
   this.peerUses.replaceReport(undefined, report)
 })
