--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -1,5 +1,5 @@
 /** Two front machines of one zone are lost for good, one shortly after the other; then jobs of the first are read. */
-import { makeJob, sleep, submit } from '../lib/fleet.mjs'
+import { CannotRun, makeJob, sleep, submit } from '../lib/fleet.mjs'
 import { isTroubled, runCase } from '../lib/main.mjs'
 import { findLost, followJob } from '../lib/reader.mjs'
 
@@ -26,6 +26,7 @@
     job.isAccepted = status === 202
   }
   const accepted = jobs.filter(({ isAccepted }) => isAccepted)
+  if (accepted.length < JOBS) throw new CannotRun('not all jobs were accepted')
   await sleep(BEFORE_LOSS_MS)
   if (isTroubled) {
     fleet.kill(zone[0])
--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -1,6 +1,6 @@
 /** The store turns the machine that works on a long job away for some seconds, while items of it finish. */
 import { countEvents, wholeText } from '../lib/replicas.mjs'
-import { makeJob, sleep, submit } from '../lib/fleet.mjs'
+import { CannotRun, makeJob, sleep, submit } from '../lib/fleet.mjs'
 import { isTroubled, runCase } from '../lib/main.mjs'
 import { findLost, followJob } from '../lib/reader.mjs'
 
@@ -30,7 +30,7 @@
   const job = makeJob('b663d13fc3791254', ITEMS, OUTPUT_TOKENS)
   const { status } = await submit(fronts[0], job)
   note(`${job.id} submitted at ${fronts[0].name}: ${status}`)
-  if (status !== 202) return []
+  if (status !== 202) throw new CannotRun('the job was not accepted')
   const submittedAt = Date.now()
   const following = followJob(fleet, job, () => fronts, submittedAt + LAST_MS)
   await sleep(BEFORE_MS)
--- a/review/lib/main.mjs
+++ b/review/lib/main.mjs
@@ -36,19 +36,28 @@
     console.error(cause instanceof CannotRun ? `the case could not run: ${cause.message}` : cause)
     fleet?.note(`the case could not run: ${cause.message}`)
     code = 2
-  } finally {
-    clearTimeout(limit)
-    const runs = fleet?.getReplicas()?.runs ?? []
-    const origin = runs[0]?.startedAt ?? 0
-    await fleet?.close()
-    const ran = runs.map((run) => describeRun(run, origin))
-    writeFileSync(record, [...fleet?.lines ?? [], 'runs at the replicas, seconds from the first one', ...ran, ''].join('\n'))
-    const { LOGS } = process.env
-    if (LOGS !== undefined && fleet !== undefined) writeFileSync(LOGS, fleet.logs.map(({ line }) => line).join('\n'))
+  }
+  clearTimeout(limit)
+  try {
+    await finish(fleet, record)
+  } catch (cause) {
+    console.error(`the record could not be written: ${cause.message}`)
+    code = 2
   }
   process.exit(code)
 }
 
+/** Ends all processes and writes the record. */
+async function finish (fleet, record) {
+  const runs = fleet?.getReplicas()?.runs ?? []
+  const origin = runs[0]?.startedAt ?? 0
+  await fleet?.close()
+  const ran = runs.map((run) => describeRun(run, origin))
+  writeFileSync(record, [...fleet?.lines ?? [], 'runs at the replicas, seconds from the first one', ...ran, ''].join('\n'))
+  const { LOGS } = process.env
+  if (LOGS !== undefined && fleet !== undefined) writeFileSync(LOGS, fleet.logs.map(({ line }) => line).join('\n'))
+}
+
 function describeRun ({ id, replica, from, sent, outcome, startedAt, endedAt = startedAt }, origin) {
   const [begin, end] = [startedAt, endedAt].map((at) => ((at - origin) / 1000).toFixed(3))
   return `run ${id} at ${replica} from event ${from}: ${sent} events, ${outcome}, ${begin} s to ${end} s`
