Take over jobs whose owner and its successor are lost together

Cause: each survivor decides once, as the loss of a peer is noticed, whether it is the successor, among the peers that it still hears. All left the jobs to one that was dead and not noticed yet; nothing looked at them later. Change: each instance compares the stored records with what it knows, every 5 s and soon after a loss, at a bounded rate for the fleet. It takes over open jobs of absent owners whose successor it is now, and jobs stored under it that it does not know. Owners that are not heard, but store something, keep their jobs for 10 s after that, so that instances that don't hear each other don't take jobs from each other in turn.

--- a/packages/pimentoplank/src/relay/createJobs.ts
+++ b/packages/pimentoplank/src/relay/createJobs.ts
@@ -4,9 +4,10 @@
 import type { Exchange } from './exchange'
 import type { Gossip } from './gossip'
 import {
-  createItemRunner, createJobApi, createJobManager, createJobRegistry, createJobStore, createQuota,
+  createItemRunner, createJobApi, createJobManager, createJobReconciler, createJobRegistry, createJobStore, createQuota,
   createRecordFollower, createRecordView,
-  type ItemRunner, type JobApi, type JobManager, type JobRegistry, type JobStore, type RecordFollower
+  type ItemRunner, type JobApi, type JobManager, type JobReconciler, type JobRegistry, type JobStore,
+  type RecordFollower
 } from './jobs'
 import type { CrashTracker } from './live'
 import type { LoadView } from './load'
@@ -42,6 +43,7 @@
   recordFollower: RecordFollower
   runner: ItemRunner
   jobManager: JobManager
+  jobReconciler: JobReconciler
   jobs: JobApi
 }
 
@@ -55,6 +57,7 @@
     self: instance.id, noticeMs: JOB_NOTICE_MS, onNotice: () => gossip.reportNow(), clock, log
   })
   const store = createJobStore(platform, clock)
+  const recordView = createRecordView({ store, clock, metrics })
   const recordFollower = createRecordFollower({
     self: instance.id,
     jobRegistry,
@@ -103,6 +106,18 @@
     metrics,
     log
   })
+  const jobReconciler = createJobReconciler({
+    self: instance.id,
+    jobRegistry,
+    jobManager,
+    recordView,
+    peers: gossip.peers,
+    isLeaving,
+    clock,
+    random,
+    metrics,
+    log
+  })
   const jobs = createJobApi({
     self: instance.id,
     jobRegistry,
@@ -111,9 +126,7 @@
     transports,
     peers: gossip.peers,
     recordFollower,
-    quota: createQuota({
-      jobRegistry, recordView: createRecordView({ store, clock, metrics }), peers: gossip.peers, log
-    }),
+    quota: createQuota({ jobRegistry, recordView, peers: gossip.peers, log }),
     onAccepted: () => runner.dispatch(),
     isLeaving,
     clock,
@@ -122,5 +135,5 @@
     log
   })
 
-  return { jobRegistry, store, recordFollower, runner, jobManager, jobs }
+  return { jobRegistry, store, recordFollower, runner, jobManager, jobReconciler, jobs }
 }
--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -20,6 +20,7 @@
 import { createOwnReports } from './ownReports'
 import type { Relay, RelayDeps } from './relay'
 import type { RouteTable } from './routing'
+import { RELAY_RULES } from './rules'
 import type { RelaySettings } from './settings'
 import { createServiceVersions, createStreamService, createStreamVersions } from './streams'
 import { createStartState } from './startState'
@@ -126,7 +127,7 @@
     clock,
     log
   })
-  const { jobRegistry, store, recordFollower, runner, jobManager, jobs } = createJobs({
+  const { jobRegistry, store, recordFollower, runner, jobManager, jobReconciler, jobs } = createJobs({
     instance,
     bounds: settings.bounds,
     platform,
@@ -228,6 +229,7 @@
     scheduleDispatch()
   })
   gossip.onPeerLost(({ report }) => {
+    jobReconciler.recordLoss()
     jobManager.takeOverFrom(report.instance).catch((cause: unknown) => log.error({ cause: describeCause(cause) }, 'jobs of a lost peer could not be taken over'))
   })
   gossip.start()
@@ -245,7 +247,10 @@
     startState.recordTargets()
     gossip.reportNow()
   }).catch((cause: unknown) => log.error({ cause: describeCause(cause) }, 'feed could not start'))
-  feed.ready().then(async () => await jobManager.recover()).catch((cause: unknown) => {
+  feed.ready().then(async () => {
+    jobReconciler.start(RELAY_RULES.jobs.settleMs)
+    await jobManager.recover()
+  }).catch((cause: unknown) => {
     log.error({ cause: describeCause(cause) }, 'jobs could not be recovered from the store')
   })
 
@@ -278,6 +283,7 @@
     recordFollower.tick()
     dispatchAll()
     jobManager.tick()
+    jobReconciler.tick()
   }
 
   function applySettings (next: RelaySettings): string[] {
--- a/packages/pimentoplank/src/relay/decisions/index.ts
+++ b/packages/pimentoplank/src/relay/decisions/index.ts
@@ -18,6 +18,7 @@
 export {
   computeRefreshAgeMs, mayAwaitAnswers, mayDenyResults, mayStartItems, type RecordAgeRules
 } from './recordAge'
+export { computeReadAfterLossMs, computeRecordReadMs, computeTakeOverAt, type Absence } from './takeOver'
 export { computeSuspicion, type FailureRecord, type Suspicion, type SuspicionRules } from './suspicion'
 export {
   findOnlyVersion, findPlacedVersion, FORGET_VERSION_MS, listResumeCandidates,
--- a/packages/pimentoplank/src/relay/jobs/jobManager.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.ts
@@ -1,7 +1,7 @@
 /** Manages the life cycle of owned jobs: stores results, ends and expires jobs, takes over jobs of failed instances. */
 import { err, ok, type Result } from 'neverthrow'
 import {
-  describeCause, PlatformConflict, PlatformUnavailable, rankByRendezvous,
+  describeCause, PlatformConflict, PlatformUnavailable,
   type Clock, type Log, type Metrics, type PlatformError, type Random, type RefusalError
 } from '../../shared'
 import type { PeerView } from '../gossip'
@@ -12,6 +12,7 @@
 import { createOwnedJob, type ItemProgress, type OwnedJob } from './ownedJob'
 import type { ItemResult, JobItem, JobRecord } from './records'
 import { createResultStorage, type ResultStorageRules } from './resultStorage'
+import { createSuccession } from './succession'
 
 export interface JobManagerRules extends ResultStorageRules {
   /** Upper bound of the backoff while the platform does not answer, in milliseconds. */
@@ -105,6 +106,7 @@
   const held = new Map<string, number>()
   /** Jobs whose ends are being repeated. */
   const ending = new Set<string>()
+  const { isAlive, isSuccessorOf } = createSuccession(options)
 
   const storage = createResultStorage({
     ...options, computeBackoff, onStored: (job) => { if (job.isComplete()) markComplete(job) }, signal: closing.signal
@@ -308,19 +310,6 @@
     return 0
   }
 
-  function isAlive (instance: string): boolean {
-    return instance === self ||
-      options.peers().some(({ report }) => report.instance === instance && report.stage !== 'leaving')
-  }
-
-  /** Exactly one live instance, chosen by rendezvous hashing, takes over the jobs of a failed one. */
-  function isSuccessorOf (owner: string): boolean {
-    const alive = options.peers()
-      .filter(({ report }) => report.stage === 'serving')
-      .map(({ report }) => report.instance)
-    return rankByRendezvous(owner, [self, ...alive], (id) => id)[0] === self
-  }
-
   return {
     openJob: (id, stored, items) => open(id, stored, items),
     scheduleStore: storage.schedule,
