Read the stored results of a job that is submitted again at its owner

Cause: a submission that found its job stored under this instance opened it without what is stored of it. A takeover that came meanwhile found it open and dropped the results that it had read. A takeover that meets an open job adds what that one lacks.

--- a/packages/pimentoplank/src/relay/jobs/jobApi.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobApi.ts
@@ -146,9 +146,12 @@
       return err(new RefusalError('queueFull', { retryAfterMs: UNDECIDED_RETRY_MS }))
     }
     const { record: kept } = accepted.value
-    if (kept.owner === self) {
-      if (registry.get(id) === undefined && !kept.ended && !kept.finished) manager.openJob(id, accepted.value, items)
+    if (kept.owner === self && created.created) {
+      if (!kept.ended && !kept.finished) manager.openJob(id, accepted.value, items)
       options.onAccepted()
+    } else if (kept.owner === self) {
+      // This instance may have stored results of it before a restart, which a takeover reads.
+      if (registry.get(id) === undefined && !kept.ended && !kept.finished) settle(id)
     } else {
       registry.update(id, { owner: kept.owner, epoch: kept.epoch, ended: kept.ended }, 'record')
     }
--- a/packages/pimentoplank/src/relay/jobs/jobManager.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.ts
@@ -262,6 +262,7 @@
     if (accepted !== undefined) {
       // The caller's repeat was accepted meanwhile, and items of the job may run already.
       accepted.setStored(taken.value)
+      for (const segment of segments.value.slice(accepted.segmentCount())) accepted.appendSegment(segment)
       registry.update(id, { owner: self, epoch: taken.value.record.epoch, ended: accepted.isEnded() }, 'record')
       return ok(accepted)
     }
