Store the results that wait as objects of a bounded size

Cause: all pending results were written as one object; above the size of an object it was refused, which was taken for an outage and repeated with ever more results. Change: segments hold as many results as fit an object, in bytes of JSON, by a setting that comes from the platform's. A refused object of several results is halved; a result that fits no object is listed as failed. Pages of results are bounded in bytes, and a job with an item that no object can hold is refused for good instead of for now. Input is split as before, as old and new instances may store parts of the same job.

--- a/packages/pimentoplank/features/support/memoryPlatform.ts
+++ b/packages/pimentoplank/features/support/memoryPlatform.ts
@@ -1,7 +1,7 @@
 /** In-memory object API of the platform behind the client interface, with faults for single calls. */
 import { errAsync, okAsync, ResultAsync } from 'neverthrow'
 import {
-  PlatformConflict, PlatformUnavailable,
+  PlatformConflict, PlatformRejected, PlatformUnavailable,
   type ObjectFeed, type PlatformClient, type PlatformError, type StoredObject, type WatchEvent
 } from '../../src/shared'
 
@@ -36,6 +36,8 @@
   /** Called after each platform call took effect; returns what its answer waits for. */
   answerDelayOf: (call: MemoryCall) => Promise<void> | undefined
   createSnapshot: () => MemorySnapshot
+  /** Size above which a value is refused, in bytes of JSON. */
+  maxValueBytes: number
   /** Called for each page of a list; returns the snapshot that it is read from, if not the current state. */
   staleOf: (call: MemoryCall) => MemorySnapshot | undefined
 }
@@ -108,7 +110,10 @@
       }, options.after),
       listAll: (kind, options = {}) => call('list', kind, options.prefix ?? '', () =>
         ({ revision, items: structuredClone(list(kind, options.prefix)) })),
-      put: (kind, name, value, { ifRevision }) => call('put', kind, name, () => write(kind, name, value, ifRevision)),
+      put: (kind, name, value, { ifRevision }) => call('put', kind, name, () => {
+        const isTooLarge = Buffer.byteLength(JSON.stringify(value)) > platform.maxValueBytes
+        return isTooLarge ? new PlatformRejected(413, 'too large') : write(kind, name, value, ifRevision)
+      }),
       remove: (kind, name, { ifRevision } = {}) => call('remove', kind, name, () => {
         const current = store.get(`${kind}/${name}`)
         if (current !== undefined && ifRevision !== undefined && current.revision !== ifRevision) {
@@ -155,6 +160,7 @@
     faultOf: () => undefined,
     delayOf: () => undefined,
     answerDelayOf: () => undefined,
+    maxValueBytes: Infinity,
     createSnapshot: () => ({ revision, objects: structuredClone([...store.values()]) }),
     staleOf: () => undefined
   }
--- a/packages/pimentoplank/src/relay/createJobs.ts
+++ b/packages/pimentoplank/src/relay/createJobs.ts
@@ -19,6 +19,8 @@
 export interface JobsOptions {
   instance: RelaySettings['instance']
   bounds: RelaySettings['bounds']
+  /** Maximum size of an object at the platform, in bytes. */
+  maxObjectBytes: number
   platform: PlatformClient
   transports: PeerTransports
   gossip: Gossip
@@ -50,8 +52,8 @@
 /** Creates the parts of an instance that has no job yet. */
 export function createJobs (options: JobsOptions): Jobs {
   const {
-    instance, bounds, platform, transports, gossip, loads, crashes, exchange, paths, table, isClosed, isLeaving,
-    clock, random, metrics, log
+    instance, bounds, maxObjectBytes, platform, transports, gossip, loads, crashes, exchange, paths, table, isClosed,
+    isLeaving, clock, random, metrics, log
   } = options
   const jobRegistry = createJobRegistry({
     self: instance.id, noticeMs: JOB_NOTICE_MS, onNotice: () => gossip.reportNow(), clock, log
@@ -100,7 +102,7 @@
     isLeaving,
     onItemsReady: () => runner.dispatch(),
     onStop: (job) => runner.stopJob(job),
-    rules: { ...RELAY_RULES.jobs, keepMs: bounds.jobStatusMs },
+    rules: { ...RELAY_RULES.jobs, keepMs: bounds.jobStatusMs, maxObjectBytes },
     clock,
     random,
     metrics,
@@ -128,6 +130,7 @@
     recordFollower,
     quota: createQuota({ jobRegistry, recordView, peers: gossip.peers, log }),
     onAccepted: () => runner.dispatch(),
+    maxObjectBytes,
     isLeaving,
     clock,
     random,
--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -130,6 +130,7 @@
   const { jobRegistry, store, recordFollower, runner, jobManager, jobReconciler, jobs } = createJobs({
     instance,
     bounds: settings.bounds,
+    maxObjectBytes: settings.platform.maxObjectBytes,
     platform,
     transports,
     gossip,
--- a/packages/pimentoplank/src/relay/jobs/jobApi.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobApi.ts
@@ -10,6 +10,7 @@
 import type { JobRegistry } from './jobRegistry'
 import type { JobManager } from './jobManager'
 import { splitItems, type CreatedJob, type JobStore } from './jobStore'
+import { countEncodedBytes, getMaxContentBytes } from './objectSize'
 import type { RecordFollower } from './recordFollower'
 import { createJobAcceptance } from './jobAcceptance'
 import type { Quota, QuotaJob } from './quota'
@@ -54,6 +55,8 @@
   recordFollower: Pick<RecordFollower, 'mayDenyResults' | 'refresh'>
   /** Called after a job is accepted. */
   onAccepted: () => void
+  /** Maximum size of an object at the platform, in bytes. */
+  maxObjectBytes: number
   isLeaving: () => boolean
   clock: Clock
   random: Random
@@ -81,6 +84,8 @@
     const { id, route, items } = job
     if (registry.get(id) !== undefined || registry.isAccepted(id)) return ok(undefined)
     if (options.isLeaving()) return err(new RefusalError('addressMoved', { retryAfterMs: 0 }))
+    const tooLarge = checkSize(job)
+    if (tooLarge !== undefined) return err(tooLarge)
     const unavailable = await checkStore(job)
     if (unavailable !== undefined) return err(unavailable)
     const tokens = items.reduce((sum, item) => sum + item.tokens, 0)
@@ -96,6 +101,15 @@
     }
   }
 
+  /** Refuses a job of which a part can't be stored, however often it is tried. */
+  function checkSize ({ id, items }: JobSubmission): RefusalError | undefined {
+    const bytes = Math.max(...splitItems(items).map(countEncodedBytes))
+    const maxBytes = getMaxContentBytes(options.maxObjectBytes)
+    if (bytes <= maxBytes) return undefined
+    log.info({ job: id, bytes, maxBytes }, 'job refused: an item is too large to be stored')
+    return new RefusalError('bodyTooLarge', { detail: `an item is larger than ${maxBytes} bytes in its stored form` })
+  }
+
   async function storeAndAccept (job: JobSubmission, counted: QuotaJob): Promise<Result<void, RefusalError>> {
     const { id, route, items } = job
     const { tokens, limit } = counted
--- a/packages/pimentoplank/src/relay/jobs/jobManager.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.steps.ts
@@ -110,7 +110,7 @@
     isLeaving: () => this.isLeaving,
     onItemsReady: () => undefined,
     onStop: ({ id }) => this.stopped.push(id),
-    rules: { ...RELAY_RULES.jobs, keepMs: 60_000 },
+    rules: { ...RELAY_RULES.jobs, keepMs: 60_000, maxObjectBytes: 1_048_576 },
     clock: this.clock,
     random: () => 0.5,
     metrics: createInMemoryMetrics(),
--- /dev/null
+++ b/packages/pimentoplank/src/relay/jobs/objectSize.ts
@@ -0,0 +1,27 @@
+/** Sizes of the objects that hold the input and results of jobs. */
+
+/** Part of an object's size that is left for its name, revisions and the id of its write, in bytes. */
+const OBJECT_OVERHEAD_BYTES = 4096
+
+/** Returns the size of the content that an object may have, in bytes. */
+export function getMaxContentBytes (maxObjectBytes: number): number {
+  return maxObjectBytes - OBJECT_OVERHEAD_BYTES
+}
+
+/** Counts the bytes of a value in JSON. */
+export function countEncodedBytes (value: unknown): number {
+  return Buffer.byteLength(JSON.stringify(value))
+}
+
+/** Returns the first values whose sizes in JSON add up to at most `maxBytes`; at least one, if there is any. */
+export function takeFitting<Value> (values: readonly Value[], maxBytes: number): Value[] {
+  const taken: Value[] = []
+  let bytes = 0
+  for (const value of values) {
+    // Each is followed by a comma.
+    bytes += countEncodedBytes(value) + 1
+    if (taken.length > 0 && bytes > maxBytes) break
+    taken.push(value)
+  }
+  return taken
+}
--- a/packages/pimentoplank/src/relay/jobs/quota.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/quota.steps.ts
@@ -157,7 +157,7 @@
     table: () => undefined,
     onItemsReady: () => undefined,
     onStop: () => undefined,
-    rules: { ...RELAY_RULES.jobs, keepMs: 60_000 }
+    rules: { ...RELAY_RULES.jobs, keepMs: 60_000, maxObjectBytes: 1_048_576 }
   })
   const api = createJobApi({
     ...common,
@@ -165,7 +165,8 @@
     transports: {} as unknown as PeerTransports,
     quota: createQuota({ jobRegistry: registry, recordView: createRecordView({ store, clock, metrics }), peers, log }),
     recordFollower: { mayDenyResults: () => true, refresh: async () => true },
-    onAccepted: () => undefined
+    onAccepted: () => undefined,
+    maxObjectBytes: 1_048_576
   })
   return { id, registry, manager, api }
 }
--- a/packages/pimentoplank/src/relay/jobs/resultReader.ts
+++ b/packages/pimentoplank/src/relay/jobs/resultReader.ts
@@ -7,6 +7,7 @@
 import type { PeerView } from '../gossip'
 import type { JobRegistry } from './jobRegistry'
 import type { JobStore } from './jobStore'
+import { takeFitting } from './objectSize'
 import type { OwnedJob } from './ownedJob'
 import { PEER_TIMEOUT_MS, type GetJobClient } from './peerJobs'
 import type { RecordFollower } from './recordFollower'
@@ -43,8 +44,8 @@
   body: (job: string, item: string) => Promise<Result<Uint8Array, RefusalError>>
 }
 
-/** Maximum of result characters in one answer. */
-const MAX_PAGE_CHARS = 900_000
+/** Maximum size of the results in one answer, in bytes of JSON; a larger result is answered alone. */
+const MAX_PAGE_BYTES = 900_000
 export const PLATFORM_RETRY_MS = 1000
 const CACHED_JOBS = 200
 const CACHED_INPUTS = 50
@@ -85,7 +86,7 @@
   }
 
   function toPage (job: OwnedJob, after: number): ResultPage {
-    return { total: job.record().total, results: cutPage(job.storedResults(), after) }
+    return { total: job.record().total, results: takePage(job.storedResults(), after) }
   }
 
   async function readPage (id: string, after: number, waitMs: number): Promise<Result<ResultPage, RefusalError>> {
@@ -120,7 +121,7 @@
     if (peer === undefined) return undefined
     try {
       const res = await getClient(peer.report.peerAddress)
-        .readResults({ job, after, waitMs, maxBytes: MAX_PAGE_CHARS }, { timeoutMs: waitMs + PEER_TIMEOUT_MS })
+        .readResults({ job, after, waitMs, maxBytes: MAX_PAGE_BYTES }, { timeoutMs: waitMs + PEER_TIMEOUT_MS })
       if (!res.isOwner) return undefined
       return { total: res.total, results: res.results.map(({ item, completed, text }) => ({ item, completed, text })) }
     } catch (cause) {
@@ -143,7 +144,7 @@
   function readCached (id: string, after: number): Result<ResultPage, never> | undefined {
     const cached = cache.get(id)
     if (cached === undefined || cached.results.length <= after) return undefined
-    return ok({ total: cached.record.total, results: cutPage(cached.results, after) })
+    return ok({ total: cached.record.total, results: takePage(cached.results, after) })
   }
 
   /** Reads stored results; segments are immutable, so those read before are cached. */
@@ -165,7 +166,7 @@
       cached.results.push(...segment.value)
       cached.segments += 1
     }
-    return ok({ total: record.total, results: cutPage(cached.results, after) })
+    return ok({ total: record.total, results: takePage(cached.results, after) })
   }
 
   /** Reads the items of a job; input is immutable, so it is cached. */
@@ -198,13 +199,6 @@
   return new RefusalError(reason, { retryAfterMs: PLATFORM_RETRY_MS, cause })
 }
 
-function cutPage (results: readonly ItemResult[], after: number): ItemResult[] {
-  const page: ItemResult[] = []
-  let chars = 0
-  for (const result of results.slice(after)) {
-    chars += result.text.length
-    if (page.length > 0 && chars > MAX_PAGE_CHARS) break
-    page.push(result)
-  }
-  return page
+function takePage (results: readonly ItemResult[], after: number): ItemResult[] {
+  return takeFitting(results.slice(after), MAX_PAGE_BYTES)
 }
--- a/packages/pimentoplank/src/relay/jobs/resultStorage.ts
+++ b/packages/pimentoplank/src/relay/jobs/resultStorage.ts
@@ -1,8 +1,9 @@
 /** Stores the results of owned jobs as segments, which only the latest owner can add to. */
 import { err, ok, type Result } from 'neverthrow'
-import { describeCause, type Clock, type Log, type Metrics, type PlatformError } from '../../shared'
+import { describeCause, PlatformRejected, type Clock, type Log, type Metrics, type PlatformError } from '../../shared'
 import type { JobRegistry } from './jobRegistry'
 import type { JobStore } from './jobStore'
+import { countEncodedBytes, getMaxContentBytes, takeFitting } from './objectSize'
 import type { OwnedJob } from './ownedJob'
 import type { ItemResult } from './records'
 
@@ -11,6 +12,8 @@
   storeDelayMs: number
   /** Results of a job that is due within this time are stored at once, in milliseconds. */
   dueSoonMs: number
+  /** Size of an object of the platform, in bytes; results that don't fit one are stored as several. */
+  maxObjectBytes: number
 }
 
 export interface ResultStorageOptions {
@@ -71,6 +74,7 @@
 
   async function storeResults (job: OwnedJob): Promise<void> {
     let failures = 0
+    let maxBytes = getMaxContentBytes(rules.maxObjectBytes)
     while (job.pendingResults().length > 0 && registry.get(job.id) === job && !signal.aborted) {
       const waitMs = computeStoreDelay(job)
       if (waitMs > 0) {
@@ -78,11 +82,12 @@
         continue
       }
       const { epoch } = job.record()
-      const results = [...job.pendingResults()]
+      const results = takeFitting(job.pendingResults(), maxBytes).map((result) => limitSize(job, result))
       if (!unconfirmedSince.has(job)) unconfirmedSince.set(job, clock.now())
       const written = await store.writeSegment(job.id, job.segmentCount(), { results, epoch })
       if (written.isOk()) {
         failures = 0
+        maxBytes = getMaxContentBytes(rules.maxObjectBytes)
         unconfirmedSince.delete(job)
         const { results: stored, epoch: writerEpoch = 0 } = written.value
         if (registry.get(job.id) === job) job.appendSegment(stored)
@@ -93,7 +98,15 @@
         continue
       }
       failures += 1
-      log.warn({ job: job.id, failures, cause: describeCause(written.error) }, 'results could not be stored')
+      const bytes = countEncodedBytes(results)
+      log.warn({
+        job: job.id, failures, results: results.length, bytes, cause: describeCause(written.error)
+      }, 'results could not be stored')
+      // An object that is refused, whatever for, must not hold up the results that fit a smaller one.
+      if (written.error instanceof PlatformRejected && results.length > 1) {
+        maxBytes = Math.floor(bytes / 2)
+        continue
+      }
       metrics.countRetry('platformUnavailable')
       await clock.sleep(options.computeBackoff(failures), signal)
     }
@@ -101,6 +114,16 @@
     options.onStored(job)
   }
 
+  /** A result that doesn't fit any object is listed as failed, and doesn't hold up the others. */
+  function limitSize (job: OwnedJob, result: ItemResult): ItemResult {
+    const bytes = countEncodedBytes(result)
+    if (bytes <= getMaxContentBytes(rules.maxObjectBytes)) return result
+    log.error({
+      job: job.id, item: result.item, bytes, maxObjectBytes: rules.maxObjectBytes
+    }, 'item failed: its result exceeds the size of an object')
+    return { item: result.item, completed: false, text: '' }
+  }
+
   /** Reads who owns a job in which a later owner has stored results, before anything more of it is stored. */
   async function learnOwner (job: OwnedJob): Promise<void> {
     for (let failures = 1; registry.get(job.id) === job && !signal.aborted; failures++) {
--- a/packages/pimentoplank/src/relay/rules.ts
+++ b/packages/pimentoplank/src/relay/rules.ts
@@ -24,7 +24,7 @@
 }
 
 /** Storage of results and takeover of jobs. */
-const jobs: Omit<JobManagerRules, 'keepMs'> = {
+const jobs: Omit<JobManagerRules, 'keepMs' | 'maxObjectBytes'> = {
   storeDelayMs: 2500,
   dueSoonMs: 1000,
   maxBackoffMs: 1000,
--- a/packages/pimentoplank/src/relay/settings.ts
+++ b/packages/pimentoplank/src/relay/settings.ts
@@ -3,6 +3,8 @@
 import { address, instanceSettings, listenSettings, logSettings, SECOND_MS } from '../shared'
 
 const durationMs = z.number().min(0)
+const DEFAULT_MAX_OBJECT_BYTES = 1_048_576
+const LEAST_MAX_OBJECT_BYTES = 65_536
 
 /** Time bounds that the operator guarantees or requires. */
 export const boundSettings = z.strictObject({
@@ -26,7 +28,8 @@
   }),
   platform: z.strictObject({
     url: z.url().describe('Base URL of the platform\'s object API.'),
-    timeoutMs: durationMs.default(SECOND_MS).describe('Timeout of one call, in milliseconds.')
+    timeoutMs: durationMs.default(SECOND_MS).describe('Timeout of one call, in milliseconds.'),
+    maxObjectBytes: z.int().min(LEAST_MAX_OBJECT_BYTES).default(DEFAULT_MAX_OBJECT_BYTES).describe('Maximum size of an object, in bytes.')
   }),
   targets: z.strictObject({
     localAddress: z.ipv4().optional().describe('Address from which connections to targets are made; by default the choice of the system.')
