Promise that a job won't run only once no late write can store it

Cause: a write that succeeds after a try without an answer didn't say that this try may still be carried out. The job was withdrawn and refused; the late try then found no record, as its condition says, and created it again. Change: writes say whether an earlier try may recur. A job that isn't accepted then is refused without a promise, and its record is looked for, deleted and not taken over for as long as a late write may take. The same where another instance has stored the job meanwhile, and where its input could not be written.

--- a/packages/pimentoplank/src/relay/jobs/jobApi.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobApi.ts
@@ -132,31 +132,38 @@
       const isGone = await withdraw(id, record, { isInDoubt })
       return err(toRefusal(id, created.error, isInDoubt || !isGone))
     }
-    return await acceptStored(job, counted, created.value)
+    return await acceptStored(job, counted, record, created.value)
   }
 
-  /** Accepts a job whose record and input are stored, or withdraws it if this submission has stored it. */
+  /**
+   * Accepts a job whose record and input are stored, or withdraws it if this submission has stored it.
+   *
+   * @param written - the record as this submission has written it, unless there was one
+   */
   async function acceptStored (
     job: JobSubmission,
     counted: QuotaJob,
+    written: JobRecord,
     created: CreatedJob
   ): Promise<Result<void, RefusalError>> {
     const { id, route, items } = job
     const { tokens, limit } = counted
     const accepted = await accept(counted, created)
     if (accepted.isErr()) {
-      const isGone = !created.created || await withdraw(id, created.record, created)
+      const isGone = await withdrawUnaccepted(id, written, created)
       return err(toRefusal(id, accepted.error, mayBeApplied(accepted.error) || !isGone))
     }
     if (accepted.value === undefined && created.created) {
-      const isGone = await withdraw(id, created.record, created)
+      const isGone = await withdrawUnaccepted(id, written, created)
       log.info({ job: id, tokens, limit, isGone }, 'job withdrawn: waiting tokens exceed the limit')
       // If this instance were lost now, a successor would run a job whose record is still there.
       if (!isGone) return err(new RefusalError('platformDown', { outcome: 'unknown' }))
       return err(new RefusalError('accountLimit', { retryAfterMs: QUOTA_RETRY_MS }))
     }
     if (accepted.value === undefined) {
-      log.info({ job: id, tokens, limit, owner: created.record.owner }, 'job refused: stored elsewhere, not known to be accepted')
+      const isGone = await withdrawUnaccepted(id, written, created)
+      log.info({ job: id, tokens, limit, owner: created.record.owner, isGone }, 'job refused: stored elsewhere, not known to be accepted')
+      if (!isGone) return err(new RefusalError('platformDown', { outcome: 'unknown' }))
       return err(new RefusalError('queueFull', { retryAfterMs: UNDECIDED_RETRY_MS }))
     }
     const { record: kept } = accepted.value
@@ -209,6 +216,14 @@
     return new RefusalError('platformDown', { outcome: mayExist ? 'unknown' : 'not_run', retryAfterMs, cause })
   }
 
+  /** Withdraws what a submission that isn't accepted has stored, or may store later; returns true if that is gone. */
+  async function withdrawUnaccepted (
+    id: string, written: JobRecord, { created, revision, isInDoubt }: CreatedJob
+  ): Promise<boolean> {
+    if (!created && !isInDoubt) return true
+    return await withdraw(id, written, { revision: created ? revision : undefined, isInDoubt })
+  }
+
   /**
    * Withdraws a job that this instance has stored, but did not accept; goes on in the background after a time.
    *
--- a/packages/pimentoplank/src/relay/jobs/jobManager.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.ts
@@ -67,7 +67,8 @@
    *
    * @param record - the record as this instance has written it
    * @param options.revision - its revision, where that is known
-   * @param options.isInDoubt - true if its write got no answer, so that it may be stored later
+   * @param options.isInDoubt - true if a write of it got no answer, so that it may be stored later; the record is
+   * looked for then for as long as that may take
    * @returns true once the job is certainly gone; false if it is accepted or another's, or this instance stops
    */
   withdraw: (job: string, record: JobRecord, options: { revision?: number, isInDoubt: boolean }) => Promise<boolean>
@@ -276,17 +277,22 @@
   async function withdraw (
     id: string, record: JobRecord, { revision, until }: { revision: number | undefined, until: number }
   ): Promise<boolean> {
-    if (revision !== undefined && (await store.withdraw(id, revision)).isOk()) return true
+    const isDeleted = revision !== undefined && (await store.withdraw(id, revision)).isOk()
+    if (isDeleted && clock.now() >= until) return true
     for (let failures = 0; !closing.signal.aborted && registry.get(id) === undefined; failures++) {
       if (failures > 0) await clock.sleep(computeBackoff(failures), closing.signal)
       const found = await store.read(id)
       if (found.isErr()) continue
       const stored = found.value
-      if (stored === undefined && clock.now() < until) continue
+      const isWritten = stored !== undefined && isSameSubmission(stored.record, record)
+      // A late write finds its condition met once there is no other record.
+      if (!isWritten && clock.now() < until) continue
       if (stored === undefined) return true
-      if (stored.record.ended || !isSameSubmission(stored.record, record)) return false
+      if (stored.record.ended || !isWritten) return false
       if (stored.record.accepted !== true) {
-        if ((await store.withdraw(id, stored.revision)).isOk()) return true
+        const isGone = (await store.withdraw(id, stored.revision)).isOk()
+        if (isGone) log.info({ job: id, revision: stored.revision }, 'record of a job that was not accepted is deleted')
+        if (isGone && clock.now() >= until) return true
       } else if (await takeOverHeld(id)) return false
     }
     return false
--- a/packages/pimentoplank/src/relay/jobs/jobStore.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobStore.ts
@@ -2,7 +2,7 @@
 import { err, ok, ResultAsync, type Result } from 'neverthrow'
 import type * as z from 'zod'
 import {
-  PlatformConflict, PlatformUnavailable,
+  PlatformConflict, PlatformRejected, PlatformUnavailable,
   type Clock, type PlatformClient, type PlatformError, type StoredObject
 } from '../../shared'
 import {
@@ -21,6 +21,8 @@
 export interface CreatedJob extends StoredJob {
   /** False when it exists already. */
   created: boolean
+  /** True if the record as this call has written it may be stored later, once there is none. */
+  isInDoubt: boolean
 }
 
 /** Changes of records after a revision. */
@@ -105,12 +107,14 @@
     const [recorded, ...inputs] = await Promise.all([
       platform.put(JOB_KINDS.record, job, record, { ifRevision: 0 }), ...writes
     ])
-    for (const input of inputs) if (input.isErr()) return err(input.error)
-    if (recorded.isOk()) return ok({ record, revision: recorded.value.revision, asOf, created: true })
+    const isInDoubt = recorded.match(({ mayRecur }) => mayRecur === true, mayBeStored)
+    for (const input of inputs) if (input.isErr()) return err(isInDoubt ? toDoubtful(input.error) : input.error)
+    if (recorded.isOk()) return ok({ record, revision: recorded.value.revision, asOf, created: true, isInDoubt })
     if (!(recorded.error instanceof PlatformConflict) || recorded.error.current === null) return err(recorded.error)
-    return parse(jobRecord, recorded.error.current).map((found) => ({
-      record: found, revision: (recorded.error as PlatformConflict).current!.revision, asOf, created: false
-    }))
+    const { current } = recorded.error
+    return parse(jobRecord, current).map((found) => (
+      { record: found, revision: current.revision, asOf, created: false, isInDoubt }
+    ))
   }
 
   async function list (): Promise<Result<{ revision: number, jobs: Map<string, StoredJob> }, PlatformError>> {
@@ -221,6 +225,15 @@
   }
 }
 
+/** True if a write may have taken effect, or may do so later, though it failed. */
+function mayBeStored (cause: PlatformError): boolean {
+  return !(cause instanceof PlatformRejected) && cause.maybeApplied
+}
+
+function toDoubtful (cause: PlatformError): PlatformUnavailable {
+  return new PlatformUnavailable(cause.message, { maybeApplied: true, cause })
+}
+
 /** Leaves out objects that are no records. */
 function parseRecords (objects: readonly StoredObject[], asOf: number): Map<string, StoredJob> {
   const jobs = new Map<string, StoredJob>()
--- a/packages/pimentoplank/src/shared/platform/client.ts
+++ b/packages/pimentoplank/src/shared/platform/client.ts
@@ -53,6 +53,14 @@
   signal?: AbortSignal
 }
 
+export interface WrittenObject extends StoredObject {
+  /**
+   * True if an attempt without an answer may still be carried out. It changes nothing while the object is there as
+   * written, but its condition may hold again later, as that of a creation does once the object is removed.
+   */
+  mayRecur?: boolean
+}
+
 export interface PutStatusOptions {
   /** Revision that the object must have; any revision when absent. */
   ifRevision?: number
@@ -93,7 +101,7 @@
    * Writes an object if it has the expected revision. A write that got no response is sent again with the same
    * condition and write id: either it takes effect then, or the stored object shows that it already has.
    */
-  put: (kind: string, name: string, value: unknown, options: PutOptions) => ResultAsync<StoredObject, PlatformError>
+  put: (kind: string, name: string, value: unknown, options: PutOptions) => ResultAsync<WrittenObject, PlatformError>
   /** Writes the status part of an object whose other parts belong to other writers. */
   putStatus: (
     kind: string,
@@ -208,19 +216,20 @@
     name: string,
     value: unknown,
     putOptions: PutOptions
-  ): Promise<Result<StoredObject, PlatformError>> {
+  ): Promise<Result<WrittenObject, PlatformError>> {
     const { ifRevision, signal } = putOptions
     const writeId = createWriteId()
     const call = { ...dialect.put(kind, name, { value, writeId, ifRevision }), signal }
-    let maybeApplied = false
+    let unanswered = 0
     for (let attempt = 1; ; attempt++) {
       const response = await send(call)
       if (response.isOk()) {
         return await readPutResponse(dialect.translate('put', kind, response.value), {
-          kind, name, writeId, value, maybeApplied, readCurrent: async () => await get(kind, name)
+          kind, name, writeId, value, unanswered, readCurrent: async () => await get(kind, name)
         })
       }
-      maybeApplied ||= response.error.maybeApplied
+      if (response.error.maybeApplied) unanswered += 1
+      const maybeApplied = unanswered > 0
       if (attempt >= MAX_WRITE_ATTEMPTS || !isAvailable() || putOptions.signal?.aborted === true) {
         return err(new PlatformUnavailable(response.error.message, { maybeApplied, cause: response.error }))
       }
@@ -313,7 +322,8 @@
   name: string
   writeId: string
   value: unknown
-  maybeApplied: boolean
+  /** Number of earlier attempts without an answer. */
+  unanswered: number
   /** Reads the current object when the conflict response does not contain it. */
   readCurrent: () => Promise<Result<StoredObject | null, PlatformError>>
 }
@@ -321,10 +331,11 @@
 async function readPutResponse (
   response: HttpResponse,
   context: PutContext
-): Promise<Result<StoredObject, PlatformError>> {
-  const { kind, name, writeId, value, maybeApplied } = context
+): Promise<Result<WrittenObject, PlatformError>> {
+  const { kind, name, writeId, value, unanswered } = context
   if (response.status !== HTTP_CONFLICT) {
-    return parseResponse(response, putResponse).map(({ revision }) => ({ kind, name, revision, writeId, value }))
+    return parseResponse(response, putResponse)
+      .map(({ revision }) => ({ kind, name, revision, writeId, value, mayRecur: unanswered > 0 }))
   }
   const conflict = conflictResponse.safeParse(response.body)
   if (!conflict.success) return err(new PlatformUnavailable('invalid conflict response', { maybeApplied: true }))
@@ -334,8 +345,9 @@
     if (found.isErr()) return err(new PlatformUnavailable('conflicting object not read', { maybeApplied: true }))
     current = found.value
   }
-  if (current?.writeId === writeId) return ok(current)
-  return err(new PlatformConflict(current, maybeApplied))
+  // One of the attempts without an answer was carried out.
+  if (current?.writeId === writeId) return ok({ ...current, mayRecur: unanswered > 1 })
+  return err(new PlatformConflict(current, unanswered > 0))
 }
 
 function readEmptyResponse (response: HttpResponse): Result<void, PlatformError> {
--- a/packages/pimentoplank/src/shared/platform/errors.ts
+++ b/packages/pimentoplank/src/shared/platform/errors.ts
@@ -17,7 +17,10 @@
 export class PlatformConflict extends Error {
   /** The object as stored now, or null when there is none. */
   readonly current: StoredObject | null
-  /** True when an earlier attempt got no response, so that it may have taken effect before `current` was written. */
+  /**
+   * True when an earlier attempt got no response, so that it may have taken effect before `current` was written, or may
+   * do so later if its condition holds again.
+   */
   readonly maybeApplied: boolean
 
   constructor (current: StoredObject | null, maybeApplied: boolean) {
