Take the end of an unframed answer for its own only while its process lives

Callers saw: streams and plain answers that ended as whole after a part of their events, and items listed as completed with a part of their text, when a replica was killed whose answers have neither a length nor chunks (ORDER, MIXED). Cause: the system of a killed process closes its connections in an orderly way; between two events that looks like the end of such an answer. Only resets and partial events were taken for breaks. Change: before such an answer ends, its process is asked for its state on a new connection. Unless the same process answers, the answer is broken off: it goes on elsewhere where that is allowed, and is marked as incomplete else. The answer of a target and the reasons of failures get files of their own.

--- /dev/null
+++ b/packages/pimentoplank/src/relay/exchange/confirmProcess.ts
@@ -0,0 +1,45 @@
+/**
+ * Tells whether the process that ended a connection is still there. The end of an unframed body is the end of its
+ * connection, and the system of a process that dies ends its connections in the same orderly way.
+ */
+import type { Clock } from '../../shared'
+import type { TargetProtocol } from '../model'
+import type { TargetConnection, TargetConnectionPool } from './connectionPool'
+import { identifyProcess } from './identifyProcess'
+
+export interface ConfirmProcessOptions {
+  address: string
+  /** When the process started, as far as known, in milliseconds by its own clock. */
+  startedAt: number | undefined
+  connections: Pick<TargetConnectionPool, 'open' | 'destroy'>
+  protocol: Pick<TargetProtocol, 'decodeHead' | 'state'>
+  clock: Clock
+  signal: AbortSignal
+}
+
+/** A process that answers is asked so often; one with many connections resets new ones. */
+const MAX_ATTEMPTS = 3
+/** Pause before the process is asked again, in milliseconds. */
+const RETRY_MS = 50
+
+/** Asks for the state on a connection of its own; resolves to true if the same process answers. */
+export async function confirmProcess (options: ConfirmProcessOptions): Promise<boolean> {
+  const { address, startedAt, connections, protocol, clock, signal } = options
+  for (let attempt = 1; ; attempt++) {
+    const connection: TargetConnection = connections.open(address)
+    let hasAnswered = false
+    const told = await identifyProcess(connection, {
+      protocol,
+      onHead: () => { hasAnswered = true },
+      abort: () => connections.destroy(connection),
+      signal
+    })
+    const isReached = connection.socket !== undefined
+    connections.destroy(connection)
+    if (told.isOk()) return startedAt === undefined || told.value === startedAt
+    if (hasAnswered) return true
+    // Nothing listens any more where no connection is established.
+    if (!isReached || attempt >= MAX_ATTEMPTS || signal.aborted) return false
+    await clock.sleep(RETRY_MS, signal)
+  }
+}
--- a/packages/pimentoplank/src/relay/exchange/eventReader.ts
+++ b/packages/pimentoplank/src/relay/exchange/eventReader.ts
@@ -2,7 +2,8 @@
 import { err, ok, type Result } from 'neverthrow'
 import { KIB_BYTES } from '../../shared'
 import { createEventSplitter, type SplitEvent } from './eventSplitter'
-import { SendFailure, type TargetAnswer } from './exchange'
+import { SendFailure } from './sendFailure'
+import type { TargetAnswer } from './targetAnswer'
 
 /** Maximum size of one event, in bytes; larger ones are taken for bytes without end. */
 const MAX_EVENT_BYTES = 256 * KIB_BYTES
--- a/packages/pimentoplank/src/relay/exchange/exchange.steps.ts
+++ b/packages/pimentoplank/src/relay/exchange/exchange.steps.ts
@@ -7,7 +7,7 @@
 import { createDirectPool } from '../../../features/support/directPool'
 import { createInMemoryMetrics, createSilentLog, createSystemClock } from '../../shared'
 import type { Target, TargetProtocol } from '../model'
-import { createExchange, drainAnswer, type Exchange, type SendFailure, type TargetAnswer } from './exchange'
+import { createExchange, drainAnswer, type Exchange, type SendFailure, type TargetAnswer } from '.'
 
 interface SentRequest {
   id: string
--- a/packages/pimentoplank/src/relay/exchange/exchange.ts
+++ b/packages/pimentoplank/src/relay/exchange/exchange.ts
@@ -2,70 +2,15 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { Dispatcher } from 'undici'
 import {
-  ConnectionResetError, describeCause, getBodyFraming, hash32, isPeerFailure, KIB_BYTES, SECOND_MS,
-  type BodyFraming, type Clock, type Log, type Metrics, type SendMark
+  describeCause, getBodyFraming, hash32, isPeerFailure, type Clock, type Log, type Metrics, type SendMark
 } from '../../shared'
 import type { AnswerHead, ProcessNeed, Target, TargetProtocol, TargetRequest } from '../model'
+import { confirmProcess } from './confirmProcess'
 import type { TargetConnection, TargetConnectionPool } from './connectionPool'
 import { identifyProcess, UnknownProcess } from './identifyProcess'
-import { createResponseReceiver, type ResponseReceiver } from './responseReceiver'
-
-/** Reason for which there is no usable response. */
-export type SendFailureReason =
-  /** No connection could be established, or it broke before the first byte was written. */
-  | 'connectFailed'
-  /** The target states that it did not run the request. */
-  | 'refused'
-  /** The address now belongs to another target. */
-  | 'otherTarget'
-  /** Another process than the one that the target's entry describes answers, or which one it is can't be found out. */
-  | 'otherProcess'
-  /** The peer that was to open the connection could not be reached or refused; nothing is known of the target. */
-  | 'peerUnreachable'
-  /** The connection broke before the end of the response. */
-  | 'broken'
-  /** The peer through which the connection went was lost before the end of the response. */
-  | 'peerLost'
-  /** A pooled connection turned out to be reset when the request was written to it. */
-  | 'staleConnection'
-  /** The response belongs to another request. */
-  | 'spoiled'
-  /** It was not sent: once there was a connection, the sender's reason to send it had gone. */
-  | 'withdrawn'
-  /** The sender aborted it. */
-  | 'aborted'
-
-export class SendFailure extends Error {
-  readonly reason: SendFailureReason
-  /** True if the target may have run the request. */
-  readonly mayHaveRun: boolean
-
-  constructor (reason: SendFailureReason, mayHaveRun: boolean, detail: string) {
-    super(detail)
-    this.name = 'SendFailure'
-    this.reason = reason
-    this.mayHaveRun = mayHaveRun
-  }
-}
-
-/** What is known of the end of a response. */
-export interface AnswerEnding {
-  framing: BodyFraming
-  /** Number of bytes of the body received so far. */
-  bytes: number
-  /** State of the connection: usable, closed in an orderly way by the target, reset by it, or broken. */
-  connection: 'open' | 'ended' | 'reset' | 'broken'
-}
-
-/** A response whose head has been received. */
-export interface TargetAnswer {
-  head: AnswerHead
-  getEnding: () => AnswerEnding
-  /** Reads the next bytes of the body; resolves to undefined at its end. */
-  read: () => Promise<Result<Uint8Array | undefined, SendFailure>>
-  /** Ends the exchange; the connection is returned to the pool only if the body was read to its end. */
-  close: () => void
-}
+import { createResponseReceiver } from './responseReceiver'
+import { SendFailure, type SendFailureReason } from './sendFailure'
+import { createTargetAnswer, drainAnswer, type TargetAnswer } from './targetAnswer'
 
 export interface Exchange {
   /**
@@ -171,9 +116,16 @@
     }
     const { status, headers } = received.value
     const head = protocol.decodeHead(status, headers)
-    const answer = createTargetAnswer(
-      head, getBodyFraming(headers), receiver, connection, removeAbortListener, target.address
-    )
+    const answer = createTargetAnswer({
+      head,
+      framing: getBodyFraming(headers),
+      receiver,
+      connection,
+      connections,
+      removeAbortListener,
+      address: target.address,
+      confirmEnd: async () => await confirmEnd(outgoing, connection, signal)
+    })
     const failure = findHeadFailure(outgoing, head)
     if (failure === undefined || failure.reason === 'refused') onHead(target, head, connection.processStartedAt)
     if (failure === undefined) return ok(answer)
@@ -244,43 +196,16 @@
     }
   }
 
-  function createTargetAnswer (
-    head: AnswerHead,
-    framing: BodyFraming,
-    receiver: ResponseReceiver,
-    connection: TargetConnection,
-    removeAbortListener: () => void,
-    address: string
-  ): TargetAnswer {
-    const isBodyFramed = framing !== 'connection'
-    let isDone = false
-    let bytes = 0
-    return {
-      head,
-      getEnding: () => ({ framing, bytes, connection: getConnectionState(connection) }),
-      read: async () => {
-        const next = await receiver.read()
-        if (next.isErr()) {
-          const reason = isPeerFailure(next.error) ? 'peerLost' : 'broken'
-          return err(new SendFailure(reason, true, describeCause(next.error)))
-        }
-        if (next.value !== undefined) {
-          bytes += next.value.length
-          return ok(next.value)
-        }
-        isDone = true
-        return ok(undefined)
-      },
-      close: () => {
-        removeAbortListener()
-        if (isDone && isBodyFramed) {
-          connections.release(address, connection)
-          return
-        }
-        connections.destroy(connection)
-        receiver.fail(new Error('answer closed before its end'))
-      }
-    }
+  /** True if the process that has ended the connection of an unframed answer is still there. */
+  async function confirmEnd (
+    { request, target }: TargetRequest, connection: TargetConnection, signal: AbortSignal
+  ): Promise<boolean> {
+    const { address } = target
+    const startedAt = connection.processStartedAt ?? target.startedAt
+    const isThere = await confirmProcess({ address, startedAt, connections, protocol, clock, signal })
+    metrics.count(isThere ? 'targets.endsConfirmed' : 'targets.endsUnconfirmed')
+    if (!isThere) log.info({ req: request.id, target: target.id, startedAt }, 'unframed answer may be cut: its process does not answer')
+    return isThere
   }
 
   return { send, connections }
@@ -302,27 +227,6 @@
   return connection.isReused && afterMs <= STALE_DETECTION_MS ? 'staleConnection' : 'broken'
 }
 
-/** Limits on a body that is read without being used; one that exceeds them may have no end. */
-const MAX_DRAIN_BYTES = 64 * KIB_BYTES
-const MAX_DRAIN_MS = SECOND_MS
-
-/** Reads a response to its end without using its body, so that its connection can be reused; gives up on a long one. */
-export async function drainAnswer (answer: TargetAnswer): Promise<Result<void, SendFailure>> {
-  const timer = setTimeout(() => answer.close(), MAX_DRAIN_MS)
-  try {
-    for (;;) {
-      const next = await answer.read()
-      if (next.isErr()) return err(next.error)
-      if (next.value === undefined) return ok(undefined)
-      if (answer.getEnding().bytes > MAX_DRAIN_BYTES) {
-        return err(new SendFailure('spoiled', true, `an unused body is larger than ${MAX_DRAIN_BYTES} bytes`))
-      }
-    }
-  } finally {
-    clearTimeout(timer)
-  }
-}
-
 function findHeadFailure ({ request, target }: TargetRequest, head: AnswerHead): SendFailure | undefined {
   // First, as a copy of an earlier answer says nothing of this request, whatever its status is.
   if (head.requestId !== undefined && head.requestId !== request.id) {
@@ -332,9 +236,3 @@
   if (head.isNotRun) return new SendFailure('refused', false, `target refused the request with status ${head.status}`)
   return undefined
 }
-
-function getConnectionState ({ socket }: TargetConnection): AnswerEnding['connection'] {
-  if (socket?.errored instanceof ConnectionResetError) return 'reset'
-  if (socket?.readableEnded === true) return 'ended'
-  return socket?.destroyed === false ? 'open' : 'broken'
-}
--- a/packages/pimentoplank/src/relay/exchange/index.ts
+++ b/packages/pimentoplank/src/relay/exchange/index.ts
@@ -1,7 +1,7 @@
 export { createTargetConnectionPool, type ConnectionSettings, type TargetConnectionPool } from './connectionPool'
-export {
-  createExchange, drainAnswer, SendFailure, type AnswerEnding, type Exchange, type SendFailureReason, type TargetAnswer
-} from './exchange'
+export { createExchange, type Exchange } from './exchange'
+export { SendFailure, type SendFailureReason } from './sendFailure'
+export { drainAnswer, type AnswerEnding, type TargetAnswer } from './targetAnswer'
 export { createEventReader, type EventReader } from './eventReader'
 export { getEventData, type SplitEvent } from './eventSplitter'
 export { createTargetProbe, type TargetProbeOptions } from './targetProbe'
--- /dev/null
+++ b/packages/pimentoplank/src/relay/exchange/targetAnswer.ts
@@ -0,0 +1,104 @@
+/** The answer of a target whose body is still to be read. */
+import { err, ok, type Result } from 'neverthrow'
+import {
+  ConnectionResetError, describeCause, isPeerFailure, KIB_BYTES, SECOND_MS, type BodyFraming
+} from '../../shared'
+import type { AnswerHead } from '../model'
+import type { TargetConnection, TargetConnectionPool } from './connectionPool'
+import type { ResponseReceiver } from './responseReceiver'
+import { SendFailure } from './sendFailure'
+
+/** What is known of the end of a response. */
+export interface AnswerEnding {
+  framing: BodyFraming
+  /** Number of bytes of the body received so far. */
+  bytes: number
+  /** State of the connection: usable, closed in an orderly way by the target, reset by it, or broken. */
+  connection: 'open' | 'ended' | 'reset' | 'broken'
+}
+
+/** A response whose head has been received. */
+export interface TargetAnswer {
+  head: AnswerHead
+  getEnding: () => AnswerEnding
+  /** Reads the next bytes of the body; resolves to undefined at its end. */
+  read: () => Promise<Result<Uint8Array | undefined, SendFailure>>
+  /** Ends the exchange; the connection is returned to the pool only if the body was read to its end. */
+  close: () => void
+}
+
+export interface TargetAnswerParts {
+  head: AnswerHead
+  framing: BodyFraming
+  receiver: ResponseReceiver
+  connection: TargetConnection
+  connections: Pick<TargetConnectionPool, 'release' | 'destroy'>
+  removeAbortListener: () => void
+  address: string
+  /** Resolves to false if the end of the connection may not be that of the body. */
+  confirmEnd: () => Promise<boolean>
+}
+
+/** Creates the answer whose head has been received. */
+export function createTargetAnswer (parts: TargetAnswerParts): TargetAnswer {
+  const { head, framing, receiver, connection, connections, removeAbortListener, address, confirmEnd } = parts
+  const isBodyFramed = framing !== 'connection'
+  let isDone = false
+  let bytes = 0
+  return {
+    head,
+    getEnding: () => ({ framing, bytes, connection: getConnectionState(connection) }),
+    read: async () => {
+      const next = await receiver.read()
+      if (next.isErr()) {
+        const reason = isPeerFailure(next.error) ? 'peerLost' : 'broken'
+        return err(new SendFailure(reason, true, describeCause(next.error)))
+      }
+      if (next.value !== undefined) {
+        bytes += next.value.length
+        return ok(next.value)
+      }
+      if (!isBodyFramed && !await confirmEnd()) {
+        return err(new SendFailure('broken', true, 'the process may have died as its answer ended'))
+      }
+      isDone = true
+      return ok(undefined)
+    },
+    close: () => {
+      removeAbortListener()
+      if (isDone && isBodyFramed) {
+        connections.release(address, connection)
+        return
+      }
+      connections.destroy(connection)
+      receiver.fail(new Error('answer closed before its end'))
+    }
+  }
+}
+
+/** Limits on a body that is read without being used; one that exceeds them may have no end. */
+const MAX_DRAIN_BYTES = 64 * KIB_BYTES
+const MAX_DRAIN_MS = SECOND_MS
+
+/** Reads a response to its end without using its body, so that its connection can be reused; gives up on a long one. */
+export async function drainAnswer (answer: TargetAnswer): Promise<Result<void, SendFailure>> {
+  const timer = setTimeout(() => answer.close(), MAX_DRAIN_MS)
+  try {
+    for (;;) {
+      const next = await answer.read()
+      if (next.isErr()) return err(next.error)
+      if (next.value === undefined) return ok(undefined)
+      if (answer.getEnding().bytes > MAX_DRAIN_BYTES) {
+        return err(new SendFailure('spoiled', true, `an unused body is larger than ${MAX_DRAIN_BYTES} bytes`))
+      }
+    }
+  } finally {
+    clearTimeout(timer)
+  }
+}
+
+function getConnectionState ({ socket }: TargetConnection): AnswerEnding['connection'] {
+  if (socket?.errored instanceof ConnectionResetError) return 'reset'
+  if (socket?.readableEnded === true) return 'ended'
+  return socket?.destroyed === false ? 'open' : 'broken'
+}
