Bound what the client of the platform reads of a response

Callers could see: requests that end with their process, as it runs out of memory (reported by another operator for replicas; here the reader of the platform's responses was found without a bound). Cause: the client kept whole bodies, and read interim answers, until its time-out of a second or two, in which a local network carries more than a process may hold. Change: a body of over 16 MiB, and more than 16 interim answers, end the call and its connection.

--- a/packages/pimentoplank/src/shared/platform/client.feature
+++ b/packages/pimentoplank/src/shared/platform/client.feature
@@ -11,3 +11,17 @@
       | no address             |
       | a number as its id     |
       | 100000 levels of lists |
+
+  # Guards against a process that runs out of memory, as it keeps bytes that don't end.
+  Scenario Outline: A platform that sends <what> without end
+    Given a platform that sends <what> without end
+    When an object is read and written
+    Then both calls fail, and at most 80 MiB were sent for each connection
+
+    Examples:
+      | what             |
+      | a body           |
+      | a chunked body   |
+      | a header line    |
+      | header lines     |
+      | interim answers  |
--- a/packages/pimentoplank/src/shared/platform/client.ts
+++ b/packages/pimentoplank/src/shared/platform/client.ts
@@ -1,10 +1,10 @@
 /** Client of the platform's object API. */
 import { err, ok, ResultAsync, type Result } from 'neverthrow'
-import { Agent, request } from 'undici'
+import { Agent, request, type Dispatcher } from 'undici'
 import { v7 as uuid } from 'uuid'
 import type * as z from 'zod'
 import { createSystemClock, type Clock } from '../clock'
-import { SECOND_MS } from '../constants'
+import { MIB_BYTES, SECOND_MS } from '../constants'
 import { describeCause } from '../errors'
 import { createInMemoryMetrics, type Metrics } from '../metrics'
 import { createConnector } from '../targetHttp'
@@ -26,6 +26,10 @@
 const UNAVAILABLE_AFTER_FAILURES = 3
 /** Default time that a watch may take beyond the wait that it requested of the platform. */
 const WATCH_MARGIN_MS = 2 * SECOND_MS
+/** Maximum size of a response, in bytes; what sends more may never end. */
+const MAX_RESPONSE_BYTES = 16 * MIB_BYTES
+/** Maximum number of informational responses before the final one. */
+const MAX_INFORMATIONAL = 16
 const HTTP_NOT_FOUND = 404
 const HTTP_CONFLICT = 409
 const HTTP_TOO_MANY = 429
@@ -151,13 +155,19 @@
 
   async function sendOnce (call: Call): Promise<Result<HttpResponse, PlatformUnavailable>> {
     const limit = AbortSignal.timeout(call.timeoutMs ?? timeoutMs)
-    const signal = call.signal === undefined ? limit : AbortSignal.any([limit, call.signal])
+    const endless = new AbortController()
+    const signal = AbortSignal.any([limit, endless.signal, ...(call.signal === undefined ? [] : [call.signal])])
+    let informational = 0
     metrics.count(`platform.calls.${call.method.toLowerCase()}`)
     try {
       const res = await request(base + call.path, {
         method: call.method,
         dispatcher: agent,
         signal,
+        onInfo: () => {
+          informational += 1
+          if (informational > MAX_INFORMATIONAL) endless.abort(new Error('too many informational responses'))
+        },
         headers: {
           'user-agent': `pimentoplank/${options.instance ?? 'unnamed'}`,
           ...(call.body === undefined ? {} : { 'content-type': 'application/json' }),
@@ -165,7 +175,7 @@
         },
         body: call.body === undefined ? undefined : JSON.stringify(call.body)
       })
-      const text = await res.body.text()
+      const text = await readText(res.body)
       if (isUnavailable(res.statusCode)) return err(new PlatformUnavailable(`status ${res.statusCode}`))
       return ok({ status: res.statusCode, body: text === '' ? undefined : JSON.parse(text) })
     } catch (cause) {
@@ -294,6 +304,18 @@
   }
 }
 
+async function readText (body: Dispatcher.ResponseData['body']): Promise<string> {
+  const chunks: Buffer[] = []
+  let bytes = 0
+  // Leaving the loop closes the connection.
+  for await (const chunk of body as AsyncIterable<Buffer>) {
+    bytes += chunk.length
+    if (bytes > MAX_RESPONSE_BYTES) throw new Error(`the response is larger than ${MAX_RESPONSE_BYTES} bytes`)
+    chunks.push(chunk)
+  }
+  return Buffer.concat(chunks).toString('utf8')
+}
+
 function isUnavailable (status: number): boolean {
   return status >= HTTP_SERVER_ERROR || status === HTTP_TOO_MANY
 }
