Refuse late requests that may last longer than the instance that stops

Callers could see: a request that came 3 to 4 s after the signal to stop, and was still answered as the instance had to end, was cut, also where it must not be repeated (reported by another operator). Cause: requests are refused from 4 s after the signal on, whatever the others may take. Change: once callers have no reason to use the instance any more, a request whose deadline and time-out are longer than what is left is refused as not run; shorter ones are served as before.

--- a/packages/pimentoplank/src/entry/stopping/shutdownController.ts
+++ b/packages/pimentoplank/src/entry/stopping/shutdownController.ts
@@ -27,6 +27,11 @@
 
 export interface ShutdownController {
   getStage: () => ShutdownStage
+  /**
+   * Time until the instance ends, in milliseconds, from when callers no longer have a reason to use it; infinite before
+   * that.
+   */
+  getLeftMs: () => number
   /** Counts a request as in flight; returns the function to call when it ends. */
   trackRequest: () => () => void
   /** Begins the shutdown; resolves when no request runs, or the time is up. Later calls return the same promise. */
@@ -39,12 +44,15 @@
   const clock = options.clock ?? createSystemClock()
   let stage: ShutdownStage = 'serving'
   let inFlight = 0
+  let lateFrom = Infinity
+  let endsAt = Infinity
   let onIdle = (): void => undefined
   let shutdown: Promise<void> | undefined
 
   async function run (): Promise<void> {
     stage = 'moving'
-    const deadlineAt = clock.now() + options.graceMs
+    endsAt = clock.now() + options.graceMs
+    lateFrom = clock.now() + options.directoryMaxAgeMs
     log.info({ inFlight }, 'leaving: out of the directory')
     const handedOver = options.onLeave().catch((cause) => log.warn({ err: cause }, 'handover failed'))
     // A directory response sent right before may be cached and used until it expires.
@@ -55,7 +63,7 @@
     const limit = new AbortController()
     await Promise.race([
       Promise.all([idle, handedOver]),
-      clock.sleep(Math.max(0, deadlineAt - clock.now()), limit.signal)
+      clock.sleep(Math.max(0, endsAt - clock.now()), limit.signal)
     ])
     limit.abort()
     log.info({ inFlight }, 'leaving: done')
@@ -63,6 +71,7 @@
 
   return {
     getStage: () => stage,
+    getLeftMs: () => clock.now() < lateFrom ? Infinity : endsAt - clock.now(),
     trackRequest: () => {
       inFlight += 1
       let hasEnded = false
--- a/packages/pimentoplank/src/relay/callers/relayHandler.ts
+++ b/packages/pimentoplank/src/relay/callers/relayHandler.ts
@@ -34,6 +34,8 @@
   isLeaving: () => boolean
   /** True while no new requests are accepted, since they might not end before the process does. */
   isClosed: () => boolean
+  /** Time until this instance ends, in milliseconds, as far as late requests are concerned; infinite for others. */
+  getLeftMs: () => number
   /** Counts a request as in flight; returns the function that ends it. */
   trackRequest: () => () => void
   random: Random
@@ -89,6 +91,10 @@
     if (route === undefined) {
       return err(new RefusalError('notFound', { detail: `no route for ${head.value.host}${head.value.path}` }))
     }
+    const longestMs = Math.min(head.value.deadlineMs ?? route.timeoutMs, route.timeoutMs)
+    if (route.kind !== 'batch' && longestMs > options.getLeftMs()) {
+      return err(new RefusalError('addressMoved', { retryAfterMs: MOVED_RETRY_AFTER_MS }))
+    }
     return ok({ request: { ...head.value, body: body.value }, route })
   }
 
--- a/packages/pimentoplank/src/relay/createRequestHandling.ts
+++ b/packages/pimentoplank/src/relay/createRequestHandling.ts
@@ -26,7 +26,7 @@
   openRequests: OpenRequests
   runner: Pick<ItemRunner, 'yieldItems'>
   jobs: JobApi
-  shutdown: Pick<ShutdownController, 'getStage' | 'trackRequest'>
+  shutdown: Pick<ShutdownController, 'getStage' | 'getLeftMs' | 'trackRequest'>
   clock: Clock
   random: Random
   metrics: Metrics
@@ -91,6 +91,7 @@
     jobs,
     isLeaving: () => shutdown.getStage() !== 'serving',
     isClosed: () => shutdown.getStage() === 'closed',
+    getLeftMs: shutdown.getLeftMs,
     trackRequest: shutdown.trackRequest,
     random,
     log
