Give up items whose batch route was dropped

Cause: items start only on a route that is there, and only the end of the retention, which a successor doesn't know without the route, gave them up. Change: items that don't run are listed as failed once their route has been gone for 5 s. Those that run may end.

--- a/packages/pimentoplank/src/relay/jobs/jobManager.feature
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.feature
@@ -124,3 +124,35 @@
     When the platform answers writes of results, and the first item of the job is finished before the next one
     And the store has got the second item's result
     Then the results of the job are not in doubt 400 ms later
+
+  # Guards against items that are neither run nor listed, since nothing gives them up before their retention is over.
+  Scenario: Items that wait while their route is dropped are given up, those that run are not
+    Given a job manager whose store holds a job of 4 items with this instance as its owner
+    And the job was submitted 1 s ago by the wall clock, on a route with a retention of 60 s
+    When the job is taken over
+    And the first item of the job runs and has event 2
+    And the configuration drops the route
+    And the job manager ticks each second for 4 s
+    Then 4 items of the job are open
+    When the job manager ticks each second for 3 s
+    Then 1 items of the job are open
+
+  Scenario: The items of a job that is taken over after its route was dropped are given up
+    Given a job manager whose store holds a job of 4 items with this instance as its owner
+    And the job was submitted 1 s ago by the wall clock, on a route with a retention of 60 s
+    And the configuration drops the route
+    When the job is taken over
+    And the job manager ticks each second for 7 s
+    Then 0 items of the job are open
+
+  Scenario: Items whose route is back soon are not given up
+    Given a job manager whose store holds a job of 4 items with this instance as its owner
+    And the job was submitted 1 s ago by the wall clock, on a route with a retention of 60 s
+    When the job is taken over
+    And the configuration drops the route
+    And the job manager ticks each second for 4 s
+    And the job was submitted 1 s ago by the wall clock, on a route with a retention of 60 s
+    And the job manager ticks each second for 4 s
+    And the configuration drops the route
+    And the job manager ticks each second for 4 s
+    Then 4 items of the job are open
--- a/packages/pimentoplank/src/relay/jobs/jobManager.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.steps.ts
@@ -149,6 +149,19 @@
   })
 })
 
+When('the configuration drops the route', function (this: ManagerWorld) {
+  const limits = { maxBodyBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs: 1000 }
+  this.table = createRouteTable({ version: 2, routes: [], services: new Map(), limits })
+})
+
+When('the job manager ticks each second for {int} s', async function (this: ManagerWorld, seconds: number) {
+  for (let second = 0; second < seconds; second++) {
+    await this.clock.advance(1000)
+    this.manager.tick()
+    await settle()
+  }
+})
+
 When('the job is taken over', async function (this: ManagerWorld) {
   this.updateRecord()
   assert.equal(await this.manager.takeOver(JOB), true)
--- a/packages/pimentoplank/src/relay/jobs/jobManager.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.ts
@@ -13,6 +13,7 @@
 import type { ItemResult, JobItem, JobRecord } from './records'
 import { createResultStorage, type ResultStorageRules } from './resultStorage'
 import { createSuccession } from './succession'
+import { createUnroutedItems } from './unroutedItems'
 
 export interface JobManagerRules extends ResultStorageRules {
   /** Upper bound of the backoff while the platform does not answer, in milliseconds. */
@@ -108,6 +109,7 @@
   /** Jobs whose ends are being repeated. */
   const ending = new Set<string>()
   const { isAlive, isSuccessorOf } = createSuccession(options)
+  const unroutedItems = createUnroutedItems(options)
 
   const storage = createResultStorage({
     ...options, computeBackoff, onStored: (job) => { if (job.isComplete()) markComplete(job) }, signal: closing.signal
@@ -385,6 +387,8 @@
       const now = clock.now()
       for (const job of registry.owned()) {
         if (now > job.expiresAt && job.openItems().size > 0 && !job.isEnded()) expireItems(job)
+        const unrouted = unroutedItems.find(job)
+        if (unrouted.length > 0) giveUpItems(job, unrouted)
         const finished = finishedAt.get(job.id)
         if (finished !== undefined && now - finished > rules.keepMs) {
           finishedAt.delete(job.id)
@@ -398,7 +402,11 @@
   function expireItems (job: OwnedJob): void {
     options.onStop(job)
     log.warn({ job: job.id, items: job.openItems().size }, 'items expired: retention period is over')
-    for (const item of [...job.openItems().keys()]) job.finishItem({ item, completed: false, text: '' })
+    giveUpItems(job, [...job.openItems().keys()])
+  }
+
+  function giveUpItems (job: OwnedJob, items: readonly string[]): void {
+    for (const item of items) job.finishItem({ item, completed: false, text: '' })
     storage.schedule(job)
   }
 }
