Bound the caches of inputs and results by size

Cause: an instance that doesn't own a job keeps its input and results, of up to 50 and 200 jobs whatever their size. Change: each cache holds texts of 12 million characters at most.

--- a/packages/pimentoplank/src/relay/jobs/resultReader.ts
+++ b/packages/pimentoplank/src/relay/jobs/resultReader.ts
@@ -47,8 +47,10 @@
 /** Maximum size of the results in one answer, in bytes of JSON; a larger result is answered alone. */
 const MAX_PAGE_BYTES = 900_000
 export const PLATFORM_RETRY_MS = 1000
-const CACHED_JOBS = 200
-const CACHED_INPUTS = 50
+/** Maximum length of all texts in the cache of results, and in that of inputs, in characters. */
+const MAX_CACHED_CHARS = 12_000_000
+/** Length of an object beside its texts that is counted, in characters. */
+const OBJECT_CHARS = 200
 
 interface CachedJob {
   record: JobRecord
@@ -59,8 +61,13 @@
 /** Creates the result reader of an instance. */
 export function createResultReader (options: ResultReaderOptions): ResultReader {
   const { self, jobRegistry: registry, store, getClient, clock, log } = options
-  const cache = new LRUCache<string, CachedJob>({ max: CACHED_JOBS })
-  const inputs = new LRUCache<string, readonly JobItem[]>({ max: CACHED_INPUTS })
+  const cache = new LRUCache<string, CachedJob>({
+    maxSize: MAX_CACHED_CHARS, sizeCalculation: ({ results }) => countChars(results.map(({ text }) => text))
+  })
+  const inputs = new LRUCache<string, readonly JobItem[]>({
+    maxSize: MAX_CACHED_CHARS,
+    sizeCalculation: (items) => countChars(items.flatMap(({ body, path, headers }) => [body, path, ...headers]))
+  })
 
   async function readOwned (id: string, after: number, waitMs: number): Promise<ResultPage | undefined> {
     const until = clock.now() + waitMs
@@ -153,19 +160,19 @@
     { record }: { record: JobRecord },
     after: number
   ): Promise<Result<ResultPage, RefusalError>> {
-    const cached = cache.get(id) ?? { record, results: [], segments: 0 }
-    cached.record = record
-    cache.set(id, cached)
+    const { results = [], segments = 0 } = cache.get(id) ?? {}
+    const cached: CachedJob = { record, results: [...results], segments }
     while (cached.results.length < record.total) {
-      const index = cached.segments
-      const segment = await store.readSegment(id, index)
-      if (segment.isErr()) return err(toReadRefusal(segment.error))
+      const segment = await store.readSegment(id, cached.segments)
+      if (segment.isErr()) {
+        cache.set(id, cached)
+        return err(toReadRefusal(segment.error))
+      }
       if (segment.value === undefined) break
-      // A concurrent read of the same job may have added the segment already.
-      if (cached.segments !== index) continue
       cached.results.push(...segment.value)
       cached.segments += 1
     }
+    cache.set(id, cached)
     return ok({ total: record.total, results: takePage(cached.results, after) })
   }
 
@@ -199,6 +206,10 @@
   return new RefusalError(reason, { retryAfterMs: PLATFORM_RETRY_MS, cause })
 }
 
+function countChars (texts: readonly string[]): number {
+  return texts.reduce((sum, { length }) => sum + length + OBJECT_CHARS, OBJECT_CHARS)
+}
+
 function takePage (results: readonly ItemResult[], after: number): ItemResult[] {
   return takeFitting(results.slice(after), MAX_PAGE_BYTES)
 }
--- a/packages/pimentoplank/src/relay/jobs/resultStorage.feature
+++ b/packages/pimentoplank/src/relay/jobs/resultStorage.feature
@@ -25,3 +25,16 @@
     Given a job of 5 items, and a platform that refuses objects of more than 1048576 bytes
     When a job is submitted whose item has a body of 1200000 characters
     Then it is refused as too large, and nothing of it is stored
+
+  # Guards against a process that runs out of memory, as it keeps the inputs of many jobs whatever their size.
+  Scenario Outline: Another instance keeps the <what> of some jobs for later reads, up to a size
+    Given <count> jobs of 2 items with bodies and results of <length> characters
+    When another instance reads the <what> of each, and then that of the first again
+    Then the last read <outcome> the platform
+
+    Examples:
+      | what    | count | length  | outcome   |
+      | body    | 30    | 500000  | asks      |
+      | body    | 30    | 1000    | needs not |
+      | results | 30    | 500000  | asks      |
+      | results | 30    | 1000    | needs not |
--- a/packages/pimentoplank/src/relay/jobs/resultStorage.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/resultStorage.steps.ts
@@ -9,6 +9,9 @@
   jobBench: JobBench
   texts: string[]
   refused: Result<void, RefusalError>
+  count: number
+  /** Calls of the platform for inputs or results before the last read, and after it. */
+  calls: [number, number]
 }
 
 const JOB = 'job'
@@ -86,3 +89,44 @@
   assert.deepEqual(this.jobBench.platform.objects('jobs').map(({ name }) => name), [JOB])
   this.jobBench.manager.close()
 })
+
+Given('{int} jobs of {int} items with bodies and results of {int} characters', async function (
+  this: ResultStorageWorld, count: number, items: number, length: number
+) {
+  this.jobBench = createJobBench()
+  this.count = count
+  const { registry, manager } = this.jobBench
+  for (let index = 0; index < count; index++) {
+    const id = `job${index}`
+    assert.ok((await submitJob(this.jobBench, id, items, 'A'.repeat(length))).isOk())
+    const job = registry.get(id)!
+    for (const item of [...job.openItems().keys()]) job.finishItem({ item, completed: true, text: 'x'.repeat(length) })
+    manager.scheduleStore(job)
+  }
+  await passTime(this.jobBench, 3000)
+  manager.close()
+})
+
+When(/^another instance reads the (body|results) of each, and then that of the first again$/, async function (
+  this: ResultStorageWorld, what: string
+) {
+  const { platform } = this.jobBench
+  const other = createJobBench({ id: 'instance-2', shared: this.jobBench })
+  const kind = what === 'body' ? 'job-inputs' : 'job-results'
+  const countCalls = (): number => platform.calls.filter((call) => call.kind === kind && call.operation === 'get').length
+  const read = async (id: string): Promise<void> => {
+    const reading = what === 'body' ? other.api.body(id, `${id}-0`) : other.api.read(id, 0, 0)
+    await passTime(other, 200)
+    assert.ok((await reading).isOk())
+  }
+  for (let index = 0; index < this.count; index++) await read(`job${index}`)
+  const before = countCalls()
+  await read('job0')
+  this.calls = [before, countCalls()]
+  other.manager.close()
+})
+
+Then(/^the last read (asks|needs not) the platform$/, function (this: ResultStorageWorld, outcome: string) {
+  const [before, after] = this.calls
+  assert.equal(after > before, outcome === 'asks', `${after - before} calls`)
+})
