--- a/packages/pimentoplank/src/relay/exchange/confirmProcess.ts
+++ b/packages/pimentoplank/src/relay/exchange/confirmProcess.ts
@@ -5,7 +5,7 @@
 import type { Clock } from '../../shared'
 import type { TargetProtocol } from '../model'
 import type { TargetConnection, TargetConnectionPool } from './connectionPool'
-import { identifyProcess } from './identifyProcess'
+import { identifyProcess, UnknownProcess } from './identifyProcess'
 
 export interface ConfirmProcessOptions {
   address: string
@@ -37,7 +37,9 @@
     const isReached = connection.socket !== undefined
     connections.destroy(connection)
     if (told.isOk()) return startedAt === undefined || told.value === startedAt
-    if (hasAnswered) return true
+    // A connection that was established at once and stays open leads to a process that lives, if a silent one.
+    const staysOpen = isReached && told.error instanceof UnknownProcess && !signal.aborted
+    if (hasAnswered || staysOpen) return true
     // Nothing listens any more where no connection is established.
     if (!isReached || attempt >= MAX_ATTEMPTS || signal.aborted) return false
     await clock.sleep(RETRY_MS, signal)
--- a/packages/pimentoplank/src/relay/exchange/eventReader.ts
+++ b/packages/pimentoplank/src/relay/exchange/eventReader.ts
@@ -15,16 +15,21 @@
   getCounts: () => { events: number, partialEventBytes: number }
 }
 
-/** Creates the reader of one response. */
-export function createEventReader (answer: TargetAnswer): EventReader {
+/**
+ * Creates the reader of one response.
+ *
+ * @param options.isResumed - true if the run goes on after an event that was received before
+ */
+export function createEventReader (answer: TargetAnswer, { isResumed = false } = {}): EventReader {
   const splitter = createEventSplitter()
   let events = 0
 
-  function findTruncation (): string | undefined {
-    if (splitter.getRemainder().length > 0) return 'the stream ended inside an event'
+  function findTruncation (): SendFailure | undefined {
+    if (splitter.getRemainder().length > 0) return new SendFailure('broken', true, 'the stream ended inside an event')
     // The end of the connection says nothing about a stream that has not begun.
     const isUnframed = answer.getEnding().framing === 'connection'
-    return isUnframed && events === 0 ? 'the stream ended before its first event' : undefined
+    if (!isUnframed || events > 0) return undefined
+    return new SendFailure(isResumed ? 'emptyEnd' : 'broken', true, 'the stream ended before its first event')
   }
 
   return {
@@ -38,7 +43,7 @@
         return err(new SendFailure('spoiled', true, `an event is larger than ${MAX_EVENT_BYTES} bytes`))
       }
       const truncation = findTruncation()
-      return truncation === undefined ? ok(undefined) : err(new SendFailure('broken', true, truncation))
+      return truncation === undefined ? ok(undefined) : err(truncation)
     },
     getCounts: () => ({ events, partialEventBytes: splitter.getRemainder().length })
   }
--- a/packages/pimentoplank/src/relay/exchange/sendFailure.ts
+++ b/packages/pimentoplank/src/relay/exchange/sendFailure.ts
@@ -14,6 +14,8 @@
   | 'peerUnreachable'
   /** The connection broke before the end of the response. */
   | 'broken'
+  /** An unframed answer to a run that goes on ended before any event: there may be none left, or it broke off. */
+  | 'emptyEnd'
   /** The peer through which the connection went was lost before the end of the response. */
   | 'peerLost'
   /** A pooled connection turned out to be reset when the request was written to it. */
--- a/packages/pimentoplank/src/relay/live/attemptTarget.ts
+++ b/packages/pimentoplank/src/relay/live/attemptTarget.ts
@@ -113,7 +113,7 @@
     if (answer.isErr()) return toAttemptEnd(answer.error)
     if (answer.value.head.status < STATUS_SERVER_ERROR) deps.loads.recordSuccess(slot.target.id, sentAt)
     if (answer.value.head.load !== undefined) deps.loads.recordReportedLoad(slot.target.id, answer.value.head.load)
-    const reader = createEventReader(answer.value)
+    const reader = createEventReader(answer.value, { isResumed: progress.lastEventId !== undefined })
     const end = await forwardAnswer(answer.value, reader)
     progress.ending = { ...answer.value.getEnding(), ...reader.getCounts() }
     answer.value.close()
