Ask for what follows the end of an unframed stream

Cause: one event, the end of the connection of a process that lives, settled that the answer was whole. The evidence that is asked for, the same process, is there. Change: where the answer may be resumed, what follows its last event is asked for, live in the same slot; a framed empty answer or a second orderly end without an event proves the end. That also ends live streams of which nothing is left, which were refused before. Elsewhere the state of the process tells: more events made than received, the run still listed, or idle connections that end at the same moment mark the answer as incomplete. Whether a list can be trusted is learned from answers that proved whole. Such ends say nothing of crashes. Each end of an unframed answer has a log line with what was known and concluded.

--- /dev/null
+++ b/packages/pimentoplank/src/relay/decisions/answerEnds.feature
@@ -0,0 +1,44 @@
+Feature: Whether the end of a connection is that of its answer
+  Load pattern: connections that end in an orderly way while their process lives. The list of runs may be some hundred ms old.
+
+  Scenario Outline: A run that is listed with <made> events when <received> were received, the last one <quiet> ms before
+    Given a new run of which <received> events were received, the last one <quiet> ms before its end
+    And its process has listed <gone> whole answers no longer, and <listed> still, as they ended
+    When its process lists it with <made> events
+    Then more events <follow>, and it may be listed for <ms> ms
+
+    Examples:
+      | received | made | quiet | gone | listed | follow | ms  |
+      | 5        | 7    | 10    | 3    | 0      | follow | 40  |
+      | 5        | 5    | 10    | 3    | 0      | may    | 40  |
+      | 5        | 5    | 200   | 3    | 0      | may    | 230 |
+      | 5        | 5    | 9000  | 3    | 0      | may    | 530 |
+      | 5        | 5    | 10    | 0    | 0      | may    | 500 |
+      | 5        | 5    | 10    | 3    | 1      | may    | 500 |
+      | 5        | 4    | 10    | 3    | 0      | may    | any |
+
+  Scenario: A run that goes on says nothing by being listed, but by the events that it has made
+    Given a run that went on after event 3 and received 2 events
+    When its process lists it with 5 events
+    Then more events may, and it may be listed for any ms
+    When its process lists it with 6 events
+    Then more events follow, and it may be listed for any ms
+
+  Scenario: A plain answer whose run is still listed when no list is that old is broken off
+    Given a plain answer
+    When its process lists it with 0 events
+    Then more events may, and it may be listed for 500 ms
+
+  Scenario Outline: After <ends> it is <known> that no event follows
+    Then after the ends "<ends>" it is <known> that no event follows
+
+    Examples:
+      | ends                     | known     |
+      | openEnd                  | not known |
+      | openEnd emptyEnd         | known     |
+      | emptyEnd emptyEnd        | known     |
+      | openEnd refused emptyEnd | known     |
+      | openEnd noRest           | not known |
+      | openEnd openEnd          | not known |
+      | openEnd broken emptyEnd  | not known |
+      | openEnd endedEarly       | not known |
--- /dev/null
+++ b/packages/pimentoplank/src/relay/decisions/answerEnds.steps.ts
@@ -0,0 +1,49 @@
+import assert from 'node:assert/strict'
+import { Given, Then, When } from '@cucumber/cucumber'
+import type { SendFailureReason } from '../exchange'
+import type { ProcessRun } from '../model'
+import { computeListedMs, countOpenEnds, hasMadeMore, isEndProven, type AnswerEnd, type ListHistory } from '.'
+
+interface EndsWorld {
+  end: AnswerEnd
+  run: ProcessRun
+  history?: ListHistory
+}
+
+Given('a new run of which {int} events were received, the last one {int} ms before its end', function (
+  this: EndsWorld, events: number, quietMs: number
+) {
+  this.end = { events, isResumed: false, lastEventId: events, quietMs }
+})
+
+Given('a run that went on after event {int} and received {int} events', function (
+  this: EndsWorld, after: number, events: number
+) {
+  this.end = { events, isResumed: true, lastEventId: after + events, quietMs: 0 }
+})
+
+Given('its process has listed {int} whole answers no longer, and {int} still, as they ended', function (
+  this: EndsWorld, gone: number, listed: number
+) {
+  this.history = { gone, listed }
+})
+
+Given('a plain answer', function (this: EndsWorld) {
+  this.end = { events: undefined, isResumed: false, lastEventId: undefined, quietMs: 0 }
+})
+
+When('its process lists it with {int} events', function (this: EndsWorld, events: number) {
+  this.run = { id: 'r1', events }
+})
+
+Then(/^more events (follow|may), and it may be listed for (\d+|any) ms$/, function (
+  this: EndsWorld, follow: string, ms: string
+) {
+  assert.equal(hasMadeMore(this.run, this.end), follow === 'follow')
+  assert.equal(computeListedMs(this.run, this.end, this.history ?? { gone: 1, listed: 0 }), ms === 'any' ? undefined : Number(ms))
+})
+
+Then(/^after the ends "(.*)" it is (known|not known) that no event follows$/, function (ends: string, known: string) {
+  const count = (ends.split(' ') as SendFailureReason[]).reduce(countOpenEnds, 0)
+  assert.equal(isEndProven(count), known === 'known')
+})
--- a/packages/pimentoplank/src/relay/decisions/index.ts
+++ b/packages/pimentoplank/src/relay/decisions/index.ts
@@ -8,6 +8,8 @@
   countExcess, countRoom, chooseStarts, choosePreempted, rankItem,
   type BatchCandidate, type BatchScheduleInput, type BatchStart, type ExcessInput, type RunningItem, type WaitingItem
 } from './batchScheduling'
+export { computeListedMs, hasMadeAll, hasMadeMore, type AnswerEnd, type ListHistory } from './answerEnds'
+export { countOpenEnds, isEndProven, MAX_REST_REFUSALS } from './openEnds'
 export { computeOutageRetryMs } from './outageRetry'
 export {
   decideItemVersion, type ItemVersionDecision, type ItemVersionInput, type ItemVersionRules
--- /dev/null
+++ b/packages/pimentoplank/src/relay/decisions/openEnds.ts
@@ -0,0 +1,34 @@
+/**
+ * What follows the end of a stream that may have more events.
+ *
+ * Load pattern: as for the ends of answers (`answerEnds.ts`), where the target can be asked for what follows the last
+ * event. That takes a slot for a moment, so that full targets may refuse it, and the answer must not wait for ever.
+ */
+import type { SendFailureReason } from '../exchange'
+
+/** Orderly ends in a row without a new event after which there is none left; a single one may have broken off. */
+const PROVING_ENDS = 2
+/** Number of times that a target which refuses to tell the rest is asked again. */
+export const MAX_REST_REFUSALS = 3
+
+/**
+ * Counts the orderly ends in a row after the same event.
+ *
+ * @param ends - number before
+ * @param reason - how the latest run ended; a run that broke off leaves none
+ */
+export function countOpenEnds (ends: number, reason: SendFailureReason): number {
+  if (reason === 'openEnd') return 1
+  if (reason === 'emptyEnd') return ends + 1
+  return KEEPING.has(reason) ? ends : 0
+}
+
+/** Failures to ask for the rest that say nothing about it. */
+const KEEPING: ReadonlySet<SendFailureReason> = new Set([
+  'connectFailed', 'refused', 'otherTarget', 'otherProcess', 'peerUnreachable', 'withdrawn', 'aborted', 'noRest'
+])
+
+/** True once no event follows. */
+export function isEndProven (ends: number): boolean {
+  return ends >= PROVING_ENDS
+}
--- a/packages/pimentoplank/src/relay/exchange/confirmProcess.ts
+++ b/packages/pimentoplank/src/relay/exchange/confirmProcess.ts
@@ -3,9 +3,9 @@
  * connection, and the system of a process that dies ends its connections in the same orderly way.
  */
 import type { Clock } from '../../shared'
-import type { TargetProtocol } from '../model'
+import type { ProcessState, TargetProtocol } from '../model'
 import type { TargetConnection, TargetConnectionPool } from './connectionPool'
-import { identifyProcess, UnknownProcess } from './identifyProcess'
+import { readState, UnknownProcess } from './readState'
 
 export interface ConfirmProcessOptions {
   address: string
@@ -22,13 +22,17 @@
 /** Pause before the process is asked again, in milliseconds. */
 const RETRY_MS = 50
 
-/** Asks for the state on a connection of its own; resolves to true if the same process answers. */
-export async function confirmProcess (options: ConfirmProcessOptions): Promise<boolean> {
+/**
+ * Asks for the state on a connection of its own.
+ *
+ * @returns what the process tells, nothing if it lives but doesn't tell; undefined unless the same process answers
+ */
+export async function confirmProcess (options: ConfirmProcessOptions): Promise<ProcessState | undefined> {
   const { address, startedAt, connections, protocol, clock, signal } = options
   for (let attempt = 1; ; attempt++) {
     const connection: TargetConnection = connections.open(address)
     let hasAnswered = false
-    const told = await identifyProcess(connection, {
+    const told = await readState(connection, {
       protocol,
       onHead: () => { hasAnswered = true },
       abort: () => connections.destroy(connection),
@@ -36,12 +40,15 @@
     })
     const isReached = connection.socket !== undefined
     connections.destroy(connection)
-    if (told.isOk()) return startedAt === undefined || told.value === startedAt
+    if (told.isOk()) {
+      const { startedAt: toldStart = startedAt } = told.value
+      return startedAt === undefined || toldStart === startedAt ? told.value : undefined
+    }
     // A connection that was established at once and stays open leads to a process that lives, if a silent one.
     const staysOpen = isReached && told.error instanceof UnknownProcess && !signal.aborted
-    if (hasAnswered || staysOpen) return true
+    if (hasAnswered || staysOpen) return {}
     // Nothing listens any more where no connection is established.
-    if (!isReached || attempt >= MAX_ATTEMPTS || signal.aborted) return false
+    if (!isReached || attempt >= MAX_ATTEMPTS || signal.aborted) return undefined
     await clock.sleep(RETRY_MS, signal)
   }
 }
--- a/packages/pimentoplank/src/relay/exchange/connectionPool.ts
+++ b/packages/pimentoplank/src/relay/exchange/connectionPool.ts
@@ -2,8 +2,9 @@
 import { once } from 'node:events'
 import { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
+import { LRUCache } from 'lru-cache'
 import type { Result } from 'neverthrow'
-import { Client, type Dispatcher } from 'undici'
+import { Client, errors, type Dispatcher } from 'undici'
 import { hash32, markDispatch, type Clock, type Metrics, type SendMark } from '../../shared'
 import type { PathChoice, TargetPaths } from '../paths'
 import type { OpenedConnection, OpenRequest, TargetConnector } from './targetConnector'
@@ -45,6 +46,8 @@
   destroy: (connection: TargetConnection) => void
   /** Closes connections that are not established yet, so that their requests fail without having been sent. */
   dropConnecting: () => void
+  /** Counts the idle connections that the target has ended since a time on the monotonic clock. */
+  countDropped: (address: string, since: number) => number
   /** True while a connection can carry a request. */
   isUsable: (connection: TargetConnection) => boolean
   /** Reports that a pooled connection was reset while idle; the idle timeout of all is shortened for a while. */
@@ -66,6 +69,9 @@
 const SHORTENED_TIMEOUT_MS = 10_000
 /** A connection that has carried this many requests is not used again, which bounds the memory for their ids. */
 const MAX_CARRIED = 256
+/** Maximum of ended idle connections that are remembered for one address, and of such addresses. */
+const MAX_DROPPED = 16
+const MAX_DROPPED_ADDRESSES = 1000
 
 /** Creates the connection pool of an instance. */
 export function createTargetConnectionPool (options: {
@@ -79,6 +85,8 @@
   const idle = new Map<string, IdleConnection[]>()
   /** Open connections, each with what gives it up while it is being established. */
   const connections = new Map<TargetConnection, AbortController>()
+  /** When the target at an address has ended idle connections, on the monotonic clock. */
+  const dropped = new LRUCache<string, number[]>({ max: MAX_DROPPED_ADDRESSES })
   let shortenedTimeout: { ms: number, until: number } | undefined
 
   function getIdleTimeoutMs (): number {
@@ -115,12 +123,22 @@
       idleMs: 0,
       carried: new Set()
     }
-    client.on('disconnect', () => closeConnection(connection))
+    client.on('disconnect', (_origin, _clients, cause) => {
+      if (cause instanceof errors.SocketError) recordDropped(address, connection)
+      closeConnection(connection)
+    })
     client.on('connectionError', () => closeConnection(connection))
     connections.set(connection, closed)
     return connection
   }
 
+  function recordDropped (address: string, connection: TargetConnection): void {
+    const isIdle = idle.get(address)?.some((one) => one.connection === connection) === true
+    if (!isIdle || !connections.has(connection)) return
+    const times = [...dropped.get(address) ?? [], clock.now()]
+    dropped.set(address, times.slice(-MAX_DROPPED))
+  }
+
   /** Opens a socket; one that nobody waits for any more is closed at once. */
   async function openSocket (
     request: OpenRequest, onOpened: (opened: OpenedConnection) => void
@@ -207,6 +225,7 @@
       idle.set(address, list)
     },
     destroy: resetConnection,
+    countDropped: (address, since) => (dropped.get(address) ?? []).filter((at) => at >= since).length,
     dropConnecting: () => {
       for (const connection of [...connections.keys()]) if (connection.socket === undefined) closeConnection(connection)
     },
--- /dev/null
+++ b/packages/pimentoplank/src/relay/exchange/endCheck.ts
@@ -0,0 +1,111 @@
+/** Checks at the end of the connection of an unframed answer whether the answer is whole. */
+import { LRUCache } from 'lru-cache'
+import type { Clock, Log, Metrics } from '../../shared'
+import { computeListedMs, hasMadeAll, hasMadeMore, type AnswerEnd, type ListHistory } from '../decisions'
+import type { ProcessRun, ProcessState, TargetProtocol, TargetRequest } from '../model'
+import { confirmProcess } from './confirmProcess'
+import type { TargetConnection, TargetConnectionPool } from './connectionPool'
+import { SendFailure } from './sendFailure'
+
+export interface EndCheckOptions {
+  connections: TargetConnectionPool
+  protocol: TargetProtocol
+  clock: Clock
+  metrics: Metrics
+  log: Log
+}
+
+/** What was received of an answer when its connection ended. */
+export interface ReceivedAnswer extends AnswerEnd {
+  /** True if the target can be asked for what follows the last event. */
+  canAskForRest: boolean
+}
+
+/** Returns why the answer may not be whole; undefined if nothing speaks against it. */
+export type EndCheck = (
+  sent: TargetRequest, connection: TargetConnection, received: ReceivedAnswer, signal: AbortSignal
+) => Promise<SendFailure | undefined>
+
+/** Connections that a process drops together end within this time, in milliseconds. */
+const TOGETHER_MS = 20
+
+/** Maximum of processes whose lists are known, and of ends of which it may still be learned whether they were whole. */
+const MAX_HISTORIES = 1000
+const MAX_OPEN_ENDS = 1000
+const NO_HISTORY: ListHistory = { gone: 0, listed: 0 }
+
+type Verdict = 'whole' | 'otherProcess' | 'madeMore' | 'stillRuns' | 'droppedTogether' | 'restUnknown'
+
+const DETAILS: Record<Exclude<Verdict, 'whole'>, string> = {
+  otherProcess: 'the process may have died as its answer ended',
+  madeMore: 'the process has made more events than were received',
+  stillRuns: 'the process still runs the request',
+  droppedTogether: 'the process dropped other connections at the same moment',
+  restUnknown: 'whether more events follow is not known'
+}
+
+const REASONS = {
+  otherProcess: 'broken', madeMore: 'endedEarly', stillRuns: 'endedEarly', droppedTogether: 'endedEarly', restUnknown: 'openEnd'
+} as const
+
+/** Creates the check of an instance. */
+export function createEndCheck ({ connections, protocol, clock, metrics, log }: EndCheckOptions): EndCheck {
+  /** By address and start of the process. */
+  const histories = new LRUCache<string, ListHistory>({ max: MAX_HISTORIES })
+  /** Ends after which more may follow, by process and request: true if the run was still listed. */
+  const openEnds = new LRUCache<string, boolean>({ max: MAX_OPEN_ENDS })
+
+  /** A run that goes on and ends without an event shows that the answer before it was whole. */
+  function learn (process: string, requestId: string, received: ReceivedAnswer, run: ProcessRun | undefined): void {
+    const key = `${process} ${requestId}`
+    if (received.canAskForRest) openEnds.set(key, hasMadeAll(run, received))
+    const wasListed = received.isResumed && received.events === 0 ? openEnds.get(key) : undefined
+    if (wasListed === undefined) return
+    openEnds.delete(key)
+    const { gone, listed } = histories.get(process) ?? NO_HISTORY
+    histories.set(process, wasListed ? { gone, listed: listed + 1 } : { gone: gone + 1, listed })
+  }
+
+  return async ({ request, target }, connection, received, signal) => {
+    const endedAt = clock.now()
+    const { address } = target
+    const startedAt = connection.processStartedAt ?? target.startedAt
+    const askState = async (): Promise<ProcessState | undefined> =>
+      await confirmProcess({ address, startedAt, connections, protocol, clock, signal })
+    const findRun = (state: ProcessState | undefined): ProcessRun | undefined =>
+      state?.runs?.find(({ id }) => id === request.id)
+
+    async function check (state: ProcessState | undefined): Promise<Verdict> {
+      if (state === undefined) return 'otherProcess'
+      const run = findRun(state)
+      if (hasMadeMore(run, received)) return 'madeMore'
+      if (received.canAskForRest) return 'restUnknown'
+      const listedMs = computeListedMs(run, received, histories.get(process) ?? NO_HISTORY)
+      if (listedMs !== undefined) {
+        await clock.sleep(listedMs, signal)
+        if (findRun(await askState()) !== undefined) return 'stillRuns'
+      }
+      return connections.countDropped(address, endedAt - TOGETHER_MS) > 0 ? 'droppedTogether' : 'whole'
+    }
+
+    const state = await askState()
+    const process = `${address} ${state?.startedAt}`
+    if (state !== undefined) learn(process, request.id, received, findRun(state))
+    const verdict = await check(state)
+    metrics.count(verdict === 'otherProcess' ? 'targets.endsUnconfirmed' : 'targets.endsConfirmed')
+    if (verdict !== 'whole') metrics.count(`targets.ends.${verdict}`)
+    log.info({
+      req: request.id,
+      target: target.id,
+      startedAt,
+      toldStart: state?.startedAt,
+      listsRuns: state?.runs !== undefined,
+      listedEvents: findRun(state)?.events,
+      lastEvent: received.lastEventId,
+      quietMs: Math.round(received.quietMs),
+      verdict
+    }, 'unframed answer ended')
+    if (verdict === 'whole') return undefined
+    return new SendFailure(REASONS[verdict], true, DETAILS[verdict])
+  }
+}
--- a/packages/pimentoplank/src/relay/exchange/eventReader.ts
+++ b/packages/pimentoplank/src/relay/exchange/eventReader.ts
@@ -15,30 +15,40 @@
   getCounts: () => { events: number, partialEventBytes: number }
 }
 
-/**
- * Creates the reader of one response.
- *
- * @param options.isResumed - true if the run goes on after an event that was received before
- */
-export function createEventReader (answer: TargetAnswer, { isResumed = false } = {}): EventReader {
+export interface EventReaderOptions {
+  /** Id of the event after which the run goes on; undefined for a new one. */
+  after?: number
+  /** True if what follows the last event can be asked for. */
+  canResume?: boolean
+}
+
+/** Creates the reader of one response. */
+export function createEventReader (
+  answer: TargetAnswer, { after, canResume = false }: EventReaderOptions = {}
+): EventReader {
   const splitter = createEventSplitter()
   let events = 0
+  let lastEventId = after
 
   function findTruncation (): SendFailure | undefined {
     if (splitter.getRemainder().length > 0) return new SendFailure('broken', true, 'the stream ended inside an event')
     // The end of the connection says nothing about a stream that has not begun.
     const isUnframed = answer.getEnding().framing === 'connection'
     if (!isUnframed || events > 0) return undefined
-    return new SendFailure(isResumed ? 'emptyEnd' : 'broken', true, 'the stream ended before its first event')
+    return new SendFailure(after === undefined ? 'broken' : 'emptyEnd', true, 'the stream ended before its first event')
   }
 
   return {
     read: async () => {
-      const next = await answer.read()
+      const isBetweenEvents = events > 0 && splitter.getRemainder().length === 0
+      const next = await answer.read({
+        events, isResumed: after !== undefined, lastEventId, canAskForRest: canResume && isBetweenEvents
+      })
       if (next.isErr()) return err(next.error)
       if (next.value !== undefined) {
         const complete = splitter.push(next.value)
         events += complete.length
+        lastEventId = complete.at(-1)?.id ?? lastEventId
         if (splitter.getRemainder().length <= MAX_EVENT_BYTES) return ok(complete)
         return err(new SendFailure('spoiled', true, `an event is larger than ${MAX_EVENT_BYTES} bytes`))
       }
--- a/packages/pimentoplank/src/relay/exchange/exchange.steps.ts
+++ b/packages/pimentoplank/src/relay/exchange/exchange.steps.ts
@@ -48,7 +48,7 @@
     isSigned: true,
     isLeaving: false
   }),
-  state: { path: '/state', decodeStartedAt: () => undefined }
+  state: { path: '/state', decode: () => ({}) }
 }
 
 function encodeAnswer (id: string, status: number): string {
--- a/packages/pimentoplank/src/relay/exchange/exchange.ts
+++ b/packages/pimentoplank/src/relay/exchange/exchange.ts
@@ -5,9 +5,10 @@
   describeCause, getBodyFraming, hash32, isPeerFailure, type Clock, type Log, type Metrics, type SendMark
 } from '../../shared'
 import type { AnswerHead, ProcessNeed, Target, TargetProtocol, TargetRequest } from '../model'
-import { confirmProcess } from './confirmProcess'
 import type { TargetConnection, TargetConnectionPool } from './connectionPool'
-import { identifyProcess, UnknownProcess } from './identifyProcess'
+import { createEndCheck } from './endCheck'
+import { identifyProcess } from './identifyProcess'
+import { UnknownProcess } from './readState'
 import { createResponseReceiver } from './responseReceiver'
 import { SendFailure, type SendFailureReason } from './sendFailure'
 import { createTargetAnswer, drainAnswer, type TargetAnswer } from './targetAnswer'
@@ -48,6 +49,7 @@
 /** Creates the client through which an instance sends requests to targets. */
 export function createExchange (options: ExchangeOptions): Exchange {
   const { protocol, connections, onHead, clock, metrics, log } = options
+  const checkEnd = createEndCheck(options)
 
   async function send (
     outgoing: TargetRequest, signal: AbortSignal, need?: ProcessNeed
@@ -124,7 +126,8 @@
       connections,
       removeAbortListener,
       address: target.address,
-      confirmEnd: async () => await confirmEnd(outgoing, connection, signal)
+      checkEnd: async (received) => await checkEnd(outgoing, connection, received, signal),
+      now: () => clock.now()
     })
     const failure = findHeadFailure(outgoing, head)
     if (failure === undefined || failure.reason === 'refused') onHead(target, head, connection.processStartedAt)
@@ -196,18 +199,6 @@
     }
   }
 
-  /** True if the process that has ended the connection of an unframed answer is still there. */
-  async function confirmEnd (
-    { request, target }: TargetRequest, connection: TargetConnection, signal: AbortSignal
-  ): Promise<boolean> {
-    const { address } = target
-    const startedAt = connection.processStartedAt ?? target.startedAt
-    const isThere = await confirmProcess({ address, startedAt, connections, protocol, clock, signal })
-    metrics.count(isThere ? 'targets.endsConfirmed' : 'targets.endsUnconfirmed')
-    if (!isThere) log.info({ req: request.id, target: target.id, startedAt }, 'unframed answer may be cut: its process does not answer')
-    return isThere
-  }
-
   return { send, connections }
 }
 
--- a/packages/pimentoplank/src/relay/exchange/identifyProcess.ts
+++ b/packages/pimentoplank/src/relay/exchange/identifyProcess.ts
@@ -1,31 +1,12 @@
 /** Asks the process at the other end of a connection when it started. */
 import { err, ok, type Result } from 'neverthrow'
-import { KIB_BYTES, SECOND_MS } from '../../shared'
-import type { AnswerHead, TargetProtocol } from '../model'
+import type { AnswerHead } from '../model'
 import type { TargetConnection } from './connectionPool'
-import { createResponseReceiver } from './responseReceiver'
+import { readState, UnknownProcess, type ReadStateOptions } from './readState'
 
-/** Time after which a process that does not tell its state counts as unknown, in milliseconds. */
-const IDENTIFY_TIMEOUT_MS = SECOND_MS
-/** Maximum size of a state, in bytes. */
-const MAX_STATE_BYTES = 64 * KIB_BYTES
-const STATUS_OK = 200
-
-/** A target that responds without telling when it started; the connection works. */
-export class UnknownProcess extends Error {
-  constructor (detail: string) {
-    super(detail)
-    this.name = 'UnknownProcess'
-  }
-}
-
-export interface IdentifyOptions {
-  protocol: Pick<TargetProtocol, 'decodeHead' | 'state'>
+export interface IdentifyOptions extends Omit<ReadStateOptions, 'onHead'> {
   /** Called with the head of the answer, and when the process started if it tells. */
   onHead: (head: AnswerHead, startedAt: number | undefined) => void
-  /** Closes the connection. */
-  abort: () => void
-  signal: AbortSignal
 }
 
 /**
@@ -35,44 +16,10 @@
  * error if the connection failed
  */
 export async function identifyProcess (
-  connection: TargetConnection,
-  { protocol, onHead, abort, signal }: IdentifyOptions
+  connection: TargetConnection, { onHead, ...options }: IdentifyOptions
 ): Promise<Result<number, Error>> {
-  const { state } = protocol
-  const receiver = createResponseReceiver()
-  const stop = (cause: Error): void => {
-    abort()
-    receiver.fail(cause)
-  }
-  const onAbort = (): void => stop(new Error('request aborted'))
-  const timer = setTimeout(() => stop(new UnknownProcess('the state did not come in time')), IDENTIFY_TIMEOUT_MS)
-  signal.addEventListener('abort', onAbort)
-  try {
-    connection.dispatch({ method: 'GET', path: state.path, mark: { sent: false } }, receiver.handler)
-    const head = await receiver.head()
-    if (head.isErr()) return err(head.error)
-    const { status, headers } = head.value
-    const body = await readBody(receiver.read)
-    if (body.isErr()) return err(body.error)
-    const startedAt = status === STATUS_OK ? state.decodeStartedAt(body.value) : undefined
-    onHead(protocol.decodeHead(status, headers), startedAt)
-    if (status !== STATUS_OK) return err(new UnknownProcess(`the state has status ${status}`))
-    return startedAt === undefined ? err(new UnknownProcess('the state does not tell the start')) : ok(startedAt)
-  } finally {
-    clearTimeout(timer)
-    signal.removeEventListener('abort', onAbort)
-  }
-}
-
-async function readBody (read: () => Promise<Result<Uint8Array | undefined, Error>>): Promise<Result<string, Error>> {
-  const chunks: Uint8Array[] = []
-  let bytes = 0
-  for (;;) {
-    const next = await read()
-    if (next.isErr()) return err(next.error)
-    if (next.value === undefined) return ok(Buffer.concat(chunks).toString('utf8'))
-    bytes += next.value.length
-    if (bytes > MAX_STATE_BYTES) return err(new UnknownProcess(`the state is larger than ${MAX_STATE_BYTES} bytes`))
-    chunks.push(next.value)
-  }
+  const told = await readState(connection, { ...options, onHead: (head, { startedAt }) => onHead(head, startedAt) })
+  if (told.isErr()) return err(told.error)
+  const { startedAt } = told.value
+  return startedAt === undefined ? err(new UnknownProcess('the state does not tell the start')) : ok(startedAt)
 }
--- a/packages/pimentoplank/src/relay/exchange/sendFailure.ts
+++ b/packages/pimentoplank/src/relay/exchange/sendFailure.ts
@@ -14,6 +14,12 @@
   | 'peerUnreachable'
   /** The connection broke before the end of the response. */
   | 'broken'
+  /** A process that lives ended the connection of an unframed answer before the answer's end. */
+  | 'endedEarly'
+  /** The connection of an unframed stream ended between two events; whether more follow can be asked for. */
+  | 'openEnd'
+  /** The target answered with a failure when it was asked for what follows. */
+  | 'noRest'
   /** An unframed answer to a run that goes on ended before any event: there may be none left, or it broke off. */
   | 'emptyEnd'
   /** The peer through which the connection went was lost before the end of the response. */
--- a/packages/pimentoplank/src/relay/exchange/targetAnswer.ts
+++ b/packages/pimentoplank/src/relay/exchange/targetAnswer.ts
@@ -5,6 +5,7 @@
 } from '../../shared'
 import type { AnswerHead } from '../model'
 import type { TargetConnection, TargetConnectionPool } from './connectionPool'
+import type { ReceivedAnswer } from './endCheck'
 import type { ResponseReceiver } from './responseReceiver'
 import { SendFailure } from './sendFailure'
 
@@ -17,12 +18,18 @@
   connection: 'open' | 'ended' | 'reset' | 'broken'
 }
 
+export type ReceivedEvents = Omit<ReceivedAnswer, 'quietMs'>
+
 /** A response whose head has been received. */
 export interface TargetAnswer {
   head: AnswerHead
   getEnding: () => AnswerEnding
-  /** Reads the next bytes of the body; resolves to undefined at its end. */
-  read: () => Promise<Result<Uint8Array | undefined, SendFailure>>
+  /**
+   * Reads the next bytes of the body; resolves to undefined at its end.
+   *
+   * @param received - what has been received so far, of an answer with events
+   */
+  read: (received?: ReceivedEvents) => Promise<Result<Uint8Array | undefined, SendFailure>>
   /** Ends the exchange; the connection is returned to the pool only if the body was read to its end. */
   close: () => void
 }
@@ -35,20 +42,26 @@
   connections: Pick<TargetConnectionPool, 'release' | 'destroy'>
   removeAbortListener: () => void
   address: string
-  /** Resolves to false if the end of the connection may not be that of the body. */
-  confirmEnd: () => Promise<boolean>
+  /** Resolves to a failure if the end of the connection may not be that of the body. */
+  checkEnd: (received: ReceivedAnswer) => Promise<SendFailure | undefined>
+  now: () => number
+}
+
+const NO_EVENTS: ReceivedEvents = {
+  events: undefined, isResumed: false, lastEventId: undefined, canAskForRest: false
 }
 
 /** Creates the answer whose head has been received. */
 export function createTargetAnswer (parts: TargetAnswerParts): TargetAnswer {
-  const { head, framing, receiver, connection, connections, removeAbortListener, address, confirmEnd } = parts
+  const { head, framing, receiver, connection, connections, removeAbortListener, address, checkEnd, now } = parts
   const isBodyFramed = framing !== 'connection'
   let isDone = false
   let bytes = 0
+  let lastBytesAt = now()
   return {
     head,
     getEnding: () => ({ framing, bytes, connection: getConnectionState(connection) }),
-    read: async () => {
+    read: async (received = NO_EVENTS) => {
       const next = await receiver.read()
       if (next.isErr()) {
         const reason = isPeerFailure(next.error) ? 'peerLost' : 'broken'
@@ -56,10 +69,12 @@
       }
       if (next.value !== undefined) {
         bytes += next.value.length
+        lastBytesAt = now()
         return ok(next.value)
       }
-      if (!isBodyFramed && !await confirmEnd()) {
-        return err(new SendFailure('broken', true, 'the process may have died as its answer ended'))
+      if (!isBodyFramed) {
+        const failure = await checkEnd({ ...received, quietMs: now() - lastBytesAt })
+        if (failure !== undefined) return err(failure)
       }
       isDone = true
       return ok(undefined)
--- a/packages/pimentoplank/src/relay/exchange/tunnels.steps.ts
+++ b/packages/pimentoplank/src/relay/exchange/tunnels.steps.ts
@@ -72,7 +72,7 @@
   decodeHead: (status, headers) => ({
     status, headers, isNotRun: false, isOtherTarget: false, isSigned: true, isLeaving: false
   }),
-  state: { path: '/state', decodeStartedAt: () => undefined }
+  state: { path: '/state', decode: () => ({}) }
 }
 
 async function eventually (isTrue: () => boolean, withinMs: number, what: string): Promise<void> {
--- a/packages/pimentoplank/src/relay/jobs/ownedJob.ts
+++ b/packages/pimentoplank/src/relay/jobs/ownedJob.ts
@@ -22,7 +22,7 @@
   /** Number of runs in a row that were given up because their target was silent. */
   silences: number
   /** Number of runs in a row that ended without an event after those received, as if there were none left. */
-  emptyEnds: number
+  openEnds: number
   /** Earliest time of the next run, on the monotonic clock. */
   notBefore: number
   /** Target that is running the item. */
@@ -150,5 +150,5 @@
 }
 
 function newProgress (): ItemProgress {
-  return { data: [], failures: 0, crashes: 0, silences: 0, emptyEnds: 0, notBefore: 0 }
+  return { data: [], failures: 0, crashes: 0, silences: 0, openEnds: 0, notBefore: 0 }
 }
--- a/packages/pimentoplank/src/relay/jobs/runItem.ts
+++ b/packages/pimentoplank/src/relay/jobs/runItem.ts
@@ -1,6 +1,7 @@
 /** Runs one item of a batch job at one target. */
 import { err, ok, type Result } from 'neverthrow'
 import type { Clock, Log } from '../../shared'
+import { countOpenEnds, isEndProven } from '../decisions'
 import {
   createEventReader, drainAnswer, getEventData, SendFailure,
   type AnswerEnding, type Exchange, type SendFailureReason, type SplitEvent, type TargetAnswer
@@ -56,8 +57,6 @@
 /** Reason of an abort for which the item moves from a silent target to another one. */
 export const SILENT_TARGET = 'silentTarget'
 
-/** Runs in a row that end without an event after which there is none left; a single one may have broken off. */
-const EMPTY_ENDS = 2
 const STATUS_OK = 200
 const STATUS_UNPROCESSABLE = 422
 const STATUS_SERVER_ERROR = 500
@@ -150,13 +149,12 @@
     await drainAnswer(answer)
     return err(new SendFailure('spoiled', true, `status ${status} in place of the rest of a text`))
   }
-  const reader = createEventReader(answer, { isResumed: progress.lastEventId !== undefined })
+  const reader = createEventReader(answer, { after: progress.lastEventId, canResume: true })
   for (;;) {
     const next = await reader.read()
     if (next.isErr()) {
-      if (next.error.reason !== 'emptyEnd') return err(next.error)
-      progress.emptyEnds += 1
-      if (progress.emptyEnds < EMPTY_ENDS) return err(next.error)
+      progress.openEnds = countOpenEnds(progress.openEnds, next.error.reason)
+      if (!isEndProven(progress.openEnds)) return err(next.error)
     }
     if (next.isErr() || next.value === undefined) return ok({ type: 'completed', text: progress.data.join('\n') })
     const before = progress.lastEventId
@@ -177,7 +175,7 @@
     return err(new SendFailure('spoiled', true, `event gap: got event ${id} after event ${last}`))
   }
   progress.lastEventId = id
-  progress.emptyEnds = 0
+  progress.openEnds = 0
   const data = getEventData(event.bytes)
   if (data !== undefined) progress.data.push(data)
   return ok(undefined)
--- a/packages/pimentoplank/src/relay/live/attemptTarget.steps.ts
+++ b/packages/pimentoplank/src/relay/live/attemptTarget.steps.ts
@@ -108,7 +108,13 @@
     reply: { disconnected: new AbortController().signal, hasStarted: () => false } as unknown as LiveCall['reply']
   }
   const progress: Progress = {
-    runs: 0, refusals: 0, lastEventId: undefined, excluded: new Set(), silentTargets: new Set(), refusedBy: new Set()
+    runs: 0,
+    refusals: 0,
+    lastEventId: undefined,
+    openEnds: 0,
+    excluded: new Set(),
+    silentTargets: new Set(),
+    refusedBy: new Set()
   }
   this.attempt = attemptTarget({
     call: call as LiveCall,
--- a/packages/pimentoplank/src/relay/live/attemptTarget.ts
+++ b/packages/pimentoplank/src/relay/live/attemptTarget.ts
@@ -1,7 +1,7 @@
 /** Sends a live request to one target and forwards the answer to its caller. */
 import type { Result } from 'neverthrow'
 import { MIB_BYTES, type RefusalError } from '../../shared'
-import { isRepeatable, MIN_TRY_MS } from '../decisions'
+import { countOpenEnds, isEndProven, isRepeatable, MAX_REST_REFUSALS, MIN_TRY_MS } from '../decisions'
 import { createEventReader, SendFailure, type EventReader, type SendFailureReason, type TargetAnswer } from '../exchange'
 import type { FaultKind } from '../load'
 import type { AnswerHead, ProcessNeed } from '../model'
@@ -40,11 +40,15 @@
 
 const STATUS_OK = 200
 const STATUS_SERVER_ERROR = 500
+/** Ends after which the target is asked whether more events follow. */
+const OPEN_ENDS: ReadonlySet<SendFailureReason> = new Set(['openEnd', 'emptyEnd'])
+/** Pause after a target has refused to tell what follows, in milliseconds. */
+const REFUSED_PAUSE_MS = 100
 /** A request that crashes its target does so as it begins to run, before this many events. */
 export const BEGINNING_EVENTS = 2
 /** Failures that count against the target, unless its path is at fault; those of peers don't. */
 const FAULT_KINDS: Partial<Record<SendFailureReason, FaultKind>> = {
-  connectFailed: 'connect', refused: 'target', broken: 'cut', spoiled: 'target'
+  connectFailed: 'connect', refused: 'target', broken: 'cut', endedEarly: 'cut', spoiled: 'target'
 }
 /** Maximum size of a plain response that is buffered, so that it can be retried, in bytes. */
 const MAX_BUFFERED_BYTES = MIB_BYTES
@@ -65,6 +69,7 @@
   })
   const canMove = isRepeatable(route) && progress.runs + 1 < route.maxAttempts
   const isMovable = route.kind === 'stream' && canMove
+  const isResumable = route.kind === 'stream' && route.isResumable
   const watch = silenceDetector.watch(slot.target.id, {
     firstMs: route.targetLatencyMs *
       ((isMovable ? deps.rules.firstEventShare : 1) + (slot.placement === 'queue' ? 1 : 0)),
@@ -84,6 +89,8 @@
   /** When this request reported the target as silent; undefined once the target has gone on. */
   let silentSince: number | undefined
   let events = 0
+  /** Of the latest answer; undefined before the first. */
+  let head: AnswerHead | undefined
   let isOver = false
   progress.ending = undefined
   deps.log.info({
@@ -94,7 +101,7 @@
     waitedMs: Math.round(clock.now() - call.arrivedAt)
   }, 'sent')
   try {
-    return await exchangeWithTarget()
+    return await streamToItsEnd()
   } finally {
     isOver = true
     removeLostListener()
@@ -103,6 +110,32 @@
     search.takeSlot()?.discard()
   }
 
+  /** The end of an unframed stream may not be the last one: what follows is asked for in the same slot. */
+  async function streamToItsEnd (): Promise<AttemptEnd> {
+    for (let refusals = 0; ;) {
+      const end = await exchangeWithTarget()
+      if (end.type !== 'failed') return end
+      const { reason, mayHaveRun, message } = end.failure
+      progress.openEnds = countOpenEnds(progress.openEnds, reason)
+      if (isEndProven(progress.openEnds) && head !== undefined) return endReply(head)
+      const isRefused = reason === 'refused' && head !== undefined
+      if (isRefused) refusals += 1
+      const mayAsk = (isRefused && refusals <= MAX_REST_REFUSALS) || OPEN_ENDS.has(reason)
+      if (!mayAsk || !mayAskForRest()) {
+        // The target has run the request, if not for what follows.
+        return mayHaveRun || head === undefined ? end : { ...end, failure: new SendFailure('noRest', true, message) }
+      }
+      if (isRefused) await clock.sleep(REFUSED_PAUSE_MS, ended)
+    }
+  }
+
+  /** Only the process that wrote the events may tell what follows, and only while it takes requests. */
+  function mayAskForRest (): boolean {
+    if (ended.aborted || endAt - clock.now() < MIN_TRY_MS || deps.crashes.isRefused(request)) return false
+    const load = deps.loads.getLoad(slot.target.id)
+    return slot.target.startedAt !== undefined && load !== undefined && !load.isLeaving && !load.isOutdated
+  }
+
   async function exchangeWithTarget (): Promise<AttemptEnd> {
     const answer = await deps.exchange.send({
       request,
@@ -111,10 +144,14 @@
       lastEventId: progress.lastEventId
     }, AbortSignal.any([ended, search.found]), getProcessNeed())
     if (answer.isErr()) return toAttemptEnd(answer.error)
-    if (answer.value.head.status < STATUS_SERVER_ERROR) deps.loads.recordSuccess(slot.target.id, sentAt)
-    if (answer.value.head.load !== undefined) deps.loads.recordReportedLoad(slot.target.id, answer.value.head.load)
-    const reader = createEventReader(answer.value, { isResumed: progress.lastEventId !== undefined })
-    const end = await forwardAnswer(answer.value, reader)
+    const isForRest = progress.openEnds > 0
+    head = answer.value.head
+    if (head.status < STATUS_SERVER_ERROR) deps.loads.recordSuccess(slot.target.id, sentAt)
+    if (head.load !== undefined) deps.loads.recordReportedLoad(slot.target.id, head.load)
+    const reader = createEventReader(answer.value, { after: progress.lastEventId, canResume: isResumable })
+    const end = isForRest && head.status !== STATUS_OK
+      ? failed('noRest', `the target answered with status ${head.status}`)
+      : await forwardAnswer(answer.value, reader)
     progress.ending = { ...answer.value.getEnding(), ...reader.getCounts() }
     answer.value.close()
     return end
@@ -127,8 +164,8 @@
 
   /** What two versions write doesn't fit together, and the version belongs to the process that gets the stream. */
   function getProcessNeed (): ProcessNeed | undefined {
-    if (route.kind !== 'stream' || !route.isResumable) return undefined
-    if (progress.version !== undefined) return { mustBeListed: true }
+    if (!isResumable) return undefined
+    if (progress.version !== undefined || head !== undefined) return { mustBeListed: true }
     return {
       mustBeListed: false,
       onIdentified: (startedAt) => deps.streamVersions.recordPlacement(request.id, slot.target, startedAt)
@@ -198,9 +235,7 @@
     }
     deps.crashes.recordAnswer(request.headers)
     for (const chunk of buffered) await writeBytes(head, chunk)
-    if (!call.reply.hasStarted()) call.reply.begin(head.status, head.headers)
-    call.reply.end()
-    return { type: 'done' }
+    return endReply(head)
   }
 
   async function forwardEvents (answer: TargetAnswer, reader: EventReader): Promise<AttemptEnd> {
@@ -221,9 +256,14 @@
         if (events === BEGINNING_EVENTS) deps.crashes.recordAnswer(request.headers)
         await writeEvent(answer, event.bytes)
         progress.lastEventId = event.id ?? progress.lastEventId
+        progress.openEnds = 0
       }
     }
-    if (!call.reply.hasStarted()) call.reply.begin(answer.head.status, answer.head.headers)
+    return endReply(answer.head)
+  }
+
+  function endReply ({ status, headers }: AnswerHead): AttemptEnd {
+    if (!call.reply.hasStarted()) call.reply.begin(status, headers)
     call.reply.end()
     return { type: 'done' }
   }
--- a/packages/pimentoplank/src/relay/live/relayRequest.ts
+++ b/packages/pimentoplank/src/relay/live/relayRequest.ts
@@ -26,6 +26,7 @@
     runs: 0,
     refusals: 0,
     lastEventId: request.lastEventId,
+    openEnds: 0,
     excluded: new Set(),
     silentTargets: new Set(),
     refusedBy: new Set()
@@ -89,6 +90,7 @@
       const hasSilentTarget = progress.silentTargets.size > 0
       const state = { ...progress, hasBegun: hasBegun(), hasSilentTarget, isAnswerBegun, leftMs: endAt - clock.now() }
       if (over.signal.aborted || !canRetry(route, failure, state)) {
+        if (progress.openEnds > 0 && reply.hasStarted()) return endUnproven()
         return failRequest(toRefusal(failure, over.signal.aborted))
       }
       metrics.countRetry(failure.reason === 'refused' ? 'targetBusy' : 'streamCut')
@@ -100,6 +102,13 @@
     heldSlot?.discard()
   }
 
+  /** Nothing speaks against the end of the stream, but no target could be asked whether events follow. */
+  function endUnproven (): void {
+    metrics.count('live.endsUnproven')
+    reply.end()
+    logEnd('done', { isEndProven: false })
+  }
+
   function getFailedTargets ({ failure, nextSlot }: FailedAttempt): Set<string> {
     if (nextSlot !== undefined) return progress.silentTargets
     return failure.mayHaveRun ? progress.excluded : progress.refusedBy
--- a/packages/pimentoplank/src/relay/model/types.ts
+++ b/packages/pimentoplank/src/relay/model/types.ts
@@ -150,6 +150,25 @@
   slots: number
 }
 
+/** What a process of a target says of itself. */
+export interface ProcessState {
+  /** When it started, in milliseconds by its own clock; undefined if it does not tell. */
+  startedAt?: number
+  /**
+   * Requests that it runs; undefined if it does not list them. Some processes tell what was true a few hundred
+   * milliseconds ago.
+   */
+  runs?: readonly ProcessRun[]
+}
+
+/** A request that a process runs. */
+export interface ProcessRun {
+  /** Id of the request. */
+  id: string
+  /** Number of events made so far. */
+  events: number
+}
+
 /** Status and headers of a target's response. */
 export interface AnswerHead {
   status: number
@@ -179,7 +198,7 @@
   /** Call by which a target tells its state; takes no slot. */
   state: {
     path: string
-    /** Decodes when the process started; undefined if the body does not tell. */
-    decodeStartedAt: (body: string) => number | undefined
+    /** Decodes what the body tells; nothing if it can't be read. */
+    decode: (body: string) => ProcessState
   }
 }
