--- a/scripts/platform/undici.cjs
+++ b/scripts/platform/undici.cjs
@@ -7,6 +7,7 @@
 exports.Agent = require('../../node_modules/undici/lib/dispatcher/agent')
 exports.Client = require('../../node_modules/undici/lib/dispatcher/client')
 exports.buildConnector = require('../../node_modules/undici/lib/core/connect')
+exports.errors = require('../../node_modules/undici/lib/core/errors')
 exports.request = (url, { dispatcher, method = 'GET', ...options }) => {
   const { origin, pathname, search } = new URL(url)
   return dispatcher.request({ ...options, method, origin, path: pathname + search })
