Compare the process that ended an answer with the one that was met before

Callers saw: answers without a length or chunks that may not be repeated, cut as whole when another process has taken the place of the one that answered, if the target's entry doesn't tell when its process started. Cause: where no start is known, any process counts as the one that answered. A replica that is killed and back after 30 ms doesn't show it: nothing listens when it is asked. Change: the start that the process at an address told last counts where neither connection nor entry tells one. The first such answer of a target after the start of an instance is still taken for whole, which remains.

--- a/packages/pimentoplank/src/relay/exchange/confirmProcess.ts
+++ b/packages/pimentoplank/src/relay/exchange/confirmProcess.ts
@@ -11,6 +11,8 @@
   address: string
   /** When the process started, as far as known, in milliseconds by its own clock. */
   startedAt: number | undefined
+  /** Called with the start that the process tells. */
+  onTold: (startedAt: number) => void
   connections: Pick<TargetConnectionPool, 'open' | 'destroy'>
   protocol: Pick<TargetProtocol, 'decodeHead' | 'state'>
   clock: Clock
@@ -28,7 +30,7 @@
  * @returns what the process tells, nothing if it lives but doesn't tell; undefined unless the same process answers
  */
 export async function confirmProcess (options: ConfirmProcessOptions): Promise<ProcessState | undefined> {
-  const { address, startedAt, connections, protocol, clock, signal } = options
+  const { address, startedAt, onTold, connections, protocol, clock, signal } = options
   for (let attempt = 1; ; attempt++) {
     const connection: TargetConnection = connections.open(address)
     let hasAnswered = false
@@ -41,8 +43,9 @@
     const isReached = connection.socket !== undefined
     connections.destroy(connection)
     if (told.isOk()) {
-      const { startedAt: toldStart = startedAt } = told.value
-      return startedAt === undefined || toldStart === startedAt ? told.value : undefined
+      const { startedAt: toldStart } = told.value
+      if (toldStart !== undefined) onTold(toldStart)
+      return startedAt === undefined || (toldStart ?? startedAt) === startedAt ? told.value : undefined
     }
     // A connection that was established at once and stays open leads to a process that lives, if a silent one.
     const staysOpen = isReached && told.error instanceof UnknownProcess && !signal.aborted
--- a/packages/pimentoplank/src/relay/exchange/endCheck.ts
+++ b/packages/pimentoplank/src/relay/exchange/endCheck.ts
@@ -50,6 +50,8 @@
 
 /** Creates the check of an instance. */
 export function createEndCheck ({ connections, protocol, clock, metrics, log }: EndCheckOptions): EndCheck {
+  /** When the process at an address started, as it told last. */
+  const toldStarts = new LRUCache<string, number>({ max: MAX_HISTORIES })
   /** By address and start of the process. */
   const histories = new LRUCache<string, ListHistory>({ max: MAX_HISTORIES })
   /** Ends after which more may follow, by process and request: true if the run was still listed. */
@@ -69,9 +71,17 @@
   return async ({ request, target }, connection, received, signal) => {
     const endedAt = clock.now()
     const { address } = target
-    const startedAt = connection.processStartedAt ?? target.startedAt
+    const startedAt = connection.processStartedAt ?? target.startedAt ?? toldStarts.get(address)
     const askState = async (): Promise<ProcessState | undefined> =>
-      await confirmProcess({ address, startedAt, connections, protocol, clock, signal })
+      await confirmProcess({
+        address,
+        startedAt,
+        onTold: (toldStart) => toldStarts.set(address, toldStart),
+        connections,
+        protocol,
+        clock,
+        signal
+      })
     const findRun = (state: ProcessState | undefined): ProcessRun | undefined =>
       state?.runs?.find(({ id }) => id === request.id)
 
