Add a scenario of a write whose answer ends after its head

Callers would see: a job that is refused with 503 and runs, where the store's answer to its record has neither a length nor chunks and its connection ends in an orderly way after the head (REFUSED). Cause: readPutResponse takes a 200 whose body can't be read for a write that was not carried out. Evidence: the scenario fails on (maybeApplied is false). It needs a fix; no change of logic here.

--- a/packages/pimentoplank/src/shared/platform/client.feature
+++ b/packages/pimentoplank/src/shared/platform/client.feature
@@ -25,3 +25,9 @@
       | a header line    |
       | header lines     |
       | interim answers  |
+
+  # Guards against a write that is said not to be stored, as nothing follows the head of its answer, which has no length.
+  Scenario: A write whose answer ends after its head may have been carried out
+    Given a platform whose answers to writes end after their heads
+    When an object is written
+    Then the write may have been carried out
--- a/packages/pimentoplank/src/shared/platform/client.steps.ts
+++ b/packages/pimentoplank/src/shared/platform/client.steps.ts
@@ -2,7 +2,7 @@
 import { createServer, type Server } from 'node:http'
 import { createServer as createSocketServer, type AddressInfo, type Server as SocketServer, type Socket } from 'node:net'
 import { After, Given, Then, When } from '@cucumber/cucumber'
-import { createPlatformClient, type InstanceRecord, type PlatformClient } from '.'
+import { createPlatformClient, PlatformUnavailable, type InstanceRecord, type PlatformClient, type PlatformError } from '.'
 
 interface ClientWorld {
   endless: SocketServer
@@ -12,6 +12,7 @@
   oddPlatform: Server
   oddClient: PlatformClient
   listed: InstanceRecord[]
+  writeFailure: PlatformError
 }
 
 const LEVELS = 100_000
@@ -93,6 +94,27 @@
   }
 })
 
+Given('a platform whose answers to writes end after their heads', async function (this: ClientWorld) {
+  this.endlessSockets = []
+  this.endless = createSocketServer((socket) => {
+    this.endlessSockets.push(socket)
+    socket.on('error', () => undefined)
+    socket.once('data', () => { socket.end(`${OK_HEAD}\r\n`) })
+  })
+  await new Promise<void>((resolve) => this.endless.listen(0, '127.0.0.1', resolve))
+  const { port } = this.endless.address() as AddressInfo
+  this.oddClient = createPlatformClient({ url: `http://127.0.0.1:${port}` })
+})
+
+When('an object is written', async function (this: ClientWorld) {
+  this.writeFailure = (await this.oddClient.put('kind', 'name', {}, { ifRevision: 0 }))._unsafeUnwrapErr()
+})
+
+Then('the write may have been carried out', function (this: ClientWorld) {
+  assert.ok(this.writeFailure instanceof PlatformUnavailable)
+  assert.equal(this.writeFailure.maybeApplied, true)
+})
+
 After(async function (this: Partial<ClientWorld>) {
   await this.oddClient?.close()
   this.endlessSockets?.forEach((socket) => socket.destroy())
