Decide every end of an open stream in one place, and wait for its proof with a bound

Callers saw: a stream cut after 2 of 5 events that ended as whole, since its process had told its state and was gone when the rest was asked for; whole streams cut, or held up to their deadline, since no slot was to be had for the rest; whole items that were asked again and again, or ended as dead letters, where replicas answer a request for nothing with an error; whole streams marked as incomplete by idle connections that ended much later; prompts that counted as causes of crashes because their time was up. Cause: the end of a stream of which more may follow was decided where a retry was, not at each exit; a process that has gone since was taken for one that says nothing; answers to the rest were judged like those of new runs; the time in which connections end together had no end; an abort at the deadline looked like a broken connection. Change: all exits go through one decision; other targets are waited for for 500 ms at most; a process that has gone, or breaks off as it is asked, speaks against the end; refusals to tell the rest are bounded for items, too, and no fault of the target; aborts at the deadline are no evidence; repeated events and those without an id prove nothing. Starts that were told belong to a target, not to its address alone.

--- a/packages/pimentoplank/src/relay/decisions/index.ts
+++ b/packages/pimentoplank/src/relay/decisions/index.ts
@@ -9,7 +9,9 @@
   type BatchCandidate, type BatchScheduleInput, type BatchStart, type ExcessInput, type RunningItem, type WaitingItem
 } from './batchScheduling'
 export { computeListedMs, hasMadeAll, hasMadeMore, type AnswerEnd, type ListHistory } from './answerEnds'
-export { countOpenEnds, isEndProven, MAX_REST_REFUSALS } from './openEnds'
+export {
+  countOpenEnds, isEndProven, MAX_ITEM_REST_REFUSALS, MAX_REST_REFUSALS, REST_WAIT_MS
+} from './openEnds'
 export { computeOutageRetryMs } from './outageRetry'
 export {
   decideItemVersion, type ItemVersionDecision, type ItemVersionInput, type ItemVersionRules
--- a/packages/pimentoplank/src/relay/decisions/openEnds.ts
+++ b/packages/pimentoplank/src/relay/decisions/openEnds.ts
@@ -8,8 +8,12 @@
 
 /** Orderly ends in a row without a new event after which there is none left; a single one may have broken off. */
 const PROVING_ENDS = 2
-/** Number of times that a target which refuses to tell the rest is asked again. */
+/** Number of times that a target which refuses to tell the rest of a live stream is asked again. */
 export const MAX_REST_REFUSALS = 3
+/** Number of answers other than a stream after which an item counts as whole, for which nobody waits. */
+export const MAX_ITEM_REST_REFUSALS = 5
+/** Time for which a live stream waits for another target that can be asked, in milliseconds. */
+export const REST_WAIT_MS = 500
 
 /**
  * Counts the orderly ends in a row after the same event.
@@ -23,9 +27,12 @@
   return KEEPING.has(reason) ? ends : 0
 }
 
-/** Failures to ask for the rest that say nothing about it. */
+/**
+ * Failures to ask for the rest that say nothing about it. A process that has gone since the end, or broke off as it was
+ * asked, is a sign that it cut the stream.
+ */
 const KEEPING: ReadonlySet<SendFailureReason> = new Set([
-  'connectFailed', 'refused', 'otherTarget', 'otherProcess', 'peerUnreachable', 'withdrawn', 'aborted', 'noRest'
+  'refused', 'peerUnreachable', 'peerLost', 'staleConnection', 'withdrawn', 'aborted', 'noRest'
 ])
 
 /** True once no event follows. */
--- a/packages/pimentoplank/src/relay/exchange/connectionPool.ts
+++ b/packages/pimentoplank/src/relay/exchange/connectionPool.ts
@@ -46,8 +46,8 @@
   destroy: (connection: TargetConnection) => void
   /** Closes connections that are not established yet, so that their requests fail without having been sent. */
   dropConnecting: () => void
-  /** Counts the idle connections that the target has ended since a time on the monotonic clock. */
-  countDropped: (address: string, since: number) => number
+  /** Counts the idle connections that the target has ended between two times on the monotonic clock. */
+  countDropped: (address: string, since: number, until: number) => number
   /** True while a connection can carry a request. */
   isUsable: (connection: TargetConnection) => boolean
   /** Reports that a pooled connection was reset while idle; the idle timeout of all is shortened for a while. */
@@ -225,7 +225,8 @@
       idle.set(address, list)
     },
     destroy: resetConnection,
-    countDropped: (address, since) => (dropped.get(address) ?? []).filter((at) => at >= since).length,
+    countDropped: (address, since, until) =>
+      (dropped.get(address) ?? []).filter((at) => at >= since && at <= until).length,
     dropConnecting: () => {
       for (const connection of [...connections.keys()]) if (connection.socket === undefined) closeConnection(connection)
     },
--- a/packages/pimentoplank/src/relay/exchange/endCheck.ts
+++ b/packages/pimentoplank/src/relay/exchange/endCheck.ts
@@ -50,7 +50,7 @@
 
 /** Creates the check of an instance. */
 export function createEndCheck ({ connections, protocol, clock, metrics, log }: EndCheckOptions): EndCheck {
-  /** When the process at an address started, as it told last. */
+  /** When the process of a target at an address started, as it told last. */
   const toldStarts = new LRUCache<string, number>({ max: MAX_HISTORIES })
   /** By address and start of the process. */
   const histories = new LRUCache<string, ListHistory>({ max: MAX_HISTORIES })
@@ -71,12 +71,13 @@
   return async ({ request, target }, connection, received, signal) => {
     const endedAt = clock.now()
     const { address } = target
-    const startedAt = connection.processStartedAt ?? target.startedAt ?? toldStarts.get(address)
+    const place = `${address} ${target.id}`
+    const startedAt = connection.processStartedAt ?? target.startedAt ?? toldStarts.get(place)
     const askState = async (): Promise<ProcessState | undefined> =>
       await confirmProcess({
         address,
         startedAt,
-        onTold: (toldStart) => toldStarts.set(address, toldStart),
+        onTold: (toldStart) => toldStarts.set(place, toldStart),
         connections,
         protocol,
         clock,
@@ -95,7 +96,8 @@
         await clock.sleep(listedMs, signal)
         if (findRun(await askState()) !== undefined) return 'stillRuns'
       }
-      return connections.countDropped(address, endedAt - TOGETHER_MS) > 0 ? 'droppedTogether' : 'whole'
+      const dropped = connections.countDropped(address, endedAt - TOGETHER_MS, endedAt + TOGETHER_MS)
+      return dropped > 0 ? 'droppedTogether' : 'whole'
     }
 
     const state = await askState()
--- a/packages/pimentoplank/src/relay/exchange/eventReader.ts
+++ b/packages/pimentoplank/src/relay/exchange/eventReader.ts
@@ -29,18 +29,21 @@
   const splitter = createEventSplitter()
   let events = 0
   let lastEventId = after
+  /** True once the run has told something new; repeated events and those without an id don't count. */
+  let hasAdvanced = false
 
   function findTruncation (): SendFailure | undefined {
     if (splitter.getRemainder().length > 0) return new SendFailure('broken', true, 'the stream ended inside an event')
     // The end of the connection says nothing about a stream that has not begun.
     const isUnframed = answer.getEnding().framing === 'connection'
-    if (!isUnframed || events > 0) return undefined
+    const hasTold = after === undefined ? events > 0 : hasAdvanced
+    if (!isUnframed || hasTold) return undefined
     return new SendFailure(after === undefined ? 'broken' : 'emptyEnd', true, 'the stream ended before its first event')
   }
 
   return {
     read: async () => {
-      const isBetweenEvents = events > 0 && splitter.getRemainder().length === 0
+      const isBetweenEvents = hasAdvanced && splitter.getRemainder().length === 0
       const next = await answer.read({
         events, isResumed: after !== undefined, lastEventId, canAskForRest: canResume && isBetweenEvents
       })
@@ -48,7 +51,11 @@
       if (next.value !== undefined) {
         const complete = splitter.push(next.value)
         events += complete.length
-        lastEventId = complete.at(-1)?.id ?? lastEventId
+        for (const { id } of complete) {
+          if (id === undefined || (lastEventId !== undefined && id <= lastEventId)) continue
+          lastEventId = id
+          hasAdvanced = true
+        }
         if (splitter.getRemainder().length <= MAX_EVENT_BYTES) return ok(complete)
         return err(new SendFailure('spoiled', true, `an event is larger than ${MAX_EVENT_BYTES} bytes`))
       }
--- a/packages/pimentoplank/src/relay/jobs/ownedJob.ts
+++ b/packages/pimentoplank/src/relay/jobs/ownedJob.ts
@@ -23,6 +23,8 @@
   silences: number
   /** Number of runs in a row that ended without an event after those received, as if there were none left. */
   openEnds: number
+  /** Number of answers in a row that told nothing when what follows the last event was asked for. */
+  restRefusals: number
   /** Earliest time of the next run, on the monotonic clock. */
   notBefore: number
   /** Target that is running the item. */
@@ -150,5 +152,5 @@
 }
 
 function newProgress (): ItemProgress {
-  return { data: [], failures: 0, crashes: 0, silences: 0, openEnds: 0, notBefore: 0 }
+  return { data: [], failures: 0, crashes: 0, silences: 0, openEnds: 0, restRefusals: 0, notBefore: 0 }
 }
--- a/packages/pimentoplank/src/relay/jobs/runItem.ts
+++ b/packages/pimentoplank/src/relay/jobs/runItem.ts
@@ -1,7 +1,7 @@
 /** Runs one item of a batch job at one target. */
 import { err, ok, type Result } from 'neverthrow'
 import type { Clock, Log } from '../../shared'
-import { countOpenEnds, isEndProven } from '../decisions'
+import { countOpenEnds, isEndProven, MAX_ITEM_REST_REFUSALS } from '../decisions'
 import {
   createEventReader, drainAnswer, getEventData, SendFailure,
   type AnswerEnding, type Exchange, type SendFailureReason, type SplitEvent, type TargetAnswer
@@ -97,6 +97,7 @@
     if (sent.isErr()) {
       if (!isOwnAbort()) logFailure(sent.error)
       const { mayHaveRun, reason } = sent.error
+      if (reason === 'refused' && progress.openEnds > 0) return refuseRest(progress)
       return mayHaveRun || options.signal.aborted ? interrupt(sent.error) : { type: 'refused', reason }
     }
     watch.recordProgress()
@@ -137,6 +138,10 @@
   onProgress: () => void
 ): Promise<Result<ItemEnd, SendFailure>> {
   const { status, isSigned } = answer.head
+  if (status !== STATUS_OK && progress.openEnds > 0) {
+    const drained = await drainAnswer(answer)
+    return drained.map(() => refuseRest(progress))
+  }
   const isSuccess = status >= 200 && status < 300
   if (isSuccess && !isSigned) return err(new SendFailure('spoiled', true, 'unsigned success'))
   if (!isSuccess) {
@@ -167,6 +172,13 @@
   }
 }
 
+/** Nothing speaks against the end of a text of which no target tells whether more follows. */
+function refuseRest (progress: ItemProgress): ItemEnd {
+  progress.restRefusals += 1
+  if (progress.restRefusals <= MAX_ITEM_REST_REFUSALS) return { type: 'refused', reason: 'noRest' }
+  return { type: 'completed', text: progress.data.join('\n') }
+}
+
 function applyEvent (event: SplitEvent, progress: ItemProgress): Result<void, SendFailure> {
   const { id } = event
   const last = progress.lastEventId
@@ -176,6 +188,7 @@
   }
   progress.lastEventId = id
   progress.openEnds = 0
+  progress.restRefusals = 0
   const data = getEventData(event.bytes)
   if (data !== undefined) progress.data.push(data)
   return ok(undefined)
--- a/packages/pimentoplank/src/relay/live/attemptTarget.ts
+++ b/packages/pimentoplank/src/relay/live/attemptTarget.ts
@@ -186,6 +186,8 @@
       const cause = new SendFailure('broken', true, 'the target sent no bytes within its timeout')
       return { type: 'failed', failure: cause, nextSlot: search.takeSlot() }
     }
+    // The deadline says nothing of the target.
+    if (ended.aborted) return failed('aborted', failure.message)
     recordCrashEvidence(failure)
     const kind = FAULT_KINDS[failure.reason]
     if (kind !== undefined) deps.loads.recordFailure(slot.target.id, failure.reason, kind)
@@ -194,8 +196,8 @@
 
   function recordCrashEvidence ({ reason }: SendFailure): void {
     const { crashes } = deps
-    // A cut that befalls all connections is no crash.
-    if (deps.paths.isCutOff()) return
+    // A cut that befalls all connections is no crash, and neither is a failure to ask what follows the last event.
+    if (deps.paths.isCutOff() || progress.openEnds > 0) return
     if (reason === 'connectFailed') crashes.recordUnreachable(slot.target.id)
     if (reason === 'staleConnection') crashes.recordPossibleCrash(slot.target.id, request)
     if (reason === 'broken' && events < BEGINNING_EVENTS) crashes.recordCrash(slot.target.id, request)
--- a/packages/pimentoplank/src/relay/live/relayRequest.ts
+++ b/packages/pimentoplank/src/relay/live/relayRequest.ts
@@ -1,7 +1,7 @@
 /** Relays one live request to a target, and retries it at another where that is safe. */
 import { err, ok, type Result } from 'neverthrow'
 import { describeCause, RefusalError, type Log } from '../../shared'
-import { canRetry, isRepeatable } from '../decisions'
+import { canRetry, isRepeatable, REST_WAIT_MS } from '../decisions'
 import type { SendFailure } from '../exchange'
 import { attemptTarget, type FailedAttempt } from './attemptTarget'
 import type { LiveCall, Progress, RelayDeps } from './liveCall'
@@ -36,6 +36,8 @@
   const isResumable = route.kind === 'stream' && route.isResumable
   const isTakenUp = isResumable && request.lastEventId !== undefined
   let heldSlot: Slot | undefined
+  /** Since when targets are asked for what may follow the last event, on the monotonic clock. */
+  let openSince: number | undefined
 
   try {
     if (isTakenUp) {
@@ -89,8 +91,9 @@
       const isAnswerBegun = route.kind !== 'stream' && reply.hasStarted()
       const hasSilentTarget = progress.silentTargets.size > 0
       const state = { ...progress, hasBegun: hasBegun(), hasSilentTarget, isAnswerBegun, leftMs: endAt - clock.now() }
-      if (over.signal.aborted || !canRetry(route, failure, state)) {
-        if (progress.openEnds > 0 && reply.hasStarted()) return endUnproven()
+      openSince = progress.openEnds > 0 ? openSince ?? clock.now() : undefined
+      const isRestOverdue = openSince !== undefined && clock.now() - openSince > REST_WAIT_MS
+      if (over.signal.aborted || isRestOverdue || !canRetry(route, failure, state)) {
         return failRequest(toRefusal(failure, over.signal.aborted))
       }
       metrics.countRetry(failure.reason === 'refused' ? 'targetBusy' : 'streamCut')
@@ -153,16 +156,18 @@
 
   /** Acquires a slot; a request that has run goes back to targets that were silent or have refused it. */
   async function acquireSlot (): Promise<Result<Slot, RefusalError>> {
+    const rest = progress.openEnds > 0 ? [AbortSignal.timeout(REST_WAIT_MS)] : []
+    const signal = AbortSignal.any([ended, ...rest])
     for (;;) {
-      const query = createQuery(ended)
+      const query = createQuery(signal)
       if (query.isErr()) return err(query.error)
       const acquired = await deps.slotScheduler.acquire(query.value)
-      if (acquired.isOk() || acquired.error.reason !== 'noTarget' || !hasBegun() || ended.aborted) return acquired
+      if (acquired.isOk() || acquired.error.reason !== 'noTarget' || !hasBegun() || signal.aborted) return acquired
       // A target that was left for its silence may have gone on since.
       const silentTargets = progress.runs < route.maxAttempts ? progress.silentTargets : new Set()
       const [again] = [silentTargets, progress.refusedBy].filter(({ size }) => size > 0)
       if (again === undefined) return acquired
-      if (again === progress.refusedBy) await clock.sleep(REFUSED_PAUSE_MS, ended)
+      if (again === progress.refusedBy) await clock.sleep(REFUSED_PAUSE_MS, signal)
       again.clear()
     }
   }
@@ -174,6 +179,7 @@
   }
 
   function failRequest (refusal: RefusalError): void {
+    if (progress.openEnds > 0 && reply.hasStarted()) return endUnproven()
     const outcome = progress.runs > 0 ? 'failed' : refusal.outcome
     const reason = deps.openRequests.isEnded() ? 'addressMoved' : refusal.reason
     const last = outcome === refusal.outcome && reason === refusal.reason
