Take a write whose answer can't be read for one that may be stored

Callers would have seen: a job refused as not run that runs later, where an answer of the store without a length ends after its head (REFUSED). Cause: an unreadable success counted as an answer that didn't come, of a write that wasn't carried out. Evidence: the scenario in client.feature failed before (maybeApplied was false); what follows from it for a job is read, not shown. Change: such a write may have been carried out, like one without an answer.

--- a/packages/pimentoplank/src/shared/platform/client.ts
+++ b/packages/pimentoplank/src/shared/platform/client.ts
@@ -356,8 +356,11 @@
 ): Promise<Result<WrittenObject, PlatformError>> {
   const { kind, name, writeId, value, unanswered } = context
   if (response.status !== HTTP_CONFLICT) {
-    return parseResponse(response, putResponse)
-      .map(({ revision }) => ({ kind, name, revision, writeId, value, mayRecur: unanswered > 0 }))
+    const written = parseResponse(response, putResponse)
+    // A write is carried out by the time that its answer begins.
+    const isUnreadable = written.isErr() && written.error instanceof PlatformUnavailable
+    if (isUnreadable) return err(new PlatformUnavailable(written.error.message, { maybeApplied: true }))
+    return written.map(({ revision }) => ({ kind, name, revision, writeId, value, mayRecur: unanswered > 0 }))
   }
   const conflict = conflictResponse.safeParse(response.body)
   if (!conflict.success) return err(new PlatformUnavailable('invalid conflict response', { maybeApplied: true }))
