Check in the soak that numbers which callers see never go back

The soak compared the results of jobs by position and events of streams, but neither total and next of pages, nor reads from later positions, texts of ended jobs, versions of the configuration in one life of a process, the directory or counters.

--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -3,6 +3,7 @@
 import { setTimeout as pause } from 'node:timers/promises'
 import { askDirectory, endJob, jobBody, PATHS, readJob, send } from 'pimentoplank-platform/testing'
 import { DEADLINE_MS, HTTP_OK, KEEP_BYTES, sendLiveRequest, withTimeout, type Attempt, type LiveKind } from './liveRequests'
+import type { PageRead } from './orderChecks'
 import type { SoakRandom } from './plan'
 import type { SoakFleet, SoakInstance } from './soakFleet'
 
@@ -13,6 +14,8 @@
   statuses: Array<number | undefined>
   acceptedAt?: number
   endedAt?: number
+  /** Pages as read. */
+  pages: PageRead[]
   /** Results as first read, by position; later reads must return the same. */
   firstResults: string[]
   violations: string[]
@@ -26,6 +29,8 @@
   finish: () => Promise<void>
   /** Reads every accepted job repeatedly until it is complete or the timeout in milliseconds has passed. */
   readJobs: (forMs: number) => Promise<void>
+  /** Reads every accepted job, ended ones too, from its first result on at every instance. */
+  readJobsAgain: () => Promise<void>
 }
 
 const LIVE_INTERVAL_MS = 25
@@ -35,6 +40,10 @@
 const CRASHING_INTERVAL_MS = 150
 const SESSIONS = 20
 const READ_INTERVAL_MS = 500
+/** Interval of reads from the last position known. */
+const READ_LAST_INTERVAL_MS = 100
+/** Time for a job to be read at an instance in the end, in milliseconds. */
+const READ_AGAIN_MS = 5000
 const MAX_SUBMISSIONS = 6
 /** Kinds of live requests, by their frequency. */
 const LIVE_KINDS: readonly LiveKind[] = ['resumable', 'resumable', 'resumable', 'once', 'plain', 'plainOnce']
@@ -104,7 +113,7 @@
   async function submitJob (): Promise<void> {
     const id = `${run}j${++count}`
     const items = 1 + random.nextInt(MAX_JOB_ITEMS)
-    const job: SoakJob = { id, items, statuses: [], firstResults: [], violations: [], isWhole: false }
+    const job: SoakJob = { id, items, statuses: [], pages: [], firstResults: [], violations: [], isWhole: false }
     jobs.push(job)
     const shouldEnd = random.nextFloat() < ENDED_SHARE
     for (let attempt = 0; attempt < MAX_SUBMISSIONS && job.acceptedAt === undefined; attempt++) {
@@ -129,26 +138,54 @@
     }
   }
 
-  async function readResults (job: SoakJob): Promise<void> {
-    const instance = pickInstance()
-    if (instance === undefined) return
-    const answer = await withTimeout(readJob(instance, job.id).catch(() => undefined), 5000)
-    if (answer === undefined || answer.status === 503) return
-    if (answer.status !== 200) job.violations.push(`${instance.id} responded to a read with status ${answer.status}`)
-    answer.page.results.forEach((result, index) => {
+  /** Reads a page; returns the position after it, undefined if the instance can't tell. */
+  async function readResults (job: SoakJob, instance = pickInstance(), after = 0): Promise<number | undefined> {
+    if (instance === undefined) return undefined
+    const sentAt = Date.now()
+    const answer = await withTimeout(readJob(instance, job.id, after).catch(() => undefined), 5000)
+    if (answer === undefined || answer.status === 503) return undefined
+    const { status, page } = answer
+    const read = { job: job.id, items: job.items, instance, after, page, sentAt, endedAt: Date.now() }
+    if (status === HTTP_OK) job.pages.push(read)
+    else job.violations.push(`${instance.id} responded to a read with status ${status}`)
+    page.results.forEach((result, index) => {
+      const position = after + index
       const text = JSON.stringify(result)
-      job.firstResults[index] ??= text
-      if (job.firstResults[index] !== text) job.violations.push(`result at position ${index} changed when read from ${instance.id}`)
+      job.firstResults[position] ??= text
+      if (job.firstResults[position] !== text) job.violations.push(`result at position ${position} changed when read from ${instance.id}`)
     })
-    job.isWhole = answer.page.total > 0 && answer.page.results.length === answer.page.total
+    if (after === 0) job.isWhole = page.total > 0 && page.results.length === page.total
+    return after + page.results.length
   }
 
-  async function readRandomJob (): Promise<void> {
+  function pickJob (): SoakJob | undefined {
     const settled = jobs.filter(({ acceptedAt }) => acceptedAt !== undefined && Date.now() - acceptedAt > 1000)
-    const job = settled[random.nextInt(Math.max(1, settled.length))]
+    return settled[random.nextInt(Math.max(1, settled.length))]
+  }
+
+  async function readRandomJob (): Promise<void> {
+    const job = pickJob()
     if (job !== undefined) await readResults(job)
   }
 
+  async function readLastResult (): Promise<void> {
+    const job = pickJob()
+    const known = job?.firstResults.length ?? 0
+    if (job !== undefined && known > 0) await readResults(job, pickInstance(), known - 1)
+  }
+
+  async function readAgain (job: SoakJob, instance: SoakInstance): Promise<void> {
+    const until = Date.now() + READ_AGAIN_MS
+    let after = 0
+    do {
+      const next = await readResults(job, instance, after)
+      if (next === after) break
+      if (next === undefined) await pause(200)
+      after = next ?? after
+    } while (after < job.firstResults.length && Date.now() < until)
+    if (after < job.firstResults.length) job.violations.push(`${instance.id} could not read it after ${after} in the end`)
+  }
+
   /** Prompts of sound requests share parts with those that crash targets. */
   function createPrompt (id: string, crashingPart?: string): Record<string, string> {
     const parts = ['common', crashingPart, `session${random.nextInt(SESSIONS)}`, id].filter((part) => part !== undefined)
@@ -172,6 +209,7 @@
     }, LIVE_INTERVAL_MS),
     setInterval(() => track(submitJob()), JOB_INTERVAL_MS),
     setInterval(() => track(readRandomJob()), READ_INTERVAL_MS),
+    setInterval(() => track(readLastResult()), READ_LAST_INTERVAL_MS),
     setInterval(() => { refreshAddresses().catch(() => undefined) }, 1000)
   ]
   refreshAddresses().catch(() => undefined)
@@ -180,7 +218,7 @@
     attempts,
     jobs,
     finish: async () => {
-      timers.slice(0, 4).forEach(clearInterval)
+      timers.slice(0, 5).forEach(clearInterval)
       while (pending.size > 0) await Promise.all(pending)
       isFinished = true
     },
@@ -189,11 +227,17 @@
       const open = (): SoakJob[] => jobs.filter(({ acceptedAt, endedAt, isWhole }) =>
         acceptedAt !== undefined && endedAt === undefined && !isWhole)
       while (open().length > 0 && Date.now() < until) {
-        await Promise.all(open().map(readResults))
+        await Promise.all(open().map(async (job) => await readResults(job)))
         await pause(200)
       }
       timers.forEach(clearInterval)
       agents.forEach((agent) => agent.destroy())
+    },
+    readJobsAgain: async () => {
+      const accepted = jobs.filter(({ acceptedAt }) => acceptedAt !== undefined)
+      await Promise.all(fleet.instances.map(async (instance) => {
+        for (const job of accepted) await readAgain(job, instance)
+      }))
     }
   }
 }
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -2,6 +2,8 @@
 import { eventText, type ReplicaRun } from 'pimentoplank-platform/testing'
 import type { SoakJob } from './callers'
 import type { InjectedFault } from './inject'
+import { findOrderViolations } from './orderChecks'
+import type { Observed } from './observer'
 import { HTTP_OK, NOT_RUN_STATUSES, type Attempt, type LiveKind } from './liveRequests'
 import type { SoakFleet } from './soakFleet'
 import { EVENTS_PER_RESPONSE, findStreamViolations } from './streamChecks'
@@ -13,6 +15,7 @@
   faults: readonly InjectedFault[]
   /** Time by which the deployment must have recovered, as wall clock time in milliseconds. */
   recoveredAt: number
+  observed: Observed
 }
 
 const AT_MOST_ONCE: ReadonlySet<LiveKind> = new Set(['once', 'plainOnce'])
@@ -36,6 +39,7 @@
 
 /** Checks every guarantee; returns a description of each violation. */
 export function findViolations (seen: Observations): string[] {
+  const storeFaults = seen.faults.filter(({ kind }) => STORE_FAULTS.has(kind))
   const runs = new Map<string, ReplicaRun[]>()
   for (const run of seen.fleet.targets.flatMap(({ standin }) => standin.runs)) {
     runs.set(run.id, [...runs.get(run.id) ?? [], run])
@@ -48,7 +52,14 @@
       targets: seen.fleet.targets,
       attempts: seen.attempts,
       items: seen.jobs.flatMap(getItems),
-      storeFaults: seen.faults.filter(({ kind }) => STORE_FAULTS.has(kind))
+      storeFaults
+    }),
+    ...findOrderViolations({
+      ...seen.observed,
+      instances: seen.fleet.instances,
+      configurations: seen.fleet.configurations,
+      pages: seen.jobs.flatMap(({ pages }) => pages),
+      storeFaults
     }),
     ...checkRemovedTargets(seen),
     ...checkLeavingTargets(seen),
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -4,4 +4,5 @@
 } from './regressions'
 export { EVERY_FAULT, runSeed, SHORT_FAULTS, type SeedOptions, type SeedOutcome } from './runSeed'
 export { sendLiveRequest, type Attempt } from './liveRequests'
+export { findOrderViolations, type SeenInstance, type SeenNumbers } from './orderChecks'
 export { EVENTS_PER_RESPONSE, findStreamViolations, type SeenTarget } from './streamChecks'
--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -9,6 +9,8 @@
 import {
   createSoakRandom, CUT_FAULT_KINDS, generateFaults, generateLongFaults, LEAVING_FAULT_KINDS, VERSION_FAULT_KINDS
 } from './plan'
+import { startObserver } from './observer'
+import { isShorter } from './orderChecks'
 import { startSoakFleet, type SoakFleet } from './soakFleet'
 
 export interface SeedOptions {
@@ -48,6 +50,12 @@
   /** Number of runs in which a target paused. */
   paused: number
   jobs: number
+  /** Number of pages of jobs that were read, and of those with nothing where a result had been read just before. */
+  pages: number
+  short: number
+  /** Number of answers of the directory, and on routes of one version of the configuration. */
+  directories: number
+  probes: number
   broken: string[]
 }
 
@@ -90,19 +98,35 @@
   try {
     await waitUntilReady(fleet)
     const callers = startCallers(fleet, random, `s${seed}`)
+    const observer = startObserver(fleet, `s${seed}`)
     const faults = await injectFaults(fleet, plan)
     await pause(RECOVERY_MS)
     const recoveredAt = Date.now()
     await pause(OBSERVATION_MS)
     await callers.finish()
     await callers.readJobs(JOB_TIMEOUT_MS)
+    await callers.readJobsAgain()
+    const observed = await observer.finish()
     const { attempts, jobs } = callers
-    const broken = findViolations({ fleet, attempts, jobs, faults, recoveredAt })
+    const broken = findViolations({ fleet, attempts, jobs, faults, recoveredAt, observed })
     const whole = attempts.filter(({ answer }) => answer?.status === HTTP_OK && answer.isWhole).length
     const resumed = attempts.filter(({ from }) => from > 0).length
     const paused = fleet.targets.flatMap(({ standin }) => standin.runs).filter((one) => one.paused !== undefined).length
     if (broken.length === 0) await rm(folder, { recursive: true, force: true })
-    return { seed, faults: faults.length, requests: attempts.length, whole, resumed, paused, jobs: jobs.length, broken }
+    return {
+      seed,
+      faults: faults.length,
+      requests: attempts.length,
+      whole,
+      resumed,
+      paused,
+      jobs: jobs.length,
+      pages: jobs.reduce((sum, { pages }) => sum + pages.length, 0),
+      short: jobs.flatMap(({ pages }) => pages.filter((page) => isShorter(page, pages, 0))).length,
+      directories: observed.directories.length,
+      probes: observed.probes.length,
+      broken
+    }
   } finally {
     await fleet.close()
   }
--- a/packages/soak/src/soakFleet.ts
+++ b/packages/soak/src/soakFleet.ts
@@ -30,6 +30,8 @@
   disturbedAt: number[]
   /** Times at which it was started or got any signal, as wall clock time in milliseconds. */
   touchedAt: number[]
+  /** Periods in which it had a process, in order; the last one ends with `Infinity` while it lives. */
+  lives: Span[]
   /** Periods in which it was cut off from all targets; the last one ends with `Infinity` while it lasts. */
   cuts: Span[]
   /** Descriptions of process exits that no fault caused. */
@@ -67,6 +69,8 @@
   restart: (instance: SoakInstance) => void
   /** Changes the mode of the paths between an instance and all targets, later ones included. */
   setTargetLinks: (instance: SoakInstance, mode: LinkMode) => void
+  /** When each version of the configuration was written, in wall clock milliseconds. */
+  configurations: Array<{ version: number, at: number }>
   /** Writes the next configuration; each version adds a route of its own. */
   publishConfig: () => void
   close: () => Promise<void>
@@ -99,6 +103,7 @@
   const instances: SoakInstance[] = []
   const targets: SoakTarget[] = []
   const targetModes = new Map<string, LinkMode>()
+  const configurations: SoakFleet['configurations'] = []
   let version = 0
   let isClosed = false
 
@@ -106,6 +111,7 @@
     const config = usualConfig(++version)
     config.routes.push({ ...config.routes[0], name: `extra-${version}`, path_prefix: `/extra-${version}/` })
     store.write('config', 'main', config)
+    configurations.push({ version, at: Date.now() })
   }
 
   async function addTarget (version?: string): Promise<SoakTarget> {
@@ -157,7 +163,10 @@
     instance.touchedAt.push(Date.now())
     child.stdout.pipe(log, { end: false })
     child.stderr.pipe(log, { end: false })
+    const life = { from: Date.now(), to: Infinity }
+    instance.lives.push(life)
     child.once('exit', (code, signal) => {
+      life.to = Date.now()
       if (isClosed || instance.child !== child) return
       const isPlanned = instance.stoppedAt !== undefined || signal === 'SIGKILL'
       if (!isPlanned) instance.crashes.push(`${instance.id} exited unexpectedly: ${code ?? signal}`)
@@ -181,7 +190,7 @@
     const zone = FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]!
     writeFileSync(path.join(options.folder, `${id}.toml`), settingsText({ id, ip, seeds, zone, store: link.address }))
     const instance: SoakInstance = {
-      id, ip, address: `${ip}:${PORTS.callers}`, store: link, child: undefined as never, isHeld: false, disturbedAt: [], touchedAt: [], cuts: [], crashes: []
+      id, ip, address: `${ip}:${PORTS.callers}`, store: link, child: undefined as never, isHeld: false, disturbedAt: [], touchedAt: [], lives: [], cuts: [], crashes: []
     }
     instance.child = launch(instance)
     instances.push(instance)
@@ -205,6 +214,7 @@
       targetModes.set(ip, mode)
       for (const { link } of targets) link.setModeFrom([ip], mode)
     },
+    configurations,
     publishConfig: configure,
     close
   }
--- a/packages/soak/src/streamChecks.ts
+++ b/packages/soak/src/streamChecks.ts
@@ -1,7 +1,7 @@
 /** Checks of streams over the tries of their callers, and of answers whose target pauses. */
 import { eventText, type ReplicaRun } from 'pimentoplank-platform/testing'
 import { HTTP_OK, readEvents, type Attempt } from './liveRequests'
-import type { SoakTarget, Span } from './soakFleet'
+import type { SoakInstance, SoakTarget, Span } from './soakFleet'
 
 /** A target, as far as the checks look at it. */
 export interface SeenTarget extends Pick<SoakTarget, 'startedAt' | 'leftAt' | 'disturbed'> {
@@ -50,7 +50,7 @@
   ]
 }
 
-function groupBy<Item> (items: readonly Item[], getKey: (item: Item) => string): Map<string, Item[]> {
+export function groupBy<Item> (items: readonly Item[], getKey: (item: Item) => string): Map<string, Item[]> {
   const groups = new Map<string, Item[]>()
   for (const item of items) groups.set(getKey(item), [...groups.get(getKey(item)) ?? [], item])
   return groups
@@ -122,7 +122,11 @@
   return isListed && !disturbed.some((span) => overlaps(span, { from: from - CONTACT_MS, to }))
 }
 
-function isInTouch ({ instance, sentAt, endedAt }: Attempt, storeFaults: readonly Span[]): boolean {
+/** Returns whether an instance was in touch, as the platform's documentation calls it, when it gave an answer. */
+export function isInTouch (
+  { instance, sentAt, endedAt }: Pick<Attempt, 'sentAt' | 'endedAt'> & { instance: Pick<SoakInstance, 'touchedAt'> },
+  storeFaults: readonly Span[]
+): boolean {
   const span = { from: sentAt - CONTACT_MS, to: endedAt }
   const isTouched = instance.touchedAt.some((at) => overlaps({ from: at, to: at }, span))
   return !isTouched && !storeFaults.some((fault) => overlaps(fault, span))
