Doubt what a peer told of streams once reports of it were missed

Cause: one message settled at which version a stream runs. A stream that hasn't begun may move to a target of another version, and its instance tells the new placement for a second. An instance that stands still or is slow for that long loses the reports that don't fit into the buffer of its socket, keeps the first placement for an hour and binds the stream to it. It also answers peers that ask it, and the first answer that named a version decided.

Fix: a gap of more than three reports of a peer, its silence or its restart puts what it told before in doubt until it tells it again. A stream in doubt is asked for; answers that come within 50 ms after the first one count too, and where they differ the caller is told to come again. Where nobody contradicts, what was heard holds as before. No message changes.

--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -221,12 +221,12 @@
     gossip.reportLoadChange()
     scheduleDispatch()
   })
-  gossip.onReport((report) => {
+  gossip.onReport((report, before) => {
     for (const { job, ...ownership } of report.jobs) jobRegistry.update(job, ownership, 'peer')
     crashes.merge(report)
     limits.merge(report.limits)
     targets.mergeLeaving(report.leaving)
-    streamVersions.merge(report.streams, 'heard')
+    streamVersions.mergeReport(report, before)
     scheduleDispatch()
   })
   gossip.onPeerLost(({ report }) => {
--- a/packages/pimentoplank/src/relay/decisions/streamVersions.ts
+++ b/packages/pimentoplank/src/relay/decisions/streamVersions.ts
@@ -40,6 +40,26 @@
   return recent.length === 1 ? recent[0] : undefined
 }
 
+/** Reports of a peer that may be missed in a row, since those after them tell again where streams were placed. */
+const MAX_MISSED_REPORTS = 3
+
+/** Number of a report in the order in which a process sent it. */
+export interface ReportNumber {
+  incarnation: number
+  sequence: number
+}
+
+/**
+ * True if so many reports of a peer were missed that some may have told where a stream was placed anew. A process that
+ * stands still for a second loses those that don't fit into the buffer of its socket.
+ *
+ * @param before - the report before; undefined if the peer was not known or had been silent
+ */
+export function hasMissedReports (report: ReportNumber, before: ReportNumber | undefined): boolean {
+  if (before?.incarnation !== report.incarnation) return true
+  return report.sequence - before.sequence > MAX_MISSED_REPORTS + 1
+}
+
 /** Target at which a stream may go on. */
 export interface ResumeCandidate {
   id: string
--- a/packages/pimentoplank/src/relay/streams/index.ts
+++ b/packages/pimentoplank/src/relay/streams/index.ts
@@ -1,4 +1,4 @@
 export { createServiceVersions, type ServiceVersions } from './serviceVersions'
 export { createStreamService } from './streamService'
 export { createStreamVersionFinder, type StreamVersionFinder } from './streamVersionFinder'
-export { createStreamVersions, type KnownStream, type StreamVersions } from './streamVersions'
+export { createStreamVersions, type KnownStream, type StreamReport, type StreamVersions } from './streamVersions'
--- a/packages/pimentoplank/src/relay/streams/streamVersionFinder.feature
+++ b/packages/pimentoplank/src/relay/streams/streamVersionFinder.feature
@@ -33,6 +33,25 @@
     When a caller takes up stream "r1"
     Then it is bound to version "v1"
 
+  Scenario Outline: What was heard of a stream before reports were missed <case>
+    Given 1 peer in each of 2 failure domains, of which those in "b" know version "<known>" of "<stream>"
+    And version "v1" of "r1" was heard of, before reports of that peer were missed
+    When a caller takes up stream "r1"
+    Then <outcome>
+
+    Examples:
+      | case                                        | known | stream | outcome                                |
+      | is wrong where a peer knows otherwise       | v2    | r1     | it is refused as "streamVersionUnknown" |
+      | is right where a peer knows the same        | v1    | r1     | it is bound to version "v1"             |
+      | is all that is known if no peer knows it    | v2    | r2     | it is bound to version "v1"             |
+
+  Scenario: Peers that missed where a stream was placed later don't decide alone
+    Given 1 peer in each of 2 failure domains, of which those in "b" know version "v2" of "r1"
+    And the peers in "a" know version "v1" of every stream
+    And the peers take 20 ms to answer
+    When a caller takes up stream "r1"
+    Then it is refused as "streamVersionUnknown"
+
   Scenario: A stream that was heard of without a version is not bound to the only one that serves
     Given 1 peer in each of 1 failure domain, of which those in "b" know version "v1" of "r1"
     And stream "r2" was heard of without a version
--- a/packages/pimentoplank/src/relay/streams/streamVersionFinder.steps.ts
+++ b/packages/pimentoplank/src/relay/streams/streamVersionFinder.steps.ts
@@ -22,6 +22,10 @@
   silentDomains: Set<string>
   /** Failure domain whose peers know a stream, but not its version. */
   unsureDomain?: string
+  /** Failure domain whose peers know one version of every stream, and answer at once. */
+  sureDomain?: { name: string, version: string }
+  /** Stream that was heard of at a version, before reports of the peer that told it were missed. */
+  missed?: { attempt: string, version: string }
   /** Stream that was heard of without a version. */
   heardWithout?: string
   answerMs: number
@@ -73,6 +77,10 @@
           if (world.unsureDomain === failureDomain) {
             return create(FindVersionResponseSchema, { known: true, version: '', keepMs: KEEP_MS })
           }
+          if (world.sureDomain?.name === failureDomain) {
+            const { version: sure } = world.sureDomain
+            return create(FindVersionResponseSchema, { known: true, version: sure, keepMs: KEEP_MS })
+          }
           await pause(world.answerMs)
           return create(FindVersionResponseSchema, { known: attempt === known, version, keepMs: KEEP_MS })
         }
@@ -94,6 +102,18 @@
   this.unsureDomain = failureDomain
 })
 
+Given('the peers in {string} know version {string} of every stream', function (
+  this: FinderWorld, name: string, version: string
+) {
+  this.sureDomain = { name, version }
+})
+
+Given('version {string} of {string} was heard of, before reports of that peer were missed', function (
+  this: FinderWorld, version: string, attempt: string
+) {
+  this.missed = { attempt, version }
+})
+
 Given('stream {string} was heard of without a version', function (this: FinderWorld, attempt: string) {
   this.heardWithout = attempt
 })
@@ -118,7 +138,15 @@
   const streamVersions = createStreamVersions({ getTarget: () => undefined, clock, log: createSilentLog() })
   if (this.heardWithout !== undefined) {
     const notice = { attempt: hash64(this.heardWithout), version: undefined, keepUntil: clock.now() + KEEP_MS }
-    streamVersions.merge([notice], 'heard')
+    streamVersions.mergeReport({ instance: 'a0', incarnation: 1, sequence: 1, streams: [notice] }, undefined)
+  }
+  if (this.missed !== undefined) {
+    const { attempt, version } = this.missed
+    const notice = { attempt: hash64(attempt), version, keepUntil: clock.now() + KEEP_MS }
+    const first = { instance: 'a0', incarnation: 1, sequence: 1, streams: [notice] }
+    streamVersions.mergeReport(first, undefined)
+    await pause(1)
+    streamVersions.mergeReport({ ...first, sequence: 50, streams: [] }, first)
   }
   const finder = createStreamVersionFinder({
     streamVersions,
--- a/packages/pimentoplank/src/relay/streams/streamVersionFinder.ts
+++ b/packages/pimentoplank/src/relay/streams/streamVersionFinder.ts
@@ -34,6 +34,8 @@
 const ASKED_PER_DOMAIN = 2
 /** Timeout for asking peers, in milliseconds. */
 const ASK_TIMEOUT_MS = 500
+/** Longest wait for the answers of other peers after the first one that names a version, in milliseconds. */
+const OTHERS_MS = 50
 /** Longest wait of a request for the versions of services, in milliseconds; they are read as an instance starts. */
 const LOAD_TIMEOUT_MS = 150
 /** Retry hint for callers whose stream is not known, in milliseconds. */
@@ -77,9 +79,17 @@
   async function lookUp (key: bigint, request: CallerRequest, service: string): Promise<Found> {
     const heard = streamVersions.find(key)
     // A peer may have learned the version since it told of the stream.
-    if (heard?.version === undefined && heard?.source !== 'own') {
-      const notice = await askPeers(key, request.id)
-      if (notice !== undefined) streamVersions.merge([notice], 'peer')
+    if (heard?.source !== 'own' && (heard?.version === undefined || heard.isInDoubt)) {
+      const notices = await askPeers(key, request.id)
+      const versions = new Set([...notices, heard].flatMap((notice) => notice?.version ?? []))
+      if (versions.size > 1) {
+        log.warn({ req: request.id, versions: [...versions] }, 'peers know different versions of a stream')
+        return { version: undefined, source: 'disagreement' }
+      }
+      const notice = notices.find(({ version }) => version !== undefined) ?? notices[0]
+      if (notice !== undefined && (heard?.version === undefined || notice.version !== undefined)) {
+        streamVersions.merge(notice)
+      }
     }
     const known = streamVersions.find(key)
     if (known !== undefined) return describeKnown(known)
@@ -88,17 +98,22 @@
     return { version, source: version === undefined ? 'none' : 'onlyVersion' }
   }
 
-  /** Returns the first answer that names a version; without one, any of a peer that knows the stream. */
-  async function askPeers (key: bigint, requestId: string): Promise<StreamNotice | undefined> {
-    const answers = chooseAsked(key).map(async (peer) => await askPeer(peer, key, requestId))
+  /** Returns the answers of peers that know the stream: those that come soon after the first that names a version. */
+  async function askPeers (key: bigint, requestId: string): Promise<StreamNotice[]> {
+    const notices: StreamNotice[] = []
+    const answers = chooseAsked(key).map(async (peer) => {
+      const notice = await askPeer(peer, key, requestId)
+      if (notice !== undefined) notices.push(notice)
+      return notice
+    })
     const versions = answers.map(async (answer) => {
-      const notice = await answer
       // A rejected promise lets the others decide which answer is the first.
-      if (notice?.version === undefined) throw new Error('the peer does not know the version of the stream')
-      return notice
+      if ((await answer)?.version === undefined) throw new Error('the peer does not know the version of the stream')
     })
-    return await Promise.any(versions)
-      .catch(async () => (await Promise.all(answers)).find((notice) => notice !== undefined))
+    const all = Promise.all(answers)
+    // Without any that names a version, all have been waited for.
+    await Promise.any(versions).then(async () => await Promise.race([all, clock.sleep(OTHERS_MS)]), () => undefined)
+    return [...notices]
   }
 
   function chooseAsked (key: bigint): PeerView[] {
--- a/packages/pimentoplank/src/relay/streams/streamVersions.feature
+++ b/packages/pimentoplank/src/relay/streams/streamVersions.feature
@@ -32,6 +32,32 @@
     Then version "v1" of "r1" is known here
     And a peer that hears of it knows version "v2" of "r2"
 
+  Scenario Outline: What a peer has told is in doubt when <event>
+    Given peer "a" tells version "v1" of "r1"
+    And peer "b" tells version "v1" of "r2"
+    And 10 ms pass for the streams
+    When <event>
+    Then version "v1" of "r1" is <doubt> here
+    And version "v1" of "r2" is not in doubt here
+
+    Examples:
+      | event                                      | doubt        |
+      | 4 reports of peer "a" are missed           | in doubt     |
+      | 3 reports of peer "a" are missed           | not in doubt |
+      | peer "a" is silent, and then heard again   | in doubt     |
+
+  Scenario Outline: A peer that tells version <version> after its reports were missed is believed
+    Given peer "a" tells version "v1" of "r1"
+    And 10 ms pass for the streams
+    And 9 reports of peer "a" are missed
+    When peer "a" tells version "<version>" of "r1"
+    Then version "<version>" of "r1" is not in doubt here
+
+    Examples:
+      | version |
+      | v1      |
+      | v2      |
+
   Scenario: Placements are told for a second and known for an hour, since callers may come with a new deadline
     When attempt "r1" is placed at a target of version "v1"
     And 900 ms pass for the streams
--- a/packages/pimentoplank/src/relay/streams/streamVersions.steps.ts
+++ b/packages/pimentoplank/src/relay/streams/streamVersions.steps.ts
@@ -1,13 +1,15 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
 import { createSilentLog, hash64, type Clock } from '../../shared'
-import { decodeDatagram, encodeLoad } from '../gossip'
+import { decodeDatagram, encodeLoad, type StreamNotice } from '../gossip'
 import type { Target } from '../model'
-import { createStreamVersions, type StreamVersions } from '.'
+import { createStreamVersions, type StreamReport, type StreamVersions } from '.'
 
 interface StreamsWorld {
   now: number
   streamVersions?: StreamVersions
+  /** Latest reports of peers. */
+  reports?: Map<string, StreamReport>
   /** Latest entry of the target. */
   entry?: Target
 }
@@ -15,6 +17,7 @@
 const TARGET: Omit<Target, 'version'> = {
   id: 't1', service: 's', address: '127.0.0.1:1', failureDomain: 'a', slots: 4, state: 'ready', startedAt: 1000
 }
+const KEEP_MS = 10_000
 const EMPTY_LOAD = {
   instance: 1,
   incarnation: 1,
@@ -87,7 +90,7 @@
   const received = decodeDatagram(encodeNotices(this), this.now)
   assert.ok(received?.type === 'load')
   const peer = createRegistry(this)
-  peer.merge(received.load.streams, 'heard')
+  peer.mergeReport({ ...received.load, instance: 'peer' }, undefined)
   const known = peer.find(hash64(attempt))
   assert.ok(known !== undefined)
   assert.equal(known.version ?? 'none', version)
@@ -98,6 +101,36 @@
   assert.equal(getStreams(this).find(hash64(attempt))?.version, version)
 })
 
+When('peer {string} tells version {string} of {string}', function (
+  this: StreamsWorld, peer: string, version: string, attempt: string
+) {
+  receiveReport(this, peer, 1, [{ attempt: hash64(attempt), version, keepUntil: this.now + KEEP_MS }])
+})
+
+/** @param step - number of reports that the peer has sent since the last one, including this one */
+function receiveReport (world: StreamsWorld, instance: string, step: number, streams: StreamNotice[]): void {
+  const before = world.reports?.get(instance)
+  const report = { instance, incarnation: 1, sequence: (before?.sequence ?? 0) + step, streams }
+  getStreams(world).mergeReport(report, before)
+  world.reports = new Map([...world.reports ?? [], [instance, report]])
+}
+
+When('{int} reports of peer {string} are missed', function (this: StreamsWorld, count: number, peer: string) {
+  receiveReport(this, peer, count + 1, [])
+})
+
+When('peer {string} is silent, and then heard again', function (this: StreamsWorld, peer: string) {
+  const before = this.reports!.get(peer)!
+  getStreams(this).mergeReport({ ...before, sequence: before.sequence + 1, streams: [] }, undefined)
+})
+
+Then(/^version "(.*)" of "(.*)" is (not )?in doubt here$/, function (
+  this: StreamsWorld, version: string, attempt: string, not: string | null
+) {
+  const { version: found, isInDoubt } = getStreams(this).find(hash64(attempt))!
+  assert.deepEqual({ found, isInDoubt }, { found: version, isInDoubt: not === null })
+})
+
 Then('nothing of {string} is known here', function (this: StreamsWorld, attempt: string) {
   assert.equal(getStreams(this).find(hash64(attempt)), undefined)
 })
--- a/packages/pimentoplank/src/relay/streams/streamVersions.ts
+++ b/packages/pimentoplank/src/relay/streams/streamVersions.ts
@@ -1,8 +1,8 @@
 /** Knows at which software version streams run that were placed by this instance, or of which it has heard. */
 import { LRUCache } from 'lru-cache'
 import { hash64, type Clock, type Log } from '../../shared'
-import { findPlacedVersion, FORGET_VERSION_MS, type PlacedProcess } from '../decisions'
-import type { StreamNotice } from '../gossip'
+import { findPlacedVersion, FORGET_VERSION_MS, hasMissedReports, type PlacedProcess, type ReportNumber } from '../decisions'
+import type { Report, StreamNotice } from '../gossip'
 import type { Target } from '../model'
 
 /** How this instance knows the version of a stream. */
@@ -16,6 +16,16 @@
   at: number
   /** Until when it is kept, on the monotonic clock in milliseconds. */
   keepUntil: number
+  /** True if the peer that told it may have placed it anew since, and told so in a report that was missed. */
+  isInDoubt: boolean
+}
+
+/** Part of a report that tells of streams. */
+export type StreamReport = Pick<Report, 'instance' | 'streams' | keyof ReportNumber>
+
+interface Entry extends Omit<KnownStream, 'isInDoubt'> {
+  /** Peer that told it in a report. */
+  sender?: string
 }
 
 export interface StreamVersionsOptions {
@@ -35,8 +45,14 @@
   recordPlacement: (attempt: string, target: Target, startedAt: number | undefined) => void
   /** Finds a stream by the hash of the id of the attempt that brought its first event. */
   find: (attempt: bigint) => KnownStream | undefined
-  /** Merges what peers have told. */
-  merge: (notices: readonly StreamNotice[], source: 'heard' | 'peer') => void
+  /** Merges what a peer has answered that was asked. */
+  merge: (notice: StreamNotice) => void
+  /**
+   * Merges what a peer has told in a report.
+   *
+   * @param before - the report before; undefined if the peer was not known or had been silent
+   */
+  mergeReport: (report: StreamReport, before: ReportNumber | undefined) => void
   /** Returns what load updates tell peers: the latest placements. */
   getLatestNotices: () => StreamNotice[]
   /** Returns what full reports tell peers, which are rarer and go back further. */
@@ -53,10 +69,13 @@
 const MAX_NOTICES = 64
 const MAX_STREAMS = 50_000
 const MAX_UNRESOLVED = 1000
+const MAX_PEERS = 10_000
 
 /** Creates the registry of an instance. */
 export function createStreamVersions ({ getTarget, clock, log }: StreamVersionsOptions): StreamVersions {
-  const known = new LRUCache<bigint, KnownStream>({ max: MAX_STREAMS })
+  const known = new LRUCache<bigint, Entry>({ max: MAX_STREAMS })
+  /** When reports of peers were missed last, on the monotonic clock, by the peer. */
+  const missedAt = new LRUCache<string, number>({ max: MAX_PEERS })
   /** When streams were placed or changed, in that order. */
   const recent = new Map<bigint, number>()
   /** Streams at processes that no entry known here describes. */
@@ -64,7 +83,10 @@
 
   function find (attempt: bigint): KnownStream | undefined {
     const stream = known.get(attempt)
-    return stream === undefined || stream.keepUntil < clock.now() ? undefined : stream
+    if (stream === undefined || stream.keepUntil < clock.now()) return undefined
+    const { sender, ...rest } = stream
+    const isInDoubt = sender !== undefined && rest.at < (missedAt.get(sender) ?? -Infinity)
+    return { ...rest, isInDoubt }
   }
 
   function addRecent (key: bigint): void {
@@ -110,14 +132,17 @@
     return hasResolved
   }
 
-  function merge (notices: readonly StreamNotice[], source: 'heard' | 'peer'): void {
-    for (const { attempt, version, keepUntil } of notices) {
-      const before = find(attempt)
-      if (before?.source === 'own') continue
-      // Notices are repeated; the first arrival tells how old the knowledge is.
-      if (before !== undefined && before.version === version) continue
-      known.set(attempt, { version, source, at: clock.now(), keepUntil })
-    }
+  function merge ({ attempt, version, keepUntil }: StreamNotice, source: 'heard' | 'peer', sender?: string): void {
+    const before = find(attempt)
+    if (before?.source === 'own') return
+    // Notices are repeated; the first arrival tells how old the knowledge is.
+    if (before !== undefined && before.version === version && !before.isInDoubt) return
+    known.set(attempt, { version, source, at: clock.now(), keepUntil, sender })
+  }
+
+  function mergeReport (report: StreamReport, before: ReportNumber | undefined): void {
+    if (hasMissedReports(report, before)) missedAt.set(report.instance, clock.now())
+    report.streams.forEach((notice) => merge(notice, 'heard', report.instance))
   }
 
   function getNotices (maxAgeMs: number): StreamNotice[] {
@@ -132,7 +157,8 @@
   return {
     recordPlacement,
     find,
-    merge,
+    merge: (notice) => merge(notice, 'peer'),
+    mergeReport,
     getLatestNotices: () => getNotices(LATEST_NOTICE_MS),
     getNotices: () => getNotices(NOTICE_MS),
     resolve
