--- a/packages/soak/src/observer.ts
+++ b/packages/soak/src/observer.ts
@@ -13,9 +13,9 @@
 }
 
 /** Pauses between two questions to one instance, in milliseconds. */
-const DIRECTORY_INTERVAL_MS = 150
-const PROBE_INTERVAL_MS = 400
-const COUNTERS_INTERVAL_MS = 1000
+const DIRECTORY_INTERVAL_MS = 400
+const PROBE_INTERVAL_MS = 600
+const COUNTERS_INTERVAL_MS = 2500
 const TIMEOUT_MS = 2000
 /** Counters in the text of the metrics. */
 const COUNTER = /^(\w+_(?:total|count)(?:\{[^}]*\})?) (\d+(?:\.\d+)?)$/gm
