--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -41,7 +41,7 @@
 const SESSIONS = 20
 const READ_INTERVAL_MS = 500
 /** Interval of reads from the last position known. */
-const READ_LAST_INTERVAL_MS = 250
+const READ_LAST_INTERVAL_MS = 400
 /** Time for a job to be read at an instance in the end, in milliseconds. */
 const READ_AGAIN_MS = 5000
 const MAX_SUBMISSIONS = 6
--- a/packages/soak/src/observer.ts
+++ b/packages/soak/src/observer.ts
@@ -13,9 +13,9 @@
 }
 
 /** Pauses between two questions to one instance, in milliseconds. */
-const DIRECTORY_INTERVAL_MS = 400
-const PROBE_INTERVAL_MS = 600
-const COUNTERS_INTERVAL_MS = 2500
+const DIRECTORY_INTERVAL_MS = 800
+const PROBE_INTERVAL_MS = 1200
+const COUNTERS_INTERVAL_MS = 4000
 const TIMEOUT_MS = 2000
 /** Counters in the text of the metrics. */
 const COUNTER = /^(\w+_(?:total|count)(?:\{[^}]*\})?) (\d+(?:\.\d+)?)$/gm
