Doubt what a peer told of streams once it has been silent

What callers saw: streams that were taken up at an instance that had stood still held events of two software versions (ORDER).

Cause: the instance had heard where the streams were placed first. While it stood still, they moved to another version, and the reports that told it didn't fit into the buffer of its socket. The take-ups came before the next report.

Fix: reports repeat placements for a second, so what a peer told is in doubt once it hasn't been heard for longer, and for half a second after it is heard again.

--- a/packages/pimentoplank/src/relay/streams/streamVersions.feature
+++ b/packages/pimentoplank/src/relay/streams/streamVersions.feature
@@ -33,7 +33,8 @@
     And a peer that hears of it knows version "v2" of "r2"
 
   Scenario Outline: What a peer has told is in doubt when <event>
-    Given peer "a" tells version "v1" of "r1"
+    Given peers "a" and "b" have been heard for long
+    And peer "a" tells version "v1" of "r1"
     And peer "b" tells version "v1" of "r2"
     And 10 ms pass for the streams
     When <event>
@@ -41,13 +42,25 @@
     And version "v1" of "r2" is not in doubt here
 
     Examples:
-      | event                                      | doubt        |
-      | 4 reports of peer "a" are missed           | in doubt     |
-      | 3 reports of peer "a" are missed           | not in doubt |
-      | peer "a" is silent, and then heard again   | in doubt     |
+      | event                                             | doubt        |
+      | 4 reports of peer "a" are missed                  | in doubt     |
+      | 3 reports of peer "a" are missed                  | not in doubt |
+      | peer "a" is lost, and then heard again            | in doubt     |
+      | peer "a" is not heard for 1100 ms                 | in doubt     |
+      | peer "a" is not heard for 900 ms                  | not in doubt |
+
+  Scenario: What is heard first after a standstill was sent at its beginning
+    Given peers "a" and "b" have been heard for long
+    And 2500 ms pass for the streams
+    When peer "a" tells version "v1" of "r1"
+    Then version "v1" of "r1" is in doubt here
+    When 600 ms pass for the streams
+    And peer "a" tells version "v1" of "r1"
+    Then version "v1" of "r1" is not in doubt here
 
   Scenario Outline: A peer that tells version <version> after its reports were missed is believed
-    Given peer "a" tells version "v1" of "r1"
+    Given peers "a" and "b" have been heard for long
+    And peer "a" tells version "v1" of "r1"
     And 10 ms pass for the streams
     And 9 reports of peer "a" are missed
     When peer "a" tells version "<version>" of "r1"
--- a/packages/pimentoplank/src/relay/streams/streamVersions.steps.ts
+++ b/packages/pimentoplank/src/relay/streams/streamVersions.steps.ts
@@ -18,6 +18,9 @@
   id: 't1', service: 's', address: '127.0.0.1:1', failureDomain: 'a', slots: 4, state: 'ready', startedAt: 1000
 }
 const KEEP_MS = 10_000
+const HEARTBEAT_MS = 300
+const LONG_MS = 3000
+const STEP_MS = 100
 const EMPTY_LOAD = {
   instance: 1,
   incarnation: 1,
@@ -119,7 +122,24 @@
   receiveReport(this, peer, count + 1, [])
 })
 
-When('peer {string} is silent, and then heard again', function (this: StreamsWorld, peer: string) {
+Given('peers {string} and {string} have been heard for long', function (
+  this: StreamsWorld, first: string, second: string
+) {
+  const peers = [first, second]
+  for (let passed = 0; passed < LONG_MS; passed += HEARTBEAT_MS) {
+    for (const peer of peers) receiveReport(this, peer, 1, [])
+    this.now += HEARTBEAT_MS
+  }
+})
+
+When('peer {string} is not heard for {int} ms', function (this: StreamsWorld, peer: string, ms: number) {
+  for (let passed = 0; passed < ms; passed += STEP_MS) {
+    this.now += STEP_MS
+    for (const other of this.reports!.keys()) if (other !== peer) receiveReport(this, other, 1, [])
+  }
+})
+
+When('peer {string} is lost, and then heard again', function (this: StreamsWorld, peer: string) {
   const before = this.reports!.get(peer)!
   getStreams(this).mergeReport({ ...before, sequence: before.sequence + 1, streams: [] }, undefined)
 })
--- a/packages/pimentoplank/src/relay/streams/streamVersions.ts
+++ b/packages/pimentoplank/src/relay/streams/streamVersions.ts
@@ -65,6 +65,8 @@
 const LATEST_NOTICE_MS = 250
 /** For how long full reports do, in milliseconds; longer than their interval. */
 const NOTICE_MS = 1000
+/** Time after a silence in which a peer that is heard again has sent a report, in milliseconds. */
+const CATCH_UP_MS = 500
 /** Maximum of streams in one report, so that it fits into one packet. */
 const MAX_NOTICES = 64
 const MAX_STREAMS = 50_000
@@ -74,8 +76,8 @@
 /** Creates the registry of an instance. */
 export function createStreamVersions ({ getTarget, clock, log }: StreamVersionsOptions): StreamVersions {
   const known = new LRUCache<bigint, Entry>({ max: MAX_STREAMS })
-  /** When reports of peers were missed last, on the monotonic clock, by the peer. */
-  const missedAt = new LRUCache<string, number>({ max: MAX_PEERS })
+  /** When each peer was heard last, and before which time it may have told what was missed, on the monotonic clock. */
+  const senders = new LRUCache<string, { heardAt: number, doubtedUntil: number }>({ max: MAX_PEERS })
   /** When streams were placed or changed, in that order. */
   const recent = new Map<bigint, number>()
   /** Streams at processes that no entry known here describes. */
@@ -85,8 +87,12 @@
     const stream = known.get(attempt)
     if (stream === undefined || stream.keepUntil < clock.now()) return undefined
     const { sender, ...rest } = stream
-    const isInDoubt = sender !== undefined && rest.at < (missedAt.get(sender) ?? -Infinity)
-    return { ...rest, isInDoubt }
+    return { ...rest, isInDoubt: sender !== undefined && isDoubted(sender, rest.at) }
+  }
+
+  function isDoubted (sender: string, at: number): boolean {
+    const { heardAt = -Infinity, doubtedUntil = Infinity } = senders.get(sender) ?? {}
+    return at < doubtedUntil || clock.now() - heardAt > NOTICE_MS
   }
 
   function addRecent (key: bigint): void {
@@ -141,7 +147,13 @@
   }
 
   function mergeReport (report: StreamReport, before: ReportNumber | undefined): void {
-    if (hasMissedReports(report, before)) missedAt.set(report.instance, clock.now())
+    const now = clock.now()
+    const { heardAt = -Infinity, doubtedUntil = -Infinity } = senders.get(report.instance) ?? {}
+    const wasSilent = now - heardAt > NOTICE_MS
+    const hasMissed = wasSilent || hasMissedReports(report, before)
+    // After a standstill come reports that were sent at its beginning.
+    const until = now + (wasSilent ? CATCH_UP_MS : 0)
+    senders.set(report.instance, { heardAt: now, doubtedUntil: hasMissed ? until : doubtedUntil })
     report.streams.forEach((notice) => merge(notice, 'heard', report.instance))
   }
 
