--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -6,3 +6,4 @@
 export { sendLiveRequest, type Attempt } from './liveRequests'
 export { findOrderViolations, type SeenInstance, type SeenNumbers } from './orderChecks'
 export { EVENTS_PER_RESPONSE, findStreamViolations, type SeenTarget } from './streamChecks'
+export { playStandstill, type StandstillOutcome } from './standstill'
--- a/packages/soak/src/runSeed.ts
+++ b/packages/soak/src/runSeed.ts
@@ -132,7 +132,8 @@
   }
 }
 
-async function waitUntilReady ({ instances }: SoakFleet): Promise<void> {
+/** Waits until every instance of a deployment is ready; throws after a time. */
+export async function waitUntilReady ({ instances }: SoakFleet): Promise<void> {
   const deadline = Date.now() + START_TIMEOUT_MS
   for (const { ip } of instances) {
     while (!await isReady(ip)) {
