Count a broken connection as a crash only if the target's process has gone

What callers saw: while three of seven instances had lost their paths to all replicas, whose connections accept and reset, nearly all requests were refused as `quarantined`, since the first part of their prompts, which all of them shared, had been taken for the cause of crashes. No replica had crashed.

Cause: a connection that broke before the second event counted as a crash of its target. Nothing is counted while the path is known to be lost, but that is known only some 100 to 800 ms after the first failures; three resets at three targets in this time condemn a part that was never answered.

Why this works: an instance now asks the target for its state when a connection breaks as a request begins. Another start than that of the process that got the request, or a later start in the target's entry, is a crash; the same process over any path is none. Where this instance sees no process, two peers are asked through their tunnels, of other failure domains first. That nothing listens counts only over a path on which another target answers at the same time. The moment of the crash stays that of the broken connection. No message between instances changes; own crashes are reported for 3 s after they were confirmed, which may be later than they happened.

The check includes what `recordUnreachable` did for pooled connections. The steps of attemptTarget, relayRequest and itemRunner fake the method of its new name, and count the same calls as before.

--- a/packages/pimentoplank/src/relay/createCrashes.ts
+++ b/packages/pimentoplank/src/relay/createCrashes.ts
@@ -1,19 +1,28 @@
 /** Crashes of targets: the tracker of an instance, which stores the parts of prompts on which targets crash. */
-import { describeCause, rankByRendezvous, type Clock, type Log, type PlatformClient } from '../shared'
+import { describeCause, rankByRendezvous, type Clock, type Log, type Metrics, type PlatformClient } from '../shared'
 import type { CallerProtocol } from './callers'
 import { CRASH_RETENTION_MS } from './constants'
-import { createCrashingPartsStore, createCrashTracker, type CrashingPartsStore, type CrashTracker } from './live'
+import type { ViewProcess } from './exchange'
+import type { Gossip } from './gossip'
+import {
+  createCrashChecks, createCrashingPartsStore, createCrashTracker, type CrashingPartsStore, type CrashTracker
+} from './live'
+import type { TargetDirectory } from './targets'
 
 export interface CrashesOptions {
   /** Id of this instance. */
   self: string
   decodePromptParts: CallerProtocol['decodePromptParts']
   platform: PlatformClient
-  /** Returns the ids of the instances that serve, this one included. */
-  listServingInstances: () => string[]
+  gossip: Pick<Gossip, 'peers'>
+  targets: Pick<TargetDirectory, 'get'>
+  viewProcess: ViewProcess
   /** Called when something has changed that peers should know soon. */
   onChange: () => void
+  /** Aborts once this instance has closed. */
+  closed: AbortSignal
   clock: Clock
+  metrics: Metrics
   log: Log
 }
 
@@ -23,15 +32,15 @@
 }
 
 /** Creates the tracker; the parts that were stored before are not restored yet. */
-export function createCrashes (
-  { self, decodePromptParts, platform, listServingInstances, onChange, clock, log }: CrashesOptions
-): Crashes {
+export function createCrashes (options: CrashesOptions): Crashes {
+  const { self, platform, gossip, targets, viewProcess, closed, clock, metrics, log } = options
   const crashingPartsStore = createCrashingPartsStore({ platform, keepMs: CRASH_RETENTION_MS, clock, log })
   const crashes = createCrashTracker({
     keepMs: CRASH_RETENTION_MS,
-    decodePromptParts,
+    decodePromptParts: options.decodePromptParts,
+    checks: createCrashChecks({ viewProcess, getTarget: targets.get, closed, clock, metrics, log }),
     isProber: (key) => rankByRendezvous(key, listServingInstances(), (id) => id)[0] === self,
-    onChange,
+    onChange: options.onChange,
     onFound: (found) => {
       crashingPartsStore.save(found).catch((cause: unknown) => log.error({ cause: describeCause(cause) }, 'parts that crash targets could not be stored'))
     },
@@ -39,5 +48,11 @@
     log
   })
 
+  /** Lists the instances that serve, this one included. */
+  function listServingInstances (): string[] {
+    const serving = gossip.peers().filter(({ report }) => report.stage === 'serving')
+    return [self, ...serving.map(({ report }) => report.instance)]
+  }
+
   return { crashes, crashingPartsStore }
 }
--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -105,7 +105,7 @@
   targets.onProcessChange((target) => {
     if (streamVersions.resolve(target)) scheduleReport()
   })
-  const { tunnels, paths, limits, peerUses, loads, connectDirect, connections, exchange } = createTargetAccess({
+  const access = createTargetAccess({
     instance,
     protocol: protocols.targets,
     outgoing: { localAddress: settings.targets.localAddress, connectors: deps.connectors },
@@ -118,13 +118,18 @@
     metrics,
     log
   })
+  const { tunnels, paths, limits, peerUses, loads, connectDirect, connections, exchange } = access
   const { crashes, crashingPartsStore } = createCrashes({
     self: instance.id,
     decodePromptParts: protocols.callers.decodePromptParts,
     platform,
-    listServingInstances,
+    gossip,
+    targets,
+    viewProcess: access.viewProcess,
     onChange: scheduleReport,
+    closed: closing.signal,
     clock,
+    metrics,
     log
   })
   const { jobRegistry, store, recordFollower, runner, jobManager, jobReconciler, jobs } = createJobs({
@@ -153,7 +158,7 @@
     whenStarted: startState.whenStarted,
     transports,
     gossip,
-    access: { loads, paths, exchange },
+    access,
     streamVersions,
     serviceVersions,
     crashes,
@@ -273,11 +278,6 @@
     }, URGENT_REPORT_DELAY_MS)
   }
 
-  function listServingInstances (): string[] {
-    const serving = gossip.peers().filter(({ report }) => report.stage === 'serving')
-    return [instance.id, ...serving.map(({ report }) => report.instance)]
-  }
-
   function runPeriodicWork (): void {
     const domains = new Set(gossip.peers().map(({ report }) => report.failureDomain))
     peerUses.retainDigests((failureDomain) => domains.has(failureDomain) && !gossip.isClose(failureDomain))
--- a/packages/pimentoplank/src/relay/createTargetAccess.ts
+++ b/packages/pimentoplank/src/relay/createTargetAccess.ts
@@ -3,8 +3,8 @@
 import { PREFERRING_INSTANCES, TARGET_CONNECT_TIMEOUT_MS, TARGET_IDLE_TIMEOUT_MS } from './constants'
 import { createPaths, type OutgoingOptions } from './createPaths'
 import {
-  createDirectConnector, createExchange, createTargetConnectionPool, createTargetConnector,
-  type DirectConnector, type Exchange, type TargetConnectionPool
+  createDirectConnector, createExchange, createProcessViews, createStateCall, createTargetConnectionPool,
+  createTargetConnector, type DirectConnector, type Exchange, type TargetConnectionPool, type ViewProcess
 } from './exchange'
 import type { Gossip } from './gossip'
 import {
@@ -42,6 +42,8 @@
   connectDirect: DirectConnector
   connections: TargetConnectionPool
   exchange: Exchange
+  /** Looks at the process of a target. */
+  viewProcess: ViewProcess
 }
 
 /** Creates the access and subscribes it to the reports of peers. */
@@ -116,11 +118,19 @@
     log
   })
 
+  const viewProcess = createProcessViews({
+    callState: createStateCall({ connectDirect, tunnels, state: protocol.state }),
+    failureDomain: instance.failureDomain,
+    listTargets: targets.all,
+    peers: gossip.peers,
+    random
+  })
+
   /** A process that was asked may be another one than that of the entry, which then is out of date. */
   function recordLeaving (id: string, listed: number | undefined, found: number | undefined): void {
     const isNew = [...new Set([listed, found ?? listed])].map((startedAt) => targets.recordLeaving(id, startedAt))
     if (isNew.includes(true)) onChange()
   }
 
-  return { tunnels, paths, limits, peerUses, loads, connectDirect, connections, exchange }
+  return { tunnels, paths, limits, peerUses, loads, connectDirect, connections, exchange, viewProcess }
 }
--- a/packages/pimentoplank/src/relay/decisions/index.ts
+++ b/packages/pimentoplank/src/relay/decisions/index.ts
@@ -28,3 +28,4 @@
   addPathFailure, ANSWERING_MS, chooseChecks, choosePathPeer, decideReach, hasAnsweredPeersThrough,
   type PathInput, type PathPeer, type ProbeCandidate, type Reach, type ReachInput, type TargetEvidence
 } from './reach'
+export { decideProcessFate, type ProcessFate, type ProcessView } from './processEvidence'
--- a/packages/pimentoplank/src/relay/jobs/activeRun.ts
+++ b/packages/pimentoplank/src/relay/jobs/activeRun.ts
@@ -6,6 +6,8 @@
 export interface ActiveRun extends RunningItem {
   /** Address of the target. */
   address: string
+  /** When the process of the target's entry started, in milliseconds by its own clock; undefined if that is unknown. */
+  startedAt?: number
   /** On the monotonic clock, in milliseconds. */
   sentAt: number
   stop: AbortController
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
@@ -177,8 +177,7 @@
     jobRegistry,
     loads: createFakeLoads(this),
     crashes: {
-      recordCrash: () => { this.crashes = (this.crashes ?? 0) + 1 },
-      recordPossibleCrash: () => undefined,
+      recordPossibleCrash: () => { this.crashes = (this.crashes ?? 0) + 1 },
       recordAnswer: () => undefined,
       hasCrashingParts: () => false
     },
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.ts
@@ -36,7 +36,7 @@
   self: string
   jobRegistry: JobRegistry
   loads: LoadView
-  crashes: Pick<CrashTracker, 'recordCrash' | 'recordPossibleCrash' | 'recordAnswer' | 'hasCrashingParts'>
+  crashes: Pick<CrashTracker, 'recordPossibleCrash' | 'recordAnswer' | 'hasCrashingParts'>
   exchange: Exchange
   paths: Pick<InstancePaths, 'isCutOff' | 'isAnswering' | 'isDirectUsable' | 'onLost' | 'recordSilent'>
   table: () => RouteTable | undefined
@@ -220,6 +220,7 @@
       dueAt: ready.dueAt,
       target: target.id,
       address: target.address,
+      startedAt: target.startedAt,
       sentAt: clock.now(),
       hasStarted: false,
       stop,
--- a/packages/pimentoplank/src/relay/jobs/runEvidence.ts
+++ b/packages/pimentoplank/src/relay/jobs/runEvidence.ts
@@ -6,12 +6,11 @@
 import type { InstancePaths } from '../paths'
 import type { ActiveRun } from './activeRun'
 import { getFaultKind } from './itemFaults'
-import type { ReadyItem } from './readyItems'
 import { createItemRequest, type ItemEnd } from './runItem'
 
 export interface RunEvidenceOptions {
   loads: Pick<LoadView, 'recordFailure'>
-  crashes: Pick<CrashTracker, 'recordCrash' | 'recordPossibleCrash' | 'recordAnswer'>
+  crashes: Pick<CrashTracker, 'recordPossibleCrash' | 'recordAnswer'>
   paths: Pick<InstancePaths, 'isCutOff'>
   clock: Clock
 }
@@ -29,7 +28,7 @@
   const silenceRecordedAt = new LRUCache<string, number>({ max: MAX_SILENT_TARGETS })
 
   function recordEnd (run: ActiveRun, end: ItemEnd, events: number): void {
-    recordCrashEvidence(run.ready, run.target, end, events)
+    recordCrashEvidence(run, end, events)
     const fault = getFaultKind(end)
     if (fault !== undefined) recordTargetFailure(run, end, fault)
   }
@@ -44,8 +43,7 @@
   }
 
   function recordCrashEvidence (
-    { owned, itemId, progress }: ReadyItem,
-    target: string,
+    { ready: { owned, itemId, progress }, target, address, startedAt }: ActiveRun,
     end: ItemEnd,
     events: number
   ): void {
@@ -57,11 +55,9 @@
     }
     // A cut that befalls all connections is no crash.
     if (end.type !== 'interrupted' || paths.isCutOff()) return
-    const request = createItemRequest(item, owned.record().host)
-    if (end.reason === 'staleConnection') crashes.recordPossibleCrash(target, request)
-    if (end.reason !== 'broken') return
-    progress.crashes += 1
-    crashes.recordCrash(target, request)
+    if (end.reason !== 'broken' && end.reason !== 'staleConnection') return
+    if (end.reason === 'broken') progress.crashes += 1
+    crashes.recordPossibleCrash({ id: target, address, startedAt }, createItemRequest(item, owned.record().host))
   }
 
   return { recordEnd }
--- a/packages/pimentoplank/src/relay/live/attemptTarget.steps.ts
+++ b/packages/pimentoplank/src/relay/live/attemptTarget.steps.ts
@@ -80,7 +80,7 @@
     silenceDetector: createSilenceDetector(clock),
     crashes: {
       isRefused: () => false,
-      recordCrash: (target: string) => { world.crashedTargets.push(target) }
+      recordPossibleCrash: ({ id }: { id: string }) => { world.crashedTargets.push(id) }
     },
     rules: RELAY_RULES.live,
     clock,
--- a/packages/pimentoplank/src/relay/live/attemptTarget.ts
+++ b/packages/pimentoplank/src/relay/live/attemptTarget.ts
@@ -159,9 +159,8 @@
     const { crashes } = deps
     // A cut that befalls all connections is no crash.
     if (deps.paths.isCutOff()) return
-    if (reason === 'connectFailed') crashes.recordUnreachable(slot.target.id)
-    if (reason === 'staleConnection') crashes.recordPossibleCrash(slot.target.id, request)
-    if (reason === 'broken' && events < BEGINNING_EVENTS) crashes.recordCrash(slot.target.id, request)
+    const isBeginning = reason === 'staleConnection' || (reason === 'broken' && events < BEGINNING_EVENTS)
+    if (isBeginning) crashes.recordPossibleCrash(slot.target, request)
   }
 
   async function forwardAnswer (answer: TargetAnswer, reader: EventReader): Promise<AttemptEnd> {
--- a/packages/pimentoplank/src/relay/live/crashTracker.ts
+++ b/packages/pimentoplank/src/relay/live/crashTracker.ts
@@ -1,10 +1,12 @@
 /** Tracks crashes of targets, so that no prompt, and no part of prompts, can take down one target after the other. */
 import { LRUCache } from 'lru-cache'
 import {
-  findCrashingParts, findDueProbe, hash32, hash64, isCrashingPrompt, type Clock, type Log, type TargetCrash
+  describeCause, findCrashingParts, findDueProbe, hash32, hash64, isCrashingPrompt,
+  type Clock, type Log, type TargetCrash
 } from '../../shared'
 import type { AnsweredPart, CrashReport, CrashingParts } from '../gossip'
 import type { CallerRequest, RawHeaders } from '../model'
+import type { CheckedTarget, CrashChecks } from './crashChecks'
 
 export interface CrashTrackerOptions {
   /** How long a prompt or part is refused after its last crash, in milliseconds. */
@@ -13,6 +15,7 @@
   decodePromptParts: (headers: RawHeaders) => string[]
   /** True if this instance is the one that probes whether a part still crashes targets. */
   isProber: (key: string) => boolean
+  checks: CrashChecks
   /** Called when this instance has learned of something that peers should know at once. */
   onChange: () => void
   /** Called when this instance finds parts that crash targets. */
@@ -22,12 +25,11 @@
 }
 
 export interface CrashTracker {
-  /** Records that a target broke the connection before the answer to a request had begun. */
-  recordCrash: (targetId: string, request: CallerRequest) => void
-  /** Records the same on a pooled connection that may have been stale; counts once the target refuses connections. */
-  recordPossibleCrash: (targetId: string, request: CallerRequest) => void
-  /** Records that a target refuses connections. */
-  recordUnreachable: (targetId: string) => void
+  /**
+   * Records that a connection to a target broke before the answer to a request had begun. Counts as a crash of the
+   * target once its process is known to have gone.
+   */
+  recordPossibleCrash: (target: CheckedTarget, request: CallerRequest) => void
   /** Records that an answer has begun, which clears the parts of its prompt of earlier crashes. */
   recordAnswer: (headers: RawHeaders) => void
   /** Returns whether the request would crash its target. */
@@ -48,7 +50,8 @@
 interface KnownCrash extends TargetCrash<bigint> {
   target: number
   prompts: PromptKeys[]
-  isOwn: boolean
+  /** When this instance learned of it by itself, on the monotonic clock in milliseconds; undefined if it did not. */
+  confirmedAt?: number
 }
 
 interface PromptKeys {
@@ -56,12 +59,6 @@
   parts: readonly bigint[]
 }
 
-interface PossibleCrash {
-  targetId: string
-  request: CallerRequest
-  at: number
-}
-
 interface Found extends CrashingParts {
   /** Number of the latest probe of this instance; see `findDueProbe`. */
   probe: number
@@ -93,7 +90,6 @@
   const promptIds = new WeakMap<CallerRequest, bigint>()
   let crashes: KnownCrash[] = []
   let found: Found[] = []
-  let possibleCrashes: PossibleCrash[] = []
 
   /** Returns the hashes of the parts that other prompts may share. */
   function getParts (headers: RawHeaders): readonly bigint[] {
@@ -114,17 +110,17 @@
     return id
   }
 
-  function addCrash (target: number, at: number, prompts: readonly PromptKeys[], isOwn: boolean): boolean {
+  function addCrash (target: number, at: number, prompts: readonly PromptKeys[], confirmedAt?: number): boolean {
     let crash = crashes.find((one) => one.target === target && Math.abs(one.at - at) <= SAME_CRASH_MS)
     if (crash === undefined) {
-      crash = { target, at, prompts: [], isOwn }
+      crash = { target, at, prompts: [] }
       crashes = [...crashes, crash].slice(-MAX_CRASHES)
     }
     const added = prompts
       .filter(({ id }) => !crash.prompts.some((known) => known.id === id))
       .slice(0, MAX_PROMPTS - crash.prompts.length)
     crash.prompts.push(...added)
-    crash.isOwn ||= isOwn
+    crash.confirmedAt ??= confirmedAt
     return added.length > 0
   }
 
@@ -180,12 +176,13 @@
 
   function recordCrash (targetId: string, request: CallerRequest, at: number): void {
     const prompt = { id: getPromptId(request), parts: getParts(request.headers) }
-    const isNew = addCrash(hash32(targetId), at, [prompt], true)
+    const isNew = addCrash(hash32(targetId), at, [prompt], clock.now())
     log.info({
       req: request.id,
       target: targetId,
       prompt: toHex(prompt.id),
       parts: prompt.parts.map(toHex),
+      confirmedMs: Math.round(clock.now() - at),
       crashedTargets: crashes.filter(({ prompts }) => prompts.some(({ id }) => id === prompt.id)).length
     }, 'target broke off as a request began')
     if (!isNew) return
@@ -194,17 +191,11 @@
   }
 
   return {
-    recordCrash: (targetId, request) => recordCrash(targetId, request, clock.now()),
-    recordPossibleCrash: (targetId, request) => {
-      const now = clock.now()
-      possibleCrashes = possibleCrashes.filter(({ at }) => now - at <= SAME_CRASH_MS)
-      possibleCrashes.push({ targetId, request, at: now })
-    },
-    recordUnreachable: (targetId) => {
-      const since = clock.now() - SAME_CRASH_MS
-      const confirmed = possibleCrashes.filter((one) => one.targetId === targetId && one.at >= since)
-      possibleCrashes = possibleCrashes.filter((one) => one.targetId !== targetId)
-      for (const { request, at } of confirmed) recordCrash(targetId, request, at)
+    recordPossibleCrash: (target, request) => {
+      const at = clock.now()
+      options.checks.hasCrashed(target)
+        .then((hasCrashed) => { if (hasCrashed) recordCrash(target.id, request, at) })
+        .catch((cause: unknown) => log.error({ target: target.id, cause: describeCause(cause) }, 'crash could not be recorded'))
     },
     recordAnswer: (headers) => {
       const now = clock.now()
@@ -223,7 +214,7 @@
     },
     getReport: () => {
       const since = clock.now() - NOTICE_MS
-      const recent = crashes.filter(({ at, isOwn }) => isOwn && at >= since).slice(-MAX_NOTICES)
+      const recent = crashes.filter(({ confirmedAt = -Infinity }) => confirmedAt >= since).slice(-MAX_NOTICES)
       const suspects = new Set([
         ...crashes.filter(({ at }) => at >= since).flatMap(({ prompts }) => prompts.flatMap(({ parts }) => parts)),
         ...found.flatMap(({ parts }) => parts)
@@ -242,7 +233,7 @@
       for (const { part, at } of report.answeredParts) markAnswered(part, at)
       report.crashingParts.forEach(addFound)
       let isNew = false
-      for (const { target, at, prompts } of report.crashes) isNew = addCrash(target, at, prompts, false) || isNew
+      for (const { target, at, prompts } of report.crashes) isNew = addCrash(target, at, prompts) || isNew
       if (isNew) findCulprits()
     },
     restore: (parts) => parts.forEach(addFound)
--- a/packages/pimentoplank/src/relay/live/index.ts
+++ b/packages/pimentoplank/src/relay/live/index.ts
@@ -1,5 +1,6 @@
 export { createCallerReply, type CallerReply, type CallerReplyOptions, type RefusalAnswer } from './callerReply'
 export { createCrashingPartsStore, type CrashingPartsStore, type CrashingPartsStoreOptions } from './crashingPartsStore'
+export { createCrashChecks } from './crashChecks'
 export { createCrashTracker, type CrashTracker } from './crashTracker'
 export { BEGINNING_EVENTS } from './attemptTarget'
 export type { LiveCall, RelayDeps, RelayRules } from './liveCall'
--- a/packages/pimentoplank/src/relay/live/relayRequest.steps.ts
+++ b/packages/pimentoplank/src/relay/live/relayRequest.steps.ts
@@ -74,8 +74,7 @@
     silenceDetector: createSilenceDetector(createSystemClock()),
     crashes: {
       isRefused: () => false,
-      recordCrash: () => undefined,
-      recordUnreachable: () => undefined,
+      recordPossibleCrash: () => undefined,
       recordAnswer: () => undefined
     },
     openRequests: { add: () => () => undefined, isEnded: () => false },
