Let every instance probe refused prompt parts by turns

What callers saw: requests with a refused part were refused for ten minutes, though targets answered such requests again, unless they came to the one instance of all that may probe it.

Cause: probes belonged to the first instance by a rendezvous hash of the parts. And an instance whose probe was answered told its peers only of parts that it still refused, or on which targets had crashed in the last 3 s, so that others might go on refusing.

The failing tests: crashTracker.feature, 4 of 5 scenarios failed before (asked at instance 1, 4 and 7 of seven, and one that was deaf for a while).

Why this works: each probe is now open to one instance after the other, for 1.5 s of 5 s each, in the order of a rendezvous hash of parts and probe number. One that gets no such request leaves its turn unused. The rest of a turn is for the others to hear of the outcome: an answer, which reports now name for 3 s after it ended a refusal, and again to peers that still report the refusal; or a crash, which uses up this probe for all. A probe that has waited for 1 s is refused, as it could run into the next turn. No message between instances changes. Seven instances that are all asked all the time let at most three requests with a crashing part through in 600 s, as before.

What remains: items of jobs don't probe.

--- a/packages/pimentoplank/src/relay/createCrashes.ts
+++ b/packages/pimentoplank/src/relay/createCrashes.ts
@@ -39,7 +39,10 @@
     keepMs: CRASH_RETENTION_MS,
     decodePromptParts: options.decodePromptParts,
     checks: createCrashChecks({ viewProcess, getTarget: targets.get, closed, clock, metrics, log }),
-    isProber: (key) => rankByRendezvous(key, listServingInstances(), (id) => id)[0] === self,
+    isProber: (key, { probe, turn }) => {
+      const ranked = rankByRendezvous(`${key} ${probe}`, listServingInstances(), (id) => id)
+      return ranked[turn % ranked.length] === self
+    },
     onChange: options.onChange,
     onFound: (found) => {
       crashingPartsStore.save(found).catch((cause: unknown) => log.error({ cause: describeCause(cause) }, 'parts that crash targets could not be stored'))
--- a/packages/pimentoplank/src/relay/live/crashTracker.ts
+++ b/packages/pimentoplank/src/relay/live/crashTracker.ts
@@ -1,8 +1,8 @@
 /** Tracks crashes of targets, so that no prompt, and no part of prompts, can take down one target after the other. */
 import { LRUCache } from 'lru-cache'
 import {
-  describeCause, findCrashingParts, findDueProbe, hash32, hash64, isCrashingPrompt,
-  type Clock, type Log, type TargetCrash
+  describeCause, findCrashingParts, findDueProbe, findProbeTurn, hash32, hash64, isCrashingPrompt,
+  type Clock, type Log, type ProbeTurn, type TargetCrash
 } from '../../shared'
 import type { AnsweredPart, CrashReport, CrashingParts } from '../gossip'
 import type { CallerRequest, RawHeaders } from '../model'
@@ -13,8 +13,8 @@
   keepMs: number
   /** Decodes the ids of the parts of a prompt, in order; the last part is the request's own. */
   decodePromptParts: (headers: RawHeaders) => string[]
-  /** True if this instance is the one that probes whether a part still crashes targets. */
-  isProber: (key: string) => boolean
+  /** True if a turn to probe whether parts still crash targets is that of this instance. */
+  isProber: (key: string, turn: ProbeTurn) => boolean
   checks: CrashChecks
   /** Called when this instance has learned of something that peers should know at once. */
   onChange: () => void
@@ -60,7 +60,7 @@
 }
 
 interface Found extends CrashingParts {
-  /** Number of the latest probe of this instance; see `findDueProbe`. */
+  /** Number of the latest probe of this instance; see `findProbeTurn`. */
   probe: number
 }
 
@@ -88,6 +88,8 @@
   const answered = new LRUCache<bigint, number>({ max: MAX_ANSWERED_PARTS })
   const partsByHeaders = new WeakMap<RawHeaders, readonly bigint[]>()
   const promptIds = new WeakMap<CallerRequest, bigint>()
+  /** Parts that were refused and have been answered, with the time until which reports say so. */
+  const cleared = new LRUCache<bigint, number>({ max: MAX_ANSWERED_PARTS })
   let crashes: KnownCrash[] = []
   let found: Found[] = []
 
@@ -147,18 +149,35 @@
   /** Parts that were answered since then did not crash their targets. */
   function addFound ({ parts, at }: CrashingParts): void {
     const suspects = parts.filter((part) => (answered.get(part) ?? -Infinity) <= at).sort()
+    for (const part of parts) if (!suspects.includes(part)) recordCleared(part)
     const isKnown = found.some((one) => one.parts.every((part) => suspects.includes(part)))
     if (suspects.length > 0 && !isKnown) found.push({ parts: suspects, at, probe: -1 })
   }
 
-  function markAnswered (part: bigint, at: number): void {
+  function recordCleared (part: bigint): void {
+    cleared.set(part, clock.now() + NOTICE_MS)
+  }
+
+  /** Returns whether a part was refused until then. */
+  function markAnswered (part: bigint, at: number): boolean {
     if ((answered.get(part) ?? -Infinity) < at) answered.set(part, at)
-    for (const one of found) {
-      if (at <= one.at || !one.parts.includes(part)) continue
+    const refused = found.filter((one) => at > one.at && one.parts.includes(part))
+    for (const one of refused) {
       one.parts = one.parts.filter((other) => other !== part)
       if (one.parts.length === 0) log.info({ part: toHex(part) }, 'prompt part is answered again')
     }
+    if (refused.length === 0) return false
     found = found.filter(({ parts }) => parts.length > 0)
+    recordCleared(part)
+    return true
+  }
+
+  /** A crash after the parts were found is the outcome of the probe that was due then, whichever instance sent it. */
+  function getLatestProbe (one: Found): number {
+    const probes = crashes
+      .filter(({ at, prompts }) => at > one.at && prompts.some(({ parts }) => hasAllParts(parts, one)))
+      .map(({ at }) => findDueProbe(at - one.at, -1) ?? -1)
+    return Math.max(one.probe, ...probes)
   }
 
   function findMatch (headers: RawHeaders): Found | undefined {
@@ -199,25 +218,28 @@
     },
     recordAnswer: (headers) => {
       const now = clock.now()
-      for (const part of getParts(headers)) markAnswered(part, now)
+      const wereRefused = getParts(headers).map((part) => markAnswered(part, now))
+      if (wereRefused.includes(true)) options.onChange()
     },
     isRefused: (request) => findMatch(request.headers) !== undefined || isPromptRefused(request),
     hasCrashingParts: (headers) => findMatch(headers) !== undefined,
     mayProbe: (request) => {
       const match = findMatch(request.headers)
       if (match === undefined || isPromptRefused(request)) return false
-      const due = findDueProbe(clock.now() - match.at, match.probe)
-      if (due === undefined || !options.isProber(match.parts.map(toHex).join())) return false
-      match.probe = due
-      log.info({ req: request.id, parts: match.parts.map(toHex), probe: due }, 'probing whether parts still crash targets')
+      const due = findProbeTurn(clock.now() - match.at, getLatestProbe(match))
+      if (due === undefined || !options.isProber(match.parts.map(toHex).join(), due)) return false
+      match.probe = due.probe
+      log.info({ req: request.id, parts: match.parts.map(toHex), ...due }, 'probing whether parts still crash targets')
       return true
     },
     getReport: () => {
-      const since = clock.now() - NOTICE_MS
+      const now = clock.now()
+      const since = now - NOTICE_MS
       const recent = crashes.filter(({ confirmedAt = -Infinity }) => confirmedAt >= since).slice(-MAX_NOTICES)
       const suspects = new Set([
         ...crashes.filter(({ at }) => at >= since).flatMap(({ prompts }) => prompts.flatMap(({ parts }) => parts)),
-        ...found.flatMap(({ parts }) => parts)
+        ...found.flatMap(({ parts }) => parts),
+        ...[...cleared.entries()].flatMap(([part, until]) => until >= now ? [part] : [])
       ])
       const answers = [...suspects].flatMap((part): AnsweredPart[] => {
         const at = answered.get(part)
--- a/packages/pimentoplank/src/relay/live/relayRequest.ts
+++ b/packages/pimentoplank/src/relay/live/relayRequest.ts
@@ -9,6 +9,8 @@
 
 /** Pause after all targets have refused a request that has run elsewhere, in milliseconds. */
 const REFUSED_PAUSE_MS = 100
+/** A probe that has waited for longer is refused, in milliseconds: its turn may be that of another instance by then. */
+const MAX_PROBE_WAIT_MS = 1000
 /** Used for requests without a deadline: the longest delay that Node's timers accept, in milliseconds. */
 const MAX_TIMER_MS = 2 ** 31 - 1
 
@@ -60,7 +62,8 @@
       const slot = acquired.value
       // Targets may have crashed on such a request while this one waited or ran elsewhere.
       const isFirstTry = progress.runs + progress.refusals === 0
-      if (!(call.isProbe && isFirstTry) && deps.crashes.isRefused(request)) {
+      const isProbe = call.isProbe && isFirstTry && clock.now() - call.arrivedAt <= MAX_PROBE_WAIT_MS
+      if (!isProbe && deps.crashes.isRefused(request)) {
         slot.discard()
         return failRequest(new RefusalError('quarantined', { outcome: progress.runs > 0 ? 'failed' : 'not_run' }))
       }
