Count connections that a living target closes against their prompt again

What callers saw: a prompt on which each replica closes its connection as it begins to run, but lives on, reached 6 of 6 replicas, where it has to be refused after at most 4.

Cause: since only a process that has gone counted as a crash, for whole prompts, too.

Why this works: where the same process answers this instance directly, the path works, and the target has closed the connection by itself. That counts against the one prompt again, not against parts that other prompts share. Where the path is lost, no direct call is answered, so that nothing counts.

--- a/packages/pimentoplank/src/relay/decisions/processEvidence.ts
+++ b/packages/pimentoplank/src/relay/decisions/processEvidence.ts
@@ -7,8 +7,8 @@
 
 /** What one call for the state of a target has shown. */
 export type ProcessView =
-  /** A process answered; `startedAt` is undefined if it does not tell its start. */
-  | { type: 'process', startedAt: number | undefined }
+  /** A process answered, `isDirect` without a peer; `startedAt` is undefined if it does not tell its start. */
+  | { type: 'process', startedAt: number | undefined, isDirect?: boolean }
   /** No connection was established; `isPathSound` says that another target answered over the same path. */
   | { type: 'nothing', isPathSound: boolean }
   /** The connection ended without an answer, or none came in time. */
--- a/packages/pimentoplank/src/relay/exchange/processViews.ts
+++ b/packages/pimentoplank/src/relay/exchange/processViews.ts
@@ -47,7 +47,7 @@
 
   return async (address) => {
     const direct = await callState(address)
-    if (direct.type === 'process') return [direct]
+    if (direct.type === 'process') return [{ ...direct, isDirect: true }]
     const peers = choosePeers()
     const answers = await Promise.all(peers.map(async (peer) => await callState(address, peer)))
     const processes = answers.filter((answer) => answer.type === 'process')
--- a/packages/pimentoplank/src/relay/live/crashChecks.steps.ts
+++ b/packages/pimentoplank/src/relay/live/crashChecks.steps.ts
@@ -50,7 +50,7 @@
 })
 
 When('its connection breaks as a request begins', async function (this: ChecksWorld) {
-  this.checks.hasCrashed(this.checked).then((hasCrashed) => this.fates.push(hasCrashed), () => undefined)
+  this.checks.check(this.checked).then((cause) => this.fates.push(cause === 'crashed'), () => undefined)
   await settle()
 })
 
--- a/packages/pimentoplank/src/relay/live/crashChecks.ts
+++ b/packages/pimentoplank/src/relay/live/crashChecks.ts
@@ -11,7 +11,7 @@
   viewProcess: (address: string) => Promise<ProcessView[]>
   /** Returns the current entry of a target. */
   getTarget: (id: string) => CheckedTarget | undefined
-  /** Aborts once this instance has closed; checks that go on then resolve to false. */
+  /** Aborts once this instance has closed; checks that go on then resolve to `unknown`. */
   closed: AbortSignal
   clock: Clock
   metrics: Metrics
@@ -19,17 +19,22 @@
 }
 
 export interface CrashChecks {
-  /** Resolves to true if the process of the target is known to have gone; to false if it goes on or can't be seen. */
-  hasCrashed: (target: CheckedTarget) => Promise<boolean>
+  check: (target: CheckedTarget) => Promise<BreakCause>
 }
 
+/**
+ * `crashed`: the process of the target is known to have gone. `closed`: it goes on and answers this instance directly,
+ * so that it has closed the connection by itself. `unknown`: it goes on elsewhere, or can't be seen.
+ */
+export type BreakCause = 'crashed' | 'closed' | 'unknown'
+
 interface Check {
   target: CheckedTarget
   /** Starts that are known of the process. */
   starts: number[]
   /** On the monotonic clock, in milliseconds. */
   askedAt: number
-  resolve: (hasCrashed: boolean) => void
+  resolve: (cause: BreakCause) => void
 }
 
 /** Time for which a process is looked for that can't be seen, in milliseconds; a new one takes seconds to start. */
@@ -77,19 +82,20 @@
     if (fate === 'unclear' && afterMs < CHECK_FOR_MS && !closed.aborted) return false
     metrics.count(`crashes.${fate}`)
     if (fate !== 'gone') log.info({ target: target.id, fate, afterMs }, 'connection broke as a request began: not known as a crash')
-    resolve(fate === 'gone')
+    const isSeenDirectly = views.some((view) => view.type === 'process' && view.isDirect === true)
+    resolve(fate === 'gone' ? 'crashed' : isSeenDirectly ? 'closed' : 'unknown')
     return true
   }
 
   return {
-    hasCrashed: async (target) => {
+    check: async (target) => {
       const { address, startedAt } = target
       const starts = [startedAt, lastStarts.get(address)].filter((start) => start !== undefined)
       const checks = waiting.get(address)
       if (checks === undefined && waiting.size >= MAX_TARGETS) {
         metrics.count('crashes.unchecked')
         log.warn({ target: target.id, targets: waiting.size }, 'too many targets to check for crashes')
-        return false
+        return 'unknown'
       }
       return await new Promise((resolve) => {
         const check = { target, starts, askedAt: clock.now(), resolve }
@@ -98,7 +104,7 @@
           waiting.set(address, [check])
           checkAddress(address).catch((cause: unknown) => {
             log.error({ address, cause: describeCause(cause) }, 'target could not be checked for a crash')
-            for (const one of waiting.get(address) ?? []) one.resolve(false)
+            for (const one of waiting.get(address) ?? []) one.resolve('unknown')
             waiting.delete(address)
           })
         }
--- a/packages/pimentoplank/src/relay/live/crashTracker.steps.ts
+++ b/packages/pimentoplank/src/relay/live/crashTracker.steps.ts
@@ -60,7 +60,7 @@
       keepMs: KEEP_MS,
       decodePromptParts: (headers) => headers[1]!.split(','),
       isProber: (key, { probe, turn }) => rankByRendezvous(`${key} ${probe}`, ids, (one) => one)[turn % count] === id,
-      checks: { hasCrashed: async () => true },
+      checks: { check: async () => 'crashed' },
       onChange: () => undefined,
       onFound: () => undefined,
       clock,
--- a/packages/pimentoplank/src/relay/live/crashTracker.ts
+++ b/packages/pimentoplank/src/relay/live/crashTracker.ts
@@ -193,14 +193,16 @@
     return crashes.length > 0 && isCrashingPrompt(crashes, getPromptId(request))
   }
 
-  function recordCrash (targetId: string, request: CallerRequest, at: number): void {
-    const prompt = { id: getPromptId(request), parts: getParts(request.headers) }
+  function recordCrash (targetId: string, request: CallerRequest, at: number, cause: 'crashed' | 'closed'): void {
+    // A process that closes connections speaks against this prompt only, not against what others share with it.
+    const prompt = { id: getPromptId(request), parts: cause === 'crashed' ? getParts(request.headers) : [] }
     const isNew = addCrash(hash32(targetId), at, [prompt], clock.now())
     log.info({
       req: request.id,
       target: targetId,
       prompt: toHex(prompt.id),
       parts: prompt.parts.map(toHex),
+      cause,
       confirmedMs: Math.round(clock.now() - at),
       crashedTargets: crashes.filter(({ prompts }) => prompts.some(({ id }) => id === prompt.id)).length
     }, 'target broke off as a request began')
@@ -212,8 +214,8 @@
   return {
     recordPossibleCrash: (target, request) => {
       const at = clock.now()
-      options.checks.hasCrashed(target)
-        .then((hasCrashed) => { if (hasCrashed) recordCrash(target.id, request, at) })
+      options.checks.check(target)
+        .then((cause) => { if (cause !== 'unknown') recordCrash(target.id, request, at, cause) })
         .catch((cause: unknown) => log.error({ target: target.id, cause: describeCause(cause) }, 'crash could not be recorded'))
     },
     recordAnswer: (headers) => {
