--- a/packages/pimentoplank/src/relay/live/crashTracker.ts
+++ b/packages/pimentoplank/src/relay/live/crashTracker.ts
@@ -1,18 +1,21 @@
 /** Tracks crashes of targets, so that no prompt, and no part of prompts, can take down one target after the other. */
 import { LRUCache } from 'lru-cache'
 import {
-  findCrashingParts, findDueProbe, hash32, hash64, isCrashingPrompt, type Clock, type Log, type TargetCrash
+  describeCause, findCrashingParts, findDueProbe, findProbeTurn, hash32, hash64, isCrashingPrompt,
+  type Clock, type Log, type ProbeTurn, type TargetCrash
 } from '../../shared'
 import type { AnsweredPart, CrashReport, CrashingParts } from '../gossip'
 import type { CallerRequest, RawHeaders } from '../model'
+import type { CheckedTarget, CrashChecks } from './crashChecks'
 
 export interface CrashTrackerOptions {
   /** How long a prompt or part is refused after its last crash, in milliseconds. */
   keepMs: number
   /** Decodes the ids of the parts of a prompt, in order; the last part is the request's own. */
   decodePromptParts: (headers: RawHeaders) => string[]
-  /** True if this instance is the one that probes whether a part still crashes targets. */
-  isProber: (key: string) => boolean
+  /** True if a turn to probe whether parts still crash targets is that of this instance. */
+  isProber: (key: string, turn: ProbeTurn) => boolean
+  checks: CrashChecks
   /** Called when this instance has learned of something that peers should know at once. */
   onChange: () => void
   /** Called when this instance finds parts that crash targets. */
@@ -22,12 +25,11 @@
 }
 
 export interface CrashTracker {
-  /** Records that a target broke the connection before the answer to a request had begun. */
-  recordCrash: (targetId: string, request: CallerRequest) => void
-  /** Records the same on a pooled connection that may have been stale; counts once the target refuses connections. */
-  recordPossibleCrash: (targetId: string, request: CallerRequest) => void
-  /** Records that a target refuses connections. */
-  recordUnreachable: (targetId: string) => void
+  /**
+   * Records that a connection to a target broke before the answer to a request had begun. Counts as a crash of the
+   * target once its process is known to have gone.
+   */
+  recordPossibleCrash: (target: CheckedTarget, request: CallerRequest) => void
   /** Records that an answer has begun, which clears the parts of its prompt of earlier crashes. */
   recordAnswer: (headers: RawHeaders) => void
   /** Returns whether the request would crash its target. */
@@ -48,7 +50,8 @@
 interface KnownCrash extends TargetCrash<bigint> {
   target: number
   prompts: PromptKeys[]
-  isOwn: boolean
+  /** When this instance learned of it by itself, on the monotonic clock in milliseconds; undefined if it did not. */
+  confirmedAt?: number
 }
 
 interface PromptKeys {
@@ -56,14 +59,8 @@
   parts: readonly bigint[]
 }
 
-interface PossibleCrash {
-  targetId: string
-  request: CallerRequest
-  at: number
-}
-
 interface Found extends CrashingParts {
-  /** Number of the latest probe of this instance; see `findDueProbe`. */
+  /** Number of the latest probe of this instance; see `findProbeTurn`. */
   probe: number
 }
 
@@ -91,9 +88,10 @@
   const answered = new LRUCache<bigint, number>({ max: MAX_ANSWERED_PARTS })
   const partsByHeaders = new WeakMap<RawHeaders, readonly bigint[]>()
   const promptIds = new WeakMap<CallerRequest, bigint>()
+  /** Parts that were refused and have been answered, with the time until which reports say so. */
+  const cleared = new LRUCache<bigint, number>({ max: MAX_ANSWERED_PARTS })
   let crashes: KnownCrash[] = []
   let found: Found[] = []
-  let possibleCrashes: PossibleCrash[] = []
 
   /** Returns the hashes of the parts that other prompts may share. */
   function getParts (headers: RawHeaders): readonly bigint[] {
@@ -114,17 +112,17 @@
     return id
   }
 
-  function addCrash (target: number, at: number, prompts: readonly PromptKeys[], isOwn: boolean): boolean {
+  function addCrash (target: number, at: number, prompts: readonly PromptKeys[], confirmedAt?: number): boolean {
     let crash = crashes.find((one) => one.target === target && Math.abs(one.at - at) <= SAME_CRASH_MS)
     if (crash === undefined) {
-      crash = { target, at, prompts: [], isOwn }
+      crash = { target, at, prompts: [] }
       crashes = [...crashes, crash].slice(-MAX_CRASHES)
     }
     const added = prompts
       .filter(({ id }) => !crash.prompts.some((known) => known.id === id))
       .slice(0, MAX_PROMPTS - crash.prompts.length)
     crash.prompts.push(...added)
-    crash.isOwn ||= isOwn
+    crash.confirmedAt ??= confirmedAt
     return added.length > 0
   }
 
@@ -151,18 +149,35 @@
   /** Parts that were answered since then did not crash their targets. */
   function addFound ({ parts, at }: CrashingParts): void {
     const suspects = parts.filter((part) => (answered.get(part) ?? -Infinity) <= at).sort()
+    for (const part of parts) if (!suspects.includes(part)) recordCleared(part)
     const isKnown = found.some((one) => one.parts.every((part) => suspects.includes(part)))
     if (suspects.length > 0 && !isKnown) found.push({ parts: suspects, at, probe: -1 })
   }
 
-  function markAnswered (part: bigint, at: number): void {
+  function recordCleared (part: bigint): void {
+    cleared.set(part, clock.now() + NOTICE_MS)
+  }
+
+  /** Returns whether a part was refused until then. */
+  function markAnswered (part: bigint, at: number): boolean {
     if ((answered.get(part) ?? -Infinity) < at) answered.set(part, at)
-    for (const one of found) {
-      if (at <= one.at || !one.parts.includes(part)) continue
+    const refused = found.filter((one) => at > one.at && one.parts.includes(part))
+    for (const one of refused) {
       one.parts = one.parts.filter((other) => other !== part)
       if (one.parts.length === 0) log.info({ part: toHex(part) }, 'prompt part is answered again')
     }
+    if (refused.length === 0) return false
     found = found.filter(({ parts }) => parts.length > 0)
+    recordCleared(part)
+    return true
+  }
+
+  /** A crash after the parts were found is the outcome of the probe that was due then, whichever instance sent it. */
+  function getLatestProbe (one: Found): number {
+    const probes = crashes
+      .filter(({ at, prompts }) => at > one.at && prompts.some(({ parts }) => hasAllParts(parts, one)))
+      .map(({ at }) => findDueProbe(at - one.at, -1) ?? -1)
+    return Math.max(one.probe, ...probes)
   }
 
   function findMatch (headers: RawHeaders): Found | undefined {
@@ -178,14 +193,17 @@
     return crashes.length > 0 && isCrashingPrompt(crashes, getPromptId(request))
   }
 
-  function recordCrash (targetId: string, request: CallerRequest, at: number): void {
-    const prompt = { id: getPromptId(request), parts: getParts(request.headers) }
-    const isNew = addCrash(hash32(targetId), at, [prompt], true)
+  function recordCrash (targetId: string, request: CallerRequest, at: number, cause: 'crashed' | 'closed'): void {
+    // A process that closes connections speaks against this prompt only, not against what others share with it.
+    const prompt = { id: getPromptId(request), parts: cause === 'crashed' ? getParts(request.headers) : [] }
+    const isNew = addCrash(hash32(targetId), at, [prompt], clock.now())
     log.info({
       req: request.id,
       target: targetId,
       prompt: toHex(prompt.id),
       parts: prompt.parts.map(toHex),
+      cause,
+      confirmedMs: Math.round(clock.now() - at),
       crashedTargets: crashes.filter(({ prompts }) => prompts.some(({ id }) => id === prompt.id)).length
     }, 'target broke off as a request began')
     if (!isNew) return
@@ -194,39 +212,36 @@
   }
 
   return {
-    recordCrash: (targetId, request) => recordCrash(targetId, request, clock.now()),
-    recordPossibleCrash: (targetId, request) => {
-      const now = clock.now()
-      possibleCrashes = possibleCrashes.filter(({ at }) => now - at <= SAME_CRASH_MS)
-      possibleCrashes.push({ targetId, request, at: now })
-    },
-    recordUnreachable: (targetId) => {
-      const since = clock.now() - SAME_CRASH_MS
-      const confirmed = possibleCrashes.filter((one) => one.targetId === targetId && one.at >= since)
-      possibleCrashes = possibleCrashes.filter((one) => one.targetId !== targetId)
-      for (const { request, at } of confirmed) recordCrash(targetId, request, at)
+    recordPossibleCrash: (target, request) => {
+      const at = clock.now()
+      options.checks.check(target)
+        .then((cause) => { if (cause !== 'unknown') recordCrash(target.id, request, at, cause) })
+        .catch((cause: unknown) => log.error({ target: target.id, cause: describeCause(cause) }, 'crash could not be recorded'))
     },
     recordAnswer: (headers) => {
       const now = clock.now()
-      for (const part of getParts(headers)) markAnswered(part, now)
+      const wereRefused = getParts(headers).map((part) => markAnswered(part, now))
+      if (wereRefused.includes(true)) options.onChange()
     },
     isRefused: (request) => findMatch(request.headers) !== undefined || isPromptRefused(request),
     hasCrashingParts: (headers) => findMatch(headers) !== undefined,
     mayProbe: (request) => {
       const match = findMatch(request.headers)
       if (match === undefined || isPromptRefused(request)) return false
-      const due = findDueProbe(clock.now() - match.at, match.probe)
-      if (due === undefined || !options.isProber(match.parts.map(toHex).join())) return false
-      match.probe = due
-      log.info({ req: request.id, parts: match.parts.map(toHex), probe: due }, 'probing whether parts still crash targets')
+      const due = findProbeTurn(clock.now() - match.at, getLatestProbe(match))
+      if (due === undefined || !options.isProber(match.parts.map(toHex).join(), due)) return false
+      match.probe = due.probe
+      log.info({ req: request.id, parts: match.parts.map(toHex), ...due }, 'probing whether parts still crash targets')
       return true
     },
     getReport: () => {
-      const since = clock.now() - NOTICE_MS
-      const recent = crashes.filter(({ at, isOwn }) => isOwn && at >= since).slice(-MAX_NOTICES)
+      const now = clock.now()
+      const since = now - NOTICE_MS
+      const recent = crashes.filter(({ confirmedAt = -Infinity }) => confirmedAt >= since).slice(-MAX_NOTICES)
       const suspects = new Set([
         ...crashes.filter(({ at }) => at >= since).flatMap(({ prompts }) => prompts.flatMap(({ parts }) => parts)),
-        ...found.flatMap(({ parts }) => parts)
+        ...found.flatMap(({ parts }) => parts),
+        ...[...cleared.entries()].flatMap(([part, until]) => until >= now ? [part] : [])
       ])
       const answers = [...suspects].flatMap((part): AnsweredPart[] => {
         const at = answered.get(part)
@@ -242,7 +257,7 @@
       for (const { part, at } of report.answeredParts) markAnswered(part, at)
       report.crashingParts.forEach(addFound)
       let isNew = false
-      for (const { target, at, prompts } of report.crashes) isNew = addCrash(target, at, prompts, false) || isNew
+      for (const { target, at, prompts } of report.crashes) isNew = addCrash(target, at, prompts) || isNew
       if (isNew) findCulprits()
     },
     restore: (parts) => parts.forEach(addFound)
