Take an empty body after a whole head without a length for cut, and ask thrice for a rest that is empty

Cause: as for streams, one orderly end was taken for the end of the answer; and two empty answers in a row proved the end of an item. Change: a success without a length that brings no byte is cut, unless its status says that there is none; a sound empty answer of this kind is told in a length or chunks. The end of a run that has written events weighs twice as much as an empty one, and three such weights prove the end: a rest that is empty after a break has to be so three times.

--- a/packages/pimentoplank/src/relay/decisions/answerEnds.feature
+++ b/packages/pimentoplank/src/relay/decisions/answerEnds.feature
@@ -36,7 +36,8 @@
       | ends                     | known     |
       | openEnd                  | not known |
       | openEnd emptyEnd         | known     |
-      | emptyEnd emptyEnd        | known     |
+      | emptyEnd emptyEnd        | not known |
+      | emptyEnd emptyEnd emptyEnd | known   |
       | openEnd refused emptyEnd | known     |
       | openEnd noRest           | not known |
       | openEnd openEnd          | not known |
--- a/packages/pimentoplank/src/relay/decisions/openEnds.ts
+++ b/packages/pimentoplank/src/relay/decisions/openEnds.ts
@@ -6,8 +6,11 @@
  */
 import type { SendFailureReason } from '../exchange'
 
-/** Orderly ends in a row without a new event after which there is none left; a single one may have broken off. */
-const PROVING_ENDS = 2
+/** Weight of orderly ends in a row at which no event is left; any of them may have broken off. */
+const PROVING_WEIGHT = 3
+/** Weight of the end of a run that has written events, and of one that has written none. */
+const END_WEIGHT = 2
+const EMPTY_END_WEIGHT = 1
 /** Number of times that a target which refuses to tell the rest of a live stream is asked again. */
 export const MAX_REST_REFUSALS = 3
 /** Number of answers other than a stream after which an item counts as whole, for which nobody waits. */
@@ -16,14 +19,14 @@
 export const REST_WAIT_MS = 500
 
 /**
- * Counts the orderly ends in a row after the same event.
+ * Adds up the orderly ends in a row after the same event.
  *
- * @param ends - number before
+ * @param ends - weight before
  * @param reason - how the latest run ended; a run that broke off leaves none
  */
 export function countOpenEnds (ends: number, reason: SendFailureReason): number {
-  if (reason === 'openEnd') return 1
-  if (reason === 'emptyEnd') return ends + 1
+  if (reason === 'openEnd') return END_WEIGHT
+  if (reason === 'emptyEnd') return ends + EMPTY_END_WEIGHT
   return KEEPING.has(reason) ? ends : 0
 }
 
@@ -37,5 +40,5 @@
 
 /** True once no event follows. */
 export function isEndProven (ends: number): boolean {
-  return ends >= PROVING_ENDS
+  return ends >= PROVING_WEIGHT
 }
--- a/packages/pimentoplank/src/relay/exchange/targetAnswer.ts
+++ b/packages/pimentoplank/src/relay/exchange/targetAnswer.ts
@@ -47,6 +47,8 @@
   now: () => number
 }
 
+const STATUS_NO_CONTENT = 204
+const STATUS_RESET_CONTENT = 205
 const NO_EVENTS: ReceivedEvents = {
   events: undefined, isResumed: false, lastEventId: undefined, canAskForRest: false
 }
@@ -73,6 +75,9 @@
         return ok(next.value)
       }
       if (!isBodyFramed) {
+        if (bytes === 0 && received === NO_EVENTS && isSuccessWithBody(head)) {
+          return err(new SendFailure('endedEarly', true, 'the connection ended after the head'))
+        }
         const failure = await checkEnd({ ...received, quietMs: now() - lastBytesAt })
         if (failure !== undefined) return err(failure)
       }
@@ -112,6 +117,11 @@
   }
 }
 
+/** True for a success whose status doesn't say that there is no body. */
+function isSuccessWithBody ({ status }: AnswerHead): boolean {
+  return status >= 200 && status < 300 && status !== STATUS_NO_CONTENT && status !== STATUS_RESET_CONTENT
+}
+
 function getConnectionState ({ socket }: TargetConnection): AnswerEnding['connection'] {
   if (socket?.errored instanceof ConnectionResetError) return 'reset'
   if (socket?.readableEnded === true) return 'ended'
--- a/packages/pimentoplank/src/relay/jobs/ownedJob.ts
+++ b/packages/pimentoplank/src/relay/jobs/ownedJob.ts
@@ -21,7 +21,7 @@
   crashes: number
   /** Number of runs in a row that were given up because their target was silent. */
   silences: number
-  /** Number of runs in a row that ended without an event after those received, as if there were none left. */
+  /** Weight of the orderly ends in a row after the last event, as if there were none left. */
   openEnds: number
   /** Number of answers in a row that told nothing when what follows the last event was asked for. */
   restRefusals: number
--- a/packages/pimentoplank/src/relay/live/liveCall.ts
+++ b/packages/pimentoplank/src/relay/live/liveCall.ts
@@ -57,7 +57,7 @@
   refusals: number
   /** Id of the last event that was sent to the caller. */
   lastEventId: number | undefined
-  /** Number of orderly ends in a row after the last event, none of which tells whether more events follow. */
+  /** Weight of the orderly ends in a row after the last event, none of which tells whether more follow. */
   openEnds: number
   /** Software version of the targets at which the request goes on; undefined while it may run at any. */
   version?: string
