--- a/packages/pimentoplank/src/relay/decisions/openEnds.ts
+++ b/packages/pimentoplank/src/relay/decisions/openEnds.ts
@@ -35,7 +35,7 @@
  * asked, is a sign that it cut the stream.
  */
 const KEEPING: ReadonlySet<SendFailureReason> = new Set([
-  'refused', 'peerUnreachable', 'peerLost', 'staleConnection', 'withdrawn', 'aborted', 'noRest'
+  'refused', 'peerUnreachable', 'peerLost', 'staleConnection', 'withdrawn', 'aborted', 'noRest', 'unknownProcess'
 ])
 
 /** True once no event follows. */
--- a/packages/pimentoplank/src/relay/exchange/exchange.ts
+++ b/packages/pimentoplank/src/relay/exchange/exchange.ts
@@ -160,7 +160,8 @@
     if (!isListed && need.mustBeListed) {
       if (processStartedAt === undefined) connections.destroy(connection)
       else connections.release(address, connection)
-      return err(new SendFailure('otherProcess', false, 'the listed process of the target is not known to answer'))
+      const reason = processStartedAt === undefined ? 'unknownProcess' : 'otherProcess'
+      return err(new SendFailure(reason, false, 'the listed process of the target is not known to answer'))
     }
     need.onIdentified?.(processStartedAt)
     return ok(connection)
--- a/packages/pimentoplank/src/relay/exchange/sendFailure.ts
+++ b/packages/pimentoplank/src/relay/exchange/sendFailure.ts
@@ -8,8 +8,10 @@
   | 'refused'
   /** The address now belongs to another target. */
   | 'otherTarget'
-  /** Another process than the one that the target's entry describes answers, or which one it is can't be found out. */
+  /** Another process than the one that the target's entry describes answers. */
   | 'otherProcess'
+  /** Which process answers can't be found out. */
+  | 'unknownProcess'
   /** The peer that was to open the connection could not be reached or refused; nothing is known of the target. */
   | 'peerUnreachable'
   /** The connection broke before the end of the response. */
--- a/packages/pimentoplank/src/relay/jobs/itemFaults.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemFaults.ts
@@ -5,7 +5,7 @@
 
 /** Failures that say nothing about the target itself. */
 const OTHER_FAULTS: ReadonlySet<SendFailureReason> = new Set([
-  'otherProcess', 'withdrawn', 'peerUnreachable', 'peerLost', 'openEnd', 'emptyEnd', 'noRest'
+  'otherProcess', 'unknownProcess', 'withdrawn', 'peerUnreachable', 'peerLost', 'openEnd', 'emptyEnd', 'noRest'
 ])
 
 /** Returns what a run ended through, other than the item, this instance or a peer; undefined for no such fault. */
