Ask twice for the rest of an unframed stream before its end counts as proven

Callers saw: a resumable stream that ended as whole one event too early, in a play with real processes whose replicas close all their connections at once: the answer was cut, and so was the request for its rest, before any event. Cause: one empty orderly end of the request for the rest settled that nothing follows. The new scenario fails with one request for the rest. Change: two such ends are needed after a run that has written events, four after a break. A rest that is framed proves the end at once, as before.

--- a/packages/pimentoplank/src/relay/decisions/answerEnds.feature
+++ b/packages/pimentoplank/src/relay/decisions/answerEnds.feature
@@ -35,10 +35,12 @@
     Examples:
       | ends                     | known     |
       | openEnd                  | not known |
-      | openEnd emptyEnd         | known     |
+      | openEnd emptyEnd         | not known |
+      | openEnd emptyEnd emptyEnd | known    |
       | emptyEnd emptyEnd        | not known |
-      | emptyEnd emptyEnd emptyEnd | known   |
-      | openEnd refused emptyEnd | known     |
+      | emptyEnd emptyEnd emptyEnd | not known |
+      | emptyEnd emptyEnd emptyEnd emptyEnd | known |
+      | openEnd emptyEnd refused emptyEnd | known |
       | openEnd noRest           | not known |
       | openEnd openEnd          | not known |
       | openEnd broken emptyEnd  | not known |
--- a/packages/pimentoplank/src/relay/decisions/openEnds.ts
+++ b/packages/pimentoplank/src/relay/decisions/openEnds.ts
@@ -7,7 +7,7 @@
 import type { SendFailureReason } from '../exchange'
 
 /** Weight of orderly ends in a row at which no event is left; any of them may have broken off. */
-const PROVING_WEIGHT = 3
+const PROVING_WEIGHT = 4
 /** Weight of the end of a run that has written events, and of one that has written none. */
 const END_WEIGHT = 2
 const EMPTY_END_WEIGHT = 1
