Reset tunnels outside of the events of their session's read

Instances that reached replicas through a peer aborted ('malloc(): mismatching next->prev_size (unsorted)', 'corrupted size vs. prev_size') when replicas closed inside the heads of their answers; all their callers lost their requests.

A stream of the asking end was reset in an event of its session's read, as the HTTP client closes a connection in its end event and the pool another one right after it. Node.js 20.19.0 then sends all that the session holds at once (Http2Stream::SubmitRstStream, SendPendingData), also while nghttp2 is reading, unless the code is CANCEL. The reset that was sent frees the stream whose end is being delivered, and nghttp2_session_on_data_received then writes to it (nghttp2_stream_shutdown).

Streams are now reset by setImmediate, which no session calls while it reads. What arrives before that is dropped, and an answer to a tunnel that was given up is not taken for an open tunnel. The messages between instances are unchanged.

--- a/packages/pimentoplank/features/support/tunnelWorld.ts
+++ b/packages/pimentoplank/features/support/tunnelWorld.ts
@@ -43,6 +43,8 @@
   failure?: Error
   asked: Result<Duplex, TunnelRefusedError>
   heldUp: Array<Result<Duplex, TunnelRefusedError>>
+  /** Turns of the event loop after which a tunnel that was closed is reset. */
+  resetAfterTurns: number
 }
 
 const KEY = 'shared-key-of-the-peers'
--- a/packages/pimentoplank/src/shared/rpc/peerTunnels.feature
+++ b/packages/pimentoplank/src/shared/rpc/peerTunnels.feature
@@ -92,6 +92,12 @@
     When as many tunnels as the peer carries have been opened and closed
     Then another tunnel is opened
 
+  Scenario: A tunnel is not reset while its session is reading
+    Given a peer with a shared key that reaches a target
+    When a tunnel is closed by its user in the event that its target has ended it
+    Then it is reset in the next turn of the event loop, as its session is reading in this one
+    And the peer soon has 0 open tunnels
+
   Scenario: A tunnel that nobody reads holds few bytes and does not stop others
     Given a peer with a shared key that reaches a target
     When 20 tunnels whose targets send without end are not read
--- a/packages/pimentoplank/src/shared/rpc/peerTunnels.steps.ts
+++ b/packages/pimentoplank/src/shared/rpc/peerTunnels.steps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { randomBytes } from 'node:crypto'
 import { once } from 'node:events'
+import * as http2 from 'node:http2'
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { setTimeout as sleep } from 'node:timers/promises'
@@ -14,6 +15,8 @@
 } from '../../../features/support/tunnelWorld'
 import { TunnelBrokenError, type TunnelRefusedError } from '..'
 import { ConnectionResetError } from '../targetHttp'
+import { PEER_KEY_HEADER } from './peerSecurity'
+import { createTunnelSocket } from './tunnelSocket'
 
 const MB = 1_000_000
 const DELAY_MS = 30
@@ -241,6 +244,27 @@
   assert.deepEqual([...outcomes].filter((outcome) => outcome !== 'opened'), ['peerFailed'])
 })
 
+When('a tunnel is closed by its user in the event that its target has ended it', async function (this: TunnelWorld) {
+  this.behave = (socket) => { socket.once('data', () => { socket.end() }) }
+  const session = http2.connect(`http://${this.peer.address}`)
+  const stream = session.request({
+    ':method': 'CONNECT', ':authority': this.targetAddress, [PEER_KEY_HEADER]: this.security.sharedKey
+  })
+  await once(stream, 'response')
+  const socket = createTunnelSocket(stream, () => undefined)
+  socket.resume().write('question')
+  this.resetAfterTurns = await new Promise((resolve) => socket.once('end', () => {
+    socket.destroy()
+    if (stream.destroyed) return resolve(0)
+    setImmediate(() => resolve(stream.destroyed ? 1 : Infinity))
+  }))
+  session.destroy()
+})
+
+Then('it is reset in the next turn of the event loop, as its session is reading in this one', function (this: TunnelWorld) {
+  assert.equal(this.resetAfterTurns, 1)
+})
+
 When('the tunnels are closed', function (this: TunnelWorld) {
   for (const socket of this.openSockets) socket.destroy()
 })
--- a/packages/pimentoplank/src/shared/rpc/peerTunnels.ts
+++ b/packages/pimentoplank/src/shared/rpc/peerTunnels.ts
@@ -13,8 +13,8 @@
 import type { Metrics } from '../metrics'
 import { PEER_KEY_HEADER, type PeerSecurity } from './peerSecurity'
 import {
-  destroySession, INSTANCE_HEADER, MAX_SESSION_MEMORY_MB, MAX_TUNNELS, REASON_HEADER, SESSION_WINDOW_BYTES,
-  STREAM_WINDOW_BYTES, watchSession
+  destroySession, INSTANCE_HEADER, MAX_SESSION_MEMORY_MB, MAX_TUNNELS, REASON_HEADER, resetStream,
+  SESSION_WINDOW_BYTES, STREAM_WINDOW_BYTES, watchSession
 } from './tunnelSession'
 import { createTunnelSocket, TunnelBrokenError } from './tunnelSocket'
 
@@ -142,13 +142,13 @@
 
       function settleFailed (outcome: TunnelRefusedError['outcome'], detail: string): void {
         clearTimeout(timer)
-        stream.destroy(new Error('no tunnel'))
+        // An answer may still come before the reset.
+        stream.off('response', onResponse)
+        resetStream(stream, new Error('no tunnel'))
         resolve(err(new TunnelRefusedError(outcome, request, detail)))
       }
 
-      stream.on('error', (cause) => { failure ??= cause })
-      stream.once('close', onClose)
-      stream.once('response', (headers) => {
+      function onResponse (headers: http2.IncomingHttpHeaders & http2.IncomingHttpStatusHeader): void {
         const status = headers[':status']
         if (status === STATUS_OK) {
           clearTimeout(timer)
@@ -159,7 +159,11 @@
         }
         const reason = String(headers[REASON_HEADER] ?? '')
         settleFailed(status === STATUS_TARGET_FAILED ? 'targetFailed' : 'peerFailed', `status ${status} ${reason}`)
-      })
+      }
+
+      stream.on('error', (cause) => { failure ??= cause })
+      stream.once('close', onClose)
+      stream.once('response', onResponse)
     })
   }
 
--- a/packages/pimentoplank/src/shared/rpc/tunnelSession.ts
+++ b/packages/pimentoplank/src/shared/rpc/tunnelSession.ts
@@ -1,5 +1,5 @@
 /** What both ends of the HTTP/2 sessions that carry tunnels have in common. */
-import { constants, type Http2Session } from 'node:http2'
+import { constants, type Http2Session, type Http2Stream } from 'node:http2'
 import { KIB_BYTES, MIB_BYTES, SECOND_MS } from '../constants'
 
 /** Maximum number of tunnels that an instance carries; the last one that reaches targets must not drown. */
@@ -30,6 +30,15 @@
   session.destroy(new Error(reason), constants.NGHTTP2_CANCEL)
 }
 
+/**
+ * Resets a stream, in the next turn of the event loop. A reset makes the session send all that it holds at once. While
+ * the session is reading, which it is in events of its streams, that frees streams whose frames it is just handling,
+ * and Node.js goes on with the freed memory.
+ */
+export function resetStream (stream: Http2Stream, cause: Error): void {
+  setImmediate(() => stream.destroy(cause))
+}
+
 /** Destroys a session whose other end no longer answers. */
 export function watchSession (session: Http2Session, onDead: () => void): void {
   let missed = 0
--- a/packages/pimentoplank/src/shared/rpc/tunnelSocket.ts
+++ b/packages/pimentoplank/src/shared/rpc/tunnelSocket.ts
@@ -3,7 +3,7 @@
 import { Duplex } from 'node:stream'
 import { KIB_BYTES } from '../constants'
 import { ConnectionResetError } from '../targetHttp'
-import { TARGET_RESET_CODE } from './tunnelSession'
+import { resetStream, TARGET_RESET_CODE } from './tunnelSession'
 
 /** The peer or the session with it was lost; what the target did is not known. */
 export class TunnelBrokenError extends Error {
@@ -33,7 +33,7 @@
     write: (chunk: Buffer, _encoding, done) => { stream.write(chunk, (cause) => done(toFailure(cause))) },
     final: (done) => { stream.end(() => done()) },
     destroy: (cause, done) => {
-      stream.destroy(new Error('tunnel closed'))
+      resetStream(stream, new Error('tunnel closed'))
       done(cause)
     }
   })
@@ -62,12 +62,15 @@
   // The tunnel may break before its user listens, and an error event without a listener would end the process.
   socket.on('error', () => undefined)
   stream.on('error', (cause) => { failure ??= cause })
-  stream.on('data', (chunk: Buffer) => { if (!socket.push(chunk)) stream.pause() })
+  stream.on('data', (chunk: Buffer) => {
+    // What still arrives before the reset is dropped.
+    if (!socket.destroyed && !socket.push(chunk)) stream.pause()
+  })
   stream.once('end', () => {
     // A stream that is closed with its session, or by a reset without an error code, ends as well.
     if (stream.aborted || stream.rstCode !== constants.NGHTTP2_NO_ERROR) return
     isEnded = true
-    socket.push(null)
+    if (!socket.destroyed) socket.push(null)
   })
   stream.once('close', () => { if (!isEnded) fail() })
   return socket
