Count empty ends of one target as one witness

One replica ended each answer, without a length, after its head; it was asked four times within 0.1 s, and four empty ends proved that nothing follows (ORDER). Cause: several ends at one target were taken for independent evidence. Change: after a run that has written events and ended in an orderly way, two empty ends prove the end as before. Without one, empty ends count once for each target, and again only after a second.

--- a/packages/pimentoplank/src/relay/decisions/answerEnds.feature
+++ b/packages/pimentoplank/src/relay/decisions/answerEnds.feature
@@ -29,19 +29,20 @@
     When its process lists it with 0 events
     Then more events may, and it may be listed for 500 ms
 
-  Scenario Outline: After <ends> it is <known> that no event follows
+  # A target that ends each of its answers after the head is one witness, however often it is asked.
+  Scenario Outline: After the ends <ends> it is <known> that no event follows
     Then after the ends "<ends>" it is <known> that no event follows
 
     Examples:
-      | ends                     | known     |
-      | openEnd                  | not known |
-      | openEnd emptyEnd         | not known |
-      | openEnd emptyEnd emptyEnd | known    |
-      | emptyEnd emptyEnd        | not known |
-      | emptyEnd emptyEnd emptyEnd | not known |
-      | emptyEnd emptyEnd emptyEnd emptyEnd | known |
-      | openEnd emptyEnd refused emptyEnd | known |
-      | openEnd noRest           | not known |
-      | openEnd openEnd          | not known |
-      | openEnd broken emptyEnd  | not known |
-      | openEnd endedEarly       | not known |
+      | ends                                      | known     |
+      | openEnd                                   | not known |
+      | openEnd emptyEnd                          | not known |
+      | openEnd emptyEnd emptyEnd                 | known     |
+      | openEnd emptyEnd refused emptyEnd         | known     |
+      | emptyEnd@a emptyEnd@b                     | known     |
+      | emptyEnd emptyEnd emptyEnd emptyEnd       | not known |
+      | emptyEnd refused refused emptyEnd refused refused emptyEnd | known |
+      | openEnd noRest                            | not known |
+      | openEnd openEnd                           | not known |
+      | openEnd broken emptyEnd emptyEnd          | not known |
+      | openEnd endedEarly                        | not known |
--- a/packages/pimentoplank/src/relay/decisions/answerEnds.steps.ts
+++ b/packages/pimentoplank/src/relay/decisions/answerEnds.steps.ts
@@ -2,7 +2,10 @@
 import { Given, Then, When } from '@cucumber/cucumber'
 import type { SendFailureReason } from '../exchange'
 import type { ProcessRun } from '../model'
-import { computeListedMs, countOpenEnds, hasMadeMore, isEndProven, type AnswerEnd, type ListHistory } from '.'
+import { addOpenEnd, computeListedMs, hasMadeMore, isEndProven, type AnswerEnd, type ListHistory, type OpenEnds } from '.'
+
+/** Time between two ends, in milliseconds. */
+const STEP_MS = 400
 
 interface EndsWorld {
   end: AnswerEnd
@@ -43,7 +46,9 @@
   assert.equal(computeListedMs(this.run, this.end, this.history ?? { gone: 1, listed: 0 }), ms === 'any' ? undefined : Number(ms))
 })
 
-Then(/^after the ends "(.*)" it is (known|not known) that no event follows$/, function (ends: string, known: string) {
-  const count = (ends.split(' ') as SendFailureReason[]).reduce(countOpenEnds, 0)
-  assert.equal(isEndProven(count), known === 'known')
+Then(/^after the ends "(.*)" it is (known|not known) that no event follows$/, function (text: string, known: string) {
+  const ends = text.split(' ').map((end) => end.split('@'))
+  const last = ends.reduce<OpenEnds>((before, [reason, target = 'a'], index) =>
+    addOpenEnd(before, reason as SendFailureReason, target, index * STEP_MS), { openEnds: 0 })
+  assert.equal(isEndProven(last), known === 'known')
 })
--- a/packages/pimentoplank/src/relay/decisions/index.ts
+++ b/packages/pimentoplank/src/relay/decisions/index.ts
@@ -10,7 +10,7 @@
 } from './batchScheduling'
 export { computeListedMs, hasMadeAll, hasMadeMore, type AnswerEnd, type ListHistory } from './answerEnds'
 export {
-  countOpenEnds, isEndProven, MAX_ITEM_REST_REFUSALS, MAX_REST_REFUSALS, REST_WAIT_MS
+  addOpenEnd, hasOrderlyEnd, isEndProven, MAX_ITEM_REST_REFUSALS, MAX_REST_REFUSALS, REST_WAIT_MS, type OpenEnds
 } from './openEnds'
 export { computeOutageRetryMs } from './outageRetry'
 export {
--- a/packages/pimentoplank/src/relay/decisions/openEnds.ts
+++ b/packages/pimentoplank/src/relay/decisions/openEnds.ts
@@ -8,9 +8,11 @@
 
 /** Weight of orderly ends in a row at which no event is left; any of them may have broken off. */
 const PROVING_WEIGHT = 4
-/** Weight of the end of a run that has written events, and of one that has written none. */
+/** Weight of the end of a run that has written events, and of the first empty one at a target. */
 const END_WEIGHT = 2
 const EMPTY_END_WEIGHT = 1
+/** A target that ends each answer after its head does so for a while; its empty ends count apart, in milliseconds. */
+const EMPTY_END_GAP_MS = 1000
 /** Number of times that a target which refuses to tell the rest of a live stream is asked again. */
 export const MAX_REST_REFUSALS = 3
 /** Number of answers other than a stream after which an item counts as whole, for which nobody waits. */
@@ -18,16 +20,35 @@
 /** Time for which a live stream waits for another target that can be asked, in milliseconds. */
 export const REST_WAIT_MS = 500
 
+/** What the ends of the runs of a stream have told of its end. */
+export interface OpenEnds {
+  /** Weight of the orderly ends in a row after the last event, none of which tells whether more follow. */
+  openEnds: number
+  /** Target of the latest empty end that counted, and when, unless a run that has written events has ended so. */
+  emptyAt?: { target: string, at: number }
+}
+
 /**
- * Adds up the orderly ends in a row after the same event.
+ * Adds the end of a run to those in a row after the same event.
  *
- * @param ends - weight before
- * @param reason - how the latest run ended; a run that broke off leaves none
+ * @param reason - how the run ended; one that broke off leaves none
+ * @param target - id of its target
+ * @param now - on the monotonic clock, in milliseconds
  */
-export function countOpenEnds (ends: number, reason: SendFailureReason): number {
-  if (reason === 'openEnd') return END_WEIGHT
-  if (reason === 'emptyEnd') return ends + EMPTY_END_WEIGHT
-  return KEEPING.has(reason) ? ends : 0
+export function addOpenEnd (
+  { openEnds, emptyAt }: OpenEnds, reason: SendFailureReason, target: string, now: number
+): OpenEnds {
+  if (reason === 'openEnd') return { openEnds: END_WEIGHT, emptyAt: undefined }
+  if (reason !== 'emptyEnd') return KEEPING.has(reason) ? { openEnds, emptyAt } : { openEnds: 0, emptyAt: undefined }
+  if (hasOrderlyEnd({ openEnds, emptyAt })) return { openEnds: openEnds + EMPTY_END_WEIGHT, emptyAt }
+  if (emptyAt?.target !== target) return { openEnds: openEnds + END_WEIGHT, emptyAt: { target, at: now } }
+  if (now - emptyAt.at < EMPTY_END_GAP_MS) return { openEnds, emptyAt }
+  return { openEnds: openEnds + EMPTY_END_WEIGHT, emptyAt: { target, at: now } }
+}
+
+/** True if a run that has written events has ended in an orderly way, and nothing speaks against that end since. */
+export function hasOrderlyEnd ({ openEnds, emptyAt }: OpenEnds): boolean {
+  return openEnds > 0 && emptyAt === undefined
 }
 
 /**
@@ -39,6 +60,6 @@
 ])
 
 /** True once no event follows. */
-export function isEndProven (ends: number): boolean {
-  return ends >= PROVING_WEIGHT
+export function isEndProven ({ openEnds }: OpenEnds): boolean {
+  return openEnds >= PROVING_WEIGHT
 }
--- a/packages/pimentoplank/src/relay/jobs/ownedJob.ts
+++ b/packages/pimentoplank/src/relay/jobs/ownedJob.ts
@@ -1,10 +1,11 @@
 /** In-memory state of a batch job that this instance owns: finished, stored and running items. */
+import type { OpenEnds } from '../decisions'
 import type { ItemResult, JobItem, JobRecord } from './records'
 import type { StoredJob } from './jobStore'
 import type { JobTimes } from './jobTimes'
 
 /** Progress of an item that has no result yet. */
-export interface ItemProgress {
+export interface ItemProgress extends OpenEnds {
   /** Id of the last event in `data`; undefined before the first. */
   lastEventId?: number
   /** Data of the events received so far. */
@@ -21,8 +22,6 @@
   crashes: number
   /** Number of runs in a row that were given up because their target was silent. */
   silences: number
-  /** Weight of the orderly ends in a row after the last event, as if there were none left. */
-  openEnds: number
   /** Number of answers in a row that told nothing when what follows the last event was asked for. */
   restRefusals: number
   /** Earliest time of the next run, on the monotonic clock. */
--- a/packages/pimentoplank/src/relay/jobs/runItem.ts
+++ b/packages/pimentoplank/src/relay/jobs/runItem.ts
@@ -1,7 +1,7 @@
 /** Runs one item of a batch job at one target. */
 import { err, ok, type Result } from 'neverthrow'
 import type { Clock, Log } from '../../shared'
-import { countOpenEnds, isEndProven, MAX_ITEM_REST_REFUSALS } from '../decisions'
+import { addOpenEnd, hasOrderlyEnd, isEndProven, MAX_ITEM_REST_REFUSALS } from '../decisions'
 import {
   createEventReader, drainAnswer, getEventData, SendFailure,
   type AnswerEnding, type Exchange, type SendFailureReason, type SplitEvent, type TargetAnswer
@@ -97,12 +97,12 @@
     if (sent.isErr()) {
       if (!isOwnAbort()) logFailure(sent.error)
       const { mayHaveRun, reason } = sent.error
-      if (reason === 'refused' && progress.openEnds > 0) return refuseRest(progress)
+      if (reason === 'refused' && hasOrderlyEnd(progress)) return refuseRest(progress)
       return mayHaveRun || options.signal.aborted ? interrupt(sent.error) : { type: 'refused', reason }
     }
     watch.recordProgress()
     options.onStarted()
-    const outcome = await readAnswer(sent.value, progress, watch.recordProgress)
+    const outcome = await readAnswer(sent.value, options, watch.recordProgress)
     const ending = sent.value.getEnding()
     sent.value.close()
     if (outcome.isOk()) return outcome.value
@@ -134,11 +134,11 @@
 
 async function readAnswer (
   answer: TargetAnswer,
-  progress: ItemProgress,
+  { progress, target, clock }: Pick<RunItemOptions, 'progress' | 'target' | 'clock'>,
   onProgress: () => void
 ): Promise<Result<ItemEnd, SendFailure>> {
   const { status, isSigned } = answer.head
-  if (status !== STATUS_OK && progress.openEnds > 0) {
+  if (status !== STATUS_OK && hasOrderlyEnd(progress)) {
     const drained = await drainAnswer(answer)
     return drained.map(() => refuseRest(progress))
   }
@@ -158,8 +158,8 @@
   for (;;) {
     const next = await reader.read()
     if (next.isErr()) {
-      progress.openEnds = countOpenEnds(progress.openEnds, next.error.reason)
-      if (!isEndProven(progress.openEnds)) return err(next.error)
+      Object.assign(progress, addOpenEnd(progress, next.error.reason, target.id, clock.now()))
+      if (!isEndProven(progress)) return err(next.error)
     }
     if (next.isErr() || next.value === undefined) return ok({ type: 'completed', text: progress.data.join('\n') })
     const before = progress.lastEventId
@@ -188,6 +188,7 @@
   }
   progress.lastEventId = id
   progress.openEnds = 0
+  progress.emptyAt = undefined
   progress.restRefusals = 0
   const data = getEventData(event.bytes)
   if (data !== undefined) progress.data.push(data)
--- a/packages/pimentoplank/src/relay/live/attemptTarget.ts
+++ b/packages/pimentoplank/src/relay/live/attemptTarget.ts
@@ -1,7 +1,7 @@
 /** Sends a live request to one target and forwards the answer to its caller. */
 import type { Result } from 'neverthrow'
 import { MIB_BYTES, type RefusalError } from '../../shared'
-import { countOpenEnds, isEndProven, isRepeatable, MAX_REST_REFUSALS, MIN_TRY_MS } from '../decisions'
+import { addOpenEnd, hasOrderlyEnd, isEndProven, isRepeatable, MAX_REST_REFUSALS, MIN_TRY_MS } from '../decisions'
 import { createEventReader, SendFailure, type EventReader, type SendFailureReason, type TargetAnswer } from '../exchange'
 import type { FaultKind } from '../load'
 import type { AnswerHead, ProcessNeed } from '../model'
@@ -116,12 +116,12 @@
       const end = await exchangeWithTarget()
       if (end.type !== 'failed') return end
       const { reason, mayHaveRun, message } = end.failure
-      progress.openEnds = countOpenEnds(progress.openEnds, reason)
-      if (isEndProven(progress.openEnds) && head !== undefined) return endReply(head)
+      Object.assign(progress, addOpenEnd(progress, reason, slot.target.id, clock.now()))
+      if (isEndProven(progress) && head !== undefined) return endReply(head)
       const isRefused = reason === 'refused' && head !== undefined
       if (isRefused) refusals += 1
       const mayAsk = (isRefused && refusals <= MAX_REST_REFUSALS) || OPEN_ENDS.has(reason)
-      if (!mayAsk || !mayAskForRest()) {
+      if (!mayAsk || !hasOrderlyEnd(progress) || !mayAskForRest()) {
         // The target has run the request, if not for what follows.
         return mayHaveRun || head === undefined ? end : { ...end, failure: new SendFailure('noRest', true, message) }
       }
@@ -144,7 +144,7 @@
       lastEventId: progress.lastEventId
     }, AbortSignal.any([ended, search.found]), getProcessNeed())
     if (answer.isErr()) return toAttemptEnd(answer.error)
-    const isForRest = progress.openEnds > 0
+    const isForRest = hasOrderlyEnd(progress)
     head = answer.value.head
     if (head.status < STATUS_SERVER_ERROR) deps.loads.recordSuccess(slot.target.id, sentAt)
     if (head.load !== undefined) deps.loads.recordReportedLoad(slot.target.id, head.load)
@@ -258,6 +258,7 @@
         await writeEvent(answer, event.bytes)
         progress.lastEventId = event.id ?? progress.lastEventId
         progress.openEnds = 0
+        progress.emptyAt = undefined
       }
     }
     return endReply(answer.head)
--- a/packages/pimentoplank/src/relay/live/liveCall.ts
+++ b/packages/pimentoplank/src/relay/live/liveCall.ts
@@ -1,5 +1,6 @@
 /** Types of the relay of one live request. */
 import type { Clock, Log, Metrics } from '../../shared'
+import type { OpenEnds } from '../decisions'
 import type { AnswerEnding, Exchange } from '../exchange'
 import type { LoadView } from '../load'
 import type { CallerRequest, Route } from '../model'
@@ -52,13 +53,11 @@
 }
 
 /** State of a request across its attempts. */
-export interface Progress {
+export interface Progress extends OpenEnds {
   runs: number
   refusals: number
   /** Id of the last event that was sent to the caller. */
   lastEventId: number | undefined
-  /** Weight of the orderly ends in a row after the last event, none of which tells whether more follow. */
-  openEnds: number
   /** Software version of the targets at which the request goes on; undefined while it may run at any. */
   version?: string
   /** Targets that may have run the request. */
