Leave out targets whose answers do not end before the deadline

Cause: since aborts at the deadline are no evidence of a crash, they were no fault of the target either, so that requests went on to it. Change: they count as its fault again, as before, but not as a crash.

--- a/packages/pimentoplank/src/relay/live/attemptTarget.ts
+++ b/packages/pimentoplank/src/relay/live/attemptTarget.ts
@@ -186,11 +186,11 @@
       const cause = new SendFailure('broken', true, 'the target sent no bytes within its timeout')
       return { type: 'failed', failure: cause, nextSlot: search.takeSlot() }
     }
-    // The deadline says nothing of the target.
-    if (ended.aborted) return failed('aborted', failure.message)
-    recordCrashEvidence(failure)
+    // That the time is up is no sign of a crash.
+    if (!ended.aborted) recordCrashEvidence(failure)
     const kind = FAULT_KINDS[failure.reason]
     if (kind !== undefined) deps.loads.recordFailure(slot.target.id, failure.reason, kind)
+    if (ended.aborted) return failed('aborted', failure.message)
     return { type: 'failed', failure }
   }
 
