Forget what is known of a text's end when the item begins anew

Callers would have seen: an item listed as completed with an empty text. Cause: where no target can go on with a text, it is dropped, but the orderly end that its run had shown was kept. The run from the start then counted as a request for the rest: six refusals completed the item, and failed runs counted as refusals. Change: all that belongs to a text is reset in one place, which new items use, too.

--- a/packages/pimentoplank/src/relay/jobs/blockedText.ts
+++ b/packages/pimentoplank/src/relay/jobs/blockedText.ts
@@ -4,6 +4,7 @@
   countRoom, decideItemVersion, type BatchCandidate, type ItemVersionDecision, type ItemVersionRules
 } from '../decisions'
 import type { ItemTimeEstimator } from './itemTimeEstimator'
+import { createEmptyText } from './ownedJob'
 import type { ReadyItem } from './readyItems'
 
 export interface BlockedTextOptions {
@@ -43,9 +44,7 @@
     waitedMs: Math.round(now - (blockedSince ?? now))
   }, 'item begins anew')
   options.metrics.count(`items.begunAnew.${decision.reason}`)
-  Object.assign(progress, {
-    lastEventId: undefined, data: [], version: undefined, service: undefined, blockedSince: undefined
-  })
+  Object.assign(progress, createEmptyText())
   return true
 }
 
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.feature
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.feature
@@ -215,3 +215,26 @@
     When the record of the job is read again
     And the runner looks for items to start
     Then the item ran 2 times, the last time at "a" before its first event
+
+  # Guards against a text that is completed as empty because an earlier one, which was dropped, had ended openly.
+  Scenario: An item that begins anew after an open end is not completed while targets refuse it
+    Given an item runner with a job of 1 item and a target "a" with 1 slot
+    When the runner looks for items to start
+    And target "a" sends events 1 to 2
+    And target "a" is gone and target "b" of version "v2" has 1 slot
+    And the answer of target "a" ends without a sign whether events follow
+    And targets refuse each request
+    And the runner looks for items to start 9 times, 2 s apart
+    Then the first item is not completed
+
+  # Guards against failed runs that count as refusals to tell the rest of a text that was dropped.
+  Scenario: An item that begins anew after an open end is given up after failed runs
+    Given an item runner with a job of 1 item and a target "a" with 1 slot
+    When the runner looks for items to start
+    And target "a" sends events 1 to 2
+    And target "a" is gone and target "b" of version "v2" has 1 slot
+    And the answer of target "a" ends without a sign whether events follow
+    And targets answer each request with status 500
+    And the runner looks for items to start 9 times, 2 s apart
+    Then the item ran 4 times
+    And the first item is a dead letter
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
@@ -39,6 +39,10 @@
   isOutOfDate?: boolean
   /** Number of crashes recorded. */
   crashes?: number
+  /** True while targets refuse requests as full. */
+  isFull?: boolean
+  /** Status with which targets answer, without a body. */
+  status?: number
 }
 
 const SELF = 'instance-1'
@@ -139,12 +143,14 @@
     }
     signal.addEventListener('abort', () => push(err(new SendFailure('broken', true, 'aborted'))))
     world.sent.push({ ...outgoing, push, signal, need })
+    if (world.isFull === true) return err(new SendFailure('refused', false, 'the target is full'))
+    if (world.status !== undefined) push(ok(undefined))
     if (world.isUnanswered === true) {
       await new Promise((resolve) => signal.addEventListener('abort', resolve))
       return err(new SendFailure('aborted', true, 'aborted'))
     }
     return ok({
-      head: { status: 200, headers: [], isNotRun: false, isOtherTarget: false, isSigned: true, isLeaving: false },
+      head: { status: world.status ?? 200, headers: [], isNotRun: false, isOtherTarget: false, isSigned: true, isLeaving: false },
       getEnding: () => ({ framing: 'chunks' as const, bytes: 0, connection: 'open' as const }),
       read: async () => {
         while (chunks.length === 0) await new Promise<void>((resolve) => { wake = resolve })
@@ -381,3 +387,35 @@
 Then('the run of the item was aborted', function (this: RunnerWorld) {
   assert.equal(this.sent.at(-1)!.signal.aborted, true)
 })
+
+When('the answer of target {string} ends without a sign whether events follow', async function (this: RunnerWorld, id: string) {
+  this.sent.findLast(({ target }) => target.id === id)!.push(err(new SendFailure('openEnd', true, 'more may follow')))
+  await settle()
+})
+
+Given('targets refuse each request', function (this: RunnerWorld) {
+  this.isFull = true
+})
+
+Given('targets answer each request with status {int}', function (this: RunnerWorld, status: number) {
+  this.status = status
+})
+
+When('the runner looks for items to start {int} times, {int} s apart', async function (
+  this: RunnerWorld, times: number, seconds: number
+) {
+  for (let turn = 0; turn < times; turn++) {
+    this.runner.dispatch()
+    await settle()
+    await this.clock.advance(seconds * 1000)
+    await settle()
+  }
+})
+
+Then('the first item is not completed', function (this: RunnerWorld) {
+  assert.deepEqual(this.job.pendingResults().filter(({ completed }) => completed), [])
+})
+
+Then('the first item is a dead letter', function (this: RunnerWorld) {
+  assert.deepEqual(this.job.pendingResults().map(({ completed }) => completed), [false])
+})
--- a/packages/pimentoplank/src/relay/jobs/ownedJob.ts
+++ b/packages/pimentoplank/src/relay/jobs/ownedJob.ts
@@ -151,5 +151,19 @@
 }
 
 function newProgress (): ItemProgress {
-  return { data: [], failures: 0, crashes: 0, silences: 0, openEnds: 0, restRefusals: 0, notBefore: 0 }
+  return { ...createEmptyText(), failures: 0, crashes: 0, silences: 0, notBefore: 0 }
+}
+
+/** Creates the progress of an item that begins anew, with nothing known of the end of its text. */
+export function createEmptyText () {
+  return {
+    lastEventId: undefined,
+    data: [],
+    version: undefined,
+    service: undefined,
+    blockedSince: undefined,
+    openEnds: 0,
+    emptyAt: undefined,
+    restRefusals: 0
+  } satisfies Partial<ItemProgress>
 }
