Let items wait for targets that could tell the rest of their text

Callers would have seen: an item listed as completed with a part of its text. Cause: six refusals in a row, 0.1 s apart, completed a text whose end was in doubt, those of full targets included. A burst of load or errors beside a cut is enough, while nobody waits for an item. Change: full targets (429, 503, not run) don't count, as they could not have told the rest. Other answers do, with a wait that doubles from 0.2 to 3.2 s, so that six of them take about 6 s instead of 0.6 s.

--- a/packages/pimentoplank/src/relay/decisions/answerEnds.feature
+++ b/packages/pimentoplank/src/relay/decisions/answerEnds.feature
@@ -46,3 +46,8 @@
       | openEnd openEnd                           | not known |
       | openEnd broken emptyEnd emptyEnd          | not known |
       | openEnd endedEarly                        | not known |
+
+  # Guards against cut texts that count as whole since targets fail or are full for a moment.
+  Scenario: An item of whose rest targets tell nothing counts as whole only after seconds
+    Then an item whose usual wait is 100 ms waits 200, 400, 800, 1600 and 3200 ms for its rest, and then counts as whole
+    And refusals with status 429 and 503 don't count among these, those with 400 and 500 do
--- a/packages/pimentoplank/src/relay/decisions/answerEnds.steps.ts
+++ b/packages/pimentoplank/src/relay/decisions/answerEnds.steps.ts
@@ -2,7 +2,10 @@
 import { Given, Then, When } from '@cucumber/cucumber'
 import type { SendFailureReason } from '../exchange'
 import type { ProcessRun } from '../model'
-import { addOpenEnd, computeListedMs, hasMadeMore, isEndProven, type AnswerEnd, type ListHistory, type OpenEnds } from '.'
+import {
+  addOpenEnd, computeListedMs, computeRestBackoff, hasMadeMore, isBusyRefusal, isEndProven,
+  type AnswerEnd, type ListHistory, type OpenEnds
+} from '.'
 
 /** Time between two ends, in milliseconds. */
 const STEP_MS = 400
@@ -52,3 +55,18 @@
     addOpenEnd(before, reason as SendFailureReason, target, index * STEP_MS), { openEnds: 0 })
   assert.equal(isEndProven(last), known === 'known')
 })
+
+Then(/^an item whose usual wait is (\d+) ms waits ([\d, and]+) ms for its rest, and then counts as whole$/, function (
+  backoffMs: string, waits: string
+) {
+  const expected = waits.split(/\D+/).map(Number)
+  const refusals = [...expected.keys(), expected.length].map((index) => index + 1)
+  const decided = refusals.map((count) => computeRestBackoff(count, Number(backoffMs)))
+  assert.deepEqual(decided, [...expected, undefined])
+})
+
+Then('refusals with status {int} and {int} don\'t count among these, those with {int} and {int} do', function (
+  first: number, second: number, third: number, fourth: number
+) {
+  assert.deepEqual([first, second, third, fourth].map(isBusyRefusal), [true, true, false, false])
+})
--- a/packages/pimentoplank/src/relay/decisions/index.ts
+++ b/packages/pimentoplank/src/relay/decisions/index.ts
@@ -10,7 +10,8 @@
 } from './batchScheduling'
 export { computeListedMs, hasMadeAll, hasMadeMore, type AnswerEnd, type ListHistory } from './answerEnds'
 export {
-  addOpenEnd, hasOrderlyEnd, isEndProven, MAX_ITEM_REST_REFUSALS, MAX_REST_REFUSALS, REST_WAIT_MS, type OpenEnds
+  addOpenEnd, computeRestBackoff, hasOrderlyEnd, isBusyRefusal, isEndProven, MAX_REST_REFUSALS, REST_WAIT_MS,
+  type OpenEnds
 } from './openEnds'
 export { computeOutageRetryMs } from './outageRetry'
 export {
--- a/packages/pimentoplank/src/relay/decisions/openEnds.ts
+++ b/packages/pimentoplank/src/relay/decisions/openEnds.ts
@@ -16,7 +16,9 @@
 /** Number of times that a target which refuses to tell the rest of a live stream is asked again. */
 export const MAX_REST_REFUSALS = 3
 /** Number of answers other than a stream after which an item counts as whole, for which nobody waits. */
-export const MAX_ITEM_REST_REFUSALS = 5
+const MAX_ITEM_REST_REFUSALS = 5
+/** Statuses with which a target refuses requests while it has no room, which says nothing of a text. */
+const BUSY_STATUSES: ReadonlySet<number | undefined> = new Set([429, 503])
 /** Time for which a live stream waits for another target that can be asked, in milliseconds. */
 export const REST_WAIT_MS = 500
 
@@ -63,3 +65,20 @@
 export function isEndProven ({ openEnds }: OpenEnds): boolean {
   return openEnds >= PROVING_WEIGHT
 }
+
+/** True if a target that did not run the request for the rest of a text could not have told it then. */
+export function isBusyRefusal (status: number | undefined): boolean {
+  return BUSY_STATUSES.has(status)
+}
+
+/**
+ * Decides how long an item waits whose targets tell nothing of its rest. Failures come in bursts, so that each answer
+ * doubles the wait.
+ *
+ * @param refusals - number of such answers in a row
+ * @param backoffMs - wait after a refusal that says nothing of a text, in milliseconds
+ * @returns the time in milliseconds; undefined once the item counts as whole
+ */
+export function computeRestBackoff (refusals: number, backoffMs: number): number | undefined {
+  return refusals > MAX_ITEM_REST_REFUSALS ? undefined : backoffMs * 2 ** refusals
+}
--- a/packages/pimentoplank/src/relay/exchange/exchange.ts
+++ b/packages/pimentoplank/src/relay/exchange/exchange.ts
@@ -225,6 +225,7 @@
     return new SendFailure('spoiled', true, `response belongs to another request: ${head.requestId}`)
   }
   if (head.isOtherTarget) return new SendFailure('otherTarget', false, `another target than the expected one answered at ${target.address}`)
-  if (head.isNotRun) return new SendFailure('refused', false, `target refused the request with status ${head.status}`)
+  const { status } = head
+  if (head.isNotRun) return new SendFailure('refused', false, `target refused the request with status ${status}`, status)
   return undefined
 }
--- a/packages/pimentoplank/src/relay/exchange/sendFailure.ts
+++ b/packages/pimentoplank/src/relay/exchange/sendFailure.ts
@@ -39,11 +39,14 @@
   readonly reason: SendFailureReason
   /** True if the target may have run the request. */
   readonly mayHaveRun: boolean
+  /** Status of the target's answer; undefined if it gave none. */
+  readonly status?: number
 
-  constructor (reason: SendFailureReason, mayHaveRun: boolean, detail: string) {
+  constructor (reason: SendFailureReason, mayHaveRun: boolean, detail: string, status?: number) {
     super(detail)
     this.name = 'SendFailure'
     this.reason = reason
     this.mayHaveRun = mayHaveRun
+    this.status = status
   }
 }
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.feature
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.feature
@@ -238,3 +238,13 @@
     And the runner looks for items to start 9 times, 2 s apart
     Then the item ran 4 times
     And the first item is a dead letter
+
+  # Guards against cut texts that count as whole because the targets that could tell the rest were full for a moment.
+  Scenario: An item whose answer ended openly is not completed while targets refuse it
+    Given an item runner with a job of 1 item and a target "a" with 1 slot
+    When the runner looks for items to start
+    And target "a" sends events 1 to 2
+    And the answer of target "a" ends without a sign whether events follow
+    And targets refuse each request
+    And the runner looks for items to start 9 times, 2 s apart
+    Then the first item is not completed
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
@@ -143,14 +143,21 @@
     }
     signal.addEventListener('abort', () => push(err(new SendFailure('broken', true, 'aborted'))))
     world.sent.push({ ...outgoing, push, signal, need })
-    if (world.isFull === true) return err(new SendFailure('refused', false, 'the target is full'))
+    if (world.isFull === true) return err(new SendFailure('refused', false, 'the target is full', 503))
     if (world.status !== undefined) push(ok(undefined))
     if (world.isUnanswered === true) {
       await new Promise((resolve) => signal.addEventListener('abort', resolve))
       return err(new SendFailure('aborted', true, 'aborted'))
     }
     return ok({
-      head: { status: world.status ?? 200, headers: [], isNotRun: false, isOtherTarget: false, isSigned: true, isLeaving: false },
+      head: {
+        status: world.status ?? 200,
+        headers: [],
+        isNotRun: false,
+        isOtherTarget: false,
+        isSigned: true,
+        isLeaving: false
+      },
       getEnding: () => ({ framing: 'chunks' as const, bytes: 0, connection: 'open' as const }),
       read: async () => {
         while (chunks.length === 0) await new Promise<void>((resolve) => { wake = resolve })
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.ts
@@ -237,6 +237,7 @@
       progress,
       target,
       remainingMs: owned.expiresAt - clock.now(),
+      refusedBackoffMs: rules.refusedBackoffMs,
       // A target that takes long before its first event would be left again and again for others that take as long.
       silenceTimeoutMs: rules.silenceTimeoutMs * 2 ** progress.silences,
       maxSilenceMs: rules.maxSilenceMs,
@@ -287,7 +288,7 @@
         if (progress.failures >= route.maxAttempts) finish(owned, itemId, false, '')
         else progress.notBefore = now + rules.failedBackoffMs
       },
-      refused: () => { progress.notBefore = now + rules.refusedBackoffMs * (0.5 + random()) },
+      refused: ({ backoffMs = rules.refusedBackoffMs }) => { progress.notBefore = now + backoffMs * (0.5 + random()) },
       interrupted: ({ isBroken }) => {
         // An item on which one target after the other crashes is tried ever more rarely.
         const factor = 2 ** Math.min(Math.max(0, progress.crashes - QUICK_CRASHES), MAX_BACKOFF_DOUBLINGS)
--- a/packages/pimentoplank/src/relay/jobs/runItem.ts
+++ b/packages/pimentoplank/src/relay/jobs/runItem.ts
@@ -1,7 +1,7 @@
 /** Runs one item of a batch job at one target. */
 import { err, ok, type Result } from 'neverthrow'
 import type { Clock, Log } from '../../shared'
-import { addOpenEnd, hasOrderlyEnd, isEndProven, MAX_ITEM_REST_REFUSALS } from '../decisions'
+import { addOpenEnd, computeRestBackoff, hasOrderlyEnd, isBusyRefusal, isEndProven } from '../decisions'
 import {
   createEventReader, drainAnswer, getEventData, SendFailure,
   type AnswerEnding, type Exchange, type SendFailureReason, type SplitEvent, type TargetAnswer
@@ -17,7 +17,7 @@
  * - `completed`: the text is complete
  * - `impossible`: the target rejected the item permanently
  * - `failed`: the target ran the item and reported a failure
- * - `refused`: the item did not run
+ * - `refused`: the item did not run; `backoffMs` is the mean time before its next run in milliseconds, if not the usual
  * - `interrupted`: the connection broke or this instance aborted the run; the item can resume from its
  *   progress; `isBroken` is false for an abort by this instance, `reason` is `aborted` for a silent target, too
  */
@@ -25,7 +25,7 @@
   | { type: 'completed', text: string }
   | { type: 'impossible' }
   | { type: 'failed' }
-  | { type: 'refused', reason?: SendFailureReason }
+  | { type: 'refused', reason?: SendFailureReason, backoffMs?: number }
   | { type: 'interrupted', isBroken: boolean, reason: SendFailureReason }
 
 export interface RunItemOptions {
@@ -35,6 +35,8 @@
   target: Target
   /** Remaining time until the item expires, in milliseconds; infinite while that is not known. */
   remainingMs: number
+  /** Mean backoff before a refused item is retried, in milliseconds. */
+  refusedBackoffMs: number
   /** Time without an event after which the target counts as silent, in milliseconds. */
   silenceTimeoutMs: number
   /** Time without an event after which the connection counts as dead and the run is aborted, in milliseconds. */
@@ -96,8 +98,9 @@
     }, signal, { mustBeListed: true, mayStillSend: options.mayStillSend })
     if (sent.isErr()) {
       if (!isOwnAbort()) logFailure(sent.error)
-      const { mayHaveRun, reason } = sent.error
-      if (reason === 'refused' && hasOrderlyEnd(progress)) return refuseRest(progress)
+      const { mayHaveRun, reason, status } = sent.error
+      const tellsNoRest = reason === 'refused' && hasOrderlyEnd(progress) && !isBusyRefusal(status)
+      if (tellsNoRest) return refuseRest(options)
       return mayHaveRun || options.signal.aborted ? interrupt(sent.error) : { type: 'refused', reason }
     }
     watch.recordProgress()
@@ -134,13 +137,14 @@
 
 async function readAnswer (
   answer: TargetAnswer,
-  { progress, target, clock }: Pick<RunItemOptions, 'progress' | 'target' | 'clock'>,
+  options: RunItemOptions,
   onProgress: () => void
 ): Promise<Result<ItemEnd, SendFailure>> {
+  const { progress, target, clock } = options
   const { status, isSigned } = answer.head
   if (status !== STATUS_OK && hasOrderlyEnd(progress)) {
     const drained = await drainAnswer(answer)
-    return drained.map(() => refuseRest(progress))
+    return drained.map(() => refuseRest(options))
   }
   const isSuccess = status >= 200 && status < 300
   if (isSuccess && !isSigned) return err(new SendFailure('spoiled', true, 'unsigned success'))
@@ -173,9 +177,10 @@
 }
 
 /** Nothing speaks against the end of a text of which no target tells whether more follows. */
-function refuseRest (progress: ItemProgress): ItemEnd {
+function refuseRest ({ progress, refusedBackoffMs }: RunItemOptions): ItemEnd {
   progress.restRefusals += 1
-  if (progress.restRefusals <= MAX_ITEM_REST_REFUSALS) return { type: 'refused', reason: 'noRest' }
+  const backoffMs = computeRestBackoff(progress.restRefusals, refusedBackoffMs)
+  if (backoffMs !== undefined) return { type: 'refused', reason: 'noRest', backoffMs }
   return { type: 'completed', text: progress.data.join('\n') }
 }
 
