Hold kept connections that a living target closes against no prompt

Callers would have seen: identical requests refused as quarantined for ten minutes after three harmless closes. Cause: since each close by a process that lives counts against the prompt. A kept connection may be closed at any time, and that a request was just written to it says nothing of the request. Evidence: found by a review; 'A prompt under which living targets closed kept connections is let through' failed before. Its twin with new connections is refused before and after.

--- a/packages/pimentoplank/src/relay/jobs/runEvidence.ts
+++ b/packages/pimentoplank/src/relay/jobs/runEvidence.ts
@@ -57,7 +57,8 @@
     if (end.type !== 'interrupted' || paths.isCutOff()) return
     if (end.reason !== 'broken' && end.reason !== 'staleConnection') return
     if (end.reason === 'broken') progress.crashes += 1
-    crashes.recordPossibleCrash({ id: target, address, startedAt }, createItemRequest(item, owned.record().host))
+    const request = createItemRequest(item, owned.record().host)
+    crashes.recordPossibleCrash({ id: target, address, startedAt }, request, end.reason)
   }
 
   return { recordEnd }
--- a/packages/pimentoplank/src/relay/live/attemptTarget.ts
+++ b/packages/pimentoplank/src/relay/live/attemptTarget.ts
@@ -198,8 +198,8 @@
     const { crashes } = deps
     // A cut that befalls all connections is no crash, and neither is a failure to ask what follows the last event.
     if (deps.paths.isCutOff() || progress.openEnds > 0) return
-    const isBeginning = reason === 'staleConnection' || (reason === 'broken' && events < BEGINNING_EVENTS)
-    if (isBeginning) crashes.recordPossibleCrash(slot.target, request)
+    if (reason !== 'staleConnection' && (reason !== 'broken' || events >= BEGINNING_EVENTS)) return
+    crashes.recordPossibleCrash(slot.target, request, reason)
   }
 
   async function forwardAnswer (answer: TargetAnswer, reader: EventReader): Promise<AttemptEnd> {
--- a/packages/pimentoplank/src/relay/live/crashTracker.feature
+++ b/packages/pimentoplank/src/relay/live/crashTracker.feature
@@ -29,3 +29,14 @@
     And instance 7 hears the others again
     And 1 s passes without requests
     Then every instance lets requests with the part "bad" through
+
+  # Guards against prompts that are refused since targets closed connections before they had read the request.
+  Scenario Outline: A prompt under which living targets closed <kind> connections is <outcome>
+    Given 1 instances that hear each other's reports after 300 ms
+    When 4 living targets close <kind> connections under the same prompt
+    Then the prompt is <outcome>
+
+    Examples:
+      | kind | outcome     |
+      | kept | let through |
+      | new  | refused     |
--- a/packages/pimentoplank/src/relay/live/crashTracker.steps.ts
+++ b/packages/pimentoplank/src/relay/live/crashTracker.steps.ts
@@ -3,7 +3,7 @@
 import { createManualClock, type ManualClock } from '../../../features/support/manualClock'
 import { createSilentLog, rankByRendezvous } from '../../shared'
 import type { CallerRequest } from '../model'
-import { createCrashTracker, type CrashTracker } from './crashTracker'
+import { createCrashTracker, type CrashReason, type CrashTracker } from './crashTracker'
 
 interface Instance {
   id: string
@@ -18,6 +18,9 @@
   reached: number
   prompts: number
   delayMs: number
+  /** True while targets answer after they have closed connections. */
+  areTargetsAlive?: boolean
+  request?: CallerRequest
 }
 
 const STEP_TIMEOUT_MS = 30_000
@@ -25,6 +28,7 @@
 const OLD_MS = 5000
 const CRASH_GAP_MS = 150
 const KEEP_MS = 600_000
+const MINUTE_MS = 60_000
 
 function createPrompt (world: TrackersWorld, part: string): CallerRequest {
   const id = `p${world.prompts++}`
@@ -43,8 +47,10 @@
   })
 }
 
-function crash ({ tracker }: Instance, target: string, request: CallerRequest): void {
-  tracker.recordPossibleCrash({ id: target, address: target, startedAt: undefined }, request)
+function crash (
+  { tracker }: Instance, target: string, request: CallerRequest, reason: CrashReason = 'broken'
+): void {
+  tracker.recordPossibleCrash({ id: target, address: target, startedAt: undefined }, request, reason)
 }
 
 Given('{int} instances that hear each other\'s reports after {int} ms', async function (
@@ -60,7 +66,7 @@
       keepMs: KEEP_MS,
       decodePromptParts: (headers) => headers[1]!.split(','),
       isProber: (key, { probe, turn }) => rankByRendezvous(`${key} ${probe}`, ids, (one) => one)[turn % count] === id,
-      checks: { check: async () => 'crashed' },
+      checks: { check: async () => this.areTargetsAlive === true ? 'closed' : 'crashed' },
       onChange: () => undefined,
       onFound: () => undefined,
       clock,
@@ -126,3 +132,18 @@
     .map(({ id }) => id)
   assert.deepEqual(passing, which === 'every' ? this.trackers.map(({ id }) => id) : [])
 })
+
+When(/^(\d+) living targets close (kept|new) connections under the same prompt$/, async function (
+  this: TrackersWorld, count: string, kind: string
+) {
+  this.areTargetsAlive = true
+  this.request = createPrompt(this, 'part')
+  for (let target = 0; target < Number(count); target++) {
+    crash(this.trackers[0]!, `living${target}`, this.request, kind === 'kept' ? 'staleConnection' : 'broken')
+    await this.trackerClock.advance(MINUTE_MS)
+  }
+})
+
+Then(/^the prompt is (refused|let through)$/, function (this: TrackersWorld, outcome: string) {
+  assert.equal(this.trackers[0]!.tracker.isRefused(this.request!), outcome === 'refused')
+})
--- a/packages/pimentoplank/src/relay/live/crashTracker.ts
+++ b/packages/pimentoplank/src/relay/live/crashTracker.ts
@@ -24,12 +24,17 @@
   log: Log
 }
 
+/** How a connection broke as a request began. */
+export type CrashReason = 'broken' | 'staleConnection'
+
 export interface CrashTracker {
   /**
    * Records that a connection to a target broke before the answer to a request had begun. Counts as a crash of the
    * target once its process is known to have gone.
+   *
+   * @param reason - `staleConnection` for a kept connection, which a process that lives may close at any time
    */
-  recordPossibleCrash: (target: CheckedTarget, request: CallerRequest) => void
+  recordPossibleCrash: (target: CheckedTarget, request: CallerRequest, reason: CrashReason) => void
   /** Records that an answer has begun, which clears the parts of its prompt of earlier crashes. */
   recordAnswer: (headers: RawHeaders) => void
   /** Returns whether the request would crash its target. */
@@ -212,10 +217,13 @@
   }
 
   return {
-    recordPossibleCrash: (target, request) => {
+    recordPossibleCrash: (target, request, reason) => {
       const at = clock.now()
       options.checks.check(target)
-        .then((cause) => { if (cause !== 'unknown') recordCrash(target.id, request, at, cause) })
+        .then((cause) => {
+          const isIdleClose = cause === 'closed' && reason === 'staleConnection'
+          if (cause !== 'unknown' && !isIdleClose) recordCrash(target.id, request, at, cause)
+        })
         .catch((cause: unknown) => log.error({ target: target.id, cause: describeCause(cause) }, 'crash could not be recorded'))
     },
     recordAnswer: (headers) => {
