Hold items back from targets that do not tell which process answers

Cause: an item is refused there as unknownProcess within some ms and counts against no target, rightly, since the path is at fault as likely. Its slot is free again at once, so that the replica has as much room as the idle one, and findMostRoom takes the first of equals each time. In a trace 57 of 62 starts went there. An item with text whose version was left only there never began anew either, since that version seemed to have room. Change: after such a refusal the instance starts no items at the target for 250 ms, doubled up to 5 s, then one at a time and after all other targets, until an answer to an item that was sent later begins (decisions/identifyBackoff.ts). A target that is held back has no room, so that items with text begin anew by the rule for crowded versions. A run at a silent target isn't given up for a probe. Nothing is recorded in the load view: live requests and peers are not affected, and no message or record changes. Items are still sent to the listed process only.

--- a/packages/pimentoplank/src/relay/decisions/batchScheduling.ts
+++ b/packages/pimentoplank/src/relay/decisions/batchScheduling.ts
@@ -43,6 +43,8 @@
   isFresh: boolean
   /** True while items that run there get no events. */
   isSilent?: boolean
+  /** Items that may start there as probes of a target that refused others; undefined for any number of items. */
+  probes?: number
   /** Requests that this instance may send now; infinite unless the target has named a limit. */
   allowance: number
 }
@@ -130,7 +132,7 @@
 
 /** Each request to a target with a limit uses up its allowance. */
 function countPossibleStarts (target: BatchCandidate): number {
-  const free = countFreeSlots(target)
+  const free = Math.min(countFreeSlots(target), target.probes ?? Infinity)
   if (target.allowance === Infinity) return free
   return target.allowance >= BATCH_ALLOWANCE ? Math.min(1, free) : 0
 }
@@ -144,7 +146,7 @@
   count: number
 }
 
-/** Silent targets come last, as an item that starts there may get no event either. */
+/** Silent and probed targets come last, as an item that starts there may get no event either. */
 function findMostRoom (rooms: readonly Room[], excluded?: ReadonlySet<string>): Room | undefined {
   let best: Room | undefined
   for (const room of rooms) {
@@ -155,11 +157,15 @@
 }
 
 function isBetter (room: Room, best: Room): boolean {
-  const isSilent = room.target.isSilent === true
-  if (isSilent !== (best.target.isSilent === true)) return !isSilent
+  const isInDoubt = isTargetInDoubt(room.target)
+  if (isInDoubt !== isTargetInDoubt(best.target)) return !isInDoubt
   return getPreference(room) > getPreference(best)
 }
 
+function isTargetInDoubt ({ isSilent, probes }: BatchCandidate): boolean {
+  return isSilent === true || probes !== undefined
+}
+
 function getPreference ({ target, count }: Room): number {
   return count + (target.isNear ? NEAR_PREFERENCE : 0)
 }
--- a/packages/pimentoplank/src/relay/decisions/index.ts
+++ b/packages/pimentoplank/src/relay/decisions/index.ts
@@ -13,6 +13,9 @@
   addOpenEnd, computeRestBackoff, hasOrderlyEnd, isBusyRefusal, isEndProven, MAX_REST_REFUSALS, REST_WAIT_MS,
   type OpenEnds
 } from './openEnds'
+export {
+  addIdentifyFailure, countProbes, endsIdentifyBackoff, type IdentifyFailures
+} from './identifyBackoff'
 export { computeOutageRetryMs } from './outageRetry'
 export {
   decideItemVersion, type ItemVersionDecision, type ItemVersionInput, type ItemVersionRules
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.feature
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.feature
@@ -248,3 +248,52 @@
     And targets refuse each request
     And the runner looks for items to start 9 times, 2 s apart
     Then the first item is not completed
+
+  Scenario: An item refused by a target that does not tell its process runs at another one, and no failure counts
+    Given an item runner with a job of 1 item and a target "a" with 4 slots
+    And a target "b" with 1 slot
+    And target "a" does not tell which process answers
+    When the runner looks for items to start
+    And 200 ms pass for the item runner
+    And the runner looks for items to start
+    Then items ran 1 times at "a" and 1 times at "b"
+    And target "a" has failed 0 times
+
+  Scenario: A target that did not tell its process is probed by one item at a time, and used again once it tells
+    Given an item runner with a job of 4 items and a target "a" with 4 slots
+    And target "a" does not tell which process answers
+    When the runner looks for items to start
+    And 200 ms pass for the item runner
+    And the runner looks for items to start
+    Then items ran 4 times at "a" and 0 times at "b"
+    When 100 ms pass for the item runner
+    And the runner looks for items to start
+    Then items ran 5 times at "a" and 0 times at "b"
+    When target "a" tells which process answers
+    And 600 ms pass for the item runner
+    And the runner looks for items to start
+    And the runner looks for items to start
+    Then items ran 9 times at "a" and 0 times at "b"
+
+  Scenario: An item with text whose version is left only at a target that does not tell its process begins anew
+    Given an item runner with a job of 1 item and a target "a" with 1 slot
+    And a target "b" of version "v2" with 1 slot
+    When the runner looks for items to start
+    And target "a" sends events 1 to 2
+    And target "a" does not tell which process answers
+    And the run at "a" breaks off
+    And the item runner looks for items to start every 100 ms for 20 s
+    Then the last run was at "b" from the beginning of its text
+    And no run at "b" went on with text
+
+  Scenario: A silent run is not given up for a probe
+    Given an item runner with a job of 1 item and a target "a" with 1 slot
+    And target "a" does not tell which process answers
+    When the runner looks for items to start
+    And a target "b" with 1 slot
+    And 200 ms pass for the item runner
+    And the runner looks for items to start
+    And target "b" sends events 1 to 2
+    And 4 s pass for the item runner
+    And the runner looks for items to start
+    Then items ran 1 times at "a" and 1 times at "b"
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
@@ -35,6 +35,8 @@
   losePath: () => void
   /** True while targets don't begin to answer. */
   isUnanswered?: boolean
+  /** Ids of targets that don't tell which process answers. */
+  unidentified?: Set<string>
   /** True while the record of the job is out of date. */
   isOutOfDate?: boolean
   /** Number of crashes recorded. */
@@ -145,6 +147,9 @@
     world.sent.push({ ...outgoing, push, signal, need })
     if (world.isFull === true) return err(new SendFailure('refused', false, 'the target is full', 503))
     if (world.status !== undefined) push(ok(undefined))
+    if (world.unidentified?.has(outgoing.target.id) === true) {
+      return err(new SendFailure('unknownProcess', false, 'the state did not come'))
+    }
     if (world.isUnanswered === true) {
       await new Promise((resolve) => signal.addEventListener('abort', resolve))
       return err(new SendFailure('aborted', true, 'aborted'))
@@ -426,3 +431,44 @@
 Then('the first item is a dead letter', function (this: RunnerWorld) {
   assert.deepEqual(this.job.pendingResults().map(({ completed }) => completed), [false])
 })
+
+Given('target {string} does not tell which process answers', function (this: RunnerWorld, id: string) {
+  this.unidentified = new Set([id])
+})
+
+When('target {string} tells which process answers', function (this: RunnerWorld, id: string) {
+  this.unidentified!.delete(id)
+})
+
+When('{int} ms pass for the item runner', async function (this: RunnerWorld, ms: number) {
+  await this.clock.advance(ms)
+  await settle()
+})
+
+Then('items ran {int} times at {string} and {int} times at {string}', function (
+  this: RunnerWorld, firstCount: number, first: string, secondCount: number, second: string
+) {
+  const count = (id: string): number => this.sent.filter(({ target }) => target.id === id).length
+  assert.deepEqual([count(first), count(second)], [firstCount, secondCount])
+})
+
+When('the item runner looks for items to start every {int} ms for {int} s', async function (
+  this: RunnerWorld, stepMs: number, seconds: number
+) {
+  for (let passedMs = 0; passedMs < seconds * 1000; passedMs += stepMs) {
+    await this.clock.advance(stepMs)
+    this.runner.dispatch()
+    await settle()
+  }
+})
+
+Then('the last run was at {string} from the beginning of its text', function (this: RunnerWorld, id: string) {
+  const last = this.sent.findLast(({ target }) => target.id === id)
+  assert.ok(last !== undefined, `no run at ${id}`)
+  assert.equal(last, this.sent.at(-1))
+  assert.equal(last.lastEventId, undefined)
+})
+
+Then('no run at {string} went on with text', function (this: RunnerWorld, id: string) {
+  assert.ok(this.sent.every(({ target, lastEventId }) => target.id !== id || lastEventId === undefined))
+})
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.ts
@@ -17,6 +17,7 @@
 import { createReadyItemFinder, findNeededVersion, summarizeReadyItems, type ReadyItem } from './readyItems'
 import { createRunEvidence } from './runEvidence'
 import { runItem, SILENT_TARGET, type ItemEnd } from './runItem'
+import { createUnidentifiedTargets } from './unidentifiedTargets'
 
 export interface ItemRunnerRules extends ItemVersionRules {
   /** Share of each service's slots that batch items leave free for live requests. */
@@ -89,6 +90,7 @@
   const pace = createItemTimeEstimator()
   const finder = createReadyItemFinder({ ...options, pace })
   const evidence = createRunEvidence(options)
+  const unidentified = createUnidentifiedTargets({ ...options, running })
   const { yieldItems, yieldExcessItems } = createItemYielder({ ...options, running, computeRank: finder.computeRank })
   // Nothing more comes over connections that hang: their items need not wait until that shows.
   options.paths.onLost(() => {
@@ -119,13 +121,18 @@
   /** Lists the items whose run moves once another target of a service that the route still names has room. */
   function findSilentItems (table: RouteTable): StartableItem[] {
     const silent = [...running].filter(({ isSilent, stop }) => isSilent && !stop.signal.aborted)
-    const excluded = new Set(silent.map(({ target }) => target))
+    const silentTargets = silent.map(({ target }) => target)
     return silent.flatMap((run) => {
       const { owned, itemId, progress, service } = run.ready
       if (!options.mayStart(owned)) return []
       const route = table.findRoute(owned.record().host, owned.findItem(itemId)?.path ?? '')
       if (route?.services.some((one) => one.service === service && one.weight > 0) !== true) return []
       const dueAt = finder.computeRank(owned, progress)
+      // A run that may go on is not given up for a probe.
+      const probed = loads.getLoads(service)
+        .filter(({ target }) => unidentified.countProbes(target) !== undefined)
+        .map(({ target }) => target.id)
+      const excluded = new Set([...silentTargets, ...probed])
       return [{ ...run.ready, route, dueAt, version: findNeededVersion(progress), excluded, run }]
     })
   }
@@ -178,6 +185,7 @@
       isSuspect,
       isFresh,
       isSilent: silent.has(target.id),
+      probes: unidentified.countProbes(target),
       allowance
     }
   }
@@ -210,6 +218,7 @@
       item: itemId,
       target: target.id,
       version: target.version,
+      isProbe: unidentified.countProbes(target) !== undefined,
       lastEvent: progress.lastEventId,
       epoch: owned.record().epoch,
       recordAgeMs: Math.round(clock.now() - owned.confirmedAt()),
@@ -248,6 +257,7 @@
       onStarted: () => {
         entry.hasStarted = true
         startedAt = clock.now()
+        unidentified.recordAnswer(entry)
       },
       onSilent: () => {
         entry.isSilent = true
@@ -264,6 +274,7 @@
       running.delete(entry)
       if (startedAt !== undefined) pace.recordRun((progress.lastEventId ?? 0) - firstEvent, clock.now() - startedAt)
       if (end.type === 'completed') pace.recordCompletion(progress.lastEventId ?? 0)
+      if (end.type === 'refused' && end.reason === 'unknownProcess') unidentified.recordRefusal(entry)
       evidence.recordEnd(entry, end, (progress.lastEventId ?? 0) - firstEvent)
       progress.target = undefined
       progress.interrupt = undefined
