Learn from late states how long a process lists runs that are over

Cause: a run that is missing from a state counted as one that is never listed late, however late the state came. After one such state an end whose run was still listed was given 30 ms only. A state without a list counted, too. Change: the shortest time from an end to a state without its run is kept, and a run may be listed for that long.

--- a/packages/pimentoplank/src/relay/decisions/answerEnds.feature
+++ b/packages/pimentoplank/src/relay/decisions/answerEnds.feature
@@ -17,6 +17,25 @@
       | 5        | 5    | 10    | 3    | 1      | may    | 500 |
       | 5        | 4    | 10    | 3    | 0      | may    | any |
 
+  # Guards against whole answers that are marked as cut since their process lists each run for longer than was thought.
+  Scenario Outline: A run is listed for no longer than states that came late have shown
+    Given states told <first>, 170 and 220 ms after the ends of whole answers that their runs were gone
+    And a new run of which 5 events were received, the last one 10 ms before its end
+    When its process lists it with 5 events
+    Then more events may, and it may be listed for <ms> ms
+
+    Examples:
+      | first | ms  |
+      | 4     | 44  |
+      | 120   | 160 |
+      | 170   | 210 |
+
+  Scenario: A list that was always late says nothing of how long runs are listed
+    Given states told 500, 600 and 700 ms after the ends of whole answers that their runs were gone
+    And a new run of which 5 events were received, the last one 10 ms before its end
+    When its process lists it with 5 events
+    Then more events may, and it may be listed for 500 ms
+
   Scenario: A run that goes on says nothing by being listed, but by the events that it has made
     Given a run that went on after event 3 and received 2 events
     When its process lists it with 5 events
--- a/packages/pimentoplank/src/relay/decisions/answerEnds.steps.ts
+++ b/packages/pimentoplank/src/relay/decisions/answerEnds.steps.ts
@@ -3,7 +3,7 @@
 import type { SendFailureReason } from '../exchange'
 import type { ProcessRun } from '../model'
 import {
-  addOpenEnd, computeListedMs, computeRestBackoff, hasMadeMore, isBusyRefusal, isEndProven,
+  addListedRun, addOpenEnd, computeListedMs, computeRestBackoff, hasMadeMore, isBusyRefusal, isEndProven,
   type AnswerEnd, type ListHistory, type OpenEnds
 } from '.'
 
@@ -31,7 +31,14 @@
 Given('its process has listed {int} whole answers no longer, and {int} still, as they ended', function (
   this: EndsWorld, gone: number, listed: number
 ) {
-  this.history = { gone, listed }
+  this.history = { gone, listed, goneAfterMs: 0 }
+})
+
+Given('states told {int}, {int} and {int} ms after the ends of whole answers that their runs were gone', function (
+  this: EndsWorld, first: number, second: number, third: number
+) {
+  const none: ListHistory = { gone: 0, listed: 0, goneAfterMs: Infinity }
+  this.history = [first, second, third].reduce((before, afterMs) => addListedRun(before, false, afterMs), none)
 })
 
 Given('a plain answer', function (this: EndsWorld) {
@@ -46,7 +53,7 @@
   this: EndsWorld, follow: string, ms: string
 ) {
   assert.equal(hasMadeMore(this.run, this.end), follow === 'follow')
-  assert.equal(computeListedMs(this.run, this.end, this.history ?? { gone: 1, listed: 0 }), ms === 'any' ? undefined : Number(ms))
+  assert.equal(computeListedMs(this.run, this.end, this.history ?? { gone: 1, listed: 0, goneAfterMs: 0 }), ms === 'any' ? undefined : Number(ms))
 })
 
 Then(/^after the ends "(.*)" it is (known|not known) that no event follows$/, function (text: string, known: string) {
--- a/packages/pimentoplank/src/relay/decisions/answerEnds.ts
+++ b/packages/pimentoplank/src/relay/decisions/answerEnds.ts
@@ -33,6 +33,8 @@
   gone: number
   /** Number of them that were still listed. */
   listed: number
+  /** Shortest time from such an end to a state in which the run was gone, in milliseconds. */
+  goneAfterMs: number
 }
 
 /**
@@ -43,11 +45,24 @@
  * @returns milliseconds; undefined if the listed run says nothing against the end
  */
 export function computeListedMs (
-  run: ProcessRun | undefined, end: AnswerEnd, { gone, listed }: ListHistory
+  run: ProcessRun | undefined, end: AnswerEnd, { gone, listed, goneAfterMs }: ListHistory
 ): number | undefined {
   if (!hasMadeAll(run, end)) return undefined
-  const isPrompt = end.events !== undefined && gone > 0 && listed === 0
-  return isPrompt ? Math.min(end.quietMs, MAX_STATE_AGE_MS) + LISTED_MARGIN_MS : MAX_STATE_AGE_MS
+  const isPrompt = end.events !== undefined && gone > 0 && listed === 0 && goneAfterMs < MAX_STATE_AGE_MS
+  return isPrompt ? Math.min(end.quietMs, MAX_STATE_AGE_MS) + goneAfterMs + LISTED_MARGIN_MS : MAX_STATE_AGE_MS
+}
+
+/**
+ * Adds what the end of a whole answer shows.
+ *
+ * @param isListed - true if its run was still listed
+ * @param afterMs - time from the end to the state that told so, in milliseconds; a run that is listed for less is gone
+ */
+export function addListedRun (
+  { gone, listed, goneAfterMs }: ListHistory, isListed: boolean, afterMs: number
+): ListHistory {
+  if (isListed) return { gone, listed: listed + 1, goneAfterMs }
+  return { gone: gone + 1, listed, goneAfterMs: Math.min(goneAfterMs, afterMs) }
 }
 
 /** True if the run is listed with as many events as were received, as if it had not ended. */
--- a/packages/pimentoplank/src/relay/decisions/index.ts
+++ b/packages/pimentoplank/src/relay/decisions/index.ts
@@ -8,7 +8,7 @@
   countExcess, countRoom, chooseStarts, choosePreempted, rankItem,
   type BatchCandidate, type BatchScheduleInput, type BatchStart, type ExcessInput, type RunningItem, type WaitingItem
 } from './batchScheduling'
-export { computeListedMs, hasMadeAll, hasMadeMore, type AnswerEnd, type ListHistory } from './answerEnds'
+export { addListedRun, computeListedMs, hasMadeAll, hasMadeMore, type AnswerEnd, type ListHistory } from './answerEnds'
 export {
   addOpenEnd, computeRestBackoff, hasOrderlyEnd, isBusyRefusal, isEndProven, MAX_REST_REFUSALS, REST_WAIT_MS,
   type OpenEnds
--- a/packages/pimentoplank/src/relay/exchange/endCheck.ts
+++ b/packages/pimentoplank/src/relay/exchange/endCheck.ts
@@ -1,7 +1,7 @@
 /** Checks at the end of the connection of an unframed answer whether the answer is whole. */
 import { LRUCache } from 'lru-cache'
 import type { Clock, Log, Metrics } from '../../shared'
-import { computeListedMs, hasMadeAll, hasMadeMore, type AnswerEnd, type ListHistory } from '../decisions'
+import { addListedRun, computeListedMs, hasMadeAll, hasMadeMore, type AnswerEnd, type ListHistory } from '../decisions'
 import type { ProcessRun, ProcessState, TargetProtocol, TargetRequest } from '../model'
 import { confirmProcess } from './confirmProcess'
 import type { TargetConnection, TargetConnectionPool } from './connectionPool'
@@ -21,6 +21,13 @@
   canAskForRest: boolean
 }
 
+/** What the state of the process told after the end of an answer. */
+interface SeenEnd {
+  isListed: boolean
+  /** Time from the end to the state, in milliseconds. */
+  afterMs: number
+}
+
 /** Returns why the answer may not be whole; undefined if nothing speaks against it. */
 export type EndCheck = (
   sent: TargetRequest, connection: TargetConnection, received: ReceivedAnswer, signal: AbortSignal
@@ -32,7 +39,7 @@
 /** Maximum of processes whose lists are known, and of ends of which it may still be learned whether they were whole. */
 const MAX_HISTORIES = 1000
 const MAX_OPEN_ENDS = 1000
-const NO_HISTORY: ListHistory = { gone: 0, listed: 0 }
+const NO_HISTORY: ListHistory = { gone: 0, listed: 0, goneAfterMs: Infinity }
 
 type Verdict = 'whole' | 'otherProcess' | 'madeMore' | 'stillRuns' | 'droppedTogether' | 'restUnknown'
 
@@ -55,17 +62,16 @@
   /** By address and start of the process. */
   const histories = new LRUCache<string, ListHistory>({ max: MAX_HISTORIES })
   /** Ends after which more may follow, by process and request: true if the run was still listed. */
-  const openEnds = new LRUCache<string, boolean>({ max: MAX_OPEN_ENDS })
+  const openEnds = new LRUCache<string, SeenEnd>({ max: MAX_OPEN_ENDS })
 
   /** A run that goes on and ends without an event shows that the answer before it was whole. */
-  function learn (process: string, requestId: string, received: ReceivedAnswer, run: ProcessRun | undefined): void {
+  function learn (process: string, requestId: string, received: ReceivedAnswer, seen: SeenEnd): void {
     const key = `${process} ${requestId}`
-    if (received.canAskForRest) openEnds.set(key, hasMadeAll(run, received))
-    const wasListed = received.isResumed && received.events === 0 ? openEnds.get(key) : undefined
-    if (wasListed === undefined) return
+    if (received.canAskForRest) openEnds.set(key, seen)
+    const end = received.isResumed && received.events === 0 ? openEnds.get(key) : undefined
+    if (end === undefined) return
     openEnds.delete(key)
-    const { gone, listed } = histories.get(process) ?? NO_HISTORY
-    histories.set(process, wasListed ? { gone, listed: listed + 1 } : { gone: gone + 1, listed })
+    histories.set(process, addListedRun(histories.get(process) ?? NO_HISTORY, end.isListed, end.afterMs))
   }
 
   return async ({ request, target }, connection, received, signal) => {
@@ -102,7 +108,10 @@
 
     const state = await askState()
     const process = `${address} ${state?.startedAt}`
-    if (state !== undefined) learn(process, request.id, received, findRun(state))
+    if (state?.runs !== undefined) {
+      const isListed = hasMadeAll(findRun(state), received)
+      learn(process, request.id, received, { isListed, afterMs: clock.now() - endedAt })
+    }
     const verdict = await check(state)
     metrics.count(verdict === 'otherProcess' ? 'targets.endsUnconfirmed' : 'targets.endsConfirmed')
     if (verdict !== 'whole') metrics.count(`targets.ends.${verdict}`)
