Report a close without an end to the client as an error

Cause: the client pauses its parser while a part of an unframed body is unread. A reset by this instance (its deadline passed, the caller left) closes the socket without an error, which the client takes for the end of the body; it asserts that it isn't paused, in an event of the socket, and the process ends. Evidence: the log of front-1 ends with that assertion, 15 ms after the deadline of an answer of 170 MB. Change: a close of a target's connection without an end or an error is reported as an error before the client sees it.

--- a/packages/pimentoplank/src/relay/exchange/connectionPool.ts
+++ b/packages/pimentoplank/src/relay/exchange/connectionPool.ts
@@ -105,8 +105,9 @@
       keepAliveMaxTimeout: settings.idleTimeoutMs,
       connect: (_options, done) => {
         opening.then((opened) => {
-          if (opened.isOk()) done(null, opened.value.socket as Socket)
-          else done(opened.error, null)
+          if (opened.isErr()) return done(opened.error, null)
+          failOnClose(opened.value.socket)
+          done(null, opened.value.socket as Socket)
         }).catch((cause: Error) => done(cause, null))
       }
     })
@@ -241,3 +242,13 @@
     close: () => { for (const connection of [...connections.keys()]) closeConnection(connection) }
   }
 }
+
+/**
+ * Reports a close without an end or an error as an error. The client would take it for the end of an unframed body, and
+ * ends the process by an assertion if it holds a part of that back.
+ */
+function failOnClose (socket: Duplex): void {
+  socket.prependOnceListener('close', () => {
+    if (!socket.readableEnded && socket.errored === null) socket.emit('error', new Error('the connection was closed'))
+  })
+}
--- a/packages/pimentoplank/src/relay/exchange/exchange.feature
+++ b/packages/pimentoplank/src/relay/exchange/exchange.feature
@@ -47,3 +47,10 @@
     When request "late" with a body of 300000 bytes is sent, and aborted 200 ms later
     And the target reads what has come 100 ms later
     Then the target finds the connection reset, and request "late" incomplete
+
+  # Guards against processes that end as a connection is closed of whose unframed answer the client holds a part back.
+  Scenario: An unframed answer of which most is unread as it is given up breaks off
+    Given a target that answers request "first" with status 200
+    When request "long" is answered with 16 MB without a length, and given up 200 ms later
+    Then the answer to request "long" breaks off when it is read
+    And request "second" is answered on another connection
--- a/packages/pimentoplank/src/relay/exchange/exchange.steps.ts
+++ b/packages/pimentoplank/src/relay/exchange/exchange.steps.ts
@@ -36,6 +36,7 @@
 const STATUS_OK = 200
 const STATUS_MISDIRECTED = 421
 const STEP_TIMEOUT_MS = 30_000
+const MB_BYTES = 1024 * 1024
 
 const protocol: TargetProtocol = {
   encodeHeaders: ({ request }) => ['Request', request.id],
@@ -237,3 +238,23 @@
   assert.ok(this.receivedBytes < this.bodyBytes, `${this.receivedBytes} bytes of a body of ${this.bodyBytes} arrived`)
   assert.equal(this.ending, 'reset')
 })
+
+When('request {string} is answered with {int} MB without a length, and given up {int} ms later', async function (
+  this: ExchangeWorld, id: string, size: number, ms: number
+) {
+  this.repeated = `HTTP/1.1 200 Answer\r\nRequest: ${id}${HEAD_END}${'x'.repeat(size * MB_BYTES)}`
+  const request = { id, host: 'h', method: 'POST', path: '/', headers: [], body: new Uint8Array() }
+  this.last = await this.lateExchange.send({ request, target: this.lateTarget }, new AbortController().signal)
+  await pause(ms)
+  this.last._unsafeUnwrap().close()
+  await pause(ms)
+})
+
+Then('the answer to request {string} breaks off when it is read', async function (this: ExchangeWorld, _id: string) {
+  const answer = this.last._unsafeUnwrap()
+  for (;;) {
+    const next = await answer.read()
+    if (next.isErr()) return assert.equal(next.error.reason, 'broken')
+    assert.ok(next.value !== undefined, 'it ended')
+  }
+})
