--- a/packages/soak/src/soakFleet.ts
+++ b/packages/soak/src/soakFleet.ts
@@ -168,7 +168,8 @@
     child.once('exit', (code, signal) => {
       life.to = Date.now()
       if (isClosed || instance.child !== child) return
-      const isPlanned = instance.stoppedAt !== undefined || signal === 'SIGKILL'
+      const hasFailed = code !== null && code !== 0
+      const isPlanned = (instance.stoppedAt !== undefined && !hasFailed) || signal === 'SIGKILL'
       if (!isPlanned) instance.crashes.push(`${instance.id} exited unexpectedly: ${code ?? signal}`)
       if (!instance.isHeld) setTimeout(() => restart(instance), RESTART_DELAY_MS)
     })
