Play callers that come back at once, which shows streams of two versions

Callers saw one stream with events of two software versions: they left after the first event and took the stream up at once at another instance, which went on at the version of the first target of the stream, not at that which had sent the event.

The play runs seven instances as processes beside four targets of each of two versions; 40 in 100 first runs are mute, so that their streams move after some 180 ms. Each stream is left after one event and taken up at once elsewhere; in two variants the instance that began it is killed or frozen at that moment, for every 30th stream.

--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -8,3 +8,4 @@
 export { EVENTS_PER_RESPONSE, findStreamViolations, type SeenTarget } from './streamChecks'
 export { playStandstill, type StandstillOutcome } from './standstill'
 export { playOrderlyEnds, type EndsOutcome, type EndsVariant } from './orderlyEnds'
+export { playTakeUps, type OwnerFault, type TakeUpsOptions, type TakeUpsOutcome } from './takeUps'
--- a/packages/soak/src/liveRequests.ts
+++ b/packages/soak/src/liveRequests.ts
@@ -33,6 +33,8 @@
   kind: LiveKind
   /** Number of events after which the caller leaves its first answer; undefined if it stays. */
   leavesAfter?: number
+  /** Called as the caller leaves. */
+  onLeave?: (instance: SoakInstance) => void
   createPrompt: (id: string) => Record<string, string>
   pickInstance: () => SoakInstance | undefined
   /** Picks an instance other than the one of the last attempt, if there is one. */
@@ -88,7 +90,7 @@
 }
 
 async function sendAttempt (
-  { id: request, kind, leavesAfter, createPrompt, getAgent }: LiveRequest,
+  { id: request, kind, leavesAfter, onLeave, createPrompt, getAgent }: LiveRequest,
   { count, instance, from, resumes }: { count: number, instance: SoakInstance, from: number, resumes?: string }
 ): Promise<Attempt> {
   const id = `${request}a${count}`
@@ -104,6 +106,7 @@
     agent: count === 0 ? getAgent(instance) : undefined,
     shouldLeave: (body) => {
       hasLeft = from === 0 && leavesAfter !== undefined && readEvents(body).length >= leavesAfter
+      if (hasLeft) onLeave?.(instance)
       return hasLeft
     }
   }).catch(() => undefined)
