Tell peers of a stream as it begins, not where it was placed

Callers who left a stream after its first event and took it up at once at another instance got events of two software versions: the stream went on at the version of the first target, which had been mute, not at that which had sent the event.

Cause: an instance told its peers of each placement, within some 10 ms. The class: a record that may still change is passed on as a fact.

Now a stream is bound to its version once, as its first event is about to be delivered, by the instance that delivers it, and only that is told: first as a datagram to two instances of each failure domain, those that others ask, and the event leaves after it; then, as before, with load updates and reports. What was heard can't change any more, so that doubt, disagreement between peers and the record of missed reports are gone. Unknown may become known, nothing else.

Reports and answers of older versions still tell placements. They say nothing of a version here; they tell which process placed the stream, and that one is asked, as its own record is final once the caller has the first event. Older versions read the new reports as before, which tell them less, but nothing that may change, and ignore the new datagram.

Cost: a datagram to six peers for each resumable stream.

--- a/packages/pimentoplank/features/support/emptyReport.ts
+++ b/packages/pimentoplank/features/support/emptyReport.ts
@@ -20,6 +20,7 @@
     isCutOff: false,
     limits: [],
     streams: [],
+    areStreamsBegun: true,
     leaving: [],
     configRevision: 1,
     openJobs: new Map(),
--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -226,14 +226,15 @@
     gossip.reportLoadChange()
     scheduleDispatch()
   })
-  gossip.onReport((report, before) => {
+  gossip.onReport((report) => {
     for (const { job, ...ownership } of report.jobs) jobRegistry.update(job, ownership, 'peer')
     crashes.merge(report)
     limits.merge(report.limits)
     targets.mergeLeaving(report.leaving)
-    streamVersions.mergeReport(report, before)
+    streamVersions.mergeReport(report)
     scheduleDispatch()
   })
+  gossip.onBegunStream((notice) => streamVersions.merge(notice, 'heard'))
   gossip.onPeerLost(({ report }) => {
     jobReconciler.recordLoss()
     jobManager.takeOverFrom(report.instance).catch((cause: unknown) => log.error({ cause: describeCause(cause) }, 'jobs of a lost peer could not be taken over'))
--- a/packages/pimentoplank/src/relay/createRequestHandling.ts
+++ b/packages/pimentoplank/src/relay/createRequestHandling.ts
@@ -9,7 +9,7 @@
 import type { RouteTable } from './routing'
 import { RELAY_RULES } from './rules'
 import type { RelaySettings } from './settings'
-import { createStreamVersionFinder, type ServiceVersions, type StreamVersions } from './streams'
+import { createStreamBinder, createStreamVersionFinder, type ServiceVersions, type StreamVersions } from './streams'
 
 export interface RequestHandlingOptions {
   instance: RelaySettings['instance']
@@ -67,7 +67,7 @@
       loads,
       paths,
       silenceDetector: createSilenceDetector(clock),
-      streamVersions,
+      streamBinder: createStreamBinder({ streamVersions, gossip }),
       streamVersionFinder: createStreamVersionFinder({
         streamVersions,
         peers: gossip.peers,
--- a/packages/pimentoplank/src/relay/decisions/index.ts
+++ b/packages/pimentoplank/src/relay/decisions/index.ts
@@ -29,8 +29,8 @@
 export { computeReadAfterLossMs, computeRecordReadMs, computeTakeOverAt, type Absence } from './takeOver'
 export { computeSuspicion, type FailureRecord, type Suspicion, type SuspicionRules } from './suspicion'
 export {
-  findOnlyVersion, findPlacedVersion, FORGET_VERSION_MS, hasMissedReports, listResumeCandidates,
-  type PlacedProcess, type ReportNumber, type ResumeCandidate, type ResumeInput, type VersionHistory
+  chooseKeepers, findOnlyVersion, findPlacedVersion, FORGET_VERSION_MS, listResumeCandidates,
+  type PlacedProcess, type ResumeCandidate, type ResumeInput, type VersionHistory
 } from './streamVersions'
 export {
   addPathFailure, ANSWERING_MS, chooseChecks, choosePathPeer, decideReach, hasAnsweredPeersThrough,
--- a/packages/pimentoplank/src/relay/decisions/streamVersions.ts
+++ b/packages/pimentoplank/src/relay/decisions/streamVersions.ts
@@ -2,11 +2,13 @@
  * Software versions of streams: at which version a stream that has delivered events may go on.
  *
  * Load pattern: targets of several software versions serve side by side, and what two of them write does not fit
- * together. Streams break, callers take them up at other instances, and targets come back at another version under
- * their old id while peers and the platform still list the version before, for seconds if the platform is away. All
- * instances may be killed at once, and callers take up streams that began before, however late they come.
+ * together. Streams move from mute targets to others before their first event, and callers take them up at other
+ * instances within a millisecond of it, also when the instance that began them is gone. Targets come back at another
+ * version under their old id while peers and the platform still list the version before, for seconds if the platform is
+ * away. All instances may be killed at once, and callers take up streams that began before, however late they come.
  */
-import { HOUR_MS } from '../../shared'
+import { HOUR_MS, rankByRendezvous } from '../../shared'
+import type { PeerView } from '../gossip'
 import type { Target } from '../model'
 
 /** Which software versions a service has had. */
@@ -40,24 +42,22 @@
   return recent.length === 1 ? recent[0] : undefined
 }
 
-/** Reports of a peer that may be missed in a row, since those after them tell again where streams were placed. */
-const MAX_MISSED_REPORTS = 3
-
-/** Number of a report in the order in which a process sent it. */
-export interface ReportNumber {
-  incarnation: number
-  sequence: number
-}
+/** Instances of each failure domain that are told of a stream as it begins, and asked when it is taken up. */
+const KEEPERS_PER_DOMAIN = 2
 
 /**
- * True if so many reports of a peer were missed that some may have told where a stream was placed anew. A process that
- * stands still for a second loses those that don't fit into the buffer of its socket.
+ * Chooses the peers that know at which version a stream began. The one that begins it and the one where it is taken up
+ * come to the same peers if they know the same ones, apart from themselves.
  *
- * @param before - the report before; undefined if the peer was not known or had been silent
+ * @param attempt - hash of the id of the attempt that brings the first event
  */
-export function hasMissedReports (report: ReportNumber, before: ReportNumber | undefined): boolean {
-  if (before?.incarnation !== report.incarnation) return true
-  return report.sequence - before.sequence > MAX_MISSED_REPORTS + 1
+export function chooseKeepers (attempt: bigint, peers: readonly PeerView[]): PeerView[] {
+  const started = peers.filter(({ report }) => report.stage !== 'starting')
+  const domains = new Set(started.map(({ report }) => report.failureDomain))
+  return [...domains].flatMap((domain) => {
+    const members = started.filter(({ report }) => report.failureDomain === domain)
+    return rankByRendezvous(String(attempt), members, ({ report }) => report.instance).slice(0, KEEPERS_PER_DOMAIN)
+  })
 }
 
 /** Target at which a stream may go on. */
@@ -90,7 +90,7 @@
   return hasOnlyFailed ? matching : matching.filter(({ id }) => !excluded.has(id))
 }
 
-/** Where a stream was placed. */
+/** Process that a stream runs at. */
 export interface PlacedProcess {
   /** Id of the target. */
   target: string
--- a/packages/pimentoplank/src/relay/gossip/datagrams.feature
+++ b/packages/pimentoplank/src/relay/gossip/datagrams.feature
@@ -26,3 +26,18 @@
       | datagram    |
       | report      |
       | load update |
+
+  Scenario Outline: A <datagram> tells that streams have begun, one of an older version that they were placed
+    When an instance sends a <datagram> with a stream
+    Then the receiver knows that the stream has begun
+    When an instance of an older version sends a <datagram> with a stream
+    Then the receiver knows that the stream was placed
+
+    Examples:
+      | datagram    |
+      | report      |
+      | load update |
+
+  Scenario: A datagram tells of one stream that begins, which older versions can't read
+    When an instance sends that a stream begins
+    Then the receiver knows its version and how long to keep it
--- a/packages/pimentoplank/src/relay/gossip/datagrams.steps.ts
+++ b/packages/pimentoplank/src/relay/gossip/datagrams.steps.ts
@@ -3,8 +3,10 @@
 import { Given, Then, When } from '@cucumber/cucumber'
 import { createEmptyReport } from '../../../features/support/emptyReport'
 import { DatagramSchema, type Datagram } from '../../shared'
-import { decodeDatagram, encodeDigest, encodeLoad, encodeReport, type DatagramContent } from './datagrams'
-import type { Report, TargetUse } from './types'
+import {
+  decodeDatagram, encodeBegunStream, encodeDigest, encodeLoad, encodeReport, type DatagramContent
+} from './datagrams'
+import type { Report, StreamNotice, TargetUse } from './types'
 
 interface DatagramsWorld {
   uses: Map<number, TargetUse>
@@ -15,6 +17,7 @@
 const IDLE = 2
 const UNREACHED = 3
 const FAILED = 4
+const STREAM: StreamNotice = { attempt: 17n, version: 'v1', keepUntil: 5000 }
 
 function createReport (uses: Report['uses']): Report {
   return createEmptyReport({
@@ -36,14 +39,14 @@
 }
 
 /** Takes out what older versions don't send. */
-function removeReach (bytes: Uint8Array): Uint8Array {
+function removeNews (bytes: Uint8Array): Uint8Array {
   const datagram: Datagram = fromBinary(DatagramSchema, bytes)
   const { content } = datagram
   if (content.case === 'report') {
-    Object.assign(content.value, { unreached: [], cutOff: false })
+    Object.assign(content.value, { unreached: [], cutOff: false, streamsBegun: false })
     for (const use of content.value.uses) use.answering = false
   }
-  if (content.case === 'load') Object.assign(content.value, { unreached: [], cutOff: false, answering: [] })
+  if (content.case === 'load') Object.assign(content.value, { unreached: [], cutOff: false, answering: [], streamsBegun: false })
   return toBinary(DatagramSchema, datagram)
 }
 
@@ -72,7 +75,7 @@
 })
 
 When(/^an instance of an older version sends a (report|load update)$/, function (this: DatagramsWorld, datagram: string) {
-  this.received = decodeDatagram(removeReach(encoders[datagram]!(this.uses)), 0)!
+  this.received = decodeDatagram(removeNews(encoders[datagram]!(this.uses)), 0)!
 })
 
 Then('the receiver knows which target answers', function (this: DatagramsWorld) {
@@ -100,3 +103,30 @@
   assert.equal(unreached.size, 0)
   assert.equal(isCutOff, false)
 })
+
+When(/^an instance (of an older version )?sends a (report|load update) with a stream$/, function (
+  this: DatagramsWorld, older: string | null, datagram: string
+) {
+  const report = { ...createReport(new Map()), streams: [STREAM] }
+  const bytes = datagram === 'report' ? encodeReport(report, 0) : encodeLoad({ ...report, instance: 1 }, 0)
+  this.received = decodeDatagram(older === null ? bytes : removeNews(bytes), 0)!
+})
+
+function getReceivedStreams ({ received }: DatagramsWorld): Pick<Report, 'streams' | 'areStreamsBegun'> {
+  assert.ok(received.type === 'report' || received.type === 'load')
+  return received.type === 'report' ? received.report : received.load
+}
+
+Then(/^the receiver knows that the stream (has begun|was placed)$/, function (this: DatagramsWorld, state: string) {
+  const { streams, areStreamsBegun } = getReceivedStreams(this)
+  assert.deepEqual([...streams], [STREAM])
+  assert.equal(areStreamsBegun, state === 'has begun')
+})
+
+When('an instance sends that a stream begins', function (this: DatagramsWorld) {
+  this.received = decodeDatagram(encodeBegunStream(STREAM, 0), 1000)!
+})
+
+Then('the receiver knows its version and how long to keep it', function (this: DatagramsWorld) {
+  assert.deepEqual(this.received, { type: 'begunStream', streams: [{ ...STREAM, keepUntil: 6000 }] })
+})
--- a/packages/pimentoplank/src/relay/gossip/datagrams.ts
+++ b/packages/pimentoplank/src/relay/gossip/datagrams.ts
@@ -35,6 +35,7 @@
     unreached: [...report.unreached],
     cutOff: report.isCutOff,
     streams: encodeStreams(report.streams, now),
+    streamsBegun: report.areStreamsBegun,
     leavingTargets: report.leaving.map(({ target, startedAt, at }) => ({
       target, startedAt: startedAt === undefined ? undefined : BigInt(startedAt), ageMs: toAgeMs(at, now)
     })),
@@ -100,7 +101,8 @@
     answering: encodeAnswering(uses),
     unreached: [...load.unreached],
     cutOff: load.isCutOff,
-    streams: encodeStreams(load.streams, now)
+    streams: encodeStreams(load.streams, now),
+    streamsBegun: load.areStreamsBegun
   })
   return toBinary(DatagramSchema, create(DatagramSchema, { content: { case: 'load', value: message } }))
 }
@@ -142,6 +144,12 @@
   return toBinary(DatagramSchema, create(DatagramSchema, { content: { case: 'yield', value: message } }))
 }
 
+/** Encodes that a stream begins. */
+export function encodeBegunStream (notice: StreamNotice, now: number): Uint8Array {
+  const [value] = encodeStreams([notice], now)
+  return toBinary(DatagramSchema, create(DatagramSchema, { content: { case: 'begunStream', value: value! } }))
+}
+
 /** Update of the load in a full report that was sent before; a receiver without that report ignores it. */
 export interface LoadUpdate {
   /** Hash of the instance's id. */
@@ -155,6 +163,7 @@
   unreached: ReadonlySet<number>
   isCutOff: boolean
   streams: readonly StreamNotice[]
+  areStreamsBegun: boolean
 }
 
 export type DatagramContent =
@@ -162,6 +171,7 @@
   | { type: 'report', report: Report }
   | { type: 'digest', digest: DomainUses }
   | { type: 'yield', target: number, count: number }
+  | { type: 'begunStream', streams: readonly StreamNotice[] }
 
 /** Decodes a datagram; returns undefined for bytes that are not a valid one. */
 export function decodeDatagram (bytes: Uint8Array, now: number): DatagramContent | undefined {
@@ -177,6 +187,7 @@
     const { failureDomain, ...uses } = content.value
     return { type: 'digest', digest: { failureDomain, uses: decodeUses(uses) } }
   }
+  if (content.case === 'begunStream') return { type: 'begunStream', streams: decodeStreams([content.value], now) }
   if (content.case === 'load') return { type: 'load', load: decodeLoad(content.value, now) }
   if (content.case !== 'report') return undefined
   const { uses, waiting, suspects, jobs, openJobs, ...rest } = content.value
@@ -204,6 +215,7 @@
       crashingParts: rest.crashingParts.map(({ parts, ageMs }) => ({ parts, at: now - ageMs })),
       limits: rest.targetLimits.map(({ target, perSecond, ageMs }) => ({ target, perSecond, at: now - ageMs })),
       streams: decodeStreams(rest.streams, now),
+      areStreamsBegun: rest.streamsBegun,
       leaving: rest.leavingTargets.map(({ target, startedAt, ageMs }) => ({
         target, startedAt: startedAt === undefined ? undefined : Number(startedAt), at: now - ageMs
       })),
@@ -215,7 +227,7 @@
 }
 
 function decodeLoad (change: LoadChange, now: number): LoadUpdate {
-  const { instance, incarnation, sequence, waiting, suspects, unreached, cutOff, streams } = change
+  const { instance, incarnation, sequence, waiting, suspects, unreached, cutOff, streams, streamsBegun } = change
   return {
     instance,
     incarnation,
@@ -225,7 +237,8 @@
     suspects: new Set(suspects),
     unreached: new Set(unreached),
     isCutOff: cutOff,
-    streams: decodeStreams(streams, now)
+    streams: decodeStreams(streams, now),
+    areStreamsBegun: streamsBegun
   }
 }
 
--- a/packages/pimentoplank/src/relay/gossip/gossip.ts
+++ b/packages/pimentoplank/src/relay/gossip/gossip.ts
@@ -3,12 +3,12 @@
 import { ResultAsync } from 'neverthrow'
 import { describeCause, hash32, rankByRendezvous, type Clock, type Log, type Metrics, type Random } from '../../shared'
 import {
-  decodeDatagram, encodeDigest, encodeLoad, encodeReport, encodeYield, getLowBits,
+  decodeDatagram, encodeBegunStream, encodeDigest, encodeLoad, encodeReport, encodeYield, getLowBits,
   type DomainUses, type LoadUpdate, type DatagramContent
 } from './datagrams'
 import type { GossipTimings, GossipSettings } from './gossipSettings'
 import { createPeerCandidates } from './peerCandidates'
-import type { CrashReport, PeerView, Report } from './types'
+import type { CrashReport, PeerView, Report, StreamNotice } from './types'
 
 /** Part of a full report that the instance provides. */
 export type OwnReport = Pick<
@@ -17,7 +17,9 @@
 >
 
 /** Part of a report that changes with each request. */
-export type OwnLoad = Pick<Report, 'uses' | 'waiting' | 'suspects' | 'unreached' | 'isCutOff' | 'streams'>
+export type OwnLoad = Pick<
+  Report, 'uses' | 'waiting' | 'suspects' | 'unreached' | 'isCutOff' | 'streams' | 'areStreamsBegun'
+>
 
 /** Use of targets as reported to instances of other failure domains. */
 export interface FarUses {
@@ -66,12 +68,16 @@
   reportNow: () => void
   /** Requests that an instance withdraw batch items from a target, which is given as the hash of its id. */
   askToYield: (instance: string, target: number, count: number) => void
+  /** Tells peers that a stream begins; resolves when the datagrams have left, or after a time. */
+  tellBegunStream: (notice: StreamNotice, peers: readonly PeerView[]) => Promise<void>
   /** Adds the address of a possible peer. */
   addCandidate: (address: string) => void
   /** Calls the listener after each report or load update of a peer, with the previous report. */
   onReport: (listener: (report: Report, before: Report | undefined) => void) => void
   /** Calls the listener with each digest of another failure domain. */
   onDigest: (listener: (digest: DomainUses) => void) => void
+  /** Calls the listener with streams that begin at a peer. */
+  onBegunStream: (listener: (notice: StreamNotice) => void) => void
   /** Calls the listener when a peer is declared lost. */
   onPeerLost: (listener: (peer: PeerView) => void) => void
   close: () => Promise<void>
@@ -79,6 +85,8 @@
 
 /** Number of peer addresses in one report. */
 const KNOWN_PEERS_SENT = 3
+/** Longest wait for the system to take a datagram, in milliseconds. */
+const MAX_SEND_MS = 20
 
 /** Binds the datagram socket; fails if the address is in use. */
 export function startGossip (options: GossipOptions): ResultAsync<Gossip, Error> {
@@ -105,6 +113,7 @@
   const candidates = createPeerCandidates({ self: options.peerAddress, seeds: options.seeds, clock })
   const reportListeners: Array<(report: Report, before: Report | undefined) => void> = []
   const digestListeners: Array<(digest: DomainUses) => void> = []
+  const begunStreamListeners: Array<(notice: StreamNotice) => void> = []
   const lossListeners: Array<(peer: PeerView) => void> = []
   const ownHash = hash32(instance.id)
   let sequence = 0
@@ -125,7 +134,10 @@
     yield: ({ target, count }) => options.onYield(target, count),
     load: ({ load }) => applyLoadUpdate(load),
     digest: ({ digest: receivedDigest }) => digestListeners.forEach((listener) => listener(receivedDigest)),
-    report: ({ report }) => applyReport(report)
+    report: ({ report }) => applyReport(report),
+    begunStream: ({ streams }) => {
+      for (const notice of streams) begunStreamListeners.forEach((listener) => listener(notice))
+    }
   }
 
   function receive (bytes: Uint8Array): void {
@@ -142,8 +154,8 @@
     const report = id === undefined ? undefined : peers.get(id)?.report
     if (id === undefined || report === undefined) return
     if (getLowBits(report.incarnation) !== load.incarnation || load.sequence <= report.sequence) return
-    const { sequence, uses, waiting, suspects, unreached, isCutOff, streams } = load
-    const next = { ...report, sequence, uses, waiting, suspects, unreached, isCutOff, streams }
+    const { sequence, uses, waiting, suspects, unreached, isCutOff, streams, areStreamsBegun } = load
+    const next = { ...report, sequence, uses, waiting, suspects, unreached, isCutOff, streams, areStreamsBegun }
     peers.set(id, { report: next, lastReceivedAt: clock.now() })
     reportListeners.forEach((listener) => listener(next, report))
   }
@@ -277,13 +289,25 @@
     }
   }
 
-  function sendTo (address: string, bytes: Uint8Array): void {
+  function sendTo (address: string, bytes: Uint8Array, onSent?: () => void): void {
     const colon = address.lastIndexOf(':')
     socket.send(bytes, Number(address.slice(colon + 1)), address.slice(0, colon), (cause) => {
       if (cause !== null) metrics.count('gossip.sendErrors')
+      onSent?.()
     })
   }
 
+  async function tellBegunStream (notice: StreamNotice, told: readonly PeerView[]): Promise<void> {
+    if (!isRunning || told.length === 0) return
+    const bytes = encodeBegunStream(notice, clock.now())
+    const sent = Promise.all(told.map(async ({ report }) => await new Promise<void>((resolve) => {
+      sendTo(report.peerAddress, bytes, resolve)
+    })))
+    const over = new AbortController()
+    await Promise.race([sent, clock.sleep(MAX_SEND_MS, over.signal)])
+    over.abort()
+  }
+
   function scheduleReports (ms: number): void {
     clearTimeout(reportTimer)
     reportTimer = setTimeout(() => sendReports(), ms)
@@ -320,9 +344,11 @@
       const peer = peers.get(id)
       if (peer !== undefined) sendTo(peer.report.peerAddress, encodeYield(target, count))
     },
+    tellBegunStream,
     addCandidate: candidates.add,
     onReport: (listener) => { reportListeners.push(listener) },
     onDigest: (listener) => { digestListeners.push(listener) },
+    onBegunStream: (listener) => { begunStreamListeners.push(listener) },
     onPeerLost: (listener) => { lossListeners.push(listener) },
     close: async () => {
       isRunning = false
--- a/packages/pimentoplank/src/relay/gossip/largeFleet.feature
+++ b/packages/pimentoplank/src/relay/gossip/largeFleet.feature
@@ -32,3 +32,7 @@
     And "b1" sees 3 live requests at "ta" within 2000 ms
     And "a1" and "a2" crash
     Then "b1" sees 0 live requests at "ta" within 6000 ms
+
+  Scenario: Far instances hear of a stream that begins, though the instance that began it ends right then
+    When a stream begins at "a1", which tells "a2" and "b1", and ends
+    Then "a2" and "b1" have heard of the stream within 200 ms
--- a/packages/pimentoplank/src/relay/gossip/largeFleet.steps.ts
+++ b/packages/pimentoplank/src/relay/gossip/largeFleet.steps.ts
@@ -4,7 +4,7 @@
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { createMetrics, createSilentLog, createSystemClock, hash32 } from '../../shared'
 import { createPeerUses, type PeerUses } from '../load'
-import { startGossip, type Gossip, type TargetUse } from '.'
+import { startGossip, type Gossip, type PeerView, type TargetUse } from '.'
 
 interface Member {
   gossip: Gossip
@@ -12,6 +12,8 @@
   near: Map<number, TargetUse>
   far: Map<number, TargetUse>
   lost: string[]
+  /** Streams of which it was told as they began. */
+  begun: bigint[]
   address: string
 }
 
@@ -21,10 +23,12 @@
 }
 
 const STEP_TIMEOUT_MS = 15_000
+const HEARD_MS = 5000
 const PACE = { minGapMs: 5, heartbeatMs: 100, silentAfterMs: 400 }
 const SETTINGS = { pace: PACE, paceOfLargeFleet: PACE, farFactor: 4, digestMs: 50 }
 /** The target in failure domain "a". */
 const NEAR_TARGET = hash32('ta')
+const BEGUN = { attempt: 17n, version: 'v1', keepUntil: Infinity }
 let nextPort = 21_000 + process.pid % 20_000
 
 /** Starts a member; tries the next port if one is in use. */
@@ -59,7 +63,8 @@
       suspects: new Set(),
       unreached: new Set(),
       isCutOff: false,
-      streams: []
+      streams: [],
+      areStreamsBegun: true
     }),
     getFarUses: () => ({ own: far, domain: domainUses() }),
     onYield: () => undefined,
@@ -72,6 +77,7 @@
   const gossip = started.value
   const peerUses = createPeerUses([], createSystemClock())
   const lost: string[] = []
+  const begun: bigint[] = []
 
   function domainUses (): Map<number, TargetUse> {
     // Only instances of failure domain "a" report the use of its targets in digests.
@@ -88,8 +94,9 @@
     const domains = new Set(gossip.peers().map((peer) => peer.report.failureDomain))
     peerUses.retainDigests((failureDomain) => domains.has(failureDomain))
   })
+  gossip.onBegunStream(({ attempt, version }) => { if (version === BEGUN.version) begun.push(attempt) })
   gossip.start()
-  return { gossip, peerUses, near, far, lost, address }
+  return { gossip, peerUses, near, far, lost, begun, address }
 }
 
 function getMember (world: LargeFleetWorld, id: string): Member {
@@ -175,6 +182,23 @@
   await waitUntil(hasHeard, ms, () => `${id} has not heard ${peer}`)
 })
 
+When('a stream begins at {string}, which tells {string} and {string}, and ends', { timeout: STEP_TIMEOUT_MS }, async function (
+  this: LargeFleetWorld, id: string, first: string, second: string
+) {
+  const { gossip } = getMember(this, id)
+  const findPeers = (): PeerView[] => gossip.peers().filter(({ report }) => [first, second].includes(report.instance))
+  await waitUntil(() => findPeers().length === 2, HEARD_MS, () => 'the peers are not known')
+  await gossip.tellBegunStream({ ...BEGUN, keepUntil: performance.now() }, findPeers())
+  await gossip.close()
+})
+
+Then('{string} and {string} have heard of the stream within {int} ms', { timeout: STEP_TIMEOUT_MS }, async function (
+  this: LargeFleetWorld, first: string, second: string, ms: number
+) {
+  const told = [first, second].map((id) => getMember(this, id).begun)
+  await waitUntil(() => told.every((begun) => begun.includes(BEGUN.attempt)), ms, () => 'a peer has not heard of it')
+})
+
 After(async function (this: LargeFleetWorld) {
   this.silentPeer?.close()
   for (const { gossip } of this.largeFleet?.values() ?? []) await gossip.close().catch(() => undefined)
--- a/packages/pimentoplank/src/relay/gossip/types.ts
+++ b/packages/pimentoplank/src/relay/gossip/types.ts
@@ -69,13 +69,13 @@
   at: number
 }
 
-/** Placement of a stream that an instance tells its peers. */
+/** Software version of a stream that an instance tells its peers. */
 export interface StreamNotice {
-  /** Hash of the attempt's id. */
+  /** Hash of the id of the attempt. */
   attempt: bigint
   /** Software version of the target; undefined when it is not known for certain. */
   version: string | undefined
-  /** When the caller's deadline passes, on the local monotonic clock in milliseconds. */
+  /** Until when it is kept, on the local monotonic clock in milliseconds. */
   keepUntil: number
 }
 
@@ -110,8 +110,10 @@
   /** True when it has lost its path to targets that answer others. */
   isCutOff: boolean
   limits: readonly LimitNotice[]
-  /** Streams that were placed a short while ago. */
+  /** Streams that began a short while ago; those of older versions may merely have been placed. */
   streams: readonly StreamNotice[]
+  /** True when the streams have begun, so that their versions can't change any more. */
+  areStreamsBegun: boolean
   leaving: readonly LeavingNotice[]
   configRevision: number
   /** Tokens of items that have no result yet, by hash of the job's id. */
--- a/packages/pimentoplank/src/relay/live/attemptTarget.ts
+++ b/packages/pimentoplank/src/relay/live/attemptTarget.ts
@@ -88,6 +88,8 @@
   const sentAt = clock.now()
   /** When this request reported the target as silent; undefined once the target has gone on. */
   let silentSince: number | undefined
+  /** When the process that gets the request started, by its own clock. */
+  let processStartedAt: number | undefined
   let events = 0
   /** Of the latest answer; undefined before the first. */
   let head: AnswerHead | undefined
@@ -165,10 +167,9 @@
   /** What two versions write doesn't fit together, and the version belongs to the process that gets the stream. */
   function getProcessNeed (): ProcessNeed | undefined {
     if (!isResumable) return undefined
-    if (progress.version !== undefined || head !== undefined) return { mustBeListed: true }
     return {
-      mustBeListed: false,
-      onIdentified: (startedAt) => deps.streamVersions.recordPlacement(request.id, slot.target, startedAt)
+      mustBeListed: progress.version !== undefined || head !== undefined,
+      onIdentified: (startedAt) => { processStartedAt = startedAt }
     }
   }
 
@@ -279,7 +280,13 @@
   }
 
   async function writeEvent (answer: TargetAnswer, bytes: Uint8Array): Promise<void> {
-    if (!call.reply.hasStarted()) deps.metrics.timing('live.firstEvent', clock.now() - call.arrivedAt)
+    if (!call.reply.hasStarted()) {
+      deps.metrics.timing('live.firstEvent', clock.now() - call.arrivedAt)
+      // Its caller may take the stream up elsewhere as soon as it has the event.
+      if (isResumable && progress.version === undefined) {
+        await deps.streamBinder.bind(request.id, slot.target, processStartedAt)
+      }
+    }
     await writeBytes(answer.head, bytes)
   }
 
--- a/packages/pimentoplank/src/relay/live/liveCall.ts
+++ b/packages/pimentoplank/src/relay/live/liveCall.ts
@@ -5,7 +5,7 @@
 import type { LoadView } from '../load'
 import type { CallerRequest, Route } from '../model'
 import type { InstancePaths } from '../paths'
-import type { StreamVersionFinder, StreamVersions } from '../streams'
+import type { StreamBinder, StreamVersionFinder } from '../streams'
 import type { CallerReply } from './callerReply'
 import type { CrashTracker } from './crashTracker'
 import type { OpenRequests } from './openRequests'
@@ -41,7 +41,7 @@
   loads: LoadView
   paths: Pick<InstancePaths, 'isCutOff' | 'isDirectUsable' | 'onLost' | 'recordSilent'>
   silenceDetector: SilenceDetector
-  streamVersions: Pick<StreamVersions, 'recordPlacement'>
+  streamBinder: StreamBinder
   streamVersionFinder: StreamVersionFinder
   crashes: CrashTracker
   /** Ends when this instance has to; requests that are left are refused, or cut if their answer has begun. */
--- a/packages/pimentoplank/src/relay/ownReports.ts
+++ b/packages/pimentoplank/src/relay/ownReports.ts
@@ -57,7 +57,8 @@
       suspects: suspects.all,
       unreached: suspects.unreached,
       isCutOff: paths.isCutOff(),
-      streams: streamVersions.getLatestNotices()
+      streams: streamVersions.getLatestNotices(),
+      areStreamsBegun: true
     }
   }
 
--- a/packages/pimentoplank/src/relay/streams/index.ts
+++ b/packages/pimentoplank/src/relay/streams/index.ts
@@ -1,4 +1,5 @@
 export { createServiceVersions, type ServiceVersions } from './serviceVersions'
+export { createStreamBinder, type StreamBinder } from './streamBinder'
 export { createStreamService } from './streamService'
 export { createStreamVersionFinder, type StreamVersionFinder } from './streamVersionFinder'
 export { createStreamVersions, type KnownStream, type StreamReport, type StreamVersions } from './streamVersions'
--- a/packages/pimentoplank/src/relay/streams/streamVersionFinder.feature
+++ b/packages/pimentoplank/src/relay/streams/streamVersionFinder.feature
@@ -33,22 +33,30 @@
     When a caller takes up stream "r1"
     Then it is bound to version "v1"
 
-  Scenario Outline: What was heard of a stream before reports were missed <case>
-    Given 1 peer in each of 2 failure domains, of which those in "b" know version "<known>" of "<stream>"
-    And version "v1" of "r1" was heard of, before reports of that peer were missed
+  Scenario: Nobody is asked for a stream that was heard of with its version
+    Given 1 peer in each of 2 failure domains, of which those in "b" know version "v2" of "r2"
+    And stream "r1" was heard of with version "v1"
+    When a caller takes up stream "r1"
+    Then it is bound to version "v1"
+    And no peer was asked
+
+  Scenario Outline: A stream that a peer of an older version has placed <case>
+    Given 1 peer in each of 2 failure domains, of which those in "b" know version "v2" of "r1"
+    And all peers run an older version
+    And the peers in "a" know version "v1" of every stream
+    And instance "<placer>" in its life <life> has told that it placed "r1" at version "v1"
     When a caller takes up stream "r1"
     Then <outcome>
 
     Examples:
-      | case                                        | known | stream | outcome                                |
-      | is wrong where a peer knows otherwise       | v2    | r1     | it is refused as "streamVersionUnknown" |
-      | is right where a peer knows the same        | v1    | r1     | it is bound to version "v1"             |
-      | is all that is known if no peer knows it    | v2    | r2     | it is bound to version "v1"             |
+      | case                                                     | placer | life | outcome                                 |
+      | is bound to the version that this peer knows now         | b0     | 1    | it is bound to version "v2"             |
+      | is refused once that peer is gone                        | b7     | 1    | it is refused as "streamVersionUnknown" |
+      | is refused once another process runs under that peer's id | b0     | 0    | it is refused as "streamVersionUnknown" |
 
-  Scenario: Peers that missed where a stream was placed later don't decide alone
+  Scenario: Where peers of an older version have heard that a stream was placed tells nothing of where it began
     Given 1 peer in each of 2 failure domains, of which those in "b" know version "v2" of "r1"
-    And the peers in "a" know version "v1" of every stream
-    And the peers take 20 ms to answer
+    And all peers run an older version
     When a caller takes up stream "r1"
     Then it is refused as "streamVersionUnknown"
 
--- a/packages/pimentoplank/src/relay/streams/streamVersionFinder.steps.ts
+++ b/packages/pimentoplank/src/relay/streams/streamVersionFinder.steps.ts
@@ -11,7 +11,7 @@
 import type { VersionHistory } from '../decisions'
 import type { PeerView } from '../gossip'
 import type { CallerRequest } from '../model'
-import { createStreamVersionFinder, createStreamVersions } from '.'
+import { createStreamVersionFinder, createStreamVersions, type StreamReport } from '.'
 
 interface FinderWorld {
   streamPeers?: PeerView[]
@@ -24,10 +24,12 @@
   unsureDomain?: string
   /** Failure domain whose peers know one version of every stream, and answer at once. */
   sureDomain?: { name: string, version: string }
-  /** Stream that was heard of at a version, before reports of the peer that told it were missed. */
-  missed?: { attempt: string, version: string }
-  /** Stream that was heard of without a version. */
-  heardWithout?: string
+  /** True for peers that also tell where streams were placed that may still move. */
+  areOlder: boolean
+  /** Stream that was heard of as it began. */
+  heard?: { attempt: string, version?: string }
+  /** What a peer of an older version has told. */
+  placed?: StreamReport
   answerMs: number
   history: VersionHistory
   bound: Result<string, RefusalError>
@@ -44,6 +46,7 @@
   this.asked = []
   this.silentDomains = new Set()
   this.answerMs = 0
+  this.areOlder = false
   this.history = UNKNOWN_HISTORY
   this.streamPeers = []
   this.streamServers = []
@@ -53,7 +56,8 @@
       const server = await startPeer(this, failureDomain, known, version)
       this.streamServers.push(server)
       const { address: peerAddress } = server
-      const report = { instance: `${failureDomain}${index}`, failureDomain, stage: 'serving', peerAddress }
+      const instance = `${failureDomain}${index}`
+      const report = { instance, incarnation: 1, failureDomain, stage: 'serving', peerAddress }
       this.streamPeers.push({ report, lastReceivedAt: 0 } as unknown as PeerView)
     }
   }
@@ -73,16 +77,17 @@
       router.service(StreamService, {
         findVersion: async ({ attempt }) => {
           world.asked.push(failureDomain)
+          const begun = !world.areOlder
           if (world.silentDomains.has(failureDomain)) await new Promise(() => undefined)
           if (world.unsureDomain === failureDomain) {
-            return create(FindVersionResponseSchema, { known: true, version: '', keepMs: KEEP_MS })
+            return create(FindVersionResponseSchema, { known: true, version: '', keepMs: KEEP_MS, begun })
           }
           if (world.sureDomain?.name === failureDomain) {
             const { version: sure } = world.sureDomain
-            return create(FindVersionResponseSchema, { known: true, version: sure, keepMs: KEEP_MS })
+            return create(FindVersionResponseSchema, { known: true, version: sure, keepMs: KEEP_MS, begun })
           }
           await pause(world.answerMs)
-          return create(FindVersionResponseSchema, { known: attempt === known, version, keepMs: KEEP_MS })
+          return create(FindVersionResponseSchema, { known: attempt === known, version, keepMs: KEEP_MS, begun })
         }
       })
     }
@@ -108,14 +113,25 @@
   this.sureDomain = { name, version }
 })
 
-Given('version {string} of {string} was heard of, before reports of that peer were missed', function (
-  this: FinderWorld, version: string, attempt: string
+Given('all peers run an older version', function (this: FinderWorld) {
+  this.areOlder = true
+})
+
+Given('instance {string} in its life {int} has told that it placed {string} at version {string}', function (
+  this: FinderWorld, instance: string, incarnation: number, attempt: string, version: string
 ) {
-  this.missed = { attempt, version }
+  const streams = [{ attempt: hash64(attempt), version, keepUntil: Infinity }]
+  this.placed = { instance, incarnation, streams, areStreamsBegun: false }
 })
 
 Given('stream {string} was heard of without a version', function (this: FinderWorld, attempt: string) {
-  this.heardWithout = attempt
+  this.heard = { attempt }
+})
+
+Given('stream {string} was heard of with version {string}', function (
+  this: FinderWorld, attempt: string, version: string
+) {
+  this.heard = { attempt, version }
 })
 
 Given('only version {string} has served for long', function (this: FinderWorld, version: string) {
@@ -136,18 +152,11 @@
   const clock = createSystemClock()
   this.transports ??= createPeerTransports({ security: SECURITY })
   const streamVersions = createStreamVersions({ getTarget: () => undefined, clock, log: createSilentLog() })
-  if (this.heardWithout !== undefined) {
-    const notice = { attempt: hash64(this.heardWithout), version: undefined, keepUntil: clock.now() + KEEP_MS }
-    streamVersions.mergeReport({ instance: 'a0', incarnation: 1, sequence: 1, streams: [notice] }, undefined)
-  }
-  if (this.missed !== undefined) {
-    const { attempt, version } = this.missed
-    const notice = { attempt: hash64(attempt), version, keepUntil: clock.now() + KEEP_MS }
-    const first = { instance: 'a0', incarnation: 1, sequence: 1, streams: [notice] }
-    streamVersions.mergeReport(first, undefined)
-    await pause(1)
-    streamVersions.mergeReport({ ...first, sequence: 50, streams: [] }, first)
+  if (this.heard !== undefined) {
+    const { attempt, version } = this.heard
+    streamVersions.merge({ attempt: hash64(attempt), version, keepUntil: clock.now() + KEEP_MS }, 'heard')
   }
+  if (this.placed !== undefined) streamVersions.mergeReport(this.placed)
   const finder = createStreamVersionFinder({
     streamVersions,
     peers: () => this.streamPeers!,
@@ -177,6 +186,10 @@
   assert.deepEqual([...this.asked].sort(), expected)
 })
 
+Then('no peer was asked', function (this: FinderWorld) {
+  assert.deepEqual(this.asked, [])
+})
+
 After(async function (this: FinderWorld) {
   this.transports?.close()
   await Promise.all((this.streamServers ?? []).map(async (one) => await one.close()))
--- a/packages/pimentoplank/src/relay/streams/streamVersionFinder.ts
+++ b/packages/pimentoplank/src/relay/streams/streamVersionFinder.ts
@@ -2,10 +2,10 @@
 import { createClient } from '@connectrpc/connect'
 import { err, ok, type Result } from 'neverthrow'
 import {
-  describeCause, hash64, rankByRendezvous, RefusalError, StreamService,
+  describeCause, hash64, RefusalError, StreamService,
   type Clock, type Log, type Metrics, type PeerTransports
 } from '../../shared'
-import { findOnlyVersion, type VersionHistory } from '../decisions'
+import { chooseKeepers, findOnlyVersion, type VersionHistory } from '../decisions'
 import type { PeerView, StreamNotice } from '../gossip'
 import type { CallerRequest } from '../model'
 import type { KnownStream, StreamVersions } from './streamVersions'
@@ -30,12 +30,8 @@
   findOwn: (request: CallerRequest) => Result<string, RefusalError>
 }
 
-/** Instances that are asked in each failure domain. */
-const ASKED_PER_DOMAIN = 2
 /** Timeout for asking peers, in milliseconds. */
 const ASK_TIMEOUT_MS = 500
-/** Longest wait for the answers of other peers after the first one that names a version, in milliseconds. */
-const OTHERS_MS = 50
 /** Longest wait of a request for the versions of services, in milliseconds; they are read as an instance starts. */
 const LOAD_TIMEOUT_MS = 150
 /** Retry hint for callers whose stream is not known, in milliseconds. */
@@ -79,18 +75,7 @@
   async function lookUp (key: bigint, request: CallerRequest, service: string): Promise<Found> {
     const heard = streamVersions.find(key)
     // A peer may have learned the version since it told of the stream.
-    if (heard?.source !== 'own' && (heard?.version === undefined || heard.isInDoubt)) {
-      const notices = await askPeers(key, request.id)
-      const versions = new Set([...notices, heard].flatMap((notice) => notice?.version ?? []))
-      if (versions.size > 1) {
-        log.warn({ req: request.id, versions: [...versions] }, 'peers know different versions of a stream')
-        return { version: undefined, source: 'disagreement' }
-      }
-      const notice = notices.find(({ version }) => version !== undefined) ?? notices[0]
-      if (notice !== undefined && (heard?.version === undefined || notice.version !== undefined)) {
-        streamVersions.merge(notice)
-      }
-    }
+    if (heard?.source !== 'own' && heard?.version === undefined) await askPeers(key, request.id)
     const known = streamVersions.find(key)
     if (known !== undefined) return describeKnown(known)
     await options.whenVersionsLoaded(LOAD_TIMEOUT_MS)
@@ -98,38 +83,37 @@
     return { version, source: version === undefined ? 'none' : 'onlyVersion' }
   }
 
-  /** Returns the answers of peers that know the stream: those that come soon after the first that names a version. */
-  async function askPeers (key: bigint, requestId: string): Promise<StreamNotice[]> {
-    const notices: StreamNotice[] = []
+  /** Resolves once a peer has named the version, or all have answered. */
+  async function askPeers (key: bigint, requestId: string): Promise<void> {
     const answers = chooseAsked(key).map(async (peer) => {
       const notice = await askPeer(peer, key, requestId)
-      if (notice !== undefined) notices.push(notice)
-      return notice
-    })
-    const versions = answers.map(async (answer) => {
+      if (notice !== undefined) streamVersions.merge(notice, 'peer')
       // A rejected promise lets the others decide which answer is the first.
-      if ((await answer)?.version === undefined) throw new Error('the peer does not know the version of the stream')
+      if (notice?.version === undefined) throw new Error('the peer does not know the version of the stream')
     })
-    const all = Promise.all(answers)
-    // Without any that names a version, all have been waited for.
-    await Promise.any(versions).then(async () => await Promise.race([all, clock.sleep(OTHERS_MS)]), () => undefined)
-    return [...notices]
+    await Promise.any(answers).catch(() => undefined)
   }
 
   function chooseAsked (key: bigint): PeerView[] {
-    const peers = options.peers().filter(({ report }) => report.stage !== 'starting')
-    const domains = new Set(peers.map(({ report }) => report.failureDomain))
-    return [...domains].flatMap((domain) => {
-      const members = peers.filter(({ report }) => report.failureDomain === domain)
-      return rankByRendezvous(String(key), members, ({ report }) => report.instance).slice(0, ASKED_PER_DOMAIN)
-    })
+    const peers = options.peers()
+    const placer = peers.filter((peer) => isPlacer(peer, key))
+    return [...new Set([...placer, ...chooseKeepers(key, peers)])]
+  }
+
+  function isPlacer ({ report }: PeerView, key: bigint): boolean {
+    const placer = streamVersions.findPlacer(key)
+    return placer?.instance === report.instance && placer.incarnation === report.incarnation
   }
 
-  async function askPeer ({ report }: PeerView, key: bigint, requestId: string): Promise<StreamNotice | undefined> {
+  async function askPeer (peer: PeerView, key: bigint, requestId: string): Promise<StreamNotice | undefined> {
+    const { report } = peer
     try {
       const client = createClient(StreamService, transports.get(report.peerAddress))
-      const { known, version, keepMs } = await client.findVersion({ attempt: key }, { timeoutMs: ASK_TIMEOUT_MS })
-      if (!known) return undefined
+      const answer = await client.findVersion({ attempt: key }, { timeoutMs: ASK_TIMEOUT_MS })
+      const { known, version, keepMs, begun } = answer
+      // An older version also tells where others have placed the stream, which may have moved since.
+      const isCertain = begun || version === '' || isPlacer(peer, key)
+      if (!known || !isCertain) return undefined
       return { attempt: key, version: version === '' ? undefined : version, keepUntil: clock.now() + keepMs }
     } catch (cause) {
       log.info({ req: requestId, peer: report.instance, cause: describeCause(cause) }, 'peer could not be asked for the version of a stream')
--- a/packages/pimentoplank/src/relay/streams/streamVersions.ts
+++ b/packages/pimentoplank/src/relay/streams/streamVersions.ts
@@ -1,32 +1,28 @@
-/** Knows at which software version streams run that were placed by this instance, or of which it has heard. */
+/** Knows at which software version streams began, at this instance or at peers. */
 import { LRUCache } from 'lru-cache'
 import { hash64, type Clock, type Log } from '../../shared'
-import { findPlacedVersion, FORGET_VERSION_MS, hasMissedReports, type PlacedProcess, type ReportNumber } from '../decisions'
+import { findPlacedVersion, FORGET_VERSION_MS, type PlacedProcess } from '../decisions'
 import type { Report, StreamNotice } from '../gossip'
 import type { Target } from '../model'
 
-/** How this instance knows the version of a stream. */
+/** How this instance knows the version of a stream: it began it, was told by a peer, or has asked one. */
 export type VersionSource = 'own' | 'heard' | 'peer'
 
 export interface KnownStream {
-  /** Undefined when it is not known for certain. */
+  /** Undefined when it is not known for certain; a version that is known does not change any more. */
   version: string | undefined
   source: VersionSource
-  /** When it was placed or heard of, on the monotonic clock in milliseconds. */
+  /** When it began or was heard of, on the monotonic clock in milliseconds. */
   at: number
   /** Until when it is kept, on the monotonic clock in milliseconds. */
   keepUntil: number
-  /** True if the peer that told it may have placed it anew since, and told so in a report that was missed. */
-  isInDoubt: boolean
 }
 
 /** Part of a report that tells of streams. */
-export type StreamReport = Pick<Report, 'instance' | 'streams' | keyof ReportNumber>
+export type StreamReport = Pick<Report, 'instance' | 'incarnation' | 'streams' | 'areStreamsBegun'>
 
-interface Entry extends Omit<KnownStream, 'isInDoubt'> {
-  /** Peer that told it in a report. */
-  sender?: string
-}
+/** Process of an instance. */
+export type InstanceProcess = Pick<Report, 'instance' | 'incarnation'>
 
 export interface StreamVersionsOptions {
   /** Finds a registered target by its id. */
@@ -37,62 +33,55 @@
 
 export interface StreamVersions {
   /**
-   * Records that an attempt runs at a target. A later placement replaces an earlier one.
+   * Records that the first event of an attempt is about to be delivered. Until then a stream may move to a target of
+   * another version; from then on it stays at this one.
    *
-   * @param target - as its entry described it when the attempt was placed there
-   * @param startedAt - when the process that gets the attempt started, by its own clock; undefined if not known
+   * @param target - as its entry described it when the attempt was sent there
+   * @param startedAt - when the process that wrote the event started, by its own clock; undefined if not known
+   * @returns what peers have to be told before the event is delivered
    */
-  recordPlacement: (attempt: string, target: Target, startedAt: number | undefined) => void
+  begin: (attempt: string, target: Target, startedAt: number | undefined) => StreamNotice
   /** Finds a stream by the hash of the id of the attempt that brought its first event. */
   find: (attempt: bigint) => KnownStream | undefined
-  /** Merges what a peer has answered that was asked. */
-  merge: (notice: StreamNotice) => void
+  /** Merges what a peer has told of a stream that has begun. */
+  merge: (notice: StreamNotice, source: 'heard' | 'peer') => void
+  /** Merges the streams in a report of a peer. */
+  mergeReport: (report: StreamReport) => void
   /**
-   * Merges what a peer has told in a report.
-   *
-   * @param before - the report before; undefined if the peer was not known or had been silent
+   * Finds the process that has placed a stream, as peers of older versions tell it. Where it was placed may change
+   * until it begins, so that only that process knows.
    */
-  mergeReport: (report: StreamReport, before: ReportNumber | undefined) => void
-  /** Returns what load updates tell peers: the latest placements. */
+  findPlacer: (attempt: bigint) => InstanceProcess | undefined
+  /** Returns what load updates tell peers: the streams that have begun a moment ago. */
   getLatestNotices: () => StreamNotice[]
   /** Returns what full reports tell peers, which are rarer and go back further. */
   getNotices: () => StreamNotice[]
-  /** Finds the version of streams that a process got before its entry was known here; true if there were any. */
+  /** Finds the version of streams that a process began before its entry was known here; true if there were any. */
   resolve: (target: Target) => boolean
 }
 
-/** For how long load updates repeat where a stream was placed, in milliseconds. */
+/** For how long load updates repeat that a stream has begun, in milliseconds. */
 const LATEST_NOTICE_MS = 250
 /** For how long full reports do, in milliseconds; longer than their interval. */
 const NOTICE_MS = 1000
-/** Time after a silence in which a peer that is heard again has sent a report, in milliseconds. */
-const CATCH_UP_MS = 500
 /** Maximum of streams in one report, so that it fits into one packet. */
 const MAX_NOTICES = 64
 const MAX_STREAMS = 50_000
 const MAX_UNRESOLVED = 1000
-const MAX_PEERS = 10_000
 
 /** Creates the registry of an instance. */
 export function createStreamVersions ({ getTarget, clock, log }: StreamVersionsOptions): StreamVersions {
-  const known = new LRUCache<bigint, Entry>({ max: MAX_STREAMS })
-  /** When each peer was heard last, and before which time it may have told what was missed, on the monotonic clock. */
-  const senders = new LRUCache<string, { heardAt: number, doubtedUntil: number }>({ max: MAX_PEERS })
-  /** When streams were placed or changed, in that order. */
+  const known = new LRUCache<bigint, KnownStream>({ max: MAX_STREAMS })
+  /** Processes of older versions that have placed streams. */
+  const placers = new LRUCache<bigint, InstanceProcess>({ max: MAX_STREAMS })
+  /** When streams began here or their version became known, in that order. */
   const recent = new Map<bigint, number>()
   /** Streams at processes that no entry known here describes. */
   const unresolved = new LRUCache<bigint, PlacedProcess & { attempt: string }>({ max: MAX_UNRESOLVED })
 
   function find (attempt: bigint): KnownStream | undefined {
     const stream = known.get(attempt)
-    if (stream === undefined || stream.keepUntil < clock.now()) return undefined
-    const { sender, ...rest } = stream
-    return { ...rest, isInDoubt: sender !== undefined && isDoubted(sender, rest.at) }
-  }
-
-  function isDoubted (sender: string, at: number): boolean {
-    const { heardAt = -Infinity, doubtedUntil = Infinity } = senders.get(sender) ?? {}
-    return at < doubtedUntil || clock.now() - heardAt > NOTICE_MS
+    return stream === undefined || stream.keepUntil < clock.now() ? undefined : stream
   }
 
   function addRecent (key: bigint): void {
@@ -109,16 +98,16 @@
     }
   }
 
-  function recordPlacement (attempt: string, target: Target, startedAt: number | undefined): void {
+  function begin (attempt: string, target: Target, startedAt: number | undefined): StreamNotice {
     const key = hash64(attempt)
     const placed = { attempt, target: target.id, startedAt }
     const version = findPlacedVersion(placed, [target, getTarget(target.id)])
-    known.set(key, { version, source: 'own', at: clock.now(), keepUntil: clock.now() + FORGET_VERSION_MS })
+    const keepUntil = clock.now() + FORGET_VERSION_MS
+    known.set(key, { version, source: 'own', at: clock.now(), keepUntil })
     addRecent(key)
-    unresolved.delete(key)
-    if (version !== undefined) return
-    log.info({ req: attempt, target: target.id, listed: target.startedAt, found: startedAt }, 'version of a new stream is not known')
-    if (startedAt !== undefined) unresolved.set(key, placed)
+    log.info({ req: attempt, target: target.id, listed: target.startedAt, found: startedAt, version }, 'stream begins')
+    if (version === undefined && startedAt !== undefined) unresolved.set(key, placed)
+    return { attempt: key, version, keepUntil }
   }
 
   function resolve (target: Target): boolean {
@@ -138,23 +127,18 @@
     return hasResolved
   }
 
-  function merge ({ attempt, version, keepUntil }: StreamNotice, source: 'heard' | 'peer', sender?: string): void {
+  function merge ({ attempt, version, keepUntil }: StreamNotice, source: 'heard' | 'peer'): void {
     const before = find(attempt)
-    if (before?.source === 'own') return
     // Notices are repeated; the first arrival tells how old the knowledge is.
-    if (before !== undefined && before.version === version && !before.isInDoubt) return
-    known.set(attempt, { version, source, at: clock.now(), keepUntil, sender })
+    if (before !== undefined && (before.source === 'own' || before.version !== undefined || version === undefined)) return
+    known.set(attempt, { version, source, at: clock.now(), keepUntil })
   }
 
-  function mergeReport (report: StreamReport, before: ReportNumber | undefined): void {
-    const now = clock.now()
-    const { heardAt = -Infinity, doubtedUntil = -Infinity } = senders.get(report.instance) ?? {}
-    const wasSilent = now - heardAt > NOTICE_MS
-    const hasMissed = wasSilent || hasMissedReports(report, before)
-    // After a standstill come reports that were sent at its beginning.
-    const until = now + (wasSilent ? CATCH_UP_MS : 0)
-    senders.set(report.instance, { heardAt: now, doubtedUntil: hasMissed ? until : doubtedUntil })
-    report.streams.forEach((notice) => merge(notice, 'heard', report.instance))
+  function mergeReport ({ instance, incarnation, streams, areStreamsBegun }: StreamReport): void {
+    for (const notice of streams) {
+      if (areStreamsBegun) merge(notice, 'heard')
+      else placers.set(notice.attempt, { instance, incarnation })
+    }
   }
 
   function getNotices (maxAgeMs: number): StreamNotice[] {
@@ -167,10 +151,11 @@
   }
 
   return {
-    recordPlacement,
+    begin,
     find,
-    merge: (notice) => merge(notice, 'peer'),
+    merge,
     mergeReport,
+    findPlacer: (attempt) => placers.get(attempt),
     getLatestNotices: () => getNotices(LATEST_NOTICE_MS),
     getNotices: () => getNotices(NOTICE_MS),
     resolve
--- a/packages/soak/src/takeUps.ts
+++ b/packages/soak/src/takeUps.ts
@@ -1,6 +1,6 @@
 /** Callers leave streams after their first event and take them up at once elsewhere, while two versions serve. */
 import { createHash } from 'node:crypto'
-import { readFile } from 'node:fs/promises'
+import { readFile, rm } from 'node:fs/promises'
 import { Agent } from 'node:http'
 import path from 'node:path'
 import { setTimeout as pause } from 'node:timers/promises'
@@ -53,6 +53,7 @@
 
 /** Plays the streams once. */
 export async function playTakeUps (options: TakeUpsOptions): Promise<TakeUpsOutcome> {
+  await rm(options.folder, { recursive: true, force: true })
   const fleet = await startSoakFleet({ instances: INSTANCES, targets: TARGETS_OF_VERSION, ...options })
   try {
     for (let count = 0; count < TARGETS_OF_VERSION; count++) await fleet.addTarget(OTHER_VERSION)
