--- a/packages/soak/src/soakFleet.ts
+++ b/packages/soak/src/soakFleet.ts
@@ -18,6 +18,8 @@
 export interface SoakInstance {
   id: string
   ip: string
+  /** Path of its program. */
+  program: string
   /** Address for callers. */
   address: string
   store: Link
@@ -83,6 +85,8 @@
   folder: string
   /** Number that distinguishes the runs of one process. */
   run: number
+  /** Programs of other versions, for the first instances in turn; the others run the present one. */
+  programs?: readonly string[]
 }
 
 /** Bundle of the real program. */
@@ -157,7 +161,7 @@
   function launch (instance: SoakInstance): ChildProcess {
     const file = path.join(options.folder, `${instance.id}.toml`)
     const log = createWriteStream(path.join(options.folder, `${instance.id}.log`), { flags: 'a' })
-    const child = spawn(process.execPath, [`--max-old-space-size=${HEAP_MB}`, PROGRAM], {
+    const child = spawn(process.execPath, [`--max-old-space-size=${HEAP_MB}`, instance.program], {
       env: { PATH: process.env.PATH, PIMENTOPLANK_SETTINGS: file }, stdio: ['ignore', 'pipe', 'pipe']
     })
     instance.touchedAt.push(Date.now())
@@ -191,7 +195,18 @@
     const zone = FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]!
     writeFileSync(path.join(options.folder, `${id}.toml`), settingsText({ id, ip, seeds, zone, store: link.address }))
     const instance: SoakInstance = {
-      id, ip, address: `${ip}:${PORTS.callers}`, store: link, child: undefined as never, isHeld: false, disturbedAt: [], touchedAt: [], lives: [], cuts: [], crashes: []
+      id,
+      ip,
+      program: options.programs?.[index] ?? PROGRAM,
+      address: `${ip}:${PORTS.callers}`,
+      store: link,
+      child: undefined as never,
+      isHeld: false,
+      disturbedAt: [],
+      touchedAt: [],
+      lives: [],
+      cuts: [],
+      crashes: []
     }
     instance.child = launch(instance)
     instances.push(instance)
--- a/packages/soak/src/takeUps.ts
+++ b/packages/soak/src/takeUps.ts
@@ -22,6 +22,8 @@
   folder: string
   /** Number that distinguishes the runs of one process. */
   run: number
+  /** Programs of an older version, for the first instances. */
+  programs?: readonly string[]
 }
 
 export interface TakeUpsOutcome {
@@ -34,8 +36,13 @@
   moved: number
   /** Number of requests that took up a stream, by the source of its version and the outcome. */
   sources: Record<string, number>
-  /** Streams that hold events of both versions. */
+  /** Streams that hold events of both versions, apart from those that only older instances have handled. */
   mixed: string[]
+  /** Streams that hold events of both versions and that only older instances have handled. */
+  mixedByOlder: string[]
+  /** Number of streams that went from older to present instances, and the other way round. */
+  toPresent: number
+  toOlder: number
 }
 
 const INSTANCES = 7
@@ -134,13 +141,24 @@
   for (const { id, from, version } of runs) {
     if (from === 0) versions.set(id, (versions.get(id) ?? new Set()).add(version))
   }
+  const isOlder = ({ instance }: Attempt): boolean => options.programs?.includes(instance.program) === true
+  const findFirst = (request: string): Attempt => attempts.find((one) => one.request === request && one.from === 0)!
+  // A stream goes wrong where it is taken up, or where it began.
+  const mixed = listMixedStreams({ targets: fleet.targets, attempts })
+  const isOfOlder = (id: string): boolean => {
+    const [first, ...others] = attempts.filter(({ request }) => id === `${request}a0`)
+    return isOlder(first!) && others.some(isOlder)
+  }
   return {
     streams: options.streams,
     takenUp: firstTries.length,
     wentOn: firstTries.filter(({ answer }) => answer?.status === HTTP_OK).length,
     moved: [...versions].filter(([id, { size }]) => size > 1 && begun.has(id.replace(/\d+$/, ''))).length,
     sources: await countSources(fleet, options.folder),
-    mixed: listMixedStreams({ targets: fleet.targets, attempts })
+    mixed: mixed.filter((id) => !isOfOlder(id)),
+    mixedByOlder: mixed.filter(isOfOlder),
+    toPresent: firstTries.filter((one) => isOlder(findFirst(one.request)) && !isOlder(one)).length,
+    toOlder: firstTries.filter((one) => !isOlder(findFirst(one.request)) && isOlder(one)).length
   }
 }
 
