Let a whole stream stay whole though one request for its rest is reset

Callers saw a whole stream marked as incomplete: its connection ended without a length, the request for what follows was reset after the head of its answer, and the last of the route's two tries ended empty, which by itself proves nothing.

Cause: a reset of the request for the rest took back the orderly end as well, so that what was left of the tries could not prove it. Now the first such reset takes back what was told of the end, but not the end itself: two empty answers of another target, or one that is framed, tell it. If no target does, the stream is marked as incomplete, as before.

--- a/packages/pimentoplank/src/relay/decisions/index.ts
+++ b/packages/pimentoplank/src/relay/decisions/index.ts
@@ -10,8 +10,9 @@
 } from './batchScheduling'
 export { addListedRun, computeListedMs, hasMadeAll, hasMadeMore, type AnswerEnd, type ListHistory } from './answerEnds'
 export {
-  addOpenEnd, computeRestBackoff, hasOrderlyEnd, isBusyRefusal, isEndProven, MAX_REST_REFUSALS, REST_WAIT_MS,
-  type OpenEnds
+  addLiveOpenEnd, addOpenEnd, computeRestBackoff, hasOrderlyEnd, isBusyRefusal, isEndProven, mayEndUnproven,
+  MAX_REST_REFUSALS, REST_WAIT_MS,
+  type LiveOpenEnds, type OpenEnds
 } from './openEnds'
 export {
   addIdentifyFailure, countProbes, endsIdentifyBackoff, type IdentifyFailures
--- a/packages/pimentoplank/src/relay/decisions/openEnds.ts
+++ b/packages/pimentoplank/src/relay/decisions/openEnds.ts
@@ -30,6 +30,11 @@
   emptyAt?: { target: string, at: number }
 }
 
+export interface LiveOpenEnds extends OpenEnds {
+  /** True once a request for the rest has broken off, which may be a sign that the stream was cut as well. */
+  isRestReset?: boolean
+}
+
 /**
  * Adds the end of a run to those in a row after the same event.
  *
@@ -48,6 +53,23 @@
   return { openEnds: openEnds + EMPTY_END_WEIGHT, emptyAt: { target, at: now } }
 }
 
+/**
+ * Adds the end of a run of a live stream, whose tries are few: the first request for the rest that breaks off takes
+ * back what was told of the end, but not the end itself, so that another target can still tell it.
+ */
+export function addLiveOpenEnd (
+  ends: LiveOpenEnds, reason: SendFailureReason, target: string, now: number
+): LiveOpenEnds {
+  const isFirstReset = reason === 'broken' && hasOrderlyEnd(ends) && ends.isRestReset !== true
+  if (isFirstReset) return { openEnds: END_WEIGHT, emptyAt: undefined, isRestReset: true }
+  return { ...addOpenEnd(ends, reason, target, now), isRestReset: reason !== 'openEnd' && ends.isRestReset }
+}
+
+/** True if a live stream may end as whole although no target has told whether more follows. */
+export function mayEndUnproven (ends: LiveOpenEnds): boolean {
+  return hasOrderlyEnd(ends) && ends.isRestReset !== true
+}
+
 /** True if a run that has written events has ended in an orderly way, and nothing speaks against that end since. */
 export function hasOrderlyEnd ({ openEnds, emptyAt }: OpenEnds): boolean {
   return openEnds > 0 && emptyAt === undefined
--- a/packages/pimentoplank/src/relay/live/attemptTarget.ts
+++ b/packages/pimentoplank/src/relay/live/attemptTarget.ts
@@ -1,7 +1,7 @@
 /** Sends a live request to one target and forwards the answer to its caller. */
 import type { Result } from 'neverthrow'
 import { MIB_BYTES, type RefusalError } from '../../shared'
-import { addOpenEnd, hasOrderlyEnd, isEndProven, isRepeatable, MAX_REST_REFUSALS, MIN_TRY_MS } from '../decisions'
+import { addLiveOpenEnd, hasOrderlyEnd, isEndProven, isRepeatable, MAX_REST_REFUSALS, MIN_TRY_MS, type LiveOpenEnds } from '../decisions'
 import { createEventReader, SendFailure, type EventReader, type SendFailureReason, type TargetAnswer } from '../exchange'
 import type { FaultKind } from '../load'
 import type { AnswerHead, ProcessNeed } from '../model'
@@ -42,6 +42,8 @@
 const STATUS_SERVER_ERROR = 500
 /** Ends after which the target is asked whether more events follow. */
 const OPEN_ENDS: ReadonlySet<SendFailureReason> = new Set(['openEnd', 'emptyEnd'])
+/** Of a stream that goes on. */
+const NO_OPEN_ENDS: LiveOpenEnds = { openEnds: 0, emptyAt: undefined, isRestReset: undefined }
 /** Pause after a target has refused to tell what follows, in milliseconds. */
 const REFUSED_PAUSE_MS = 100
 /** A request that crashes its target does so as it begins to run, before this many events. */
@@ -118,7 +120,7 @@
       const end = await exchangeWithTarget()
       if (end.type !== 'failed') return end
       const { reason, mayHaveRun, message } = end.failure
-      Object.assign(progress, addOpenEnd(progress, reason, slot.target.id, clock.now()))
+      Object.assign(progress, addLiveOpenEnd(progress, reason, slot.target.id, clock.now()))
       if (isEndProven(progress) && head !== undefined) return endReply(head)
       const isRefused = reason === 'refused' && head !== undefined
       if (isRefused) refusals += 1
@@ -258,8 +260,7 @@
         if (events === BEGINNING_EVENTS) deps.crashes.recordAnswer(request.headers)
         await writeEvent(answer, event.bytes)
         progress.lastEventId = event.id ?? progress.lastEventId
-        progress.openEnds = 0
-        progress.emptyAt = undefined
+        Object.assign(progress, NO_OPEN_ENDS)
       }
     }
     return endReply(answer.head)
--- a/packages/pimentoplank/src/relay/live/liveCall.ts
+++ b/packages/pimentoplank/src/relay/live/liveCall.ts
@@ -1,6 +1,6 @@
 /** Types of the relay of one live request. */
 import type { Clock, Log, Metrics } from '../../shared'
-import type { OpenEnds } from '../decisions'
+import type { LiveOpenEnds } from '../decisions'
 import type { AnswerEnding, Exchange } from '../exchange'
 import type { LoadView } from '../load'
 import type { CallerRequest, Route } from '../model'
@@ -53,7 +53,7 @@
 }
 
 /** State of a request across its attempts. */
-export interface Progress extends OpenEnds {
+export interface Progress extends LiveOpenEnds {
   runs: number
   refusals: number
   /** Id of the last event that was sent to the caller. */
--- a/packages/pimentoplank/src/relay/live/relayRequest.ts
+++ b/packages/pimentoplank/src/relay/live/relayRequest.ts
@@ -1,7 +1,7 @@
 /** Relays one live request to a target, and retries it at another where that is safe. */
 import { err, ok, type Result } from 'neverthrow'
 import { describeCause, RefusalError, type Log } from '../../shared'
-import { canRetry, hasOrderlyEnd, isRepeatable, REST_WAIT_MS } from '../decisions'
+import { canRetry, hasOrderlyEnd, isRepeatable, mayEndUnproven, REST_WAIT_MS } from '../decisions'
 import type { SendFailure } from '../exchange'
 import { attemptTarget, type FailedAttempt } from './attemptTarget'
 import type { LiveCall, Progress, RelayDeps } from './liveCall'
@@ -182,7 +182,7 @@
   }
 
   function failRequest (refusal: RefusalError): void {
-    if (hasOrderlyEnd(progress) && reply.hasStarted()) return endUnproven()
+    if (mayEndUnproven(progress) && reply.hasStarted()) return endUnproven()
     const outcome = progress.runs > 0 ? 'failed' : refusal.outcome
     const reason = deps.openRequests.isEnded() ? 'addressMoved' : refusal.reason
     const last = outcome === refusal.outcome && reason === refusal.reason
