Let soak callers leave after one event more often, beside mute targets

More than half of the callers who leave now do so after the first event, and while two versions serve, one target after the other holds its first events back. Answers that may not run again and end with their connection count as served if they hold the whole text.

--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -52,6 +52,8 @@
 /** Share of streams that their callers leave after a few events, and take up at another instance. */
 const LEFT_SHARE = 0.2
 const MAX_LEFT_EVENTS = 6
+/** Of so many callers who leave, the others do so after their first event, when the stream may just have moved. */
+const LEAVING_CALLERS = 12
 /** Share of jobs that their callers end early. */
 const ENDED_SHARE = 0.15
 const MAX_JOB_ITEMS = 12
@@ -96,13 +98,18 @@
     return agent
   }
 
+  function pickLeftEvents (): number {
+    const pick = random.nextInt(LEAVING_CALLERS)
+    return pick < MAX_LEFT_EVENTS ? 1 + pick : 1
+  }
+
   async function sendRequest (): Promise<void> {
     const kind = LIVE_KINDS[random.nextInt(LIVE_KINDS.length)]!
     const isLeft = kind === 'resumable' && random.nextFloat() < LEFT_SHARE
     await sendLiveRequest({
       id: `${run}r${++count}`,
       kind,
-      leavesAfter: isLeft ? 1 + random.nextInt(MAX_LEFT_EVENTS) : undefined,
+      leavesAfter: isLeft ? pickLeftEvents() : undefined,
       createPrompt,
       pickInstance: pickLiveInstance,
       pickOther: (last) => pickInstance(last) ?? last,
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -4,7 +4,7 @@
 import type { InjectedFault } from './inject'
 import { findOrderViolations } from './orderChecks'
 import type { Observed } from './observer'
-import { HTTP_OK, NOT_RUN_STATUSES, type Attempt, type LiveKind } from './liveRequests'
+import { HTTP_OK, NOT_RUN_STATUSES, readEvents, type Attempt, type LiveKind } from './liveRequests'
 import type { SoakFleet } from './soakFleet'
 import { EVENTS_PER_RESPONSE, findStreamViolations } from './streamChecks'
 
@@ -212,7 +212,7 @@
     })
     const atCut = first.filter(({ instance }) => instance.cuts.includes(span))
     const atOthers = first.filter(({ instance }) => !instance.cuts.includes(span))
-    const [served, servedElsewhere] = [countWhole(atCut), countWhole(atOthers)]
+    const [served, servedElsewhere] = [countServed(atCut), countServed(atOthers)]
     const least = MIN_CUT_SHARE * atCut.length * servedElsewhere / Math.max(1, atOthers.length)
     if (served + CUT_TOLERANCE >= least) return []
     const seen = `${served} of ${atCut.length} first tries served, elsewhere ${servedElsewhere} of ${atOthers.length}`
@@ -221,12 +221,19 @@
   })
 }
 
-function countWhole (attempts: readonly Attempt[]): number {
-  return attempts.filter(({ answer }) => answer?.status === HTTP_OK && answer.isWhole).length
+/** An answer that may not run again and ends with its connection is told as incomplete, whatever it holds. */
+function isServed ({ id, kind, answer }: Attempt): boolean {
+  if (answer?.status !== HTTP_OK) return false
+  const data = readEvents(answer.body).map((event) => event.data)
+  return answer.isWhole || (AT_MOST_ONCE.has(kind) && isCompleteText(id, data))
+}
+
+function countServed (attempts: readonly Attempt[]): number {
+  return attempts.filter(isServed).length
 }
 
 function checkRecovery ({ attempts, recoveredAt }: Observations): string[] {
   const after = attempts.filter(({ sentAt, hasLeft }) => sentAt >= recoveredAt && !hasLeft)
-  const whole = countWhole(after)
-  return whole >= after.length * MIN_RECOVERED_SHARE ? [] : [`recovery: ${whole} of ${after.length} requests completed`]
+  const served = countServed(after)
+  return served >= after.length * MIN_RECOVERED_SHARE ? [] : [`recovery: ${served} of ${after.length} requests completed`]
 }
--- a/packages/soak/src/versionFaults.ts
+++ b/packages/soak/src/versionFaults.ts
@@ -13,6 +13,10 @@
 const PAUSED_SHARE = 0.5
 const STEP_MS = 1200
 const MIN_TARGETS = 3
+/** Time for which one target after the other holds its first events back while versions change, in milliseconds. */
+const MUTE_MS = 900
+/** Number of its responses that do so. */
+const MUTED_RESPONSES = 6
 /** Time for which the old entry stays after every second restart, in milliseconds. */
 const ENTRY_DELAY_MS = 1000
 
@@ -46,11 +50,12 @@
 /**
  * Turns targets of the most frequent version into those of another one, until both are as frequent: in turn by a new
  * target beside the old one, and under the same id and address, where the entry may follow later. Meanwhile, runs are
- * reset.
+ * reset, and one target after the other holds its first events back, so that streams move before they begin.
  */
 export function injectVersions (fleet: SoakFleet, { pick }: Fault): () => void {
   const other = `v${2 + pick}`
   let step = pick
+  const mutes: Pause[] = []
   const breakOff: BreakOff = {
     events: 1 + pick % 8, by: 'reset', remaining: AFFECTED_RESPONSES * fleet.getUsableTargets().length
   }
@@ -68,12 +73,24 @@
     await fleet.addTarget(other)
     fleet.removeTarget(target)
   }
-  const change = (): void => { changeTarget().catch(() => undefined) }
+  function muteTarget (): void {
+    const usable = fleet.getUsableTargets()
+    const target = usable[(pick + step) % Math.max(1, usable.length)]
+    if (target === undefined || (target.standin.faults.pause?.remaining ?? 0) > 0) return
+    const mute: Pause = { events: 0, ms: MUTE_MS, remaining: MUTED_RESPONSES }
+    target.standin.faults.pause = mute
+    mutes.push(mute)
+  }
+  const change = (): void => {
+    changeTarget().catch(() => undefined)
+    muteTarget()
+  }
   change()
   const timer = setInterval(change, STEP_MS)
   return () => {
     clearInterval(timer)
     breakOff.remaining = 0
+    for (const mute of mutes) mute.remaining = 0
     ends.forEach((end) => end())
   }
 }
