--- a/packages/soak/features/streamChecks.feature
+++ b/packages/soak/features/streamChecks.feature
@@ -60,6 +60,7 @@
       | 700  | nothing                 | silence  | of a sound target                 |
       | 3900 | nothing                 | nothing  | at the route's timeout            |
       | 700  | a fault of the instance | nothing  | by an instance that was disturbed |
+      | 700  | a cut of the instance   | nothing  | by an instance that was cut off   |
       | 700  | a fault of a target     | nothing  | of a target that was disturbed    |
       | 700  | the caller leaving      | nothing  | by its caller                     |
 
--- a/packages/soak/features/streamChecks.steps.ts
+++ b/packages/soak/features/streamChecks.steps.ts
@@ -48,7 +48,7 @@
     id,
     request: id.replace(/a\d+$/, ''),
     kind: 'resumable',
-    instance: { id: 'front-1', touchedAt: [] } as unknown as Attempt['instance'],
+    instance: { id: 'front-1', touchedAt: [], cuts: [] } as unknown as Attempt['instance'],
     from: 0,
     sentAt,
     endedAt: sentAt + RUN_MS,
@@ -185,12 +185,13 @@
 /** Troubles that excuse a cut answer. */
 const EXCUSES: Record<string, (world: ChecksWorld, at: number) => void> = {
   nothing: () => undefined,
+  'a cut of the instance': ({ attempts }, at) => attempts[0]!.instance.cuts.push({ from: at, to: at + 1 }),
   'a fault of the instance': ({ attempts }, at) => attempts[0]!.instance.touchedAt.push(at),
   'a fault of a target': ({ targets }, at) => targets[0]!.disturbed.push({ from: at - 500, to: at }),
   'the caller leaving': ({ attempts }) => { attempts[0]!.hasLeft = true }
 }
 
-Given(/^(nothing|a fault of the instance|a fault of a target|the caller leaving) (\d+) ms before the answer$/, function (
+Given(/^(nothing|a cut of the instance|a fault of the instance|a fault of a target|the caller leaving) (\d+) ms before the answer$/, function (
   this: ChecksWorld, trouble: string, ms: string
 ) {
   EXCUSES[trouble]!(this, NOW - Number(ms))
--- a/packages/soak/src/streamChecks.ts
+++ b/packages/soak/src/streamChecks.ts
@@ -181,11 +181,12 @@
     if (silent === undefined || hasLeft || !isBegun(attempt) || answer!.isWhole) return []
     const hasTimeLeft = endedAt - sentAt < ROUTE_TIMEOUT_MS - TIMEOUT_SLACK_MS
     const isTouched = instance.touchedAt.some((at) => at >= sentAt - CONTACT_MS && at <= endedAt + SLACK_MS)
+    const isCut = instance.cuts.some((span) => overlaps(span, { from: sentAt - CONTACT_MS, to: endedAt }))
     const isSoundRun = own.every((run) => {
       const { disturbed, leftAt = Infinity } = targetOf.get(run)!
       return leftAt > endedAt && !disturbed.some((span) => overlaps(span, { from: run.at - CONTACT_MS, to: endedAt }))
     })
-    return hasTimeLeft && !isTouched && isSoundRun
+    return hasTimeLeft && !isTouched && !isCut && isSoundRun
       ? [`silence: ${id} was cut after ${endedAt - sentAt} ms, in a pause after ${silent.paused!.events} events`]
       : []
   })
