Kill or freeze the first instance of every tenth stream in the play of take-ups

Every thirtieth was too few to say something of callers who come back as their first instance is killed.

--- a/packages/soak/features/takeUps.feature
+++ b/packages/soak/features/takeUps.feature
@@ -9,8 +9,8 @@
     Examples:
       | state    | fault  | plays |
       | serving  | none   | 2     |
-      | killed   | kill   | 1     |
-      | frozen   | freeze | 1     |
+      | killed   | kill   | 2     |
+      | frozen   | freeze | 2     |
 
   Scenario Outline: Streams go on at their version between instances of <commit> and present ones
     Given 3 of 7 instances run the program of <commit>
--- a/packages/soak/src/takeUps.ts
+++ b/packages/soak/src/takeUps.ts
@@ -53,7 +53,7 @@
 const MUTE_SHARE = 0.4
 const MUTE_MS = 3000
 /** Every so many streams, the instance that began it is killed or frozen. */
-const FAULT_INTERVAL = 30
+const FAULT_INTERVAL = 10
 const FREEZE_MS = 1500
 /** Highest value of the hash from which mute runs are drawn, plus one. */
 const HASH_RANGE = 2 ** 32
