Keep the version that peers were told as a stream began

The stream was bound to its version and peers were told so, but the instance itself took the stream for one that had not begun, since no event with an id had come: it went on at another version, and peers kept the first one.

A stream is bound once its answer has begun, whatever the id of its first event, and beginning again changes nothing.

--- a/packages/pimentoplank/src/relay/live/relayRequest.ts
+++ b/packages/pimentoplank/src/relay/live/relayRequest.ts
@@ -122,7 +122,7 @@
 
   /** Once the caller has events of a stream, it goes on only at the version that wrote them. */
   function findVersion (): Result<string | undefined, RefusalError> {
-    const isBound = isResumable && progress.lastEventId !== undefined
+    const isBound = isResumable && (progress.lastEventId !== undefined || reply.hasStarted())
     if (!isBound || progress.version !== undefined) return ok(progress.version)
     return deps.streamVersionFinder.findOwn(request)
   }
--- a/packages/pimentoplank/src/relay/streams/streamVersions.feature
+++ b/packages/pimentoplank/src/relay/streams/streamVersions.feature
@@ -4,6 +4,12 @@
     When stream "r1" begins at a target of version "v1"
     Then a peer that hears of it knows version "v1" of "r1"
 
+  Scenario: A stream begins once
+    When stream "r1" begins at a target of version "v1"
+    And stream "r1" begins at a target of version "v2"
+    Then version "v1" of "r1" is known here
+    And a peer that hears of it knows version "v1" of "r1"
+
   Scenario: A version that is known doesn't change any more
     When a peer tells version "v1" of "r1"
     And a peer tells version "v2" of "r1"
--- a/packages/pimentoplank/src/relay/streams/streamVersions.ts
+++ b/packages/pimentoplank/src/relay/streams/streamVersions.ts
@@ -34,7 +34,7 @@
 export interface StreamVersions {
   /**
    * Records that the first event of an attempt is about to be delivered. Until then a stream may move to a target of
-   * another version; from then on it stays at this one.
+   * another version; from then on it stays at this one. Recording it again changes nothing.
    *
    * @param target - as its entry described it when the attempt was sent there
    * @param startedAt - when the process that wrote the event started, by its own clock; undefined if not known
@@ -100,6 +100,8 @@
 
   function begin (attempt: string, target: Target, startedAt: number | undefined): StreamNotice {
     const key = hash64(attempt)
+    const before = find(key)
+    if (before?.source === 'own') return { attempt: key, version: before.version, keepUntil: before.keepUntil }
     const placed = { attempt, target: target.id, startedAt }
     const version = findPlacedVersion(placed, [target, getTarget(target.id)])
     const keepUntil = clock.now() + FORGET_VERSION_MS
