Bound the wait for the rest only where a stream may end as whole

And the second target was asked twice within a millisecond, so that one which ends each answer after its head proved the end by itself; it is asked a second later now, as elsewhere its empty ends count apart only then. No scenario shows the latter, since stand-ins count answers, not time.

--- a/packages/pimentoplank/src/relay/decisions/answerEnds.feature
+++ b/packages/pimentoplank/src/relay/decisions/answerEnds.feature
@@ -48,6 +48,22 @@
     When its process lists it with 0 events
     Then more events may, and it may be listed for 500 ms
 
+  # Guards against whole streams that are marked since one request for their rest was reset, and cut ones that are not.
+  Scenario Outline: Of a live stream, after the ends <ends> it is <known> that no event follows, and it <may> end as whole
+    Then of a live stream, after the ends "<ends>" it is <known> that no event follows, and it <may> end as whole
+
+    Examples:
+      | ends                                     | known     | may     |
+      | openEnd                                  | not known | may     |
+      | openEnd broken                           | not known | may not |
+      | openEnd broken emptyEnd@b                | not known | may not |
+      | openEnd broken emptyEnd@b emptyEnd@b     | known     | may not |
+      | openEnd emptyEnd broken emptyEnd@b       | not known | may not |
+      | openEnd broken broken                    | not known | may not |
+      | openEnd broken broken emptyEnd@b         | not known | may not |
+      | openEnd connectFailed                    | not known | may not |
+      | openEnd broken openEnd@b                 | not known | may     |
+
   # A target that ends each of its answers after the head is one witness, however often it is asked.
   Scenario Outline: After the ends <ends> it is <known> that no event follows
     Then after the ends "<ends>" it is <known> that no event follows
--- a/packages/pimentoplank/src/relay/decisions/answerEnds.steps.ts
+++ b/packages/pimentoplank/src/relay/decisions/answerEnds.steps.ts
@@ -3,8 +3,9 @@
 import type { SendFailureReason } from '../exchange'
 import type { ProcessRun } from '../model'
 import {
-  addListedRun, addOpenEnd, computeListedMs, computeRestBackoff, hasMadeMore, isBusyRefusal, isEndProven,
-  type AnswerEnd, type ListHistory, type OpenEnds
+  addListedRun, addLiveOpenEnd, addOpenEnd, computeListedMs, computeRestBackoff, hasMadeMore, isBusyRefusal, isEndProven,
+  mayEndUnproven,
+  type AnswerEnd, type ListHistory, type LiveOpenEnds, type OpenEnds
 } from '.'
 
 /** Time between two ends, in milliseconds. */
@@ -63,6 +64,16 @@
   assert.equal(isEndProven(last), known === 'known')
 })
 
+Then(/^of a live stream, after the ends "(.*)" it is (known|not known) that no event follows, and it (may|may not) end as whole$/, function (
+  text: string, known: string, may: string
+) {
+  const ends = text.split(' ').map((end) => end.split('@'))
+  const last = ends.reduce<LiveOpenEnds>((before, [reason, target = 'a'], index) =>
+    addLiveOpenEnd(before, reason as SendFailureReason, target, index * STEP_MS), { openEnds: 0 })
+  assert.equal(isEndProven(last), known === 'known')
+  assert.equal(mayEndUnproven(last), may === 'may')
+})
+
 Then(/^an item whose usual wait is (\d+) ms waits ([\d, and]+) ms for its rest, and then counts as whole$/, function (
   backoffMs: string, waits: string
 ) {
--- a/packages/pimentoplank/src/relay/decisions/index.ts
+++ b/packages/pimentoplank/src/relay/decisions/index.ts
@@ -10,8 +10,8 @@
 } from './batchScheduling'
 export { addListedRun, computeListedMs, hasMadeAll, hasMadeMore, type AnswerEnd, type ListHistory } from './answerEnds'
 export {
-  addLiveOpenEnd, addOpenEnd, computeRestBackoff, hasOrderlyEnd, isBusyRefusal, isEndProven, mayEndUnproven,
-  MAX_REST_REFUSALS, REST_WAIT_MS,
+  addLiveOpenEnd, addOpenEnd, computeRestBackoff, EMPTY_END_GAP_MS, hasOrderlyEnd, isBusyRefusal, isEndProven,
+  mayEndUnproven, MAX_REST_REFUSALS, REST_WAIT_MS,
   type LiveOpenEnds, type OpenEnds
 } from './openEnds'
 export {
--- a/packages/pimentoplank/src/relay/decisions/openEnds.ts
+++ b/packages/pimentoplank/src/relay/decisions/openEnds.ts
@@ -12,7 +12,7 @@
 const END_WEIGHT = 2
 const EMPTY_END_WEIGHT = 1
 /** A target that ends each answer after its head does so for a while; its empty ends count apart, in milliseconds. */
-const EMPTY_END_GAP_MS = 1000
+export const EMPTY_END_GAP_MS = 1000
 /** Number of times that a target which refuses to tell the rest of a live stream is asked again. */
 export const MAX_REST_REFUSALS = 3
 /** Number of answers other than a stream after which an item counts as whole, for which nobody waits. */
--- a/packages/pimentoplank/src/relay/live/attemptTarget.ts
+++ b/packages/pimentoplank/src/relay/live/attemptTarget.ts
@@ -1,7 +1,10 @@
 /** Sends a live request to one target and forwards the answer to its caller. */
 import type { Result } from 'neverthrow'
 import { MIB_BYTES, type RefusalError } from '../../shared'
-import { addLiveOpenEnd, hasOrderlyEnd, isEndProven, isRepeatable, MAX_REST_REFUSALS, MIN_TRY_MS, type LiveOpenEnds } from '../decisions'
+import {
+  addLiveOpenEnd, EMPTY_END_GAP_MS, hasOrderlyEnd, isEndProven, isRepeatable, MAX_REST_REFUSALS, MIN_TRY_MS,
+  type LiveOpenEnds
+} from '../decisions'
 import { createEventReader, SendFailure, type EventReader, type SendFailureReason, type TargetAnswer } from '../exchange'
 import type { FaultKind } from '../load'
 import type { AnswerHead, ProcessNeed } from '../model'
@@ -130,9 +133,17 @@
         return mayHaveRun || head === undefined ? end : { ...end, failure: new SendFailure('noRest', true, message) }
       }
       if (isRefused) await clock.sleep(REFUSED_PAUSE_MS, ended)
+      else if (progress.isRestReset === true) await pauseBeforeSecondAnswer()
     }
   }
 
+  /** After a reset, a target that ends each answer after its head must not prove the end by itself. */
+  async function pauseBeforeSecondAnswer (): Promise<void> {
+    watch.hold()
+    await clock.sleep(EMPTY_END_GAP_MS, ended)
+    watch.recordBytes()
+  }
+
   /** Only the process that wrote the events may tell what follows, and only while it takes requests. */
   function mayAskForRest (): boolean {
     if (ended.aborted || endAt - clock.now() < MIN_TRY_MS || deps.crashes.isRefused(request)) return false
--- a/packages/pimentoplank/src/relay/live/relayRequest.ts
+++ b/packages/pimentoplank/src/relay/live/relayRequest.ts
@@ -1,7 +1,7 @@
 /** Relays one live request to a target, and retries it at another where that is safe. */
 import { err, ok, type Result } from 'neverthrow'
 import { describeCause, RefusalError, type Log } from '../../shared'
-import { canRetry, hasOrderlyEnd, isRepeatable, mayEndUnproven, REST_WAIT_MS } from '../decisions'
+import { canRetry, isRepeatable, mayEndUnproven, REST_WAIT_MS } from '../decisions'
 import type { SendFailure } from '../exchange'
 import { attemptTarget, type FailedAttempt } from './attemptTarget'
 import type { LiveCall, Progress, RelayDeps } from './liveCall'
@@ -94,7 +94,7 @@
       const isAnswerBegun = route.kind !== 'stream' && reply.hasStarted()
       const hasSilentTarget = progress.silentTargets.size > 0
       const state = { ...progress, hasBegun: hasBegun(), hasSilentTarget, isAnswerBegun, leftMs: endAt - clock.now() }
-      openSince = hasOrderlyEnd(progress) ? openSince ?? clock.now() : undefined
+      openSince = mayEndUnproven(progress) ? openSince ?? clock.now() : undefined
       const isRestOverdue = openSince !== undefined && clock.now() - openSince > REST_WAIT_MS
       if (over.signal.aborted || isRestOverdue || !canRetry(route, failure, state)) {
         return failRequest(toRefusal(failure, over.signal.aborted))
@@ -159,7 +159,7 @@
 
   /** Acquires a slot; a request that has run goes back to targets that were silent or have refused it. */
   async function acquireSlot (): Promise<Result<Slot, RefusalError>> {
-    const rest = hasOrderlyEnd(progress) ? [AbortSignal.timeout(REST_WAIT_MS)] : []
+    const rest = mayEndUnproven(progress) ? [AbortSignal.timeout(REST_WAIT_MS)] : []
     const signal = AbortSignal.any([ended, ...rest])
     for (;;) {
       const query = createQuery(signal)
