Ask only successes with a body for proof of their end

Found by the review: an answer of status 204 to a request that may not be repeated got 502, as its head ends without a length or chunks and nothing could prove its end; it has no body. Answers to HEAD, of status 204 and of 304 end with their heads now (the scenario failed before: 502). Unframed failures are as on: their status is what they tell. Unproven answers clear the parts of their prompts like others, the time to the first event includes telling peers, and a peer address that can't be sent to ends no stream. 287 scenarios of the parts that changed pass.

--- a/packages/pimentoplank/src/relay/decisions/answerEnds.steps.ts
+++ b/packages/pimentoplank/src/relay/decisions/answerEnds.steps.ts
@@ -3,8 +3,8 @@
 import type { SendFailureReason } from '../exchange'
 import type { ProcessRun } from '../model'
 import {
-  addListedRun, addLiveOpenEnd, addOpenEnd, computeListedMs, computeRestBackoff, hasMadeMore, isBusyRefusal, isEndProven,
-  mayEndUnproven,
+  addListedRun, addLiveOpenEnd, addOpenEnd, computeListedMs, computeRestBackoff, hasMadeMore, isBusyRefusal,
+  isEndProven, mayEndUnproven,
   type AnswerEnd, type ListHistory, type LiveOpenEnds, type OpenEnds
 } from '.'
 
--- a/packages/pimentoplank/src/relay/exchange/endCheck.ts
+++ b/packages/pimentoplank/src/relay/exchange/endCheck.ts
@@ -19,8 +19,8 @@
 export interface ReceivedAnswer extends AnswerEnd {
   /** True if the target can be asked for what follows the last event. */
   canAskForRest: boolean
-  /** True if the request may run again, so that its answer can be asked for anew. */
-  mayRunAgain: boolean
+  /** True for a success to a request that may not run again, so that nothing can prove its end afterwards. */
+  mustBeProven: boolean
 }
 
 /** What the state of the process told after the end of an answer. */
@@ -105,7 +105,7 @@
       const run = findRun(state)
       if (hasMadeMore(run, received)) return 'madeMore'
       if (received.canAskForRest) return 'restUnknown'
-      if (!received.mayRunAgain) return 'unproven'
+      if (received.mustBeProven) return 'unproven'
       const listedMs = computeListedMs(run, received, histories.get(process) ?? NO_HISTORY)
       if (listedMs !== undefined) {
         await clock.sleep(listedMs, signal)
--- a/packages/pimentoplank/src/relay/exchange/eventReader.ts
+++ b/packages/pimentoplank/src/relay/exchange/eventReader.ts
@@ -49,7 +49,7 @@
         isResumed: after !== undefined,
         lastEventId,
         canAskForRest: canResume && isBetweenEvents,
-        mayRunAgain: canResume
+        mustBeProven: !canResume
       })
       if (next.isErr()) return err(next.error)
       if (next.value !== undefined) {
--- a/packages/pimentoplank/src/relay/exchange/exchange.ts
+++ b/packages/pimentoplank/src/relay/exchange/exchange.ts
@@ -120,7 +120,8 @@
     const head = protocol.decodeHead(status, headers)
     const answer = createTargetAnswer({
       head,
-      framing: getBodyFraming(headers),
+      // An answer without a body ends with its head.
+      framing: hasNoBody(request.method, status) ? 'length' : getBodyFraming(headers),
       receiver,
       connection,
       connections,
@@ -219,6 +220,13 @@
   return connection.isReused && afterMs <= STALE_DETECTION_MS ? 'staleConnection' : 'broken'
 }
 
+/** Statuses of answers that have no body, whatever their headers say. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304])
+
+function hasNoBody (method: string, status: number): boolean {
+  return method === 'HEAD' || BODILESS_STATUSES.has(status)
+}
+
 function findHeadFailure ({ request, target }: TargetRequest, head: AnswerHead): SendFailure | undefined {
   // First, as a copy of an earlier answer says nothing of this request, whatever its status is.
   if (head.requestId !== undefined && head.requestId !== request.id) {
--- a/packages/pimentoplank/src/relay/exchange/targetAnswer.ts
+++ b/packages/pimentoplank/src/relay/exchange/targetAnswer.ts
@@ -27,7 +27,7 @@
   /**
    * Reads the next bytes of the body; resolves to undefined at its end.
    *
-   * @param received - what has been received so far, of an answer with events, and whether it may run again
+   * @param received - what has been received so far, of an answer with events, and whether its end must be proven
    */
   read: (received?: Partial<ReceivedEvents>) => Promise<Result<Uint8Array | undefined, SendFailure>>
   /** Ends the exchange; the connection is returned to the pool only if the body was read to its end. */
@@ -50,7 +50,7 @@
 const STATUS_NO_CONTENT = 204
 const STATUS_RESET_CONTENT = 205
 const NO_EVENTS: ReceivedEvents = {
-  events: undefined, isResumed: false, lastEventId: undefined, canAskForRest: false, mayRunAgain: true
+  events: undefined, isResumed: false, lastEventId: undefined, canAskForRest: false, mustBeProven: false
 }
 
 /** Creates the answer whose head has been received. */
--- a/packages/pimentoplank/src/relay/gossip/gossip.ts
+++ b/packages/pimentoplank/src/relay/gossip/gossip.ts
@@ -304,7 +304,10 @@
       sendTo(report.peerAddress, bytes, resolve)
     })))
     const over = new AbortController()
-    await Promise.race([sent, clock.sleep(MAX_SEND_MS, over.signal)])
+    await Promise.race([sent, clock.sleep(MAX_SEND_MS, over.signal)]).catch((cause: unknown) => {
+      metrics.count('gossip.sendErrors')
+      log.warn({ cause: describeCause(cause) }, 'peers could not be told that a stream begins')
+    })
     over.abort()
   }
 
--- a/packages/pimentoplank/src/relay/live/attemptTarget.ts
+++ b/packages/pimentoplank/src/relay/live/attemptTarget.ts
@@ -37,6 +37,10 @@
   createQuery: (signal: AbortSignal) => Result<SlotQuery, RefusalError>
 }
 
+function isSuccess ({ status }: AnswerHead): boolean {
+  return status >= 200 && status < 300
+}
+
 function failed (reason: SendFailureReason, detail: string): AttemptEnd {
   return { type: 'failed', failure: new SendFailure(reason, true, detail) }
 }
@@ -218,8 +222,7 @@
 
   async function forwardAnswer (answer: TargetAnswer, reader: EventReader): Promise<AttemptEnd> {
     const { head } = answer
-    const isSuccess = head.status >= 200 && head.status < 300
-    if (isSuccess && !head.isSigned) return toAttemptEnd(new SendFailure('spoiled', true, 'unsigned success'))
+    if (isSuccess(head) && !head.isSigned) return toAttemptEnd(new SendFailure('spoiled', true, 'unsigned success'))
     if (head.status >= STATUS_SERVER_ERROR) {
       deps.loads.recordFailure(slot.target.id, 'serverError', 'target')
       if (canMove) return failed('broken', `the target answered with status ${head.status}`)
@@ -228,7 +231,7 @@
     if (head.status !== STATUS_OK && call.reply.hasStarted()) {
       return failed('broken', `the target answered with status ${head.status}`)
     }
-    return route.kind === 'stream' && isSuccess ? await forwardEvents(answer, reader) : await forwardBody(answer)
+    return route.kind === 'stream' && isSuccess(head) ? await forwardEvents(answer, reader) : await forwardBody(answer)
   }
 
   async function forwardBody (answer: TargetAnswer): Promise<AttemptEnd> {
@@ -236,8 +239,12 @@
     const buffered: Uint8Array[] = []
     let isBuffered = isRepeatable(route)
     for (;;) {
-      const next = await answer.read({ mayRunAgain: isRepeatable(route) })
-      if (next.isErr()) return toAttemptEnd(next.error)
+      const next = await answer.read({ mustBeProven: isSuccess(head) && !isRepeatable(route) })
+      if (next.isErr()) {
+        // Its target has lived to the end of the answer.
+        if (next.error.reason === 'unproven') deps.crashes.recordAnswer(request.headers)
+        return toAttemptEnd(next.error)
+      }
       recordBytes()
       if (next.value === undefined) break
       if (!isBuffered) await writeBytes(head, next.value)
@@ -293,11 +300,11 @@
 
   async function writeEvent (answer: TargetAnswer, bytes: Uint8Array): Promise<void> {
     if (!call.reply.hasStarted()) {
-      deps.metrics.timing('live.firstEvent', clock.now() - call.arrivedAt)
       // Its caller may take the stream up elsewhere as soon as it has the event.
       if (isResumable && progress.version === undefined) {
         await deps.streamBinder.bind(request.id, slot.target, processStartedAt)
       }
+      deps.metrics.timing('live.firstEvent', clock.now() - call.arrivedAt)
     }
     await writeBytes(answer.head, bytes)
   }
