--- a/packages/soak/features/orderlyEnds.steps.ts
+++ b/packages/soak/features/orderlyEnds.steps.ts
@@ -9,7 +9,7 @@
 
 const PLACE = { folder: 'reports/soak/orderlyEnds', run: 230 }
 const TIMEOUT_MS = 180_000
-/** Of the streams of a calm run that may be resumed; a busy machine may refuse some. */
+/** Of the streams of a calm run; a busy machine may refuse some. */
 const MIN_WHOLE_SHARE = 0.9
 
 When('targets without framing play these ends with seed {int}:', { timeout: TIMEOUT_MS }, async function (
@@ -36,9 +36,10 @@
 
 Then('no sound answer that came in time is incomplete where no connection was closed', function (this: EndsWorld) {
   const calm = this.outcomes.filter((_, index) => this.variants[index]!.share === 0)
-  for (const { promptMarked, whole, streams } of calm) {
+  for (const { promptMarked, whole, streams, soundOnce, onceStreams } of calm) {
     assert.equal(promptMarked, 0)
     assert.ok(whole >= MIN_WHOLE_SHARE * streams, `${whole} of ${streams} whole`)
+    assert.ok(soundOnce >= MIN_WHOLE_SHARE * onceStreams, `${soundOnce} of ${onceStreams} to their last event`)
   }
 })
 
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -202,7 +202,9 @@
 const CUT_TOLERANCE = 4
 
 /** First tries at instances without a path to the targets must be served nearly as often as those at the others. */
-function checkCutInstances ({ fleet: { instances }, attempts }: Observations): string[] {
+function checkCutInstances ({ fleet, attempts }: Observations): string[] {
+  const { instances } = fleet
+  const unframed = listUnframedRuns(fleet)
   const spans = new Set(instances.flatMap(({ cuts }) => cuts))
   return [...spans].flatMap((span) => {
     const first = attempts.filter(({ id, sentAt, endedAt, instance: { touchedAt }, hasLeft }) => {
@@ -212,7 +214,7 @@
     })
     const atCut = first.filter(({ instance }) => instance.cuts.includes(span))
     const atOthers = first.filter(({ instance }) => !instance.cuts.includes(span))
-    const [served, servedElsewhere] = [countServed(atCut), countServed(atOthers)]
+    const [served, servedElsewhere] = [countServed(atCut, unframed), countServed(atOthers, unframed)]
     const least = MIN_CUT_SHARE * atCut.length * servedElsewhere / Math.max(1, atOthers.length)
     if (served + CUT_TOLERANCE >= least) return []
     const seen = `${served} of ${atCut.length} first tries served, elsewhere ${servedElsewhere} of ${atOthers.length}`
@@ -221,19 +223,25 @@
   })
 }
 
+/** Lists the runs at targets that end their answers with the connection, by the id of the request. */
+function listUnframedRuns ({ targets }: Pick<SoakFleet, 'targets'>): Set<string> {
+  const unframed = targets.filter(({ standin: { faults, framing } }) => (faults.framing ?? framing) === 'connection')
+  return new Set(unframed.flatMap(({ standin }) => standin.runs.map(({ id }) => id)))
+}
+
 /** An answer that may not run again and ends with its connection is told as incomplete, whatever it holds. */
-function isServed ({ id, kind, answer }: Attempt): boolean {
+function isServed ({ id, kind, answer }: Attempt, unframed: ReadonlySet<string>): boolean {
   if (answer?.status !== HTTP_OK) return false
   const data = readEvents(answer.body).map((event) => event.data)
-  return answer.isWhole || (AT_MOST_ONCE.has(kind) && isCompleteText(id, data))
+  return answer.isWhole || (AT_MOST_ONCE.has(kind) && unframed.has(id) && isCompleteText(id, data))
 }
 
-function countServed (attempts: readonly Attempt[]): number {
-  return attempts.filter(isServed).length
+function countServed (attempts: readonly Attempt[], unframed: ReadonlySet<string>): number {
+  return attempts.filter((attempt) => isServed(attempt, unframed)).length
 }
 
-function checkRecovery ({ attempts, recoveredAt }: Observations): string[] {
+function checkRecovery ({ fleet, attempts, recoveredAt }: Observations): string[] {
   const after = attempts.filter(({ sentAt, hasLeft }) => sentAt >= recoveredAt && !hasLeft)
-  const served = countServed(after)
+  const served = countServed(after, listUnframedRuns(fleet))
   return served >= after.length * MIN_RECOVERED_SHARE ? [] : [`recovery: ${served} of ${after.length} requests completed`]
 }
--- a/packages/soak/src/orderlyEnds.ts
+++ b/packages/soak/src/orderlyEnds.ts
@@ -30,6 +30,8 @@
   promptMarked: number
   /** Answers that may not be resumed, no target ended early, and callers got to their last event. */
   soundOnce: number
+  /** Streams that may not be resumed. */
+  onceStreams: number
   /** Streams that may be resumed and that callers got whole, as it seemed to them, in one attempt or several. */
   whole: number
   violations: string[]
@@ -99,6 +101,7 @@
     soundMarked: marked.length,
     promptMarked: marked.filter(({ sentAt, endedAt }) => endedAt - sentAt <= PROMPT_MS).length,
     soundOnce: soundOnce.length,
+    onceStreams: new Set(attempts.filter(({ kind }) => kind === 'once').map(({ request }) => request)).size,
     whole: resumable.filter(({ answer }) => answer?.status === HTTP_OK && answer.isWhole).length,
     violations: [
       ...findStreamViolations({ targets: fleet.targets, attempts, items: [], storeFaults: [] }),
--- a/packages/soak/src/takeUps.ts
+++ b/packages/soak/src/takeUps.ts
@@ -36,9 +36,9 @@
   moved: number
   /** Number of requests that took up a stream, by the source of its version and the outcome. */
   sources: Record<string, number>
-  /** Streams that hold events of both versions, apart from those that only older instances have handled. */
+  /** Streams that hold events of both versions, apart from `mixedByOlder`. */
   mixed: string[]
-  /** Streams that hold events of both versions and that only older instances have handled. */
+  /** Streams that hold events of both versions, began at an older instance and went on at another older one. */
   mixedByOlder: string[]
   /** Number of streams that went from older to present instances, and the other way round. */
   toPresent: number
@@ -147,7 +147,7 @@
   const mixed = listMixedStreams({ targets: fleet.targets, attempts })
   const isOfOlder = (id: string): boolean => {
     const [first, ...others] = attempts.filter(({ request }) => id === `${request}a0`)
-    return isOlder(first!) && others.some(isOlder)
+    return isOlder(first!) && others.some((one) => isOlder(one) && one.answer?.status === HTTP_OK)
   }
   return {
     streams: options.streams,
