Conclude the only version of a service from what the platform has now

What callers saw: a stream that began at a target of a version that had just joined went on at one of the version before, at an instance that was out of step with its peers and the platform.

Cause: where no peer knows a stream, an instance takes the only version that the service has had for that of the stream. It looked it up in its own list of targets, which is behind while the instance is cut off, stands still, or polls a peer that is. The list is a belief that grows old, taken as a fact.

Change: before it concludes, the instance reads entries and records of versions from the platform, in a read that begins after the request came. A target must be registered there before any instance can send it a stream, so that the read shows its version; one that the list doesn't have, and a platform that doesn't answer within a second, lead to a refusal. Only streams of which no peer knows need it. No message and no record changes.

--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -22,7 +22,7 @@
 import type { RouteTable } from './routing'
 import { RELAY_RULES } from './rules'
 import type { RelaySettings } from './settings'
-import { createServiceVersions, createStreamService, createStreamVersions } from './streams'
+import { createCurrentVersions, createServiceVersions, createStreamService, createStreamVersions } from './streams'
 import { createStartState } from './startState'
 import { createTargetDirectory } from './targets'
 
@@ -161,6 +161,7 @@
     access,
     streamVersions,
     serviceVersions,
+    currentVersions: createCurrentVersions({ platform, entries: protocols.targetEntries, log }),
     crashes,
     openRequests,
     runner,
--- a/packages/pimentoplank/src/relay/createRequestHandling.ts
+++ b/packages/pimentoplank/src/relay/createRequestHandling.ts
@@ -9,7 +9,9 @@
 import type { RouteTable } from './routing'
 import { RELAY_RULES } from './rules'
 import type { RelaySettings } from './settings'
-import { createStreamBinder, createStreamVersionFinder, type ServiceVersions, type StreamVersions } from './streams'
+import {
+  createStreamBinder, createStreamVersionFinder, type CurrentVersions, type ServiceVersions, type StreamVersions
+} from './streams'
 
 export interface RequestHandlingOptions {
   instance: RelaySettings['instance']
@@ -22,6 +24,7 @@
   access: Pick<TargetAccess, 'loads' | 'paths' | 'exchange'>
   streamVersions: StreamVersions
   serviceVersions: ServiceVersions
+  currentVersions: CurrentVersions
   crashes: CrashTracker
   openRequests: OpenRequests
   runner: Pick<ItemRunner, 'yieldItems'>
@@ -42,7 +45,8 @@
 export function createRequestHandling (options: RequestHandlingOptions): RequestHandling {
   const {
     instance, protocol, getRouteTable, whenStarted, transports, gossip, access: { loads, paths, exchange },
-    streamVersions, serviceVersions, crashes, openRequests, runner, jobs, shutdown, clock, random, metrics, log
+    streamVersions, serviceVersions, currentVersions, crashes, openRequests, runner, jobs, shutdown,
+    clock, random, metrics, log
   } = options
   const slotScheduler = createSlotScheduler({
     loads,
@@ -77,6 +81,7 @@
           ...serviceVersions.getHistory(service),
           hasOutdatedEntries: loads.getLoads(service).some(({ isOutdated }) => isOutdated)
         }),
+        currentVersions,
         clock,
         metrics,
         log
--- a/packages/pimentoplank/src/relay/decisions/index.ts
+++ b/packages/pimentoplank/src/relay/decisions/index.ts
@@ -30,7 +30,7 @@
 export { computeReadAfterLossMs, computeRecordReadMs, computeTakeOverAt, type Absence } from './takeOver'
 export { computeSuspicion, type FailureRecord, type Suspicion, type SuspicionRules } from './suspicion'
 export {
-  chooseKeepers, findOnlyVersion, findPlacedVersion, FORGET_VERSION_MS, listResumeCandidates,
+  chooseKeepers, findOnlyVersion, findPlacedVersion, FORGET_VERSION_MS, isHistoryCurrent, listResumeCandidates,
   type PlacedProcess, type ResumeCandidate, type ResumeInput, type VersionHistory
 } from './streamVersions'
 export {
--- a/packages/pimentoplank/src/relay/decisions/streamVersions.ts
+++ b/packages/pimentoplank/src/relay/decisions/streamVersions.ts
@@ -6,6 +6,7 @@
  * instances within a millisecond of it, also when the instance that began them is gone. Targets come back at another
  * version under their old id while peers and the platform still list the version before, for seconds if the platform is
  * away. All instances may be killed at once, and callers take up streams that began before, however late they come.
+ * An instance may be cut off from its peers or the platform, or stand still, while a version joins.
  */
 import { HOUR_MS, rankByRendezvous } from '../../shared'
 import type { PeerView } from '../gossip'
@@ -42,6 +43,15 @@
   return recent.length === 1 ? recent[0] : undefined
 }
 
+/**
+ * True if no version has joined a service that the history doesn't have: the entries it was made from may be behind.
+ *
+ * @param current - versions that the platform has of the service, read after the stream was taken up
+ */
+export function isHistoryCurrent ({ versions }: VersionHistory, current: Iterable<string>): boolean {
+  return [...current].every((version) => versions.has(version))
+}
+
 /** Instances of each failure domain that are told of a stream as it begins, and asked when it is taken up. */
 const KEEPERS_PER_DOMAIN = 2
 
--- a/packages/pimentoplank/src/relay/streams/index.ts
+++ b/packages/pimentoplank/src/relay/streams/index.ts
@@ -1,3 +1,4 @@
+export { createCurrentVersions, type CurrentVersions } from './currentVersions'
 export { createServiceVersions, type ServiceVersions } from './serviceVersions'
 export { createStreamBinder, type StreamBinder } from './streamBinder'
 export { createStreamService } from './streamService'
--- a/packages/pimentoplank/src/relay/streams/serviceVersions.ts
+++ b/packages/pimentoplank/src/relay/streams/serviceVersions.ts
@@ -19,6 +19,13 @@
   knownSince: z.number().optional()
 })
 
+export type VersionRecord = z.infer<typeof versionRecord>
+
+/** Decodes the content of a record; undefined if it is not valid. */
+export function decodeVersionRecord (value: unknown): VersionRecord | undefined {
+  return versionRecord.safeParse(value).data
+}
+
 export interface ServiceVersionsOptions {
   platform: Pick<PlatformClient, 'put' | 'listAll' | 'remove'>
   /** Returns when each version of a service was last registered, as far as this instance has followed its entries. */
@@ -89,9 +96,9 @@
   }
 
   function addLoaded (value: unknown): void {
-    const record = versionRecord.safeParse(value)
-    if (!record.success) return
-    const { service, version, knownSince: since } = record.data
+    const record = decodeVersionRecord(value)
+    if (record === undefined) return
+    const { service, version, knownSince: since } = record
     if (since !== undefined) knownSince.set(service, Math.max(since, knownSince.get(service) ?? -Infinity))
     add(loaded, service, version)
     add(recorded, service, version)
--- a/packages/pimentoplank/src/relay/streams/streamVersionFinder.feature
+++ b/packages/pimentoplank/src/relay/streams/streamVersionFinder.feature
@@ -84,3 +84,17 @@
     And only version "v2" has served for long
     When a caller takes up stream "r2"
     Then it is bound to version "v2"
+
+  Scenario Outline: A stream of which nobody knows is refused while the platform <what>
+    Given 1 peer in each of 1 failure domain, of which those in "b" know version "v1" of "r1"
+    And only version "v2" has served for long
+    And the platform <what>
+    When a caller takes up stream "r2"
+    Then it is refused as "streamVersionUnknown"
+
+    Examples:
+      | what                                   |
+      | has versions v1 and v2                 |
+      | does not tell its versions             |
+      | does not answer                        |
+      | is read as the history gets version v1 |
--- a/packages/pimentoplank/src/relay/streams/streamVersionFinder.steps.ts
+++ b/packages/pimentoplank/src/relay/streams/streamVersionFinder.steps.ts
@@ -32,12 +32,15 @@
   placed?: StreamReport
   answerMs: number
   history: VersionHistory
+  /** Versions that the platform has; those of the history by default, undefined if it does not tell. */
+  readVersions?: () => Promise<Set<string> | undefined>
   bound: Result<string, RefusalError>
 }
 
 const SECURITY = { sharedKey: '' }
 const STEP_TIMEOUT_MS = 10_000
 const KEEP_MS = 10_000
+const SERVICE = 's'
 const UNKNOWN_HISTORY: VersionHistory = { knownSince: Infinity, versions: new Map(), hasOutdatedEntries: false }
 
 Given('{int} peer(s) in each of {int} failure domain(s), of which those in {string} know version {string} of {string}', { timeout: STEP_TIMEOUT_MS }, async function (
@@ -144,6 +147,20 @@
   this.history = createHistory(version, true)
 })
 
+const READS: Record<string, (world: FinderWorld) => FinderWorld['readVersions']> = {
+  'has versions v1 and v2': () => async () => new Set(['v1', 'v2']),
+  'does not tell its versions': () => async () => undefined,
+  'does not answer': () => async () => await new Promise(() => undefined),
+  'is read as the history gets version v1': (world) => async () => {
+    world.history = { ...world.history, versions: new Map([['v1', Infinity], ['v2', Infinity]]) }
+    return new Set(['v2'])
+  }
+}
+
+Given(/^the platform (has versions v1 and v2|does not .*|is read as .*)$/, function (this: FinderWorld, what: string) {
+  this.readVersions = READS[what]!(this)
+})
+
 function createHistory (version: string, hasOutdatedEntries: boolean): VersionHistory {
   return { knownSince: -Infinity, versions: new Map([[version, Infinity]]), hasOutdatedEntries }
 }
@@ -163,12 +180,19 @@
     transports: this.transports,
     whenVersionsLoaded: async () => undefined,
     getVersionHistory: () => this.history,
+    currentVersions: {
+      read: async () => {
+        const { readVersions = async () => new Set(this.history.versions.keys()) } = this
+        const versions = await readVersions()
+        return versions === undefined ? undefined : new Map([[SERVICE, versions]])
+      }
+    },
     clock,
     metrics: createMetrics(),
     log: createSilentLog()
   })
   const request = { id: 'r9', resumes, lastEventId: 3 } as unknown as CallerRequest
-  this.bound = await finder.find(request, 's')
+  this.bound = await finder.find(request, SERVICE)
 })
 
 Then('it is bound to version {string}', function (this: FinderWorld, version: string) {
--- a/packages/pimentoplank/src/relay/streams/streamVersionFinder.ts
+++ b/packages/pimentoplank/src/relay/streams/streamVersionFinder.ts
@@ -5,9 +5,10 @@
   describeCause, hash64, RefusalError, StreamService,
   type Clock, type Log, type Metrics, type PeerTransports
 } from '../../shared'
-import { chooseKeepers, findOnlyVersion, type VersionHistory } from '../decisions'
+import { chooseKeepers, findOnlyVersion, isHistoryCurrent, type VersionHistory } from '../decisions'
 import type { PeerView, StreamNotice } from '../gossip'
 import type { CallerRequest } from '../model'
+import type { CurrentVersions } from './currentVersions'
 import type { KnownStream, StreamVersions } from './streamVersions'
 
 export interface StreamVersionFinderOptions {
@@ -18,6 +19,7 @@
   whenVersionsLoaded: (timeoutMs: number) => Promise<void>
   /** Returns the software versions that a service has had. */
   getVersionHistory: (service: string) => VersionHistory
+  currentVersions: CurrentVersions
   clock: Clock
   metrics: Metrics
   log: Log
@@ -34,6 +36,8 @@
 const ASK_TIMEOUT_MS = 500
 /** Longest wait of a request for the versions of services, in milliseconds; they are read as an instance starts. */
 const LOAD_TIMEOUT_MS = 150
+/** Timeout for reading the current versions from the platform, in milliseconds. */
+const READ_TIMEOUT_MS = 1000
 /** Retry hint for callers whose stream is not known, in milliseconds. */
 const UNKNOWN_RETRY_AFTER_MS = 100
 
@@ -41,6 +45,9 @@
   version: string | undefined
   source: string
   ageMs?: number
+  /** The only version that this instance knows of, and those that the platform has. */
+  only?: string
+  current?: string[] | 'unread'
 }
 
 /** Creates the finder of an instance. */
@@ -78,9 +85,30 @@
     if (heard?.source !== 'own' && heard?.version === undefined) await askPeers(key, request.id)
     const known = streamVersions.find(key)
     if (known !== undefined) return describeKnown(known)
+    return await concludeOnlyVersion(key, service)
+  }
+
+  /** Concludes from the versions that the service has had; those that have just joined may not be known here yet. */
+  async function concludeOnlyVersion (key: bigint, service: string): Promise<Found> {
     await options.whenVersionsLoaded(LOAD_TIMEOUT_MS)
-    const version = findOnlyVersion(options.getVersionHistory(service), clock.now())
-    return { version, source: version === undefined ? 'none' : 'onlyVersion' }
+    const only = findOnlyVersion(options.getVersionHistory(service), clock.now())
+    if (only === undefined) return { version: undefined, source: 'none' }
+    const current = await readCurrent(service)
+    const known = streamVersions.find(key)
+    if (known !== undefined) return describeKnown(known)
+    const history = options.getVersionHistory(service)
+    const isCurrent = current !== undefined && isHistoryCurrent(history, current)
+    if (isCurrent && findOnlyVersion(history, clock.now()) === only) return { version: only, source: 'onlyVersion' }
+    return { version: undefined, source: 'none', only, current: current ?? 'unread' }
+  }
+
+  async function readCurrent (service: string): Promise<string[] | undefined> {
+    const over = new AbortController()
+    const versions = await Promise.race([
+      options.currentVersions.read(), clock.sleep(READ_TIMEOUT_MS, over.signal).then(() => undefined)
+    ])
+    over.abort()
+    return versions === undefined ? undefined : [...versions.get(service) ?? []]
   }
 
   /** Resolves once a peer has named the version, or all have answered. */
