Derive the budget for callers from the memory granted to the process

Callers saw: an instance used several times the memory of its machine before the platform ended it; the limits in its settings file were not read.

A quarter of the memory is the budget for what callers make the instance keep, and at least three bodies of the largest allowed size fit into the share of large holdings. Accounts can count memory that is in use already, and give way only in phases in which their caller is the one to wait for. Scenarios: memoryBudget.feature; configuration.feature passes.

--- a/packages/pimentoplank/src/relay/constants.ts
+++ b/packages/pimentoplank/src/relay/constants.ts
@@ -49,6 +49,14 @@
 export const MAX_READ_AGE_MS = 800
 /** Time for which reports repeat a change of a job, in milliseconds. */
 export const JOB_NOTICE_MS = 5000
+/** Part of the grace period reserved for closing connections before the platform kills the process, in milliseconds. */
+export const SHUTDOWN_MARGIN_MS = 800
+/** Timeout for storing pending results at shutdown, in milliseconds. */
+export const SHUTDOWN_FLUSH_TIMEOUT_MS = 1000
+/** Share of the memory of the process that all callers together may make it keep. */
+export const CALLER_MEMORY_SHARE = 0.25
+/** The same, at least, in bodies of the largest allowed size. */
+export const MIN_CALLER_MEMORY_BODIES = 3
 /** Timings of watching and polling the platform, in milliseconds. */
 export const FEED_TIMINGS: FeedTimings = {
   // A watch with its margin is shorter than the tolerated outage of the platform.
--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -5,8 +5,9 @@
 import { createDirectory } from './callers'
 import {
   DIRECTORY_MAX_AGE_MS, DIRECTORY_STALENESS_FACTOR, GOSSIP_SETTINGS, LEAVING_GRACE_SHARE, MAX_START_WAIT_MS,
-  REMOVAL_GRACE_SHARE, TICK_INTERVAL_MS, URGENT_REPORT_DELAY_MS
+  REMOVAL_GRACE_SHARE, SHUTDOWN_FLUSH_TIMEOUT_MS, SHUTDOWN_MARGIN_MS, TICK_INTERVAL_MS, URGENT_REPORT_DELAY_MS
 } from './constants'
+import { createCallerMemory } from './createCallerMemory'
 import { createCrashes } from './createCrashes'
 import { createJobs } from './createJobs'
 import { createRelayFeed } from './createRelayFeed'
@@ -47,6 +48,7 @@
     log
   })
   const openRequests = createOpenRequests()
+  const memory = createCallerMemory({ memoryBytes: settings.process.memoryBytes, clock, metrics, log })
   const closing = new AbortController()
   const startState = createStartState(clock, MAX_START_WAIT_MS, closing.signal)
   let getRouteTable: () => RouteTable | undefined = () => undefined
@@ -213,7 +215,8 @@
   getRouteTable = followConfig({
     feed,
     object: protocols.config,
-    onChange: () => {
+    onChange: ({ limits }) => {
+      memory.ensureBodies(limits.maxBodyBytes)
       startState.recordConfig()
       gossip.reportNow()
       dispatchAll()
@@ -291,7 +294,7 @@
   function applySettings (next: RelaySettings): string[] {
     next.seeds.forEach(gossip.addCandidate)
     log.level(next.log.level)
-    const restartSettings = ['instance', 'listen', 'platform', 'targets', 'bounds'] as const
+    const restartSettings = ['instance', 'listen', 'platform', 'targets', 'bounds', 'process'] as const
     return restartSettings.filter((name) => JSON.stringify(next[name]) !== JSON.stringify(settings[name]))
   }
 
@@ -326,6 +329,7 @@
       maxAgeMs: settings.bounds.directoryMaxAgeMs
     }),
     jobs,
+    memory: memory.budget,
     trackRequest: shutdown.trackRequest,
     isReady: () => getStage() === 'serving',
     table: () => getRouteTable(),
@@ -341,11 +345,6 @@
   })
 }
 
-/** Part of the grace period reserved for closing connections before the platform kills the process, in milliseconds. */
-const SHUTDOWN_MARGIN_MS = 800
-/** Timeout for storing pending results at shutdown, in milliseconds. */
-const SHUTDOWN_FLUSH_TIMEOUT_MS = 1000
-
 function formatAddress ({ host, port }: { host: string, port: number }): string {
   return `${host}:${port}`
 }
--- a/packages/pimentoplank/src/relay/followConfig.ts
+++ b/packages/pimentoplank/src/relay/followConfig.ts
@@ -9,7 +9,7 @@
   /** The object that holds the configuration. */
   object: { kind: string, name: string, decode: (value: unknown) => Result<RelayConfig, Error> }
   /** Called after a configuration has come into force. */
-  onChange: () => void
+  onChange: (table: RouteTable) => void
   metrics: Metrics
   log: Log
 }
@@ -36,7 +36,7 @@
     }
     table = createRouteTable(config.value)
     log.info({ version: table.version, revision, routes: config.value.routes.length }, 'configuration in force')
-    options.onChange()
+    options.onChange(table)
   }
 
   const known = feed.objects(kind).get(name)
--- a/packages/pimentoplank/src/relay/index.ts
+++ b/packages/pimentoplank/src/relay/index.ts
@@ -5,5 +5,5 @@
 export { JOB_KINDS } from './jobs'
 export type { RefusalAnswer } from './live'
 export * from './model'
-export { boundSettings, relaySettings, type RelaySettings, type RelaySettingsInput } from './settings'
+export { boundSettings, processSettings, relaySettings, type ProcessSettings, type RelaySettings, type RelaySettingsInput } from './settings'
 export { answerRetirements } from './retirement'
--- a/packages/pimentoplank/src/relay/relay.ts
+++ b/packages/pimentoplank/src/relay/relay.ts
@@ -1,6 +1,6 @@
 /** A relay instance as its process uses it, and what it is created from. */
 import type { Result } from 'neverthrow'
-import type { Clock, createConnector, Log, Metrics, PeerSecurity, PlatformClient, Random } from '../shared'
+import type { Clock, createConnector, Log, MemoryBudget, Metrics, PeerSecurity, PlatformClient, Random } from '../shared'
 import type { CallerProtocol, Directory, RelayHandler } from './callers'
 import type { JobApi } from './jobs'
 import type { RelayConfig, Target, TargetProtocol } from './model'
@@ -33,6 +33,8 @@
   handle: RelayHandler
   directory: Directory
   jobs: JobApi
+  /** Budget for what callers make this instance keep. */
+  memory: MemoryBudget
   /** Counts a call of a caller as in flight, so that a shutdown waits for it; returns the function that ends it. */
   trackRequest: () => () => void
   /** True while this instance accepts requests of callers. */
--- a/packages/pimentoplank/src/relay/settings.ts
+++ b/packages/pimentoplank/src/relay/settings.ts
@@ -1,10 +1,12 @@
 /** Settings of a relay instance. */
 import * as z from 'zod'
-import { address, instanceSettings, listenSettings, logSettings, SECOND_MS } from '../shared'
+import { address, instanceSettings, listenSettings, logSettings, MIB_BYTES, SECOND_MS } from '../shared'
 
 const durationMs = z.number().min(0)
 const DEFAULT_MAX_OBJECT_BYTES = 1_048_576
 const LEAST_MAX_OBJECT_BYTES = 65_536
+const DEFAULT_MEMORY_BYTES = 350 * MIB_BYTES
+const DEFAULT_DESCRIPTORS = 4096
 
 /** Time bounds that the operator guarantees or requires. */
 export const boundSettings = z.strictObject({
@@ -16,6 +18,12 @@
   jobStatusMs: durationMs.default(120 * SECOND_MS).describe('How long a job can be read after its submission.')
 })
 
+/** What the machine grants the process; what callers can make it keep is bounded by a share of it. */
+export const processSettings = z.strictObject({
+  memoryBytes: z.int().positive().default(DEFAULT_MEMORY_BYTES).describe('Memory that the process may use, in bytes.'),
+  descriptors: z.int().positive().default(DEFAULT_DESCRIPTORS).describe('Number of descriptors that the process may have open.')
+})
+
 export const relaySettings = z.strictObject({
   instance: instanceSettings,
   /** Listening addresses; one process may serve all of them. */
@@ -36,8 +44,10 @@
   }).prefault({}),
   seeds: z.array(address).default([]).describe('Addresses of peers to contact before any peer is known.'),
   bounds: boundSettings.prefault({}),
+  process: processSettings.prefault({}),
   isFirstStart: z.boolean().default(false).describe('True when nothing has been served before this deployment started.'),
   log: logSettings.prefault({})
 })
+export type ProcessSettings = z.infer<typeof processSettings>
 export type RelaySettings = z.infer<typeof relaySettings>
 export type RelaySettingsInput = z.input<typeof relaySettings>
--- a/packages/pimentoplank/src/shared/memory/evictions.ts
+++ b/packages/pimentoplank/src/shared/memory/evictions.ts
@@ -33,9 +33,10 @@
   const evictions: MemoryHolding[] = []
   if (missingBytes <= 0 && missingLargeBytes <= 0) return evictions
   for (const holding of holdings) {
+    if (holding.bytes === 0) continue
     if (holding === requester || holding.progressAt > stalledSince) return undefined
     const isLarge = holding.bytes > largeHoldingBytes
-    if (holding.bytes === 0 || (missingBytes <= 0 && !isLarge)) continue
+    if (missingBytes <= 0 && !isLarge) continue
     evictions.push(holding)
     missingBytes -= holding.bytes
     if (isLarge) missingLargeBytes -= holding.bytes
--- a/packages/pimentoplank/src/shared/memory/memoryBudget.feature
+++ b/packages/pimentoplank/src/shared/memory/memoryBudget.feature
@@ -83,3 +83,23 @@
     And account "a" takes 10 KiB
     Then account "a" is refused
     And 700 KiB of the budget are in use
+
+  Scenario: Memory that is in use already counts, also beyond the budget
+    Given 17 accounts of 60 KiB each
+    When account "answer" is charged with 60 KiB
+    Then no account was evicted
+    And 1080 KiB of the budget are in use
+    When account "new" takes 10 KiB
+    Then account "new" is refused
+
+  Scenario: An account gives way only while it can be evicted
+    Given account "a" takes 700 KiB
+    And account "a" cannot be evicted
+    When 600 ms pass for the budget
+    And account "new" takes 700 KiB
+    Then account "new" is refused
+    When account "a" can be evicted
+    And 600 ms pass for the budget
+    And account "new" takes 700 KiB
+    Then account "new" has its memory
+    And account "a" was evicted
--- a/packages/pimentoplank/src/shared/memory/memoryBudget.steps.ts
+++ b/packages/pimentoplank/src/shared/memory/memoryBudget.steps.ts
@@ -49,6 +49,18 @@
   take(this, id, size, false)
 })
 
+When('account {string} is charged with {int} KiB', function (this: BudgetWorld, id: string, size: number) {
+  this.budget.open({ kind: 'test', id }).charge(size * KIB_BYTES)
+})
+
+Given('account {string} cannot be evicted', function (this: BudgetWorld, id: string) {
+  this.accounts.get(id)!.setEvict(undefined)
+})
+
+When('account {string} can be evicted', function (this: BudgetWorld, id: string) {
+  this.accounts.get(id)!.setEvict(() => { this.evicted.push(id) })
+})
+
 When('account {string} is closed', function (this: BudgetWorld, id: string) {
   this.accounts.get(id)!.close()
 })
--- a/packages/pimentoplank/src/shared/memory/memoryBudget.ts
+++ b/packages/pimentoplank/src/shared/memory/memoryBudget.ts
@@ -43,6 +43,14 @@
    * @returns false if there is no room, which leaves the size as it was, and after the account was evicted or closed
    */
   resize: (bytes: number) => boolean
+  /**
+   * Counts memory that is in use already, also beyond the budget, and makes room for it if others can give way.
+   *
+   * @param bytes - the new size in all, in bytes
+   */
+  charge: (bytes: number) => void
+  /** Replaces the function that releases the memory; without it, the account stays. Counts as progress. */
+  setEvict: (evict: (() => void) | undefined) => void
   /** Records progress of a noteworthy size, such as `PROGRESS_BYTES` more of a body. */
   recordProgress: () => void
   /** Returns the memory to the budget; may be called more than once. */
@@ -54,18 +62,20 @@
   open: (options: MemoryAccountOptions) => MemoryAccount
   /** Returns the bytes in use. */
   usedBytes: () => number
+  /** Changes the size of the budget, in bytes; what is in use stays. */
+  setTotalBytes: (bytes: number) => void
 }
 
-interface Holding extends MemoryHolding {
-  options: MemoryAccountOptions
+interface Holding extends MemoryHolding, MemoryAccountOptions {
   isOpen: boolean
 }
 
 /** Creates the budget of a process. */
-export function createMemoryBudget ({ totalBytes, clock, metrics, log }: MemoryBudgetOptions): MemoryBudget {
+export function createMemoryBudget (options: MemoryBudgetOptions): MemoryBudget {
+  const { clock, metrics, log } = options
   /** Open accounts that can be evicted, those whose progress is longest ago first. */
   const evictable = new Set<Holding>()
-  const largeBytes = totalBytes * LARGE_HOLDINGS_SHARE
+  let { totalBytes } = options
   let usedBytes = 0
   let usedLargeBytes = 0
 
@@ -85,13 +95,24 @@
     return true
   }
 
+  function charge (holding: Holding, bytes: number): void {
+    if (!resize(holding, bytes) && holding.isOpen) setBytes(holding, bytes)
+  }
+
+  function setEvict (holding: Holding, newEvict: (() => void) | undefined): void {
+    holding.evict = newEvict
+    if (newEvict === undefined || !holding.isOpen) evictable.delete(holding)
+    else evictable.add(holding)
+    recordProgress(holding)
+  }
+
   function makeRoom (holding: Holding, bytes: number): boolean {
     const now = clock.now()
     const evictions = findEvictions(evictable, {
       requester: holding,
       missingBytes: usedBytes + bytes - holding.bytes - totalBytes,
       missingLargeBytes: bytes > LARGE_HOLDING_BYTES
-        ? usedLargeBytes + bytes - countLarge(holding.bytes) - largeBytes
+        ? usedLargeBytes + bytes - countLarge(holding.bytes) - totalBytes * LARGE_HOLDINGS_SHARE
         : 0,
       largeHoldingBytes: LARGE_HOLDING_BYTES,
       stalledSince: now - MIN_STALL_MS
@@ -101,11 +122,11 @@
   }
 
   function evict (holding: Holding, now: number): void {
-    const { options: { kind, id }, bytes, progressAt } = holding
+    const { kind, id, bytes, progressAt } = holding
     close(holding)
     metrics?.count('memory.evicted')
     log.warn({ kind, id, bytes, stalledMs: Math.round(now - progressAt), usedBytes, totalBytes }, 'evicted to free memory')
-    holding.options.evict!()
+    holding.evict!()
   }
 
   function close (holding: Holding): void {
@@ -122,16 +143,19 @@
   }
 
   return {
-    open: (options) => {
-      const holding: Holding = { options, bytes: 0, progressAt: clock.now(), isOpen: true }
-      if (options.evict !== undefined) evictable.add(holding)
+    open: (account) => {
+      const holding: Holding = { ...account, bytes: 0, progressAt: clock.now(), isOpen: true }
+      if (account.evict !== undefined) evictable.add(holding)
       return {
         resize: (bytes) => resize(holding, bytes),
+        charge: (bytes) => charge(holding, bytes),
+        setEvict: (evict) => setEvict(holding, evict),
         recordProgress: () => recordProgress(holding),
         close: () => close(holding)
       }
     },
-    usedBytes: () => usedBytes
+    usedBytes: () => usedBytes,
+    setTotalBytes: (bytes) => { totalBytes = bytes }
   }
 }
 
