Close the connection of a request that is refused before its end

Cause: Node's server drops the rest of a request whose answer is finished, however much comes. Closing at once is no way out: a connection that is closed with unread bytes is reset, and its caller may lose the answer.

`closeLingering` sends the answer, drops up to 8 MiB for up to 5 s, and closes.

--- a/packages/pimentoplank/src/shared/process/index.ts
+++ b/packages/pimentoplank/src/shared/process/index.ts
@@ -1,4 +1,5 @@
 export { createStopSignal, runProgram, EXIT_OK, EXIT_FAILED, EXIT_USAGE } from './runProgram'
 export { serveHttp, type HttpServer } from './httpServer'
+export { closeLingering, LINGER_BYTES, LINGER_MS, type LingerLimits } from './lingeringClose'
 export { truncateResponse } from './truncateResponse'
 export { VERSION } from './version'
