Bound what unfinished bodies make an instance keep

Callers saw: with a crowd of callers whose bodies stop short, a process grew to 1.3 GB, and with chunks of one byte it ended, out of memory; none of the ordinary callers was answered.

Cause: `readBody` kept each chunk as a buffer of its own, with a limit for one body but none for all, without an end in time, and before it had looked at the route.

The reader copies chunks into segments that grow, and counts them in the budget before it allocates them; an announced length allocates nothing. A length over the limit is refused at once, as is a request without a route. A body has to be whole when its caller leaves, otherwise it gets 408 (`bodyTimeout`). When the budget is used up, bodies that make no progress give way, otherwise the newcomer is refused with 503 (`overloaded`). Open requests, answers that are kept for a retry and answers that wait for their caller to read are counted as well. What is refused before its end closes its connection.

--- a/packages/pimentoplank/src/relay/callers/relayHandler.ts
+++ b/packages/pimentoplank/src/relay/callers/relayHandler.ts
@@ -1,12 +1,16 @@
 /** Routes requests of callers to the live path or to the batch jobs. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { err, ok, type Result } from 'neverthrow'
-import { RefusalError, type Log, type Random } from '../../shared'
+import { RefusalError, type Clock, type Log, type MemoryBudget, type Random } from '../../shared'
 import { isRepeatable } from '../decisions'
 import type { JobApi, JobItem } from '../jobs'
-import { createCallerReply, handleUnexpectedError, relayRequest, type CallerReply, type RefusalAnswer, type RelayDeps } from '../live'
+import {
+  createCallerReply, handleUnexpectedError, openRequestMemory, relayRequest,
+  type CallerReply, type RefusalAnswer, type RelayDeps, type RequestMemory
+} from '../live'
 import type { CallerRequest, RawHeaders, Route } from '../model'
 import { pickService, type RouteTable } from '../routing'
+import { createBodyReader, createOverloadedError } from './bodyReader'
 
 /** Codec for requests of callers and the responses to them. */
 export interface CallerProtocol {
@@ -38,6 +42,9 @@
   getLeftMs: () => number
   /** Counts a request as in flight; returns the function that ends it. */
   trackRequest: () => () => void
+  /** Budget for what callers make this instance keep. */
+  memory: MemoryBudget
+  clock: Clock
   random: Random
   log: Log
 }
@@ -56,11 +63,14 @@
   const longestDeadlines = new Map<string, number>()
 
   async function handle (req: IncomingMessage, res: ServerResponse, arrivedAt: number): Promise<void> {
-    const reply = createCallerReply({ res, encodeRefusal: protocol.encodeRefusal, isLeaving: options.isLeaving })
+    const memory = openRequestMemory({
+      budget: options.memory, id: req.socket.remoteAddress ?? '', headBytes: countHeadBytes(req)
+    })
+    const { encodeRefusal } = protocol
+    const reply = createCallerReply({ res, memory, encodeRefusal, isLeaving: options.isLeaving })
     const endRequest = options.trackRequest()
     try {
-      await options.whenStarted
-      const received = await receiveRequest(req)
+      const received = await receiveRequest(req, memory, arrivedAt)
       if (received.isErr()) {
         log.info({ path: req.url, reason: received.error.reason, detail: received.error.message }, 'refused')
         live.metrics.countRefusal(received.error.reason)
@@ -72,30 +82,37 @@
       else await relay(request, route, reply, arrivedAt)
     } finally {
       endRequest()
+      if (memory !== undefined) closeWithResponse(memory, res)
     }
   }
 
   async function receiveRequest (
-    req: IncomingMessage
+    req: IncomingMessage, memory: RequestMemory | undefined, arrivedAt: number
   ): Promise<Result<{ request: CallerRequest, route: Route }, RefusalError>> {
+    if (memory === undefined) return err(createOverloadedError())
     const head = protocol.decodeRequest(req)
     if (head.isErr()) return err(head.error)
+    const reader = createBodyReader({ req, memory, clock: options.clock })
+    await options.whenStarted
     const table = options.getRouteTable()
-    if (table === undefined) return err(new RefusalError('starting', { retryAfterMs: STARTING_RETRY_AFTER_MS }))
-    const body = await readBody(req, table.limits.maxBodyBytes)
+    if (table === undefined) {
+      const refusal = new RefusalError('starting', { retryAfterMs: STARTING_RETRY_AFTER_MS })
+      reader.abort(refusal)
+      return err(refusal)
+    }
+    findRoute(table, head.value).match((route) => reader.setLimits({
+      maxBytes: table.limits.maxBodyBytes, endAt: arrivedAt + getLongestMs(head.value, route)
+    }), reader.abort)
+    const body = await reader.body
     if (body.isErr()) return err(body.error)
     // Refused only now, since closing a connection with unread bytes would reset it.
     if (options.isClosed()) return err(new RefusalError('addressMoved', { retryAfterMs: MOVED_RETRY_AFTER_MS }))
     // A newer configuration may have been applied while the body was read.
-    const route = (options.getRouteTable() ?? table).findRoute(head.value.host, head.value.path)
-    if (route === undefined) {
-      return err(new RefusalError('notFound', { detail: `no route for ${head.value.host}${head.value.path}` }))
-    }
-    const longestMs = Math.min(head.value.deadlineMs ?? route.timeoutMs, route.timeoutMs)
-    if (route.kind !== 'batch' && longestMs > options.getLeftMs()) {
-      return err(new RefusalError('addressMoved', { retryAfterMs: MOVED_RETRY_AFTER_MS }))
-    }
-    return ok({ request: { ...head.value, body: body.value }, route })
+    return findRoute(options.getRouteTable() ?? table, head.value).andThen((route) => {
+      return route.kind !== 'batch' && getLongestMs(head.value, route) > options.getLeftMs()
+        ? err(new RefusalError('addressMoved', { retryAfterMs: MOVED_RETRY_AFTER_MS }))
+        : ok({ request: { ...head.value, body: body.value }, route })
+    })
   }
 
   async function relay (
@@ -150,17 +167,31 @@
 /** Retry hint for callers of an instance that has no configuration yet, in milliseconds. */
 const STARTING_RETRY_AFTER_MS = 300
 
-async function readBody (req: IncomingMessage, maxBytes: number): Promise<Result<Uint8Array, RefusalError>> {
-  const chunks: Buffer[] = []
-  let size = 0
-  try {
-    for await (const chunk of req) {
-      size += (chunk as Buffer).length
-      if (size > maxBytes) return err(new RefusalError('bodyTooLarge', { detail: `the body is larger than ${maxBytes} bytes` }))
-      chunks.push(chunk as Buffer)
-    }
-  } catch {
-    return err(new RefusalError('badRequest', { detail: 'the body broke off' }))
-  }
-  return ok(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks))
+function findRoute (
+  table: RouteTable, { host, path }: Pick<CallerRequest, 'host' | 'path'>
+): Result<Route, RefusalError> {
+  const route = table.findRoute(host, path)
+  return route === undefined ? err(new RefusalError('notFound', { detail: `no route for ${host}${path}` })) : ok(route)
+}
+
+/** Returns how long the caller of a request waits at most, in milliseconds. */
+function getLongestMs ({ deadlineMs }: Pick<CallerRequest, 'deadlineMs'>, route: Route): number {
+  // The time-out of a batch route does not apply to its callers.
+  if (route.kind === 'batch') return deadlineMs ?? route.timeoutMs
+  return Math.min(deadlineMs ?? route.timeoutMs, route.timeoutMs)
+}
+
+/** Returns the size of the header fields as received, in bytes. */
+function countHeadBytes ({ rawHeaders, url = '' }: IncomingMessage): number {
+  return rawHeaders.reduce((sum, text) => sum + text.length, url.length)
+}
+
+/** Counts what the caller has still to read of the response, and closes the account when it has read it. */
+function closeWithResponse (memory: RequestMemory, res: ServerResponse): void {
+  if (res.writableFinished || res.destroyed) return memory.close()
+  memory.resizeAnswer(0)
+  memory.resizeBody(0)
+  memory.chargeUnread(res.writableLength)
+  memory.setEvict(() => res.destroy())
+  res.once('close', memory.close)
 }
--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -15,6 +15,7 @@
 import { createTargetAccess } from './createTargetAccess'
 import { createDispatcher } from './dispatcher'
 import { followConfig } from './followConfig'
+import { formatAddress } from './formatAddress'
 import { startGossip, type Gossip, type Stage } from './gossip'
 import { createJobCollector, createJobService, handOverJobs } from './jobs'
 import { createOpenRequests } from './live'
@@ -168,6 +169,7 @@
     runner,
     jobs,
     shutdown,
+    memory: memory.budget,
     clock,
     random,
     metrics,
@@ -344,7 +346,3 @@
     close
   })
 }
-
-function formatAddress ({ host, port }: { host: string, port: number }): string {
-  return `${host}:${port}`
-}
--- a/packages/pimentoplank/src/relay/createRequestHandling.ts
+++ b/packages/pimentoplank/src/relay/createRequestHandling.ts
@@ -1,5 +1,5 @@
 /** Handles the requests of callers: the handler of an instance, and the slots in which live requests run. */
-import type { Clock, Log, Metrics, PeerTransports, Random } from '../shared'
+import type { Clock, Log, MemoryBudget, Metrics, PeerTransports, Random } from '../shared'
 import type { ShutdownController } from '../entry/stopping'
 import { createRelayHandler, type CallerProtocol, type RelayHandler } from './callers'
 import type { TargetAccess } from './createTargetAccess'
@@ -27,6 +27,7 @@
   runner: Pick<ItemRunner, 'yieldItems'>
   jobs: JobApi
   shutdown: Pick<ShutdownController, 'getStage' | 'getLeftMs' | 'trackRequest'>
+  memory: MemoryBudget
   clock: Clock
   random: Random
   metrics: Metrics
@@ -42,7 +43,7 @@
 export function createRequestHandling (options: RequestHandlingOptions): RequestHandling {
   const {
     instance, protocol, getRouteTable, whenStarted, transports, gossip, access: { loads, paths, exchange },
-    streamVersions, serviceVersions, crashes, openRequests, runner, jobs, shutdown, clock, random, metrics, log
+    streamVersions, serviceVersions, crashes, openRequests, runner, jobs, shutdown, memory, clock, random, metrics, log
   } = options
   const slotScheduler = createSlotScheduler({
     loads,
@@ -93,6 +94,8 @@
     isClosed: () => shutdown.getStage() === 'closed',
     getLeftMs: shutdown.getLeftMs,
     trackRequest: shutdown.trackRequest,
+    memory,
+    clock,
     random,
     log
   })
--- a/packages/pimentoplank/src/relay/live/attemptTarget.ts
+++ b/packages/pimentoplank/src/relay/live/attemptTarget.ts
@@ -237,6 +237,7 @@
   async function forwardBody (answer: TargetAnswer): Promise<AttemptEnd> {
     const { head } = answer
     const buffered: Uint8Array[] = []
+    let bufferedBytes = 0
     let isBuffered = isRepeatable(route)
     for (;;) {
       const next = await answer.read({ mustBeProven: isSuccess(head) && !isRepeatable(route) })
@@ -247,16 +248,18 @@
       }
       recordBytes()
       if (next.value === undefined) break
-      if (!isBuffered) await writeBytes(head, next.value)
-      else buffered.push(next.value)
-      // A long body is passed on as it comes; it is not worth the memory that a retry would need.
-      if (isBuffered && answer.getEnding().bytes > MAX_BUFFERED_BYTES) {
-        isBuffered = false
-        for (const chunk of buffered.splice(0)) await writeBytes(head, chunk)
+      if (!isBuffered) {
+        await writeBytes(head, next.value)
+        continue
       }
+      buffered.push(next.value)
+      bufferedBytes += next.value.length
+      // A long body is passed on as it comes; it is not worth the memory that a retry would need.
+      isBuffered = answer.getEnding().bytes <= MAX_BUFFERED_BYTES && call.reply.reserve(bufferedBytes)
+      if (!isBuffered) await writeAll(head, buffered)
     }
     deps.crashes.recordAnswer(request.headers)
-    for (const chunk of buffered) await writeBytes(head, chunk)
+    await writeAll(head, buffered)
     return endReply(head)
   }
 
@@ -309,6 +312,15 @@
     await writeBytes(answer.head, bytes)
   }
 
+  async function writeAll (head: AnswerHead, buffered: Uint8Array[]): Promise<void> {
+    let leftBytes = buffered.reduce((sum, { length }) => sum + length, 0)
+    for (const chunk of buffered.splice(0)) {
+      await writeBytes(head, chunk)
+      leftBytes -= chunk.length
+      call.reply.reserve(leftBytes)
+    }
+  }
+
   /** Begins the response with its first bytes, so that a request that fails before them can still be refused. */
   async function writeBytes (head: AnswerHead, bytes: Uint8Array): Promise<void> {
     if (!call.reply.hasStarted()) call.reply.begin(head.status, head.headers)
