--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -5,8 +5,9 @@
 import { createDirectory } from './callers'
 import {
   DIRECTORY_MAX_AGE_MS, DIRECTORY_STALENESS_FACTOR, GOSSIP_SETTINGS, LEAVING_GRACE_SHARE, MAX_START_WAIT_MS,
-  REMOVAL_GRACE_SHARE, TICK_INTERVAL_MS, URGENT_REPORT_DELAY_MS
+  REMOVAL_GRACE_SHARE, SHUTDOWN_FLUSH_TIMEOUT_MS, SHUTDOWN_MARGIN_MS, TICK_INTERVAL_MS, URGENT_REPORT_DELAY_MS
 } from './constants'
+import { createCallerMemory } from './createCallerMemory'
 import { createCrashes } from './createCrashes'
 import { createJobs } from './createJobs'
 import { createRelayFeed } from './createRelayFeed'
@@ -14,6 +15,7 @@
 import { createTargetAccess } from './createTargetAccess'
 import { createDispatcher } from './dispatcher'
 import { followConfig } from './followConfig'
+import { formatAddress } from './formatAddress'
 import { startGossip, type Gossip, type Stage } from './gossip'
 import { createJobCollector, createJobService, handOverJobs } from './jobs'
 import { createOpenRequests } from './live'
@@ -49,6 +51,7 @@
     log
   })
   const openRequests = createOpenRequests()
+  const memory = createCallerMemory({ memoryBytes: settings.process.memoryBytes, clock, metrics, log })
   const closing = new AbortController()
   const startState = createStartState(clock, MAX_START_WAIT_MS, closing.signal)
   let getRouteTable: () => RouteTable | undefined = () => undefined
@@ -172,6 +175,7 @@
     runner,
     jobs,
     shutdown,
+    memory: memory.budget,
     clock,
     random,
     metrics,
@@ -219,7 +223,8 @@
   getRouteTable = followConfig({
     feed,
     object: protocols.config,
-    onChange: () => {
+    onChange: ({ limits }) => {
+      memory.ensureBodies(limits.maxBodyBytes)
       startState.recordConfig()
       gossip.reportNow()
       dispatchAll()
@@ -297,7 +302,7 @@
   function applySettings (next: RelaySettings): string[] {
     next.seeds.forEach(gossip.addCandidate)
     log.level(next.log.level)
-    const restartSettings = ['instance', 'listen', 'platform', 'targets', 'bounds'] as const
+    const restartSettings = ['instance', 'listen', 'platform', 'targets', 'bounds', 'process'] as const
     return restartSettings.filter((name) => JSON.stringify(next[name]) !== JSON.stringify(settings[name]))
   }
 
@@ -332,6 +337,7 @@
       maxAgeMs: settings.bounds.directoryMaxAgeMs
     }),
     jobs,
+    memory: memory.budget,
     trackRequest: shutdown.trackRequest,
     isReady: () => getStage() === 'serving',
     table: () => getRouteTable(),
@@ -346,12 +352,3 @@
     close
   })
 }
-
-/** Part of the grace period reserved for closing connections before the platform kills the process, in milliseconds. */
-const SHUTDOWN_MARGIN_MS = 800
-/** Timeout for storing pending results at shutdown, in milliseconds. */
-const SHUTDOWN_FLUSH_TIMEOUT_MS = 1000
-
-function formatAddress ({ host, port }: { host: string, port: number }): string {
-  return `${host}:${port}`
-}
