Drop jobs from memory that their callers have ended

What callers saw: nothing yet. An owner kept each job that was ended before all its items had results, with its whole input, for as long as the process lived: only jobs whose items all have results were noted for eviction. A caller who submits jobs of 4 MiB and ends them fills the memory of an instance.

Such a job is now kept for as long as a finished one. Notes of jobs that another instance has taken over are dropped with them. The scenario fails without the change: the job is still owned 62 s after its end, with 60 s to keep.

--- a/packages/pimentoplank/src/relay/jobs/jobManager.feature
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.feature
@@ -156,3 +156,13 @@
     And the configuration drops the route
     And the job manager ticks each second for 4 s
     Then 4 items of the job are open
+
+  # Guards against memory that callers fill with jobs which they end: their items never get results.
+  Scenario: A job that its caller has ended is dropped from memory as a finished one is
+    Given a job manager whose store holds a job of 2 items with this instance as its owner
+    When the job is taken over
+    And a peer tells that the job was ended at epoch 2
+    And the job manager ticks each second for 50 s
+    Then the job has ended, and its runs were stopped
+    When the job manager ticks each second for 12 s
+    Then the job is not owned
--- a/packages/pimentoplank/src/relay/jobs/jobManager.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.ts
@@ -386,15 +386,14 @@
     tick: () => {
       const now = clock.now()
       for (const job of registry.owned()) {
+        if (job.isEnded()) markComplete(job)
         if (now > job.expiresAt && job.openItems().size > 0 && !job.isEnded()) expireItems(job)
         const unrouted = unroutedItems.find(job)
         if (unrouted.length > 0) giveUpItems(job, unrouted)
         const finished = finishedAt.get(job.id)
-        if (finished !== undefined && now - finished > rules.keepMs) {
-          finishedAt.delete(job.id)
-          registry.remove(job.id)
-        }
+        if (finished !== undefined && now - finished > rules.keepMs) registry.remove(job.id)
       }
+      for (const id of finishedAt.keys()) if (registry.get(id) === undefined) finishedAt.delete(id)
     },
     close: () => closing.abort()
   }
