Keep nothing of reads of results that have waited in vain

What callers saw: nothing yet. An owned job kept a callback for each read that waited for a result and got none within its time, until the next result was stored. Callers who read a job that makes no progress fill the memory of its owner.

A wait that is over removes its callback.

--- a/packages/pimentoplank/src/relay/jobs/ownedJob.ts
+++ b/packages/pimentoplank/src/relay/jobs/ownedJob.ts
@@ -91,7 +91,7 @@
   let current = options.stored
   let confirmedAt = current.asOf
   let isMarkedEnded = false
-  let waiters: Array<() => void> = []
+  const waiters = new Set<() => void>()
 
   function appendSegment (results: readonly ItemResult[]): void {
     segments += 1
@@ -103,8 +103,8 @@
       open.get(item)?.interrupt?.()
       open.delete(item)
     }
-    const notified = waiters
-    waiters = []
+    const notified = [...waiters]
+    waiters.clear()
     notified.forEach((notify) => notify())
   }
 
@@ -140,11 +140,13 @@
     isComplete: () => open.size === 0 && pending.length === 0,
     waitForChange: async (ms) => {
       await new Promise<void>((resolve) => {
-        const timer = setTimeout(resolve, ms)
-        waiters.push(() => {
+        const notify = (): void => {
           clearTimeout(timer)
+          waiters.delete(notify)
           resolve()
-        })
+        }
+        const timer = setTimeout(notify, ms)
+        waiters.add(notify)
       })
     }
   }
