Bound the number of reads of results that wait

What callers saw: nothing yet. Any number of reads could wait for a result at an owner, each with its request and its timer. Reads over the limit of 1,000 are answered at once with what there is, which callers have to expect.

--- a/packages/pimentoplank/src/relay/jobs/index.ts
+++ b/packages/pimentoplank/src/relay/jobs/index.ts
@@ -1,7 +1,7 @@
 export { handOverJobs } from './handOver'
 export { createItemRunner, type ItemRunner, type ItemRunnerRules } from './itemRunner'
 export { createJobRegistry, type JobRegistry, type KnownJob } from './jobRegistry'
-export { createJobApi, type JobApi, type JobSubmission } from './jobApi'
+export { createJobApi, type JobApi, type JobApiOptions, type JobSubmission } from './jobApi'
 export type { ResultPage } from './resultReader'
 export { createJobCollector } from './jobCollector'
 export { createJobManager, type JobManager, type JobManagerRules } from './jobManager'
--- a/packages/pimentoplank/src/relay/jobs/jobApi.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobApi.ts
@@ -57,6 +57,8 @@
   onAccepted: () => void
   /** Maximum size of an object at the platform, in bytes. */
   maxObjectBytes: number
+  /** Maximum number of reads that wait for a result. */
+  maxWaitingReads?: number
   isLeaving: () => boolean
   clock: Clock
   random: Random
--- a/packages/pimentoplank/src/relay/jobs/resultReader.ts
+++ b/packages/pimentoplank/src/relay/jobs/resultReader.ts
@@ -30,6 +30,8 @@
   hasResultsInDoubt: (job: OwnedJob) => boolean
   /** Called with a job that is stored under this instance without being known here. */
   onUnknown: (job: string) => void
+  /** Maximum number of reads that wait for a result; any others are answered at once with what there is. */
+  maxWaitingReads?: number
   clock: Clock
   metrics: Metrics
   log: Log
@@ -51,6 +53,7 @@
 const MAX_CACHED_CHARS = 12_000_000
 /** Length of an object beside its texts that is counted, in characters. */
 const OBJECT_CHARS = 200
+const MAX_WAITING_READS = 1000
 
 interface CachedJob {
   record: JobRecord
@@ -60,7 +63,10 @@
 
 /** Creates the result reader of an instance. */
 export function createResultReader (options: ResultReaderOptions): ResultReader {
-  const { self, jobRegistry: registry, store, getClient, clock, log } = options
+  const {
+    self, jobRegistry: registry, store, getClient, maxWaitingReads = MAX_WAITING_READS, clock, metrics, log
+  } = options
+  let waitingReads = 0
   const cache = new LRUCache<string, CachedJob>({
     maxSize: MAX_CACHED_CHARS, sizeCalculation: ({ results }) => countChars(results.map(({ text }) => text))
   })
@@ -77,11 +83,21 @@
       const leftMs = until - clock.now()
       // Results stay where they are, so that these hold whoever owns the job now.
       if (job.storedResults().length > after || job.isComplete()) return toPage(job, after)
-      if (leftMs <= 0 || job.isEnded()) return await confirmPage(job, after)
+      const mayWait = leftMs > 0 && !job.isEnded() && hasRoomToWait(job)
+      if (!mayWait) return await confirmPage(job, after)
+      waitingReads += 1
       await job.waitForChange(leftMs)
+      waitingReads -= 1
     }
   }
 
+  function hasRoomToWait (job: OwnedJob): boolean {
+    if (waitingReads < maxWaitingReads) return true
+    metrics.count('jobs.readsNotWaiting')
+    log.info({ job: job.id, limit: maxWaitingReads }, 'read of results does not wait: too many do')
+    return false
+  }
+
   /** That there are no further results is true only of the job's owner, and another instance may be that now. */
   async function confirmPage (job: OwnedJob, after: number): Promise<ResultPage | undefined> {
     const { recordFollower } = options
@@ -132,7 +148,7 @@
       if (!res.isOwner) return undefined
       return { total: res.total, results: res.results.map(({ item, completed, text }) => ({ item, completed, text })) }
     } catch (cause) {
-      options.metrics.countRetry('peerUnavailable')
+      metrics.countRetry('peerUnavailable')
       log.info({ job, owner, cause: String(cause) }, 'job owner did not answer')
       return undefined
     }
--- a/packages/pimentoplank/src/relay/jobs/testing/jobBench.ts
+++ b/packages/pimentoplank/src/relay/jobs/testing/jobBench.ts
@@ -7,7 +7,7 @@
 import { RELAY_RULES } from '../../rules'
 import {
   createJobApi, createJobManager, createJobRegistry, createJobStore, createQuota, createRecordView,
-  type JobApi, type JobItem, type JobManager, type JobRegistry
+  type JobApi, type JobApiOptions, type JobItem, type JobManager, type JobRegistry
 } from '..'
 
 export interface JobBench {
@@ -22,6 +22,7 @@
   id?: string
   /** Clock and platform of another instance that this one shares. */
   shared?: Pick<JobBench, 'clock' | 'platform'>
+  limits?: Pick<JobApiOptions, 'maxWaitingReads'>
 }
 
 const MAX_OBJECT_BYTES = 1_048_576
@@ -52,7 +53,9 @@
   return { clock, platform }
 }
 
-export function createJobBench ({ id = 'instance-1', shared = createSharedParts() }: JobBenchOptions = {}): JobBench {
+export function createJobBench (
+  { id = 'instance-1', shared = createSharedParts(), limits = {} }: JobBenchOptions = {}
+): JobBench {
   const { clock, platform } = shared
   const log = createSilentLog()
   const metrics = createInMemoryMetrics()
@@ -69,6 +72,7 @@
   })
   const api = createJobApi({
     ...common,
+    ...limits,
     jobManager: manager,
     transports: {} as unknown as PeerTransports,
     quota: createQuota({ ...common, recordView: createRecordView(common) }),
