Count jobs in the budget for callers until they are stored

What callers saw: nothing yet. A job of 4 MiB takes 9 MB of heap while it is decoded and its encoded form as long as it is stored, and any number of jobs could be at that at once.

Each takes its share of the budget before it is decoded, besides its body: the items, and their encoded form. One that finds no room is refused with 503 and a time to come back, before anything of it is written. The scenario fails without the account: all five jobs are decoded where there is room for two.

--- a/packages/pimentoplank/src/relay/callers/relayHandler.ts
+++ b/packages/pimentoplank/src/relay/callers/relayHandler.ts
@@ -11,6 +11,7 @@
 import type { CallerRequest, RawHeaders, Route } from '../model'
 import { pickService, type RouteTable } from '../routing'
 import { createBodyReader, createOverloadedError } from './bodyReader'
+import { createJobSubmitter } from './jobSubmitter'
 
 /** Codec for requests of callers and the responses to them. */
 export interface CallerProtocol {
@@ -58,7 +59,8 @@
 
 /** Creates the handler of an instance. */
 export function createRelayHandler (options: RelayHandlerOptions): RelayHandler {
-  const { protocol, live, jobs, random, log } = options
+  const { protocol, live, random, log } = options
+  const submitJob = createJobSubmitter({ decodeJob: protocol.decodeJob, jobs: options.jobs, memory: options.memory })
   /** Longest deadline received on each route, in milliseconds. */
   const longestDeadlines = new Map<string, number>()
 
@@ -143,12 +145,7 @@
   }
 
   async function submit (request: CallerRequest, route: Route, reply: CallerReply, res: ServerResponse): Promise<void> {
-    const items = protocol.decodeJob(request.body)
-    const accepted = items.isErr()
-      ? err(items.error)
-      : await jobs.submit({
-        id: request.id, host: request.host, route, items: items.value, remainingMs: request.deadlineMs
-      })
+    const accepted = await submitJob(request, route)
     if (accepted.isErr()) {
       live.metrics.countRefusal(accepted.error.reason)
       reply.refuse(accepted.error)
