Bound messages, calls and connections at the address for peers

What callers saw: nothing. The server for peers read messages of up to 4 GiB, on any number of connections with any number of streams. Its address is in the network between instances, but whoever reaches it could end the process.

Messages are limited to 16 MiB (the largest hand over jobs with the texts of their items), connections to 1,024, and calls and tunnels on one connection to 512.

--- a/packages/pimentoplank/src/shared/rpc/peerServer.ts
+++ b/packages/pimentoplank/src/shared/rpc/peerServer.ts
@@ -4,6 +4,7 @@
 import { Code, ConnectError, type ConnectRouter, type Interceptor } from '@connectrpc/connect'
 import { connectNodeAdapter } from '@connectrpc/connect-node'
 import { errAsync, okAsync, ResultAsync } from 'neverthrow'
+import { MIB_BYTES } from '../constants'
 import { createKeyCheck, PEER_KEY_HEADER, type PeerSecurity } from './peerSecurity'
 import { createTunnelServer, type TunnelServerOptions } from './tunnelServer'
 import { MAX_SESSION_MEMORY_MB } from './tunnelSession'
@@ -17,8 +18,18 @@
   routes: (router: ConnectRouter) => void
   /** Lets peers open tunnels to targets; without it they are refused. */
   tunnels?: TunnelServerOptions
+  /** Maximum size of a message, in bytes. */
+  maxMessageBytes?: number
+  /** Maximum number of connections; any others are closed. Each peer has one for its calls and one for tunnels. */
+  maxConnections?: number
 }
 
+/** The largest messages hand over jobs, with the texts of their items. */
+const MAX_MESSAGE_BYTES = 16 * MIB_BYTES
+const MAX_CONNECTIONS = 1024
+/** Maximum number of calls or tunnels at the same time on one connection. */
+const MAX_STREAMS = 512
+
 export interface PeerServer {
   /** IP address and port that the server listens on. */
   address: string
@@ -28,11 +39,14 @@
 
 /** Starts the server; fails when its address can't be bound. */
 export function createPeerServer (options: PeerServerOptions): ResultAsync<PeerServer, Error> {
+  const { maxMessageBytes = MAX_MESSAGE_BYTES, maxConnections = MAX_CONNECTIONS } = options
   const handler = connectNodeAdapter({
     routes: options.routes,
+    readMaxBytes: maxMessageBytes,
     interceptors: [createAuthInterceptor(options.security.sharedKey)]
   })
   const server = createHttp2Server(options.security, handler)
+  server.maxConnections = maxConnections
   const tunnels = options.tunnels === undefined ? undefined : createTunnelServer(options.security, options.tunnels)
   if (tunnels !== undefined) server.on('connect', (req: http2.Http2ServerRequest) => tunnels.accept(req.stream, req.headers))
   const sessions = new Set<http2.Http2Session>()
@@ -64,11 +78,10 @@
 type Http2Server = http2.Http2Server | http2.Http2SecureServer
 
 function createHttp2Server (security: PeerSecurity, handler: ReturnType<typeof connectNodeAdapter>): Http2Server {
-  if (security.tls === undefined) return http2.createServer({ maxSessionMemory: MAX_SESSION_MEMORY_MB }, handler)
+  const limits = { maxSessionMemory: MAX_SESSION_MEMORY_MB, settings: { maxConcurrentStreams: MAX_STREAMS } }
+  if (security.tls === undefined) return http2.createServer(limits, handler)
   const { cert, key, ca } = security.tls
-  return http2.createSecureServer({
-    cert, key, ca, requestCert: true, rejectUnauthorized: true, maxSessionMemory: MAX_SESSION_MEMORY_MB
-  }, handler)
+  return http2.createSecureServer({ cert, key, ca, requestCert: true, rejectUnauthorized: true, ...limits }, handler)
 }
 
 async function closeServer (server: Http2Server, sessions: Set<http2.Http2Session>): Promise<void> {
