Bound the peers that datagrams make an instance know

What callers saw: nothing. Each report under a new name was kept until its sender counted as lost, and each address that a report names for 30 s: whoever reaches the address for peers could fill the memory.

An instance knows at most 2,048 peers and as many addresses to try, several times the largest fleet that CAPACITY.md extrapolates to.

--- a/packages/pimentoplank/src/relay/gossip/gossip.ts
+++ b/packages/pimentoplank/src/relay/gossip/gossip.ts
@@ -85,6 +85,7 @@
 
 /** Number of peer addresses in one report. */
 const KNOWN_PEERS_SENT = 3
+const MAX_PEERS = 2048
 /** Longest wait for the system to take a datagram, in milliseconds. */
 const MAX_SEND_MS = 20
 
@@ -107,10 +108,13 @@
 
 function createGossip (socket: Socket, options: GossipOptions): Gossip {
   const { instance, settings, clock, random, metrics, log } = options
+  const { maxPeers = MAX_PEERS } = settings
   const peers = new Map<string, PeerView>()
   /** Peer ids by their hash, which identifies them in load updates. */
   const idsByHash = new Map<number, string>()
-  const candidates = createPeerCandidates({ self: options.peerAddress, seeds: options.seeds, clock })
+  const candidates = createPeerCandidates({
+    self: options.peerAddress, seeds: options.seeds, maxCandidates: maxPeers, clock
+  })
   const reportListeners: Array<(report: Report, before: Report | undefined) => void> = []
   const digestListeners: Array<(digest: DomainUses) => void> = []
   const begunStreamListeners: Array<(notice: StreamNotice) => void> = []
@@ -164,6 +168,10 @@
     if (report.instance === instance.id && report.incarnation === options.incarnation) return
     const known = peers.get(report.instance)
     if (known !== undefined && !isNewer(report, known.report)) return
+    if (known === undefined && peers.size >= maxPeers) {
+      metrics.count('gossip.peersIgnored')
+      return
+    }
     peers.set(report.instance, { report, lastReceivedAt: clock.now() })
     idsByHash.set(hash32(report.instance), report.instance)
     candidates.remove(report.peerAddress)
--- a/packages/pimentoplank/src/relay/gossip/gossipSettings.ts
+++ b/packages/pimentoplank/src/relay/gossip/gossipSettings.ts
@@ -16,6 +16,8 @@
    * failure domain (close peers) receive every update; the others (far peers) get digests and infrequent full reports.
    */
   maxClosePeers: number
+  /** Maximum number of peers that are known, and of addresses that may be those of peers; others are ignored. */
+  maxPeers?: number
   pace: GossipTimings
   paceOfLargeFleet: GossipTimings
   /** Factor by which the report interval and the failure detection timeout are longer for far peers. */
--- a/packages/pimentoplank/src/relay/gossip/peerCandidates.ts
+++ b/packages/pimentoplank/src/relay/gossip/peerCandidates.ts
@@ -16,6 +16,8 @@
   self: string
   /** Addresses that are never removed by pruning. */
   seeds: readonly string[]
+  /** Maximum number of candidates; any others are ignored until some have been removed. */
+  maxCandidates: number
   clock: Clock
 }
 
@@ -30,11 +32,11 @@
 const RETENTION_MS = 30_000
 
 /** Creates the list of candidates, which starts with the seeds. */
-export function createPeerCandidates ({ self, seeds, clock }: PeerCandidatesOptions): PeerCandidates {
+export function createPeerCandidates ({ self, seeds, maxCandidates, clock }: PeerCandidatesOptions): PeerCandidates {
   const candidates = new Map<string, Candidate>()
 
   function add (address: string): void {
-    if (address === self || candidates.has(address)) return
+    if (address === self || candidates.has(address) || candidates.size >= maxCandidates) return
     candidates.set(address, { addedAt: clock.now(), attemptedAt: -Infinity })
   }
 
