Bound the bodies of owned jobs that are kept in memory

What callers saw: nothing yet. An owner kept the bodies of all items of its jobs until 120 s or more after their end. Only the tokens of jobs are limited, so that jobs of 4 MiB and few tokens fill a heap of 160 MB, as do items without tokens.

An owner keeps 16 million characters of bodies, those of the jobs that are due first. The others are read from the platform again as their items run or as callers ask for them; a run whose body can't be read waits for the platform, and its target is not blamed. No job is refused for this. Reads of the same input are shared, and four inputs are read at once, for owners and for others.

--- a/packages/pimentoplank/src/relay/createJobs.ts
+++ b/packages/pimentoplank/src/relay/createJobs.ts
@@ -4,8 +4,8 @@
 import type { Exchange } from './exchange'
 import type { Gossip } from './gossip'
 import {
-  createItemRunner, createJobApi, createJobManager, createJobReconciler, createJobRegistry, createJobStore, createQuota,
-  createRecordFollower, createRecordView,
+  createItemRunner, createJobApi, createJobInputs, createJobManager, createJobReconciler, createJobRegistry,
+  createJobStore, createQuota, createRecordFollower, createRecordView,
   type ItemRunner, type JobApi, type JobManager, type JobReconciler, type JobRegistry, type JobStore,
   type RecordFollower
 } from './jobs'
@@ -59,6 +59,7 @@
     self: instance.id, noticeMs: JOB_NOTICE_MS, onNotice: () => gossip.reportNow(), clock, log
   })
   const store = createJobStore(platform, clock)
+  const inputs = createJobInputs({ store })
   const recordView = createRecordView({ store, clock, metrics })
   const recordFollower = createRecordFollower({
     self: instance.id,
@@ -76,6 +77,7 @@
   const runner = createItemRunner({
     self: instance.id,
     jobRegistry,
+    inputs,
     loads,
     crashes,
     exchange,
@@ -125,6 +127,7 @@
     jobRegistry,
     jobManager,
     store,
+    inputs,
     transports,
     peers: gossip.peers,
     recordFollower,
--- a/packages/pimentoplank/src/relay/jobs/activeRun.ts
+++ b/packages/pimentoplank/src/relay/jobs/activeRun.ts
@@ -13,6 +13,8 @@
   stop: AbortController
   done: Promise<void>
   ready: ReadyItem
+  /** Body of the item, where it was read for this run. */
+  body?: string
   /** True while the target sends no events. */
   isSilent: boolean
   /** Target on which a slot is held for the item while its run at a silent target ends. */
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.feature
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.feature
@@ -297,3 +297,23 @@
     And 4 s pass for the item runner
     And the runner looks for items to start
     Then items ran 1 times at "a" and 1 times at "b"
+
+  Scenario: An item whose body is not in memory runs with the one at the platform
+    Given an item runner with a job of 1 item and a target "a" with 1 slot
+    And the bodies of the job were dropped from memory
+    When the runner looks for items to start
+    Then the item ran 1 times
+    And the item was sent with its body
+
+  Scenario: An item whose body can't be read waits for the platform
+    Given an item runner with a job of 1 item and a target "a" with 1 slot
+    And the bodies of the job were dropped from memory
+    And the platform does not answer reads of the input
+    When the runner looks for items to start
+    Then the item ran 0 times
+    And no failure of target "a" is recorded
+    When the platform answers reads of the input
+    And 2 s pass for the item runner
+    And the runner looks for items to start
+    Then the item ran 1 times
+    And the item was sent with its body
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
@@ -2,7 +2,7 @@
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { err, ok, type Result } from 'neverthrow'
 import { createManualClock, type ManualClock } from '../../../features/support/manualClock'
-import { createInMemoryMetrics, createSilentLog } from '../../shared'
+import { createInMemoryMetrics, createSilentLog, PlatformUnavailable } from '../../shared'
 import { SendFailure, type Exchange, type TargetAnswer } from '../exchange'
 import type { LoadView, TargetLoad } from '../load'
 import type { ProcessNeed, Route, Target, TargetRequest } from '../model'
@@ -21,6 +21,7 @@
 }
 
 interface RunnerWorld {
+  isPlatformAway?: boolean
   clock: ManualClock
   runner: ItemRunner
   job: OwnedJob
@@ -193,6 +194,14 @@
   this.runner = createItemRunner({
     self: SELF,
     jobRegistry,
+    inputs: {
+      read: async () => {
+        if (this.isPlatformAway === true) return err(new PlatformUnavailable('no answer'))
+        return ok([...this.job.openItems().keys()].map((id) => (
+          { id, path: '/x/', headers: [], body: Buffer.from(id).toString('base64'), tokens: 1 }
+        )))
+      }
+    },
     loads: createFakeLoads(this),
     crashes: {
       recordPossibleCrash: () => { this.crashes = (this.crashes ?? 0) + 1 },
@@ -228,6 +237,23 @@
   })
 })
 
+Given('the bodies of the job were dropped from memory', function (this: RunnerWorld) {
+  this.job.dropBodies()
+})
+
+When(/^the platform (does not answer|answers) reads of the input$/, function (this: RunnerWorld, answers: string) {
+  this.isPlatformAway = answers === 'does not answer'
+})
+
+Then('the item was sent with its body', function (this: RunnerWorld) {
+  const { id, body } = this.sent.at(-1)!.request
+  assert.equal(Buffer.from(body).toString(), id)
+})
+
+Then('no failure of target {string} is recorded', function (this: RunnerWorld, id: string) {
+  assert.equal(this.failures.get(id) ?? 0, 0)
+})
+
 Given('a target {string} with {int} slot(s)', function (this: RunnerWorld, id: string, slots: number) {
   addTarget(this, id, slots)
 })
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.ts
@@ -1,5 +1,5 @@
 /** Runs items of owned jobs in slots that live requests leave free. */
-import { hash32, type Clock, type Log, type Metrics, type Random } from '../../shared'
+import { describeCause, hash32, type Clock, type Log, type Metrics, type Random } from '../../shared'
 import { chooseStarts, type BatchCandidate, type ItemVersionRules } from '../decisions'
 import type { Exchange } from '../exchange'
 import type { PeerView, WaitingItems } from '../gossip'
@@ -12,6 +12,7 @@
 import { dropBlockedText } from './blockedText'
 import { createItemTimeEstimator } from './itemTimeEstimator'
 import { createItemYielder } from './itemYielder'
+import type { JobInputs } from './jobInputs'
 import type { JobRegistry } from './jobRegistry'
 import type { OwnedJob } from './ownedJob'
 import { createReadyItemFinder, findNeededVersion, summarizeReadyItems, type ReadyItem } from './readyItems'
@@ -36,6 +37,7 @@
   /** Id of this instance. */
   self: string
   jobRegistry: JobRegistry
+  inputs: JobInputs
   loads: LoadView
   crashes: Pick<CrashTracker, 'recordPossibleCrash' | 'recordAnswer' | 'hasCrashingParts'>
   exchange: Exchange
@@ -242,6 +244,10 @@
     let startedAt: number | undefined
     entry.done = runItem({
       item,
+      readBody: async () => {
+        entry.body = await readBody(owned, itemId)
+        return entry.body
+      },
       host: owned.record().host,
       progress,
       target,
@@ -284,6 +290,16 @@
     })
   }
 
+  async function readBody (owned: OwnedJob, itemId: string): Promise<string | undefined> {
+    const items = await options.inputs.read(owned.id)
+    const body = items.unwrapOr(undefined)?.find(({ id }) => id === itemId)?.body
+    if (body === undefined) {
+      const cause = items.isErr() ? describeCause(items.error) : 'the input is incomplete'
+      log.warn({ job: owned.id, item: itemId, cause }, 'body of an item could not be read again')
+    }
+    return body
+  }
+
   function handleEnd ({ ready, next }: ActiveRun, target: Target, end: ItemEnd): void {
     const { owned, itemId, progress, route } = ready
     metrics.count(`items.${end.type}`)
--- a/packages/pimentoplank/src/relay/jobs/jobApi.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobApi.ts
@@ -7,6 +7,7 @@
 import { computeOutageRetryMs } from '../decisions'
 import type { PeerView } from '../gossip'
 import type { Route } from '../model'
+import type { JobInputs } from './jobInputs'
 import type { JobRegistry } from './jobRegistry'
 import type { JobManager } from './jobManager'
 import { splitItems, type CreatedJob, type JobStore } from './jobStore'
@@ -49,6 +50,7 @@
   jobRegistry: JobRegistry
   jobManager: JobManager
   store: JobStore
+  inputs: JobInputs
   transports: PeerTransports
   peers: () => readonly PeerView[]
   quota: Quota
--- /dev/null
+++ b/packages/pimentoplank/src/relay/jobs/jobInputs.ts
@@ -0,0 +1,55 @@
+/** Reads the input of jobs from the platform. Input is immutable, so some of it is cached. */
+import { LRUCache } from 'lru-cache'
+import { ok, type Result } from 'neverthrow'
+import type { PlatformError } from '../../shared'
+import type { JobStore } from './jobStore'
+import { countChars, MAX_CACHED_CHARS } from './objectSize'
+import type { JobItem } from './records'
+
+export interface JobInputs {
+  /** Reads the items of a job; undefined while any part of its input is missing. Calls for one job share a read. */
+  read: (job: string) => Promise<Result<readonly JobItem[] | undefined, PlatformError>>
+}
+
+export interface JobInputsOptions {
+  store: Pick<JobStore, 'readItems'>
+  /** Maximum number of jobs whose input is read at the same time; further calls wait. */
+  maxReads?: number
+}
+
+const MAX_READS = 4
+
+/** Creates the reader of an instance. */
+export function createJobInputs ({ store, maxReads = MAX_READS }: JobInputsOptions): JobInputs {
+  const cache = new LRUCache<string, readonly JobItem[]>({
+    maxSize: MAX_CACHED_CHARS,
+    sizeCalculation: (items) => countChars(items.flatMap(({ body, path, headers }) => [body, path, ...headers]))
+  })
+  const reads = new Map<string, ReturnType<JobInputs['read']>>()
+  const waiting: Array<() => void> = []
+  let reading = 0
+
+  async function readStored (job: string): ReturnType<JobInputs['read']> {
+    if (reading >= maxReads) await new Promise<void>((resolve) => waiting.push(resolve))
+    else reading += 1
+    try {
+      const items = await store.readItems(job)
+      if (items.isOk() && items.value !== undefined) cache.set(job, items.value)
+      return items
+    } finally {
+      const next = waiting.shift()
+      if (next === undefined) reading -= 1
+      else next()
+    }
+  }
+
+  return {
+    read: async (job) => {
+      const cached = cache.get(job)
+      if (cached !== undefined) return ok(cached)
+      const read = reads.get(job) ?? readStored(job).finally(() => reads.delete(job))
+      reads.set(job, read)
+      return await read
+    }
+  }
+}
--- a/packages/pimentoplank/src/relay/jobs/jobManager.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.ts
@@ -37,6 +37,8 @@
   /** Called when the runs of a job must stop on this instance. */
   onStop: (job: OwnedJob) => void
   rules: JobManagerRules
+  /** Maximum length of the bodies of items in memory, in characters; further ones are read again as they are used. */
+  maxBodyChars?: number
   clock: Clock
   random: Random
   metrics: Metrics
@@ -90,6 +92,7 @@
   close: () => void
 }
 
+const MAX_BODY_CHARS = 16_000_000
 const FIRST_BACKOFF_MS = 50
 /** Time within which a write whose answer was lost may still take effect, in milliseconds. */
 const LATE_WRITE_MS = 8000
@@ -100,7 +103,9 @@
 
 /** Creates the job manager of an instance. */
 export function createJobManager (options: JobManagerOptions): JobManager {
-  const { self, jobRegistry: registry, store, rules, clock, random, metrics, log } = options
+  const {
+    self, jobRegistry: registry, store, rules, maxBodyChars = MAX_BODY_CHARS, clock, random, metrics, log
+  } = options
   const closing = new AbortController()
   const finishedAt = new Map<string, number>()
   const adopting = new Set<string>()
@@ -135,9 +140,24 @@
     })
     registry.add(job)
     if (job.isComplete()) markComplete(job)
+    dropExcessBodies()
     return job
   }
 
+  /** Keeps the bodies of the jobs that are due first; those of jobs that are done are kept last. */
+  function dropExcessBodies (): void {
+    const jobs = [...registry.owned()].filter((job) => job.countBodyChars() > 0)
+    let chars = jobs.reduce((sum, job) => sum + job.countBodyChars(), 0)
+    if (chars <= maxBodyChars) return
+    const isDone = (job: OwnedJob): number => Number(job.isComplete() || job.isEnded())
+    for (const job of jobs.sort((a, b) => isDone(b) - isDone(a) || b.dueAt - a.dueAt)) {
+      if (chars <= maxBodyChars) return
+      chars -= job.countBodyChars()
+      job.dropBodies()
+      log.info({ job: job.id, chars, limit: maxBodyChars }, 'bodies of a job dropped from memory')
+    }
+  }
+
   function computeBackoff (failures: number): number {
     return Math.min(rules.maxBackoffMs, FIRST_BACKOFF_MS * 2 ** failures) * (0.5 + random() / 2)
   }
--- a/packages/pimentoplank/src/relay/jobs/objectSize.ts
+++ b/packages/pimentoplank/src/relay/jobs/objectSize.ts
@@ -3,6 +3,16 @@
 /** Part of an object's size that is left for its name, revisions and the id of its write, in bytes. */
 const OBJECT_OVERHEAD_BYTES = 4096
 
+/** Maximum length of all texts in the cache of results, and in that of inputs, in characters. */
+export const MAX_CACHED_CHARS = 12_000_000
+/** Length of an object beside its texts that is counted, in characters. */
+const OBJECT_CHARS = 200
+
+/** Counts the characters of texts, with those of the objects that hold them. */
+export function countChars (texts: readonly string[]): number {
+  return texts.reduce((sum, { length }) => sum + length + OBJECT_CHARS, OBJECT_CHARS)
+}
+
 /** Returns the size of the content that an object may have, in bytes. */
 export function getMaxContentBytes (maxObjectBytes: number): number {
   return maxObjectBytes - OBJECT_OVERHEAD_BYTES
--- a/packages/pimentoplank/src/relay/jobs/ownedJob.ts
+++ b/packages/pimentoplank/src/relay/jobs/ownedJob.ts
@@ -32,6 +32,9 @@
   interrupt?: () => void
 }
 
+/** An item whose body may have been dropped from memory, as the platform keeps it, too. */
+export type OwnedItem = Omit<JobItem, 'body'> & { body: string | undefined }
+
 export interface OwnedJob {
   id: string
   record: () => JobRecord
@@ -48,7 +51,11 @@
   readonly dueAt: number
   /** When items without a result expire, on the monotonic clock; infinite while the route is not known. */
   readonly expiresAt: number
-  findItem: (id: string) => JobItem | undefined
+  findItem: (id: string) => OwnedItem | undefined
+  /** Length of the bodies of items that are in memory, in characters. */
+  countBodyChars: () => number
+  /** Drops the bodies of all items from memory. */
+  dropBodies: () => void
   /** Items without a result, with their progress. */
   openItems: () => ReadonlyMap<string, ItemProgress>
   finishItem: (result: ItemResult) => void
@@ -82,7 +89,8 @@
 /** Creates the state of an owned job. */
 export function createOwnedJob (options: OwnedJobOptions): OwnedJob {
   const { id, now } = options
-  const items = new Map(options.items.map((item) => [item.id, item]))
+  const items = new Map<string, OwnedItem>(options.items.map((item) => [item.id, item]))
+  let bodyChars = options.items.reduce((sum, { body }) => sum + body.length, 0)
   const open = new Map<string, ItemProgress>(options.items.map((item) => [item.id, newProgress()]))
   const stored: ItemResult[] = []
   let pending: ItemResult[] = []
@@ -125,6 +133,11 @@
     get dueAt () { return options.getTimes().dueAt },
     get expiresAt () { return options.getTimes().expiresAt },
     findItem: (name) => items.get(name),
+    countBodyChars: () => bodyChars,
+    dropBodies: () => {
+      bodyChars = 0
+      for (const [name, item] of items) items.set(name, { ...item, body: undefined })
+    },
     openItems: () => open,
     finishItem: (result) => {
       if (!open.delete(result.item)) return
--- a/packages/pimentoplank/src/relay/jobs/quota.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/quota.steps.ts
@@ -11,7 +11,8 @@
 import type { Route } from '../model'
 import { RELAY_RULES } from '../rules'
 import {
-  createJobApi, createJobManager, createJobRegistry, createJobStore, createQuota, createRecordView, getOpenTokens,
+  createJobApi, createJobInputs, createJobManager, createJobRegistry, createJobStore, createQuota,
+  createRecordView, getOpenTokens,
   type JobApi, type JobItem, type JobManager, type JobRegistry
 } from '.'
 import type { RecordView } from './recordView'
@@ -162,6 +163,7 @@
   const api = createJobApi({
     ...common,
     jobManager: manager,
+    inputs: createJobInputs({ store }),
     transports: {} as unknown as PeerTransports,
     quota: createQuota({ jobRegistry: registry, recordView: createRecordView({ store, clock, metrics }), peers, log }),
     recordFollower: { mayDenyResults: () => true, refresh: async () => true },
--- a/packages/pimentoplank/src/relay/jobs/resultReader.ts
+++ b/packages/pimentoplank/src/relay/jobs/resultReader.ts
@@ -5,13 +5,14 @@
   PlatformRejected, RefusalError, type Clock, type Log, type Metrics, type PlatformError
 } from '../../shared'
 import type { PeerView } from '../gossip'
+import type { JobInputs } from './jobInputs'
 import type { JobRegistry } from './jobRegistry'
 import type { JobStore } from './jobStore'
-import { takeFitting } from './objectSize'
+import { countChars, MAX_CACHED_CHARS, takeFitting } from './objectSize'
 import type { OwnedJob } from './ownedJob'
 import { PEER_TIMEOUT_MS, type GetJobClient } from './peerJobs'
 import type { RecordFollower } from './recordFollower'
-import type { ItemResult, JobItem, JobRecord } from './records'
+import type { ItemResult, JobRecord } from './records'
 
 export interface ResultPage {
   /** Items of the job. */
@@ -23,6 +24,7 @@
   self: string
   jobRegistry: JobRegistry
   store: JobStore
+  inputs: JobInputs
   getClient: GetJobClient
   peers: () => readonly PeerView[]
   recordFollower: Pick<RecordFollower, 'mayDenyResults' | 'refresh'>
@@ -49,10 +51,6 @@
 /** Maximum size of the results in one answer, in bytes of JSON; a larger result is answered alone. */
 const MAX_PAGE_BYTES = 900_000
 export const PLATFORM_RETRY_MS = 1000
-/** Maximum length of all texts in the cache of results, and in that of inputs, in characters. */
-const MAX_CACHED_CHARS = 12_000_000
-/** Length of an object beside its texts that is counted, in characters. */
-const OBJECT_CHARS = 200
 const MAX_WAITING_READS = 1000
 
 interface CachedJob {
@@ -70,10 +68,6 @@
   const cache = new LRUCache<string, CachedJob>({
     maxSize: MAX_CACHED_CHARS, sizeCalculation: ({ results }) => countChars(results.map(({ text }) => text))
   })
-  const inputs = new LRUCache<string, readonly JobItem[]>({
-    maxSize: MAX_CACHED_CHARS,
-    sizeCalculation: (items) => countChars(items.flatMap(({ body, path, headers }) => [body, path, ...headers]))
-  })
 
   async function readOwned (id: string, after: number, waitMs: number): Promise<ResultPage | undefined> {
     const until = clock.now() + waitMs
@@ -192,22 +186,12 @@
     return ok({ total: record.total, results: takePage(cached.results, after) })
   }
 
-  /** Reads the items of a job; input is immutable, so it is cached. */
-  async function readItems (id: string): Promise<Result<readonly JobItem[], RefusalError>> {
-    const cached = inputs.get(id)
-    if (cached !== undefined) return ok(cached)
-    const items = await store.readItems(id)
-    if (items.isErr()) return err(toReadRefusal(items.error))
-    if (items.value === undefined) return err(new RefusalError('notFound', { detail: `no job ${id} exists` }))
-    inputs.set(id, items.value)
-    return ok(items.value)
-  }
-
   async function findBody (id: string, item: string): Promise<Result<Uint8Array, RefusalError>> {
     const own = registry.get(id)?.findItem(item)
-    if (own !== undefined) return ok(Buffer.from(own.body, 'base64'))
-    const items = await readItems(id)
-    if (items.isErr()) return err(items.error)
+    if (own?.body !== undefined) return ok(Buffer.from(own.body, 'base64'))
+    const items = await options.inputs.read(id)
+    if (items.isErr()) return err(toReadRefusal(items.error))
+    if (items.value === undefined) return err(new RefusalError('notFound', { detail: `no job ${id} exists` }))
     const found = items.value.find((one) => one.id === item)
     if (found === undefined) return err(new RefusalError('notFound', { detail: `no item ${item} in job ${id}` }))
     return ok(Buffer.from(found.body, 'base64'))
@@ -222,10 +206,6 @@
   return new RefusalError(reason, { retryAfterMs: PLATFORM_RETRY_MS, cause })
 }
 
-function countChars (texts: readonly string[]): number {
-  return texts.reduce((sum, { length }) => sum + length + OBJECT_CHARS, OBJECT_CHARS)
-}
-
 function takePage (results: readonly ItemResult[], after: number): ItemResult[] {
   return takeFitting(results.slice(after), MAX_PAGE_BYTES)
 }
--- a/packages/pimentoplank/src/relay/jobs/runEvidence.ts
+++ b/packages/pimentoplank/src/relay/jobs/runEvidence.ts
@@ -43,7 +43,7 @@
   }
 
   function recordCrashEvidence (
-    { ready: { owned, itemId, progress }, target, address, startedAt }: ActiveRun,
+    { ready: { owned, itemId, progress }, body = '', target, address, startedAt }: ActiveRun,
     end: ItemEnd,
     events: number
   ): void {
@@ -57,7 +57,7 @@
     if (end.type !== 'interrupted' || paths.isCutOff()) return
     if (end.reason !== 'broken' && end.reason !== 'staleConnection') return
     if (end.reason === 'broken') progress.crashes += 1
-    const request = createItemRequest(item, owned.record().host)
+    const request = createItemRequest({ ...item, body: item.body ?? body }, owned.record().host)
     crashes.recordPossibleCrash({ id: target, address, startedAt }, request, end.reason)
   }
 
--- a/packages/pimentoplank/src/relay/jobs/runItem.ts
+++ b/packages/pimentoplank/src/relay/jobs/runItem.ts
@@ -1,13 +1,13 @@
 /** Runs one item of a batch job at one target. */
 import { err, ok, type Result } from 'neverthrow'
-import type { Clock, Log } from '../../shared'
+import { SECOND_MS, type Clock, type Log } from '../../shared'
 import { addOpenEnd, computeRestBackoff, hasOrderlyEnd, isBusyRefusal, isEndProven } from '../decisions'
 import {
   createEventReader, drainAnswer, getEventData, SendFailure,
   type AnswerEnding, type Exchange, type SendFailureReason, type SplitEvent, type TargetAnswer
 } from '../exchange'
 import type { CallerRequest, Target } from '../model'
-import type { ItemProgress } from './ownedJob'
+import type { ItemProgress, OwnedItem } from './ownedJob'
 import type { JobItem } from './records'
 import { startSilenceWatch } from './silenceWatch'
 
@@ -29,7 +29,9 @@
   | { type: 'interrupted', isBroken: boolean, reason: SendFailureReason }
 
 export interface RunItemOptions {
-  item: JobItem
+  item: OwnedItem
+  /** Reads the body of an item that is not in memory; undefined if that is not possible now. */
+  readBody: () => Promise<string | undefined>
   host: string
   progress: ItemProgress
   target: Target
@@ -59,6 +61,8 @@
 /** Reason of an abort for which the item moves from a silent target to another one. */
 export const SILENT_TARGET = 'silentTarget'
 
+/** Mean backoff before an item whose body could not be read is tried again, in milliseconds. */
+const BODY_RETRY_MS = SECOND_MS
 const STATUS_OK = 200
 const STATUS_UNPROCESSABLE = 422
 const STATUS_SERVER_ERROR = 500
@@ -78,6 +82,8 @@
 /** Runs an item, resuming from its progress; the progress is updated with each event. */
 export async function runItem (options: RunItemOptions): Promise<ItemEnd> {
   const { item, progress, target, exchange } = options
+  const body = item.body ?? await options.readBody()
+  if (body === undefined) return { type: 'refused', reason: 'withdrawn', backoffMs: BODY_RETRY_MS }
   const dead = new AbortController()
   const signal = AbortSignal.any([options.signal, dead.signal])
   const watch = startSilenceWatch({
@@ -88,7 +94,7 @@
     onDead: () => dead.abort(),
     clock: options.clock
   })
-  const request = createItemRequest(item, options.host)
+  const request = createItemRequest({ ...item, body }, options.host)
   try {
     const sent = await exchange.send({
       request,
--- a/packages/pimentoplank/src/relay/jobs/testing/jobBench.ts
+++ b/packages/pimentoplank/src/relay/jobs/testing/jobBench.ts
@@ -6,8 +6,8 @@
 import type { Route } from '../../model'
 import { RELAY_RULES } from '../../rules'
 import {
-  createJobApi, createJobManager, createJobRegistry, createJobStore, createQuota, createRecordView,
-  type JobApi, type JobApiOptions, type JobItem, type JobManager, type JobRegistry
+  createJobApi, createJobInputs, createJobManager, createJobRegistry, createJobStore, createQuota, createRecordView,
+  type JobApi, type JobApiOptions, type JobItem, type JobManager, type JobManagerOptions, type JobRegistry
 } from '..'
 
 export interface JobBench {
@@ -22,7 +22,7 @@
   id?: string
   /** Clock and platform of another instance that this one shares. */
   shared?: Pick<JobBench, 'clock' | 'platform'>
-  limits?: Pick<JobApiOptions, 'maxWaitingReads'>
+  limits?: Pick<JobApiOptions, 'maxWaitingReads'> & Pick<JobManagerOptions, 'maxBodyChars'>
 }
 
 const MAX_OBJECT_BYTES = 1_048_576
@@ -65,6 +65,7 @@
   const common = { self: id, jobRegistry, store, ...surroundings, clock, random: () => 0.5, metrics, log }
   const manager = createJobManager({
     ...common,
+    ...limits,
     table: () => undefined,
     onItemsReady: () => undefined,
     onStop: () => undefined,
@@ -74,6 +75,7 @@
     ...common,
     ...limits,
     jobManager: manager,
+    inputs: createJobInputs({ store }),
     transports: {} as unknown as PeerTransports,
     quota: createQuota({ ...common, recordView: createRecordView(common) }),
     recordFollower: { mayDenyResults: () => true, refresh: async () => true },
