Take an end of the connection while the request is still being sent for a break

What callers saw: a target answered a long upload at once with 200 and no length, sent a part, and ended the connection in an orderly way, or did so and reset it 3 ms later. Safe plain requests got the part framed as whole; so did callers of plain services and of all else that goes through `createTargetAgent`.

Cause: the end of such a connection counts as that of the answer, whether or not the target has had the request. That the request was written says little: on the loopback the system takes 3.9 MB at once, so that `writableLength` is 0 for an upload of 3.5 MB of which the target has read 64 KB.

Why it works: the end of a connection acknowledges all that the other system had received. What is left of the request then, here or in the send queue that Linux lists, proves that its process can't have read it; a whole request leaves nothing. The end is told to the HTTP client only after that look, and no request goes out on that connection meanwhile.

--- a/packages/pimentoplank/src/relay/exchange/connectionPool.ts
+++ b/packages/pimentoplank/src/relay/exchange/connectionPool.ts
@@ -5,7 +5,7 @@
 import { LRUCache } from 'lru-cache'
 import type { Result } from 'neverthrow'
 import { Client, errors, type Dispatcher } from 'undici'
-import { hash32, markDispatch, type Clock, type Metrics, type SendMark } from '../../shared'
+import { hash32, isEnding, markDispatch, type Clock, type Metrics, type SendMark } from '../../shared'
 import type { PathChoice, TargetPaths } from '../paths'
 import type { OpenedConnection, OpenRequest, TargetConnector } from './targetConnector'
 
@@ -197,7 +197,8 @@
   }
 
   function isUsable (connection: TargetConnection): boolean {
-    return connections.has(connection) && connection.socket?.writable === true
+    const { socket } = connection
+    return connections.has(connection) && socket?.writable === true && !isEnding(socket)
   }
 
   function closeConnection (connection: TargetConnection): void {
--- a/packages/pimentoplank/src/shared/targetHttp/connector.ts
+++ b/packages/pimentoplank/src/shared/targetHttp/connector.ts
@@ -1,6 +1,9 @@
-/** Connector for HTTP clients that fails a response when its connection is reset, however the response is framed. */
+/** Connector for HTTP clients that fails a response when its connection breaks off, however the response is framed. */
 import type { Socket } from 'node:net'
+import type { Duplex } from 'node:stream'
 import { buildConnector } from 'undici'
+import { KIB_BYTES } from '../constants'
+import { readSendQueue } from './sendQueue'
 
 /** The other end reset the connection; unlike `ECONNRESET`, never taken for the regular end of a response. */
 export class ConnectionResetError extends Error {
@@ -12,6 +15,16 @@
   }
 }
 
+/** The other end ended the connection before it had taken all that was sent to it. */
+export class RequestCutError extends Error {
+  readonly code = 'REQUEST_CUT'
+
+  constructor () {
+    super('the connection ended before the whole request was sent')
+    this.name = 'RequestCutError'
+  }
+}
+
 /** A connection was not established in time. */
 class ConnectTimeoutError extends Error {
   readonly code = 'UND_ERR_CONNECT_TIMEOUT'
@@ -63,8 +76,18 @@
   return { host, hostname: hostname.replace(/^\[|\]$/g, ''), port, protocol }
 }
 
+const ending = new WeakSet<Duplex>()
+
+/** True for a connection that the other end has ended, while it is still being looked whether it took all. */
+export function isEnding (socket: Duplex): boolean {
+  return ending.has(socket)
+}
+
+/** A system takes at least this much for its process; shorter requests are not looked after, in bytes. */
+const MIN_LONG_BYTES = 32 * KIB_BYTES
+
 /**
- * Makes every reset of a connection an error that the HTTP client reports.
+ * Makes every reset of a connection, and every end before the request was taken, an error that the HTTP client reports.
  *
  * A response without a length or chunks ends with its connection. Two resets look like an orderly end there: undici
  * accepts `ECONNRESET`, and libuv reports the end of the stream when a reset arrives together with the last bytes.
@@ -72,13 +95,39 @@
 function watchSocket (socket: Socket, { onBytes, onReset }: Pick<ConnectorOptions, 'onBytes' | 'onReset'>): void {
   const push = socket.push.bind(socket)
   const destroy = socket.destroy.bind(socket)
+  /** Number of bytes written when bytes arrived last, and between that and the time before. */
+  let writtenBefore = 0
+  let lastBytes = 0
+
+  function end (): void {
+    push(null)
+    socket.read(0)
+  }
+
   socket.push = (chunk, encoding) => {
-    if (chunk !== null) onBytes?.()
+    const { bytesWritten } = socket
+    if (bytesWritten > writtenBefore) lastBytes = bytesWritten - writtenBefore
+    writtenBefore = bytesWritten
+    if (chunk !== null) {
+      onBytes?.()
+      return push(chunk, encoding)
+    }
     // After a reset, the socket no longer has a peer.
-    if (chunk !== null || socket.remoteAddress !== undefined) return push(chunk, encoding)
-    onReset?.()
-    // The bytes before the reset are read first.
-    setImmediate(() => destroy(new ConnectionResetError()))
+    if (socket.remoteAddress === undefined) {
+      onReset?.()
+      // The bytes before the reset are read first.
+      setImmediate(() => destroy(new ConnectionResetError()))
+      return false
+    }
+    if (lastBytes < MIN_LONG_BYTES) return push(null)
+    ending.add(socket)
+    findCut(socket)
+      .then((cut) => {
+        if (socket.destroyed) return
+        if (cut === undefined) end()
+        else destroy(cut)
+      })
+      .catch(destroy)
     return false
   }
   socket.destroy = (cause) => {
@@ -88,6 +137,18 @@
   }
 }
 
+/**
+ * Looks whether the other end has acknowledged all that was written. Its end of the connection acknowledges what it had
+ * received before, so that anything left shows that its process can't have read it all.
+ */
+async function findCut (socket: Socket): Promise<Error | undefined> {
+  if (socket.writableLength > 0) return new RequestCutError()
+  const queue = await readSendQueue(socket)
+  // The list may miss a line while others change.
+  if (queue === 'unlisted' && await readSendQueue(socket) === 'unlisted') return new ConnectionResetError()
+  return typeof queue === 'number' && queue > 0 ? new RequestCutError() : undefined
+}
+
 function isReset (cause: Error | undefined): cause is Error {
   return (cause as NodeJS.ErrnoException | undefined)?.code === 'ECONNRESET'
 }
--- a/packages/pimentoplank/src/shared/targetHttp/index.ts
+++ b/packages/pimentoplank/src/shared/targetHttp/index.ts
@@ -1,5 +1,7 @@
 export { getBodyFraming, type BodyFraming } from './bodyFraming'
-export { ConnectionResetError, createConnector, toConnectOptions, type ConnectorOptions } from './connector'
+export {
+  ConnectionResetError, createConnector, isEnding, toConnectOptions, type ConnectorOptions
+} from './connector'
 export { readLimitedBody } from './readLimitedBody'
 export {
   createTargetAgent, isConnectFailure, markDispatch,
--- a/packages/pimentoplank/src/shared/targetHttp/resets.feature
+++ b/packages/pimentoplank/src/shared/targetHttp/resets.feature
@@ -20,6 +20,20 @@
       | connection | all  | close | with the last bytes     | complete |
       | connection | all  | close | 30 ms after these bytes | complete |
 
+  # Guards against parts of answers that are taken for whole, while the request is still being sent.
+  Scenario Outline: A response without a length that ends after <read> of a request of <bytes> bytes was read is <state>
+    Given a server that responds at once without a length, and ends the connection after it has read <read> of the request
+    When a request of <bytes> bytes is sent through a target agent
+    Then the body of the response is <state>
+
+    Examples:
+      | read    | bytes   | state    |
+      | a part  | 1000000 | broken   |
+      | a part  | 8000000 | broken   |
+      | all     | 1000000 | complete |
+      | all     | 8000000 | complete |
+      | all     | 1000    | complete |
+
   Scenario: The bytes before a reset are delivered
     Given a server that frames its response by connection, sends half of it and ends the connection by a reset with the last bytes
     When the response is read through a target agent
--- a/packages/pimentoplank/src/shared/targetHttp/resets.steps.ts
+++ b/packages/pimentoplank/src/shared/targetHttp/resets.steps.ts
@@ -18,6 +18,7 @@
   chunks: 'Transfer-Encoding: chunked\r\nConnection: close\r\n',
   connection: ''
 }
+const HEAD_END_BYTES = 4
 const DELAY_MS = 30
 
 function encodePart (framing: BodyFraming, part: string): string {
@@ -44,18 +45,51 @@
   await once(this.rawServer, 'listening')
 })
 
+Given(/^a server that responds at once without a length, and ends the connection after it has read (a part|all) of the request$/, async function (
+  this: ResetWorld, read: string
+) {
+  this.rawServer = createServer({ allowHalfOpen: true }, (socket) => {
+    let head = ''
+    let left = Infinity
+    socket.unref()
+    socket.on('error', () => undefined)
+    socket.once('end', () => socket.end())
+    socket.on('data', (bytes) => {
+      if (left === Infinity) {
+        head += bytes.toString('latin1')
+        const headEnd = head.indexOf('\r\n\r\n')
+        if (headEnd < 0) return
+        left = Number(/content-length: (\d+)/i.exec(head)?.[1]) - (head.length - headEnd - HEAD_END_BYTES)
+        socket.write(`HTTP/1.1 200 OK\r\n\r\n${BODY}`)
+      } else left -= bytes.length
+      if (read === 'a part') socket.pause()
+      if (read === 'a part' || left === 0) socket.end()
+    })
+  })
+  this.rawServer.listen(0, '127.0.0.1')
+  await once(this.rawServer, 'listening')
+})
+
 When('the response is read through a target agent', async function (this: ResetWorld) {
-  this.agent = createTargetAgent()
-  const address = `127.0.0.1:${(this.rawServer!.address() as AddressInfo).port}`
-  const res = await this.agent.request({ address, path: '/', method: 'GET' })
-  this.received = ''
-  this.state = 'complete'
+  await sendRequest(this, { method: 'GET' })
+})
+
+When('a request of {int} bytes is sent through a target agent', async function (this: ResetWorld, bytes: number) {
+  await sendRequest(this, { method: 'POST', body: Buffer.alloc(bytes) })
+})
+
+async function sendRequest (world: ResetWorld, request: { method: string, body?: Buffer }): Promise<void> {
+  world.agent = createTargetAgent()
+  const address = `127.0.0.1:${(world.rawServer!.address() as AddressInfo).port}`
+  const res = await world.agent.request({ address, path: '/', ...request })
+  world.received = ''
+  world.state = 'complete'
   try {
-    for await (const chunk of res.body) this.received += String(chunk)
+    for await (const chunk of res.body) world.received += String(chunk)
   } catch {
-    this.state = 'broken'
+    world.state = 'broken'
   }
-})
+}
 
 Then(/^the body of the response is (complete|broken)$/, function (this: ResetWorld, state: string) {
   assert.equal(this.state, state)
