--- a/packages/pimentoplank/src/shared/targetHttp/resets.feature
+++ b/packages/pimentoplank/src/shared/targetHttp/resets.feature
@@ -34,6 +34,19 @@
       | all     | 8000000 | complete |
       | all     | 1000    | complete |
 
+  Scenario Outline: A response with status <status> is none
+    Given a server that responds with status <status>
+    When a request is sent through a target agent that gets no response
+
+    Examples:
+      | status |
+      | 000    |
+      | 099    |
+      | 1000   |
+      | 20x    |
+      | -200   |
+      | 00200  |
+
   Scenario: The bytes before a reset are delivered
     Given a server that frames its response by connection, sends half of it and ends the connection by a reset with the last bytes
     When the response is read through a target agent
--- a/packages/pimentoplank/src/shared/targetHttp/resets.steps.ts
+++ b/packages/pimentoplank/src/shared/targetHttp/resets.steps.ts
@@ -70,6 +70,19 @@
   await once(this.rawServer, 'listening')
 })
 
+Given('a server that responds with status {}', async function (this: ResetWorld, status: string) {
+  this.rawServer = createServer((socket) => {
+    socket.on('error', () => undefined)
+    socket.once('data', () => socket.write(`HTTP/1.1 ${status} Status\r\n${HEADERS.length}\r\n${BODY}`))
+  })
+  this.rawServer.listen(0, '127.0.0.1')
+  await once(this.rawServer, 'listening')
+})
+
+When('a request is sent through a target agent that gets no response', async function (this: ResetWorld) {
+  await assert.rejects(sendRequest(this, { method: 'GET' }))
+})
+
 When('the response is read through a target agent', async function (this: ResetWorld) {
   await sendRequest(this, { method: 'GET' })
 })
