Don't take a connection for reset that the system's list doesn't cover

A list of connections that has none of the local address says nothing about one that it lacks: where the network of a process isn't the listed one, each answer without a length to a long upload would have counted as reset.

--- a/packages/pimentoplank/src/shared/targetHttp/sendQueue.ts
+++ b/packages/pimentoplank/src/shared/targetHttp/sendQueue.ts
@@ -8,6 +8,8 @@
 /** After the two addresses: the state of the connection, and its send queue. */
 const STATE_AND_QUEUE = /^[0-9A-F]{2} ([0-9A-F]{8}):/
 const HEX_RADIX = 16
+/** Length of an IP number in the list, with the colon that ends it. */
+const LISTED_IP_CHARS = 9
 
 /** Number of bytes; `unlisted` for a connection that was reset, `unknown` where the system doesn't tell. */
 export type SendQueue = number | 'unlisted' | 'unknown'
@@ -22,7 +24,8 @@
     const listed = await readFile(CONNECTIONS_FILE, 'latin1')
     const addresses = ` ${local} ${remote} `
     const at = listed.indexOf(addresses)
-    if (at < 0) return 'unlisted'
+    // A network that the list doesn't cover has none of this address.
+    if (at < 0) return listed.includes(` ${local.slice(0, LISTED_IP_CHARS)}`) ? 'unlisted' : 'unknown'
     const start = at + addresses.length
     const queue = STATE_AND_QUEUE.exec(listed.slice(start, listed.indexOf('\n', start)))?.[1]
     return queue === undefined ? 'unknown' : parseInt(queue, HEX_RADIX)
