Bound the parts of prompts that are kept and reported of crashes

Prompts may have thousands of parts, which were kept for up to 500 crashes of 8 prompts each, and reported for up to 16 crashes in one datagram. A report of more than 65,507 bytes is not sent at all, so that peers take an instance for lost at which callers crash targets with long prompts (the size by reading).

128 parts of a prompt are looked at, 500 groups of parts kept, and the crashes of a report have 1,024 parts in all, the newest first.

--- a/packages/pimentoplank/src/relay/live/crashTracker.feature
+++ b/packages/pimentoplank/src/relay/live/crashTracker.feature
@@ -40,3 +40,10 @@
       | kind | outcome     |
       | kept | let through |
       | new  | refused     |
+
+  # Guards against an instance that its peers take for lost, as none of its reports fits a datagram.
+  Scenario: A report on crashes under prompts with many parts fits a datagram
+    Given 7 instances that hear each other's reports after 300 ms
+    When 16 targets crash at instance 1 under 8 prompts of 2000 parts each
+    Then the report of instance 1 has at most 32768 bytes, and names the last crash
+    And the last of these prompts is refused after it has crashed 3 targets
--- a/packages/pimentoplank/src/relay/live/crashTracker.steps.ts
+++ b/packages/pimentoplank/src/relay/live/crashTracker.steps.ts
@@ -1,7 +1,9 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
+import { createEmptyReport } from '../../../features/support/emptyReport'
 import { createManualClock, type ManualClock } from '../../../features/support/manualClock'
-import { createSilentLog, rankByRendezvous } from '../../shared'
+import { createSilentLog, hash32, rankByRendezvous } from '../../shared'
+import { encodeReport } from '../gossip/datagrams'
 import type { CallerRequest } from '../model'
 import { createCrashTracker, type CrashReason, type CrashTracker } from './crashTracker'
 
@@ -147,3 +149,37 @@
 Then(/^the prompt is (refused|let through)$/, function (this: TrackersWorld, outcome: string) {
   assert.equal(this.trackers[0]!.tracker.isRefused(this.request!), outcome === 'refused')
 })
+
+async function crashUnder (world: TrackersWorld, target: string, request: CallerRequest): Promise<void> {
+  crash(world.trackers[0]!, target, request)
+  await new Promise((resolve) => setImmediate(resolve))
+}
+
+When('{int} targets crash at instance 1 under {int} prompts of {int} parts each', async function (
+  this: TrackersWorld, targets: number, prompts: number, parts: number
+) {
+  for (let target = 0; target < targets; target++) {
+    for (let prompt = 0; prompt < prompts; prompt++) {
+      const own = Array.from({ length: parts }, (_, part) => `${target}-${prompt}-${part}`)
+      this.request = createPrompt(this, own.join())
+      await crashUnder(this, `t${target}`, this.request)
+    }
+    await this.trackerClock.advance(CRASH_GAP_MS)
+  }
+})
+
+Then('the report of instance 1 has at most {int} bytes, and names the last crash', function (
+  this: TrackersWorld, most: number
+) {
+  const report = this.trackers[0]!.tracker.getReport()
+  const bytes = encodeReport(createEmptyReport({ instance: 'i1', failureDomain: 'x', peerAddress: '', ...report }), 0)
+  assert.ok(bytes.length <= most, `${bytes.length} bytes`)
+  assert.equal(report.crashes.at(-1)?.target, hash32('t15'))
+})
+
+Then('the last of these prompts is refused after it has crashed {int} targets', async function (
+  this: TrackersWorld, count: number
+) {
+  for (let target = 1; target < count; target++) await crashUnder(this, `other${target}`, this.request!)
+  assert.equal(this.trackers[0]!.tracker.isRefused(this.request!), true)
+})
--- a/packages/pimentoplank/src/relay/live/crashTracker.ts
+++ b/packages/pimentoplank/src/relay/live/crashTracker.ts
@@ -73,8 +73,12 @@
 const NOTICE_MS = 3000
 /** Maximum of crashes and of answered parts in one report. */
 const MAX_NOTICES = 16
-/** Maximum of known crashes; the oldest are dropped. */
+/** Maximum of parts of prompts in the crashes of one report, and in the parts found, so that it fits a datagram. */
+const MAX_REPORTED_PARTS = 1024
+/** Maximum of known crashes, and of parts that were found together; the oldest are dropped. */
 const MAX_CRASHES = 500
+/** Maximum of parts of one prompt that are looked at. */
+const MAX_PROMPT_PARTS = 128
 /** Crashes of one target within this time are the same. */
 const SAME_CRASH_MS = 2000
 /** Maximum of prompts that are recorded with one crash. */
@@ -102,7 +106,7 @@
   function getParts (headers: RawHeaders): readonly bigint[] {
     let parts = partsByHeaders.get(headers)
     if (parts === undefined) {
-      parts = [...new Set(options.decodePromptParts(headers).slice(0, -1))].map(hash64)
+      parts = [...new Set(options.decodePromptParts(headers).slice(0, -1))].slice(0, MAX_PROMPT_PARTS).map(hash64)
       partsByHeaders.set(headers, parts)
     }
     return parts
@@ -156,7 +160,7 @@
     const suspects = parts.filter((part) => (answered.get(part) ?? -Infinity) <= at).sort()
     for (const part of parts) if (!suspects.includes(part)) recordCleared(part)
     const isKnown = found.some((one) => one.parts.every((part) => suspects.includes(part)))
-    if (suspects.length > 0 && !isKnown) found.push({ parts: suspects, at, probe: -1 })
+    if (suspects.length > 0 && !isKnown) found = [...found, { parts: suspects, at, probe: -1 }].slice(-MAX_CRASHES)
   }
 
   function recordCleared (part: bigint): void {
@@ -256,8 +260,10 @@
         return at === undefined ? [] : [{ part, at }]
       })
       return {
-        crashes: recent.map(({ target, at, prompts }) => ({ target, at, prompts })),
-        crashingParts: found.slice(-MAX_NOTICES).map(({ parts, at }) => ({ parts, at })),
+        crashes: takeNewest(recent, ({ prompts }) => prompts.reduce((sum, { parts }) => sum + 1 + parts.length, 0))
+          .map(({ target, at, prompts }) => ({ target, at, prompts })),
+        crashingParts: takeNewest(found.slice(-MAX_NOTICES), ({ parts }) => parts.length)
+          .map(({ parts, at }) => ({ parts, at })),
         answeredParts: answers.sort((a, b) => b.at - a.at).slice(0, MAX_NOTICES)
       }
     },
@@ -272,6 +278,16 @@
   }
 }
 
+/** Returns the last entries that together have at most `MAX_REPORTED_PARTS` parts, and the last one in any case. */
+function takeNewest<Entry> (entries: readonly Entry[], countParts: (entry: Entry) => number): Entry[] {
+  let parts = 0
+  const first = entries.findLastIndex((entry, index) => {
+    parts += countParts(entry)
+    return index < entries.length - 1 && parts > MAX_REPORTED_PARTS
+  })
+  return entries.slice(first + 1)
+}
+
 /** Hashes what a resent request has in common with the first: host, path and body; its id differs. */
 function hashPrompt (request: CallerRequest): bigint {
   return hash64(`${request.host} ${request.path} ${Buffer.from(request.body).toString('base64')}`)
