Bound the jobs that one report between instances names

What callers saw: nothing yet. A report names each open job of its sender with its tokens, 10 bytes each. With some 6,500 open jobs it fits no datagram (65,507 bytes) and is not sent at all, so that peers take the instance for lost.

A report names 1,500 jobs, the oldest. Of the others, peers count all tokens as waiting, as they do before they have heard a report. The scenario fails without the limit: the report of 8,000 jobs has 80,024 bytes.

--- a/packages/pimentoplank/src/relay/jobs/quota.feature
+++ b/packages/pimentoplank/src/relay/jobs/quota.feature
@@ -42,3 +42,8 @@
     Given the records of 3 jobs, and a view of them that was read
     When the platform discards its history, and the record of a job is deleted
     Then the view has 2 open jobs once its records are read
+
+  # Guards against an instance that its peers take for lost, as none of its reports fits a datagram.
+  Scenario: A report of an instance with very many jobs fits a datagram
+    Given an instance that owns 8000 jobs of 2 items
+    Then its report has at most 32768 bytes
--- a/packages/pimentoplank/src/relay/jobs/quota.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/quota.steps.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
 import { err, ok, ResultAsync, type Result } from 'neverthrow'
+import { createEmptyReport } from '../../../features/support/emptyReport'
 import { createManualClock, type ManualClock } from '../../../features/support/manualClock'
 import {
   createInMemoryMetrics, createSilentLog, PlatformConflict, PlatformUnavailable,
@@ -8,11 +9,12 @@
 } from '../../shared'
 import { createSeededRandom } from '../decisions/testing/seededRandom'
 import type { PeerView } from '../gossip'
+import { encodeReport } from '../gossip/datagrams'
 import type { Route } from '../model'
 import { RELAY_RULES } from '../rules'
 import {
   createJobApi, createJobInputs, createJobManager, createJobRegistry, createJobStore, createQuota,
-  createRecordView, getOpenTokens,
+  createOwnedJob, createRecordView, getOpenTokens,
   type JobApi, type JobItem, type JobManager, type JobRegistry
 } from '.'
 import type { RecordView } from './recordView'
@@ -35,6 +37,7 @@
 }
 
 interface QuotaWorld {
+  owner: JobRegistry
   clock: ManualClock
   fakePlatform: FakePlatform
   view: RecordView
@@ -412,3 +415,39 @@
   assert.ok((await reading).isOk())
   assert.equal(this.view.getOpen().size, count)
 })
+
+Given('an instance that owns {int} jobs of {int} items', function (this: QuotaWorld, count: number, items: number) {
+  const clock = createManualClock()
+  this.owner = createJobRegistry({ self: 'a', noticeMs: 0, onNotice: () => undefined, clock, log: createSilentLog() })
+  for (let index = 0; index < count; index++) {
+    const id = `job-${index}`
+    const record = {
+      route: 'batch',
+      host: 'h',
+      owner: 'a',
+      epoch: 1,
+      submittedAt: 0,
+      total: items,
+      inputParts: 1,
+      tokens: items * TOKENS_OF_ITEM,
+      ended: false,
+      finished: false
+    }
+    this.owner.add(createOwnedJob({
+      id,
+      stored: { record, revision: 1, asOf: 0 },
+      items: createItems(id, items),
+      getTimes: () => ({ dueAt: Infinity, expiresAt: Infinity }),
+      now: () => 0
+    }))
+  }
+})
+
+Then('its report has at most {int} bytes', function (this: QuotaWorld, most: number) {
+  const report = createEmptyReport({
+    instance: 'a', failureDomain: 'x', peerAddress: '', openJobs: getOpenTokens(this.owner)
+  })
+  const bytes = encodeReport(report, 0)
+  assert.ok(bytes.length <= most, `${bytes.length} bytes`)
+  assert.ok(report.openJobs.size > 0)
+})
--- a/packages/pimentoplank/src/relay/jobs/quota.ts
+++ b/packages/pimentoplank/src/relay/jobs/quota.ts
@@ -41,14 +41,17 @@
 }
 
 const NO_LIMIT = 0
+/** Maximum of jobs in one report, so that it fits a datagram; of the others, peers count all tokens as waiting. */
+const MAX_REPORTED_JOBS = 1500
 
 /**
- * Returns the tokens of items without a result for each owned job whose record does not tell yet that it is done, by
- * hash of the job id.
+ * Returns the tokens of items without a result for owned jobs whose records do not tell yet that they are done, by
+ * hash of the job id; the oldest jobs, if there are very many.
  */
 export function getOpenTokens (registry: JobRegistry): Map<number, number> {
   const open = new Map<number, number>()
   for (const job of registry.owned()) {
+    if (open.size >= MAX_REPORTED_JOBS) break
     if (!job.isEnded() && !job.record().finished) open.set(hash32(job.id), job.countOpenTokens())
   }
   return open
