Read results from the platform up to the end of a page only

What callers saw: nothing yet. An instance that doesn't own a job read all its results for each page, up to 200 objects of 1 MB, and kept them until the page was answered. A few callers who read such a job fill the memory of any instance.

Later pages of a longer job read its further objects again, one at a time. The scenario fails without the change: 40 objects are read for a page of 2.

--- a/packages/pimentoplank/src/relay/jobs/resultReader.feature
+++ b/packages/pimentoplank/src/relay/jobs/resultReader.feature
@@ -10,3 +10,11 @@
     Then 0 of them are answered at once, without results
     When a result of the job is stored
     Then 3 of them are answered
+
+  # Guards against processes that run out of memory as they read all results of a job for each page of it.
+  Scenario: A page is read from the platform without the results behind it
+    Given a job of 40 items with results of 400000 characters, each stored by itself
+    When another instance reads its first page
+    Then it has asked the platform for at most 4 segments
+    When another instance reads all its pages, one after the other
+    Then it has got the results of all 40 items, each once
--- a/packages/pimentoplank/src/relay/jobs/resultReader.ts
+++ b/packages/pimentoplank/src/relay/jobs/resultReader.ts
@@ -51,6 +51,8 @@
 /** Maximum size of the results in one answer, in bytes of JSON; a larger result is answered alone. */
 const MAX_PAGE_BYTES = 900_000
 export const PLATFORM_RETRY_MS = 1000
+/** Maximum length of the results of one job in the cache, in characters. */
+const MAX_CACHED_JOB_CHARS = MAX_CACHED_CHARS / 2
 const MAX_WAITING_READS = 1000
 
 interface CachedJob {
@@ -66,7 +68,7 @@
   } = options
   let waitingReads = 0
   const cache = new LRUCache<string, CachedJob>({
-    maxSize: MAX_CACHED_CHARS, sizeCalculation: ({ results }) => countChars(results.map(({ text }) => text))
+    maxSize: MAX_CACHED_CHARS, sizeCalculation: ({ results }) => countChars(getTexts(results))
   })
 
   async function readOwned (id: string, after: number, waitMs: number): Promise<ResultPage | undefined> {
@@ -164,7 +166,7 @@
     return ok({ total: cached.record.total, results: takePage(cached.results, after) })
   }
 
-  /** Reads stored results; segments are immutable, so those read before are cached. */
+  /** Reads stored results up to the end of a page; segments are immutable, so the first ones of a job are cached. */
   async function readSegments (
     id: string,
     { record }: { record: JobRecord },
@@ -172,18 +174,25 @@
   ): Promise<Result<ResultPage, RefusalError>> {
     const { results = [], segments = 0 } = cache.get(id) ?? {}
     const cached: CachedJob = { record, results: [...results], segments }
-    while (cached.results.length < record.total) {
-      const segment = await store.readSegment(id, cached.segments)
+    const wanted = results.slice(after)
+    let position = results.length
+    let isCached = true
+    for (let index = segments; position < record.total && countChars(getTexts(wanted)) <= MAX_PAGE_BYTES; index++) {
+      const segment = await store.readSegment(id, index)
       if (segment.isErr()) {
         cache.set(id, cached)
         return err(toReadRefusal(segment.error))
       }
       if (segment.value === undefined) break
+      wanted.push(...segment.value.slice(Math.max(0, after - position)))
+      position += segment.value.length
+      isCached &&= countChars(getTexts([...cached.results, ...segment.value])) <= MAX_CACHED_JOB_CHARS
+      if (!isCached) continue
       cached.results.push(...segment.value)
       cached.segments += 1
     }
     cache.set(id, cached)
-    return ok({ total: record.total, results: takePage(cached.results, after) })
+    return ok({ total: record.total, results: takeFitting(wanted, MAX_PAGE_BYTES) })
   }
 
   async function findBody (id: string, item: string): Promise<Result<Uint8Array, RefusalError>> {
@@ -206,6 +215,10 @@
   return new RefusalError(reason, { retryAfterMs: PLATFORM_RETRY_MS, cause })
 }
 
+function getTexts (results: readonly ItemResult[]): string[] {
+  return results.map(({ text }) => text)
+}
+
 function takePage (results: readonly ItemResult[], after: number): ItemResult[] {
   return takeFitting(results.slice(after), MAX_PAGE_BYTES)
 }
