Bound the results of finished jobs that are kept in memory

What callers saw: nothing yet.

It keeps 16 million characters, those of the jobs that finished last. The others are read from the platform as any other instance reads them, once the record tells that they are finished. The scenario fails without the limit: all five jobs are kept, with 2 million characters where 1 million are allowed.

--- a/packages/pimentoplank/src/relay/jobs/jobManager.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.ts
@@ -39,6 +39,8 @@
   rules: JobManagerRules
   /** Maximum length of the bodies of items in memory, in characters; further ones are read again as they are used. */
   maxBodyChars?: number
+  /** Maximum length of the results of finished jobs in memory, in characters; others are read from the platform. */
+  maxResultChars?: number
   clock: Clock
   random: Random
   metrics: Metrics
@@ -93,6 +95,7 @@
 }
 
 const MAX_BODY_CHARS = 16_000_000
+const MAX_RESULT_CHARS = 16_000_000
 const FIRST_BACKOFF_MS = 50
 /** Time within which a write whose answer was lost may still take effect, in milliseconds. */
 const LATE_WRITE_MS = 8000
@@ -104,7 +107,8 @@
 /** Creates the job manager of an instance. */
 export function createJobManager (options: JobManagerOptions): JobManager {
   const {
-    self, jobRegistry: registry, store, rules, maxBodyChars = MAX_BODY_CHARS, clock, random, metrics, log
+    self, jobRegistry: registry, store, rules, maxBodyChars = MAX_BODY_CHARS, maxResultChars = MAX_RESULT_CHARS,
+    clock, random, metrics, log
   } = options
   const closing = new AbortController()
   const finishedAt = new Map<string, number>()
@@ -184,6 +188,19 @@
     }
   }
 
+  /** Removes the jobs that finished first, whose results any instance can read from the platform. */
+  function removeExcessResults (): void {
+    let chars = 0
+    for (const id of [...finishedAt.keys()].reverse()) {
+      const job = registry.get(id)
+      chars += job?.countResultChars() ?? 0
+      if (job === undefined || chars <= maxResultChars || !(job.record().finished || job.record().ended)) continue
+      chars -= job.countResultChars()
+      registry.remove(id)
+      log.info({ job: id, limit: maxResultChars }, 'results of a finished job dropped from memory')
+    }
+  }
+
   /** Updates the record of an owned job; retries on conflicts and fails once another instance owns it. */
   async function changeRecord (
     job: OwnedJob,
@@ -413,6 +430,7 @@
         const finished = finishedAt.get(job.id)
         if (finished !== undefined && now - finished > rules.keepMs) registry.remove(job.id)
       }
+      removeExcessResults()
       for (const id of finishedAt.keys()) if (registry.get(id) === undefined) finishedAt.delete(id)
     },
     close: () => closing.abort()
--- a/packages/pimentoplank/src/relay/jobs/ownedJob.ts
+++ b/packages/pimentoplank/src/relay/jobs/ownedJob.ts
@@ -54,6 +54,8 @@
   findItem: (id: string) => OwnedItem | undefined
   /** Length of the bodies of items that are in memory, in characters. */
   countBodyChars: () => number
+  /** Length of the texts of stored results, in characters. */
+  countResultChars: () => number
   /** Drops the bodies of all items from memory. */
   dropBodies: () => void
   /** Items without a result, with their progress. */
@@ -93,6 +95,7 @@
   let bodyChars = options.items.reduce((sum, { body }) => sum + body.length, 0)
   const open = new Map<string, ItemProgress>(options.items.map((item) => [item.id, newProgress()]))
   const stored: ItemResult[] = []
+  let resultChars = 0
   let pending: ItemResult[] = []
   let pendingSince: number | undefined
   let segments = 0
@@ -104,6 +107,7 @@
   function appendSegment (results: readonly ItemResult[]): void {
     segments += 1
     stored.push(...results)
+    resultChars += results.reduce((sum, { text }) => sum + text.length, 0)
     const storedItems = new Set(results.map(({ item }) => item))
     pending = pending.filter(({ item }) => !storedItems.has(item))
     if (pending.length === 0) pendingSince = undefined
@@ -134,6 +138,7 @@
     get expiresAt () { return options.getTimes().expiresAt },
     findItem: (name) => items.get(name),
     countBodyChars: () => bodyChars,
+    countResultChars: () => resultChars,
     dropBodies: () => {
       bodyChars = 0
       for (const [name, item] of items) items.set(name, { ...item, body: undefined })
--- a/packages/pimentoplank/src/relay/jobs/resultReader.feature
+++ b/packages/pimentoplank/src/relay/jobs/resultReader.feature
@@ -18,3 +18,9 @@
     Then it has asked the platform for at most 4 segments
     When another instance reads all its pages, one after the other
     Then it has got the results of all 40 items, each once
+
+  Scenario: An owner keeps the results of finished jobs up to a size, and reads the others from the platform
+    Given an instance that keeps results of at most 1000000 characters
+    When 5 jobs of 1 item are finished there with results of 400000 characters
+    Then it keeps 2 jobs in memory
+    And the results of all 5 jobs are read whole
--- a/packages/pimentoplank/src/relay/jobs/resultReader.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/resultReader.steps.ts
@@ -106,3 +106,37 @@
   assert.equal(new Set(this.results.map(({ item }) => item)).size, count)
   this.jobBench.manager.close()
 })
+
+Given('an instance that keeps results of at most {int} characters', function (
+  this: ResultReaderWorld, maxResultChars: number
+) {
+  this.jobBench = createJobBench({ limits: { maxResultChars } })
+})
+
+When('{int} jobs of {int} item are finished there with results of {int} characters', async function (
+  this: ResultReaderWorld, count: number, items: number, chars: number
+) {
+  const { manager, registry } = this.jobBench
+  for (let index = 0; index < count; index++) {
+    assert.ok((await submitJob(this.jobBench, `job-${index}`, items)).isOk())
+    const job = registry.get(`job-${index}`)!
+    for (const item of [...job.openItems().keys()]) job.finishItem({ item, completed: true, text: 'x'.repeat(chars) })
+    manager.scheduleStore(job)
+    await passTime(this.jobBench, STORING_MS)
+    manager.tick()
+  }
+})
+
+Then('it keeps {int} jobs in memory', function (this: ResultReaderWorld, count: number) {
+  assert.equal([...this.jobBench.registry.owned()].length, count)
+})
+
+Then('the results of all {int} jobs are read whole', async function (this: ResultReaderWorld, count: number) {
+  for (let index = 0; index < count; index++) {
+    const reading = this.jobBench.api.read(`job-${index}`, 0, 0)
+    await passTime(this.jobBench, READING_MS)
+    const { total, results } = (await reading)._unsafeUnwrap()
+    assert.equal(results.length, total)
+  }
+  this.jobBench.manager.close()
+})
--- a/packages/pimentoplank/src/relay/jobs/testing/jobBench.ts
+++ b/packages/pimentoplank/src/relay/jobs/testing/jobBench.ts
@@ -22,7 +22,7 @@
   id?: string
   /** Clock and platform of another instance that this one shares. */
   shared?: Pick<JobBench, 'clock' | 'platform'>
-  limits?: Pick<JobApiOptions, 'maxWaitingReads'> & Pick<JobManagerOptions, 'maxBodyChars'>
+  limits?: Pick<JobApiOptions, 'maxWaitingReads'> & Pick<JobManagerOptions, 'maxBodyChars' | 'maxResultChars'>
 }
 
 const MAX_OBJECT_BYTES = 1_048_576
