--- a/packages/pimentoplank/src/relay/callers/bodyReader.steps.ts
+++ b/packages/pimentoplank/src/relay/callers/bodyReader.steps.ts
@@ -22,9 +22,9 @@
   bodyServer: Server
   bodyBudget: MemoryBudget
   maxMs: number
-  callers: Socket[]
-  readers: Reader[]
-  sent: Buffer[]
+  bodyCallers: Socket[]
+  bodyReaders: Reader[]
+  sentBodies: Buffer[]
   rest: Buffer
 }
 
@@ -37,9 +37,9 @@
 ) {
   this.now = 0
   this.maxMs = LONG_MS
-  this.callers = []
-  this.readers = []
-  this.sent = []
+  this.bodyCallers = []
+  this.bodyReaders = []
+  this.sentBodies = []
   const clock = { now: () => this.now }
   this.bodyBudget = createMemoryBudget({ totalBytes: total * KIB_BYTES, clock, log: createSilentLog() })
   this.bodyServer = createServer({ requestTimeout: 0 }, (req) => {
@@ -48,7 +48,7 @@
     setLimits({ maxBytes: most * KIB_BYTES, endAt: this.now + this.maxMs })
     const reader: Reader = { readBytes: 0, memory, body }
     req.on('data', (chunk: Buffer) => { reader.readBytes += chunk.length })
-    this.readers.push(reader)
+    this.bodyReaders.push(reader)
   })
   await new Promise<void>((resolve) => this.bodyServer.listen(0, '127.0.0.1', resolve))
 })
@@ -58,12 +58,12 @@
 })
 
 async function open (world: BodyWorld, head: string): Promise<Socket> {
-  const count = world.readers.length
+  const count = world.bodyReaders.length
   const socket = connect((world.bodyServer.address() as AddressInfo).port, '127.0.0.1')
   socket.on('error', () => undefined)
-  world.callers.push(socket)
+  world.bodyCallers.push(socket)
   socket.write(`POST /x HTTP/1.1\r\nHost: h\r\n${head}\r\n\r\n`)
-  await until(() => world.readers.length > count)
+  await until(() => world.bodyReaders.length > count)
   return socket
 }
 
@@ -73,7 +73,7 @@
 
 async function sendChunks (world: BodyWorld, size: number, chunkBytes: number, isWhole: boolean): Promise<void> {
   const body = createBody(size)
-  world.sent.push(body)
+  world.sentBodies.push(body)
   const socket = await open(world, 'Transfer-Encoding: chunked')
   for (let start = 0; start < body.length; start += chunkBytes) {
     const chunk = body.subarray(start, start + chunkBytes)
@@ -99,20 +99,20 @@
   this: BodyWorld, announced: string, size: string
 ) {
   const body = createBody(Number(announced))
-  this.sent.push(body)
+  this.sentBodies.push(body)
   const socket = await open(this, `Content-Length: ${body.length}`)
   const sentBytes = Number(size) * KIB_BYTES
-  if (this.callers.length === 1) this.rest = body.subarray(sentBytes)
+  if (this.bodyCallers.length === 1) this.rest = body.subarray(sentBytes)
   socket.write(body.subarray(0, sentBytes))
 })
 
 When('the rest of the first body is sent', function (this: BodyWorld) {
-  this.callers[0]!.write(this.rest)
+  this.bodyCallers[0]!.write(this.rest)
 })
 
 When('its caller closes the connection', async function (this: BodyWorld) {
-  await until(() => this.readers[0]!.readBytes > 0)
-  this.callers[0]!.destroy()
+  await until(() => this.bodyReaders[0]!.readBytes > 0)
+  this.bodyCallers[0]!.destroy()
 })
 
 When('{int} ms pass for the bodies', function (this: BodyWorld, ms: number) {
@@ -120,7 +120,7 @@
 })
 
 Then('all {int} KiB of it have been read', async function (this: BodyWorld, size: number) {
-  await until(() => this.readers[0]!.readBytes === size * KIB_BYTES)
+  await until(() => this.bodyReaders[0]!.readBytes === size * KIB_BYTES)
 })
 
 Then('at most {int} KiB of the budget are in use by bodies', function (this: BodyWorld, most: number) {
@@ -128,21 +128,21 @@
 })
 
 Then('no memory is in use by bodies', function (this: BodyWorld) {
-  for (const { memory } of this.readers) memory.close()
+  for (const { memory } of this.bodyReaders) memory.close()
   assert.equal(this.bodyBudget.usedBytes(), 0)
 })
 
 Then(/^(its|the other) body is read whole$/, { timeout: STEP_TIMEOUT_MS }, async function (this: BodyWorld, which: string) {
   const number = which === 'its' ? 0 : 1
-  const body = await this.readers[number]!.body
+  const body = await this.bodyReaders[number]!.body
   assert.ok(body.isOk(), String(body.isErr() && body.error.reason))
-  assert.ok(this.sent[number]!.equals(body.value))
+  assert.ok(this.sentBodies[number]!.equals(body.value))
 })
 
 Then(/^(its|the other) body is refused as "(\w+)"$/, { timeout: STEP_TIMEOUT_MS }, async function (
   this: BodyWorld, which: string, reason: string
 ) {
-  const body = await this.readers[which === 'its' ? 0 : 1]!.body
+  const body = await this.bodyReaders[which === 'its' ? 0 : 1]!.body
   assert.deepEqual(body.isErr() && [body.error.reason, body.error.outcome], [reason, 'not_run'])
 })
 
@@ -151,7 +151,7 @@
 }
 
 After(function (this: Partial<BodyWorld>) {
-  this.callers?.forEach((socket) => socket.destroy())
+  this.bodyCallers?.forEach((socket) => socket.destroy())
   this.bodyServer?.closeAllConnections()
   this.bodyServer?.close()
 })
--- a/packages/pimentoplank/src/shared/process/lingeringClose.steps.ts
+++ b/packages/pimentoplank/src/shared/process/lingeringClose.steps.ts
@@ -7,7 +7,7 @@
 
 interface LingerWorld {
   lingerServer: Server
-  caller: Socket
+  lingerCaller: Socket
   closed: Promise<unknown>
   answer: string
   failure?: Error
@@ -34,13 +34,13 @@
   const socket = connect((world.lingerServer.address() as AddressInfo).port, '127.0.0.1')
   socket.on('error', (cause) => { world.failure = cause })
   world.closed = new Promise((resolve) => socket.on('close', resolve))
-  world.caller = socket
+  world.lingerCaller = socket
   socket.write(`POST /x HTTP/1.1\r\nHost: h\r\n${head}\r\n\r\n`)
   return socket
 }
 
 function readAnswer (world: LingerWorld): void {
-  world.caller.on('data', (bytes) => { world.answer += String(bytes) })
+  world.lingerCaller.on('data', (bytes) => { world.answer += String(bytes) })
 }
 
 When('a caller sends a body of {int} bytes before it reads', { timeout: STEP_TIMEOUT_MS }, async function (
@@ -82,7 +82,7 @@
 })
 
 After(function (this: Partial<LingerWorld>) {
-  this.caller?.destroy()
+  this.lingerCaller?.destroy()
   this.lingerServer?.closeAllConnections()
   this.lingerServer?.close()
 })
