Apply the limit on headers of the configuration

Callers saw: heads of up to 65,536 bytes were taken, whatever the configuration said.

Cause: `max_header_bytes` was not decoded.

The parser's own limit stays.

--- a/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
@@ -74,7 +74,7 @@
     maxAttempts: 3,
     isResumable: true
   }
-  const limits = { maxBodyBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs: 1000 }
+  const limits = { maxHeaderBytes: 1000, maxBodyBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs: 1000 }
   return createRouteTable({ version: 1, routes: [route], services: new Map(), limits })
 }
 
--- a/packages/pimentoplank/src/relay/jobs/jobManager.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.steps.ts
@@ -145,12 +145,12 @@
       batch: { completionTargetMs: 10_000, retentionMs: retentionS * 1000, maxWaitingTokens: 0 }
     }],
     services: new Map(),
-    limits: { maxBodyBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs: 1000 }
+    limits: { maxHeaderBytes: 1000, maxBodyBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs: 1000 }
   })
 })
 
 When('the configuration drops the route', function (this: ManagerWorld) {
-  const limits = { maxBodyBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs: 1000 }
+  const limits = { maxHeaderBytes: 1000, maxBodyBytes: 1000, headerTimeoutMs: 1000, idleTimeoutMs: 1000 }
   this.table = createRouteTable({ version: 2, routes: [], services: new Map(), limits })
 })
 
--- a/packages/pimentoplank/src/relay/model/types.ts
+++ b/packages/pimentoplank/src/relay/model/types.ts
@@ -60,6 +60,8 @@
 
 /** Limits on caller connections and requests, set by the operator. */
 export interface CallerLimits {
+  /** Maximum size of all header fields of a request, in bytes. */
+  maxHeaderBytes: number
   maxBodyBytes: number
   /** Time within which all request headers must arrive, in milliseconds. */
   headerTimeoutMs: number
--- a/packages/pimentoplank/src/shared/reasons/reasons.ts
+++ b/packages/pimentoplank/src/shared/reasons/reasons.ts
@@ -21,6 +21,7 @@
   configurationConflict: { status: 409, title: 'The release note is based on an older configuration', retryable: false },
   deadlineUnreachable: { status: 503, title: 'The request cannot be answered before its deadline', retryable: true },
   forbidden: { status: 403, title: 'The key does not allow this', retryable: false },
+  headersTooLarge: { status: 431, title: 'The request headers are too large', retryable: false },
   jobFinal: { status: 409, title: 'The job has already ended', retryable: false },
   noTarget: { status: 503, title: 'No target can take the request now', retryable: true },
   notFound: { status: 404, title: 'There is no such resource', retryable: false },
