Let a silent target not hold up streams of which nobody knows

Besides, four ways to two versions were left: a target that the instance's own old list lacks, one that says that it leaves, a version that was gone for over an hour and joins again.

Cause: the check asked the targets of the instance's own list, waited up to 750 ms for a silent one, and a request waited for the running check and the next, longer than its limit. Entries that it found to be out of date counted only for targets that are still in use.

Registered versions count as present, however long ago they were seen here.

--- a/packages/pimentoplank/src/relay/createRelay.ts
+++ b/packages/pimentoplank/src/relay/createRelay.ts
@@ -25,7 +25,7 @@
 import { RELAY_RULES } from './rules'
 import type { RelaySettings } from './settings'
 import {
-  createCurrentVersions, createProcessCheck, createServiceVersions, createStreamService, createStreamVersions
+  createCurrentVersions, createServiceVersions, createStreamService, createStreamVersions
 } from './streams'
 import { createStartState } from './startState'
 import { createTargetDirectory } from './targets'
@@ -166,9 +166,8 @@
     access,
     streamVersions,
     serviceVersions,
-    currentVersions: createCurrentVersions({ platform, entries: protocols.targetEntries, log }),
-    checkProcesses: createProcessCheck({
-      listTargets: targets.all, callState: access.callState, onOtherProcess: loads.recordOutdated
+    readCurrentVersions: createCurrentVersions({
+      platform, entries: protocols.targetEntries, callState: access.callState, clock, log
     }),
     crashes,
     openRequests,
--- a/packages/pimentoplank/src/relay/createRequestHandling.ts
+++ b/packages/pimentoplank/src/relay/createRequestHandling.ts
@@ -11,7 +11,7 @@
 import type { RelaySettings } from './settings'
 import {
   createStreamBinder, createStreamVersionFinder,
-  type CurrentVersions, type ProcessCheck, type ServiceVersions, type StreamVersions
+  type ReadCurrentVersions, type ServiceVersions, type StreamVersions
 } from './streams'
 
 export interface RequestHandlingOptions {
@@ -25,8 +25,7 @@
   access: Pick<TargetAccess, 'loads' | 'paths' | 'exchange'>
   streamVersions: StreamVersions
   serviceVersions: ServiceVersions
-  currentVersions: CurrentVersions
-  checkProcesses: ProcessCheck
+  readCurrentVersions: ReadCurrentVersions
   crashes: CrashTracker
   openRequests: OpenRequests
   runner: Pick<ItemRunner, 'yieldItems'>
@@ -48,7 +47,7 @@
 export function createRequestHandling (options: RequestHandlingOptions): RequestHandling {
   const {
     instance, protocol, getRouteTable, whenStarted, transports, gossip, access: { loads, paths, exchange },
-    streamVersions, serviceVersions, currentVersions, checkProcesses, crashes, openRequests, runner, jobs, shutdown,
+    streamVersions, serviceVersions, readCurrentVersions, crashes, openRequests, runner, jobs, shutdown,
     memory, clock, random, metrics, log
   } = options
   const slotScheduler = createSlotScheduler({
@@ -84,8 +83,7 @@
           ...serviceVersions.getHistory(service),
           hasOutdatedEntries: loads.getLoads(service).some(({ isOutdated }) => isOutdated)
         }),
-        currentVersions,
-        checkProcesses,
+        readCurrentVersions,
         clock,
         metrics,
         log
--- a/packages/pimentoplank/src/relay/decisions/index.ts
+++ b/packages/pimentoplank/src/relay/decisions/index.ts
@@ -30,8 +30,8 @@
 export { computeReadAfterLossMs, computeRecordReadMs, computeTakeOverAt, type Absence } from './takeOver'
 export { computeSuspicion, type FailureRecord, type Suspicion, type SuspicionRules } from './suspicion'
 export {
-  chooseKeepers, findOnlyVersion, findPlacedVersion, FORGET_VERSION_MS, isHistoryCurrent, listResumeCandidates,
-  type PlacedProcess, type ResumeCandidate, type ResumeInput, type VersionHistory
+  addCurrentVersions, chooseKeepers, findOnlyVersion, findPlacedVersion, FORGET_VERSION_MS, listResumeCandidates,
+  type CurrentVersions, type PlacedProcess, type ResumeCandidate, type ResumeInput, type VersionHistory
 } from './streamVersions'
 export {
   addPathFailure, ANSWERING_MS, chooseChecks, choosePathPeer, decideReach, hasAnsweredPeersThrough,
--- a/packages/pimentoplank/src/relay/decisions/streamVersions.feature
+++ b/packages/pimentoplank/src/relay/decisions/streamVersions.feature
@@ -22,6 +22,20 @@
     When the version of a stream of which nothing is known is looked for
     Then it is "unknown"
 
+  Scenario Outline: A stream of which nothing is known, where the platform has <case>
+    Given a service whose versions are known from its beginning, last registered <versions>
+    And the platform has <registered> registered and <recorded> recorded
+    When the version of a stream of which nothing is known is looked for
+    Then it is "<version>"
+
+    Examples:
+      | case                                       | versions          | registered | recorded | version |
+      | the same version                           | v1 now            | v1         | v1       | v1      |
+      | a version that has joined                  | v1 now            | v1 v2      | v1       | unknown |
+      | a record of a version that is gone again   | v1 now            | v1         | v1 v2    | unknown |
+      | a version that was gone for long           | v1 now, v2 120min | v1 v2      | v1 v2    | unknown |
+      | an old record of a version gone for long   | v1 now, v2 120min | v1         | v1 v2    | v1      |
+
   Scenario Outline: The version of a stream that was placed at a process <case>
     Given an entry that describes a process of version v1 that started at <listed>
     When a stream is placed at the process that started at <found>, and an entry of version v2 and start 70 comes later
--- a/packages/pimentoplank/src/relay/decisions/streamVersions.steps.ts
+++ b/packages/pimentoplank/src/relay/decisions/streamVersions.steps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
 import {
-  findOnlyVersion, findPlacedVersion, listResumeCandidates,
+  addCurrentVersions, findOnlyVersion, findPlacedVersion, listResumeCandidates,
   type ResumeCandidate, type ResumeInput, type VersionHistory
 } from '.'
 
@@ -40,6 +40,15 @@
   this.history.hasOutdatedEntries = true
 })
 
+Given(/^the platform has ((?:\w+ ?)+) registered and ((?:\w+ ?)+) recorded$/, function (
+  this: VersionsWorld, registered: string, recorded: string
+) {
+  const current = {
+    registered: new Set(registered.split(' ')), recorded: new Set(recorded.split(' ')), hasOtherProcess: false
+  }
+  this.history = addCurrentVersions(this.history, current, NOW)
+})
+
 When('the version of a stream of which nothing is known is looked for', function (this: VersionsWorld) {
   this.found = findOnlyVersion(this.history, NOW)
 })
--- a/packages/pimentoplank/src/relay/decisions/streamVersions.ts
+++ b/packages/pimentoplank/src/relay/decisions/streamVersions.ts
@@ -43,13 +43,28 @@
   return recent.length === 1 ? recent[0] : undefined
 }
 
-/**
- * True if no version has joined a service that the history doesn't have: the entries it was made from may be behind.
- *
- * @param current - versions that the platform has of the service, read after the stream was taken up
- */
-export function isHistoryCurrent ({ versions }: VersionHistory, current: Iterable<string>): boolean {
-  return [...current].every((version) => versions.has(version))
+/** Which versions a service has now. */
+export interface CurrentVersions {
+  /** Versions of registered targets. */
+  registered: ReadonlySet<string>
+  /** Versions that instances have recorded, also of targets that are gone. */
+  recorded: ReadonlySet<string>
+  /** True when another process answers at the address of a target than the registered one. */
+  hasOtherProcess: boolean
+}
+
+/** Adds versions that have joined to a history that may be behind. */
+export function addCurrentVersions (history: VersionHistory, current: CurrentVersions, now: number): VersionHistory {
+  const joined = [...current.recorded].filter((version) => !history.versions.has(version))
+  return {
+    ...history,
+    versions: new Map([
+      ...history.versions,
+      ...joined.map((version): [string, number] => [version, now]),
+      ...[...current.registered].map((version): [string, number] => [version, Infinity])
+    ]),
+    hasOutdatedEntries: history.hasOutdatedEntries || current.hasOtherProcess
+  }
 }
 
 /** Instances of each failure domain that are told of a stream as it begins, and asked when it is taken up. */
--- a/packages/pimentoplank/src/relay/streams/index.ts
+++ b/packages/pimentoplank/src/relay/streams/index.ts
@@ -1,5 +1,4 @@
-export { createCurrentVersions, type CurrentVersions } from './currentVersions'
-export { createProcessCheck, type ProcessCheck } from './processCheck'
+export { createCurrentVersions, type ReadCurrentVersions } from './currentVersions'
 export { createServiceVersions, type ServiceVersions } from './serviceVersions'
 export { createStreamBinder, type StreamBinder } from './streamBinder'
 export { createStreamService } from './streamService'
--- a/packages/pimentoplank/src/relay/streams/streamVersionFinder.feature
+++ b/packages/pimentoplank/src/relay/streams/streamVersionFinder.feature
@@ -98,3 +98,10 @@
       | does not tell its versions             |
       | does not answer                        |
       | is read as the history gets version v1 |
+
+  Scenario: A stream of which nobody knows is refused while another process answers than the registered one
+    Given 1 peer in each of 1 failure domain, of which those in "b" know version "v1" of "r1"
+    And only version "v2" has served for long
+    And another process answers than that of an entry of the platform
+    When a caller takes up stream "r2"
+    Then it is refused as "streamVersionUnknown"
--- a/packages/pimentoplank/src/relay/streams/streamVersionFinder.steps.ts
+++ b/packages/pimentoplank/src/relay/streams/streamVersionFinder.steps.ts
@@ -34,6 +34,7 @@
   history: VersionHistory
   /** Versions that the platform has; those of the history by default, undefined if it does not tell. */
   readVersions?: () => Promise<Set<string> | undefined>
+  hasOtherProcess?: boolean
   bound: Result<string, RefusalError>
 }
 
@@ -157,6 +158,10 @@
   }
 }
 
+Given('another process answers than that of an entry of the platform', function (this: FinderWorld) {
+  this.hasOtherProcess = true
+})
+
 Given(/^the platform (has versions v1 and v2|does not .*|is read as .*)$/, function (this: FinderWorld, what: string) {
   this.readVersions = READS[what]!(this)
 })
@@ -180,14 +185,13 @@
     transports: this.transports,
     whenVersionsLoaded: async () => undefined,
     getVersionHistory: () => this.history,
-    currentVersions: {
-      read: async () => {
-        const { readVersions = async () => new Set(this.history.versions.keys()) } = this
-        const versions = await readVersions()
-        return versions === undefined ? undefined : new Map([[SERVICE, versions]])
-      }
+    readCurrentVersions: async () => {
+      const { readVersions = async () => new Set(this.history.versions.keys()) } = this
+      const registered = await readVersions()
+      return registered === undefined
+        ? undefined
+        : { registered, recorded: new Set(), hasOtherProcess: this.hasOtherProcess === true }
     },
-    checkProcesses: async () => undefined,
     clock,
     metrics: createMetrics(),
     log: createSilentLog()
--- a/packages/pimentoplank/src/relay/streams/streamVersionFinder.ts
+++ b/packages/pimentoplank/src/relay/streams/streamVersionFinder.ts
@@ -5,11 +5,10 @@
   describeCause, hash64, RefusalError, StreamService,
   type Clock, type Log, type Metrics, type PeerTransports
 } from '../../shared'
-import { chooseKeepers, findOnlyVersion, isHistoryCurrent, type VersionHistory } from '../decisions'
+import { addCurrentVersions, chooseKeepers, findOnlyVersion, type CurrentVersions, type VersionHistory } from '../decisions'
 import type { PeerView, StreamNotice } from '../gossip'
 import type { CallerRequest } from '../model'
-import type { CurrentVersions } from './currentVersions'
-import type { ProcessCheck } from './processCheck'
+import type { ReadCurrentVersions } from './currentVersions'
 import type { KnownStream, StreamVersions } from './streamVersions'
 
 export interface StreamVersionFinderOptions {
@@ -20,9 +19,7 @@
   whenVersionsLoaded: (timeoutMs: number) => Promise<void>
   /** Returns the software versions that a service has had. */
   getVersionHistory: (service: string) => VersionHistory
-  currentVersions: CurrentVersions
-  /** Finds entries that are out of date, which the history then tells. */
-  checkProcesses: ProcessCheck
+  readCurrentVersions: ReadCurrentVersions
   clock: Clock
   metrics: Metrics
   log: Log
@@ -39,8 +36,8 @@
 const ASK_TIMEOUT_MS = 500
 /** Longest wait of a request for the versions of services, in milliseconds; they are read as an instance starts. */
 const LOAD_TIMEOUT_MS = 150
-/** Timeout for reading the current versions from the platform and for asking targets, in milliseconds. */
-const READ_TIMEOUT_MS = 1000
+/** Timeout for reading the current versions of a service, in milliseconds. */
+const READ_TIMEOUT_MS = 1500
 /** Retry hint for callers whose stream is not known, in milliseconds. */
 const UNKNOWN_RETRY_AFTER_MS = 100
 
@@ -51,6 +48,8 @@
   /** The only version that this instance knows of, and those that the platform has. */
   only?: string
   current?: string[] | 'unread'
+  /** True when another process answered at the address of a target than the registered one. */
+  hasOtherProcess?: boolean
 }
 
 /** Creates the finder of an instance. */
@@ -99,18 +98,19 @@
     const current = await readCurrent(service)
     const known = streamVersions.find(key)
     if (known !== undefined) return describeKnown(known)
-    const history = options.getVersionHistory(service)
-    const isCurrent = current !== undefined && isHistoryCurrent(history, current)
-    if (isCurrent && findOnlyVersion(history, clock.now()) === only) return { version: only, source: 'onlyVersion' }
-    return { version: undefined, source: 'none', only, current: current ?? 'unread' }
+    if (current === undefined) return { version: undefined, source: 'none', only, current: 'unread' }
+    const now = clock.now()
+    const version = findOnlyVersion(addCurrentVersions(options.getVersionHistory(service), current, now), now)
+    if (version !== undefined) return { version, source: 'onlyVersion' }
+    const { registered, recorded, hasOtherProcess } = current
+    return { version, source: 'none', only, current: [...new Set([...registered, ...recorded])], hasOtherProcess }
   }
 
-  async function readCurrent (service: string): Promise<string[] | undefined> {
+  async function readCurrent (service: string): Promise<CurrentVersions | undefined> {
     const over = new AbortController()
-    const read = Promise.all([options.currentVersions.read(), options.checkProcesses(service)])
-    const [versions] = await Promise.race([read, clock.sleep(READ_TIMEOUT_MS, over.signal).then(() => [undefined])])
-    over.abort()
-    return versions === undefined ? undefined : [...versions.get(service) ?? []]
+    return await Promise.race([
+      options.readCurrentVersions(service), clock.sleep(READ_TIMEOUT_MS, over.signal).then(() => undefined)
+    ]).finally(() => over.abort())
   }
 
   /** Resolves once a peer has named the version, or all have answered. */
