Free the body of a request although its connection stays open

Callers saw: in a trial with a crowd of 300 that sent whole bodies of 4 MB, a process grew to 683 MB, with 22 MB of heap in use.

Cause: Node keeps the latest request of a connection until the next one. A listener of the body reader on that request kept the reader and with it the body, after its account had been closed.

The scenario on an open connection in bodyReader.feature fails with the listener left in place.

--- a/packages/pimentoplank/src/relay/callers/bodyReader.feature
+++ b/packages/pimentoplank/src/relay/callers/bodyReader.feature
@@ -54,3 +54,8 @@
     And another body with a length of 4000 KiB is announced and 4000 KiB of it is sent
     Then the other body is read whole
     And its body is refused as "overloaded"
+
+  Scenario: A connection that stays open does not keep the body of its latest request
+    When a body of 4096 KiB is sent in chunks of 60000 bytes
+    Then its body is read whole
+    And its memory is free although the connection is open
--- a/packages/pimentoplank/src/relay/callers/bodyReader.steps.ts
+++ b/packages/pimentoplank/src/relay/callers/bodyReader.steps.ts
@@ -2,8 +2,10 @@
 import { once } from 'node:events'
 import { createServer, type Server } from 'node:http'
 import { connect, type AddressInfo, type Socket } from 'node:net'
+import { setFlagsFromString } from 'node:v8'
+import { runInNewContext } from 'node:vm'
 import { After, Given, Then, When } from '@cucumber/cucumber'
-import type { Result } from 'neverthrow'
+import { ok, type Result } from 'neverthrow'
 import {
   createMemoryBudget, createSilentLog, KIB_BYTES, type MemoryBudget, type RefusalError
 } from '../../shared'
@@ -29,6 +31,7 @@
 }
 
 const WAIT_MS = 10
+const MAX_COLLECTIONS = 20
 const STEP_TIMEOUT_MS = 20_000
 const LONG_MS = 60_000
 
@@ -146,6 +149,27 @@
   assert.deepEqual(body.isErr() && [body.error.reason, body.error.outcome], [reason, 'not_run'])
 })
 
+Then('its memory is free although the connection is open', async function (this: BodyWorld) {
+  const [reader] = this.bodyReaders
+  const body = await refer(reader!)
+  this.bodyReaders = []
+  setFlagsFromString('--expose-gc')
+  const collect = runInNewContext('gc') as () => void
+  // A reference is kept until the current job has ended.
+  for (let round = 0; round < MAX_COLLECTIONS && body.deref() !== undefined; round++) {
+    await new Promise((resolve) => setTimeout(resolve, WAIT_MS))
+    collect()
+  }
+  assert.ok(body.deref() === undefined)
+  assert.ok(!this.bodyCallers[0]!.destroyed)
+})
+
+async function refer (reader: Reader): Promise<WeakRef<Uint8Array>> {
+  const body = (await reader.body)._unsafeUnwrap()
+  reader.body = Promise.resolve(ok(Buffer.alloc(0)))
+  return new WeakRef(body)
+}
+
 async function until (isMet: () => boolean): Promise<void> {
   while (!isMet()) await new Promise((resolve) => setTimeout(resolve, WAIT_MS))
 }
--- a/packages/pimentoplank/src/relay/callers/bodyReader.ts
+++ b/packages/pimentoplank/src/relay/callers/bodyReader.ts
@@ -1,12 +1,10 @@
 /** Reads the body of a request at the cost of its bytes, within limits of size, time and memory. */
 import type { IncomingMessage } from 'node:http'
 import { err, ok, type Result } from 'neverthrow'
-import { KIB_BYTES, PROGRESS_BYTES, RefusalError, type Clock } from '../../shared'
+import { PROGRESS_BYTES, RefusalError, type Clock } from '../../shared'
 import type { RequestMemory } from '../live'
+import { getSegmentBytes, returnSegments, takeSegment } from './segments'
 
-/** Bodies are copied into segments that grow from the smaller to the larger size, in bytes. */
-const MIN_SEGMENT_BYTES = KIB_BYTES
-const MAX_SEGMENT_BYTES = 64 * KIB_BYTES
 /** Retry hint for callers whose body found no room, in milliseconds. */
 export const OVERLOADED_RETRY_AFTER_MS = 500
 
@@ -75,10 +73,10 @@
   }
 
   function addSegment (): boolean {
-    const bytes = Math.min(MAX_SEGMENT_BYTES, Math.max(MIN_SEGMENT_BYTES, allocatedBytes))
+    const bytes = getSegmentBytes(allocatedBytes)
     if (!memory.resizeBody(allocatedBytes + bytes)) return false
     allocatedBytes += bytes
-    segments.push(Buffer.allocUnsafeSlow(bytes))
+    segments.push(takeSegment(bytes))
     lastBytes = 0
     return true
   }
@@ -92,7 +90,10 @@
   function joinSegments (): Uint8Array {
     const last = segments.at(-1)
     if (last === undefined) return Buffer.alloc(0)
-    if (segments.length === 1) return last.subarray(0, lastBytes)
+    if (segments.length === 1) {
+      segments = []
+      return last.subarray(0, lastBytes)
+    }
     const whole = Buffer.concat(segments, size)
     memory.resizeBody(size)
     return whole
@@ -111,9 +112,12 @@
   function finish (result: Result<Uint8Array, RefusalError>): void {
     clearTimeout(timer)
     req.off('data', add)
+    // An idle connection keeps its latest request, which must not keep the body.
     req.off('end', end)
+    req.off('error', breakOff)
     req.off('close', breakOff)
     memory.setEvict(undefined)
+    returnSegments(segments)
     segments = []
     isSettled = true
     settle(result)
--- a/packages/pimentoplank/src/shared/process/lingeringClose.ts
+++ b/packages/pimentoplank/src/shared/process/lingeringClose.ts
@@ -53,5 +53,6 @@
   function clear (): void {
     clearTimeout(timer)
     req.off('data', drop)
+    req.off('end', end)
   }
 }
