--- a/packages/pimentoplank/src/relay/createJobs.ts
+++ b/packages/pimentoplank/src/relay/createJobs.ts
@@ -59,7 +59,7 @@
     self: instance.id, noticeMs: JOB_NOTICE_MS, onNotice: () => gossip.reportNow(), clock, log
   })
   const store = createJobStore(platform, clock)
-  const inputs = createJobInputs({ store })
+  const inputs = createJobInputs({ store, log })
   const recordView = createRecordView({ store, clock, metrics })
   const recordFollower = createRecordFollower({
     self: instance.id,
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.steps.ts
@@ -2,7 +2,7 @@
 import { After, Given, Then, When } from '@cucumber/cucumber'
 import { err, ok, type Result } from 'neverthrow'
 import { createManualClock, type ManualClock } from '../../../features/support/manualClock'
-import { createInMemoryMetrics, createSilentLog, PlatformUnavailable } from '../../shared'
+import { createInMemoryMetrics, createSilentLog } from '../../shared'
 import { SendFailure, type Exchange, type TargetAnswer } from '../exchange'
 import type { LoadView, TargetLoad } from '../load'
 import type { ProcessNeed, Route, Target, TargetRequest } from '../model'
@@ -195,12 +195,7 @@
     self: SELF,
     jobRegistry,
     inputs: {
-      read: async () => {
-        if (this.isPlatformAway === true) return err(new PlatformUnavailable('no answer'))
-        return ok([...this.job.openItems().keys()].map((id) => (
-          { id, path: '/x/', headers: [], body: Buffer.from(id).toString('base64'), tokens: 1 }
-        )))
-      }
+      readBody: async (_job, item) => this.isPlatformAway === true ? undefined : Buffer.from(item).toString('base64')
     },
     loads: createFakeLoads(this),
     crashes: {
--- a/packages/pimentoplank/src/relay/jobs/itemRunner.ts
+++ b/packages/pimentoplank/src/relay/jobs/itemRunner.ts
@@ -1,5 +1,5 @@
 /** Runs items of owned jobs in slots that live requests leave free. */
-import { describeCause, hash32, type Clock, type Log, type Metrics, type Random } from '../../shared'
+import { hash32, type Clock, type Log, type Metrics, type Random } from '../../shared'
 import { chooseStarts, type BatchCandidate, type ItemVersionRules } from '../decisions'
 import type { Exchange } from '../exchange'
 import type { PeerView, WaitingItems } from '../gossip'
@@ -37,7 +37,7 @@
   /** Id of this instance. */
   self: string
   jobRegistry: JobRegistry
-  inputs: JobInputs
+  inputs: Pick<JobInputs, 'readBody'>
   loads: LoadView
   crashes: Pick<CrashTracker, 'recordPossibleCrash' | 'recordAnswer' | 'hasCrashingParts'>
   exchange: Exchange
@@ -244,10 +244,7 @@
     let startedAt: number | undefined
     entry.done = runItem({
       item,
-      readBody: async () => {
-        entry.body = await readBody(owned, itemId)
-        return entry.body
-      },
+      readBody: async () => (entry.body = await options.inputs.readBody(owned.id, itemId)),
       host: owned.record().host,
       progress,
       target,
@@ -290,16 +287,6 @@
     })
   }
 
-  async function readBody (owned: OwnedJob, itemId: string): Promise<string | undefined> {
-    const items = await options.inputs.read(owned.id)
-    const body = items.unwrapOr(undefined)?.find(({ id }) => id === itemId)?.body
-    if (body === undefined) {
-      const cause = items.isErr() ? describeCause(items.error) : 'the input is incomplete'
-      log.warn({ job: owned.id, item: itemId, cause }, 'body of an item could not be read again')
-    }
-    return body
-  }
-
   function handleEnd ({ ready, next }: ActiveRun, target: Target, end: ItemEnd): void {
     const { owned, itemId, progress, route } = ready
     metrics.count(`items.${end.type}`)
--- a/packages/pimentoplank/src/relay/jobs/jobInputs.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobInputs.steps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
 import { ok, ResultAsync, type Result } from 'neverthrow'
-import type { PlatformError, RefusalError } from '../../shared'
+import { createSilentLog, type PlatformError, type RefusalError } from '../../shared'
 import { createJobInputs, type JobInputs } from './jobInputs'
 import type { JobItem } from './records'
 import { createJobBench, passTime, submitJob, type JobBench } from './testing/jobBench'
@@ -66,7 +66,8 @@
         return new ResultAsync(answered.then(() => ok([])))
       }
     },
-    maxReads
+    maxReads,
+    log: createSilentLog()
   })
 })
 
--- a/packages/pimentoplank/src/relay/jobs/jobManager.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobManager.ts
@@ -6,6 +6,7 @@
 } from '../../shared'
 import type { PeerView } from '../gossip'
 import type { RouteTable } from '../routing'
+import { createJobMemory, type JobMemoryOptions } from './jobMemory'
 import type { JobRegistry } from './jobRegistry'
 import type { JobStore, StoredJob } from './jobStore'
 import { createJobTimes } from './jobTimes'
@@ -24,7 +25,7 @@
   settleMs: number
 }
 
-export interface JobManagerOptions {
+export interface JobManagerOptions extends Pick<JobMemoryOptions, 'maxBodyChars' | 'maxResultChars'> {
   self: string
   jobRegistry: JobRegistry
   store: JobStore
@@ -37,10 +38,6 @@
   /** Called when the runs of a job must stop on this instance. */
   onStop: (job: OwnedJob) => void
   rules: JobManagerRules
-  /** Maximum length of the bodies of items in memory, in characters; further ones are read again as they are used. */
-  maxBodyChars?: number
-  /** Maximum length of the results of finished jobs in memory, in characters; others are read from the platform. */
-  maxResultChars?: number
   clock: Clock
   random: Random
   metrics: Metrics
@@ -94,8 +91,6 @@
   close: () => void
 }
 
-const MAX_BODY_CHARS = 16_000_000
-const MAX_RESULT_CHARS = 16_000_000
 const FIRST_BACKOFF_MS = 50
 /** Time within which a write whose answer was lost may still take effect, in milliseconds. */
 const LATE_WRITE_MS = 8000
@@ -106,10 +101,7 @@
 
 /** Creates the job manager of an instance. */
 export function createJobManager (options: JobManagerOptions): JobManager {
-  const {
-    self, jobRegistry: registry, store, rules, maxBodyChars = MAX_BODY_CHARS, maxResultChars = MAX_RESULT_CHARS,
-    clock, random, metrics, log
-  } = options
+  const { self, jobRegistry: registry, store, rules, clock, random, metrics, log } = options
   const closing = new AbortController()
   const finishedAt = new Map<string, number>()
   const adopting = new Set<string>()
@@ -119,6 +111,7 @@
   const ending = new Set<string>()
   const { isAlive, isSuccessorOf } = createSuccession(options)
   const unroutedItems = createUnroutedItems(options)
+  const memory = createJobMemory(options)
 
   const storage = createResultStorage({
     ...options, computeBackoff, onStored: (job) => { if (job.isComplete()) markComplete(job) }, signal: closing.signal
@@ -144,24 +137,10 @@
     })
     registry.add(job)
     if (job.isComplete()) markComplete(job)
-    dropExcessBodies()
+    memory.dropExcessBodies()
     return job
   }
 
-  /** Keeps the bodies of the jobs that are due first; those of jobs that are done are kept last. */
-  function dropExcessBodies (): void {
-    const jobs = [...registry.owned()].filter((job) => job.countBodyChars() > 0)
-    let chars = jobs.reduce((sum, job) => sum + job.countBodyChars(), 0)
-    if (chars <= maxBodyChars) return
-    const isDone = (job: OwnedJob): number => Number(job.isComplete() || job.isEnded())
-    for (const job of jobs.sort((a, b) => isDone(b) - isDone(a) || b.dueAt - a.dueAt)) {
-      if (chars <= maxBodyChars) return
-      chars -= job.countBodyChars()
-      job.dropBodies()
-      log.info({ job: job.id, chars, limit: maxBodyChars }, 'bodies of a job dropped from memory')
-    }
-  }
-
   function computeBackoff (failures: number): number {
     return Math.min(rules.maxBackoffMs, FIRST_BACKOFF_MS * 2 ** failures) * (0.5 + random() / 2)
   }
@@ -188,19 +167,6 @@
     }
   }
 
-  /** Removes the jobs that finished first, whose results any instance can read from the platform. */
-  function removeExcessResults (): void {
-    let chars = 0
-    for (const id of [...finishedAt.keys()].reverse()) {
-      const job = registry.get(id)
-      chars += job?.countResultChars() ?? 0
-      if (job === undefined || chars <= maxResultChars || !(job.record().finished || job.record().ended)) continue
-      chars -= job.countResultChars()
-      registry.remove(id)
-      log.info({ job: id, limit: maxResultChars }, 'results of a finished job dropped from memory')
-    }
-  }
-
   /** Updates the record of an owned job; retries on conflicts and fails once another instance owns it. */
   async function changeRecord (
     job: OwnedJob,
@@ -430,7 +396,7 @@
         const finished = finishedAt.get(job.id)
         if (finished !== undefined && now - finished > rules.keepMs) registry.remove(job.id)
       }
-      removeExcessResults()
+      memory.removeExcessResults(finishedAt.keys())
       for (const id of finishedAt.keys()) if (registry.get(id) === undefined) finishedAt.delete(id)
     },
     close: () => closing.abort()
--- a/packages/pimentoplank/src/relay/jobs/quota.steps.ts
+++ b/packages/pimentoplank/src/relay/jobs/quota.steps.ts
@@ -166,7 +166,7 @@
   const api = createJobApi({
     ...common,
     jobManager: manager,
-    inputs: createJobInputs({ store }),
+    inputs: createJobInputs({ store, log }),
     transports: {} as unknown as PeerTransports,
     quota: createQuota({ jobRegistry: registry, recordView: createRecordView({ store, clock, metrics }), peers, log }),
     recordFollower: { mayDenyResults: () => true, refresh: async () => true },
--- a/packages/pimentoplank/src/relay/jobs/testing/jobBench.ts
+++ b/packages/pimentoplank/src/relay/jobs/testing/jobBench.ts
@@ -75,7 +75,7 @@
     ...common,
     ...limits,
     jobManager: manager,
-    inputs: createJobInputs({ store }),
+    inputs: createJobInputs({ store, log }),
     transports: {} as unknown as PeerTransports,
     quota: createQuota({ ...common, recordView: createRecordView(common) }),
     recordFollower: { mayDenyResults: () => true, refresh: async () => true },
