Don't take a process that gives an upload up for one that crashed

Cause: an end while the request is being sent came out as `broken`, a possible crash. The process that closes connections as a request begins counts against that request.

Why it works: the process is asked for its state, as at other ends without a length. If it answers, it has ended the answer early (`requestCut` in the log), which counts against the target and not against the request.

--- a/packages/pimentoplank/src/relay/exchange/endCheck.ts
+++ b/packages/pimentoplank/src/relay/exchange/endCheck.ts
@@ -21,6 +21,8 @@
   canAskForRest: boolean
   /** True for a success to a request that may not run again, so that nothing can prove its end afterwards. */
   mustBeProven: boolean
+  /** True if the connection ended before the whole request was sent. */
+  isRequestCut: boolean
 }
 
 /** What the state of the process told after the end of an answer. */
@@ -43,10 +45,12 @@
 const MAX_OPEN_ENDS = 1000
 const NO_HISTORY: ListHistory = { gone: 0, listed: 0, goneAfterMs: Infinity }
 
-type Verdict = 'whole' | 'otherProcess' | 'madeMore' | 'stillRuns' | 'droppedTogether' | 'restUnknown' | 'unproven'
+type Verdict =
+  | 'whole' | 'otherProcess' | 'requestCut' | 'madeMore' | 'stillRuns' | 'droppedTogether' | 'restUnknown' | 'unproven'
 
 const DETAILS: Record<Exclude<Verdict, 'whole'>, string> = {
   otherProcess: 'the process may have died as its answer ended',
+  requestCut: 'the connection ended before the whole request was sent',
   madeMore: 'the process has made more events than were received',
   stillRuns: 'the process still runs the request',
   droppedTogether: 'the process dropped other connections at the same moment',
@@ -56,6 +60,7 @@
 
 const REASONS = {
   otherProcess: 'broken',
+  requestCut: 'endedEarly',
   madeMore: 'endedEarly',
   stillRuns: 'endedEarly',
   droppedTogether: 'endedEarly',
@@ -102,6 +107,7 @@
 
     async function check (state: ProcessState | undefined): Promise<Verdict> {
       if (state === undefined) return 'otherProcess'
+      if (received.isRequestCut) return 'requestCut'
       const run = findRun(state)
       if (hasMadeMore(run, received)) return 'madeMore'
       if (received.canAskForRest) return 'restUnknown'
--- a/packages/pimentoplank/src/relay/exchange/targetAnswer.ts
+++ b/packages/pimentoplank/src/relay/exchange/targetAnswer.ts
@@ -1,7 +1,7 @@
 /** The answer of a target whose body is still to be read. */
 import { err, ok, type Result } from 'neverthrow'
 import {
-  ConnectionResetError, describeCause, isPeerFailure, KIB_BYTES, SECOND_MS, type BodyFraming
+  ConnectionResetError, describeCause, isPeerFailure, KIB_BYTES, RequestCutError, SECOND_MS, type BodyFraming
 } from '../../shared'
 import type { AnswerHead } from '../model'
 import type { TargetConnection, TargetConnectionPool } from './connectionPool'
@@ -18,7 +18,7 @@
   connection: 'open' | 'ended' | 'reset' | 'broken'
 }
 
-export type ReceivedEvents = Omit<ReceivedAnswer, 'quietMs'>
+export type ReceivedEvents = Omit<ReceivedAnswer, 'quietMs' | 'isRequestCut'>
 
 /** A response whose head has been received. */
 export interface TargetAnswer {
@@ -64,9 +64,14 @@
     head,
     getEnding: () => ({ framing, bytes, connection: getConnectionState(connection) }),
     read: async (told = {}) => {
-      const received = { ...NO_EVENTS, ...told }
       const next = await receiver.read()
+      const getReceived = (isRequestCut: boolean): ReceivedAnswer =>
+        ({ ...NO_EVENTS, ...told, quietMs: now() - lastBytesAt, isRequestCut })
       if (next.isErr()) {
+        // A process that lives has given the request up.
+        const isRequestCut = !isBodyFramed && next.error instanceof RequestCutError
+        const failure = isRequestCut ? await checkEnd(getReceived(true)) : undefined
+        if (failure !== undefined) return err(failure)
         const reason = isPeerFailure(next.error) ? 'peerLost' : 'broken'
         return err(new SendFailure(reason, true, describeCause(next.error)))
       }
@@ -76,10 +81,10 @@
         return ok(next.value)
       }
       if (!isBodyFramed) {
-        if (bytes === 0 && received.events === undefined && isSuccessWithBody(head)) {
+        if (bytes === 0 && told.events === undefined && isSuccessWithBody(head)) {
           return err(new SendFailure('endedEarly', true, 'the connection ended after the head'))
         }
-        const failure = await checkEnd({ ...received, quietMs: now() - lastBytesAt })
+        const failure = await checkEnd(getReceived(false))
         if (failure !== undefined) return err(failure)
       }
       isDone = true
--- a/packages/pimentoplank/src/shared/targetHttp/connector.ts
+++ b/packages/pimentoplank/src/shared/targetHttp/connector.ts
@@ -15,7 +15,7 @@
   }
 }
 
-/** The other end ended the connection before it had taken all that was sent to it. */
+/** The other end ended the connection before it had taken all that was sent to it, or ended and then reset it. */
 export class RequestCutError extends Error {
   readonly code = 'REQUEST_CUT'
 
@@ -141,11 +141,11 @@
  * Looks whether the other end has acknowledged all that was written. Its end of the connection acknowledges what it had
  * received before, so that anything left shows that its process can't have read it all.
  */
-async function findCut (socket: Socket): Promise<Error | undefined> {
+async function findCut (socket: Socket): Promise<RequestCutError | undefined> {
   if (socket.writableLength > 0) return new RequestCutError()
   const queue = await readSendQueue(socket)
   // The list may miss a line while others change.
-  if (queue === 'unlisted' && await readSendQueue(socket) === 'unlisted') return new ConnectionResetError()
+  if (queue === 'unlisted' && await readSendQueue(socket) === 'unlisted') return new RequestCutError()
   return typeof queue === 'number' && queue > 0 ? new RequestCutError() : undefined
 }
 
--- a/packages/pimentoplank/src/shared/targetHttp/index.ts
+++ b/packages/pimentoplank/src/shared/targetHttp/index.ts
@@ -1,6 +1,6 @@
 export { getBodyFraming, type BodyFraming } from './bodyFraming'
 export {
-  ConnectionResetError, createConnector, isEnding, toConnectOptions, type ConnectorOptions
+  ConnectionResetError, createConnector, isEnding, RequestCutError, toConnectOptions, type ConnectorOptions
 } from './connector'
 export { readLimitedBody } from './readLimitedBody'
 export {
