Let a body be read whose caller names a very long deadline

What callers saw: a job with a deadline of over 24 days was refused with 408 unless its body came with its head, by reading and the scenario below; and the time for the body of a job had no bound.

Cause: Node's timers fire at once for delays over 2^31 ms. The time is 120 s at most now. The scenario failed before ('bodyTimeout') and passes.

--- a/packages/pimentoplank/src/relay/callers/bodyReader.feature
+++ b/packages/pimentoplank/src/relay/callers/bodyReader.feature
@@ -33,6 +33,15 @@
     Then its body is refused as "bodyTimeout"
     And no memory is in use by bodies
 
+  # Longer than the timers of Node.js, which would be over at once.
+  Scenario: A body whose caller waits for months is read
+    Given bodies have to be whole within 9000000000 ms
+    When a body with a length of 8 KiB is announced and 1 KiB of it is sent
+    And all 1 KiB of it have been read
+    And 100 ms go by
+    And the rest of the first body is sent
+    Then its body is read whole
+
   Scenario: A caller that breaks off is not waited for
     When a body with a length of 8 KiB is announced and 1 KiB of it is sent
     And its caller closes the connection
--- a/packages/pimentoplank/src/relay/callers/bodyReader.steps.ts
+++ b/packages/pimentoplank/src/relay/callers/bodyReader.steps.ts
@@ -109,6 +109,10 @@
   socket.write(body.subarray(0, sentBytes))
 })
 
+When('{int} ms go by', async function (this: BodyWorld, ms: number) {
+  await new Promise((resolve) => setTimeout(resolve, ms))
+})
+
 When('the rest of the first body is sent', function (this: BodyWorld) {
   this.bodyCallers[0]!.write(this.rest)
 })
--- a/packages/pimentoplank/src/relay/callers/bodyReader.ts
+++ b/packages/pimentoplank/src/relay/callers/bodyReader.ts
@@ -5,6 +5,8 @@
 import type { RequestMemory } from '../live'
 import { getSegmentBytes, returnSegments, takeSegment } from './segments'
 
+/** Longest time for a body, whatever its caller says, in milliseconds. */
+const MAX_BODY_MS = 120 * SECOND_MS
 /** Retry hint for callers whose body found no room, in milliseconds. */
 export const OVERLOADED_RETRY_AFTER_MS = 500
 
@@ -131,7 +133,9 @@
       const announcedBytes = Number(req.headers['content-length'] ?? 0)
       if (Math.max(size, announcedBytes) > maxBytes) return abort(createTooLargeError(maxBytes))
       if (isEnded) return finish(ok(joinSegments()))
-      if (!req.complete) timer = setTimeout(() => abort(new RefusalError('bodyTimeout')), Math.max(0, limits.endAt - clock.now()))
+      if (req.complete) return
+      const leftMs = Math.min(MAX_BODY_MS, Math.max(0, limits.endAt - clock.now()))
+      timer = setTimeout(() => abort(new RefusalError('bodyTimeout')), leftMs)
     },
     abort
   }
