Bound the bytes of a target's answer that are read ahead

Callers that ask for long answers and don't read them made the process keep up to 64 chunks of up to 64 KiB for each, 4 MiB, which the memory budget does not count: with 100 such callers of plain answers it counted 5 MB while buffers held 140 MB. Reading is paused by bytes now, too, so that a slow caller costs at most about 128 KiB there.

--- a/packages/pimentoplank/src/relay/exchange/responseReceiver.ts
+++ b/packages/pimentoplank/src/relay/exchange/responseReceiver.ts
@@ -1,6 +1,7 @@
 /** Receives one response from the HTTP client's dispatch events, without the streams that `request` creates. */
 import { err, ok, type Result } from 'neverthrow'
 import type { Dispatcher } from 'undici'
+import { KIB_BYTES } from '../../shared'
 import type { RawHeaders } from '../model'
 
 export interface ResponseHead {
@@ -18,8 +19,9 @@
   fail: (cause: Error) => void
 }
 
-/** Number of unread chunks above which reading from the socket is paused. */
+/** Unread chunks, and their bytes, above which reading from the socket is paused. */
 const MAX_BUFFERED_CHUNKS = 64
+const MAX_BUFFERED_BYTES = 64 * KIB_BYTES
 /** Responses with a lower status are informational and precede the final one. */
 const FIRST_FINAL_STATUS = 200
 /** Maximum number of informational responses before the final one. */
@@ -32,6 +34,7 @@
   let failure: Error | undefined
   let isEnded = false
   let informational = 0
+  let bufferedBytes = 0
   let isPaused = false
   let controller: Dispatcher.DispatchController | undefined
   let wake = (): void => undefined
@@ -62,7 +65,8 @@
       onResponseData: (_ctl, chunk) => {
         // The client reuses its buffer for the next bytes.
         chunks.push(Buffer.from(chunk))
-        if (chunks.length > MAX_BUFFERED_CHUNKS) {
+        bufferedBytes += chunk.length
+        if (chunks.length > MAX_BUFFERED_CHUNKS || bufferedBytes > MAX_BUFFERED_BYTES) {
           isPaused = true
           controller?.pause()
         }
@@ -85,6 +89,7 @@
       for (;;) {
         const chunk = chunks.shift()
         if (chunk !== undefined) {
+          bufferedBytes -= chunk.length
           if (isPaused && chunks.length === 0) {
             isPaused = false
             controller?.resume()
