--- a/packages/pimentoplank/src/relay/callers/bodyReader.ts
+++ b/packages/pimentoplank/src/relay/callers/bodyReader.ts
@@ -1,7 +1,7 @@
 /** Reads the body of a request at the cost of its bytes, within limits of size, time and memory. */
 import type { IncomingMessage } from 'node:http'
 import { err, ok, type Result } from 'neverthrow'
-import { PROGRESS_BYTES, RefusalError, type Clock } from '../../shared'
+import { PROGRESS_BYTES, RefusalError, SECOND_MS, type Clock } from '../../shared'
 import type { RequestMemory } from '../live'
 import { getSegmentBytes, returnSegments, takeSegment } from './segments'
 
