--- a/packages/pimentoplank/src/relay/streams/streamVersionFinder.steps.ts
+++ b/packages/pimentoplank/src/relay/streams/streamVersionFinder.steps.ts
@@ -162,7 +162,7 @@
   this.hasOtherProcess = true
 })
 
-Given(/^the platform (has versions v1 and v2|does not .*|is read as .*)$/, function (this: FinderWorld, what: string) {
+Given(/^the platform (has versions v1 and v2|does not tell its versions|does not answer|is read as the history gets version v1)$/, function (this: FinderWorld, what: string) {
   this.readVersions = READS[what]!(this)
 })
 
