Leave room for a whole job of the largest size in the budget

What callers saw (review, by its trial on the real budget): where the limit on bodies is raised, or the memory is small, a single job within the limits was refused for good: a job takes its body and up to four times its size, and three bodies were the least that large holdings get. Six are now; at 350 MB and 4 MiB nothing changes.

--- a/packages/pimentoplank/src/relay/constants.ts
+++ b/packages/pimentoplank/src/relay/constants.ts
@@ -56,7 +56,7 @@
 /** Share of the memory of the process that all callers together may make it keep. */
 export const CALLER_MEMORY_SHARE = 0.25
 /** The same, at least, in bodies of the largest allowed size. */
-export const MIN_CALLER_MEMORY_BODIES = 3
+export const MIN_CALLER_MEMORY_BODIES = 6
 /** Timings of watching and polling the platform, in milliseconds. */
 export const FEED_TIMINGS: FeedTimings = {
   // A watch with its margin is shorter than the tolerated outage of the platform.
