Conclude the version of a stream from all services of its route

Cause: a taken-up stream is assigned to a service anew, by the weights of its route, and its version was concluded from the versions of that service alone, which the stream may never have been at. Change: histories and current versions of all services of the route are joined; the stream goes on only where they have had one version together, and is refused as streamVersionUnknown otherwise. Routes with one service behave as before. New scenarios for the decision (6) and the finder (3).

--- a/packages/pimentoplank/src/relay/decisions/index.ts
+++ b/packages/pimentoplank/src/relay/decisions/index.ts
@@ -30,7 +30,8 @@
 export { computeReadAfterLossMs, computeRecordReadMs, computeTakeOverAt, type Absence } from './takeOver'
 export { computeSuspicion, type FailureRecord, type Suspicion, type SuspicionRules } from './suspicion'
 export {
-  addCurrentVersions, chooseKeepers, findOnlyVersion, findPlacedVersion, FORGET_VERSION_MS, listResumeCandidates,
+  addCurrentVersions, chooseKeepers, findOnlyVersion, findPlacedVersion, FORGET_VERSION_MS, joinHistories,
+  listResumeCandidates,
   type CurrentVersions, type PlacedProcess, type ResumeCandidate, type ResumeInput, type VersionHistory
 } from './streamVersions'
 export {
--- a/packages/pimentoplank/src/relay/decisions/streamVersions.feature
+++ b/packages/pimentoplank/src/relay/decisions/streamVersions.feature
@@ -36,6 +36,21 @@
       | a version that was gone for long           | v1 now, v2 120min | v1 v2      | v1 v2    | unknown |
       | an old record of a version gone for long   | v1 now, v2 120min | v1         | v1 v2    | v1      |
 
+  Scenario Outline: A stream of which nothing is known, on a route that is split with a service <case>
+    Given a service whose versions are known <known>, last registered v1 now
+    And the route is split with a service whose versions are known <known there>, last registered <versions there>
+    When the version of a stream of which nothing is known is looked for
+    Then it is "<version>"
+
+    Examples:
+      | case                               | known              | known there        | versions there   | version |
+      | of the same version                | from its beginning | from its beginning | v1 now           | v1      |
+      | of another version                 | from its beginning | from its beginning | v2 now           | unknown |
+      | of another version until of late   | from its beginning | from its beginning | v1 now, v2 59min | unknown |
+      | of another version long ago        | from its beginning | from its beginning | v1 now, v2 61min | v1      |
+      | that is known for moments          | from its beginning | for 9s             | v1 now           | unknown |
+      | that is known for longer           | for 9s             | from its beginning | v1 now           | unknown |
+
   Scenario Outline: The version of a stream that was placed at a process <case>
     Given an entry that describes a process of version v1 that started at <listed>
     When a stream is placed at the process that started at <found>, and an entry of version v2 and start 70 comes later
--- a/packages/pimentoplank/src/relay/decisions/streamVersions.steps.ts
+++ b/packages/pimentoplank/src/relay/decisions/streamVersions.steps.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict'
 import { Given, Then, When } from '@cucumber/cucumber'
 import {
-  addCurrentVersions, findOnlyVersion, findPlacedVersion, listResumeCandidates,
+  addCurrentVersions, findOnlyVersion, findPlacedVersion, joinHistories, listResumeCandidates,
   type ResumeCandidate, type ResumeInput, type VersionHistory
 } from '.'
 
@@ -23,10 +23,8 @@
   return Number(number) * MS_PER_UNIT[unit!]!
 }
 
-Given('a service whose versions are known {}, last registered {}', function (
-  this: VersionsWorld, known: string, versions: string
-) {
-  this.history = {
+function parseHistory (known: string, versions: string): VersionHistory {
+  return {
     knownSince: known === 'from its beginning' ? -Infinity : NOW - parseMs(known),
     versions: new Map(versions.split(', ').map((entry): [string, number] => {
       const [version, at] = entry.split(' ')
@@ -34,6 +32,18 @@
     })),
     hasOutdatedEntries: false
   }
+}
+
+Given('a service whose versions are known {}, last registered {}', function (
+  this: VersionsWorld, known: string, versions: string
+) {
+  this.history = parseHistory(known, versions)
+})
+
+Given('the route is split with a service whose versions are known {}, last registered {}', function (
+  this: VersionsWorld, known: string, versions: string
+) {
+  this.history = joinHistories([this.history, parseHistory(known, versions)])
 })
 
 Given('the entry of one of its targets is out of date', function (this: VersionsWorld) {
--- a/packages/pimentoplank/src/relay/decisions/streamVersions.ts
+++ b/packages/pimentoplank/src/relay/decisions/streamVersions.ts
@@ -6,7 +6,8 @@
  * instances within a millisecond of it, also when the instance that began them is gone. Targets come back at another
  * version under their old id while peers and the platform still list the version before, for seconds if the platform is
  * away. All instances may be killed at once, and callers take up streams that began before, however late they come.
- * An instance may be cut off from its peers or the platform, or stand still, while a version joins.
+ * An instance may be cut off from its peers or the platform, or stand still, while a version joins. A route may be
+ * split between services of different versions.
  */
 import { HOUR_MS, rankByRendezvous } from '../../shared'
 import type { PeerView } from '../gossip'
@@ -43,6 +44,19 @@
   return recent.length === 1 ? recent[0] : undefined
 }
 
+/** Joins the histories of services, where it is not known which of them a stream began at. */
+export function joinHistories (histories: readonly VersionHistory[]): VersionHistory {
+  const versions = new Map<string, number>()
+  for (const [version, lastAt] of histories.flatMap((history) => [...history.versions])) {
+    versions.set(version, Math.max(lastAt, versions.get(version) ?? -Infinity))
+  }
+  return {
+    knownSince: Math.max(...histories.map(({ knownSince }) => knownSince)),
+    versions,
+    hasOutdatedEntries: histories.some(({ hasOutdatedEntries }) => hasOutdatedEntries)
+  }
+}
+
 /** Which versions a service has now. */
 export interface CurrentVersions {
   /** Versions of registered targets. */
--- a/packages/pimentoplank/src/relay/live/relayRequest.ts
+++ b/packages/pimentoplank/src/relay/live/relayRequest.ts
@@ -43,7 +43,7 @@
 
   try {
     if (isTakenUp) {
-      const version = await deps.streamVersionFinder.find(request, call.service)
+      const version = await deps.streamVersionFinder.find(request, route.services.map(({ service }) => service))
       if (version.isErr()) return failRequest(version.error)
       progress.version = version.value
     }
--- a/packages/pimentoplank/src/relay/streams/streamVersionFinder.feature
+++ b/packages/pimentoplank/src/relay/streams/streamVersionFinder.feature
@@ -99,6 +99,25 @@
       | does not answer                        |
       | is read as the history gets version v1 |
 
+  Scenario Outline: A stream of which nobody knows, on a route that is split with a service of version <version>
+    Given 1 peer in each of 1 failure domain, of which those in "b" know version "v1" of "r1"
+    And only version "v2" has served for long
+    And the route is split with a service of version "<version>"
+    When a caller takes up stream "r2"
+    Then <outcome>
+
+    Examples:
+      | version | outcome                                 |
+      | v2      | it is bound to version "v2"             |
+      | v1      | it is refused as "streamVersionUnknown" |
+
+  Scenario: A stream of which nobody knows is refused while the platform doesn't tell of one of the services of its route
+    Given 1 peer in each of 1 failure domain, of which those in "b" know version "v1" of "r1"
+    And only version "v2" has served for long
+    And the route is split with a service of version "v2" of which the platform doesn't tell
+    When a caller takes up stream "r2"
+    Then it is refused as "streamVersionUnknown"
+
   Scenario: A stream of which nobody knows is refused while another process answers than the registered one
     Given 1 peer in each of 1 failure domain, of which those in "b" know version "v1" of "r1"
     And only version "v2" has served for long
--- a/packages/pimentoplank/src/relay/streams/streamVersionFinder.steps.ts
+++ b/packages/pimentoplank/src/relay/streams/streamVersionFinder.steps.ts
@@ -35,6 +35,10 @@
   /** Versions that the platform has; those of the history by default, undefined if it does not tell. */
   readVersions?: () => Promise<Set<string> | undefined>
   hasOtherProcess?: boolean
+  /** Services of the route beside the first one, with their history. */
+  splitWith?: Map<string, VersionHistory>
+  /** Services of which the platform doesn't tell. */
+  untoldServices?: Set<string>
   bound: Result<string, RefusalError>
 }
 
@@ -42,6 +46,7 @@
 const STEP_TIMEOUT_MS = 10_000
 const KEEP_MS = 10_000
 const SERVICE = 's'
+const OTHER_SERVICE = 'o'
 const UNKNOWN_HISTORY: VersionHistory = { knownSince: Infinity, versions: new Map(), hasOutdatedEntries: false }
 
 Given('{int} peer(s) in each of {int} failure domain(s), of which those in {string} know version {string} of {string}', { timeout: STEP_TIMEOUT_MS }, async function (
@@ -170,6 +175,13 @@
   return { knownSince: -Infinity, versions: new Map([[version, Infinity]]), hasOutdatedEntries }
 }
 
+Given(/^the route is split with a service of version "(\w+)"( of which the platform doesn't tell)?$/, function (
+  this: FinderWorld, version: string, isUntold: string | null
+) {
+  this.splitWith = new Map([[OTHER_SERVICE, createHistory(version, false)]])
+  this.untoldServices = new Set(isUntold === null ? [] : [OTHER_SERVICE])
+})
+
 When('a caller takes up stream {string}', async function (this: FinderWorld, resumes: string) {
   const clock = createSystemClock()
   this.transports ??= createPeerTransports({ security: SECURITY })
@@ -179,14 +191,16 @@
     streamVersions.merge({ attempt: hash64(attempt), version, keepUntil: clock.now() + KEEP_MS }, 'heard')
   }
   if (this.placed !== undefined) streamVersions.mergeReport(this.placed)
+  const getHistory = (service: string): VersionHistory => this.splitWith?.get(service) ?? this.history
   const finder = createStreamVersionFinder({
     streamVersions,
     peers: () => this.streamPeers!,
     transports: this.transports,
     whenVersionsLoaded: async () => undefined,
-    getVersionHistory: () => this.history,
-    readCurrentVersions: async () => {
-      const { readVersions = async () => new Set(this.history.versions.keys()) } = this
+    getVersionHistory: getHistory,
+    readCurrentVersions: async (service) => {
+      if (this.untoldServices?.has(service) === true) return undefined
+      const { readVersions = async () => new Set(getHistory(service).versions.keys()) } = this
       const registered = await readVersions()
       return registered === undefined
         ? undefined
@@ -197,7 +211,7 @@
     log: createSilentLog()
   })
   const request = { id: 'r9', resumes, lastEventId: 3 } as unknown as CallerRequest
-  this.bound = await finder.find(request, SERVICE)
+  this.bound = await finder.find(request, [SERVICE, ...this.splitWith?.keys() ?? []])
 })
 
 Then('it is bound to version {string}', function (this: FinderWorld, version: string) {
--- a/packages/pimentoplank/src/relay/streams/streamVersionFinder.ts
+++ b/packages/pimentoplank/src/relay/streams/streamVersionFinder.ts
@@ -5,7 +5,9 @@
   describeCause, hash64, RefusalError, StreamService,
   type Clock, type Log, type Metrics, type PeerTransports
 } from '../../shared'
-import { addCurrentVersions, chooseKeepers, findOnlyVersion, type CurrentVersions, type VersionHistory } from '../decisions'
+import {
+  addCurrentVersions, chooseKeepers, findOnlyVersion, joinHistories, type CurrentVersions, type VersionHistory
+} from '../decisions'
 import type { PeerView, StreamNotice } from '../gossip'
 import type { CallerRequest } from '../model'
 import type { ReadCurrentVersions } from './currentVersions'
@@ -26,8 +28,12 @@
 }
 
 export interface StreamVersionFinder {
-  /** Finds the version of the stream that a request takes up; a refusal if it can't be found out. */
-  find: (request: CallerRequest, service: string) => Promise<Result<string, RefusalError>>
+  /**
+   * Finds the version of the stream that a request takes up; a refusal if it can't be found out.
+   *
+   * @param services - all services that the stream may have begun at
+   */
+  find: (request: CallerRequest, services: readonly string[]) => Promise<Result<string, RefusalError>>
   /** Finds the version of a stream that this instance has begun; a refusal if it is in doubt. */
   findOwn: (request: CallerRequest) => Result<string, RefusalError>
 }
@@ -56,9 +62,9 @@
 export function createStreamVersionFinder (options: StreamVersionFinderOptions): StreamVersionFinder {
   const { streamVersions, transports, clock, metrics, log } = options
 
-  async function find (request: CallerRequest, service: string): Promise<Result<string, RefusalError>> {
+  async function find (request: CallerRequest, services: readonly string[]): Promise<Result<string, RefusalError>> {
     const attempt = request.resumes ?? request.id
-    return conclude(request, attempt, await lookUp(hash64(attempt), request, service))
+    return conclude(request, attempt, await lookUp(hash64(attempt), request, services))
   }
 
   function findOwn (request: CallerRequest): Result<string, RefusalError> {
@@ -81,29 +87,38 @@
       : ok(found.version)
   }
 
-  async function lookUp (key: bigint, request: CallerRequest, service: string): Promise<Found> {
+  async function lookUp (key: bigint, request: CallerRequest, services: readonly string[]): Promise<Found> {
     const heard = streamVersions.find(key)
     // A peer may have learned the version since it told of the stream.
     if (heard?.source !== 'own' && heard?.version === undefined) await askPeers(key, request.id)
     const known = streamVersions.find(key)
     if (known !== undefined) return describeKnown(known)
-    return await concludeOnlyVersion(key, service)
+    return await concludeOnlyVersion(key, services)
   }
 
-  /** Concludes from the versions that the service has had, of which the latest may not be known here yet. */
-  async function concludeOnlyVersion (key: bigint, service: string): Promise<Found> {
+  /** Concludes from the versions that the services have had, of which the latest may not be known here yet. */
+  async function concludeOnlyVersion (key: bigint, services: readonly string[]): Promise<Found> {
     await options.whenVersionsLoaded(LOAD_TIMEOUT_MS)
-    const only = findOnlyVersion(options.getVersionHistory(service), clock.now())
+    const only = findOnlyVersion(joinHistories(services.map(options.getVersionHistory)), clock.now())
     if (only === undefined) return { version: undefined, source: 'none' }
-    const current = await readCurrent(service)
+    const read = await Promise.all(services.map(readCurrent))
     const known = streamVersions.find(key)
     if (known !== undefined) return describeKnown(known)
-    if (current === undefined) return { version: undefined, source: 'none', only, current: 'unread' }
+    const current = read.flatMap((one) => one ?? [])
+    if (current.length < services.length) return { version: undefined, source: 'none', only, current: 'unread' }
     const now = clock.now()
-    const version = findOnlyVersion(addCurrentVersions(options.getVersionHistory(service), current, now), now)
+    const histories = current.map((one, index) => (
+      addCurrentVersions(options.getVersionHistory(services[index]!), one, now)
+    ))
+    const version = findOnlyVersion(joinHistories(histories), now)
     if (version !== undefined) return { version, source: 'onlyVersion' }
-    const { registered, recorded, hasOtherProcess } = current
-    return { version, source: 'none', only, current: [...new Set([...registered, ...recorded])], hasOtherProcess }
+    return {
+      version,
+      source: 'none',
+      only,
+      current: [...new Set(current.flatMap(({ registered, recorded }) => [...registered, ...recorded]))],
+      hasOtherProcess: current.some(({ hasOtherProcess }) => hasOtherProcess)
+    }
   }
 
   async function readCurrent (service: string): Promise<CurrentVersions | undefined> {
