Close the connection of a refused call at once when its body has been read

What callers saw: a call of the API with a body that is refused as overloaded kept its connection for 5 s after the refusal, which counts against the connections of all (found by the review of the hostile clients, from reading). Cause: the refusal waits for the end of the request before it ends, and that had come before: the body is dropped first. Change: where the request has been read to its end, the response ends at once.

--- a/packages/pimentoplank/src/shared/process/lingeringClose.feature
+++ b/packages/pimentoplank/src/shared/process/lingeringClose.feature
@@ -17,3 +17,9 @@
     When a caller announces a body and stops short
     Then its connection is closed
     And it has read the refusal
+
+  Scenario: The connection of a caller whose request has been read to its end is closed at once
+    Given a server that reads requests, then refuses them and reads on for 60000 ms
+    When a caller sends a body of 1000 bytes before it reads
+    Then it has read the refusal
+    And its connection was closed in order
--- a/packages/pimentoplank/src/shared/process/lingeringClose.steps.ts
+++ b/packages/pimentoplank/src/shared/process/lingeringClose.steps.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict'
 import { once } from 'node:events'
-import { createServer, type Server } from 'node:http'
+import { createServer, type RequestListener, type Server, type ServerResponse } from 'node:http'
 import { connect, type AddressInfo, type Socket } from 'node:net'
 import { After, Given, Then, When } from '@cucumber/cucumber'
-import { closeLingering } from '.'
+import { closeLingering, type LingerLimits } from '.'
 
 interface LingerWorld {
   lingerServer: Server
@@ -20,16 +20,32 @@
 Given('a server that refuses requests and reads on for {int} bytes and {int} ms', async function (
   this: LingerWorld, maxBytes: number, maxMs: number
 ) {
-  this.readBytes = 0
-  this.answer = ''
-  this.lingerServer = createServer((req, res) => {
+  await listen(this, (req, res) => {
     req.on('data', ({ length }: Buffer) => { this.readBytes += length })
-    res.writeHead(413, { 'Content-Length': '7', Connection: 'close' })
-    closeLingering(res, 'refused', { maxBytes, maxMs })
+    refuse(res, { maxBytes, maxMs })
   })
-  await new Promise<void>((resolve) => this.lingerServer.listen(0, '127.0.0.1', resolve))
 })
 
+Given('a server that reads requests, then refuses them and reads on for {int} ms', async function (
+  this: LingerWorld, maxMs: number
+) {
+  await listen(this, (req, res) => {
+    req.resume().once('end', () => setImmediate(() => refuse(res, { maxMs })))
+  })
+})
+
+async function listen (world: LingerWorld, handle: RequestListener): Promise<void> {
+  world.readBytes = 0
+  world.answer = ''
+  world.lingerServer = createServer(handle)
+  await new Promise<void>((resolve) => world.lingerServer.listen(0, '127.0.0.1', resolve))
+}
+
+function refuse (res: ServerResponse, limits: LingerLimits): void {
+  res.writeHead(413, { 'Content-Length': '7', Connection: 'close' })
+  closeLingering(res, 'refused', limits)
+}
+
 function open (world: LingerWorld, head: string): Socket {
   const socket = connect((world.lingerServer.address() as AddressInfo).port, '127.0.0.1')
   socket.on('error', (cause) => { world.failure = cause })
--- a/packages/pimentoplank/src/shared/process/lingeringClose.ts
+++ b/packages/pimentoplank/src/shared/process/lingeringClose.ts
@@ -26,6 +26,10 @@
   { maxBytes = LINGER_BYTES, maxMs = LINGER_MS }: LingerLimits = {}
 ): void {
   const { req } = res
+  if (req.readableEnded) {
+    res.end(body)
+    return
+  }
   let leftBytes = maxBytes
   const timer = setTimeout(stop, maxMs)
   req.on('data', drop)
