Reset answers over HTTP/1.0 that are given up because nobody reads them

What callers saw: a caller of HTTP/1.0 that reads nothing of an answer for longer than connections may be idle, and reads on later, took what had reached it for the whole answer: 3.9 MB of 20 MB, ended in order. Cause: since unread answers are given up, their connection was closed. An answer to HTTP/1.0 may have neither a length nor chunks, so that a close ends it. Change: connections with an answer in progress are cut off as answers are that break off: by a reset for HTTP/1.0.

--- a/packages/pimentoplank/src/relay/callers/relayHandler.ts
+++ b/packages/pimentoplank/src/relay/callers/relayHandler.ts
@@ -1,7 +1,7 @@
 /** Routes requests of callers to the live path or to the batch jobs. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { err, ok, type Result } from 'neverthrow'
-import { RefusalError, type Clock, type Log, type MemoryBudget, type Random } from '../../shared'
+import { RefusalError, truncateResponse, type Clock, type Log, type MemoryBudget, type Random } from '../../shared'
 import { isRepeatable } from '../decisions'
 import type { JobApi, JobItem } from '../jobs'
 import {
@@ -189,6 +189,6 @@
   memory.resizeAnswer(0)
   memory.resizeBody(0)
   memory.chargeUnread(res.writableLength)
-  memory.setEvict(() => res.destroy())
+  memory.setEvict(() => truncateResponse(res))
   res.once('close', memory.close)
 }
