Count pages of results before they are encoded, one a turn

Cause, shown by a trace of the process (a trial): a page was encoded first and counted then. How much that is depends on how many requests come in one turn of the event loop.

The reader tells the size of a page, which it counts anyway, and returns bodies of items as it has them, in base64; the steps that read them decode them. No message and no stored record changes.

Remains: what is read from the platform or comes from the owner counts only once it is a page; the sizes of 800 pages that come at once are counted in one turn.

--- a/packages/pimentoplank/src/relay/jobs/jobApi.ts
+++ b/packages/pimentoplank/src/relay/jobs/jobApi.ts
@@ -38,8 +38,8 @@
    * @param waitMs - how long to wait for a result, in milliseconds
    */
   read: (job: string, after: number, waitMs: number) => Promise<Result<ResultPage, RefusalError>>
-  /** Reads the request body of an item. */
-  body: (job: string, item: string) => Promise<Result<Uint8Array, RefusalError>>
+  /** Reads the request body of an item, in base64. */
+  body: (job: string, item: string) => Promise<Result<string, RefusalError>>
   end: (job: string) => Promise<Result<void, RefusalError>>
   /** Reads results of an owned job; undefined when this instance does not own it. */
   readOwned: (job: string, after: number, waitMs: number) => Promise<ResultPage | undefined>
--- a/packages/pimentoplank/src/relay/jobs/objectSize.ts
+++ b/packages/pimentoplank/src/relay/jobs/objectSize.ts
@@ -25,13 +25,21 @@
 
 /** Returns the first values whose sizes in JSON add up to at most `maxBytes`; at least one, if there is any. */
 export function takeFitting<Value> (values: readonly Value[], maxBytes: number): Value[] {
+  return measureFitting(values, maxBytes).taken
+}
+
+/** Like `takeFitting`; returns also the size of the values that it takes, in bytes of JSON. */
+export function measureFitting<Value> (
+  values: readonly Value[], maxBytes: number
+): { taken: Value[], bytes: number } {
   const taken: Value[] = []
   let bytes = 0
   for (const value of values) {
     // Each is followed by a comma.
-    bytes += countEncodedBytes(value) + 1
-    if (taken.length > 0 && bytes > maxBytes) break
+    const valueBytes = countEncodedBytes(value) + 1
+    if (taken.length > 0 && bytes + valueBytes > maxBytes) break
     taken.push(value)
+    bytes += valueBytes
   }
-  return taken
+  return { taken, bytes }
 }
--- a/packages/pimentoplank/src/relay/jobs/resultReader.ts
+++ b/packages/pimentoplank/src/relay/jobs/resultReader.ts
@@ -8,7 +8,7 @@
 import type { JobInputs } from './jobInputs'
 import type { JobRegistry } from './jobRegistry'
 import type { JobStore } from './jobStore'
-import { countChars, MAX_CACHED_CHARS, takeFitting } from './objectSize'
+import { countChars, MAX_CACHED_CHARS, measureFitting } from './objectSize'
 import type { OwnedJob } from './ownedJob'
 import { PEER_TIMEOUT_MS, type GetJobClient } from './peerJobs'
 import type { RecordFollower } from './recordFollower'
@@ -18,6 +18,8 @@
   /** Items of the job. */
   total: number
   results: readonly ItemResult[]
+  /** Size of the results in JSON, so that there is room for them before they are encoded. */
+  bytes: number
 }
 
 export interface ResultReaderOptions {
@@ -44,8 +46,8 @@
   read: (job: string, after: number, waitMs: number) => Promise<Result<ResultPage, RefusalError>>
   /** Reads results of an owned job; undefined when this instance does not own it, or can't tell. */
   readOwned: (job: string, after: number, waitMs: number) => Promise<ResultPage | undefined>
-  /** Reads the request body of an item. */
-  body: (job: string, item: string) => Promise<Result<Uint8Array, RefusalError>>
+  /** Reads the request body of an item, in base64. */
+  body: (job: string, item: string) => Promise<Result<string, RefusalError>>
 }
 
 /** Maximum size of the results in one answer, in bytes of JSON; a larger result is answered alone. */
@@ -105,7 +107,7 @@
   }
 
   function toPage (job: OwnedJob, after: number): ResultPage {
-    return { total: job.record().total, results: takePage(job.storedResults(), after) }
+    return takePage(job.record(), job.storedResults().slice(after))
   }
 
   async function readPage (id: string, after: number, waitMs: number): Promise<Result<ResultPage, RefusalError>> {
@@ -142,7 +144,8 @@
       const res = await getClient(peer.report.peerAddress)
         .readResults({ job, after, waitMs, maxBytes: MAX_PAGE_BYTES }, { timeoutMs: waitMs + PEER_TIMEOUT_MS })
       if (!res.isOwner) return undefined
-      return { total: res.total, results: res.results.map(({ item, completed, text }) => ({ item, completed, text })) }
+      // The owner may allow other pages.
+      return takePage(res, res.results.map(({ item, completed, text }) => ({ item, completed, text })), Infinity)
     } catch (cause) {
       metrics.countRetry('peerUnavailable')
       log.info({ job, owner, cause: String(cause) }, 'job owner did not answer')
@@ -163,7 +166,7 @@
   function readCached (id: string, after: number): Result<ResultPage, never> | undefined {
     const cached = cache.get(id)
     if (cached === undefined || cached.results.length <= after) return undefined
-    return ok({ total: cached.record.total, results: takePage(cached.results, after) })
+    return ok(takePage(cached.record, cached.results.slice(after)))
   }
 
   /** Reads stored results up to the end of a page; segments are immutable, so the first ones of a job are cached. */
@@ -192,18 +195,18 @@
       cached.segments += 1
     }
     cache.set(id, cached)
-    return ok({ total: record.total, results: takeFitting(wanted, MAX_PAGE_BYTES) })
+    return ok(takePage(record, wanted))
   }
 
-  async function findBody (id: string, item: string): Promise<Result<Uint8Array, RefusalError>> {
+  async function findBody (id: string, item: string): Promise<Result<string, RefusalError>> {
     const own = registry.get(id)?.findItem(item)
-    if (own?.body !== undefined) return ok(Buffer.from(own.body, 'base64'))
+    if (own?.body !== undefined) return ok(own.body)
     const items = await options.inputs.read(id)
     if (items.isErr()) return err(toReadRefusal(items.error))
     if (items.value === undefined) return err(new RefusalError('notFound', { detail: `no job ${id} exists` }))
     const found = items.value.find((one) => one.id === item)
     if (found === undefined) return err(new RefusalError('notFound', { detail: `no item ${item} in job ${id}` }))
-    return ok(Buffer.from(found.body, 'base64'))
+    return ok(found.body)
   }
 
   return { read: readPage, readOwned, body: findBody }
@@ -219,6 +222,9 @@
   return results.map(({ text }) => text)
 }
 
-function takePage (results: readonly ItemResult[], after: number): ItemResult[] {
-  return takeFitting(results.slice(after), MAX_PAGE_BYTES)
+function takePage (
+  { total }: Pick<ResultPage, 'total'>, left: readonly ItemResult[], maxBytes = MAX_PAGE_BYTES
+): ResultPage {
+  const { taken, bytes } = measureFitting(left, maxBytes)
+  return { total, results: taken, bytes }
 }
