--- a/review/lib-2/harness.mjs
+++ b/review/lib-2/harness.mjs
@@ -176,10 +176,14 @@
   return config
 }
 
-/** Starts store and replicas, writes their entries and the configuration, and starts the instances. */
+/**
+ * Starts store and replicas, writes their entries and the configuration, and starts the instances.
+ *
+ * @param options.isolated - name of an instance that hears no other one and that none hears; it is started later
+ */
 export async function startDeployment ({ record, onEnd }, {
   zones = ['a', 'b', 'c'], replicas: replicaOptions = [{}, {}, {}], storeOptions = {}, config, hasStoreLinks = false,
-  areReady = true
+  areReady = true, isolated
 } = {}) {
   const folder = mkdtempSync(path.join(tmpdir(), 'review-'))
   onEnd(() => rmSync(folder, { recursive: true, force: true }))
@@ -205,7 +209,9 @@
     links.set(name, link)
     storeAddresses.set(name, link.address)
   }
-  const seeds = machines.slice(0, 3).map(({ ip }) => `${ip}:${PORTS.control}`)
+  const seeds = machines.filter(({ name }) => name !== isolated).slice(0, 3).map(({ ip }) => `${ip}:${PORTS.control}`)
+  // Nothing listens there.
+  const deadSeeds = [`${net}.250:${PORTS.control}`]
 
   function createInstance ({ zone, ip, name }) {
     let child
@@ -215,7 +221,13 @@
     async function start () {
       const file = path.join(folder, `${name}.toml`)
       writeFileSync(file, settingsText({
-        name, role: 'entry', ip, zone, seeds, store: storeAddresses.get(name) ?? store.address, bootstrap: !hasStarted
+        name,
+        role: 'entry',
+        ip,
+        zone,
+        seeds: name === isolated ? deadSeeds : seeds,
+        store: storeAddresses.get(name) ?? store.address,
+        bootstrap: !hasStarted
       }))
       hasStarted = true
       const { PATH, HOME, LANG } = process.env
@@ -274,8 +286,9 @@
   }
 
   const instances = machines.map(createInstance)
-  for (const instance of instances) await instance.start()
-  if (areReady) for (const instance of instances) await instance.whenReady()
+  const early = instances.filter(({ name }) => name !== isolated)
+  for (const instance of early) await instance.start()
+  if (areReady) for (const instance of early) await instance.whenReady()
   return { store, replicas, instances }
 }
 
--- a/review/lib-2/replica.mjs
+++ b/review/lib-2/replica.mjs
@@ -14,11 +14,12 @@
  * @param options.eventsOf - the same for a path, where it differs
  */
 export async function startReplica ({
-  id, service = 'assistant', zone = 'a', version = 'v1', slots = 8, queue = 24, events: usualEvents = 20, eventMs = 20,
+  id, service = 'assistant', zone = 'a', version: firstVersion = 'v1', slots = 8, queue = 24, events: usualEvents = 20, eventMs = 20,
   eventsOf = () => usualEvents,
   onRun = () => undefined
 }) {
   let born = Date.now()
+  let version = firstVersion
   const runs = []
   const waiting = []
   const sockets = new Set()
@@ -88,6 +89,7 @@
     const run = {
       attempt,
       replica: id,
+      version,
       path: req.url,
       from: Number(headers['last-event-id'] ?? 0),
       sent: 0,
@@ -97,7 +99,6 @@
     const events = eventsOf(req.url)
     const process = born
     runs.push(run)
-    if (faults.crashingPath !== undefined && run.path.startsWith(faults.crashingPath)) return crash()
     onRun(run)
     const endAt = Date.now() + Number(headers['deadline-remaining'] ?? Infinity)
     try {
@@ -117,7 +118,7 @@
           return
         }
         run.sent = event
-        res.write(`id: ${event}\ndata: ${eventText(attempt, event)}\n\n`)
+        res.write(`id: ${event}\n: written by ${version}\ndata: ${eventText(attempt, event)}\n\n`)
       }
       run.outcome = 'done'
       res.end()
@@ -140,7 +141,6 @@
     service, address, zone, version, slots, state: 'ready', cold_remaining_ms: 0, sequence: 1, born
   })
 
-  /** The process dies, and another one starts under its id and address. */
   function crash () {
     if (!server.listening) return
     for (const run of runs) if (run.outcome === 'running') run.outcome = 'crashed'
@@ -149,23 +149,26 @@
     waiting.splice(0)
     running = 0
     born = NaN
-    faults.onCrash?.(id)
-    setTimeout(() => {
-      if (isClosed) return
-      born = Date.now()
-      server.listen(port, '127.0.0.1', () => faults.onRestart?.(id, describe()))
-    }, faults.downMs)
   }
+
+  async function start (next) {
+    if (isClosed) return
+    version = next.version
+    born = Date.now()
+    await new Promise((resolve) => server.listen(port, '127.0.0.1', resolve))
+  }
+
   return {
     id,
     address,
     runs,
-    /**
-     * `limit`: value of the header Server-Limit in all answers to requests. `crashingPath`: requests under it end the
-     * process as they begin to run; it is back after `downMs`, as `onCrash` and `onRestart` are told.
-     */
+    /** `limit`: value of the header Server-Limit in all answers to requests. */
     faults,
     entry: describe(),
+    /** The process dies. */
+    crash,
+    /** Another process starts under the id and address; its entry is not written. */
+    start,
     close: () => {
       isClosed = true
       server.close()
