--- a/review/lib-2/replica.mjs
+++ b/review/lib-2/replica.mjs
@@ -123,6 +123,7 @@
       run.outcome = 'done'
       res.end()
     } finally {
+      run.endedAt = Date.now()
       leaveSlot(process)
     }
   }
